Set up the base library, the interfaces and the design page

Cause: an empty repository; every later part needs the same errors, rings, tables, supervisors and agreed interfaces.

No service yet; the programs are empty.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,104 @@
+# Builds turmericd, turmericctl and standin into build/, and runs all checks.
+
+MAKEFLAGS += --no-print-directory
+VARIANT ?= plain
+BUILD := build/$(VARIANT)
+CC := gcc
+PACKAGES := libulfius libcurl json-c glib-2.0 libprotobuf-c libxxhash
+CPPFLAGS := -Isrc -D_GNU_SOURCE $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+SANITIZE_plain := -O2
+SANITIZE_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
+SANITIZE_tsan := -O1 -fsanitize=thread
+CFLAGS := -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Werror -pthread $(SANITIZE_$(VARIANT))
+LDLIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm -pthread
+
+PROGRAMS := turmericd turmericctl standin
+GENERATED := $(wildcard src/proto/*.pb-c.[ch])
+SOURCES := $(shell find src -name '*.c')
+HAND := $(filter-out $(GENERATED),$(shell find src test bench -name '*.[ch]' 2>/dev/null))
+MAINS := $(PROGRAMS:%=src/%/main.c)
+PART_standin := $(filter src/standin/%,$(SOURCES))
+PART_turmericctl := $(filter src/turmericctl/%,$(SOURCES))
+LIB_SOURCES := $(filter-out $(PART_standin) $(PART_turmericctl) $(MAINS),$(SOURCES))
+LIB := $(BUILD)/libturmeric.a
+OBJECT = $(1:%.c=$(BUILD)/%.o)
+TESTS := $(patsubst test/%.c,$(BUILD)/test/%,$(wildcard test/*_test.c))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/*_bench.c))
+
+.SECONDARY:
+.PHONY: all deps check format lint tests test-asan test-tsan spec run bench proto clean
+all: $(PROGRAMS:%=$(BUILD)/%)
+
+deps:
+	sh ./deps.sh
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "CC $(VARIANT) $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(if $(filter %.pb-c.c,$<),-Wno-error) -MMD -c -o $@ $<
+
+$(LIB): $(call OBJECT,$(LIB_SOURCES))
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/libstandin.a: $(call OBJECT,$(filter-out src/standin/main.c,$(PART_standin)))
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/turmericd: $(BUILD)/src/turmericd/main.o $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/standin: $(BUILD)/src/standin/main.o $(BUILD)/libstandin.a $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/turmericctl: $(call OBJECT,$(PART_turmericctl)) $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/libstandin.a $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/libstandin.a $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+# Generated code is committed; run this after a change of peer.proto.
+proto:
+	cd src/proto && protoc-c --c_out=. peer.proto
+
+format:
+	@clang-format --dry-run -Werror $(HAND)
+
+lint:
+	@cppcheck --quiet --std=c11 --library=gtk,posix --enable=warning,performance,portability --inline-suppr --suppress=missingInclude --suppress=normalCheckLevelMaxBranches --error-exitcode=1 -Isrc -j 8 $(filter %.c,$(HAND))
+	sh ./test/style.sh
+
+tests: all $(TESTS)
+	sh ./test/run.sh $(TESTS)
+
+test-asan:
+	$(MAKE) VARIANT=asan tests
+
+test-tsan:
+	$(MAKE) VARIANT=tsan tests
+
+spec:
+	sh ./spec/check.sh
+
+check: deps
+	$(MAKE) format lint
+	$(MAKE) -j 8 all
+	$(MAKE) -j 8 tests
+	$(MAKE) -j 8 test-asan
+	$(MAKE) -j 8 test-tsan
+	$(MAKE) spec
+
+bench: all $(BENCHES)
+	sh ./bench/run.sh $(BUILD)
+
+run: deps
+	$(MAKE) -j 8 all
+	sh ./examples/run.sh $(BUILD)
+
+clean:
+	rm -rf build
+
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/base/dat.h
@@ -0,0 +1,292 @@
+#ifndef BASE_DAT_H
+#define BASE_DAT_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <time.h>
+
+enum {
+    ERR_TEXT_MAX = 256,
+    NAME_MAX_BYTES = 64,
+    PATH_MAX_BYTES = 200,
+    ADDRESS_MAX_BYTES = 64,
+};
+
+/**
+ * enum outcome - what is known about a request that was refused
+ * @OUTCOME_NOT_RUN: no target has started it; sending it again is safe
+ * @OUTCOME_RAN: a target has run it
+ * @OUTCOME_UNKNOWN: a target may have run it
+ */
+enum outcome { OUTCOME_NOT_RUN, OUTCOME_RAN, OUTCOME_UNKNOWN };
+
+/**
+ * ERR_KINDS - every kind of error
+ *
+ * Columns: enumerator, public name, HTTP status, outcome, remedy. The public
+ * name is the counter's name and the last part of the problem type's URN, so
+ * it must not change once released.
+ */
+#define ERR_KINDS(X)                                                          \
+    X(ERR_NONE, "none", 200, OUTCOME_NOT_RUN, "")                             \
+    X(ERR_INTERNAL, "internal", 500, OUTCOME_UNKNOWN,                         \
+      "report this with the log of the instance")                             \
+    X(ERR_NO_MEMORY, "no_memory", 503, OUTCOME_NOT_RUN,                       \
+      "retry later; give the instance more memory")                           \
+    X(ERR_IO, "io", 503, OUTCOME_UNKNOWN,                                     \
+      "check the network path and the address in the settings")               \
+    X(ERR_TIMEOUT, "timeout", 504, OUTCOME_UNKNOWN,                           \
+      "check whether the other side is up, then retry")                       \
+    X(ERR_RING_FULL, "ring_full", 503, OUTCOME_NOT_RUN,                       \
+      "retry after the time in Retry-After, or use another address")          \
+    X(ERR_TABLE_FULL, "table_full", 503, OUTCOME_NOT_RUN,                     \
+      "retry after the time in Retry-After, or use another address")          \
+    X(ERR_STOPPED, "stopped", 503, OUTCOME_NOT_RUN,                           \
+      "ask /v1/address for another instance")                                 \
+    X(ERR_BAD_REQUEST, "bad_request", 400, OUTCOME_NOT_RUN,                   \
+      "correct the request as the detail says")                               \
+    X(ERR_BAD_JSON, "bad_json", 400, OUTCOME_NOT_RUN,                         \
+      "send one complete JSON object")                                        \
+    X(ERR_BODY_TOO_LARGE, "body_too_large", 413, OUTCOME_NOT_RUN,             \
+      "send a smaller body or raise body_max_bytes")                          \
+    X(ERR_NOT_FOUND, "not_found", 404, OUTCOME_NOT_RUN,                       \
+      "check the path against the manual page")                               \
+    X(ERR_UNKNOWN_MODEL, "unknown_model", 404, OUTCOME_NOT_RUN,               \
+      "GET /v1/models lists the models; an operator adds one to the tree")    \
+    X(ERR_UNKNOWN_SERVICE, "unknown_service", 404, OUTCOME_NOT_RUN,           \
+      "use a service of the tree; an operator adds one to it")                \
+    X(ERR_DISABLED, "disabled", 403, OUTCOME_NOT_RUN,                         \
+      "an operator sets enabled to true on the node named in the detail")     \
+    X(ERR_NO_TARGET, "no_target", 503, OUTCOME_NOT_RUN,                       \
+      "retry later; check that targets of the service are in the list")       \
+    X(ERR_QUEUE_FULL, "queue_full", 429, OUTCOME_NOT_RUN,                     \
+      "retry after the time in Retry-After; an operator can raise queue_max") \
+    X(ERR_DEADLINE, "deadline", 504, OUTCOME_NOT_RUN,                         \
+      "retry later or allow more time in X-Deadline-Ms")                      \
+    X(ERR_TARGET_FAILED, "target_failed", 502, OUTCOME_UNKNOWN,               \
+      "look up whether the request took effect before sending it again")      \
+    X(ERR_RETRY_BUDGET, "retry_budget", 503, OUTCOME_NOT_RUN,                 \
+      "too many attempts fail at present; retry after Retry-After")           \
+    X(ERR_CRASHES_TARGETS, "request_crashes_targets", 422, OUTCOME_UNKNOWN,   \
+      "change the request; the same body broke several targets")              \
+    X(ERR_KEY_MISSING, "key_missing", 400, OUTCOME_NOT_RUN,                   \
+      "send an Idempotency-Key header with this method")                      \
+    X(ERR_KEY_BAD, "key_bad", 400, OUTCOME_NOT_RUN,                           \
+      "use 1 to 255 printable characters, best a UUIDv7")                     \
+    X(ERR_KEY_EXPIRED, "key_expired", 409, OUTCOME_UNKNOWN,                   \
+      "look up whether the request took effect, then use a new key")          \
+    X(ERR_KEY_IN_FUTURE, "key_in_future", 400, OUTCOME_NOT_RUN,               \
+      "set the caller's clock; the UUIDv7 lies in the future")                \
+    X(ERR_DUPLICATE, "duplicate_request", 409, OUTCOME_UNKNOWN,               \
+      "look up the result of the first request with this key")                \
+    X(ERR_CLAIMS_FULL, "claims_full", 507, OUTCOME_NOT_RUN,                   \
+      "use UUIDv7 keys, whose claims expire")                                 \
+    X(ERR_CLAIM_UNAVAILABLE, "claim_unavailable", 503, OUTCOME_NOT_RUN,       \
+      "retry when the key-value service answers again")                       \
+    X(ERR_NOT_READY, "not_ready", 503, OUTCOME_NOT_RUN,                       \
+      "retry; the instance has no tree of settings yet")                      \
+    X(ERR_CONFIG_STALE, "config_stale", 503, OUTCOME_NOT_RUN,                 \
+      "retry at another instance or when the key-value service answers")      \
+    X(ERR_KV_DOWN, "kv_down", 503, OUTCOME_UNKNOWN,                           \
+      "check the key-value service; retry when it answers")                   \
+    X(ERR_KV_CONFLICT, "kv_conflict", 409, OUTCOME_NOT_RUN,                   \
+      "read the current value and try again")                                 \
+    X(ERR_CONFIG_BEHIND, "config_store_behind", 503, OUTCOME_NOT_RUN,         \
+      "restore the key-value service's newer data, then retry the edit")      \
+    X(ERR_EDIT_CONFLICT, "edit_conflict", 409, OUTCOME_NOT_RUN,               \
+      "read the tree again and repeat the edit")                              \
+    X(ERR_EDIT_INVALID, "edit_invalid", 422, OUTCOME_NOT_RUN,                 \
+      "correct the value as the detail says")                                 \
+    X(ERR_UNAUTHORIZED, "unauthorized", 401, OUTCOME_NOT_RUN,                 \
+      "send the operators' token as a Bearer token")                          \
+    X(ERR_REPLICAS_FULL, "replicas_full", 503, OUTCOME_NOT_RUN,               \
+      "retry; an operator can raise replicas_max")                            \
+    X(ERR_MEMORY_FULL, "memory_full", 503, OUTCOME_NOT_RUN,                   \
+      "retry when models fall idle, or add engines")                          \
+    X(ERR_LOAD_FAILED, "load_failed", 503, OUTCOME_NOT_RUN,                   \
+      "retry; check the weight store and the engine's log")                   \
+    X(ERR_FENCE_OLD, "fence_old", 409, OUTCOME_NOT_RUN,                       \
+      "read the engine's record again; another instance has taken over")      \
+    X(ERR_BAD_FRAME, "bad_frame", 400, OUTCOME_NOT_RUN,                       \
+      "run the same version of turmericd on all instances")                   \
+    X(ERR_SETTINGS, "settings", 400, OUTCOME_NOT_RUN,                         \
+      "correct the settings file as the detail says")
+
+enum err_kind {
+#define X(kind, name, status, outcome, remedy) kind,
+    ERR_KINDS(X)
+#undef X
+        ERR_KIND_COUNT
+};
+
+/**
+ * struct err - error that callees fill in and callers pass on
+ * @kind: typed kind; ERR_NONE while there is no error
+ * @text: what failed and why, without the remedy
+ */
+struct err {
+    enum err_kind kind;
+    char text[ERR_TEXT_MAX];
+};
+
+/**
+ * struct err_info - constant facts of an error kind
+ * @name: public name, also the counter's name
+ * @status: HTTP status
+ * @outcome: outcome that the kind implies unless the caller knows better
+ * @remedy: what the reader should do
+ */
+struct err_info {
+    const char *name;
+    int status;
+    enum outcome outcome;
+    const char *remedy;
+};
+
+/**
+ * COUNTERS - counters other than refusals, which have one per error kind
+ */
+#define COUNTERS(X)                                                           \
+    X(CTR_CALLS, "calls_total")                                               \
+    X(CTR_ANSWERS, "answers_total")                                           \
+    X(CTR_ANSWER_STALE, "answer_stale_total")                                 \
+    X(CTR_RETRY_CONNECT, "retry_connect_total")                               \
+    X(CTR_RETRY_NOT_LOADED, "retry_not_loaded_total")                         \
+    X(CTR_RETRY_BROKEN, "retry_broken_total")                                 \
+    X(CTR_RETRY_BUSY, "retry_busy_total")                                     \
+    X(CTR_RETRY_RESUME, "retry_resume_total")                                 \
+    X(CTR_RETRY_KV_CONFLICT, "retry_kv_conflict_total")                       \
+    X(CTR_RETRY_KV_DOWN, "retry_kv_down_total")                               \
+    X(CTR_KV_CALLS, "kv_calls_total")                                         \
+    X(CTR_KV_FAILED, "kv_failed_total")                                       \
+    X(CTR_CONFIG_APPLIED, "config_applied_total")                             \
+    X(CTR_CONFIG_OLDER_IGNORED, "config_older_ignored_total")                 \
+    X(CTR_EDITS_ACCEPTED, "edits_accepted_total")                             \
+    X(CTR_CLAIMS, "claims_total")                                             \
+    X(CTR_CLAIMS_RELEASED, "claims_released_total")                           \
+    X(CTR_CLAIM_APPENDS, "claim_appends_total")                               \
+    X(CTR_LOADS, "loads_total")                                               \
+    X(CTR_UNLOADS, "unloads_total")                                           \
+    X(CTR_LOADS_ADOPTED, "loads_adopted_total")                               \
+    X(CTR_LOADS_DOUBT, "loads_doubt_total")                                   \
+    X(CTR_STRIKES, "strikes_total")                                           \
+    X(CTR_PEER_FRAMES_IN, "peer_frames_in_total")                             \
+    X(CTR_PEER_FRAMES_OUT, "peer_frames_out_total")                           \
+    X(CTR_PEER_BYTES_IN, "peer_bytes_in_total")                               \
+    X(CTR_PEER_BYTES_OUT, "peer_bytes_out_total")                             \
+    X(CTR_PEER_DROPPED, "peer_dropped_total")                                 \
+    X(CTR_MEMBER_DEAD, "member_dead_total")                                   \
+    X(CTR_REPORTS, "reports_total")                                           \
+    X(CTR_POLLS_FAILED, "polls_failed_total")                                 \
+    X(CTR_DUTY_RESTARTS, "duty_restarts_total")
+
+enum counter {
+#define X(id, name) id,
+    COUNTERS(X)
+#undef X
+        COUNTER_COUNT
+};
+
+/**
+ * struct handle - reference to a slot of a table
+ * @index: slot number
+ * @generation: generation of the slot; 0 is never a valid handle
+ */
+struct handle {
+    uint32_t index;
+    uint32_t generation;
+};
+
+/**
+ * struct table - fixed number of fixed-size slots, referred to by handles
+ *
+ * Not thread-safe: the duty that owns the table is its only user.
+ */
+struct table {
+    unsigned char *slots;
+    uint32_t *generations;
+    uint32_t *free_list;
+    uint32_t free_count;
+    uint32_t capacity;
+    size_t slot_bytes;
+};
+
+/**
+ * struct ring - bounded queue of fixed-size messages between threads
+ *
+ * Messages are copied by value. Any number of threads may push and pop.
+ */
+struct ring {
+    pthread_mutex_t lock;
+    pthread_cond_t ready;
+    unsigned char *messages;
+    size_t message_bytes;
+    uint32_t capacity;
+    uint32_t head;
+    uint32_t count;
+    bool closed;
+};
+
+enum ring_result { RING_OK, RING_TIMEOUT, RING_CLOSED };
+
+struct duty;
+
+/**
+ * struct duty_ops - what a supervisor does with a child
+ * @run: body of the duty's thread; returns true after stop() and false with
+ *       an error when the duty can't go on and must be restarted
+ * @stop: asks run() to return; called from another thread; must not block
+ */
+struct duty_ops {
+    bool (*run)(struct duty *duty, struct err *err);
+    void (*stop)(struct duty *duty);
+};
+
+/**
+ * struct duty - a supervised thread
+ * @ops: behaviour; first member of every duty
+ * @name: name in the log
+ */
+struct duty {
+    const struct duty_ops *ops;
+    const char *name;
+};
+
+enum { SUPERVISOR_CHILDREN_MAX = 16 };
+
+struct supervisor;
+
+/**
+ * struct child - a duty with its thread and restart history
+ */
+struct child {
+    struct duty *duty;
+    struct supervisor *supervisor;
+    pthread_t thread;
+    bool started;
+    bool stopping;
+    int restarts;
+    int64_t window_start_ms;
+};
+
+/**
+ * struct supervisor - starts children in order, restarts and stops them
+ * @duty: lets a supervisor be the child of another
+ *
+ * A child that fails is restarted with a growing delay. A child that fails
+ * too often stops its siblings and fails the supervisor itself.
+ */
+struct supervisor {
+    struct duty duty;
+    struct child children[SUPERVISOR_CHILDREN_MAX];
+    int child_count;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    bool stopping;
+    bool failed;
+    struct err err;
+};
+
+#endif
--- /dev/null
+++ b/src/turmericd/main.c
@@ -0,0 +1,5 @@
+int
+main(void)
+{
+    return 0;
+}
--- /dev/null
+++ b/src/turmericd/place/dat.h
@@ -0,0 +1,85 @@
+#ifndef PLACE_DAT_H
+#define PLACE_DAT_H
+
+/**
+ * struct want - callers wait for a leaf that is not loaded
+ * @leaf: id of the leaf
+ * @path: path of the leaf
+ * @priority: highest priority of the waiting calls
+ * @waiting: number of waiting calls
+ */
+struct want {
+    uint64_t leaf;
+    char path[PATH_MAX_BYTES];
+    int priority;
+    int waiting;
+};
+
+/**
+ * struct placement - answer to a want
+ * @leaf: id of the leaf
+ * @target: engine that has it now; 0 when refused
+ * @kind: ERR_NONE or why not
+ * @text: detail of a refusal
+ */
+struct placement {
+    uint64_t leaf;
+    uint64_t target;
+    enum err_kind kind;
+    char text[ERR_TEXT_MAX];
+};
+
+struct place_port;
+
+/**
+ * struct place_port_ops - what placement needs from the rest
+ * @placed: tells the route duty of this instance
+ * @owner: member that decides about a leaf
+ * @send: sends a message to a member; the envelope stays the caller's
+ * @tree: the tree in force, pinned; NULL when there is none
+ * @fresh: whether the configuration held may be decided with
+ * @member_alive: whether the instance with this id still runs with @start;
+ *                false only when it has been gone from the platform's list
+ *                for the grace time or runs with a larger start number
+ */
+struct place_port_ops {
+    void (*placed)(struct place_port *port, const struct placement *placement);
+    uint64_t (*owner)(struct place_port *port, uint64_t leaf);
+    bool (*send)(struct place_port *port, uint64_t member,
+                 Turmeric__Envelope *envelope);
+    struct tree *(*tree)(struct place_port *port);
+    bool (*fresh)(struct place_port *port);
+    bool (*member_alive)(struct place_port *port, uint64_t member,
+                         uint64_t start);
+};
+
+struct place_port {
+    const struct place_port_ops *ops;
+};
+
+struct engine_api;
+
+/**
+ * struct engine_api_ops - orders to an engine
+ * @load: loads a model or adapter; returns when it is loaded. ERR_FENCE_OLD
+ *        when refused for its fence, ERR_LOAD_FAILED when the engine said no,
+ *        ERR_TIMEOUT or ERR_IO when the outcome is unknown
+ * @unload: lets running requests finish, then frees the memory
+ */
+struct engine_api_ops {
+    bool (*load)(struct engine_api *api, const char *address, const char *path,
+                 int64_t memory_mb, uint64_t fence, struct err *err);
+    bool (*unload)(struct engine_api *api, const char *address,
+                   const char *path, uint64_t fence, struct err *err);
+};
+
+struct engine_api {
+    const struct engine_api_ops *ops;
+};
+
+/**
+ * struct place - duty that decides loads and unloads
+ */
+struct place;
+
+#endif
--- /dev/null
+++ b/src/turmericd/serve/call/fns.h
@@ -0,0 +1,33 @@
+#ifndef CALL_FNS_H
+#define CALL_FNS_H
+
+struct calls *calls_new(uint32_t capacity, struct err *err);
+void calls_free(struct calls *calls);
+uint32_t calls_count(struct calls *calls);
+
+/* The caller's side (front). Takes ownership of request->body on success. */
+bool call_open(struct calls *calls, const struct call_request *request,
+               struct handle *call, struct err *err);
+enum call_phase call_wait_answer(struct calls *calls, struct handle call,
+                                 struct call_answer *answer, struct err *err);
+/* Blocks for output; 0 at the end of a whole answer, -1 when it broke off. */
+ssize_t call_read(struct calls *calls, struct handle call, char *buffer,
+                  size_t bytes);
+/* Frees the slot; later writes by others are refused as stale. */
+void call_close(struct calls *calls, struct handle call);
+
+/* The serving side (route, forward). */
+bool call_copy_request(struct calls *calls, struct handle call,
+                       struct call_request *request, struct err *err);
+void call_request_free(struct call_request *request);
+bool call_start_answer(struct calls *calls, struct handle call,
+                       const struct call_answer *answer);
+/* Blocks while the output buffer is full and the caller is there. */
+bool call_write(struct calls *calls, struct handle call, const void *data,
+                size_t bytes);
+bool call_finish(struct calls *calls, struct handle call, bool whole);
+/* Refuses a call; ends the stream with an error event when it has begun. */
+bool call_refuse(struct calls *calls, struct handle call,
+                 const struct err *err, enum outcome outcome);
+
+#endif
--- /dev/null
+++ b/src/turmericd/serve/desk/fns.h
@@ -0,0 +1,9 @@
+#ifndef DESK_FNS_H
+#define DESK_FNS_H
+
+struct desk *desk_new(const struct desk_settings *settings,
+                      struct desk_port *port, struct err *err);
+void desk_free(struct desk *desk);
+struct duty *desk_duty(struct desk *desk);
+
+#endif
