--- a/src/turmericd/serve/call/dat.h
+++ b/src/turmericd/serve/call/dat.h
@@ -4,6 +4,7 @@
 enum {
     CALL_BODY_MAX_BYTES = 1024 * 1024,
     CALL_OUTPUT_BYTES = 64 * 1024,
+    CALL_TEXT_MAX_BYTES = 512 * 1024,
     CALL_URL_MAX_BYTES = 1024,
     CALL_METHOD_MAX_BYTES = 16,
     CALL_TYPE_MAX_BYTES = 128,
@@ -22,6 +23,7 @@
  * @stream: the caller asked for server-sent events
  * @idempotent: the call may be repeated
  * @claim: filled in when not @idempotent
+ * @key: the caller's Idempotency-Key, empty when there is none
  * @priority: 0..9
  * @arrival_ms: monotonic
  * @deadline_ms: monotonic; the first byte must have come by then
@@ -39,6 +41,7 @@
     bool stream;
     bool idempotent;
     struct claim_request claim;
+    char key[CLAIM_KEY_MAX_BYTES + 1];
     int priority;
     int64_t arrival_ms;
     int64_t deadline_ms;
--- a/src/turmericd/serve/call/fns.h
+++ b/src/turmericd/serve/call/fns.h
@@ -10,6 +10,9 @@
                struct handle *call, struct err *err);
 enum call_phase call_wait_answer(struct calls *calls, struct handle call,
                                  struct call_answer *answer, struct err *err);
+/* Why a call was refused or broke off; false when it was neither. */
+bool call_refusal(struct calls *calls, struct handle call, struct err *err,
+                  enum outcome *outcome);
 /* Blocks for output; 0 at the end of a whole answer, -1 when it broke off. */
 ssize_t call_read(struct calls *calls, struct handle call, char *buffer,
                   size_t bytes);
@@ -19,6 +22,8 @@
 /* The serving side (route, forward). */
 bool call_copy_request(struct calls *calls, struct handle call,
                        struct call_request *request, struct err *err);
+bool call_copy_head(struct calls *calls, struct handle call,
+                    struct call_request *request);
 void call_request_free(struct call_request *request);
 bool call_start_answer(struct calls *calls, struct handle call,
                        const struct call_answer *answer);
@@ -29,5 +34,9 @@
 /* Refuses a call; ends the stream with an error event when it has begun. */
 bool call_refuse(struct calls *calls, struct handle call,
                  const struct err *err, enum outcome outcome);
+/* Text of a streamed answer so far, so that another engine can go on. */
+void call_add_text(struct calls *calls, struct handle call, const char *text,
+                   size_t bytes);
+char *call_copy_text(struct calls *calls, struct handle call);
 
 #endif
--- /dev/null
+++ b/src/turmericd/serve/forward/forward.c
@@ -0,0 +1,298 @@
+/**
+ * DOC: The forward duty: a pool of threads that call targets.
+ *
+ * A supervisor has few children, so the pool is a supervisor of groups, each
+ * a supervisor of workers. All workers take attempts from one ring. An
+ * attempt is accepted only while a worker is free for it, so none waits
+ * behind a long answer past its deadline.
+ */
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "tree/dat.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/forward/dat.h"
+#include "turmericd/serve/forward/fns.h"
+#include "turmericd/serve/forward/internal.h"
+
+enum {
+    GROUPS_MAX = SUPERVISOR_CHILDREN_MAX,
+    WORKERS_MAX = GROUPS_MAX * SUPERVISOR_CHILDREN_MAX,
+};
+
+/**
+ * struct worker - thread that runs one attempt at a time
+ * @duty: child of a group
+ * @forward: the pool
+ * @multi: handle of libcurl, also used to wake the thread
+ */
+struct worker {
+    struct duty duty;
+    struct forward *forward;
+    CURLM *multi;
+};
+
+struct forward {
+    struct supervisor pool;
+    struct supervisor groups[GROUPS_MAX];
+    int group_count;
+    struct worker *workers;
+    int worker_count;
+    struct ring attempts;
+    atomic_int taken;
+    atomic_bool stopping;
+    struct calls *calls;
+    struct forward_port *port;
+};
+
+static void
+run_attempt(struct worker *worker, const struct attempt *attempt,
+            const struct call_request *request, struct attempt_result *result)
+{
+    struct forward *forward = worker->forward;
+    char *text = NULL;
+    struct answer answer;
+    enum transfer_end end;
+
+    if (attempt->resume_from > 0 && !attempt->resume_here) {
+        text = call_copy_text(forward->calls, attempt->call);
+        if (text == NULL) {
+            result->kind = ATTEMPT_NOT_SENT;
+            result->events = ATTEMPT_EVENTS_NO_RESUME;
+            snprintf(result->text, sizeof(result->text),
+                     "the text so far was not kept");
+            return;
+        }
+    }
+    answer_init(&answer, forward->calls, attempt, request);
+    end = transfer_run(worker->multi, attempt, request, text, &answer,
+                       &forward->stopping, result->text, sizeof(result->text));
+    answer_end(&answer, end, result);
+    answer_clear(&answer);
+    free(text);
+}
+
+/* Whether an engine may go on generating for nobody. */
+static bool
+leaves_stream(const struct call_request *request,
+              const struct attempt_result *result)
+{
+    return request->leaf != 0 && (result->kind == ATTEMPT_CALLER_GONE ||
+                                  result->kind == ATTEMPT_TIMEOUT);
+}
+
+static void
+handle_attempt(struct worker *worker, const struct attempt *attempt)
+{
+    struct forward *forward = worker->forward;
+    struct call_request request;
+    struct err err = {0};
+    struct attempt_result result = {
+        .id = attempt->id,
+        .call = attempt->call,
+        .target = attempt->target,
+        .events = attempt->resume_from,
+    };
+
+    if (!call_copy_request(forward->calls, attempt->call, &request, &err)) {
+        result.kind =
+            err.kind == ERR_STOPPED ? ATTEMPT_CALLER_GONE : ATTEMPT_NOT_SENT;
+        memcpy(result.text, err.text, sizeof(result.text));
+        forward->port->ops->done(forward->port, &result);
+        return;
+    }
+    run_attempt(worker, attempt, &request, &result);
+    forward->port->ops->done(forward->port, &result);
+    if (leaves_stream(&request, &result)) {
+        transfer_cancel(attempt);
+    }
+    call_request_free(&request);
+}
+
+static bool
+worker_run(struct duty *duty, struct err *err)
+{
+    struct worker *worker = (struct worker *)duty;
+    struct forward *forward = worker->forward;
+    struct attempt attempt;
+
+    (void)err;
+    while (ring_pop(&forward->attempts, &attempt, -1) == RING_OK) {
+        handle_attempt(worker, &attempt);
+        atomic_fetch_sub(&forward->taken, 1);
+    }
+    return true;
+}
+
+/* The workers share the ring, so they stop together. */
+static void
+worker_stop(struct duty *duty)
+{
+    struct worker *worker = (struct worker *)duty;
+
+    atomic_store(&worker->forward->stopping, true);
+    ring_close(&worker->forward->attempts);
+    curl_multi_wakeup(worker->multi);
+}
+
+static const struct duty_ops worker_ops = {worker_run, worker_stop};
+
+static bool
+pool_run(struct duty *duty, struct err *err)
+{
+    return supervisor_run((struct supervisor *)duty, err);
+}
+
+static void
+pool_stop(struct duty *duty)
+{
+    struct forward *forward = (struct forward *)duty;
+
+    for (int i = 0; i < forward->worker_count; i++) {
+        worker_stop(&forward->workers[i].duty);
+    }
+    supervisor_stop(&forward->pool);
+}
+
+static const struct duty_ops pool_ops = {pool_run, pool_stop};
+
+static bool
+add_workers(struct forward *forward, int workers, struct err *err)
+{
+    for (int i = 0; i < workers; i++) {
+        struct worker *worker = &forward->workers[i];
+        int group = i / SUPERVISOR_CHILDREN_MAX;
+
+        if (i % SUPERVISOR_CHILDREN_MAX == 0) {
+            supervisor_init(&forward->groups[group], "forward_group");
+            supervisor_add(&forward->pool, &forward->groups[group].duty);
+            forward->group_count++;
+        }
+        worker->duty.ops = &worker_ops;
+        worker->duty.name = "forward_worker";
+        worker->forward = forward;
+        worker->multi = curl_multi_init();
+        if (worker->multi == NULL) {
+            return err_set(err, ERR_NO_MEMORY, "worker %d of forward", i);
+        }
+        supervisor_add(&forward->groups[group], &worker->duty);
+        forward->worker_count++;
+    }
+    return true;
+}
+
+static void
+init_client(void)
+{
+    ulfius_global_init();
+}
+
+/**
+ * forward_new() - pool of threads that call targets
+ * @calls: table of calls
+ * @workers: number of threads, 1..256; also the most attempts at one time
+ * @port: told of each attempt's end
+ * @err: filled in on failure
+ */
+struct forward *
+forward_new(struct calls *calls, int workers, struct forward_port *port,
+            struct err *err)
+{
+    static pthread_once_t once = PTHREAD_ONCE_INIT;
+    struct forward *forward = NULL;
+
+    if (workers < 1 || workers > WORKERS_MAX) {
+        err_set(err, ERR_SETTINGS, "workers must be 1 to %d", WORKERS_MAX);
+        return NULL;
+    }
+    pthread_once(&once, init_client);
+    forward = calloc(1, sizeof(*forward));
+    if (forward == NULL) {
+        err_set(err, ERR_NO_MEMORY, "forward");
+        return NULL;
+    }
+    supervisor_init(&forward->pool, "forward");
+    forward->pool.duty.ops = &pool_ops;
+    forward->calls = calls;
+    forward->port = port;
+    forward->workers = calloc((size_t)workers, sizeof(*forward->workers));
+    if (forward->workers == NULL ||
+        !ring_init(&forward->attempts, (uint32_t)workers,
+                   sizeof(struct attempt), err) ||
+        !add_workers(forward, workers, err)) {
+        forward_free(forward);
+        return NULL;
+    }
+    return forward;
+}
+
+/**
+ * forward_free() - release a pool that has stopped
+ * @forward: the pool; may be NULL
+ */
+void
+forward_free(struct forward *forward)
+{
+    if (forward == NULL) {
+        return;
+    }
+    for (int i = 0; i < forward->worker_count; i++) {
+        curl_multi_cleanup(forward->workers[i].multi);
+    }
+    for (int i = 0; i < forward->group_count; i++) {
+        supervisor_free(&forward->groups[i]);
+    }
+    supervisor_free(&forward->pool);
+    if (forward->attempts.messages != NULL) {
+        ring_free(&forward->attempts);
+    }
+    free(forward->workers);
+    free(forward);
+}
+
+/**
+ * forward_duty() - the pool as a duty
+ * @forward: the pool
+ */
+struct duty *
+forward_duty(struct forward *forward)
+{
+    return &forward->pool.duty;
+}
+
+/**
+ * forward_post_attempt() - hand over an attempt
+ * @forward: the pool
+ * @attempt: the attempt, copied
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_RING_FULL when no worker is free, or ERR_STOPPED.
+ */
+bool
+forward_post_attempt(struct forward *forward, const struct attempt *attempt,
+                     struct err *err)
+{
+    if (atomic_fetch_add(&forward->taken, 1) >= forward->worker_count) {
+        atomic_fetch_sub(&forward->taken, 1);
+        return err_set(err, ERR_RING_FULL, "all %d workers are busy",
+                       forward->worker_count);
+    }
+    if (!ring_push(&forward->attempts, attempt, err)) {
+        atomic_fetch_sub(&forward->taken, 1);
+        return false;
+    }
+    return true;
+}
--- /dev/null
+++ b/src/turmericd/serve/forward/transfer.c
@@ -0,0 +1,345 @@
+/**
+ * DOC: One HTTP exchange with a target.
+ *
+ * Uses libcurl itself: the client of ulfius 2.7 tells neither whether a
+ * connection was made nor how a transfer failed, and knows only a limit of
+ * whole seconds for the whole transfer. "Not run" needs the first, and the
+ * deadline of the first byte and the limit between chunks need an end at any
+ * moment. Connections are never used again, because libcurl repeats a request
+ * by itself when a kept connection turns out to be closed, and the target may
+ * have run it by then.
+ */
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "tree/dat.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/forward/internal.h"
+
+enum {
+    CONNECT_MAX_MS = 2000,
+    CHUNK_GAP_MAX_MS = 30000,
+    CANCEL_TIMEOUT_S = 1,
+    URL_MAX_BYTES = ADDRESS_MAX_BYTES + CALL_URL_MAX_BYTES + 16,
+    HEADER_MAX_BYTES = 512,
+};
+
+/**
+ * struct transfer - an exchange in progress
+ * @easy: handle of libcurl
+ * @answer: where the answer goes
+ * @body: body sent to the target
+ * @headers: header fields sent
+ * @last_ms: when the last part of the body was dealt with
+ * @has_byte: the first byte of the body has come
+ */
+struct transfer {
+    CURL *easy;
+    struct answer *answer;
+    char *body;
+    struct curl_slist *headers;
+    int64_t last_ms;
+    bool has_byte;
+};
+
+static void
+take_head(struct transfer *transfer)
+{
+    long status = 0;
+    char *type = NULL;
+
+    if (!transfer->answer->head_known) {
+        curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+        curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &type);
+        answer_head(transfer->answer, (int)status, type);
+    }
+}
+
+static size_t
+on_body(char *data, size_t size, size_t count, void *argument)
+{
+    struct transfer *transfer = argument;
+    bool going;
+
+    take_head(transfer);
+    transfer->has_byte = true;
+    going = answer_data(transfer->answer, data, size * count);
+    transfer->last_ms = clock_now_ms();
+    return going ? size * count : 0;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t count, void *argument)
+{
+    static const char not_run[] = "x-outcome: not_run";
+    struct transfer *transfer = argument;
+    size_t bytes = size * count;
+
+    if (bytes >= sizeof(not_run) - 1 &&
+        strncasecmp(data, not_run, sizeof(not_run) - 1) == 0) {
+        transfer->answer->not_run = true;
+    }
+    return bytes;
+}
+
+static void add_header(struct transfer *transfer, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void
+add_header(struct transfer *transfer, const char *format, ...)
+{
+    char line[HEADER_MAX_BYTES];
+    va_list arguments;
+
+    va_start(arguments, format);
+    vsnprintf(line, sizeof(line), format, arguments);
+    va_end(arguments);
+    transfer->headers = curl_slist_append(transfer->headers, line);
+}
+
+static void
+set_headers(struct transfer *transfer, const struct attempt *attempt,
+            const struct call_request *request)
+{
+    add_header(transfer, "Expect:");
+    if (request->content_type[0] != '\0') {
+        add_header(transfer, "Content-Type: %s", request->content_type);
+    }
+    else {
+        add_header(transfer, "Content-Type:");
+    }
+    if (request->leaf != 0) {
+        add_header(transfer, "X-Stream-Id: %s", attempt->stream_id);
+    }
+    if (attempt->resume_from > 0 && attempt->resume_here) {
+        add_header(transfer, "X-Resume-From: %u", attempt->resume_from);
+    }
+    if (!request->idempotent) {
+        add_header(transfer, "Idempotency-Key: %s", request->key);
+    }
+    curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+static void
+set_body(struct transfer *transfer, const struct call_request *request,
+         const char *text)
+{
+    size_t bytes = request->body_bytes;
+    const char *body = (const char *)request->body;
+
+    if (request->leaf != 0) {
+        transfer->body = body_for_engine(request, text, &bytes);
+        body = transfer->body;
+    }
+    if (bytes > 0 || strcmp(request->method, "POST") == 0 ||
+        strcmp(request->method, "PUT") == 0) {
+        curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)bytes);
+        curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDS,
+                         body != NULL ? body : "");
+    }
+    if (strcmp(request->method, "HEAD") == 0) {
+        curl_easy_setopt(transfer->easy, CURLOPT_NOBODY, 1L);
+    }
+    else {
+        curl_easy_setopt(transfer->easy, CURLOPT_CUSTOMREQUEST,
+                         request->method);
+    }
+}
+
+static void
+set_options(struct transfer *transfer, const struct attempt *attempt,
+            const struct call_request *request, const char *text)
+{
+    CURL *easy = transfer->easy;
+    char url[URL_MAX_BYTES];
+
+    snprintf(url, sizeof(url), "http://%s%s", attempt->address, request->url);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MAX_MS);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    set_headers(transfer, attempt, request);
+    set_body(transfer, request, text);
+}
+
+static bool
+was_connected(CURL *easy)
+{
+    curl_off_t connect_us = 0;
+
+    curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+    return connect_us > 0;
+}
+
+static enum transfer_end
+judge(struct transfer *transfer, CURLcode code, char *detail,
+      size_t detail_bytes)
+{
+    if (code == CURLE_OK) {
+        take_head(transfer);
+        return TRANSFER_COMPLETE;
+    }
+    snprintf(detail, detail_bytes, "%s", curl_easy_strerror(code));
+    return was_connected(transfer->easy) ? TRANSFER_BROKEN
+                                         : TRANSFER_NOT_CONNECTED;
+}
+
+static enum transfer_end
+judge_timeout(const struct transfer *transfer, char *detail,
+              size_t detail_bytes)
+{
+    if (!was_connected(transfer->easy)) {
+        snprintf(detail, detail_bytes, "no connection by the deadline");
+        return TRANSFER_NOT_CONNECTED;
+    }
+    if (!transfer->has_byte) {
+        snprintf(detail, detail_bytes, "no first byte by the deadline");
+        return TRANSFER_NO_FIRST_BYTE;
+    }
+    snprintf(detail, detail_bytes, "nothing came for %d s",
+             CHUNK_GAP_MAX_MS / 1000);
+    return TRANSFER_BROKEN;
+}
+
+/* An answer that has to wait until it is whole has begun for its caller only
+ * then, but what counts against the target is its first byte. */
+static int64_t
+limit_ms(const struct transfer *transfer, const struct attempt *attempt)
+{
+    return transfer->has_byte ? transfer->last_ms + CHUNK_GAP_MAX_MS
+                              : attempt->deadline_ms;
+}
+
+static bool
+ended(CURLM *multi, CURLcode *code)
+{
+    int queued;
+    CURLMsg *message;
+
+    while ((message = curl_multi_info_read(multi, &queued)) != NULL) {
+        if (message->msg == CURLMSG_DONE) {
+            *code = message->data.result;
+            return true;
+        }
+    }
+    return false;
+}
+
+static enum transfer_end
+drive(CURLM *multi, struct transfer *transfer, const struct attempt *attempt,
+      atomic_bool *stopping, char *detail, size_t detail_bytes)
+{
+    CURLcode code = CURLE_OK;
+    int running = 0;
+
+    for (;;) {
+        int64_t left;
+
+        curl_multi_perform(multi, &running);
+        if (ended(multi, &code)) {
+            return judge(transfer, code, detail, detail_bytes);
+        }
+        left = limit_ms(transfer, attempt) - clock_now_ms();
+        if (left <= 0) {
+            return judge_timeout(transfer, detail, detail_bytes);
+        }
+        if (atomic_load(stopping)) {
+            snprintf(detail, detail_bytes, "the instance stops");
+            return was_connected(transfer->easy) ? TRANSFER_STOPPED
+                                                 : TRANSFER_NOT_CONNECTED;
+        }
+        curl_multi_poll(multi, NULL, 0, (int)left, NULL);
+    }
+}
+
+/**
+ * transfer_run() - send a request to a target and pass on its answer
+ * @multi: handle of libcurl; curl_multi_wakeup() makes it look at @stopping
+ * @attempt: where to send it and by when
+ * @request: what to send
+ * @text: text so far that another engine shall go on with, or NULL
+ * @answer: takes the answer
+ * @stopping: set by another thread to end the transfer
+ * @detail: filled in when it doesn't end well
+ * @detail_bytes: size of @detail
+ *
+ * Return: how it ended. TRANSFER_NOT_CONNECTED is certain: no byte of the
+ * request has left.
+ */
+enum transfer_end
+transfer_run(CURLM *multi, const struct attempt *attempt,
+             const struct call_request *request, const char *text,
+             struct answer *answer, atomic_bool *stopping, char *detail,
+             size_t detail_bytes)
+{
+    struct transfer transfer = {.answer = answer};
+    enum transfer_end end = TRANSFER_NOT_CONNECTED;
+
+    transfer.easy = curl_easy_init();
+    if (transfer.easy == NULL) {
+        snprintf(detail, detail_bytes, "no memory for a transfer");
+        return end;
+    }
+    set_options(&transfer, attempt, request, text);
+    curl_multi_add_handle(multi, transfer.easy);
+    end = drive(multi, &transfer, attempt, stopping, detail, detail_bytes);
+    curl_multi_remove_handle(multi, transfer.easy);
+    curl_easy_cleanup(transfer.easy);
+    curl_slist_free_all(transfer.headers);
+    free(transfer.body);
+    return end;
+}
+
+/**
+ * transfer_cancel() - tell an engine that nobody waits for a stream
+ * @attempt: the attempt whose stream ends
+ *
+ * Best effort: an engine that doesn't answer ends the stream by itself when
+ * it finds the connection closed.
+ */
+void
+transfer_cancel(const struct attempt *attempt)
+{
+    struct _u_request request;
+    struct _u_response response;
+    char url[URL_MAX_BYTES];
+    char body[STREAM_ID_MAX_BYTES + 32];
+
+    snprintf(url, sizeof(url), "http://%s/v1/cancel", attempt->address);
+    snprintf(body, sizeof(body), "{\"stream_id\":\"%s\"}", attempt->stream_id);
+    ulfius_init_request(&request);
+    ulfius_init_response(&response);
+    ulfius_set_request_properties(
+        &request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
+        (unsigned long)CANCEL_TIMEOUT_S, U_OPT_HEADER_PARAMETER,
+        "Content-Type", "application/json", U_OPT_BINARY_BODY, body,
+        strlen(body), U_OPT_NONE);
+    ulfius_send_http_request(&request, &response);
+    ulfius_clean_request(&request);
+    ulfius_clean_response(&response);
+}
--- /dev/null
+++ b/src/turmericd/serve/route/admit.c
@@ -0,0 +1,86 @@
+/**
+ * DOC: Which calls are taken at all.
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/route/internal.h"
+
+/* Without a confirmed tree nothing is loaded or claimed, see 3.5. */
+static bool
+check_stale(const struct admission *admission, struct err *err)
+{
+    const struct config_state *state = admission->state;
+    const struct node *node = admission->node;
+
+    if (!state->stale) {
+        return true;
+    }
+    if (!admission->idempotent) {
+        return err_set(err, ERR_CONFIG_STALE,
+                       "no claims: the tree was confirmed %" PRId64 " ms ago",
+                       state->age_ms);
+    }
+    if (!admission->loaded) {
+        return err_set(err, ERR_CONFIG_STALE,
+                       "%s is not loaded and nothing is loaded now: the tree "
+                       "was confirmed %" PRId64 " ms ago",
+                       node->path, state->age_ms);
+    }
+    if (state->age_ms > node->settings.stale_serve_s * 1000) {
+        return err_set(err, ERR_CONFIG_STALE,
+                       "the tree was confirmed %" PRId64
+                       " ms ago, longer than stale_serve_s",
+                       state->age_ms);
+    }
+    return true;
+}
+
+/**
+ * admit_check() - whether a call may wait for a target
+ * @admission: the call and what is known
+ * @err: filled in when it is refused
+ *
+ * Return: false with ERR_DISABLED, ERR_CRASHES_TARGETS, ERR_CONFIG_STALE,
+ * ERR_QUEUE_FULL or ERR_DEADLINE; the call was not run.
+ */
+bool
+admit_check(const struct admission *admission, struct err *err)
+{
+    const struct node *node = admission->node;
+
+    if (!node->settings.enabled) {
+        return err_set(err, ERR_DISABLED, "%s is not enabled", node->path);
+    }
+    if (admission->poisonous) {
+        return err_set(err, ERR_CRASHES_TARGETS,
+                       "%d targets went down while they ran this request",
+                       STRIKES_REFUSE);
+    }
+    if (!check_stale(admission, err)) {
+        return false;
+    }
+    if (admission->waiting >= node->settings.queue_max) {
+        return err_set(err, ERR_QUEUE_FULL, "%" PRId64 " calls wait for %s",
+                       admission->waiting, node->path);
+    }
+    if (admission->now_ms >= admission->deadline_ms) {
+        return err_set(err, ERR_DEADLINE,
+                       "the deadline had passed when the call was taken");
+    }
+    return true;
+}
--- a/src/turmericd/serve/route/dat.h
+++ b/src/turmericd/serve/route/dat.h
@@ -3,6 +3,9 @@
 
 enum { STREAM_ID_MAX_BYTES = 40 };
 
+/* Number of events of an answer that has begun and can't be resumed. */
+#define ATTEMPT_EVENTS_NO_RESUME UINT32_MAX
+
 /**
  * struct attempt - one try to run a call on a target
  * @id: handle in the route duty's table of attempts
@@ -12,8 +15,10 @@
  * @number: 1 for the first attempt of the call
  * @deadline_ms: monotonic; the first byte must have come by then
  * @stream_id: id under which the engine can resume the stream
- * @resume_from: events already passed to the caller
- * @resume_here: the same engine may still hold the stream
+ * @resume_from: events already passed to the caller; above 0 the answer goes
+ *               on where it broke off
+ * @resume_here: the same engine may still hold the stream; else another
+ *               engine goes on after the text so far
  */
 struct attempt {
     struct handle id;
@@ -43,7 +48,9 @@
  * @call: the call
  * @target: where it ran
  * @kind: how it ended
- * @events: server-sent events passed to the caller so far
+ * @events: server-sent events passed to the caller so far, counted from the
+ *          attempt's resume_from; ATTEMPT_EVENTS_NO_RESUME when the answer
+ *          has begun but is no stream of events
  * @text: detail for a refusal
  */
 struct attempt_result {
--- /dev/null
+++ b/src/turmericd/serve/route/pick.c
@@ -0,0 +1,170 @@
+/**
+ * DOC: Which target a call goes to.
+ */
+#include <glib.h>
+#include <string.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/route/internal.h"
+
+/* Preference among targets that have room; a smaller value is better. */
+enum {
+    CLASS_OTHER_CENTRE = 1,
+    CLASS_TRIED = 2,
+    CLASS_COUNT = 4,
+};
+
+/**
+ * random_next() - next number of a splitmix64 generator
+ * @state: state, set from a seed
+ */
+uint64_t
+random_next(uint64_t *state)
+{
+    uint64_t z = *state += UINT64_C(0x9e3779b97f4a7c15);
+
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return z ^ (z >> 31);
+}
+
+static uint32_t
+load(const struct target *target)
+{
+    return target->report.running + target->report.waiting + target->started;
+}
+
+/* Running requests of other members, as of the last report. */
+static uint32_t
+others(const struct target *target)
+{
+    uint32_t reported = target->report.running + target->report.waiting;
+
+    return reported > target->inflight_at_report
+               ? reported - target->inflight_at_report
+               : 0;
+}
+
+static bool
+has_room(const struct target *target, int64_t inflight_max)
+{
+    return (int64_t)target->inflight + others(target) < inflight_max;
+}
+
+static bool
+was_tried(const struct target *target, const struct pick_query *query)
+{
+    for (int i = 0; i < query->tried_count; i++) {
+        if (query->tried[i] == target->report.id) {
+            return true;
+        }
+    }
+    return target->avoid_until_ms > query->now_ms;
+}
+
+static int
+class_of(const struct target *target, const struct pick_query *query)
+{
+    int class = 0;
+
+    if (strcmp(target->report.data_centre, query->data_centre) != 0) {
+        class |= CLASS_OTHER_CENTRE;
+    }
+    if (was_tried(target, query)) {
+        class |= CLASS_TRIED;
+    }
+    return class;
+}
+
+static bool
+is_candidate(const struct target *target, const struct pick_query *query)
+{
+    return target->report.state == TARGET_LIVE &&
+           has_room(target, query->inflight_max);
+}
+
+/* The index-th candidate of a class. */
+static struct target *
+nth(struct target *const *targets, int count, const struct pick_query *query,
+    int class, uint64_t index)
+{
+    for (int i = 0; i < count; i++) {
+        if (is_candidate(targets[i], query) &&
+            class_of(targets[i], query) == class && index-- == 0) {
+            return targets[i];
+        }
+    }
+    return NULL;
+}
+
+static struct target *
+better_of_two(struct target *const *targets, int count,
+              const struct pick_query *query, int class, uint64_t members,
+              uint64_t *random)
+{
+    uint64_t first = random_next(random) % members;
+    uint64_t second = 0;
+    struct target *a = nth(targets, count, query, class, first);
+    struct target *b;
+
+    if (members == 1) {
+        return a;
+    }
+    second = (first + 1 + random_next(random) % (members - 1)) % members;
+    b = nth(targets, count, query, class, second);
+    return load(b) < load(a) ? b : a;
+}
+
+/**
+ * pick_target() - choose a target for one attempt
+ * @targets: targets that have the leaf
+ * @count: how many
+ * @query: what the call asks
+ * @random: state of the generator
+ * @picked: set to the target
+ *
+ * Live targets with room only; own data centre first, but a target that was
+ * tried by this call only when no other is free; of two at random the less
+ * loaded one.
+ *
+ * Return: PICK_OK; PICK_BUSY when live targets are at inflight_max;
+ * PICK_NONE when there is no live one.
+ */
+enum pick_result
+pick_target(struct target *const *targets, int count,
+            const struct pick_query *query, uint64_t *random,
+            struct target **picked)
+{
+    uint64_t members[CLASS_COUNT] = {0};
+    enum pick_result result = PICK_NONE;
+
+    for (int i = 0; i < count; i++) {
+        if (targets[i]->report.state == TARGET_LIVE) {
+            result = PICK_BUSY;
+        }
+        if (is_candidate(targets[i], query)) {
+            members[class_of(targets[i], query)]++;
+        }
+    }
+    for (int class = 0; class < CLASS_COUNT; class ++) {
+        if (members[class] > 0) {
+            *picked = better_of_two(targets, count, query, class,
+                                    members[class], random);
+            return PICK_OK;
+        }
+    }
+    return result;
+}
--- /dev/null
+++ b/src/turmericd/serve/route/route.c
@@ -0,0 +1,307 @@
+/**
+ * DOC: The route duty: one thread that takes messages from one ring.
+ *
+ * Calls and reports are refused when the ring is half full. The rest of it
+ * is kept for results, placements and verdicts, whose number is bounded by
+ * the calls taken, so that these never find it full.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/route/internal.h"
+#include "turmericd/serve/route/fns.h"
+
+enum { MESSAGES_MAX = 8192, MESSAGES_FOR_CALLS = MESSAGES_MAX / 2 };
+
+enum message_kind {
+    MESSAGE_CALL,
+    MESSAGE_RESULT,
+    MESSAGE_REPORT,
+    MESSAGE_PLACEMENT,
+    MESSAGE_VERDICT,
+    MESSAGE_STRIKE,
+};
+
+struct strike_message {
+    uint64_t fingerprint;
+    uint64_t target;
+    uint64_t incarnation;
+};
+
+/**
+ * struct message - what the duty is told
+ * @report: owned by the message, because reports are large
+ */
+struct message {
+    enum message_kind kind;
+    union {
+        struct handle call;
+        struct attempt_result result;
+        struct target_report *report;
+        struct placement placement;
+        struct claim_verdict verdict;
+        struct strike_message strike;
+    };
+};
+
+struct route {
+    struct duty duty;
+    struct ring ring;
+    struct core *core;
+};
+
+static void
+handle_message(struct route *route, struct message *message, int64_t now_ms)
+{
+    switch (message->kind) {
+    case MESSAGE_CALL:
+        core_call(route->core, message->call, now_ms);
+        break;
+    case MESSAGE_RESULT:
+        core_result(route->core, &message->result, now_ms);
+        break;
+    case MESSAGE_REPORT:
+        core_report(route->core, message->report, now_ms);
+        free(message->report);
+        break;
+    case MESSAGE_PLACEMENT:
+        core_placement(route->core, &message->placement, now_ms);
+        break;
+    case MESSAGE_VERDICT:
+        core_verdict(route->core, &message->verdict, now_ms);
+        break;
+    case MESSAGE_STRIKE:
+        core_strike(route->core, message->strike.fingerprint,
+                    message->strike.target, message->strike.incarnation,
+                    now_ms);
+        break;
+    }
+}
+
+static bool
+route_run(struct duty *duty, struct err *err)
+{
+    struct route *route = (struct route *)duty;
+    struct message message;
+    enum ring_result result;
+
+    (void)err;
+    do {
+        int64_t wait_ms = core_wait_ms(route->core, clock_now_ms());
+
+        result = ring_pop(&route->ring, &message, wait_ms);
+        if (result == RING_OK) {
+            handle_message(route, &message, clock_now_ms());
+        }
+        core_tick(route->core, clock_now_ms());
+    } while (result != RING_CLOSED);
+    core_stop(route->core);
+    return true;
+}
+
+static void
+route_stop(struct duty *duty)
+{
+    ring_close(&((struct route *)duty)->ring);
+}
+
+static const struct duty_ops route_ops = {route_run, route_stop};
+
+/**
+ * route_new() - the duty without calls and targets
+ * @calls: table of calls
+ * @data_centre: own data centre
+ * @seed: of the random numbers
+ * @port: the rest of the instance
+ * @err: filled in on failure
+ */
+struct route *
+route_new(struct calls *calls, const char *data_centre, uint64_t seed,
+          struct route_port *port, struct err *err)
+{
+    struct route *route = calloc(1, sizeof(*route));
+
+    if (route == NULL) {
+        err_set(err, ERR_NO_MEMORY, "route");
+        return NULL;
+    }
+    route->duty.ops = &route_ops;
+    route->duty.name = "route";
+    if (!ring_init(&route->ring, MESSAGES_MAX, sizeof(struct message), err)) {
+        free(route);
+        return NULL;
+    }
+    route->core = core_new(calls, data_centre, seed, port, err);
+    if (route->core == NULL) {
+        ring_free(&route->ring);
+        free(route);
+        return NULL;
+    }
+    return route;
+}
+
+/**
+ * route_free() - release a duty that has stopped
+ * @route: the duty; may be NULL
+ */
+void
+route_free(struct route *route)
+{
+    struct message message;
+
+    if (route == NULL) {
+        return;
+    }
+    while (ring_pop(&route->ring, &message, 0) == RING_OK) {
+        if (message.kind == MESSAGE_REPORT) {
+            free(message.report);
+        }
+    }
+    core_free(route->core);
+    ring_free(&route->ring);
+    free(route);
+}
+
+/**
+ * route_duty() - the duty
+ * @route: the duty
+ */
+struct duty *
+route_duty(struct route *route)
+{
+    return &route->duty;
+}
+
+/* Keeps half of the ring for what must not be lost. */
+static bool
+push_bounded(struct route *route, const struct message *message,
+             struct err *err)
+{
+    if (ring_count(&route->ring) >= MESSAGES_FOR_CALLS) {
+        return err_set(err, ERR_RING_FULL, "route has %d messages to handle",
+                       MESSAGES_FOR_CALLS);
+    }
+    return ring_push(&route->ring, message, err);
+}
+
+/**
+ * route_post_call() - hand over an open call
+ * @route: the duty
+ * @call: the call
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_RING_FULL or ERR_STOPPED.
+ */
+bool
+route_post_call(struct route *route, struct handle call, struct err *err)
+{
+    struct message message = {.kind = MESSAGE_CALL, .call = call};
+
+    return push_bounded(route, &message, err);
+}
+
+/**
+ * route_post_result() - an attempt ended
+ * @route: the duty
+ * @result: how
+ * @err: filled in on failure
+ */
+bool
+route_post_result(struct route *route, const struct attempt_result *result,
+                  struct err *err)
+{
+    struct message message = {.kind = MESSAGE_RESULT, .result = *result};
+
+    return ring_push(&route->ring, &message, err);
+}
+
+/**
+ * route_post_report() - a report of a target came
+ * @route: the duty
+ * @report: the report, copied
+ * @err: filled in on failure
+ */
+bool
+route_post_report(struct route *route, const struct target_report *report,
+                  struct err *err)
+{
+    struct message message = {.kind = MESSAGE_REPORT};
+
+    message.report = malloc(sizeof(*report));
+    if (message.report == NULL) {
+        return err_set(err, ERR_NO_MEMORY, "report");
+    }
+    *message.report = *report;
+    if (!push_bounded(route, &message, err)) {
+        free(message.report);
+        return false;
+    }
+    return true;
+}
+
+/**
+ * route_post_placement() - the owner of a leaf answered a want
+ * @route: the duty
+ * @placement: its answer
+ * @err: filled in on failure
+ */
+bool
+route_post_placement(struct route *route, const struct placement *placement,
+                     struct err *err)
+{
+    struct message message = {
+        .kind = MESSAGE_PLACEMENT,
+        .placement = *placement,
+    };
+
+    return ring_push(&route->ring, &message, err);
+}
+
+/**
+ * route_post_verdict() - a claim was decided
+ * @route: the duty
+ * @verdict: the decision
+ * @err: filled in on failure
+ */
+bool
+route_post_verdict(struct route *route, const struct claim_verdict *verdict,
+                   struct err *err)
+{
+    struct message message = {.kind = MESSAGE_VERDICT, .verdict = *verdict};
+
+    return ring_push(&route->ring, &message, err);
+}
+
+/**
+ * route_post_strike() - another instance saw a request bring a target down
+ * @route: the duty
+ * @fingerprint: the request
+ * @target: the target
+ * @incarnation: its start number
+ * @err: filled in on failure
+ */
+bool
+route_post_strike(struct route *route, uint64_t fingerprint, uint64_t target,
+                  uint64_t incarnation, struct err *err)
+{
+    struct message message = {
+        .kind = MESSAGE_STRIKE,
+        .strike = {fingerprint, target, incarnation},
+    };
+
+    return ring_push(&route->ring, &message, err);
+}
