--- /dev/null
+++ b/src/kv/journal.c
@@ -0,0 +1,189 @@
+/**
+ * DOC: Journal of consecutive entries in the key-value service.
+ *
+ * Entry N is the key PREFIX/N with 12 digits and is created only if absent,
+ * so all writers agree on one order. Numbers start at 1 and have no gaps;
+ * a reader that meets a gap has been overtaken by a removal of old entries.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+
+enum { NUMBER_DIGITS = 12 };
+
+/**
+ * journal_init() - start at the first entry
+ * @journal: the journal
+ * @kv: where it lives
+ * @prefix: key prefix without the trailing slash
+ *
+ * A reader that has loaded a snapshot sets journal->next to the number after
+ * the last entry of the snapshot.
+ */
+void
+journal_init(struct journal *journal, struct kv *kv, const char *prefix)
+{
+    memset(journal, 0, sizeof(*journal));
+    journal->kv = kv;
+    snprintf(journal->prefix, sizeof(journal->prefix), "%s", prefix);
+    journal->next = 1;
+}
+
+/* Length checks of kv.c refuse a key that didn't fit. */
+static void
+entry_key(const struct journal *journal, int64_t number,
+          char key[KV_KEY_MAX_BYTES + NUMBER_DIGITS + 8])
+{
+    snprintf(key, KV_KEY_MAX_BYTES + NUMBER_DIGITS + 8, "%s/%0*" PRId64,
+             journal->prefix, NUMBER_DIGITS, number);
+}
+
+/* Returns the number in an entry's key, or 0 when the key has none. */
+static int64_t
+entry_number(const struct journal *journal, const char *key)
+{
+    size_t prefix_bytes = strlen(journal->prefix);
+    const char *digits = key + prefix_bytes + 1;
+
+    if (strlen(key) != prefix_bytes + 1 + NUMBER_DIGITS ||
+        strspn(digits, "0123456789") != NUMBER_DIGITS) {
+        return 0;
+    }
+    return strtoll(digits, NULL, 10);
+}
+
+/* Cuts off the items from @count on. */
+static void
+truncate_entries(struct kv_entries *entries, int count)
+{
+    for (int i = count; i < entries->count; i++) {
+        kv_entry_free(&entries->items[i]);
+    }
+    entries->count = count;
+    entries->more = true;
+}
+
+/* Keeps the consecutive entries; the next read reports a gap behind them. */
+static bool
+take_consecutive(struct journal *journal, struct kv_entries *entries,
+                 struct err *err)
+{
+    for (int i = 0; i < entries->count; i++) {
+        const char *key = entries->items[i].key;
+        int64_t number = entry_number(journal, key);
+
+        if (number == journal->next) {
+            journal->next++;
+        }
+        else if (i > 0) {
+            truncate_entries(entries, i);
+        }
+        else {
+            return err_set(err, number == 0 ? ERR_INTERNAL : ERR_NOT_FOUND,
+                           "journal %s: entry %" PRId64
+                           " is missing, found %s",
+                           journal->prefix, journal->next, key);
+        }
+    }
+    return true;
+}
+
+/**
+ * journal_read() - read the entries that were not read yet
+ * @journal: the journal; next moves behind the entries read
+ * @limit: most entries to read
+ * @entries: filled in on success, to be freed by kv_entries_free(); @more is
+ *           set when there may be further entries
+ * @err: filled in on failure; may be NULL
+ *
+ * Return: false with ERR_NOT_FOUND when the next entry is missing while later
+ * ones exist: it has been removed, and the reader must load a snapshot.
+ */
+bool
+journal_read(struct journal *journal, int limit, struct kv_entries *entries,
+             struct err *err)
+{
+    char from[KV_KEY_MAX_BYTES + NUMBER_DIGITS + 8];
+    char end[KV_KEY_MAX_BYTES + NUMBER_DIGITS + 8];
+
+    entry_key(journal, journal->next, from);
+    /* ':' follows the digits in ASCII. */
+    snprintf(end, sizeof(end), "%s/:", journal->prefix);
+    if (!kv_range(journal->kv, from, end, limit, entries, err)) {
+        return false;
+    }
+    if (!take_consecutive(journal, entries, err)) {
+        kv_entries_free(entries);
+        return false;
+    }
+    return true;
+}
+
+/* Tells whose value stands at @key after a write that wasn't confirmed. */
+static enum journal_append_result
+look_up_append(struct journal *journal, const char *key, const void *value,
+               size_t value_bytes, struct err *err)
+{
+    struct kv_entry entry;
+    enum journal_append_result result;
+
+    if (!kv_get(journal->kv, key, &entry, err)) {
+        return JOURNAL_UNKNOWN;
+    }
+    if (entry.revision == 0) {
+        err_set(err, ERR_KV_DOWN, "write of %s may still take effect", key);
+        return JOURNAL_UNKNOWN;
+    }
+    result = JOURNAL_TAKEN;
+    if (entry.value_bytes == value_bytes &&
+        memcmp(entry.value, value, value_bytes) == 0) {
+        result = JOURNAL_APPENDED;
+    }
+    kv_entry_free(&entry);
+    return result;
+}
+
+/**
+ * journal_append() - create the entry with the number journal->next
+ * @journal: the journal; next moves on only when the entry was appended
+ * @value: the entry; callers make it unique with an id
+ * @value_bytes: its length
+ * @err: filled in unless the entry was appended; may be NULL
+ *
+ * Return: JOURNAL_APPENDED when the entry stands there, also through an
+ * earlier call with the same value; JOURNAL_TAKEN when another entry stands
+ * there, so the caller reads on; JOURNAL_UNKNOWN when the write may still
+ * take effect later. After JOURNAL_UNKNOWN the caller repeats the call with
+ * the same value until it gets another result.
+ */
+enum journal_append_result
+journal_append(struct journal *journal, const void *value, size_t value_bytes,
+               struct err *err)
+{
+    char key[KV_KEY_MAX_BYTES + NUMBER_DIGITS + 8];
+    struct err failure = {0};
+    enum journal_append_result result;
+
+    entry_key(journal, journal->next, key);
+    if (kv_cas(journal->kv, key, 0, value, value_bytes, NULL, &failure)) {
+        journal->next++;
+        return JOURNAL_APPENDED;
+    }
+    result = JOURNAL_UNKNOWN;
+    if (failure.kind == ERR_KV_CONFLICT || failure.kind == ERR_KV_DOWN) {
+        result = look_up_append(journal, key, value, value_bytes, &failure);
+    }
+    if (result == JOURNAL_APPENDED) {
+        journal->next++;
+    }
+    else if (err != NULL) {
+        *err = failure;
+    }
+    return result;
+}
--- /dev/null
+++ b/test/kv_test.c
@@ -0,0 +1,457 @@
+/* Tests of the key-value client: memory adapter, etcd answers, journal. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+
+/* Guards against a write over a value that the writer has not seen. */
+struct cas_case {
+    const char *name;
+    bool present;
+    int64_t expected_offset;
+    int fail_calls;
+    int lose_answers;
+    enum err_kind kind;
+    const char *value;
+};
+
+static const struct cas_case cas_cases[] = {
+    {"create", false, 0, 0, 0, ERR_NONE, "new"},
+    {"create_present", true, -1, 0, 0, ERR_KV_CONFLICT, "old"},
+    {"replace", true, 0, 0, 0, ERR_NONE, "new"},
+    {"replace_changed", true, 7, 0, 0, ERR_KV_CONFLICT, "old"},
+    {"replace_absent", false, 7, 0, 0, ERR_KV_CONFLICT, NULL},
+    {"down", true, 0, 1, 0, ERR_KV_DOWN, "old"},
+    {"answer_lost", true, 0, 0, 1, ERR_KV_DOWN, "new"},
+};
+
+static void
+test_cas(gconstpointer data)
+{
+    const struct cas_case *c = data;
+    struct kv_memory memory;
+    struct kv_entry entry;
+    struct err err = {0};
+    int64_t present = 0;
+
+    kv_memory_init(&memory);
+    if (c->present) {
+        g_assert_true(kv_cas(&memory.kv, "k", 0, "old", 3, &present, &err));
+    }
+    memory.fail_calls = c->fail_calls;
+    memory.lose_answers = c->lose_answers;
+    kv_cas(&memory.kv, "k", present + c->expected_offset, "new", 3, NULL,
+           &err);
+    g_assert_cmpint(err.kind, ==, c->kind);
+    g_assert_true(kv_get(&memory.kv, "k", &entry, NULL));
+    g_assert_cmpstr(entry.value, ==, c->value);
+    kv_entry_free(&entry);
+    kv_memory_free(&memory);
+}
+
+/* Guards against keys and values that the service can't hold. */
+static void
+test_lengths(void)
+{
+    struct kv_memory memory;
+    struct kv_entries entries;
+    struct err err = {0};
+    char key[KV_KEY_MAX_BYTES + 1];
+    char *value = g_malloc0(KV_VALUE_MAX_BYTES + 1);
+
+    kv_memory_init(&memory);
+    memset(key, 'k', sizeof(key) - 1);
+    key[KV_KEY_MAX_BYTES] = '\0';
+    g_assert_false(kv_cas(&memory.kv, key, 0, "v", 1, NULL, &err));
+    g_assert_cmpint(err.kind, ==, ERR_BAD_REQUEST);
+    g_assert_false(kv_cas(&memory.kv, "", 0, "v", 1, NULL, &err));
+    key[KV_KEY_MAX_BYTES - 1] = '\0';
+    g_assert_true(kv_cas(&memory.kv, key, 0, "v", 1, NULL, &err));
+    g_assert_false(
+        kv_cas(&memory.kv, "v", 0, value, KV_VALUE_MAX_BYTES + 1, NULL, &err));
+    g_assert_true(
+        kv_cas(&memory.kv, "v", 0, value, KV_VALUE_MAX_BYTES, NULL, &err));
+    g_assert_false(kv_range(&memory.kv, "b", "a", 1, &entries, &err));
+    g_assert_cmpint(memory.writes, ==, 2);
+    g_free(value);
+    kv_memory_free(&memory);
+}
+
+/* Guards against a range that loses keys or doesn't tell that it was cut. */
+static void
+test_range(void)
+{
+    struct kv_memory memory;
+    struct kv_entries entries;
+    const char *keys[] = {"p/3", "p/1", "q/1", "p/2", "o/9"};
+
+    kv_memory_init(&memory);
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        g_assert_true(kv_cas(&memory.kv, keys[i], 0, "v", 1, NULL, NULL));
+    }
+    g_assert_true(kv_range(&memory.kv, "p/", "p0", 2, &entries, NULL));
+    g_assert_cmpint(entries.count, ==, 2);
+    g_assert_true(entries.more);
+    g_assert_cmpstr(entries.items[0].key, ==, "p/1");
+    kv_entries_free(&entries);
+    g_assert_true(kv_remove(&memory.kv, "p/1", "p/3", NULL));
+    g_assert_true(kv_range(&memory.kv, "p/", "p0", 2, &entries, NULL));
+    g_assert_cmpint(entries.count, ==, 1);
+    g_assert_false(entries.more);
+    g_assert_cmpstr(entries.items[0].key, ==, "p/3");
+    kv_entries_free(&entries);
+    kv_memory_free(&memory);
+}
+
+/* Guards against calls and failures that the counters miss. */
+static void
+test_counters(void)
+{
+    struct kv_memory memory;
+    struct kv_entry entry;
+    uint64_t calls = counter_read(CTR_KV_CALLS);
+    uint64_t failed = counter_read(CTR_KV_FAILED);
+
+    kv_memory_init(&memory);
+    g_assert_true(kv_cas(&memory.kv, "k", 0, "v", 1, NULL, NULL));
+    g_assert_false(kv_cas(&memory.kv, "k", 0, "v", 1, NULL, NULL));
+    memory.fail_calls = 1;
+    g_assert_false(kv_get(&memory.kv, "k", &entry, NULL));
+    g_assert_cmpuint(counter_read(CTR_KV_CALLS) - calls, ==, 3);
+    g_assert_cmpuint(counter_read(CTR_KV_FAILED) - failed, ==, 1);
+    kv_memory_free(&memory);
+}
+
+/* Guards against two writers that both believe that they wrote an entry, and
+ * against a writer that doesn't recognise its own entry. */
+struct append_case {
+    const char *name;
+    const char *standing;
+    int fail_calls;
+    int lose_answers;
+    enum journal_append_result result;
+    enum journal_append_result repeated;
+    int64_t next;
+};
+
+static const struct append_case append_cases[] = {
+    {"free", NULL, 0, 0, JOURNAL_APPENDED, JOURNAL_APPENDED, 3},
+    {"taken", "other", 0, 0, JOURNAL_TAKEN, JOURNAL_TAKEN, 1},
+    {"answer_lost", NULL, 0, 1, JOURNAL_APPENDED, JOURNAL_APPENDED, 3},
+    {"own_earlier", "mine", 0, 0, JOURNAL_APPENDED, JOURNAL_APPENDED, 3},
+    {"write_lost", NULL, 1, 0, JOURNAL_UNKNOWN, JOURNAL_APPENDED, 2},
+    {"down", NULL, 2, 0, JOURNAL_UNKNOWN, JOURNAL_APPENDED, 2},
+    {"down_taken", "other", 2, 0, JOURNAL_UNKNOWN, JOURNAL_TAKEN, 1},
+    {"lost_unread", "mine", 2, 0, JOURNAL_UNKNOWN, JOURNAL_APPENDED, 2},
+};
+
+static void
+test_append(gconstpointer data)
+{
+    const struct append_case *c = data;
+    struct kv_memory memory;
+    struct journal journal;
+    struct err err = {0};
+
+    kv_memory_init(&memory);
+    journal_init(&journal, &memory.kv, "j");
+    if (c->standing != NULL) {
+        g_assert_true(kv_cas(&memory.kv, "j/000000000001", 0, c->standing,
+                             strlen(c->standing), NULL, NULL));
+    }
+    memory.fail_calls = c->fail_calls;
+    memory.lose_answers = c->lose_answers;
+    g_assert_cmpint(journal_append(&journal, "mine", 4, &err), ==, c->result);
+    g_assert_cmpint(err.kind == ERR_NONE, ==, c->result == JOURNAL_APPENDED);
+    g_assert_cmpint(journal_append(&journal, "mine", 4, NULL), ==,
+                    c->repeated);
+    g_assert_cmpint(journal.next, ==, c->next);
+    kv_memory_free(&memory);
+}
+
+/* Guards against a reader that silently skips removed entries. */
+struct read_case {
+    const char *name;
+    const char *numbers;
+    int first_count;
+    enum err_kind first_kind;
+    enum err_kind second_kind;
+    int64_t next;
+};
+
+static const struct read_case read_cases[] = {
+    {"empty", "", 0, ERR_NONE, ERR_NONE, 1},
+    {"in_order", "123", 3, ERR_NONE, ERR_NONE, 4},
+    {"removed_first", "23", 0, ERR_NOT_FOUND, ERR_NOT_FOUND, 1},
+    {"removed_middle", "124", 2, ERR_NONE, ERR_NOT_FOUND, 3},
+    {"cut_by_limit", "12345", 4, ERR_NONE, ERR_NONE, 6},
+};
+
+static void
+test_read(gconstpointer data)
+{
+    const struct read_case *c = data;
+    struct kv_memory memory;
+    struct journal journal;
+    struct kv_entries entries;
+    struct err err = {0};
+
+    kv_memory_init(&memory);
+    journal_init(&journal, &memory.kv, "j");
+    for (const char *number = c->numbers; *number != '\0'; number++) {
+        char key[32];
+
+        snprintf(key, sizeof(key), "j/%012d", *number - '0');
+        g_assert_true(kv_cas(&memory.kv, key, 0, number, 1, NULL, NULL));
+    }
+    journal_read(&journal, 4, &entries, &err);
+    g_assert_cmpint(err.kind, ==, c->first_kind);
+    g_assert_cmpint(entries.count, ==, c->first_count);
+    kv_entries_free(&entries);
+    err_clear(&err);
+    journal_read(&journal, 4, &entries, &err);
+    g_assert_cmpint(err.kind, ==, c->second_kind);
+    g_assert_cmpint(journal.next, ==, c->next);
+    kv_entries_free(&entries);
+    kv_memory_free(&memory);
+}
+
+/* Guards against a damaged answer that counts as success, that counts as a
+ * definite failure of a write, or that crashes the process. The server sends
+ * one fixed answer and closes the connection. */
+/* Status for an answer whose connection closes one byte too early. */
+enum { CUT = 1 };
+
+enum etcd_call { CALL_GET, CALL_RANGE, CALL_CAS, CALL_REMOVE };
+
+struct etcd_case {
+    const char *name;
+    enum etcd_call call;
+    unsigned int status;
+    const char *answer;
+    enum err_kind kind;
+    const char *value;
+};
+
+/* "aw==" is "k", "bA==" is "l", "dg==" is "v", "eg==" is "z". */
+static const struct etcd_case etcd_cases[] = {
+    {"get", CALL_GET, 200,
+     "{\"header\":{\"revision\":\"9\"},\"kvs\":[{\"key\":\"aw==\","
+     "\"mod_revision\":\"5\",\"value\":\"dg==\"}],\"count\":\"1\"}",
+     ERR_NONE, "v"},
+    {"get_empty_value", CALL_GET, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"aw==\",\"mod_revision\":\"5\"}]}",
+     ERR_NONE, ""},
+    {"get_absent", CALL_GET, 200, "{\"header\":{}}", ERR_NONE, NULL},
+    {"get_other_key", CALL_GET, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"bA==\",\"mod_revision\":\"5\"}]}",
+     ERR_KV_DOWN, NULL},
+    {"get_bad_base64", CALL_GET, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"aw==\",\"mod_revision\":\"5\","
+     "\"value\":\"d*==\"}]}",
+     ERR_KV_DOWN, NULL},
+    {"get_bad_revision", CALL_GET, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"aw==\",\"mod_revision\":\"x\"}]}",
+     ERR_KV_DOWN, NULL},
+    {"get_no_revision", CALL_GET, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"aw==\",\"value\":\"dg==\"}]}",
+     ERR_KV_DOWN, NULL},
+    {"get_kvs_no_list", CALL_GET, 200, "{\"header\":{},\"kvs\":7}",
+     ERR_KV_DOWN, NULL},
+    {"get_kvs_of_null", CALL_GET, 200, "{\"header\":{},\"kvs\":[null]}",
+     ERR_KV_DOWN, NULL},
+    {"range_out_of_order", CALL_RANGE, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"bA==\",\"mod_revision\":\"5\"},"
+     "{\"key\":\"aw==\",\"mod_revision\":\"6\"}]}",
+     ERR_KV_DOWN, NULL},
+    {"range_too_many", CALL_RANGE, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"aw==\",\"mod_revision\":\"5\"},"
+     "{\"key\":\"azE=\",\"mod_revision\":\"5\"},"
+     "{\"key\":\"azI=\",\"mod_revision\":\"5\"},"
+     "{\"key\":\"bA==\",\"mod_revision\":\"5\"}]}",
+     ERR_KV_DOWN, NULL},
+    {"range_out_of_bounds", CALL_RANGE, 200,
+     "{\"header\":{},\"kvs\":[{\"key\":\"eg==\",\"mod_revision\":\"5\"}]}",
+     ERR_KV_DOWN, NULL},
+    {"cas", CALL_CAS, 200,
+     "{\"header\":{\"revision\":\"9\"},\"succeeded\":true}", ERR_NONE, NULL},
+    {"cas_conflict", CALL_CAS, 200, "{\"header\":{\"revision\":\"9\"}}",
+     ERR_KV_CONFLICT, NULL},
+    {"cas_conflict_named", CALL_CAS, 200,
+     "{\"header\":{\"revision\":\"9\"},\"succeeded\":false}", ERR_KV_CONFLICT,
+     NULL},
+    {"cas_odd_succeeded", CALL_CAS, 200,
+     "{\"header\":{},\"succeeded\":\"yes\"}", ERR_KV_DOWN, NULL},
+    {"cas_no_header", CALL_CAS, 200, "{}", ERR_KV_DOWN, NULL},
+    {"cas_odd_header", CALL_CAS, 200, "{\"header\":7,\"succeeded\":false}",
+     ERR_KV_DOWN, NULL},
+    {"cas_cut", CALL_CAS, 200, "{\"header\":{\"revision\":\"9\"},\"succ",
+     ERR_KV_DOWN, NULL},
+    {"cas_closed_early", CALL_CAS, CUT,
+     "{\"header\":{\"revision\":\"9\"},\"succeeded\":true}", ERR_KV_DOWN,
+     NULL},
+    {"cas_empty", CALL_CAS, 200, "", ERR_KV_DOWN, NULL},
+    {"cas_no_json", CALL_CAS, 200, "<html>", ERR_KV_DOWN, NULL},
+    {"cas_list", CALL_CAS, 200, "[]", ERR_KV_DOWN, NULL},
+    {"cas_status", CALL_CAS, 503, "{\"header\":{},\"succeeded\":true}",
+     ERR_KV_DOWN, NULL},
+    {"remove", CALL_REMOVE, 200, "{\"header\":{},\"deleted\":\"2\"}", ERR_NONE,
+     NULL},
+    {"remove_status", CALL_REMOVE, 500, "{\"header\":{}}", ERR_KV_DOWN, NULL},
+};
+
+/* Reads one request of HTTP and gives the fixed answer. */
+struct server {
+    const struct etcd_case *answer;
+    int listener;
+};
+
+static void
+read_request(int connection)
+{
+    char request[4096] = "";
+    size_t used = 0;
+    const char *body = NULL;
+    size_t body_bytes = 0;
+
+    while (body == NULL || used < (size_t)(body - request) + body_bytes) {
+        ssize_t got =
+            read(connection, request + used, sizeof(request) - 1 - used);
+
+        g_assert_cmpint(got, >, 0);
+        used += (size_t)got;
+        request[used] = '\0';
+        body = strstr(request, "\r\n\r\n");
+        if (body != NULL) {
+            const char *field = strcasestr(request, "content-length:");
+
+            g_assert_nonnull(field);
+            body_bytes = strtoul(field + strlen("content-length:"), NULL, 10);
+            body += 4;
+        }
+    }
+}
+
+static void *
+serve_once(void *argument)
+{
+    struct server *server = argument;
+    const struct etcd_case *c = server->answer;
+    int connection = accept(server->listener, NULL, NULL);
+    char *answer = g_strdup_printf(
+        "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n\r\n%s",
+        c->status == CUT ? 200 : c->status,
+        strlen(c->answer) + (c->status == CUT ? 1 : 0), c->answer);
+
+    read_request(connection);
+    g_assert_cmpint(write(connection, answer, strlen(answer)), ==,
+                    strlen(answer));
+    close(connection);
+    g_free(answer);
+    return NULL;
+}
+
+/* Listens on a port that the kernel chooses, and returns the port. */
+static int
+listen_any(struct server *server)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t bytes = sizeof(address);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    server->listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(
+        bind(server->listener, (struct sockaddr *)&address, sizeof(address)),
+        ==, 0);
+    g_assert_cmpint(listen(server->listener, 4), ==, 0);
+    getsockname(server->listener, (struct sockaddr *)&address, &bytes);
+    return ntohs(address.sin_port);
+}
+
+static void
+call_etcd(struct kv *kv, enum etcd_call call, struct kv_entry *entry,
+          struct err *err)
+{
+    struct kv_entries entries = {0};
+
+    switch (call) {
+    case CALL_GET:
+        kv_get(kv, "k", entry, err);
+        break;
+    case CALL_RANGE:
+        kv_range(kv, "k", "m", 3, &entries, err);
+        kv_entries_free(&entries);
+        break;
+    case CALL_CAS:
+        kv_cas(kv, "k", 0, "v", 1, NULL, err);
+        break;
+    case CALL_REMOVE:
+        kv_remove(kv, "k", "m", err);
+        break;
+    }
+}
+
+static void
+test_etcd(gconstpointer data)
+{
+    const struct etcd_case *c = data;
+    struct server server = {.answer = c};
+    struct kv_etcd etcd;
+    struct kv_entry entry = {0};
+    struct err err = {0};
+    char url[ADDRESS_MAX_BYTES];
+    pthread_t thread;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d", listen_any(&server));
+    pthread_create(&thread, NULL, serve_once, &server);
+    kv_etcd_init(&etcd, url, 30000);
+    call_etcd(&etcd.kv, c->call, &entry, &err);
+    g_assert_cmpint(err.kind, ==, c->kind);
+    if (c->call == CALL_GET) {
+        g_assert_cmpstr(entry.value, ==, c->value);
+    }
+    kv_entry_free(&entry);
+    pthread_join(thread, NULL);
+    close(server.listener);
+}
+
+static void
+add(const char *group, const char *name, gconstpointer data,
+    GTestDataFunc function)
+{
+    char *path = g_strdup_printf("/kv/%s/%s", group, name);
+
+    g_test_add_data_func(path, data, function);
+    g_free(path);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(cas_cases); i++) {
+        add("cas", cas_cases[i].name, &cas_cases[i], test_cas);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(append_cases); i++) {
+        add("append", append_cases[i].name, &append_cases[i], test_append);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(read_cases); i++) {
+        add("read", read_cases[i].name, &read_cases[i], test_read);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(etcd_cases); i++) {
+        add("etcd", etcd_cases[i].name, &etcd_cases[i], test_etcd);
+    }
+    g_test_add_func("/kv/lengths", test_lengths);
+    g_test_add_func("/kv/range", test_range);
+    g_test_add_func("/kv/counters", test_counters);
+    return g_test_run();
+}
