--- a/src/turmericd/serve/forward/body.c
+++ b/src/turmericd/serve/forward/body.c
@@ -79,8 +79,9 @@
         json_object_put(body);
         return NULL;
     }
+    /* An engine names a leaf by its path without the leading slash. */
     json_object_object_add(body, "model",
-                           json_object_new_string(request->leaf_path));
+                           json_object_new_string(request->leaf_path + 1));
     json_object_object_add(body, "priority",
                            json_object_new_int(request->priority));
     if (text != NULL) {
--- /dev/null
+++ b/src/turmericd/serve/front/list.c
@@ -0,0 +1,109 @@
+/**
+ * DOC: Lists that callers ask for.
+ */
+#include <json-c/json.h>
+#include <string.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "kv/dat.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/front/dat.h"
+#include "turmericd/serve/front/fns.h"
+#include "turmericd/serve/front/internal.h"
+
+static char *
+take_text(struct json_object *object)
+{
+    char *text = strdup(json_object_to_json_string_ext(
+        object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+
+    json_object_put(object);
+    return text;
+}
+
+/**
+ * list_models() - enabled leaves in the format of OpenAI's list of models
+ * @tree: the tree
+ */
+char *
+list_models(const struct tree *tree)
+{
+    struct json_object *list = json_object_new_object();
+    struct json_object *data = json_object_new_array();
+    int count = tree_node_count(tree);
+
+    for (int i = 0; i < count; i++) {
+        const struct node *node = tree_node_at(tree, i);
+        struct json_object *model;
+
+        if (!node_is_leaf(node) || !node->settings.enabled) {
+            continue;
+        }
+        model = json_object_new_object();
+        json_object_object_add(model, "id",
+                               json_object_new_string(node->path + 1));
+        json_object_object_add(model, "object",
+                               json_object_new_string("model"));
+        json_object_object_add(model, "owned_by",
+                               json_object_new_string(node->service));
+        json_object_array_add(data, model);
+    }
+    json_object_object_add(list, "object", json_object_new_string("list"));
+    json_object_object_add(list, "data", data);
+    return take_text(list);
+}
+
+static bool
+is_usable(const struct member_info *member, const char *without)
+{
+    return (member->state == MEMBER_ALIVE ||
+            member->state == MEMBER_SUSPECT) &&
+           member->address[0] != '\0' &&
+           (without == NULL || strcmp(member->address, without) != 0);
+}
+
+static void
+add_addresses(struct json_object *addresses, const struct member_info *members,
+              int count, const char *data_centre, const char *without,
+              bool near)
+{
+    for (int i = 0; i < count; i++) {
+        bool is_near = strcmp(members[i].data_centre, data_centre) == 0;
+
+        if (is_near == near && is_usable(&members[i], without)) {
+            json_object_array_add(addresses,
+                                  json_object_new_string(members[i].address));
+        }
+    }
+}
+
+/**
+ * list_addresses() - where callers may send requests
+ * @members: instances
+ * @count: how many
+ * @data_centre: addresses of this data centre come first
+ * @without: address of an instance to leave out, or NULL
+ * @keep_s: how long callers may keep the answer
+ */
+char *
+list_addresses(const struct member_info *members, int count,
+               const char *data_centre, const char *without, int64_t keep_s)
+{
+    struct json_object *list = json_object_new_object();
+    struct json_object *addresses = json_object_new_array();
+
+    add_addresses(addresses, members, count, data_centre, without, true);
+    add_addresses(addresses, members, count, data_centre, without, false);
+    json_object_object_add(list, "addresses", addresses);
+    json_object_object_add(list, "keep_s", json_object_new_int64(keep_s));
+    return take_text(list);
+}
--- /dev/null
+++ b/src/turmericd/serve/front/problem.c
@@ -0,0 +1,93 @@
+/**
+ * DOC: Refusals as application/problem+json.
+ */
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "kv/dat.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/front/dat.h"
+#include "turmericd/serve/front/fns.h"
+#include "turmericd/serve/front/internal.h"
+
+enum { RETRY_SOON_S = 1, RETRY_LATER_S = 5 };
+
+static void
+add_text(struct json_object *object, const char *key, const char *text)
+{
+    json_object_object_add(object, key, json_object_new_string(text));
+}
+
+/**
+ * problem_format() - text of a refusal; counts it
+ * @err: reason
+ * @outcome: what is known about the request
+ *
+ * Return: one line of JSON, freed with free().
+ */
+char *
+problem_format(const struct err *err, enum outcome outcome)
+{
+    const struct err_info *info = err_info(err->kind);
+    struct json_object *object = json_object_new_object();
+    char text[ERR_TEXT_MAX];
+    char *result;
+
+    refusal_add(err->kind);
+    snprintf(text, sizeof(text), "urn:turmericstall:refusal:%s", info->name);
+    add_text(object, "type", text);
+    add_text(object, "title", info->name);
+    json_object_object_add(object, "status",
+                           json_object_new_int(info->status));
+    add_text(object, "detail", err->text);
+    snprintf(text, sizeof(text), "refused_total{reason=\"%s\"}", info->name);
+    add_text(object, "counter", text);
+    add_text(object, "outcome", outcome_name(outcome));
+    add_text(object, "remedy", info->remedy);
+    result = strdup(json_object_to_json_string_ext(
+        object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+    json_object_put(object);
+    return result;
+}
+
+/**
+ * problem_retry_after_s() - when it makes sense to send a refused call again
+ * @kind: reason
+ *
+ * Return: seconds for Retry-After, 0 when waiting doesn't help.
+ */
+int
+problem_retry_after_s(enum err_kind kind)
+{
+    switch (kind) {
+    case ERR_RING_FULL:
+    case ERR_TABLE_FULL:
+    case ERR_QUEUE_FULL:
+    case ERR_RETRY_BUDGET:
+    case ERR_NO_TARGET:
+    case ERR_NO_MEMORY:
+        return RETRY_SOON_S;
+    case ERR_NOT_READY:
+    case ERR_CONFIG_STALE:
+    case ERR_CLAIM_UNAVAILABLE:
+    case ERR_KV_DOWN:
+    case ERR_MEMORY_FULL:
+    case ERR_REPLICAS_FULL:
+    case ERR_LOAD_FAILED:
+    case ERR_DEADLINE:
+        return RETRY_LATER_S;
+    default:
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/turmericd/serve/front/request.c
@@ -0,0 +1,356 @@
+/**
+ * DOC: Checks callers' requests and makes calls of them.
+ */
+#include <errno.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "kv/dat.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/front/dat.h"
+#include "turmericd/serve/front/fns.h"
+#include "turmericd/serve/front/internal.h"
+
+enum { JSON_DEPTH_MAX = 64 };
+
+static const char services_prefix[] = "/v1/services/";
+
+/* Reads exactly one JSON object. */
+static struct json_object *
+parse_object(const struct incoming *incoming, struct err *err)
+{
+    struct json_tokener *tokener = json_tokener_new_ex(JSON_DEPTH_MAX);
+    struct json_object *object;
+    enum json_tokener_error result;
+
+    json_tokener_set_flags(tokener,
+                           JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+    object = json_tokener_parse_ex(
+        tokener, incoming->body_bytes > 0 ? incoming->body : "",
+        (int)incoming->body_bytes);
+    result = json_tokener_get_error(tokener);
+    if (result == json_tokener_success &&
+        json_tokener_get_parse_end(tokener) < incoming->body_bytes) {
+        result = json_tokener_error_parse_unexpected;
+    }
+    json_tokener_free(tokener);
+    if (result != json_tokener_success) {
+        json_object_put(object);
+        err_set(
+            err, ERR_BAD_JSON, "body of %zu bytes: %s", incoming->body_bytes,
+            result == json_tokener_continue ? "ends before the JSON does"
+                                            : json_tokener_error_desc(result));
+        return NULL;
+    }
+    if (!json_object_is_type(object, json_type_object)) {
+        json_object_put(object);
+        err_set(err, ERR_BAD_JSON, "the body is no JSON object");
+        return NULL;
+    }
+    return object;
+}
+
+static bool
+take_deadline(const struct incoming *incoming, const struct node *node,
+              const struct moment *moment, struct call_request *request,
+              struct err *err)
+{
+    int64_t wait_ms = node->settings.wait_max_ms;
+    char *end = NULL;
+    long long asked;
+
+    if (incoming->deadline != NULL) {
+        errno = 0;
+        asked = strtoll(incoming->deadline, &end, 10);
+        if (errno != 0 || end == incoming->deadline || *end != '\0' ||
+            asked < 1) {
+            return err_set(err, ERR_BAD_REQUEST,
+                           "X-Deadline-Ms is no number of milliseconds "
+                           "above 0");
+        }
+        wait_ms = asked < wait_ms ? asked : wait_ms;
+    }
+    request->arrival_ms = moment->now_ms;
+    request->deadline_ms = moment->now_ms + wait_ms;
+    return true;
+}
+
+static bool
+take_type(const struct incoming *incoming, struct call_request *request,
+          struct err *err)
+{
+    const char *type = incoming->content_type;
+
+    if (type == NULL) {
+        return true;
+    }
+    if (strlen(type) >= sizeof(request->content_type)) {
+        return err_set(err, ERR_BAD_REQUEST,
+                       "Content-Type is longer than %zu characters",
+                       sizeof(request->content_type) - 1);
+    }
+    strcpy(request->content_type, type);
+    return true;
+}
+
+static bool
+changes_something(const char *method)
+{
+    return strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0 ||
+           strcmp(method, "PATCH") == 0 || strcmp(method, "DELETE") == 0;
+}
+
+/* A key marks a call that may not be repeated, whatever its method. */
+static bool
+take_key(const struct incoming *incoming, const struct node *node,
+         const struct moment *moment, struct call_request *request,
+         struct err *err)
+{
+    const char *key = incoming->key;
+
+    request->idempotent = key == NULL;
+    if (key == NULL) {
+        if (!node->settings.repeatable &&
+            changes_something(incoming->method)) {
+            return err_set(err, ERR_KEY_MISSING,
+                           "calls of %s with %s may not be repeated",
+                           node->service, incoming->method);
+        }
+        return true;
+    }
+    if (strlen(key) > CLAIM_KEY_MAX_BYTES) {
+        return err_set(err, ERR_KEY_BAD,
+                       "the key is longer than %d characters",
+                       CLAIM_KEY_MAX_BYTES);
+    }
+    strcpy(request->key, key);
+    return claim_key_parse(request->service, key, moment->wall_ms,
+                           &request->claim, err);
+}
+
+static bool
+take_body(const struct incoming *incoming, struct call_request *request,
+          struct err *err)
+{
+    request->body = malloc(incoming->body_bytes + 1);
+    if (request->body == NULL) {
+        return err_set(err, ERR_NO_MEMORY, "body of %zu bytes",
+                       incoming->body_bytes);
+    }
+    if (incoming->body_bytes > 0) {
+        memcpy(request->body, incoming->body, incoming->body_bytes);
+    }
+    request->body[incoming->body_bytes] = '\0';
+    request->body_bytes = incoming->body_bytes;
+    return true;
+}
+
+/* The path is part of it: plain services get requests without a body. */
+static uint64_t
+fingerprint(const struct call_request *request)
+{
+    uint64_t body = hash_bytes(request->body, request->body_bytes);
+
+    return hash_pair(hash_text(request->service),
+                     hash_pair(hash_text(request->url), body));
+}
+
+static bool
+take_common(const struct incoming *incoming, const struct node *node,
+            const struct moment *moment, struct call_request *request,
+            struct err *err)
+{
+    if (strlen(incoming->method) >= sizeof(request->method)) {
+        return err_set(err, ERR_BAD_REQUEST, "unknown method");
+    }
+    strcpy(request->method, incoming->method);
+    if (!take_type(incoming, request, err) ||
+        !take_deadline(incoming, node, moment, request, err) ||
+        !take_key(incoming, node, moment, request, err) ||
+        !take_body(incoming, request, err)) {
+        return false;
+    }
+    request->fingerprint = fingerprint(request);
+    return true;
+}
+
+/* A caller may lower the priority that the operators set, not raise it. */
+static bool
+take_priority(struct json_object *body, const struct node *node,
+              struct call_request *request, struct err *err)
+{
+    struct json_object *value;
+    int64_t priority = node->settings.priority;
+    int64_t asked;
+
+    if (json_object_object_get_ex(body, "priority", &value)) {
+        if (!json_object_is_type(value, json_type_int)) {
+            return err_set(err, ERR_BAD_REQUEST, "priority is no integer");
+        }
+        asked = json_object_get_int64(value);
+        asked = asked > 0 ? asked : 0;
+        priority = asked < priority ? asked : priority;
+    }
+    request->priority = (int)priority;
+    return true;
+}
+
+static const struct node *
+take_model(const struct tree *tree, struct json_object *body,
+           struct call_request *request, struct err *err)
+{
+    struct json_object *value;
+    const struct node *node;
+
+    if (!json_object_object_get_ex(body, "model", &value) ||
+        !json_object_is_type(value, json_type_string)) {
+        err_set(err, ERR_BAD_REQUEST, "the body names no model");
+        return NULL;
+    }
+    node = tree_leaf(tree, json_object_get_string(value));
+    if (node == NULL) {
+        err_set(err, ERR_UNKNOWN_MODEL, "no model \"%.100s\" in the tree",
+                json_object_get_string(value));
+        return NULL;
+    }
+    request->leaf = node->id;
+    memcpy(request->leaf_path, node->path, sizeof(request->leaf_path));
+    memcpy(request->service, node->service, sizeof(request->service));
+    return node;
+}
+
+static bool
+take_chat(const struct tree *tree, struct json_object *body,
+          const struct incoming *incoming, const struct moment *moment,
+          struct call_request *request, struct err *err)
+{
+    struct json_object *value;
+    const struct node *node = take_model(tree, body, request, err);
+
+    if (node == NULL) {
+        return false;
+    }
+    if (!json_object_object_get_ex(body, "messages", &value) ||
+        !json_object_is_type(value, json_type_array)) {
+        return err_set(err, ERR_BAD_REQUEST, "the body has no messages");
+    }
+    if (json_object_object_get_ex(body, "stream", &value)) {
+        if (!json_object_is_type(value, json_type_boolean)) {
+            return err_set(err, ERR_BAD_REQUEST, "stream is no boolean");
+        }
+        request->stream = json_object_get_boolean(value);
+    }
+    strcpy(request->url, "/v1/chat/completions");
+    return take_priority(body, node, request, err) &&
+           take_common(incoming, node, moment, request, err);
+}
+
+/**
+ * request_chat() - check a chat
+ * @tree: the tree in force
+ * @incoming: the request
+ * @moment: present time
+ * @request: filled in; its body is the caller's on success
+ * @err: filled in when the request is refused
+ */
+bool
+request_chat(const struct tree *tree, const struct incoming *incoming,
+             const struct moment *moment, struct call_request *request,
+             struct err *err)
+{
+    struct json_object *body = parse_object(incoming, err);
+    bool taken;
+
+    memset(request, 0, sizeof(*request));
+    if (body == NULL) {
+        return false;
+    }
+    taken = take_chat(tree, body, incoming, moment, request, err);
+    json_object_put(body);
+    if (taken && request->content_type[0] == '\0') {
+        strcpy(request->content_type, "application/json");
+    }
+    return taken;
+}
+
+static bool
+is_clean(const char *url)
+{
+    for (const char *c = url; *c != '\0'; c++) {
+        if ((unsigned char)*c <= ' ' || *c == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Splits /v1/services/NAME/REST into the service and the target's URL. */
+static bool
+take_url(const struct incoming *incoming, struct call_request *request,
+         struct err *err)
+{
+    const char *name = incoming->url;
+    size_t bytes;
+
+    if (strncmp(name, services_prefix, sizeof(services_prefix) - 1) != 0) {
+        return err_set(err, ERR_NOT_FOUND, "no such path");
+    }
+    name += sizeof(services_prefix) - 1;
+    bytes = strcspn(name, "/?");
+    if (bytes == 0 || bytes >= sizeof(request->service)) {
+        return err_set(err, ERR_UNKNOWN_SERVICE, "the path names no service");
+    }
+    memcpy(request->service, name, bytes);
+    name += bytes;
+    if (!is_clean(name) || strlen(name) + 2 > sizeof(request->url)) {
+        return err_set(err, ERR_BAD_REQUEST,
+                       "the path has control characters or is longer than %d "
+                       "bytes",
+                       CALL_URL_MAX_BYTES - 2);
+    }
+    snprintf(request->url, sizeof(request->url), "%s%s",
+             name[0] == '/' ? "" : "/", name);
+    return true;
+}
+
+/**
+ * request_plain() - check a request to a plain service
+ * @tree: the tree in force
+ * @incoming: the request
+ * @moment: present time
+ * @request: filled in; its body is the caller's on success
+ * @err: filled in when the request is refused
+ */
+bool
+request_plain(const struct tree *tree, const struct incoming *incoming,
+              const struct moment *moment, struct call_request *request,
+              struct err *err)
+{
+    const struct node *node;
+
+    memset(request, 0, sizeof(*request));
+    if (!take_url(incoming, request, err)) {
+        return false;
+    }
+    node = tree_service(tree, request->service);
+    if (node == NULL || node->settings.kind != TARGET_PLAIN) {
+        return err_set(err, ERR_UNKNOWN_SERVICE,
+                       "no plain service \"%s\" in the tree",
+                       request->service);
+    }
+    request->priority = (int)node->settings.priority;
+    return take_common(incoming, node, moment, request, err);
+}
