--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 BUILD := build/$(VARIANT)
 CC := gcc
 PACKAGES := libulfius libcurl json-c glib-2.0 libprotobuf-c libxxhash
-CPPFLAGS := -Isrc -D_GNU_SOURCE $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+# ulfius.h would include jansson.h, whose names clash with json-c. The shared
+# libraries have versioned symbols, so both can be loaded.
+CPPFLAGS := -Isrc -D_GNU_SOURCE -DU_DISABLE_JANSSON $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 SANITIZE_plain := -O2
 SANITIZE_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 SANITIZE_tsan := -O1 -fsanitize=thread
--- /dev/null
+++ b/src/http/fns.h
@@ -0,0 +1,31 @@
+#ifndef HTTP_FNS_H
+#define HTTP_FNS_H
+
+/* server.c */
+bool address_parse(const char *address, struct sockaddr_in *socket_address,
+                   struct err *err);
+bool http_server_init(struct http_server *server, const char *address,
+                      size_t body_max_bytes, struct err *err);
+bool http_server_start(struct http_server *server, struct err *err);
+void http_server_stop(struct http_server *server);
+void http_server_free(struct http_server *server);
+void http_reply_json(struct _u_response *response, unsigned status,
+                     struct json_object *body);
+struct json_object *http_body_json(const struct _u_request *request,
+                                   struct err *err);
+
+/* json.c */
+struct json_object *json_parse(const char *text, size_t bytes,
+                               struct err *err);
+const char *json_text(struct json_object *object, const char *key,
+                      const char *fallback);
+int64_t json_number(struct json_object *object, const char *key,
+                    int64_t fallback);
+bool json_flag(struct json_object *object, const char *key, bool fallback);
+
+/* client.c */
+bool http_call(const char *method, const char *url,
+               const char *const headers[][2], const char *body, int timeout_s,
+               int *status, struct json_object **answer, struct err *err);
+
+#endif
--- /dev/null
+++ b/src/http/json.c
@@ -0,0 +1,118 @@
+/**
+ * DOC: Reading JSON that comes from outside.
+ */
+#include <json-c/json.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+
+enum { JSON_DEPTH_MAX = 32 };
+
+/**
+ * json_parse() - parse one complete JSON value; comments are allowed
+ * @text: the text
+ * @bytes: its length
+ * @err: filled in on failure with the offset of the fault
+ *
+ * Return: a value that the caller puts, or NULL with ERR_BAD_JSON.
+ */
+struct json_object *
+json_parse(const char *text, size_t bytes, struct err *err)
+{
+    struct json_tokener *tokener = json_tokener_new_ex(JSON_DEPTH_MAX);
+    struct json_object *object;
+    enum json_tokener_error result;
+    size_t end;
+
+    if (tokener == NULL) {
+        err_set(err, ERR_NO_MEMORY, "JSON parser");
+        return NULL;
+    }
+    object = json_tokener_parse_ex(tokener, text, (int)bytes);
+    result = json_tokener_get_error(tokener);
+    end = json_tokener_get_parse_end(tokener);
+    json_tokener_free(tokener);
+    while (result == json_tokener_success && end < bytes &&
+           (text[end] == ' ' || text[end] == '\n' || text[end] == '\r' ||
+            text[end] == '\t' || text[end] == '\0')) {
+        end++;
+    }
+    if (result != json_tokener_success || end < bytes) {
+        err_set(err, ERR_BAD_JSON, "%s at byte %zu",
+                result == json_tokener_success
+                    ? "text after the value"
+                    : json_tokener_error_desc(result),
+                end);
+        json_object_put(object);
+        return NULL;
+    }
+    return object;
+}
+
+/**
+ * json_text() - string member of an object
+ * @object: the object, or any other value
+ * @key: name of the member
+ * @fallback: returned when the member is missing or no string
+ *
+ * Return: text that lives as long as @object, or @fallback.
+ */
+const char *
+json_text(struct json_object *object, const char *key, const char *fallback)
+{
+    struct json_object *member;
+
+    if (json_object_is_type(object, json_type_object) &&
+        json_object_object_get_ex(object, key, &member) &&
+        json_object_is_type(member, json_type_string)) {
+        return json_object_get_string(member);
+    }
+    return fallback;
+}
+
+/**
+ * json_number() - integer member of an object
+ * @object: the object, or any other value
+ * @key: name of the member
+ * @fallback: returned when the member is missing or no number
+ *
+ * Strings of digits count as numbers, as protobuf's JSON form writes 64-bit
+ * integers so.
+ */
+int64_t
+json_number(struct json_object *object, const char *key, int64_t fallback)
+{
+    struct json_object *member;
+
+    if (!json_object_is_type(object, json_type_object) ||
+        !json_object_object_get_ex(object, key, &member)) {
+        return fallback;
+    }
+    if (json_object_is_type(member, json_type_int) ||
+        json_object_is_type(member, json_type_string)) {
+        return json_object_get_int64(member);
+    }
+    return fallback;
+}
+
+/**
+ * json_flag() - boolean member of an object
+ * @object: the object, or any other value
+ * @key: name of the member
+ * @fallback: returned when the member is missing or no boolean
+ */
+bool
+json_flag(struct json_object *object, const char *key, bool fallback)
+{
+    struct json_object *member;
+
+    if (json_object_is_type(object, json_type_object) &&
+        json_object_object_get_ex(object, key, &member) &&
+        json_object_is_type(member, json_type_boolean)) {
+        return json_object_get_boolean(member);
+    }
+    return fallback;
+}
--- /dev/null
+++ b/src/standin/engine.c
@@ -0,0 +1,639 @@
+/**
+ * DOC: Stand-in for a model engine.
+ *
+ * Answers chats in OpenAI's form, streamed or whole, with text that depends
+ * on the question alone, so that a test can tell whose answer it holds and
+ * whether it is whole after a resume. Takes orders to load and unload.
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+#include "standin/dat.h"
+#include "standin/fns.h"
+
+enum { STREAM_CHUNK_BYTES = 4096, STREAMS_MAX = 4096, LOAD_TIMEOUT_S = 600 };
+
+struct engine_role {
+    struct role role;
+    uint64_t incarnation;
+    GHashTable *loaded;  /* path -> memory in MB */
+    GHashTable *cached;  /* path -> itself */
+    GHashTable *streams; /* stream id -> itself */
+    GHashTable *cancelled;
+    uint64_t fence;
+    int64_t used_mb;
+    int64_t running;
+    int64_t loads;
+    int64_t unloads;
+    int64_t overcommits_refused;
+    int64_t fences_refused;
+    int64_t chats;
+    int64_t cancels;
+};
+
+/* One streamed answer. */
+struct answer {
+    struct engine_role *engine;
+    char *text;
+    char *stream_id;
+    char pending[STREAM_CHUNK_BYTES];
+    size_t pending_bytes;
+    size_t pending_sent;
+    int64_t next_token;
+    size_t text_at;
+    int64_t skip_events;
+    bool finished;
+};
+
+static struct json_object *
+keys_of(GHashTable *table)
+{
+    struct json_object *array = json_object_new_array();
+    GHashTableIter iterator;
+    gpointer key;
+
+    g_hash_table_iter_init(&iterator, table);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        json_object_array_add(array, json_object_new_string(key));
+    }
+    return array;
+}
+
+static int
+get_status(const struct _u_request *request, struct _u_response *response,
+           void *user_data)
+{
+    struct engine_role *engine = user_data;
+    struct json_object *status = json_object_new_object();
+    struct json_object *cached = json_object_new_object();
+    int64_t megabyte = 1024 * 1024;
+
+    (void)request;
+    pthread_mutex_lock(&engine->role.lock);
+    json_object_object_add(
+        status, "incarnation",
+        json_object_new_int64((int64_t)engine->incarnation));
+    json_object_object_add(
+        status, "memory_bytes",
+        json_object_new_int64(engine->role.options->memory_mb * megabyte));
+    json_object_object_add(status, "used_bytes",
+                           json_object_new_int64(engine->used_mb * megabyte));
+    json_object_object_add(status, "running",
+                           json_object_new_int64(engine->running));
+    json_object_object_add(status, "waiting", json_object_new_int64(0));
+    json_object_object_add(
+        status, "leaving",
+        json_object_new_boolean(engine->role.faults.leaving));
+    json_object_object_add(status, "loaded", keys_of(engine->loaded));
+    json_object_object_add(cached, "memory", json_object_new_array());
+    json_object_object_add(cached, "disk", keys_of(engine->cached));
+    json_object_object_add(status, "cached", cached);
+    pthread_mutex_unlock(&engine->role.lock);
+    http_reply_json(response, 200, status);
+    return U_CALLBACK_COMPLETE;
+}
+
+static int
+get_models(const struct _u_request *request, struct _u_response *response,
+           void *user_data)
+{
+    struct engine_role *engine = user_data;
+    struct json_object *reply = json_object_new_object();
+    struct json_object *data = json_object_new_array();
+    GHashTableIter iterator;
+    gpointer key;
+
+    (void)request;
+    pthread_mutex_lock(&engine->role.lock);
+    g_hash_table_iter_init(&iterator, engine->loaded);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        struct json_object *model = json_object_new_object();
+
+        json_object_object_add(model, "id", json_object_new_string(key));
+        json_object_object_add(model, "object",
+                               json_object_new_string("model"));
+        json_object_array_add(data, model);
+    }
+    pthread_mutex_unlock(&engine->role.lock);
+    json_object_object_add(reply, "object", json_object_new_string("list"));
+    json_object_object_add(reply, "data", data);
+    http_reply_json(response, 200, reply);
+    return U_CALLBACK_COMPLETE;
+}
+
+/* Called with the lock held. Records the number of a carried out order. */
+static bool
+fence_accepts(struct engine_role *engine, uint64_t fence)
+{
+    if (fence < engine->fence && !engine->role.faults.ignore_fence) {
+        engine->fences_refused++;
+        return false;
+    }
+    engine->fence = MAX(engine->fence, fence);
+    return true;
+}
+
+static void
+fetch_weights(struct engine_role *engine, int64_t load_ms)
+{
+    const char *store = engine->role.options->store;
+    struct err err = {0};
+    char url[ADDRESS_MAX_BYTES * 2];
+    int status;
+
+    if (store == NULL) {
+        role_delay(&engine->role, load_ms);
+        return;
+    }
+    snprintf(url, sizeof(url), "http://%s/weights?ms=%lld", store,
+             (long long)load_ms);
+    http_call("GET", url, NULL, NULL, LOAD_TIMEOUT_S, &status, NULL, &err);
+}
+
+/*
+ * Reserves the memory before the weights are fetched, as an engine does that
+ * allocates first. Returns the HTTP status and sets the error's name.
+ */
+static unsigned
+begin_load(struct engine_role *engine, const char *path, int64_t memory_mb,
+           uint64_t fence, const char **error)
+{
+    unsigned status = 200;
+
+    pthread_mutex_lock(&engine->role.lock);
+    if (!fence_accepts(engine, fence)) {
+        *error = "fence_old";
+        status = 409;
+    }
+    else if (engine->role.faults.fail_loads > 0) {
+        engine->role.faults.fail_loads--;
+        *error = "load_failed";
+        status = 500;
+    }
+    else if (g_hash_table_contains(engine->loaded, path)) {
+        status = 208;
+    }
+    else if (engine->used_mb + memory_mb > engine->role.options->memory_mb) {
+        engine->overcommits_refused++;
+        *error = "memory_full";
+        status = 507;
+    }
+    else {
+        engine->used_mb += memory_mb;
+    }
+    pthread_mutex_unlock(&engine->role.lock);
+    return status;
+}
+
+/* A second load of the same path that ran meanwhile gives its memory back. */
+static void
+finish_load(struct engine_role *engine, const char *path, int64_t memory_mb)
+{
+    pthread_mutex_lock(&engine->role.lock);
+    if (g_hash_table_contains(engine->loaded, path)) {
+        engine->used_mb -= memory_mb;
+    }
+    else {
+        g_hash_table_insert(engine->loaded, g_strdup(path),
+                            (gpointer)memory_mb);
+        g_hash_table_add(engine->cached, g_strdup(path));
+        engine->loads++;
+    }
+    pthread_mutex_unlock(&engine->role.lock);
+}
+
+static int
+post_load(const struct _u_request *request, struct _u_response *response,
+          void *user_data)
+{
+    struct engine_role *engine = user_data;
+    struct err err = {0};
+    struct json_object *body = http_body_json(request, &err);
+    const char *error = "";
+    const char *path;
+    int64_t memory_mb;
+    int64_t load_ms = engine->role.options->load_ms;
+    unsigned status;
+
+    if (body == NULL) {
+        reply_error(response, 400, err.text);
+        return U_CALLBACK_COMPLETE;
+    }
+    role_begin_call(&engine->role, request);
+    path = json_text(body, "model", "");
+    memory_mb = json_number(body, "memory_mb", 0);
+    status = begin_load(engine, path, memory_mb,
+                        (uint64_t)json_number(body, "fence", 0), &error);
+    if (status == 200) {
+        if (g_hash_table_contains(engine->cached, path)) {
+            load_ms /= 4;
+        }
+        fetch_weights(engine, load_ms);
+        finish_load(engine, path, memory_mb);
+    }
+    if (status >= 300) {
+        reply_error(response, status, error);
+    }
+    else {
+        http_reply_json(response, 200, json_object_new_object());
+    }
+    json_object_put(body);
+    return role_end_call(&engine->role, response);
+}
+
+static int
+post_unload(const struct _u_request *request, struct _u_response *response,
+            void *user_data)
+{
+    struct engine_role *engine = user_data;
+    struct err err = {0};
+    struct json_object *body = http_body_json(request, &err);
+    const char *path;
+    bool accepted;
+
+    if (body == NULL) {
+        reply_error(response, 400, err.text);
+        return U_CALLBACK_COMPLETE;
+    }
+    role_begin_call(&engine->role, request);
+    path = json_text(body, "model", "");
+    pthread_mutex_lock(&engine->role.lock);
+    accepted = fence_accepts(engine, (uint64_t)json_number(body, "fence", 0));
+    if (accepted && g_hash_table_contains(engine->loaded, path)) {
+        engine->used_mb -= (int64_t)g_hash_table_lookup(engine->loaded, path);
+        g_hash_table_remove(engine->loaded, path);
+        engine->unloads++;
+    }
+    pthread_mutex_unlock(&engine->role.lock);
+    if (accepted) {
+        http_reply_json(response, 200, json_object_new_object());
+    }
+    else {
+        reply_error(response, 409, "fence_old");
+    }
+    json_object_put(body);
+    return role_end_call(&engine->role, response);
+}
+
+static int
+post_cancel(const struct _u_request *request, struct _u_response *response,
+            void *user_data)
+{
+    struct engine_role *engine = user_data;
+    struct err err = {0};
+    struct json_object *body = http_body_json(request, &err);
+
+    if (body == NULL) {
+        reply_error(response, 400, err.text);
+        return U_CALLBACK_COMPLETE;
+    }
+    pthread_mutex_lock(&engine->role.lock);
+    engine->cancels++;
+    if (g_hash_table_size(engine->cancelled) < STREAMS_MAX) {
+        g_hash_table_add(engine->cancelled,
+                         g_strdup(json_text(body, "stream_id", "")));
+    }
+    pthread_mutex_unlock(&engine->role.lock);
+    json_object_put(body);
+    http_reply_json(response, 200, json_object_new_object());
+    return U_CALLBACK_COMPLETE;
+}
+
+static struct json_object *
+last_message(struct json_object *body, const char *role)
+{
+    struct json_object *messages;
+    struct json_object *found = NULL;
+
+    if (!json_object_object_get_ex(body, "messages", &messages) ||
+        !json_object_is_type(messages, json_type_array)) {
+        return NULL;
+    }
+    for (size_t i = 0; i < json_object_array_length(messages); i++) {
+        struct json_object *message = json_object_array_get_idx(messages, i);
+
+        if (strcmp(json_text(message, "role", ""), role) == 0) {
+            found = message;
+        }
+    }
+    return found;
+}
+
+/* The whole answer to a question, or what is left after the text so far. */
+static char *
+answer_text(struct engine_role *engine, struct json_object *body)
+{
+    GString *text = g_string_new(NULL);
+    struct json_object *so_far = last_message(body, "assistant");
+    int64_t tokens =
+        json_number(body, "max_tokens", engine->role.options->tokens);
+    char *rest;
+
+    g_string_printf(
+        text, "%s:", json_text(last_message(body, "user"), "content", ""));
+    for (int64_t i = 1; i <= tokens; i++) {
+        g_string_append_printf(text, " t%lld", (long long)i);
+    }
+    if (!json_flag(body, "continue_final_message", false) || so_far == NULL) {
+        return g_string_free(text, FALSE);
+    }
+    rest = g_strdup(text->str +
+                    MIN(text->len, strlen(json_text(so_far, "content", ""))));
+    g_string_free(text, TRUE);
+    return rest;
+}
+
+static struct json_object *
+choice(const char *kind, const char *content, bool last)
+{
+    struct json_object *object = json_object_new_object();
+    struct json_object *message = json_object_new_object();
+
+    json_object_object_add(object, "index", json_object_new_int(0));
+    if (content != NULL) {
+        json_object_object_add(message, "role",
+                               json_object_new_string("assistant"));
+        json_object_object_add(message, "content",
+                               json_object_new_string(content));
+    }
+    json_object_object_add(object, kind, message);
+    json_object_object_add(object, "finish_reason",
+                           last ? json_object_new_string("stop") : NULL);
+    return object;
+}
+
+static struct json_object *
+completion(const char *object_type, struct json_object *choice_object)
+{
+    struct json_object *object = json_object_new_object();
+    struct json_object *choices = json_object_new_array();
+
+    json_object_array_add(choices, choice_object);
+    json_object_object_add(object, "object",
+                           json_object_new_string(object_type));
+    json_object_object_add(object, "choices", choices);
+    return object;
+}
+
+/* Next token: up to and without the next blank. */
+static char *
+take_token(struct answer *answer)
+{
+    const char *start = answer->text + answer->text_at;
+    const char *end = *start != '\0' ? strchr(start + 1, ' ') : NULL;
+    size_t bytes = end != NULL ? (size_t)(end - start) : strlen(start);
+
+    answer->text_at += bytes;
+    return g_strndup(start, bytes);
+}
+
+static void
+format_event(struct answer *answer)
+{
+    char *token = take_token(answer);
+    struct json_object *object;
+
+    if (token[0] == '\0') {
+        answer->finished = true;
+        answer->pending_bytes = (size_t)snprintf(
+            answer->pending, sizeof(answer->pending), "data: [DONE]\n\n");
+    }
+    else {
+        object =
+            completion("chat.completion.chunk", choice("delta", token, false));
+        answer->pending_bytes = (size_t)snprintf(
+            answer->pending, sizeof(answer->pending), "data: %s\n\n",
+            json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+        json_object_put(object);
+    }
+    answer->pending_bytes =
+        MIN(answer->pending_bytes, sizeof(answer->pending) - 1);
+    answer->pending_sent = 0;
+    answer->next_token++;
+    g_free(token);
+}
+
+static bool
+is_cancelled(struct answer *answer)
+{
+    struct engine_role *engine = answer->engine;
+    bool cancelled;
+
+    pthread_mutex_lock(&engine->role.lock);
+    cancelled = engine->role.stopping ||
+                g_hash_table_contains(engine->cancelled, answer->stream_id);
+    pthread_mutex_unlock(&engine->role.lock);
+    return cancelled;
+}
+
+static ssize_t
+read_answer(void *user_data, uint64_t offset, char *buffer, size_t max)
+{
+    struct answer *answer = user_data;
+    size_t bytes;
+
+    (void)offset;
+    while (answer->pending_sent == answer->pending_bytes) {
+        if (answer->finished) {
+            return U_STREAM_END;
+        }
+        if (is_cancelled(answer)) {
+            return U_STREAM_ERROR;
+        }
+        format_event(answer);
+        if (answer->skip_events > 0 && !answer->finished) {
+            answer->skip_events--;
+            answer->pending_sent = answer->pending_bytes;
+            continue;
+        }
+        role_delay(&answer->engine->role,
+                   answer->engine->role.options->token_ms);
+    }
+    bytes = MIN(max, answer->pending_bytes - answer->pending_sent);
+    memcpy(buffer, answer->pending + answer->pending_sent, bytes);
+    answer->pending_sent += bytes;
+    return (ssize_t)bytes;
+}
+
+static void
+count_running(struct engine_role *engine, int64_t change)
+{
+    pthread_mutex_lock(&engine->role.lock);
+    engine->running += change;
+    pthread_mutex_unlock(&engine->role.lock);
+}
+
+static void
+free_answer(void *user_data)
+{
+    struct answer *answer = user_data;
+
+    count_running(answer->engine, -1);
+    g_free(answer->text);
+    g_free(answer->stream_id);
+    g_free(answer);
+}
+
+/* Called with the lock held. */
+static void
+remember_stream(struct engine_role *engine, const char *stream_id)
+{
+    if (g_hash_table_size(engine->streams) >= STREAMS_MAX) {
+        g_hash_table_remove_all(engine->streams);
+    }
+    g_hash_table_add(engine->streams, g_strdup(stream_id));
+}
+
+static void
+stream_answer(struct engine_role *engine, const struct _u_request *request,
+              struct _u_response *response, struct json_object *body)
+{
+    const char *stream_id = u_map_get_case(request->map_header, "X-Stream-Id");
+    const char *resume = u_map_get_case(request->map_header, "X-Resume-From");
+    struct answer *answer;
+    bool known;
+
+    stream_id = stream_id != NULL ? stream_id : "";
+    pthread_mutex_lock(&engine->role.lock);
+    known = g_hash_table_contains(engine->streams, stream_id);
+    remember_stream(engine, stream_id);
+    pthread_mutex_unlock(&engine->role.lock);
+    if (resume != NULL && !known) {
+        reply_error(response, 404, "unknown_stream");
+        return;
+    }
+    answer = g_new0(struct answer, 1);
+    answer->engine = engine;
+    answer->text = answer_text(engine, body);
+    answer->stream_id = g_strdup(stream_id);
+    answer->skip_events = resume != NULL ? strtoll(resume, NULL, 10) : 0;
+    count_running(engine, 1);
+    u_map_put(response->map_header, "Content-Type", "text/event-stream");
+    ulfius_set_stream_response(response, 200, read_answer, free_answer,
+                               U_STREAM_SIZE_UNKNOWN, STREAM_CHUNK_BYTES,
+                               answer);
+}
+
+static void
+whole_answer(struct engine_role *engine, struct _u_response *response,
+             struct json_object *body)
+{
+    char *text = answer_text(engine, body);
+    int64_t tokens =
+        json_number(body, "max_tokens", engine->role.options->tokens);
+
+    count_running(engine, 1);
+    role_delay(&engine->role, engine->role.options->token_ms * tokens);
+    count_running(engine, -1);
+    http_reply_json(
+        response, 200,
+        completion("chat.completion", choice("message", text, true)));
+    g_free(text);
+}
+
+static int
+post_chat(const struct _u_request *request, struct _u_response *response,
+          void *user_data)
+{
+    struct engine_role *engine = user_data;
+    struct err err = {0};
+    struct json_object *body = http_body_json(request, &err);
+    bool loaded;
+
+    if (body == NULL) {
+        reply_error(response, 400, err.text);
+        return U_CALLBACK_COMPLETE;
+    }
+    role_begin_call(&engine->role, request);
+    pthread_mutex_lock(&engine->role.lock);
+    loaded =
+        g_hash_table_contains(engine->loaded, json_text(body, "model", ""));
+    engine->chats += loaded ? 1 : 0;
+    pthread_mutex_unlock(&engine->role.lock);
+    if (!loaded) {
+        reply_error(response, 404, "not_loaded");
+    }
+    else if (json_flag(body, "stream", false)) {
+        stream_answer(engine, request, response, body);
+    }
+    else {
+        whole_answer(engine, response, body);
+    }
+    json_object_put(body);
+    return role_end_call(&engine->role, response);
+}
+
+static bool
+engine_prepare(struct role *role, struct err *err)
+{
+    struct engine_role *engine = (struct engine_role *)role;
+
+    (void)err;
+    engine->incarnation = (uint64_t)clock_wall_ms();
+    engine->loaded =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    engine->cached =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    engine->streams =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    engine->cancelled =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return role_endpoint(role, "GET", "/status", get_status) &&
+           role_endpoint(role, "GET", "/v1/models", get_models) &&
+           role_endpoint(role, "POST", "/v1/load", post_load) &&
+           role_endpoint(role, "POST", "/v1/unload", post_unload) &&
+           role_endpoint(role, "POST", "/v1/cancel", post_cancel) &&
+           role_endpoint(role, "POST", "/v1/chat/completions", post_chat);
+}
+
+static struct json_object *
+engine_stats(struct role *role)
+{
+    struct engine_role *engine = (struct engine_role *)role;
+    struct json_object *stats = json_object_new_object();
+    const struct {
+        const char *name;
+        int64_t value;
+    } fields[] = {
+        {"loads", engine->loads},
+        {"unloads", engine->unloads},
+        {"chats", engine->chats},
+        {"cancels", engine->cancels},
+        {"used_mb", engine->used_mb},
+        {"overcommits_refused", engine->overcommits_refused},
+        {"fences_refused", engine->fences_refused},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        json_object_object_add(stats, fields[i].name,
+                               json_object_new_int64(fields[i].value));
+    }
+    json_object_object_add(stats, "loaded", keys_of(engine->loaded));
+    return stats;
+}
+
+static const struct role_ops engine_ops = {"engine", engine_prepare,
+                                           engine_stats};
+
+/**
+ * engine_role_new() - model engine
+ * @options: command line
+ * @err: filled in on failure
+ *
+ * Return: the role, or NULL.
+ */
+struct role *
+engine_role_new(const struct options *options, struct err *err)
+{
+    struct engine_role *engine = g_new0(struct engine_role, 1);
+
+    return role_init(&engine->role, &engine_ops, options, err) ? &engine->role
+                                                               : NULL;
+}
--- /dev/null
+++ b/src/standin/list.c
@@ -0,0 +1,192 @@
+/**
+ * DOC: Stand-in for the platform's list of live and leaving instances.
+ *
+ * GET /instances answers what was true lag_ms ago. PUT /instances/NAME and
+ * DELETE /instances/NAME change it.
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+#include "standin/dat.h"
+#include "standin/fns.h"
+
+/* A past or present form of the list. */
+struct version {
+    int64_t since_ms;
+    char *text;
+};
+
+struct list_role {
+    struct role role;
+    struct json_object *instances;
+    GQueue versions;
+};
+
+/* Called with the lock held. */
+static void
+record_version(struct list_role *list, int64_t now_ms)
+{
+    struct version *version = g_new(struct version, 1);
+    struct json_object *array = json_object_new_array();
+
+    json_object_object_foreach(list->instances, name, instance)
+    {
+        (void)name;
+        json_object_array_add(array, json_object_get(instance));
+    }
+    version->since_ms = now_ms;
+    version->text = g_strdup(json_object_to_json_string(array));
+    json_object_put(array);
+    g_queue_push_tail(&list->versions, version);
+}
+
+/* Called with the lock held. Drops versions that a later one has replaced. */
+static const char *
+version_at(struct list_role *list, int64_t when_ms)
+{
+    struct version *first;
+
+    while (
+        g_queue_get_length(&list->versions) > 1 &&
+        ((struct version *)g_queue_peek_nth(&list->versions, 1))->since_ms <=
+            when_ms) {
+        first = g_queue_pop_head(&list->versions);
+        g_free(first->text);
+        g_free(first);
+    }
+    first = g_queue_peek_head(&list->versions);
+    return first->text;
+}
+
+static int
+get_instances(const struct _u_request *request, struct _u_response *response,
+              void *user_data)
+{
+    struct list_role *list = user_data;
+    int64_t now_ms = clock_now_ms();
+
+    role_begin_call(&list->role, request);
+    pthread_mutex_lock(&list->role.lock);
+    ulfius_set_string_body_response(
+        response, 200, version_at(list, now_ms - list->role.options->lag_ms));
+    pthread_mutex_unlock(&list->role.lock);
+    u_map_put(response->map_header, "Content-Type", "application/json");
+    return role_end_call(&list->role, response);
+}
+
+static int
+put_instance(const struct _u_request *request, struct _u_response *response,
+             void *user_data)
+{
+    struct list_role *list = user_data;
+    const char *name = u_map_get(request->map_url, "name");
+    struct err err = {0};
+    struct json_object *body = http_body_json(request, &err);
+
+    if (body == NULL) {
+        reply_error(response, 400, err.text);
+        return U_CALLBACK_COMPLETE;
+    }
+    json_object_object_add(body, "name", json_object_new_string(name));
+    pthread_mutex_lock(&list->role.lock);
+    json_object_object_add(list->instances, name, body);
+    record_version(list, clock_now_ms());
+    pthread_mutex_unlock(&list->role.lock);
+    http_reply_json(response, 200, json_object_new_object());
+    return U_CALLBACK_COMPLETE;
+}
+
+static int
+delete_instance(const struct _u_request *request, struct _u_response *response,
+                void *user_data)
+{
+    struct list_role *list = user_data;
+
+    pthread_mutex_lock(&list->role.lock);
+    json_object_object_del(list->instances,
+                           u_map_get(request->map_url, "name"));
+    record_version(list, clock_now_ms());
+    pthread_mutex_unlock(&list->role.lock);
+    http_reply_json(response, 200, json_object_new_object());
+    return U_CALLBACK_COMPLETE;
+}
+
+static bool
+read_file(struct list_role *list, const char *file, struct err *err)
+{
+    struct json_object *array;
+    char *text;
+    size_t bytes;
+
+    if (!g_file_get_contents(file, &text, &bytes, NULL)) {
+        return err_set(err, ERR_SETTINGS, "cannot read %s", file);
+    }
+    array = json_parse(text, bytes, err);
+    g_free(text);
+    if (array == NULL || !json_object_is_type(array, json_type_array)) {
+        json_object_put(array);
+        return err_set(err, ERR_SETTINGS, "%s holds no JSON array", file);
+    }
+    for (size_t i = 0; i < json_object_array_length(array); i++) {
+        struct json_object *instance = json_object_array_get_idx(array, i);
+
+        json_object_object_add(list->instances,
+                               json_text(instance, "name", ""),
+                               json_object_get(instance));
+    }
+    json_object_put(array);
+    return true;
+}
+
+static bool
+list_prepare(struct role *role, struct err *err)
+{
+    struct list_role *list = (struct list_role *)role;
+
+    list->instances = json_object_new_object();
+    g_queue_init(&list->versions);
+    if (role->options->file != NULL &&
+        !read_file(list, role->options->file, err)) {
+        return false;
+    }
+    record_version(list, 0);
+    return role_endpoint(role, "GET", "/instances", get_instances) &&
+           role_endpoint(role, "PUT", "/instances/:name", put_instance) &&
+           role_endpoint(role, "DELETE", "/instances/:name", delete_instance);
+}
+
+static struct json_object *
+list_stats(struct role *role)
+{
+    struct list_role *list = (struct list_role *)role;
+    struct json_object *stats = json_object_new_object();
+
+    json_object_object_add(
+        stats, "instances",
+        json_object_new_int(json_object_object_length(list->instances)));
+    return stats;
+}
+
+static const struct role_ops list_ops = {"list", list_prepare, list_stats};
+
+/**
+ * list_role_new() - list of instances
+ * @options: command line
+ * @err: filled in on failure
+ *
+ * Return: the role, or NULL.
+ */
+struct role *
+list_role_new(const struct options *options, struct err *err)
+{
+    struct list_role *list = g_new0(struct list_role, 1);
+
+    return role_init(&list->role, &list_ops, options, err) ? &list->role
+                                                           : NULL;
+}
