Connect the duties in the root supervisor

Cause: the duties are written apart and need one place that starts, joins and stops them.

Change: settings with a schema, the supervisor tree, the ports between the duties, the dispatch of peer messages, the record of listed instances, tests of settings, a harness that runs the system as processes with tests of the failures it is built for, and a bench of the tree.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES := libulfius libcurl json-c glib-2.0 libprotobuf-c libxxhash
 # ulfius.h would include jansson.h, whose names clash with json-c. The shared
 # libraries have versioned symbols, so both can be loaded.
-CPPFLAGS := -Isrc -D_GNU_SOURCE -DU_DISABLE_JANSSON $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+CPPFLAGS := -Isrc -I. -D_GNU_SOURCE -DU_DISABLE_JANSSON $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 SANITIZE_plain := -O2
 SANITIZE_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 SANITIZE_tsan := -O1 -fsanitize=thread
@@ -56,10 +56,12 @@
 $(BUILD)/turmericctl: $(call OBJECT,$(PART_turmericctl)) $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+CLUSTER := $(call OBJECT,$(wildcard test/cluster/*.c))
+$(BUILD)/test/system_test: $(CLUSTER)
 $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/libstandin.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/libstandin.a $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/sample.o $(BUILD)/libstandin.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 # Generated code is committed; run this after a change of peer.proto.
--- /dev/null
+++ b/src/turmericd/fleetports.c
@@ -0,0 +1,192 @@
+/**
+ * DOC: Ports of the fleet's duties: frames, membership, observation.
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/peer/dat.h"
+#include "turmericd/fleet/peer/fns.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/member/fns.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/fleet/observe/fns.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/config/fns.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/fns.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/route/fns.h"
+#include "turmericd/serve/forward/dat.h"
+#include "turmericd/serve/forward/fns.h"
+#include "turmericd/serve/front/dat.h"
+#include "turmericd/serve/front/fns.h"
+#include "turmericd/serve/desk/dat.h"
+#include "turmericd/serve/desk/fns.h"
+#include "turmericd/dat.h"
+#include "turmericd/fns.h"
+
+/* Up to this many live members, reports go to all data centres. */
+enum { SHARE_ALL_MEMBERS_MAX = 32 };
+
+/**
+ * root_send() - send a message to one member
+ * @root: the root
+ * @member: id of the receiver
+ * @envelope: stays the caller's
+ *
+ * Return: false when it was not handed over; counted.
+ */
+bool
+root_send(struct root *root, uint64_t member, Turmeric__Envelope *envelope)
+{
+    struct err err = {0};
+
+    if (peer_send(root->peer, member, envelope, &err)) {
+        return true;
+    }
+    counter_add(CTR_PEER_DROPPED, 1);
+    return false;
+}
+
+/**
+ * root_share() - send a message to the other members of a data centre
+ * @root: the root
+ * @data_centre: NULL for all data centres
+ * @envelope: stays the caller's
+ */
+void
+root_share(struct root *root, const char *data_centre,
+           Turmeric__Envelope *envelope)
+{
+    uint64_t ids[MEMBERS_MAX];
+    int count = member_live_ids(root->member, data_centre, ids, MEMBERS_MAX);
+
+    for (int i = 0; i < count; i++) {
+        if (ids[i] != root->self.id) {
+            root_send(root, ids[i], envelope);
+        }
+    }
+}
+
+static void
+peer_message(struct peer_port *port, Turmeric__Envelope *envelope)
+{
+    root_dispatch(((struct root_peer_port *)port)->root, envelope);
+}
+
+static bool
+member_send(struct member_port *port, uint64_t member,
+            Turmeric__Envelope *envelope)
+{
+    return root_send(((struct root_member_port *)port)->root, member,
+                     envelope);
+}
+
+static void
+member_address(struct member_port *port, uint64_t member,
+               const char *peer_address)
+{
+    struct root *root = ((struct root_member_port *)port)->root;
+
+    peer_set_address(root->peer, member, peer_address);
+}
+
+static void
+member_forget(struct member_port *port, uint64_t member)
+{
+    peer_forget(((struct root_member_port *)port)->root->peer, member);
+}
+
+static void
+observe_report(struct observe_port *port, const struct target_report *report)
+{
+    struct root *root = ((struct root_observe_port *)port)->root;
+    struct err err = {0};
+
+    counter_add(CTR_REPORTS, 1);
+    if (!route_post_report(root->route, report, &err)) {
+        refusal_add(err.kind);
+    }
+    if (report->kind == TARGET_ENGINE &&
+        !place_post_report(root->place, report, &err)) {
+        refusal_add(err.kind);
+    }
+}
+
+static void
+observe_listed(struct observe_port *port, const struct member_info *info)
+{
+    struct root *root = ((struct root_observe_port *)port)->root;
+    struct err err = {0};
+
+    root_note_listed(root, info->id, clock_now_ms());
+    if (info->id != root->self.id &&
+        !member_post_listed(root->member, info, &err)) {
+        refusal_add(err.kind);
+    }
+}
+
+/* A data centre without instances is polled by an instance of another. */
+static bool
+observe_owns(struct observe_port *port, uint64_t target,
+             const char *data_centre)
+{
+    struct root *root = ((struct root_observe_port *)port)->root;
+    uint64_t ids[MEMBERS_MAX];
+    int count = member_live_ids(root->member, data_centre, ids, MEMBERS_MAX);
+    int owner = rendezvous_pick(target, ids, count);
+
+    if (owner < 0) {
+        return member_owner(root->member, target) == root->self.id;
+    }
+    return ids[owner] == root->self.id;
+}
+
+static void
+observe_share(struct observe_port *port, const char *data_centre,
+              Turmeric__Envelope *envelope)
+{
+    struct root *root = ((struct root_observe_port *)port)->root;
+    uint64_t ids[MEMBERS_MAX];
+
+    if (member_live_ids(root->member, NULL, ids, MEMBERS_MAX) <=
+        SHARE_ALL_MEMBERS_MAX) {
+        data_centre = NULL;
+    }
+    root_share(root, data_centre, envelope);
+}
+
+static const struct peer_port_ops peer_ops = {peer_message};
+static const struct member_port_ops member_ops = {member_send, member_address,
+                                                  member_forget};
+static const struct observe_port_ops observe_ops = {
+    observe_report, observe_listed, observe_owns, observe_share};
+
+/**
+ * root_init_fleet_ports() - set up the ports of peer, member and observe
+ * @root: the root
+ */
+void
+root_init_fleet_ports(struct root *root)
+{
+    root->peer_port.port.ops = &peer_ops;
+    root->peer_port.root = root;
+    root->member_port.port.ops = &member_ops;
+    root->member_port.root = root;
+    root->observe_port.port.ops = &observe_ops;
+    root->observe_port.root = root;
+}
--- /dev/null
+++ b/src/turmericd/root.c
@@ -0,0 +1,201 @@
+/**
+ * DOC: The supervisor tree of turmericd.
+ *
+ * add_children() is the one place that gives the order in which everything
+ * starts; it stops in the reverse order.
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/peer/dat.h"
+#include "turmericd/fleet/peer/fns.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/member/fns.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/fleet/observe/fns.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/config/fns.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/fns.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/route/fns.h"
+#include "turmericd/serve/forward/dat.h"
+#include "turmericd/serve/forward/fns.h"
+#include "turmericd/serve/front/dat.h"
+#include "turmericd/serve/front/fns.h"
+#include "turmericd/serve/desk/dat.h"
+#include "turmericd/serve/desk/fns.h"
+#include "turmericd/dat.h"
+#include "turmericd/fns.h"
+
+static void
+fill_self(struct root *root)
+{
+    const struct settings *settings = root->settings;
+    struct member_info *self = &root->self;
+
+    self->id = hash_text(settings->name);
+    self->start = (uint64_t)clock_wall_ms();
+    self->state = MEMBER_ALIVE;
+    g_strlcpy(self->name, settings->name, sizeof(self->name));
+    g_strlcpy(self->data_centre, settings->data_centre,
+              sizeof(self->data_centre));
+    g_strlcpy(self->address, settings->address, sizeof(self->address));
+    g_strlcpy(self->peer_address, settings->peer_address,
+              sizeof(self->peer_address));
+}
+
+static bool
+create_state(struct root *root, struct err *err)
+{
+    const struct settings *settings = root->settings;
+
+    kv_etcd_init(&root->kv, settings->key_value_url,
+                 (int)settings->key_value_timeout_ms);
+    root->config =
+        config_new(&root->kv.kv, hash_pair(root->self.id, root->self.start),
+                   &root->config_port.port, err);
+    root->claim =
+        claim_new(&root->kv.kv, root->self.id, &root->claim_port.port, err);
+    return root->config != NULL && root->claim != NULL;
+}
+
+static bool
+create_fleet(struct root *root, struct err *err)
+{
+    const struct settings *settings = root->settings;
+    struct observe_settings look = {
+        .list_interval_ms = (int)settings->list_interval_ms,
+        .poll_interval_ms = (int)settings->poll_interval_ms,
+        .poll_timeout_ms = (int)settings->poll_timeout_ms,
+    };
+
+    g_strlcpy(look.list_url, settings->list_url, sizeof(look.list_url));
+    root->peer = peer_new(settings->peer_address, root->self.id,
+                          &root->peer_port.port, err);
+    root->member =
+        member_new(&root->self, hash_pair(root->self.start, root->self.id),
+                   &root->member_port.port, err);
+    root->observe = observe_new(&look, &root->observe_port.port, err);
+    return root->peer != NULL && root->member != NULL && root->observe != NULL;
+}
+
+static bool
+create_place(struct root *root, struct err *err)
+{
+    root->engine_api = engine_http_new((int)root->settings->load_timeout_ms);
+    root->place = place_new(&root->kv.kv, root->engine_api, root->self.id,
+                            root->self.start, &root->place_port.port, err);
+    return root->place != NULL;
+}
+
+static bool
+create_serve(struct root *root, struct err *err)
+{
+    const struct settings *settings = root->settings;
+    struct front_settings front = {.body_max_bytes = settings->body_max_bytes,
+                                   .keep_s = settings->keep_s,
+                                   .drain_max_s = settings->drain_max_s};
+    struct desk_settings desk = {0};
+
+    g_strlcpy(front.address, settings->address, sizeof(front.address));
+    g_strlcpy(desk.address, settings->desk_address, sizeof(desk.address));
+    g_strlcpy(desk.token_file, settings->token_file, sizeof(desk.token_file));
+    root->calls = calls_new((uint32_t)settings->calls_max, err);
+    if (root->calls == NULL) {
+        return false;
+    }
+    root->route = route_new(root->calls, settings->data_centre,
+                            hash_pair(root->self.id, root->self.start),
+                            &root->route_port.port, err);
+    root->forward = forward_new(root->calls, (int)settings->forward_workers,
+                                &root->forward_port.port, err);
+    root->front = front_new(root->calls, &front, &root->front_port.port, err);
+    root->desk = desk_new(&desk, &root->desk_port.port, err);
+    return root->route != NULL && root->forward != NULL &&
+           root->front != NULL && root->desk != NULL;
+}
+
+static void
+add_children(struct root *root)
+{
+    supervisor_init(&root->supervisor, "turmericd");
+    supervisor_init(&root->state, "state");
+    supervisor_init(&root->fleet, "fleet");
+    supervisor_init(&root->serve, "serve");
+    supervisor_add(&root->supervisor, &root->state.duty);
+    supervisor_add(&root->state, config_duty(root->config));
+    supervisor_add(&root->state, claim_duty(root->claim));
+    supervisor_add(&root->supervisor, &root->fleet.duty);
+    supervisor_add(&root->fleet, peer_duty(root->peer));
+    supervisor_add(&root->fleet, member_duty(root->member));
+    supervisor_add(&root->fleet, observe_duty(root->observe));
+    supervisor_add(&root->supervisor, place_duty(root->place));
+    supervisor_add(&root->supervisor, &root->serve.duty);
+    supervisor_add(&root->serve, route_duty(root->route));
+    supervisor_add(&root->serve, forward_duty(root->forward));
+    supervisor_add(&root->serve, front_duty(root->front));
+    supervisor_add(&root->serve, desk_duty(root->desk));
+}
+
+/**
+ * root_init() - create every duty and put them into the supervisor tree
+ * @root: the root
+ * @settings: checked settings, kept by reference
+ * @err: filled in on failure
+ *
+ * Return: false when something can't be created; root_free() cleans up.
+ */
+bool
+root_init(struct root *root, const struct settings *settings, struct err *err)
+{
+    memset(root, 0, sizeof(*root));
+    root->settings = settings;
+    pthread_mutex_init(&root->listed_lock, NULL);
+    fill_self(root);
+    root_init_state_ports(root);
+    root_init_fleet_ports(root);
+    root_init_serve_ports(root);
+    if (!create_state(root, err) || !create_fleet(root, err) ||
+        !create_place(root, err) || !create_serve(root, err)) {
+        return false;
+    }
+    add_children(root);
+    return true;
+}
+
+/**
+ * root_free() - release everything after the supervisor has stopped
+ * @root: the root
+ */
+void
+root_free(struct root *root)
+{
+    desk_free(root->desk);
+    front_free(root->front);
+    forward_free(root->forward);
+    route_free(root->route);
+    calls_free(root->calls);
+    place_free(root->place);
+    engine_http_free(root->engine_api);
+    observe_free(root->observe);
+    member_free(root->member);
+    peer_free(root->peer);
+    claim_free(root->claim);
+    config_free(root->config);
+    pthread_mutex_destroy(&root->listed_lock);
+}
--- /dev/null
+++ b/test/cluster/dat.h
@@ -0,0 +1,81 @@
+#ifndef CLUSTER_DAT_H
+#define CLUSTER_DAT_H
+
+enum {
+    PROCESSES_MAX = 32,
+    ENTRIES_MAX = 8,
+    ANSWER_MAX_BYTES = 256 * 1024,
+    CLUSTER_WAIT_MS = 30000,
+};
+
+enum process_kind {
+    PROCESS_KV,
+    PROCESS_LIST,
+    PROCESS_STORE,
+    PROCESS_ENGINE,
+    PROCESS_PLAIN,
+    PROCESS_ENTRY,
+};
+
+/**
+ * struct process - a process of the system or of the platform
+ * @port: its address on loopback
+ * @control_port: control address of a stand-in, peer address of an entry
+ * @desk_port: operators' address of an entry
+ */
+struct process {
+    char name[NAME_MAX_BYTES];
+    enum process_kind kind;
+    pid_t pid;
+    int port;
+    int control_port;
+    int desk_port;
+};
+
+/**
+ * struct shape - what a cluster consists of
+ * @engines: number of engines, service "chat"
+ * @engine_memory_mb: memory of each engine
+ * @load_ms: time of a load
+ * @token_ms: time of a token
+ * @plains: number of targets of the plain service "orders"
+ * @entries: number of entry instances
+ * @tree: changes applied at the start, JSON array of an edit's changes
+ */
+struct shape {
+    int engines;
+    int engine_memory_mb;
+    int load_ms;
+    int token_ms;
+    int plains;
+    int entries;
+    const char *tree;
+};
+
+/**
+ * struct cluster - running processes; ended by cluster_stop()
+ */
+struct cluster {
+    const struct shape *shape;
+    char directory[PATH_MAX_BYTES];
+    struct process processes[PROCESSES_MAX];
+    int count;
+};
+
+/**
+ * struct answer - whole or broken answer of a request
+ * @status: HTTP status; 0 when there was no answer
+ * @complete: the transfer ended properly
+ * @text: body
+ * @on_data: called after each piece; may be NULL
+ */
+struct answer {
+    int status;
+    bool complete;
+    char text[ANSWER_MAX_BYTES];
+    size_t bytes;
+    void (*on_data)(struct answer *answer);
+    void *context;
+};
+
+#endif
--- /dev/null
+++ b/test/cluster/fns.h
@@ -0,0 +1,28 @@
+#ifndef CLUSTER_FNS_H
+#define CLUSTER_FNS_H
+
+/* cluster.c */
+struct cluster *cluster_start(const struct shape *shape);
+void cluster_stop(struct cluster *cluster);
+struct process *cluster_find(struct cluster *cluster, enum process_kind kind,
+                             int number);
+void cluster_restart(struct cluster *cluster, struct process *process);
+void cluster_kill(struct process *process, int signal_number);
+int cluster_wait_exit(struct process *process);
+bool cluster_await(bool (*condition)(void *context), void *context);
+void cluster_use_programs(const char *test_program);
+
+/* request.c */
+bool request_send(struct process *process, const char *method,
+                  const char *path, const char *const headers[][2],
+                  const char *body, struct answer *answer);
+char *stream_text(const struct answer *answer);
+struct json_object *process_stats(struct process *process);
+int64_t process_stat(struct process *process, const char *key);
+void process_faults(struct process *process, const char *faults);
+bool cluster_edit(struct process *entry, const char *changes,
+                  int64_t base_revision, int64_t *revision,
+                  struct answer *answer);
+struct json_object *cluster_status(struct process *entry);
+
+#endif
--- /dev/null
+++ b/test/settings_test.c
@@ -0,0 +1,171 @@
+/* Tests of the process's settings and of JSON from outside. */
+#include <glib.h>
+#include <json-c/json.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+#include "kv/dat.h"
+#include "tree/dat.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/peer/dat.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/forward/dat.h"
+#include "turmericd/serve/front/dat.h"
+#include "turmericd/serve/desk/dat.h"
+#include "turmericd/dat.h"
+#include "turmericd/fns.h"
+
+#define NEEDED                                                                \
+    "\"name\": \"entry-1\", \"data_centre\": \"kovalam\","                    \
+    "\"address\": \"127.0.0.1:1\", \"peer_address\": \"127.0.0.1:2\","        \
+    "\"desk_address\": \"127.0.0.1:3\", \"token_file\": \"/t\","              \
+    "\"key_value_url\": \"http://127.0.0.1:4\","                              \
+    "\"list_url\": \"http://127.0.0.1:5\""
+
+/* Guards against a wrong settings file that is accepted, or refused without
+ * saying where the fault is and what is allowed. */
+struct settings_case {
+    const char *name;
+    const char *text;
+    const char *complaint; /* NULL when valid */
+};
+
+static const struct settings_case settings_cases[] = {
+    {"valid", "{" NEEDED "}", NULL},
+    {"comments", "{ // a comment\n /* another */ " NEEDED "}", NULL},
+    {"unknown_key", "{" NEEDED ", \"adress\": 1}", "\"adress\" is unknown"},
+    {"missing_key", "{\"name\": \"a\"}", "\"data_centre\" is missing"},
+    {"wrong_type", "{" NEEDED ", \"keep_s\": \"5\"}", "from 1 to 300"},
+    {"fraction", "{" NEEDED ", \"keep_s\": 1.5}", "from 1 to 300"},
+    {"too_small", "{" NEEDED ", \"keep_s\": 0}", "from 1 to 300"},
+    {"too_large", "{" NEEDED ", \"calls_max\": 65537}", "from 16 to 65536"},
+    {"huge", "{" NEEDED ", \"calls_max\": 99999999999999999999}",
+     "from 16 to 65536"},
+    {"bad_name", "{\"name\": \"Entry 1\"}", "allowed are a-z"},
+    {"bad_address", "{\"address\": \"localhost:80\"}", "is not IP:PORT"},
+    {"no_port", "{\"address\": \"127.0.0.1\"}", "is not IP:PORT"},
+    {"port_too_large", "{\"address\": \"127.0.0.1:70000\"}", "is not IP:PORT"},
+    {"number_for_text", "{\"name\": 5}", "must be text"},
+    {"empty_text", "{\"token_file\": \"\"}", "must be text"},
+    {"syntax", "{\n\"name\": \"a\",\n\"address\" 5}", "f.json:3: "},
+    {"truncated", "{\"name\": \"a\"", "f.json:1: "},
+    {"trailing", "{" NEEDED "} {}", "text after the value"},
+    {"no_object", "[]", "no JSON object"},
+    {"empty", "", "f.json:1: "},
+};
+
+static void
+test_settings(gconstpointer data)
+{
+    const struct settings_case *c = data;
+    struct settings settings;
+    struct err err = {0};
+    bool valid =
+        settings_parse("f.json", c->text, strlen(c->text), &settings, &err);
+
+    g_assert_true(valid == (c->complaint == NULL));
+    if (c->complaint != NULL) {
+        g_assert_cmpint(err.kind, ==, ERR_SETTINGS);
+        g_assert_nonnull(strstr(err.text, "f.json"));
+        g_assert_nonnull(strstr(err.text, c->complaint));
+    }
+}
+
+/* Guards against defaults that --print-settings doesn't show. */
+static void
+test_print_settings(void)
+{
+    const char *text = "{" NEEDED ", \"keep_s\": 7}";
+    struct settings settings;
+    struct settings again;
+    struct err err = {0};
+    char *printed;
+
+    g_assert_true(
+        settings_parse("f.json", text, strlen(text), &settings, &err));
+    printed = settings_format(&settings);
+    g_assert_true(
+        settings_parse("f.json", printed, strlen(printed), &again, &err));
+    g_assert_cmpint(memcmp(&settings, &again, sizeof(settings)), ==, 0);
+    g_assert_cmpint(again.keep_s, ==, 7);
+    g_assert_cmpint(again.body_max_bytes, ==, 1048576);
+    g_free(printed);
+}
+
+/* Guards against an instance that is taken for gone while it may still run,
+ * so that memory which its late order will use is given away. */
+struct gone_case {
+    const char *name;
+    int64_t seen_ms; /* -1: never */
+    int64_t first_read_ms;
+    int64_t last_read_ms;
+    bool gone;
+};
+
+static const struct gone_case gone_cases[] = {
+    {"never_read", -1, -1, -1, false},
+    {"just_listed", 1000, 1000, 1000, false},
+    {"missing_119_s", 1000, 1000, 120000, false},
+    {"missing_121_s", 1000, 1000, 122000, true},
+    {"list_down_since", 1000, 1000, 1000, false},
+    {"never_seen_short", -1, 1000, 100000, false},
+    {"never_seen_long", -1, 1000, 122000, true},
+};
+
+static void
+test_gone(gconstpointer data)
+{
+    const struct gone_case *c = data;
+    struct root *root = g_new0(struct root, 1);
+    const uint64_t member = 7;
+    const uint64_t other = 8;
+
+    pthread_mutex_init(&root->listed_lock, NULL);
+    if (c->first_read_ms >= 0) {
+        root_note_listed(root, other, c->first_read_ms);
+    }
+    if (c->seen_ms >= 0) {
+        root_note_listed(root, member, c->seen_ms);
+    }
+    if (c->last_read_ms >= 0) {
+        root_note_listed(root, other, c->last_read_ms);
+    }
+    g_assert_true(root_member_gone(root, member) == c->gone);
+    pthread_mutex_destroy(&root->listed_lock);
+    g_free(root);
+}
+
+static void
+add(const char *group, const char *name, gconstpointer data,
+    GTestDataFunc function)
+{
+    char *path = g_strdup_printf("/settings/%s/%s", group, name);
+
+    g_test_add_data_func(path, data, function);
+    g_free(path);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(settings_cases); i++) {
+        add("parse", settings_cases[i].name, &settings_cases[i],
+            test_settings);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(gone_cases); i++) {
+        add("gone", gone_cases[i].name, &gone_cases[i], test_gone);
+    }
+    g_test_add_func("/settings/print", test_print_settings);
+    return g_test_run();
+}
--- /dev/null
+++ b/test/system_test.c
@@ -0,0 +1,595 @@
+/*
+ * Tests of the whole system as processes, under the failures that it is
+ * built for. Each case starts its own cluster on ports chosen by the kernel.
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+#include "test/cluster/dat.h"
+#include "test/cluster/fns.h"
+
+#define NODE(path, type)                                                      \
+    "{\"node\": \"" path "\", \"key\": \"type\", \"value\": \"" type "\"},"
+#define SET(path, key, value)                                                 \
+    "{\"node\": \"" path "\", \"key\": \"" key "\", \"value\": " value "}"
+
+/* clang-format off */
+static const char tree[] =
+    "["
+    NODE("/chat", "service")
+    NODE("/chat/m1", "model")
+    NODE("/chat/m2", "model")
+    NODE("/chat/m3", "model")
+    NODE("/chat/m4", "model")
+    NODE("/chat/wide", "model")
+    NODE("/orders", "service")
+    SET("/orders", "kind", "\"plain\"") ","
+    SET("/orders", "repeatable", "false") ","
+    SET("/orders", "wait_max_ms", "8000") ","
+    SET("/chat", "checks_fence", "true") ","
+    SET("/chat", "wait_max_ms", "20000") ","
+    SET("/chat/wide", "replicas_max", "4")
+    "]";
+/* clang-format on */
+
+/* One caller's chat, run in a thread of its own. */
+struct caller {
+    struct process *entry;
+    char question[64];
+    const char *model;
+    int tokens;
+    struct answer answer;
+    pthread_t thread;
+};
+
+static char *
+expected_text(const char *question, int tokens)
+{
+    GString *text = g_string_new(question);
+
+    g_string_append(text, ":");
+    for (int i = 1; i <= tokens; i++) {
+        g_string_append_printf(text, " t%d", i);
+    }
+    return g_string_free(text, FALSE);
+}
+
+static void *
+chat(void *argument)
+{
+    struct caller *caller = argument;
+    char *body = g_strdup_printf(
+        "{\"model\": \"%s\", \"stream\": true, \"max_tokens\": %d, "
+        "\"messages\": [{\"role\": \"user\", \"content\": \"%s\"}]}",
+        caller->model, caller->tokens, caller->question);
+
+    request_send(caller->entry, "POST", "/v1/chat/completions", NULL, body,
+                 &caller->answer);
+    g_free(body);
+    return NULL;
+}
+
+static struct caller *
+caller_new(struct process *entry, const char *model, int tokens, int number)
+{
+    struct caller *caller = g_new0(struct caller, 1);
+
+    caller->entry = entry;
+    caller->model = model;
+    caller->tokens = tokens;
+    snprintf(caller->question, sizeof(caller->question), "question-%d",
+             number);
+    return caller;
+}
+
+static void
+assert_whole(struct caller *caller)
+{
+    char *text = stream_text(&caller->answer);
+    char *expected = expected_text(caller->question, caller->tokens);
+
+    if (text == NULL) {
+        g_test_message("answer: HTTP %d %s", caller->answer.status,
+                       caller->answer.text);
+    }
+    g_assert_cmpstr(text, ==, expected);
+    g_free(expected);
+    g_free(text);
+}
+
+static void
+ask(struct process *entry, const char *model, int tokens, int number)
+{
+    struct caller *caller = caller_new(entry, model, tokens, number);
+
+    chat(caller);
+    assert_whole(caller);
+    g_free(caller);
+}
+
+static int64_t
+engines_sum(struct cluster *cluster, const char *key)
+{
+    int64_t sum = 0;
+
+    for (int i = 1; i <= cluster->shape->engines; i++) {
+        sum += MAX(process_stat(cluster_find(cluster, PROCESS_ENGINE, i), key),
+                   0);
+    }
+    return sum;
+}
+
+static void
+assert_never_overcommitted(struct cluster *cluster)
+{
+    g_assert_cmpint(engines_sum(cluster, "overcommits_refused"), ==, 0);
+}
+
+/* Guards against one load per instance, and against mixed up answers, when
+ * first requests for a cold model arrive at all instances at once. */
+enum { BURST = 24 };
+
+static void
+run_cold_burst(struct cluster *cluster)
+{
+    struct caller *callers[BURST];
+
+    for (int i = 0; i < BURST; i++) {
+        struct process *entry = cluster_find(cluster, PROCESS_ENTRY,
+                                             1 + i % cluster->shape->entries);
+
+        callers[i] = caller_new(entry, "m1", 5 + i % 3, i);
+        pthread_create(&callers[i]->thread, NULL, chat, callers[i]);
+    }
+    for (int i = 0; i < BURST; i++) {
+        pthread_join(callers[i]->thread, NULL);
+        assert_whole(callers[i]);
+        g_free(callers[i]);
+    }
+    g_assert_cmpint(engines_sum(cluster, "loads"), ==, 1);
+    assert_never_overcommitted(cluster);
+}
+
+/* Kills the engine that runs the stream after its third event. */
+static void
+kill_running_engine(struct answer *answer)
+{
+    struct cluster *cluster = answer->context;
+
+    if (g_strrstr(answer->text, "t3") == NULL) {
+        return;
+    }
+    answer->on_data = NULL;
+    for (int i = 1; i <= cluster->shape->engines; i++) {
+        struct process *engine = cluster_find(cluster, PROCESS_ENGINE, i);
+        struct answer *status = g_new0(struct answer, 1);
+        struct json_object *object;
+
+        request_send(engine, "GET", "/status", NULL, NULL, status);
+        object = json_tokener_parse(status->text);
+        if (json_number(object, "running", 0) > 0) {
+            cluster_kill(engine, SIGKILL);
+        }
+        json_object_put(object);
+        g_free(status);
+    }
+}
+
+/* Guards against a cut off or doubled answer when an engine dies. */
+static void
+run_engine_killed(struct cluster *cluster)
+{
+    struct caller *caller =
+        caller_new(cluster_find(cluster, PROCESS_ENTRY, 1), "m1", 40, 1);
+
+    caller->answer.on_data = kill_running_engine;
+    caller->answer.context = cluster;
+    chat(caller);
+    assert_whole(caller);
+    g_assert_null(caller->answer.on_data);
+    g_free(caller);
+}
+
+/* One caller's order. */
+struct order {
+    struct process *entry;
+    const char *key;
+    struct answer answer;
+    pthread_t thread;
+};
+
+static void *
+send_order(void *argument)
+{
+    struct order *order = argument;
+    const char *const headers[][2] = {{"Idempotency-Key", order->key},
+                                      {NULL, NULL}};
+
+    request_send(order->entry, "POST", "/v1/services/orders/orders", headers,
+                 "{\"appam\": 300}", &order->answer);
+    return NULL;
+}
+
+static struct order *
+order_new(struct cluster *cluster, int entry, const char *key)
+{
+    struct order *order = g_new0(struct order, 1);
+
+    order->entry = cluster_find(cluster, PROCESS_ENTRY, entry);
+    order->key = key;
+    return order;
+}
+
+static int64_t
+plains_sum(struct cluster *cluster, const char *stat)
+{
+    int64_t sum = 0;
+
+    for (int i = 1; i <= cluster->shape->plains; i++) {
+        sum += process_stat(cluster_find(cluster, PROCESS_PLAIN, i), stat);
+    }
+    return sum;
+}
+
+/* Guards against an order that runs twice when it is sent at the same time
+ * through all instances, and again later. */
+enum { COPIES = 18 };
+
+static void
+run_order_once(struct cluster *cluster)
+{
+    struct order *orders[COPIES];
+    int confirmed = 0;
+
+    for (int i = 0; i < COPIES; i++) {
+        orders[i] =
+            order_new(cluster, 1 + i % cluster->shape->entries, "wedding-1");
+        pthread_create(&orders[i]->thread, NULL, send_order, orders[i]);
+    }
+    for (int i = 0; i < COPIES; i++) {
+        pthread_join(orders[i]->thread, NULL);
+        confirmed += orders[i]->answer.status == 200;
+        if (orders[i]->answer.status != 200) {
+            g_assert_cmpint(orders[i]->answer.status, ==, 409);
+            g_assert_nonnull(
+                strstr(orders[i]->answer.text, "duplicate_request"));
+        }
+        g_free(orders[i]);
+    }
+    g_assert_cmpint(confirmed, ==, 1);
+    g_assert_cmpint(plains_sum(cluster, "keys"), ==, 1);
+    g_assert_cmpint(plains_sum(cluster, "run_twice"), ==, 0);
+}
+
+/* Guards against a second run after the service's answer was lost, and
+ * against a refusal that says "not run" of an order that ran. */
+static void
+run_order_answer_lost(struct cluster *cluster)
+{
+    struct order *order = order_new(cluster, 1, "wedding-2");
+
+    for (int i = 1; i <= cluster->shape->plains; i++) {
+        process_faults(cluster_find(cluster, PROCESS_PLAIN, i),
+                       "{\"lose_answers\": 1}");
+    }
+    send_order(order);
+    g_assert_cmpint(order->answer.status, ==, 502);
+    g_assert_nonnull(strstr(order->answer.text, "\"unknown\""));
+    g_assert_cmpint(plains_sum(cluster, "keys"), ==, 1);
+    order->entry = cluster_find(cluster, PROCESS_ENTRY, 2);
+    send_order(order);
+    g_assert_cmpint(order->answer.status, ==, 409);
+    g_assert_cmpint(plains_sum(cluster, "keys"), ==, 1);
+    g_assert_cmpint(plains_sum(cluster, "run_twice"), ==, 0);
+    g_free(order);
+}
+
+static bool
+order_runs(void *context)
+{
+    struct order *order = context;
+
+    send_order(order);
+    return order->answer.status == 200;
+}
+
+/* Guards against a system that falls silent, or that says the wrong thing,
+ * while the key-value service is down. */
+static void
+run_key_value_down(struct cluster *cluster)
+{
+    struct process *entry = cluster_find(cluster, PROCESS_ENTRY, 1);
+    struct process *kv = cluster_find(cluster, PROCESS_KV, 1);
+    struct answer *answer = g_new0(struct answer, 1);
+    struct order *order = order_new(cluster, 1, "wedding-3");
+    const char *const deadline[][2] = {{"X-Deadline-Ms", "1500"},
+                                       {NULL, NULL}};
+    int64_t revision;
+
+    ask(entry, "m1", 4, 1);
+    process_faults(kv, "{\"down\": true}");
+    ask(entry, "m1", 4, 2);
+    request_send(entry, "POST", "/v1/chat/completions", deadline,
+                 "{\"model\": \"m2\", \"messages\": []}", answer);
+    g_assert_cmpint(answer->status, >=, 500);
+    g_assert_nonnull(strstr(answer->text, "\"not_run\""));
+    send_order(order);
+    g_assert_cmpint(order->answer.status, ==, 503);
+    g_assert_nonnull(strstr(order->answer.text, "\"not_run\""));
+    g_assert_false(cluster_edit(entry, "[" SET("/chat", "priority", "3") "]",
+                                1, &revision, answer));
+    g_assert_cmpint(plains_sum(cluster, "keys"), ==, 0);
+    process_faults(kv, "{\"down\": false}");
+    g_assert_true(cluster_await(order_runs, order));
+    ask(entry, "m2", 4, 3);
+    g_assert_cmpint(plains_sum(cluster, "run_twice"), ==, 0);
+    g_free(order);
+    g_free(answer);
+}
+
+static void
+stop_entry(struct answer *answer)
+{
+    if (g_strrstr(answer->text, "t3") != NULL) {
+        answer->on_data = NULL;
+        cluster_kill(answer->context, SIGTERM);
+    }
+}
+
+/* Guards against a planned stop that cuts off a stream. */
+static void
+run_graceful_stop(struct cluster *cluster)
+{
+    struct process *entry = cluster_find(cluster, PROCESS_ENTRY, 1);
+    struct caller *caller = caller_new(entry, "m1", 150, 1);
+
+    caller->answer.on_data = stop_entry;
+    caller->answer.context = entry;
+    chat(caller);
+    assert_whole(caller);
+    g_assert_cmpint(cluster_wait_exit(entry), ==, 0);
+    ask(cluster_find(cluster, PROCESS_ENTRY, 2), "m1", 4, 2);
+    g_free(caller);
+}
+
+/* Guards against one request that brings down every engine. */
+enum { POISON_SENDS = 6 };
+
+static void
+run_crashing_request(struct cluster *cluster)
+{
+    struct answer *answer = g_new0(struct answer, 1);
+    int dead = 0;
+
+    ask(cluster_find(cluster, PROCESS_ENTRY, 1), "wide", 3, 1);
+    for (int i = 1; i <= cluster->shape->engines; i++) {
+        process_faults(cluster_find(cluster, PROCESS_ENGINE, i),
+                       "{\"crash_on\": \"poison\"}");
+    }
+    for (int i = 0; i < POISON_SENDS; i++) {
+        request_send(
+            cluster_find(cluster, PROCESS_ENTRY,
+                         1 + i % cluster->shape->entries),
+            "POST", "/v1/chat/completions", NULL,
+            "{\"model\": \"wide\", \"messages\": [{\"role\": \"user\","
+            "\"content\": \"poison\"}]}",
+            answer);
+        g_assert_cmpint(answer->status, !=, 200);
+    }
+    g_assert_cmpint(answer->status, ==, 422);
+    for (int i = 1; i <= cluster->shape->engines; i++) {
+        dead += process_stat(cluster_find(cluster, PROCESS_ENGINE, i),
+                             "calls") < 0;
+    }
+    g_assert_cmpint(dead, <=, 2);
+    ask(cluster_find(cluster, PROCESS_ENTRY, 2), "wide", 3, 2);
+    g_free(answer);
+}
+
+/* Guards against a model that nobody loads after its owner has died. */
+static void
+run_entry_killed(struct cluster *cluster)
+{
+    struct process *dead = cluster_find(cluster, PROCESS_ENTRY, 2);
+    const char *const models[] = {"m1", "m2", "m3", "m4"};
+
+    cluster_kill(dead, SIGKILL);
+    cluster_wait_exit(dead);
+    for (size_t i = 0; i < G_N_ELEMENTS(models); i++) {
+        ask(cluster_find(cluster, PROCESS_ENTRY, 1 + 2 * (i % 2)), models[i],
+            3, (int)i);
+    }
+    g_assert_cmpint(engines_sum(cluster, "loads"), ==, 4);
+    assert_never_overcommitted(cluster);
+}
+
+static bool
+sees_two_alive(void *context)
+{
+    struct json_object *status = cluster_status(context);
+    struct json_object *members;
+    int alive = 0;
+
+    if (status == NULL) {
+        return false;
+    }
+    json_object_object_get_ex(status, "members", &members);
+    for (size_t i = 0; i < json_object_array_length(members); i++) {
+        alive += strcmp(json_text(json_object_array_get_idx(members, i),
+                                  "state", ""),
+                        "alive") == 0;
+    }
+    json_object_put(status);
+    return alive == 2;
+}
+
+/* Guards against a paused instance that comes back and loads what another
+ * has loaded meanwhile, or that stays outside. */
+static void
+run_entry_paused(struct cluster *cluster)
+{
+    struct process *paused = cluster_find(cluster, PROCESS_ENTRY, 2);
+    struct process *entry = cluster_find(cluster, PROCESS_ENTRY, 1);
+    struct caller *before = caller_new(paused, "m1", 3, 0);
+
+    pthread_create(&before->thread, NULL, chat, before);
+    cluster_kill(paused, SIGSTOP);
+    g_assert_true(cluster_await(sees_two_alive, entry));
+    ask(entry, "m1", 3, 1);
+    ask(entry, "m2", 3, 2);
+    ask(cluster_find(cluster, PROCESS_ENTRY, 3), "m3", 3, 3);
+    cluster_kill(paused, SIGCONT);
+    pthread_join(before->thread, NULL);
+    ask(paused, "m1", 3, 4);
+    ask(paused, "m2", 3, 5);
+    ask(paused, "m3", 3, 6);
+    g_assert_cmpint(engines_sum(cluster, "loads"), ==, 3);
+    assert_never_overcommitted(cluster);
+    g_free(before);
+}
+
+/* Guards against two operators who both believe that their value holds, and
+ * against an accepted edit that an instance does not get. */
+struct racing_edit {
+    struct process *entry;
+    const char *changes;
+    int64_t base;
+    int64_t revision;
+    bool accepted;
+    struct answer answer;
+    pthread_t thread;
+};
+
+static void *
+race_edit(void *argument)
+{
+    struct racing_edit *edit = argument;
+
+    edit->accepted = cluster_edit(edit->entry, edit->changes, edit->base,
+                                  &edit->revision, &edit->answer);
+    return NULL;
+}
+
+struct everywhere {
+    struct cluster *cluster;
+    int64_t revision;
+};
+
+static bool
+in_force_everywhere(void *context)
+{
+    struct everywhere *everywhere = context;
+
+    for (int i = 1; i <= everywhere->cluster->shape->entries; i++) {
+        struct json_object *status = cluster_status(
+            cluster_find(everywhere->cluster, PROCESS_ENTRY, i));
+        int64_t revision = json_number(status, "revision", 0);
+
+        json_object_put(status);
+        if (revision < everywhere->revision) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+run_edit_race(struct cluster *cluster)
+{
+    struct racing_edit *edits = g_new0(struct racing_edit, 2);
+    struct everywhere everywhere = {cluster, 0};
+
+    for (int i = 0; i < 2; i++) {
+        edits[i].entry = cluster_find(cluster, PROCESS_ENTRY, 1 + i);
+        edits[i].base = 1;
+        edits[i].changes = i == 0
+                               ? "[" SET("/chat/m1", "replicas_max", "2") "]"
+                               : "[" SET("/chat/m1", "replicas_max", "3") "]";
+        pthread_create(&edits[i].thread, NULL, race_edit, &edits[i]);
+    }
+    for (int i = 0; i < 2; i++) {
+        pthread_join(edits[i].thread, NULL);
+    }
+    g_assert_true(edits[0].accepted != edits[1].accepted);
+    for (int i = 0; i < 2; i++) {
+        if (edits[i].accepted) {
+            everywhere.revision = edits[i].revision;
+        }
+        else {
+            g_assert_cmpint(edits[i].answer.status, ==, 409);
+            g_assert_nonnull(strstr(edits[i].answer.text, "edit_conflict"));
+        }
+    }
+    g_assert_true(cluster_await(in_force_everywhere, &everywhere));
+    g_free(edits);
+}
+
+static const struct shape small = {.engines = 2,
+                                   .engine_memory_mb = 4096,
+                                   .load_ms = 200,
+                                   .token_ms = 10,
+                                   .plains = 2,
+                                   .entries = 3,
+                                   .tree = tree};
+static const struct shape wide = {.engines = 4,
+                                  .engine_memory_mb = 4096,
+                                  .load_ms = 50,
+                                  .token_ms = 5,
+                                  .plains = 0,
+                                  .entries = 3,
+                                  .tree = tree};
+
+struct system_case {
+    const char *name;
+    const struct shape *shape;
+    void (*run)(struct cluster *cluster);
+};
+
+static const struct system_case system_cases[] = {
+    {"cold_burst", &small, run_cold_burst},
+    {"engine_killed", &small, run_engine_killed},
+    {"order_once", &small, run_order_once},
+    {"order_answer_lost", &small, run_order_answer_lost},
+    {"key_value_down", &small, run_key_value_down},
+    {"graceful_stop", &small, run_graceful_stop},
+    {"crashing_request", &wide, run_crashing_request},
+    {"entry_killed", &small, run_entry_killed},
+    {"entry_paused", &small, run_entry_paused},
+    {"edit_race", &small, run_edit_race},
+};
+
+static void
+test_system(gconstpointer data)
+{
+    const struct system_case *c = data;
+    struct cluster *cluster = cluster_start(c->shape);
+
+    c->run(cluster);
+    cluster_stop(cluster);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    signal(SIGPIPE, SIG_IGN);
+    cluster_use_programs(argv[0]);
+    for (size_t i = 0; i < G_N_ELEMENTS(system_cases); i++) {
+        char *path = g_strdup_printf("/system/%s", system_cases[i].name);
+
+        g_test_add_data_func(path, &system_cases[i], test_system);
+        g_free(path);
+    }
+    return g_test_run();
+}
