Add the claim duty

Cause: a request that may not be repeated must be sent at most once, however often its caller sends it and whichever instance gets it.

ClaimReply says whether it answers a release, since a release carries the token of its claim.

--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -2816,7 +2816,7 @@
   (ProtobufCMessageInit) turmeric__claim_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor turmeric__claim_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor turmeric__claim_reply__field_descriptors[4] =
 {
   {
     "key_hash",
@@ -2854,16 +2854,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "release",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__ClaimReply, release),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__claim_reply__field_indices_by_name[] = {
   2,   /* field[2] = error */
   0,   /* field[0] = key_hash */
+  3,   /* field[3] = release */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange turmeric__claim_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor turmeric__claim_reply__descriptor =
 {
@@ -2873,7 +2886,7 @@
   "Turmeric__ClaimReply",
   "turmeric",
   sizeof(Turmeric__ClaimReply),
-  3,
+  4,
   turmeric__claim_reply__field_descriptors,
   turmeric__claim_reply__field_indices_by_name,
   1,  turmeric__claim_reply__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -386,10 +386,11 @@
   ProtobufCBinaryData key_hash;
   uint64_t token;
   uint32_t error;
+  protobuf_c_boolean release;
 };
 #define TURMERIC__CLAIM_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&turmeric__claim_reply__descriptor) \
-    , {0,NULL}, 0, 0 }
+    , {0,NULL}, 0, 0, 0 }
 
 
 struct  Turmeric__Strike
--- /dev/null
+++ b/src/turmericd/state/claim/commit.c
@@ -0,0 +1,298 @@
+/**
+ * DOC: Group commit of the claims of a shard.
+ *
+ * One batch of a shard is under way at a time. While its outcome is unknown
+ * the same bytes are written again to the same number, so the batch can't be
+ * appended twice, and nothing else is decided.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "kv/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+
+enum {
+    /* 8 shards write at most 200 times a second, half of what the service
+     * sustains. */
+    APPEND_INTERVAL_MS = 40,
+    /* A refusal rests on a set that is at most this old. */
+    CONFIRM_MS = 1000,
+    KV_DELAY_MS = 100,
+    KV_DELAY_MAX_MS = 1000,
+    SHARD_DELAY_MS = 1000,
+    COMPACT_RETRY_MS = 10000,
+};
+
+/* Far enough in the past to make every set too old. */
+static const int64_t NEVER_MS = INT64_MIN / 2;
+
+/**
+ * claim_shard_init() - set up the group commit of a shard
+ * @shard: the shard
+ * @kv: the key-value service
+ * @number: number of the shard
+ * @err: filled in on failure
+ */
+bool
+claim_shard_init(struct claim_shard *shard, struct kv *kv, int number,
+                 struct err *err)
+{
+    claim_set_init(&shard->set);
+    shard->queue = g_array_new(FALSE, FALSE, sizeof(struct handle));
+    shard->batch.records = shard->records;
+    shard->encoded = g_malloc(claim_batch_bytes(CLAIM_BATCH_MAX));
+    shard->confirmed_ms = NEVER_MS;
+    shard->not_before_ms = NEVER_MS;
+    shard->compact_at_ms = NEVER_MS;
+    return claim_store_init(&shard->store, kv, number, err);
+}
+
+/**
+ * claim_shard_free() - release a shard's memory
+ * @shard: the shard
+ */
+void
+claim_shard_free(struct claim_shard *shard)
+{
+    claim_store_free(&shard->store);
+    g_free(shard->encoded);
+    g_array_free(shard->queue, TRUE);
+    claim_set_free(&shard->set);
+}
+
+/**
+ * claim_shard_busy() - whether the shard has asks to decide or to append
+ * @shard: the shard
+ */
+bool
+claim_shard_busy(const struct claim_shard *shard)
+{
+    return shard->queue->len > 0 || shard->batch.count > 0;
+}
+
+static void
+note_success(struct claim *claim, struct claim_shard *shard)
+{
+    if (claim->kv_delay_ms > 0 || shard->failed) {
+        log_line(LOG_PRI_INFO, "claim", "event=store_up shard=%d",
+                 shard->store.shard);
+    }
+    claim->kv_delay_ms = 0;
+    shard->failed = false;
+}
+
+/* All shards wait while the service is down, so that a call's timeout is paid
+ * once and not for each shard. */
+static void
+note_failure(struct claim *claim, struct claim_shard *shard,
+             const struct err *err, int64_t now_ms)
+{
+    if (!shard->failed) {
+        log_line(LOG_PRI_WARNING, "claim",
+                 "event=store_down shard=%d error=%s detail=\"%s\"",
+                 shard->store.shard, err_info(err->kind)->name, err->text);
+    }
+    shard->failed = true;
+    if (err->kind != ERR_KV_DOWN) {
+        shard->not_before_ms = now_ms + SHARD_DELAY_MS;
+        return;
+    }
+    counter_add(CTR_RETRY_KV_DOWN, 1);
+    claim->kv_delay_ms =
+        CLAMP(claim->kv_delay_ms * 2, KV_DELAY_MS, KV_DELAY_MAX_MS);
+    claim->kv_retry_at_ms = now_ms + claim->kv_delay_ms;
+}
+
+static bool
+refresh(struct claim *claim, struct claim_shard *shard, int64_t now_ms)
+{
+    struct err err = {0};
+
+    if (shard->store.loaded && now_ms - shard->confirmed_ms < CONFIRM_MS) {
+        return true;
+    }
+    if (!claim_store_catch_up(&shard->store, &shard->set, &err)) {
+        shard->confirmed_ms = NEVER_MS;
+        note_failure(claim, shard, &err, now_ms);
+        return false;
+    }
+    shard->confirmed_ms = now_ms;
+    note_success(claim, shard);
+    return true;
+}
+
+static void
+stage(struct claim_shard *shard, struct claim_ask *ask)
+{
+    uint32_t at = shard->batch.count++;
+
+    shard->records[at] = ask->record;
+    shard->staged[at] = ask->self;
+    ask->staged = true;
+}
+
+static void
+decide_ask(struct claim *claim, struct claim_shard *shard,
+           struct claim_ask *ask, int64_t now_ms, int64_t wall_ms)
+{
+    enum err_kind kind;
+
+    switch (claim_set_decide(&shard->set, &ask->record, wall_ms, &kind)) {
+    case CLAIM_APPEND:
+        stage(shard, ask);
+        break;
+    case CLAIM_HELD:
+    case CLAIM_REFUSED:
+        claim_ask_answer(claim, ask, kind, now_ms);
+        break;
+    }
+}
+
+/* Answers what the set decides and fills the batch with the rest. */
+static void
+fill_batch(struct claim *claim, struct claim_shard *shard, int64_t now_ms,
+           int64_t wall_ms)
+{
+    GArray *queue = shard->queue;
+    guint taken = 0;
+
+    while (taken < queue->len && shard->batch.count < CLAIM_BATCH_MAX) {
+        struct handle handle = g_array_index(queue, struct handle, taken);
+        struct claim_ask *ask = table_get(&claim->asks, handle);
+
+        taken++;
+        if (ask != NULL) {
+            decide_ask(claim, shard, ask, now_ms, wall_ms);
+        }
+    }
+    g_array_remove_range(queue, 0, taken);
+    if (shard->batch.count > 0) {
+        shard->batch.id = hash_pair(claim->self, ++claim->ids);
+        shard->encoded_bytes = claim_batch_bytes(shard->batch.count);
+        claim_batch_encode(&shard->batch, shard->encoded);
+    }
+}
+
+/* Two claims of one key may share a batch: the first record wins, and this
+ * check after applying all records tells the others. */
+static void
+answer_staged(struct claim *claim, struct claim_shard *shard,
+              struct claim_ask *ask, int64_t now_ms, int64_t wall_ms)
+{
+    enum err_kind kind;
+
+    ask->staged = false;
+    if (claim_set_decide(&shard->set, &ask->record, wall_ms, &kind) ==
+        CLAIM_APPEND) {
+        kind = ERR_CLAIM_UNAVAILABLE;
+    }
+    claim_ask_answer(claim, ask, kind, now_ms);
+}
+
+static void
+compact(struct claim *claim, struct claim_shard *shard, int64_t now_ms,
+        int64_t wall_ms)
+{
+    struct err err = {0};
+
+    if (now_ms < shard->compact_at_ms ||
+        !claim_store_wants_compaction(&shard->store)) {
+        return;
+    }
+    claim_set_expire(&shard->set, wall_ms);
+    if (!claim_store_compact(&shard->store, &shard->set,
+                             hash_pair(claim->self, ++claim->ids), &err)) {
+        shard->compact_at_ms = now_ms + COMPACT_RETRY_MS;
+    }
+}
+
+static void
+finish_appended(struct claim *claim, struct claim_shard *shard, int64_t now_ms,
+                int64_t wall_ms)
+{
+    uint32_t count = shard->batch.count;
+
+    counter_add(CTR_CLAIM_APPENDS, 1);
+    shard->confirmed_ms = now_ms;
+    for (uint32_t i = 0; i < count; i++) {
+        claim_set_apply(&shard->set, &shard->records[i]);
+    }
+    shard->batch.count = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        struct claim_ask *ask = table_get(&claim->asks, shard->staged[i]);
+
+        if (ask != NULL) {
+            answer_staged(claim, shard, ask, now_ms, wall_ms);
+        }
+    }
+    compact(claim, shard, now_ms, wall_ms);
+}
+
+/* The batch counts nowhere: its asks are decided again on a newer set. */
+static void
+finish_taken(struct claim *claim, struct claim_shard *shard)
+{
+    counter_add(CTR_RETRY_KV_CONFLICT, 1);
+    shard->confirmed_ms = NEVER_MS;
+    for (uint32_t i = 0; i < shard->batch.count; i++) {
+        struct claim_ask *ask = table_get(&claim->asks, shard->staged[i]);
+
+        if (ask != NULL) {
+            ask->staged = false;
+        }
+    }
+    g_array_prepend_vals(shard->queue, shard->staged, shard->batch.count);
+    shard->batch.count = 0;
+}
+
+static void
+append_batch(struct claim *claim, struct claim_shard *shard, int64_t now_ms,
+             int64_t wall_ms)
+{
+    struct err err = {0};
+
+    shard->not_before_ms = now_ms + APPEND_INTERVAL_MS;
+    switch (claim_store_append(&shard->store, shard->encoded,
+                               shard->encoded_bytes, &err)) {
+    case JOURNAL_APPENDED:
+        note_success(claim, shard);
+        finish_appended(claim, shard, now_ms, wall_ms);
+        break;
+    case JOURNAL_TAKEN:
+        finish_taken(claim, shard);
+        break;
+    case JOURNAL_UNKNOWN:
+        note_failure(claim, shard, &err, now_ms);
+        break;
+    }
+}
+
+/**
+ * claim_shard_step() - decide and append what waits, when it is time to
+ * @claim: the duty
+ * @shard: one of its shards
+ * @now_ms: present time
+ * @wall_ms: milliseconds since 1970
+ */
+void
+claim_shard_step(struct claim *claim, struct claim_shard *shard,
+                 int64_t now_ms, int64_t wall_ms)
+{
+    if (!claim_shard_busy(shard) || now_ms < shard->not_before_ms ||
+        now_ms < claim->kv_retry_at_ms) {
+        return;
+    }
+    if (shard->batch.count == 0) {
+        if (!refresh(claim, shard, now_ms)) {
+            return;
+        }
+        fill_batch(claim, shard, now_ms, wall_ms);
+    }
+    if (shard->batch.count > 0) {
+        append_batch(claim, shard, now_ms, wall_ms);
+    }
+}
--- /dev/null
+++ b/src/turmericd/state/claim/shard.c
@@ -0,0 +1,395 @@
+/**
+ * DOC: Claims of a shard: pure decisions and the encoding of batches.
+ *
+ * The set follows from the records of the journal in their order alone, so
+ * every member that has read the same entries holds the same claims. The
+ * first token that claims a key keeps it until it gives the key back.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "kv/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+
+enum {
+    BATCH_VERSION = 1,
+    BATCH_HEAD_BYTES = 1 + 8 + 4,
+    RECORD_BYTES = 1 + CLAIM_HASH_BYTES + 8 + 8,
+    FLAG_OPAQUE = 1,
+    FLAG_RELEASE = 2,
+};
+
+enum {
+    KEY_AGE_MAX_MS = 24 * 60 * 60 * 1000,
+    /* Two members' clocks may each be off by 5 minutes: the one that removes
+     * a claim may be ahead, the one that checks a key's age behind. */
+    CLOCK_SKEW_MS = 5 * 60 * 1000,
+    RETENTION_MS = KEY_AGE_MAX_MS + 2 * CLOCK_SKEW_MS,
+};
+
+/**
+ * claim_shard_of() - shard of a key
+ * @key_hash: hash of service and key
+ *
+ * Old claims would be searched in the wrong shard if this ever changed.
+ */
+int
+claim_shard_of(const unsigned char key_hash[CLAIM_HASH_BYTES])
+{
+    return key_hash[CLAIM_HASH_BYTES - 1] % CLAIM_SHARDS;
+}
+
+/**
+ * claim_time_expired() - whether a UUIDv7 key is too old to be claimed
+ * @key_time_ms: time in the key
+ * @wall_ms: milliseconds since 1970
+ */
+bool
+claim_time_expired(int64_t key_time_ms, int64_t wall_ms)
+{
+    return wall_ms - key_time_ms > KEY_AGE_MAX_MS;
+}
+
+/* The key hash is the first member of a record. */
+static guint
+hash_of_record(gconstpointer key)
+{
+    guint hash;
+
+    memcpy(&hash, key, sizeof(hash));
+    return hash;
+}
+
+static gboolean
+same_key(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, CLAIM_HASH_BYTES) == 0;
+}
+
+/**
+ * claim_set_init() - set up an empty set
+ * @set: the set
+ */
+void
+claim_set_init(struct claim_set *set)
+{
+    memset(set, 0, sizeof(*set));
+    set->live = g_hash_table_new_full(hash_of_record, same_key, g_free, NULL);
+    set->released =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    set->release_order = g_queue_new();
+}
+
+/**
+ * claim_set_free() - release the set's memory
+ * @set: the set
+ */
+void
+claim_set_free(struct claim_set *set)
+{
+    g_queue_free(set->release_order);
+    g_hash_table_unref(set->released);
+    g_hash_table_unref(set->live);
+}
+
+/**
+ * claim_set_clear() - remove all claims
+ * @set: the set
+ */
+void
+claim_set_clear(struct claim_set *set)
+{
+    g_queue_clear(set->release_order);
+    g_hash_table_remove_all(set->released);
+    g_hash_table_remove_all(set->live);
+    memset(set->counts, 0, sizeof(set->counts));
+}
+
+static bool
+is_released(const struct claim_set *set, uint64_t token)
+{
+    return g_hash_table_contains(set->released, &token);
+}
+
+static bool
+is_full(const struct claim_set *set, enum claim_class key_class)
+{
+    uint32_t max =
+        key_class == CLAIM_OPAQUE ? CLAIM_OPAQUE_MAX : CLAIM_TIMED_MAX;
+
+    return set->counts[key_class] >= max;
+}
+
+/**
+ * claim_set_decide() - what a claim or release needs
+ * @set: claims that the journal gives
+ * @record: the claim or release
+ * @wall_ms: milliseconds since 1970
+ * @kind: set to the reason when the claim is refused
+ *
+ * A token that was given back is never granted again: its call has been
+ * refused, and nobody would give the claim back a second time.
+ */
+enum claim_decision
+claim_set_decide(const struct claim_set *set,
+                 const struct claim_record *record, int64_t wall_ms,
+                 enum err_kind *kind)
+{
+    const struct claim_record *live;
+
+    *kind = ERR_NONE;
+    if (record->release) {
+        return is_released(set, record->token) ? CLAIM_HELD : CLAIM_APPEND;
+    }
+    live = g_hash_table_lookup(set->live, record);
+    if (live != NULL && live->token == record->token) {
+        return CLAIM_HELD;
+    }
+    if (live != NULL) {
+        *kind = ERR_DUPLICATE;
+    }
+    else if (is_released(set, record->token)) {
+        *kind = ERR_CLAIM_UNAVAILABLE;
+    }
+    else if (record->key_class == CLAIM_UUIDV7 &&
+             claim_time_expired(record->key_time_ms, wall_ms)) {
+        *kind = ERR_KEY_EXPIRED;
+    }
+    else if (is_full(set, record->key_class)) {
+        *kind = ERR_CLAIMS_FULL;
+    }
+    return *kind == ERR_NONE ? CLAIM_APPEND : CLAIM_REFUSED;
+}
+
+static void
+remember_release(struct claim_set *set, uint64_t token)
+{
+    uint64_t *copy;
+
+    if (is_released(set, token)) {
+        return;
+    }
+    if (g_hash_table_size(set->released) == CLAIM_RELEASED_MAX) {
+        g_hash_table_remove(set->released,
+                            g_queue_pop_head(set->release_order));
+    }
+    copy = g_new(uint64_t, 1);
+    *copy = token;
+    g_hash_table_add(set->released, copy);
+    g_queue_push_tail(set->release_order, copy);
+}
+
+/**
+ * claim_set_apply() - take over the next record of the journal
+ * @set: the set
+ * @record: the record
+ *
+ * The limit of claims isn't checked here: a record of the journal counts.
+ */
+void
+claim_set_apply(struct claim_set *set, const struct claim_record *record)
+{
+    const struct claim_record *live = g_hash_table_lookup(set->live, record);
+
+    if (record->release) {
+        if (live != NULL && live->token == record->token) {
+            set->counts[live->key_class]--;
+            g_hash_table_remove(set->live, record);
+        }
+        remember_release(set, record->token);
+        return;
+    }
+    if (live != NULL || is_released(set, record->token)) {
+        return;
+    }
+    set->counts[record->key_class]++;
+    g_hash_table_add(set->live, g_memdup2(record, sizeof(*record)));
+}
+
+/**
+ * claim_set_expire() - remove claims whose keys are refused for their age
+ * @set: the set
+ * @wall_ms: milliseconds since 1970
+ *
+ * Return: number of claims removed.
+ */
+uint32_t
+claim_set_expire(struct claim_set *set, int64_t wall_ms)
+{
+    GHashTableIter iter;
+    gpointer key;
+    uint32_t removed = 0;
+
+    g_hash_table_iter_init(&iter, set->live);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const struct claim_record *live = key;
+
+        if (live->key_class == CLAIM_UUIDV7 &&
+            wall_ms - live->key_time_ms > RETENTION_MS) {
+            g_hash_table_iter_remove(&iter);
+            removed++;
+        }
+    }
+    set->counts[CLAIM_UUIDV7] -= removed;
+    return removed;
+}
+
+/**
+ * claim_set_export() - records that build the same set again
+ * @set: the set
+ * @count: set to the number of records
+ *
+ * Return: array to be freed by g_free().
+ */
+struct claim_record *
+claim_set_export(const struct claim_set *set, uint32_t *count)
+{
+    uint32_t total =
+        g_hash_table_size(set->live) + g_hash_table_size(set->released);
+    struct claim_record *records = g_new0(struct claim_record, total + 1);
+    GHashTableIter iter;
+    gpointer key;
+
+    *count = 0;
+    g_hash_table_iter_init(&iter, set->live);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        records[(*count)++] = *(const struct claim_record *)key;
+    }
+    for (GList *item = set->release_order->head; item != NULL;
+         item = item->next) {
+        records[*count].token = *(const uint64_t *)item->data;
+        records[*count].release = true;
+        (*count)++;
+    }
+    return records;
+}
+
+/**
+ * claim_batch_bytes() - length of an encoded batch
+ * @count: number of records
+ */
+size_t
+claim_batch_bytes(uint32_t count)
+{
+    return BATCH_HEAD_BYTES + (size_t)count * RECORD_BYTES;
+}
+
+static unsigned char *
+put_number(unsigned char *out, uint64_t number, int bytes)
+{
+    for (int i = 0; i < bytes; i++) {
+        out[i] = (unsigned char)(number >> (8 * (bytes - 1 - i)));
+    }
+    return out + bytes;
+}
+
+static uint64_t
+get_number(const unsigned char *in, int bytes)
+{
+    uint64_t number = 0;
+
+    for (int i = 0; i < bytes; i++) {
+        number = number << 8 | in[i];
+    }
+    return number;
+}
+
+static unsigned char *
+put_record(unsigned char *out, const struct claim_record *record)
+{
+    *out = (record->key_class == CLAIM_OPAQUE ? FLAG_OPAQUE : 0) |
+           (record->release ? FLAG_RELEASE : 0);
+    out++;
+    memcpy(out, record->key_hash, CLAIM_HASH_BYTES);
+    out += CLAIM_HASH_BYTES;
+    out = put_number(out, record->token, 8);
+    return put_number(out, (uint64_t)record->key_time_ms, 8);
+}
+
+static bool
+get_record(const unsigned char *in, struct claim_record *record)
+{
+    unsigned char flags = *in;
+
+    record->key_class = flags & FLAG_OPAQUE ? CLAIM_OPAQUE : CLAIM_UUIDV7;
+    record->release = (flags & FLAG_RELEASE) != 0;
+    memcpy(record->key_hash, in + 1, CLAIM_HASH_BYTES);
+    record->token = get_number(in + 1 + CLAIM_HASH_BYTES, 8);
+    record->key_time_ms =
+        (int64_t)get_number(in + 1 + CLAIM_HASH_BYTES + 8, 8);
+    return (flags & ~(FLAG_OPAQUE | FLAG_RELEASE)) == 0;
+}
+
+/**
+ * claim_batch_encode() - write a batch
+ * @batch: the batch
+ * @out: claim_batch_bytes() bytes
+ *
+ * Layout, big-endian: version (1 byte), id (8), number of records (4); for
+ * each record flags (1), key hash (16), token (8), time of the key (8).
+ */
+void
+claim_batch_encode(const struct claim_batch *batch, unsigned char *out)
+{
+    out = put_number(out, BATCH_VERSION, 1);
+    out = put_number(out, batch->id, 8);
+    out = put_number(out, batch->count, 4);
+    for (uint32_t i = 0; i < batch->count; i++) {
+        out = put_record(out, &batch->records[i]);
+    }
+}
+
+/**
+ * claim_batch_decode() - read a batch
+ * @data: encoded batch
+ * @bytes: its length
+ * @batch: filled in on success, to be freed by claim_batch_free()
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_INTERNAL when the batch is damaged or was written by
+ * a newer version; skipping it would lose claims.
+ */
+bool
+claim_batch_decode(const void *data, size_t bytes, struct claim_batch *batch,
+                   struct err *err)
+{
+    const unsigned char *in = data;
+
+    memset(batch, 0, sizeof(*batch));
+    if (bytes < BATCH_HEAD_BYTES || in[0] != BATCH_VERSION) {
+        return err_set(err, ERR_INTERNAL,
+                       "batch of %zu bytes is cut or has a foreign version",
+                       bytes);
+    }
+    batch->id = get_number(in + 1, 8);
+    batch->count = (uint32_t)get_number(in + 9, 4);
+    if (bytes != claim_batch_bytes(batch->count)) {
+        return err_set(err, ERR_INTERNAL, "batch of %zu bytes with %u records",
+                       bytes, batch->count);
+    }
+    batch->records = g_new0(struct claim_record, batch->count + 1);
+    in += BATCH_HEAD_BYTES;
+    for (uint32_t i = 0; i < batch->count; i++, in += RECORD_BYTES) {
+        if (!get_record(in, &batch->records[i])) {
+            claim_batch_free(batch);
+            return err_set(err, ERR_INTERNAL, "record %u has foreign flags",
+                           i);
+        }
+    }
+    return true;
+}
+
+/**
+ * claim_batch_free() - release a decoded batch
+ * @batch: the batch
+ */
+void
+claim_batch_free(struct claim_batch *batch)
+{
+    g_free(batch->records);
+    batch->records = NULL;
+}
--- /dev/null
+++ b/src/turmericd/state/claim/store.c
@@ -0,0 +1,466 @@
+/**
+ * DOC: Journal and base of a shard in the key-value service.
+ *
+ * Entries are /turmeric/claims/SHARD/NUMBER. A compaction writes the claims
+ * that follow from entries 1..B as the base, in parts, sets the pointer
+ * /turmeric/claim-bases/SHARD/current to B by compare-and-swap, and only then
+ * removes entries 1..B.
+ *
+ * A member that was paused during a compaction could create a removed number
+ * again, or read an entry that such a member has created. Therefore one rule
+ * holds: what was read or written at number N counts only if the pointer,
+ * read afterwards, is below N. A number is removed only after the pointer has
+ * reached it and the pointer never falls, so an entry that passes this check
+ * is the one that all members have seen. Otherwise the base is loaded again.
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/state/claim/fns.h"
+
+enum {
+    READ_ENTRIES = 64,
+    /* A reader that loses this many races with compactions tries later. */
+    RELOADS_MAX = 4,
+    COMPACT_ENTRIES = 4096,
+    COMPACT_BYTES = 32 * 1024 * 1024,
+    /* 16,384 records of 33 bytes stay below the service's 1 MiB. */
+    PART_RECORDS = 16384,
+    PARTS_MAX = 64,
+    POINTER_VERSION = 1,
+};
+
+/**
+ * struct pointer - what names a base
+ * @last: last entry that the base contains
+ * @id: id of the writer's compaction
+ * @parts: number of parts
+ */
+struct pointer {
+    int64_t last;
+    uint64_t id;
+    uint32_t parts;
+};
+
+static void
+pointer_key(const struct claim_store *store, char key[KV_KEY_MAX_BYTES])
+{
+    snprintf(key, KV_KEY_MAX_BYTES, "/turmeric/claim-bases/%d/current",
+             store->shard);
+}
+
+static void
+part_key(const struct claim_store *store, const struct pointer *pointer,
+         uint32_t part, char key[KV_KEY_MAX_BYTES])
+{
+    snprintf(key, KV_KEY_MAX_BYTES,
+             "/turmeric/claim-bases/%d/%012" PRId64 "-%016" PRIx64 "/%04u",
+             store->shard, pointer->last, pointer->id, part);
+}
+
+/**
+ * claim_store_init() - set up the store of a shard; nothing is read yet
+ * @store: the store
+ * @kv: the key-value service
+ * @shard: number of the shard
+ * @err: filled in on failure
+ */
+bool
+claim_store_init(struct claim_store *store, struct kv *kv, int shard,
+                 struct err *err)
+{
+    char prefix[KV_KEY_MAX_BYTES];
+
+    memset(store, 0, sizeof(*store));
+    store->kv = kv;
+    store->shard = shard;
+    store->journal = g_try_new0(struct journal, 1);
+    if (store->journal == NULL) {
+        return err_set(err, ERR_NO_MEMORY, "journal of shard %d", shard);
+    }
+    snprintf(prefix, sizeof(prefix), "/turmeric/claims/%d", shard);
+    journal_init(store->journal, kv, prefix);
+    return true;
+}
+
+/**
+ * claim_store_free() - release the store's memory
+ * @store: the store
+ */
+void
+claim_store_free(struct claim_store *store)
+{
+    g_free(store->journal);
+    store->journal = NULL;
+}
+
+static bool
+parse_pointer(const struct kv_entry *entry, struct pointer *pointer,
+              struct err *err)
+{
+    int version = 0;
+    int used = 0;
+
+    memset(pointer, 0, sizeof(*pointer));
+    if (entry->revision == 0) {
+        return true;
+    }
+    if (sscanf(entry->value, "%d %" SCNd64 " %" SCNx64 " %u%n", &version,
+               &pointer->last, &pointer->id, &pointer->parts, &used) != 4 ||
+        (size_t)used != entry->value_bytes || version != POINTER_VERSION ||
+        pointer->last < 1 || pointer->parts > PARTS_MAX) {
+        return err_set(err, ERR_INTERNAL, "pointer %s is damaged or foreign",
+                       entry->key);
+    }
+    return true;
+}
+
+/* Fails when the service has gone back to older data. */
+static bool
+read_pointer(struct claim_store *store, struct pointer *pointer,
+             struct err *err)
+{
+    char key[KV_KEY_MAX_BYTES];
+    struct kv_entry entry;
+    bool done;
+
+    pointer_key(store, key);
+    if (!kv_get(store->kv, key, &entry, err)) {
+        return false;
+    }
+    done = parse_pointer(&entry, pointer, err);
+    kv_entry_free(&entry);
+    if (done && pointer->last < store->base) {
+        return err_set(err, ERR_CONFIG_BEHIND,
+                       "base of shard %d fell from %" PRId64 " to %" PRId64,
+                       store->shard, store->base, pointer->last);
+    }
+    if (done) {
+        store->base = pointer->last;
+        store->base_revision = entry.revision;
+    }
+    return done;
+}
+
+/* The check that the introduction of this file describes. */
+static bool
+check_base(struct claim_store *store, struct err *err)
+{
+    struct pointer pointer;
+
+    if (!read_pointer(store, &pointer, err)) {
+        return false;
+    }
+    if (pointer.last >= store->trusted) {
+        store->loaded = false;
+    }
+    else {
+        store->trusted = store->journal->next;
+    }
+    return true;
+}
+
+static bool
+apply_encoded(struct claim_set *set, const struct kv_entry *entry,
+              struct err *err)
+{
+    struct claim_batch batch;
+
+    if (!claim_batch_decode(entry->value, entry->value_bytes, &batch, err)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < batch.count; i++) {
+        claim_set_apply(set, &batch.records[i]);
+    }
+    claim_batch_free(&batch);
+    return true;
+}
+
+static bool
+load_part(struct claim_store *store, const struct pointer *pointer,
+          uint32_t part, struct claim_set *set, struct err *err)
+{
+    char key[KV_KEY_MAX_BYTES];
+    struct kv_entry entry;
+    bool done;
+
+    part_key(store, pointer, part, key);
+    if (!kv_get(store->kv, key, &entry, err)) {
+        return false;
+    }
+    if (entry.revision == 0) {
+        return err_set(err, ERR_NOT_FOUND, "%s is being replaced", key);
+    }
+    done = apply_encoded(set, &entry, err);
+    kv_entry_free(&entry);
+    return done;
+}
+
+static bool
+load_base(struct claim_store *store, struct claim_set *set, struct err *err)
+{
+    struct pointer pointer;
+
+    claim_set_clear(set);
+    if (!read_pointer(store, &pointer, err)) {
+        return false;
+    }
+    for (uint32_t part = 0; part < pointer.parts; part++) {
+        if (!load_part(store, &pointer, part, set, err)) {
+            return false;
+        }
+    }
+    store->journal->next = pointer.last + 1;
+    store->trusted = store->journal->next;
+    store->bytes = 0;
+    store->loaded = true;
+    return true;
+}
+
+static bool
+apply_entries(struct claim_store *store, struct claim_set *set,
+              const struct kv_entries *entries, struct err *err)
+{
+    for (int i = 0; i < entries->count; i++) {
+        if (!apply_encoded(set, &entries->items[i], err)) {
+            /* The set is now ahead of what may be trusted. */
+            store->loaded = false;
+            return false;
+        }
+        store->bytes += entries->items[i].value_bytes;
+    }
+    return true;
+}
+
+static bool
+read_entries(struct claim_store *store, struct claim_set *set, struct err *err)
+{
+    bool more = true;
+
+    while (more) {
+        struct kv_entries entries;
+        bool done;
+
+        if (!journal_read(store->journal, READ_ENTRIES, &entries, err)) {
+            return false;
+        }
+        more = entries.more;
+        done = apply_entries(store, set, &entries, err);
+        kv_entries_free(&entries);
+        if (!done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Reads on from the base or from where the last read ended. */
+static bool
+read_on(struct claim_store *store, struct claim_set *set, struct err *err)
+{
+    if (!store->loaded && !load_base(store, set, err)) {
+        return false;
+    }
+    return read_entries(store, set, err) && check_base(store, err);
+}
+
+/**
+ * claim_store_catch_up() - bring a set up to the end of the journal
+ * @store: the store
+ * @set: the claims; only valid when the function returns true
+ * @err: filled in on failure
+ */
+bool
+claim_store_catch_up(struct claim_store *store, struct claim_set *set,
+                     struct err *err)
+{
+    struct err failure = {0};
+
+    for (int i = 0; i < RELOADS_MAX; i++) {
+        err_clear(&failure);
+        if (read_on(store, set, &failure) && store->loaded) {
+            return true;
+        }
+        if (failure.kind != ERR_NONE && failure.kind != ERR_NOT_FOUND) {
+            break;
+        }
+        /* A compaction has overtaken this reader. */
+        store->loaded = false;
+    }
+    if (failure.kind == ERR_NONE) {
+        err_set(&failure, ERR_KV_CONFLICT, "shard %d is being compacted",
+                store->shard);
+    }
+    if (err != NULL) {
+        *err = failure;
+    }
+    return false;
+}
+
+/**
+ * claim_store_append() - append an entry after a successful catch-up
+ * @store: the store
+ * @value: the entry
+ * @bytes: its length
+ * @err: filled in unless the entry was appended
+ *
+ * Return: JOURNAL_APPENDED when the entry counts and the caller applies it to
+ * the set; JOURNAL_TAKEN when it doesn't, so the caller catches up and decides
+ * again; JOURNAL_UNKNOWN when the caller must repeat the call with the same
+ * value.
+ */
+enum journal_append_result
+claim_store_append(struct claim_store *store, const void *value, size_t bytes,
+                   struct err *err)
+{
+    enum journal_append_result result = JOURNAL_APPENDED;
+
+    if (!store->unchecked) {
+        result = journal_append(store->journal, value, bytes, err);
+    }
+    if (result != JOURNAL_APPENDED) {
+        return result;
+    }
+    store->unchecked = true;
+    if (!check_base(store, err)) {
+        return JOURNAL_UNKNOWN;
+    }
+    store->unchecked = false;
+    if (!store->loaded) {
+        err_set(err, ERR_KV_CONFLICT, "shard %d was compacted meanwhile",
+                store->shard);
+        return JOURNAL_TAKEN;
+    }
+    store->bytes += bytes;
+    return JOURNAL_APPENDED;
+}
+
+/**
+ * claim_store_wants_compaction() - whether the journal has grown long
+ * @store: the store
+ */
+bool
+claim_store_wants_compaction(const struct claim_store *store)
+{
+    return store->loaded && !store->unchecked &&
+           (store->trusted - store->base > COMPACT_ENTRIES ||
+            store->bytes > COMPACT_BYTES);
+}
+
+static bool
+write_part(struct claim_store *store, const struct pointer *pointer,
+           uint32_t part, struct claim_record *records, uint32_t count,
+           struct err *err)
+{
+    struct claim_batch batch = {pointer->id, records, count};
+    size_t bytes = claim_batch_bytes(count);
+    unsigned char *encoded = g_malloc(bytes);
+    char key[KV_KEY_MAX_BYTES];
+    bool done;
+
+    claim_batch_encode(&batch, encoded);
+    part_key(store, pointer, part, key);
+    done = kv_cas(store->kv, key, 0, encoded, bytes, NULL, err);
+    g_free(encoded);
+    return done;
+}
+
+static bool
+write_parts(struct claim_store *store, struct pointer *pointer,
+            const struct claim_set *set, struct err *err)
+{
+    uint32_t count;
+    struct claim_record *records = claim_set_export(set, &count);
+    bool done = true;
+
+    if (count > PARTS_MAX * PART_RECORDS) {
+        done = err_set(err, ERR_CLAIMS_FULL, "%u records in a base", count);
+    }
+    for (uint32_t at = 0; done && at < count; at += PART_RECORDS) {
+        uint32_t size = MIN(count - at, (uint32_t)PART_RECORDS);
+
+        done = write_part(store, pointer, pointer->parts, records + at, size,
+                          err);
+        pointer->parts++;
+    }
+    g_free(records);
+    return done;
+}
+
+static bool
+write_pointer(struct claim_store *store, const struct pointer *pointer,
+              int64_t expected, struct err *err)
+{
+    char key[KV_KEY_MAX_BYTES];
+    char value[80];
+    int bytes =
+        snprintf(value, sizeof(value), "%d %" PRId64 " %" PRIx64 " %u",
+                 POINTER_VERSION, pointer->last, pointer->id, pointer->parts);
+
+    pointer_key(store, key);
+    return kv_cas(store->kv, key, expected, value, (size_t)bytes,
+                  &store->base_revision, err);
+}
+
+/* Removes what the base replaces. Parts of later compactions sort behind. */
+static bool
+remove_replaced(struct claim_store *store, int64_t last, struct err *err)
+{
+    char from[KV_KEY_MAX_BYTES];
+    char end[KV_KEY_MAX_BYTES];
+
+    snprintf(from, sizeof(from), "/turmeric/claims/%d/%012d", store->shard, 0);
+    snprintf(end, sizeof(end), "/turmeric/claims/%d/%012" PRId64, store->shard,
+             last + 1);
+    if (!kv_remove(store->kv, from, end, err)) {
+        return false;
+    }
+    snprintf(from, sizeof(from), "/turmeric/claim-bases/%d/%012d",
+             store->shard, 0);
+    snprintf(end, sizeof(end), "/turmeric/claim-bases/%d/%012" PRId64,
+             store->shard, last);
+    return kv_remove(store->kv, from, end, err);
+}
+
+/**
+ * claim_store_compact() - write a base and remove the entries it replaces
+ * @store: the store, right after a successful catch-up or append
+ * @set: the claims
+ * @id: differs between all compactions
+ * @err: filled in on failure
+ *
+ * A failure at any point leaves a valid base with its entries; the next
+ * compaction removes what is left over.
+ */
+bool
+claim_store_compact(struct claim_store *store, const struct claim_set *set,
+                    uint64_t id, struct err *err)
+{
+    struct pointer present;
+    struct pointer pointer = {.last = store->trusted - 1, .id = id};
+    int64_t expected;
+
+    if (!read_pointer(store, &present, err)) {
+        return false;
+    }
+    expected = store->base_revision;
+    if (present.last >= pointer.last) {
+        return err_set(err, ERR_KV_CONFLICT, "shard %d has a newer base",
+                       store->shard);
+    }
+    if (!write_parts(store, &pointer, set, err) ||
+        !write_pointer(store, &pointer, expected, err)) {
+        return false;
+    }
+    store->base = pointer.last;
+    store->bytes = 0;
+    return remove_replaced(store, pointer.last, err);
+}
