--- /dev/null
+++ b/test/call_test.c
@@ -0,0 +1,281 @@
+/* Tests of the table of calls. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/types.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "serve.h"
+
+enum { ANSWER_BYTES = 5 * CALL_OUTPUT_BYTES + 123, READ_BYTES = 1000 };
+
+static struct handle
+open_call(struct calls *calls)
+{
+    struct call_request request = {.leaf = 1, .body_bytes = 4};
+    struct handle call;
+
+    request.body = (unsigned char *)strdup("body");
+    g_assert_true(call_open(calls, &request, &call, NULL));
+    return call;
+}
+
+static const struct call_answer ok = {200, "text/plain"};
+
+/* What the serving side may do to a call, one letter each:
+ *   s start the answer   w write "ab"   f finish   b break   r refuse
+ *   c the caller closes the call and opens another in the same slot
+ * A capital letter says that the operation must be refused. */
+struct life_case {
+    const char *name;
+    const char *script;
+    enum call_phase phase;
+    const char *output;
+    ssize_t end;
+};
+
+/* Guards against a refusal after the answer has begun, a second answer, an
+ * answer to the next caller of a slot, and a break that reads as an end. */
+static const struct life_case life_cases[] = {
+    {"whole", "swwf", CALL_DONE, "abab", 0},
+    {"empty", "sf", CALL_DONE, "", 0},
+    {"refused", "r", CALL_REFUSED, "", -1},
+    {"refused_once", "rR", CALL_REFUSED, "", -1},
+    {"refused_then_answered", "rSWF", CALL_REFUSED, "", -1},
+    {"refused_while_answering", "swr", CALL_ANSWERING, "ab", -1},
+    {"broken", "swb", CALL_ANSWERING, "ab", -1},
+    {"broken_then_written", "swbWF", CALL_ANSWERING, "ab", -1},
+    {"whole_then_refused", "swfR", CALL_DONE, "ab", 0},
+    {"started_twice", "sSwf", CALL_DONE, "ab", 0},
+    {"written_before_its_head", "Wsf", CALL_DONE, "", 0},
+    {"closed", "cSWFR", CALL_WAITING, NULL, 0},
+    {"closed_while_answering", "swcWFR", CALL_WAITING, NULL, 0},
+};
+
+static bool
+apply(struct calls *calls, struct handle call, char operation)
+{
+    struct err err = {.kind = ERR_DEADLINE};
+
+    switch (g_ascii_tolower(operation)) {
+    case 's':
+        return call_start_answer(calls, call, &ok);
+    case 'w':
+        return call_write(calls, call, "ab", 2);
+    case 'f':
+        return call_finish(calls, call, true);
+    case 'b':
+        return call_finish(calls, call, false);
+    default:
+        return call_refuse(calls, call, &err, OUTCOME_NOT_RUN);
+    }
+}
+
+static void
+check_output(struct calls *calls, struct handle call,
+             const struct life_case *c)
+{
+    struct call_answer answer = {0};
+    struct err err = {0};
+    enum outcome outcome;
+    char buffer[READ_BYTES];
+    GString *output = g_string_new(NULL);
+    ssize_t count;
+
+    g_assert_cmpint(call_wait_answer(calls, call, &answer, &err), ==,
+                    c->phase);
+    if (c->phase == CALL_REFUSED) {
+        g_assert_cmpint(err.kind, ==, ERR_DEADLINE);
+        g_assert_true(call_refusal(calls, call, &err, &outcome));
+        g_assert_cmpint(outcome, ==, OUTCOME_NOT_RUN);
+    }
+    else {
+        g_assert_cmpint(answer.status, ==, 200);
+    }
+    while ((count = call_read(calls, call, buffer, sizeof(buffer))) > 0) {
+        g_string_append_len(output, buffer, count);
+    }
+    g_assert_cmpint(count, ==, c->end);
+    g_assert_cmpstr(output->str, ==, c->output);
+    g_string_free(output, TRUE);
+}
+
+static void
+test_life(gconstpointer data)
+{
+    const struct life_case *c = data;
+    struct calls *calls = calls_new(1, NULL);
+    struct handle call = open_call(calls);
+    struct handle next = call;
+    uint64_t stale = counter_read(CTR_ANSWER_STALE);
+    uint64_t refused = 0;
+
+    for (const char *o = c->script; *o != '\0'; o++) {
+        if (*o == 'c') {
+            call_close(calls, call);
+            next = open_call(calls);
+            g_assert_cmpuint(next.index, ==, call.index);
+            continue;
+        }
+        refused += next.generation != call.generation;
+        g_assert_cmpint(apply(calls, call, *o), ==, g_ascii_islower(*o));
+    }
+    g_assert_cmpuint(counter_read(CTR_ANSWER_STALE) - stale, ==, refused);
+    if (c->output != NULL) {
+        check_output(calls, next, c);
+    }
+    call_close(calls, next);
+    g_assert_cmpuint(calls_count(calls), ==, 0);
+    calls_free(calls);
+}
+
+/* Guards against a table that takes more calls than it has slots. */
+static void
+test_full(void)
+{
+    struct calls *calls = calls_new(1, NULL);
+    struct handle call = open_call(calls);
+    struct call_request request = {0};
+    struct handle second;
+    struct err err = {0};
+
+    g_assert_false(call_open(calls, &request, &second, &err));
+    g_assert_cmpint(err.kind, ==, ERR_TABLE_FULL);
+    call_close(calls, call);
+    g_assert_true(call_open(calls, &request, &second, &err));
+    calls_free(calls);
+}
+
+/* Guards against a copy that shares the body of a call which may close. */
+static void
+test_copy(void)
+{
+    struct calls *calls = calls_new(1, NULL);
+    struct handle call = open_call(calls);
+    struct call_request copy;
+    struct err err = {0};
+
+    g_assert_true(call_copy_request(calls, call, &copy, &err));
+    call_close(calls, call);
+    g_assert_cmpstr((char *)copy.body, ==, "body");
+    call_request_free(&copy);
+    g_assert_false(call_copy_request(calls, call, &copy, &err));
+    g_assert_cmpint(err.kind, ==, ERR_STOPPED);
+    calls_free(calls);
+}
+
+/* Guards against text for a resume that lacks a part. */
+static void
+test_text(void)
+{
+    struct calls *calls = calls_new(1, NULL);
+    struct handle call = open_call(calls);
+    char *large = g_strnfill(CALL_TEXT_MAX_BYTES, 'x');
+    char *text;
+
+    call_add_text(calls, call, "ab", 2);
+    call_add_text(calls, call, "c", 1);
+    text = call_copy_text(calls, call);
+    g_assert_cmpstr(text, ==, "abc");
+    free(text);
+    call_add_text(calls, call, large, CALL_TEXT_MAX_BYTES);
+    g_assert_null(call_copy_text(calls, call));
+    call_close(calls, call);
+    call = open_call(calls);
+    call_add_text(calls, call, NULL, 0);
+    g_assert_null(call_copy_text(calls, call));
+    g_free(large);
+    calls_free(calls);
+}
+
+struct writer {
+    struct calls *calls;
+    struct handle call;
+    bool written;
+};
+
+static void *
+write_answer(void *argument)
+{
+    struct writer *writer = argument;
+    unsigned char *data = malloc(ANSWER_BYTES);
+
+    for (int i = 0; i < ANSWER_BYTES; i++) {
+        data[i] = (unsigned char)(i % 251);
+    }
+    call_start_answer(writer->calls, writer->call, &ok);
+    writer->written =
+        call_write(writer->calls, writer->call, data, ANSWER_BYTES);
+    call_finish(writer->calls, writer->call, true);
+    free(data);
+    return NULL;
+}
+
+/* Guards against output that is lost or mixed up when the buffer is full, and
+ * against a writer that waits for ever for a caller who is gone. */
+struct flow_case {
+    const char *name;
+    int read_bytes;
+    bool written;
+};
+
+static const struct flow_case flow_cases[] = {
+    {"reads_all", ANSWER_BYTES, true},
+    {"leaves_before_the_first_byte", 0, false},
+    {"leaves_in_the_middle", CALL_OUTPUT_BYTES, false},
+};
+
+static void
+test_flow(gconstpointer data)
+{
+    const struct flow_case *c = data;
+    struct calls *calls = calls_new(1, NULL);
+    struct writer writer = {.calls = calls, .call = open_call(calls)};
+    struct call_answer answer;
+    char buffer[READ_BYTES];
+    pthread_t thread;
+    int position = 0;
+
+    pthread_create(&thread, NULL, write_answer, &writer);
+    call_wait_answer(calls, writer.call, &answer, NULL);
+    while (position < c->read_bytes) {
+        ssize_t count =
+            call_read(calls, writer.call, buffer,
+                      MIN(READ_BYTES, (size_t)(c->read_bytes - position)));
+
+        g_assert_cmpint(count, >, 0);
+        for (ssize_t i = 0; i < count; i++, position++) {
+            g_assert_cmpint((unsigned char)buffer[i], ==, position % 251);
+        }
+    }
+    if (c->written) {
+        g_assert_cmpint(call_read(calls, writer.call, buffer, 1), ==, 0);
+    }
+    call_close(calls, writer.call);
+    pthread_join(thread, NULL);
+    g_assert_cmpint(writer.written, ==, c->written);
+    calls_free(calls);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(life_cases); i++) {
+        test_add("call/life", life_cases[i].name, &life_cases[i], test_life);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(flow_cases); i++) {
+        test_add("call/flow", flow_cases[i].name, &flow_cases[i], test_flow);
+    }
+    g_test_add_func("/call/full", test_full);
+    g_test_add_func("/call/copy", test_copy);
+    g_test_add_func("/call/text", test_text);
+    return g_test_run();
+}
--- /dev/null
+++ b/test/serve.h
@@ -0,0 +1,43 @@
+/* Helpers of the tests under src/turmericd/serve. */
+#ifndef TEST_SERVE_H
+#define TEST_SERVE_H
+
+/* Makes a tree of changes written as "NODE KEY VALUE; ...". */
+static inline struct tree *
+test_tree(const char *text)
+{
+    struct edit edit = {.id = "test", .author = "test"};
+    char **parts = g_strsplit(text, "; ", -1);
+    struct tree *empty = tree_new();
+    struct tree *tree;
+    struct err err = {0};
+
+    edit.changes = calloc(g_strv_length(parts), sizeof(struct change));
+    for (; parts[edit.change_count] != NULL; edit.change_count++) {
+        struct change *change = &edit.changes[edit.change_count];
+        char **words = g_strsplit(parts[edit.change_count], " ", 3);
+
+        g_strlcpy(change->node, words[0], sizeof(change->node));
+        g_strlcpy(change->key, words[1], sizeof(change->key));
+        g_strlcpy(change->value, words[2], sizeof(change->value));
+        g_strfreev(words);
+    }
+    tree = tree_apply(empty, &edit, 1, &err);
+    g_assert_cmpstr(err.text, ==, "");
+    edit_free(&edit);
+    g_strfreev(parts);
+    tree_unref(empty);
+    return tree;
+}
+
+static inline void
+test_add(const char *group, const char *name, gconstpointer data,
+         GTestDataFunc function)
+{
+    char *path = g_strdup_printf("/%s/%s", group, name);
+
+    g_test_add_data_func(path, data, function);
+    g_free(path);
+}
+
+#endif
