Test calls to targets

Cause: the forward duty had no tests. Change: adds cases of answers, requests, streams and stops against a small server; an answer passed on as it comes is marked as not resumable only when it broke.

--- a/src/turmericd/serve/call/call.c
+++ b/src/turmericd/serve/call/call.c
@@ -206,7 +206,7 @@
  * @calls: the table
  * @call: the call
  * @answer: set to the head of the answer
- * @err: set to the reason of a refusal
+ * @err: set to the reason of a refusal; may be NULL
  *
  * Return: CALL_REFUSED, or another phase when the answer has begun.
  */
@@ -229,7 +229,9 @@
         err_set(err, ERR_INTERNAL, "the call was closed");
     }
     else if (!slot->began) {
-        *err = slot->err;
+        if (err != NULL) {
+            *err = slot->err;
+        }
     }
     else {
         *answer = slot->answer;
--- a/src/turmericd/serve/forward/answer.c
+++ b/src/turmericd/serve/forward/answer.c
@@ -275,7 +275,7 @@
         result->kind = ATTEMPT_BROKEN;
     }
     result->events += answer->events;
-    if (answer->began && answer->mode == ANSWER_PASS) {
+    if (answer->mode == ANSWER_PASS && result->kind == ATTEMPT_BROKEN) {
         result->events = ATTEMPT_EVENTS_NO_RESUME;
     }
 }
--- /dev/null
+++ b/test/forward_test.c
@@ -0,0 +1,818 @@
+/* Tests of calls to targets, against a small server of ulfius. */
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "turmericd/state/config/dat.h"
+#include "turmericd/state/claim/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/serve/call/dat.h"
+#include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/forward/dat.h"
+#include "turmericd/serve/forward/fns.h"
+#include "turmericd/serve/forward/internal.h"
+#include "serve.h"
+
+enum {
+    FAR_MS = 60000,
+    /* Long enough for a connection over loopback on a busy machine. */
+    NEAR_MS = 1500,
+    PIECE_BYTES = 7,
+    LARGE_BYTES = HELD_ANSWER_MAX_BYTES + 1000,
+};
+
+enum end { END_WHOLE, END_BREAK, END_STALL };
+
+/**
+ * struct plan - what the server answers
+ * @length: announced length; 0 for chunks without one
+ * @fill: bytes of 'x' in place of @body
+ */
+struct plan {
+    int status;
+    const char *type;
+    const char *header;
+    const char *body;
+    enum end end;
+    size_t length;
+    size_t fill;
+};
+
+/**
+ * struct server - a target
+ * @seen: requests that came, as text, in the order of their arrival
+ */
+struct server {
+    struct _u_instance instance;
+    int port;
+    struct plan plan;
+    struct ring seen;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    bool released;
+};
+
+struct seen {
+    char line[1024];
+};
+
+struct progress {
+    struct server *server;
+    size_t sent;
+};
+
+static ssize_t
+read_plan(void *data, uint64_t offset, char *buffer, size_t max)
+{
+    struct progress *progress = data;
+    struct server *server = progress->server;
+    const struct plan *plan = &server->plan;
+    size_t size = plan->fill > 0 ? plan->fill : strlen(plan->body);
+    size_t count = MIN(size - progress->sent, max);
+
+    (void)offset;
+    if (count == 0 && plan->end == END_STALL) {
+        pthread_mutex_lock(&server->lock);
+        while (!server->released) {
+            pthread_cond_wait(&server->changed, &server->lock);
+        }
+        pthread_mutex_unlock(&server->lock);
+    }
+    if (count == 0) {
+        return plan->end == END_WHOLE ? U_STREAM_END : U_STREAM_ERROR;
+    }
+    if (plan->fill > 0) {
+        memset(buffer, 'x', count);
+    }
+    else {
+        count = MIN(count, PIECE_BYTES);
+        memcpy(buffer, plan->body + progress->sent, count);
+    }
+    progress->sent += count;
+    return (ssize_t)count;
+}
+
+static const char *
+field(const struct _u_request *request, const char *name)
+{
+    const char *value = u_map_get_case(request->map_header, name);
+
+    return value != NULL ? value : "-";
+}
+
+static int
+on_request(const struct _u_request *request, struct _u_response *response,
+           void *data)
+{
+    struct server *server = data;
+    const struct plan *plan = &server->plan;
+    struct seen seen;
+    struct progress *progress;
+
+    snprintf(
+        seen.line, sizeof(seen.line), "%s %s stream=%s from=%s key=%s %.*s",
+        request->http_verb, request->http_url, field(request, "X-Stream-Id"),
+        field(request, "X-Resume-From"), field(request, "Idempotency-Key"),
+        (int)request->binary_body_length, (const char *)request->binary_body);
+    ring_push(&server->seen, &seen, NULL);
+    if (strcmp(request->http_url, "/v1/cancel") == 0) {
+        ulfius_set_string_body_response(response, 200, "{}");
+        return U_CALLBACK_COMPLETE;
+    }
+    progress = g_new0(struct progress, 1);
+    progress->server = server;
+    u_map_put(response->map_header, "Content-Type", plan->type);
+    if (plan->header != NULL) {
+        u_map_put(response->map_header, "X-Outcome", plan->header);
+    }
+    ulfius_set_stream_response(
+        response, (unsigned)plan->status, read_plan, g_free,
+        plan->length > 0 ? plan->length : U_STREAM_SIZE_UNKNOWN, 64 * 1024,
+        progress);
+    return U_CALLBACK_COMPLETE;
+}
+
+/* Binds to a port that the kernel chooses. */
+static int
+listen_anywhere(int *port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t bytes = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&address, bytes), ==, 0);
+    g_assert_cmpint(listen(fd, 16), ==, 0);
+    getsockname(fd, (struct sockaddr *)&address, &bytes);
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+static void
+server_start(struct server *server)
+{
+    int fd = listen_anywhere(&server->port);
+    struct MHD_OptionItem options[] = {
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL},
+        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL},
+        {MHD_OPTION_LISTEN_SOCKET, fd, NULL},
+        {MHD_OPTION_END, 0, NULL},
+    };
+
+    pthread_mutex_init(&server->lock, NULL);
+    pthread_cond_init(&server->changed, NULL);
+    ring_init(&server->seen, 16, sizeof(struct seen), NULL);
+    ulfius_init_instance(&server->instance, (unsigned)server->port, NULL,
+                         NULL);
+    server->instance.allowed_post_processor = U_POST_PROCESS_NONE;
+    ulfius_set_default_endpoint(&server->instance, on_request, server);
+    g_assert_cmpint(
+        ulfius_start_framework_with_mhd_options(
+            &server->instance,
+            MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+            options),
+        ==, U_OK);
+}
+
+static void
+server_release(struct server *server)
+{
+    pthread_mutex_lock(&server->lock);
+    server->released = true;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->lock);
+}
+
+static void
+server_stop(struct server *server)
+{
+    server_release(server);
+    ulfius_stop_framework(&server->instance);
+    ulfius_clean_instance(&server->instance);
+    ring_free(&server->seen);
+}
+
+/**
+ * struct scene - a forward duty with one worker and a call
+ */
+struct scene {
+    struct forward_port port;
+    struct server server;
+    struct calls *calls;
+    struct forward *forward;
+    struct handle call;
+    struct attempt attempt;
+    struct ring results;
+    pthread_t duty;
+    pthread_t reader;
+    GString *output;
+    ssize_t end;
+};
+
+static void
+on_done(struct forward_port *port, const struct attempt_result *result)
+{
+    ring_push(&((struct scene *)port)->results, result, NULL);
+}
+
+static const struct forward_port_ops ops = {on_done};
+
+static void *
+run_duty(void *argument)
+{
+    struct duty *duty = argument;
+    struct err err = {0};
+
+    g_assert_true(duty->ops->run(duty, &err));
+    return NULL;
+}
+
+static void *
+read_answer(void *argument)
+{
+    struct scene *scene = argument;
+    struct call_answer answer = {0};
+    char buffer[4096];
+    ssize_t count = -1;
+
+    if (call_wait_answer(scene->calls, scene->call, &answer, NULL) !=
+        CALL_REFUSED) {
+        g_string_append_printf(scene->output, "%d ", answer.status);
+        while ((count = call_read(scene->calls, scene->call, buffer,
+                                  sizeof(buffer))) > 0) {
+            g_string_append_len(scene->output, buffer, count);
+        }
+    }
+    scene->end = count;
+    return NULL;
+}
+
+static void
+scene_open(struct scene *scene, const struct call_request *request)
+{
+    struct call_request copy = *request;
+
+    memset(scene, 0, sizeof(*scene));
+    scene->port.ops = &ops;
+    scene->calls = calls_new(4, NULL);
+    scene->output = g_string_new(NULL);
+    ring_init(&scene->results, 16, sizeof(struct attempt_result), NULL);
+    server_start(&scene->server);
+    scene->forward = forward_new(scene->calls, 1, &scene->port, NULL);
+    pthread_create(&scene->duty, NULL, run_duty, forward_duty(scene->forward));
+    copy.body = (unsigned char *)strdup((const char *)request->body);
+    copy.body_bytes = strlen((const char *)request->body);
+    g_assert_true(call_open(scene->calls, &copy, &scene->call, NULL));
+    scene->attempt = (struct attempt){
+        .id = {1, 1},
+        .call = scene->call,
+        .number = 1,
+        .deadline_ms = clock_now_ms() + FAR_MS,
+    };
+    g_strlcpy(scene->attempt.stream_id, "s1",
+              sizeof(scene->attempt.stream_id));
+    snprintf(scene->attempt.address, sizeof(scene->attempt.address),
+             "127.0.0.1:%d", scene->server.port);
+}
+
+static void
+scene_close(struct scene *scene)
+{
+    struct duty *duty = forward_duty(scene->forward);
+
+    duty->ops->stop(duty);
+    pthread_join(scene->duty, NULL);
+    server_stop(&scene->server);
+    forward_free(scene->forward);
+    calls_free(scene->calls);
+    ring_free(&scene->results);
+    g_string_free(scene->output, TRUE);
+}
+
+static void
+post(struct scene *scene)
+{
+    struct err err = {0};
+
+    forward_post_attempt(scene->forward, &scene->attempt, &err);
+    g_assert_cmpstr(err.text, ==, "");
+}
+
+static struct attempt_result
+wait_result(struct scene *scene)
+{
+    struct attempt_result result;
+
+    g_assert_cmpint(ring_pop(&scene->results, &result, -1), ==, RING_OK);
+    return result;
+}
+
+#define CHAT "{\"model\":\"m\",\"messages\":[{\"role\":\"user\"}]}"
+#define EVENT(text)                                                           \
+    "data: {\"choices\":[{\"delta\":{\"content\":\"" text "\"}}]}\n\n"
+#define SSE "text/event-stream"
+#define JSON "application/json"
+
+/* What the call is. */
+enum flavour { PLAIN, CHAT_WHOLE, CHAT_STREAM, CHAT_ONCE };
+
+struct answer_case {
+    const char *name;
+    enum flavour flavour;
+    struct plan plan;
+    enum attempt_result_kind kind;
+    uint32_t events;
+    const char *output;
+};
+
+/* Guards against a broken answer that is taken for whole, a part of an event
+ * that reaches the caller, and a refusal of the target that is taken for an
+ * answer or for a run. */
+static const struct answer_case answer_cases[] = {
+    {"whole",
+     CHAT_WHOLE,
+     {200, JSON, NULL, "{\"a\":1}", END_WHOLE, 0, 0},
+     ATTEMPT_OK,
+     0,
+     "200 {\"a\":1}"},
+    {"other_status",
+     CHAT_WHOLE,
+     {418, JSON, NULL, "tea", END_WHOLE, 0, 0},
+     ATTEMPT_OK,
+     0,
+     "418 tea"},
+    {"plain",
+     PLAIN,
+     {201, "text/plain", NULL, "made", END_WHOLE, 4, 0},
+     ATTEMPT_OK,
+     0,
+     "201 made"},
+    {"broken_chunks",
+     CHAT_WHOLE,
+     {200, JSON, NULL, "{\"a\"", END_BREAK, 0, 0},
+     ATTEMPT_BROKEN,
+     0,
+     ""},
+    {"broken_length",
+     PLAIN,
+     {200, JSON, NULL, "half", END_BREAK, 8, 0},
+     ATTEMPT_BROKEN,
+     0,
+     ""},
+    {"broken_at_once",
+     CHAT_STREAM,
+     {200, SSE, NULL, "", END_BREAK, 0, 0},
+     ATTEMPT_BROKEN,
+     0,
+     ""},
+    {"stream",
+     CHAT_STREAM,
+     {200, SSE, NULL, EVENT("a") EVENT("b") "data: [DONE]\n\n", END_WHOLE, 0,
+      0},
+     ATTEMPT_OK,
+     3,
+     "200 " EVENT("a") EVENT("b") "data: [DONE]\n\n"},
+    {"stream_that_stays_open",
+     CHAT_STREAM,
+     {200, SSE, NULL, EVENT("a") "data: [DONE]\n\n", END_STALL, 0, 0},
+     ATTEMPT_OK,
+     2,
+     "200 " EVENT("a") "data: [DONE]\n\n"},
+    {"stream_breaks_within_an_event",
+     CHAT_STREAM,
+     {200, SSE, NULL, EVENT("a") "data: {\"cho", END_BREAK, 0, 0},
+     ATTEMPT_BROKEN,
+     1,
+     "200 " EVENT("a")},
+    {"stream_without_done",
+     CHAT_STREAM,
+     {200, SSE, NULL, EVENT("a"), END_WHOLE, 0, 0},
+     ATTEMPT_BROKEN,
+     1,
+     "200 " EVENT("a")},
+    {"comments_are_no_events",
+     CHAT_STREAM,
+     {200, SSE, NULL, ": ping\n\n" EVENT("a"), END_BREAK, 0, 0},
+     ATTEMPT_BROKEN,
+     1,
+     "200 : ping\n\n" EVENT("a")},
+    {"not_loaded",
+     CHAT_STREAM,
+     {404, JSON, NULL, "{\"error\":\"not_loaded\"}", END_WHOLE, 0, 0},
+     ATTEMPT_NOT_LOADED,
+     0,
+     ""},
+    {"other_404",
+     CHAT_WHOLE,
+     {404, JSON, NULL, "{\"error\":\"gone\"}", END_WHOLE, 0, 0},
+     ATTEMPT_OK,
+     0,
+     "404 {\"error\":\"gone\"}"},
+    {"busy_body",
+     CHAT_WHOLE,
+     {503, JSON, NULL, "{\"outcome\":\"not_run\"}", END_WHOLE, 0, 0},
+     ATTEMPT_BUSY,
+     0,
+     ""},
+    {"busy_header",
+     PLAIN,
+     {429, "text/plain", "not_run", "no", END_WHOLE, 0, 0},
+     ATTEMPT_BUSY,
+     0,
+     ""},
+    {"503_that_may_have_run",
+     PLAIN,
+     {503, "text/plain", NULL, "no", END_WHOLE, 0, 0},
+     ATTEMPT_OK,
+     0,
+     "503 no"},
+    {"500_with_the_header",
+     PLAIN,
+     {500, "text/plain", "not_run", "no", END_WHOLE, 0, 0},
+     ATTEMPT_OK,
+     0,
+     "500 no"},
+    {"large",
+     PLAIN,
+     {200, "text/plain", NULL, "", END_WHOLE, 0, LARGE_BYTES},
+     ATTEMPT_OK,
+     0,
+     NULL},
+    {"large_broken",
+     PLAIN,
+     {200, "text/plain", NULL, "", END_BREAK, 0, LARGE_BYTES},
+     ATTEMPT_BROKEN,
+     ATTEMPT_EVENTS_NO_RESUME,
+     NULL},
+};
+
+static struct call_request
+make_request(enum flavour flavour)
+{
+    struct call_request request = {
+        .leaf = flavour == PLAIN ? 0 : 7,
+        .leaf_path = "/s/m",
+        .method = "POST",
+        .url = "/v1/chat/completions",
+        .content_type = "application/json",
+        .body = (unsigned char *)CHAT,
+        .stream = flavour == CHAT_STREAM,
+        .idempotent = flavour != CHAT_ONCE,
+        .key = "key-1",
+        .priority = 4,
+    };
+
+    return request;
+}
+
+static void
+test_answer(gconstpointer data)
+{
+    const struct answer_case *c = data;
+    struct call_request request = make_request(c->flavour);
+    struct err err = {.kind = ERR_TARGET_FAILED};
+    struct attempt_result result;
+    static struct scene scene;
+
+    scene_open(&scene, &request);
+    scene.server.plan = c->plan;
+    pthread_create(&scene.reader, NULL, read_answer, &scene);
+    post(&scene);
+    result = wait_result(&scene);
+    g_assert_cmpint(result.kind, ==, c->kind);
+    g_assert_cmpuint(result.events, ==, c->events);
+    g_assert_cmpint(
+        call_refuse(scene.calls, scene.call, &err, OUTCOME_UNKNOWN), ==,
+        c->kind != ATTEMPT_OK);
+    pthread_join(scene.reader, NULL);
+    g_assert_cmpint(scene.end, ==, c->kind == ATTEMPT_OK ? 0 : -1);
+    if (c->output != NULL) {
+        g_assert_cmpstr(scene.output->str, ==, c->output);
+    }
+    else {
+        g_assert_cmpuint(scene.output->len, ==, LARGE_BYTES + 4);
+    }
+    scene_close(&scene);
+}
+
+/* Guards against a request that left out what the target needs to know, or
+ * told it to a target that must not. */
+struct request_case {
+    const char *name;
+    enum flavour flavour;
+    uint32_t resume_from;
+    bool resume_here;
+    const char *line;
+};
+
+static const struct request_case request_cases[] = {
+    {"chat", CHAT_WHOLE, 0, false,
+     "POST /v1/chat/completions stream=s1 from=- key=- "
+     "{\"model\":\"s/m\",\"messages\":[{\"role\":\"user\"}],\"priority\":4}"},
+    {"once", CHAT_ONCE, 0, false,
+     "POST /v1/chat/completions stream=s1 from=- key=key-1 "
+     "{\"model\":\"s/m\",\"messages\":[{\"role\":\"user\"}],\"priority\":4}"},
+    {"plain", PLAIN, 0, false,
+     "POST /v1/chat/completions stream=- from=- key=- " CHAT},
+    {"resume_here", CHAT_STREAM, 5, true,
+     "POST /v1/chat/completions stream=s1 from=5 key=- "
+     "{\"model\":\"s/m\",\"messages\":[{\"role\":\"user\"}],\"priority\":4}"},
+    {"resume_elsewhere", CHAT_STREAM, 5, false,
+     "POST /v1/chat/completions stream=s1 from=- key=- "
+     "{\"model\":\"s/m\",\"messages\":[{\"role\":\"user\"},"
+     "{\"role\":\"assistant\",\"content\":\"so far\"}],\"priority\":4,"
+     "\"continue_final_message\":true,\"add_generation_prompt\":false}"},
+};
+
+static void
+test_request(gconstpointer data)
+{
+    const struct request_case *c = data;
+    struct call_request request = make_request(c->flavour);
+    static struct scene scene;
+    struct call_answer head = {200, SSE};
+    struct attempt_result result;
+    struct seen seen;
+
+    scene_open(&scene, &request);
+    scene.server.plan = (struct plan){
+        200, SSE, NULL, EVENT("x") "data: [DONE]\n\n", END_WHOLE, 0, 0};
+    if (c->resume_from > 0) {
+        g_assert_true(call_start_answer(scene.calls, scene.call, &head));
+        call_add_text(scene.calls, scene.call, "so far", 6);
+    }
+    scene.attempt.resume_from = c->resume_from;
+    scene.attempt.resume_here = c->resume_here;
+    post(&scene);
+    result = wait_result(&scene);
+    g_assert_cmpint(result.kind, ==, ATTEMPT_OK);
+    g_assert_cmpuint(result.events, ==,
+                     c->flavour == CHAT_STREAM ? c->resume_from + 2 : 0);
+    g_assert_cmpint(ring_pop(&scene.server.seen, &seen, 0), ==, RING_OK);
+    g_assert_cmpstr(seen.line, ==, c->line);
+    scene_close(&scene);
+}
+
+/* Guards against the opening of a second engine that reaches the caller in
+ * the middle of the answer, and against a refused resume taken for it. */
+static void
+test_resume_elsewhere(void)
+{
+    struct call_request request = make_request(CHAT_STREAM);
+    static struct scene scene;
+    struct call_answer head = {200, SSE};
+    struct attempt_result result;
+
+    scene_open(&scene, &request);
+    scene.server.plan = (struct plan){
+        200,
+        SSE,
+        NULL,
+        "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":"
+        "\"\"}}]}\n\n" EVENT("b") "data: [DONE]\n\n",
+        END_WHOLE,
+        0,
+        0};
+    g_assert_true(call_start_answer(scene.calls, scene.call, &head));
+    pthread_create(&scene.reader, NULL, read_answer, &scene);
+    scene.attempt.resume_from = 3;
+    post(&scene);
+    result = wait_result(&scene);
+    pthread_join(scene.reader, NULL);
+    g_assert_cmpint(result.kind, ==, ATTEMPT_OK);
+    g_assert_cmpuint(result.events, ==, 6);
+    g_assert_cmpstr(scene.output->str, ==,
+                    "200 " EVENT("b") "data: [DONE]\n\n");
+    scene_close(&scene);
+}
+
+static void
+test_resume_refused(void)
+{
+    struct call_request request = make_request(CHAT_STREAM);
+    static struct scene scene;
+    struct call_answer head = {200, SSE};
+
+    scene_open(&scene, &request);
+    scene.server.plan = (struct plan){
+        404, JSON, NULL, "{\"error\":\"unknown_stream\"}", END_WHOLE, 0, 0};
+    g_assert_true(call_start_answer(scene.calls, scene.call, &head));
+    scene.attempt.resume_from = 3;
+    scene.attempt.resume_here = true;
+    post(&scene);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_BROKEN);
+    scene_close(&scene);
+}
+
+/* Guards against "not sent" of what was sent, and the reverse. */
+static void
+test_refused_connection(void)
+{
+    struct call_request request = make_request(CHAT_ONCE);
+    static struct scene scene;
+    int port;
+    int fd = listen_anywhere(&port);
+
+    scene_open(&scene, &request);
+    close(fd);
+    snprintf(scene.attempt.address, sizeof(scene.attempt.address),
+             "127.0.0.1:%d", port);
+    post(&scene);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_NOT_SENT);
+    scene_close(&scene);
+}
+
+/* A target that takes the connection and ends it without an answer: the
+ * request may have run there. */
+static void
+test_closed_connection(void)
+{
+    struct call_request request = make_request(CHAT_ONCE);
+    static struct scene scene;
+    int port;
+    int fd = listen_anywhere(&port);
+    int connection;
+    char byte;
+
+    scene_open(&scene, &request);
+    snprintf(scene.attempt.address, sizeof(scene.attempt.address),
+             "127.0.0.1:%d", port);
+    post(&scene);
+    connection = accept(fd, NULL, NULL);
+    g_assert_cmpint(read(connection, &byte, 1), ==, 1);
+    close(connection);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_BROKEN);
+    /* Nor may the request come a second time. */
+    g_assert_cmpint(fcntl(fd, F_SETFL, O_NONBLOCK), ==, 0);
+    g_assert_cmpint(accept(fd, NULL, NULL), ==, -1);
+    close(fd);
+    scene_close(&scene);
+}
+
+/* Guards against a call that waits for a silent target past its deadline. */
+static void
+test_stalled(void)
+{
+    struct call_request request = make_request(CHAT_STREAM);
+    static struct scene scene;
+    struct seen seen;
+
+    scene_open(&scene, &request);
+    scene.server.plan = (struct plan){200, SSE, NULL, "", END_STALL, 0, 0};
+    scene.attempt.deadline_ms = clock_now_ms() + NEAR_MS;
+    post(&scene);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_TIMEOUT);
+    g_assert_cmpint(ring_pop(&scene.server.seen, &seen, -1), ==, RING_OK);
+    g_assert_cmpint(ring_pop(&scene.server.seen, &seen, -1), ==, RING_OK);
+    g_assert_true(g_str_has_prefix(seen.line, "POST /v1/cancel"));
+    scene_close(&scene);
+}
+
+/* Guards against an attempt that is sent after its deadline. */
+static void
+test_too_late(void)
+{
+    struct call_request request = make_request(CHAT_ONCE);
+    static struct scene scene;
+
+    scene_open(&scene, &request);
+    scene.attempt.deadline_ms = clock_now_ms() - 1;
+    post(&scene);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_NOT_SENT);
+    g_assert_cmpuint(ring_count(&scene.server.seen), ==, 0);
+    scene_close(&scene);
+}
+
+/* Guards against an engine that goes on generating for a caller who left. */
+static void
+test_caller_gone(void)
+{
+    struct call_request request = make_request(CHAT_STREAM);
+    static struct scene scene;
+    struct call_answer answer;
+    struct seen seen;
+    GString *body = g_string_new(NULL);
+
+    for (int i = 0; i < 3000; i++) {
+        g_string_append(body, EVENT("0123456789"));
+    }
+    scene_open(&scene, &request);
+    scene.server.plan =
+        (struct plan){200, SSE, NULL, body->str, END_STALL, 0, 0};
+    post(&scene);
+    g_assert_cmpint(call_wait_answer(scene.calls, scene.call, &answer, NULL),
+                    ==, CALL_ANSWERING);
+    call_close(scene.calls, scene.call);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_CALLER_GONE);
+    g_assert_cmpint(ring_pop(&scene.server.seen, &seen, -1), ==, RING_OK);
+    g_assert_cmpint(ring_pop(&scene.server.seen, &seen, -1), ==, RING_OK);
+    g_assert_nonnull(strstr(seen.line, "{\"stream_id\":\"s1\"}"));
+    scene_close(&scene);
+    g_string_free(body, TRUE);
+}
+
+/* Guards against attempts that pile up behind a slow one, and against a stop
+ * that waits for a silent target. */
+static void
+test_pool_full_and_stop(void)
+{
+    struct call_request request = make_request(CHAT_WHOLE);
+    static struct scene scene;
+    struct err err = {0};
+    struct seen seen;
+    struct duty *duty;
+
+    scene_open(&scene, &request);
+    scene.server.plan = (struct plan){200, JSON, NULL, "{", END_STALL, 0, 0};
+    post(&scene);
+    g_assert_cmpint(ring_pop(&scene.server.seen, &seen, -1), ==, RING_OK);
+    g_assert_false(forward_post_attempt(scene.forward, &scene.attempt, &err));
+    g_assert_cmpint(err.kind, ==, ERR_RING_FULL);
+    duty = forward_duty(scene.forward);
+    duty->ops->stop(duty);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_BROKEN);
+    scene_close(&scene);
+}
+
+/* Guards against events that are split or joined wrongly, whatever pieces
+ * they come in. */
+struct sse_case {
+    const char *name;
+    const char *text;
+    const char *events;
+};
+
+static const struct sse_case sse_cases[] = {
+    {"two", "data: a\n\ndata: b\n\n", "a|b|"},
+    {"crlf", "data: a\r\n\r\ndata: b\r\n\r\n", "a|b|"},
+    {"more_lines", "event: x\ndata: a\ndata:b\nid: 1\n\n", "a\nb|"},
+    {"incomplete", "data: a\n\ndata: b\n", "a|"},
+    {"done", "data: [DONE]\n\n", "[DONE]!|"},
+    {"done_inside_text", "data: x[DONE]\n\n", "x[DONE]|"},
+};
+
+static void
+test_sse(gconstpointer data)
+{
+    const struct sse_case *c = data;
+    size_t length = strlen(c->text);
+
+    for (size_t piece = 1; piece <= length; piece++) {
+        struct sse sse;
+        struct sse_event event;
+        GString *events = g_string_new(NULL);
+
+        sse_init(&sse);
+        for (size_t at = 0; at < length; at += piece) {
+            g_assert_true(
+                sse_feed(&sse, c->text + at, MIN(piece, length - at)));
+            while (sse_next(&sse, &event)) {
+                g_string_append_printf(events, "%s%s|", event.data,
+                                       event.done ? "!" : "");
+                g_free(event.data);
+            }
+        }
+        g_assert_cmpstr(events->str, ==, c->events);
+        g_string_free(events, TRUE);
+        sse_clear(&sse);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
+        test_add("forward/answer", answer_cases[i].name, &answer_cases[i],
+                 test_answer);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(request_cases); i++) {
+        test_add("forward/request", request_cases[i].name, &request_cases[i],
+                 test_request);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(sse_cases); i++) {
+        test_add("forward/sse", sse_cases[i].name, &sse_cases[i], test_sse);
+    }
+    g_test_add_func("/forward/resume_elsewhere", test_resume_elsewhere);
+    g_test_add_func("/forward/resume_refused", test_resume_refused);
+    g_test_add_func("/forward/refused_connection", test_refused_connection);
+    g_test_add_func("/forward/closed_connection", test_closed_connection);
+    g_test_add_func("/forward/stalled", test_stalled);
+    g_test_add_func("/forward/too_late", test_too_late);
+    g_test_add_func("/forward/caller_gone", test_caller_gone);
+    g_test_add_func("/forward/pool_full_and_stop", test_pool_full_and_stop);
+    return g_test_run();
+}
