--- a/src/turmericd/serve/front/open.c
+++ b/src/turmericd/serve/front/open.c
@@ -19,6 +19,9 @@
 #include "turmericd/serve/front/fns.h"
 #include "turmericd/serve/front/internal.h"
 
+/* For the refusals of calls that are cut off to reach their callers. */
+enum { LAST_WORDS_MS = 2000 };
+
 /**
  * open_reserve() - take a place for a call before it is opened
  * @front: the duty
@@ -124,6 +127,19 @@
     }
 }
 
+/* Called with the lock held. */
+static void
+wait_until_closed(struct front *front, int64_t timeout_ms)
+{
+    struct timespec deadline = clock_deadline(timeout_ms);
+    int result = 0;
+
+    while (front->open_count > 0 && result != ETIMEDOUT) {
+        result =
+            pthread_cond_timedwait(&front->changed, &front->lock, &deadline);
+    }
+}
+
 /**
  * open_drain() - refuse new calls and wait for the open ones
  * @front: the duty
@@ -132,15 +148,10 @@
 void
 open_drain(struct front *front, int64_t timeout_ms)
 {
-    struct timespec deadline = clock_deadline(timeout_ms);
-    int result = 0;
-
     pthread_mutex_lock(&front->lock);
     front->refusing = true;
-    while (front->open_count > 0 && result != ETIMEDOUT) {
-        result =
-            pthread_cond_timedwait(&front->changed, &front->lock, &deadline);
-    }
+    wait_until_closed(front, timeout_ms);
     refuse_open(front);
+    wait_until_closed(front, LAST_WORDS_MS);
     pthread_mutex_unlock(&front->lock);
 }
