--- a/src/kv/etcd.c
+++ b/src/kv/etcd.c
@@ -6,7 +6,6 @@
  * is complete JSON with the service's header; whatever else arrives leaves
  * open whether the call took effect.
  */
-#define U_DISABLE_JANSSON
 #include <errno.h>
 #include <glib.h>
 #include <json-c/json.h>
