--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &turmeric__turn_done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   turmeric__evict__init
+                     (Turmeric__Evict         *message)
+{
+  static const Turmeric__Evict init_value = TURMERIC__EVICT__INIT;
+  *message = init_value;
+}
+size_t turmeric__evict__get_packed_size
+                     (const Turmeric__Evict *message)
+{
+  assert(message->base.descriptor == &turmeric__evict__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__evict__pack
+                     (const Turmeric__Evict *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__evict__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__evict__pack_to_buffer
+                     (const Turmeric__Evict *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__evict__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__Evict *
+       turmeric__evict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__Evict *)
+     protobuf_c_message_unpack (&turmeric__evict__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__evict__free_unpacked
+                     (Turmeric__Evict *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__evict__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   turmeric__claim_ask__init
                      (Turmeric__ClaimAsk         *message)
 {
@@ -997,7 +1042,7 @@
   assert(message->base.descriptor == &turmeric__strike__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[22] =
 {
   {
     "version",
@@ -1215,6 +1260,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evict",
+    47,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__Envelope, body_case),
+    offsetof(Turmeric__Envelope, evict),
+    &turmeric__evict__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "claim_ask",
     50,
@@ -1254,12 +1311,13 @@
 };
 static const unsigned turmeric__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
-  18,   /* field[18] = claim_ask */
-  19,   /* field[19] = claim_reply */
+  19,   /* field[19] = claim_ask */
+  20,   /* field[20] = claim_reply */
   6,   /* field[6] = config_entry */
   8,   /* field[8] = config_fetch */
   7,   /* field[7] = config_fresh */
   9,   /* field[9] = config_snapshot */
+  18,   /* field[18] = evict */
   1,   /* field[1] = from */
   2,   /* field[2] = hello */
   3,   /* field[3] = ping */
@@ -1267,7 +1325,7 @@
   10,   /* field[10] = reports */
   13,   /* field[13] = settle */
   14,   /* field[14] = settle_reply */
-  20,   /* field[20] = strike */
+  21,   /* field[21] = strike */
   15,   /* field[15] = turn_ask */
   17,   /* field[17] = turn_done */
   16,   /* field[16] = turn_grant */
@@ -1282,9 +1340,9 @@
   { 20, 6 },
   { 30, 10 },
   { 40, 11 },
-  { 50, 18 },
-  { 60, 20 },
-  { 0, 21 }
+  { 50, 19 },
+  { 60, 21 },
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor turmeric__envelope__descriptor =
 {
@@ -1294,7 +1352,7 @@
   "Turmeric__Envelope",
   "turmeric",
   sizeof(Turmeric__Envelope),
-  21,
+  22,
   turmeric__envelope__field_descriptors,
   turmeric__envelope__field_indices_by_name,
   7,  turmeric__envelope__number_ranges,
@@ -2713,6 +2771,57 @@
   (ProtobufCMessageInit) turmeric__turn_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor turmeric__evict__field_descriptors[2] =
+{
+  {
+    "engine",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__Evict, engine),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaf",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__Evict, leaf),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__evict__field_indices_by_name[] = {
+  0,   /* field[0] = engine */
+  1,   /* field[1] = leaf */
+};
+static const ProtobufCIntRange turmeric__evict__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor turmeric__evict__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.Evict",
+  "Evict",
+  "Turmeric__Evict",
+  "turmeric",
+  sizeof(Turmeric__Evict),
+  2,
+  turmeric__evict__field_descriptors,
+  turmeric__evict__field_indices_by_name,
+  1,  turmeric__evict__number_ranges,
+  (ProtobufCMessageInit) turmeric__evict__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor turmeric__claim_ask__field_descriptors[6] =
 {
   {
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Turmeric__TurnAsk Turmeric__TurnAsk;
 typedef struct Turmeric__TurnGrant Turmeric__TurnGrant;
 typedef struct Turmeric__TurnDone Turmeric__TurnDone;
+typedef struct Turmeric__Evict Turmeric__Evict;
 typedef struct Turmeric__ClaimAsk Turmeric__ClaimAsk;
 typedef struct Turmeric__ClaimReply Turmeric__ClaimReply;
 typedef struct Turmeric__Strike Turmeric__Strike;
@@ -62,6 +63,7 @@
   TURMERIC__ENVELOPE__BODY_TURN_ASK = 44,
   TURMERIC__ENVELOPE__BODY_TURN_GRANT = 45,
   TURMERIC__ENVELOPE__BODY_TURN_DONE = 46,
+  TURMERIC__ENVELOPE__BODY_EVICT = 47,
   TURMERIC__ENVELOPE__BODY_CLAIM_ASK = 50,
   TURMERIC__ENVELOPE__BODY_CLAIM_REPLY = 51,
   TURMERIC__ENVELOPE__BODY_STRIKE = 60
@@ -94,6 +96,7 @@
     Turmeric__TurnAsk *turn_ask;
     Turmeric__TurnGrant *turn_grant;
     Turmeric__TurnDone *turn_done;
+    Turmeric__Evict *evict;
     Turmeric__ClaimAsk *claim_ask;
     Turmeric__ClaimReply *claim_reply;
     Turmeric__Strike *strike;
@@ -362,6 +365,20 @@
     , 0 }
 
 
+/*
+ * Asks the owner of a leaf to unload it from an engine if it is idle.
+ */
+struct  Turmeric__Evict
+{
+  ProtobufCMessage base;
+  uint64_t engine;
+  uint64_t leaf;
+};
+#define TURMERIC__EVICT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__evict__descriptor) \
+    , 0, 0 }
+
+
 struct  Turmeric__ClaimAsk
 {
   ProtobufCMessage base;
@@ -765,6 +782,25 @@
 void   turmeric__turn_done__free_unpacked
                      (Turmeric__TurnDone *message,
                       ProtobufCAllocator *allocator);
+/* Turmeric__Evict methods */
+void   turmeric__evict__init
+                     (Turmeric__Evict         *message);
+size_t turmeric__evict__get_packed_size
+                     (const Turmeric__Evict   *message);
+size_t turmeric__evict__pack
+                     (const Turmeric__Evict   *message,
+                      uint8_t             *out);
+size_t turmeric__evict__pack_to_buffer
+                     (const Turmeric__Evict   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__Evict *
+       turmeric__evict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__evict__free_unpacked
+                     (Turmeric__Evict *message,
+                      ProtobufCAllocator *allocator);
 /* Turmeric__ClaimAsk methods */
 void   turmeric__claim_ask__init
                      (Turmeric__ClaimAsk         *message);
@@ -881,6 +917,9 @@
 typedef void (*Turmeric__TurnDone_Closure)
                  (const Turmeric__TurnDone *message,
                   void *closure_data);
+typedef void (*Turmeric__Evict_Closure)
+                 (const Turmeric__Evict *message,
+                  void *closure_data);
 typedef void (*Turmeric__ClaimAsk_Closure)
                  (const Turmeric__ClaimAsk *message,
                   void *closure_data);
@@ -915,6 +954,7 @@
 extern const ProtobufCMessageDescriptor turmeric__turn_ask__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__turn_grant__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__turn_done__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__evict__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__claim_reply__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__strike__descriptor;
--- /dev/null
+++ b/src/turmericd/place/enginehttp.c
@@ -0,0 +1,201 @@
+/**
+ * DOC: Orders to engines over HTTP.
+ *
+ * A refusal needs a status and a body. Whatever else happens leaves open
+ * whether the engine acts on the order.
+ */
+#define U_DISABLE_JANSSON
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/fns.h"
+
+enum {
+    HTTP_OK = 200,
+    HTTP_NOT_FOUND = 404,
+    HTTP_CONFLICT = 409,
+    URL_MAX_BYTES = 160,
+    ERROR_TEXT_MAX = 120,
+};
+
+/**
+ * struct engine_http - engine_api over HTTP
+ * @api: first member
+ * @timeout_ms: longest wait for an answer
+ */
+struct engine_http {
+    struct engine_api api;
+    int timeout_ms;
+};
+
+/* The engine's name of a leaf is its path without the leading slash. */
+static char *
+order_body(const char *path, int64_t memory_mb, uint64_t fence)
+{
+    struct json_object *root = json_object_new_object();
+    char *text;
+
+    json_object_object_add(root, "model", json_object_new_string(path + 1));
+    if (memory_mb > 0) {
+        json_object_object_add(root, "memory_mb",
+                               json_object_new_int64(memory_mb));
+    }
+    json_object_object_add(root, "fence",
+                           json_object_new_int64((int64_t)fence));
+    text =
+        g_strdup(json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+    json_object_put(root);
+    return text;
+}
+
+/* Copies the "error" of an answer; returns false unless it is an object. */
+static bool
+read_error(const struct _u_response *response, char *text, size_t bytes)
+{
+    char *body =
+        g_strndup(response->binary_body, response->binary_body_length);
+    struct json_object *root = json_tokener_parse(body);
+    struct json_object *error;
+    bool ok = json_object_is_type(root, json_type_object);
+
+    text[0] = '\0';
+    if (ok && json_object_object_get_ex(root, "error", &error)) {
+        g_strlcpy(text, json_object_get_string(error), bytes);
+    }
+    json_object_put(root);
+    g_free(body);
+    return ok;
+}
+
+static bool
+read_answer(const struct _u_response *response, const char *url,
+            bool absent_is_done, struct err *err)
+{
+    char error[ERROR_TEXT_MAX];
+
+    if (response->status == HTTP_OK) {
+        return true;
+    }
+    if (response->status < 400 || response->binary_body_length == 0 ||
+        !read_error(response, error, sizeof(error))) {
+        return err_set(err, ERR_IO, "%s: status %ld without an answer", url,
+                       response->status);
+    }
+    if (response->status == HTTP_NOT_FOUND && absent_is_done) {
+        return true;
+    }
+    if (response->status == HTTP_CONFLICT && strcmp(error, "fence_old") == 0) {
+        return err_set(err, ERR_FENCE_OLD, "%s: fence refused", url);
+    }
+    return err_set(err, ERR_LOAD_FAILED, "%s: status %ld: %s", url,
+                   response->status, error);
+}
+
+/* ulfius counts timeouts in whole seconds, so the wait is rounded up. */
+static unsigned long
+timeout_s(int timeout_ms)
+{
+    return (unsigned long)(timeout_ms + 999) / 1000;
+}
+
+static bool
+post(const struct engine_http *http, const char *url, const char *body,
+     bool absent_is_done, struct err *err)
+{
+    struct _u_request request;
+    struct _u_response response;
+    int64_t start_ms = clock_now_ms();
+    bool ok;
+
+    ulfius_init_request(&request);
+    ulfius_init_response(&response);
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST",
+                                  U_OPT_HTTP_URL, url, U_OPT_HEADER_PARAMETER,
+                                  "Content-Type", "application/json",
+                                  U_OPT_TIMEOUT, timeout_s(http->timeout_ms),
+                                  U_OPT_STRING_BODY, body, U_OPT_NONE);
+    if (ulfius_send_http_request(&request, &response) == U_OK) {
+        ok = read_answer(&response, url, absent_is_done, err);
+    }
+    else if (clock_now_ms() - start_ms >= http->timeout_ms) {
+        ok = err_set(err, ERR_TIMEOUT, "%s: no answer in %d ms", url,
+                     http->timeout_ms);
+    }
+    else {
+        ok = err_set(err, ERR_IO, "%s: no complete answer", url);
+    }
+    ulfius_clean_response(&response);
+    ulfius_clean_request(&request);
+    return ok;
+}
+
+static bool
+send_order(struct engine_api *api, const char *address, const char *verb,
+           const char *path, int64_t memory_mb, uint64_t fence,
+           struct err *err)
+{
+    char url[URL_MAX_BYTES];
+    char *body = order_body(path, memory_mb, fence);
+    bool ok;
+
+    snprintf(url, sizeof(url), "http://%s/v1/%s", address, verb);
+    ok = post((const struct engine_http *)api, url, body, memory_mb == 0, err);
+    g_free(body);
+    return ok;
+}
+
+static bool
+http_load(struct engine_api *api, const char *address, const char *path,
+          int64_t memory_mb, uint64_t fence, struct err *err)
+{
+    return send_order(api, address, "load", path, memory_mb, fence, err);
+}
+
+static bool
+http_unload(struct engine_api *api, const char *address, const char *path,
+            uint64_t fence, struct err *err)
+{
+    return send_order(api, address, "unload", path, 0, fence, err);
+}
+
+static const struct engine_api_ops http_ops = {http_load, http_unload};
+
+/**
+ * engine_http_new() - orders to engines over HTTP
+ * @load_timeout_ms: longest wait for the end of a load or unload
+ *
+ * Return: to be released with engine_http_free().
+ */
+struct engine_api *
+engine_http_new(int load_timeout_ms)
+{
+    struct engine_http *http = g_new0(struct engine_http, 1);
+
+    http->api.ops = &http_ops;
+    http->timeout_ms = load_timeout_ms;
+    return &http->api;
+}
+
+/**
+ * engine_http_free() - release what engine_http_new() returned
+ * @api: may be NULL
+ */
+void
+engine_http_free(struct engine_api *api)
+{
+    g_free(api);
+}
--- /dev/null
+++ b/src/turmericd/place/leaf.c
@@ -0,0 +1,232 @@
+/**
+ * DOC: Leaves: who waits for them, who is told, when they were used.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/fns.h"
+#include "turmericd/place/inner/dat.h"
+#include "turmericd/place/inner/fns.h"
+
+/* A leaf that is used is reported to its owner this often in each
+   idle_unload_s, so that the owner errs by at most a quarter of it. */
+enum { USES_TOLD_PER_IDLE = 4 };
+
+/**
+ * leaf_find() - state of a leaf
+ * @place: placement
+ * @id: id of the leaf
+ *
+ * Return: the state or NULL.
+ */
+struct leaf *
+leaf_find(struct place *place, uint64_t id)
+{
+    return g_hash_table_lookup(place->leaves, &id);
+}
+
+/**
+ * leaf_get() - state of a leaf, made when there is none
+ * @place: placement
+ * @id: id of the leaf
+ * @path: its path
+ */
+struct leaf *
+leaf_get(struct place *place, uint64_t id, const char *path)
+{
+    struct leaf *leaf = leaf_find(place, id);
+
+    if (leaf == NULL) {
+        leaf = g_new0(struct leaf, 1);
+        leaf->id = id;
+        g_strlcpy(leaf->path, path, PATH_MAX_BYTES);
+        leaf->used_ms = place->now_ms;
+        leaf->told_ms = place->now_ms;
+        g_hash_table_insert(place->leaves, &leaf->id, leaf);
+    }
+    return leaf;
+}
+
+/**
+ * leaf_free() - release the state of a leaf
+ * @data: struct leaf
+ */
+void
+leaf_free(gpointer data)
+{
+    struct leaf *leaf = data;
+
+    g_free(leaf->views);
+    g_free(leaf);
+}
+
+/**
+ * leaf_node() - settings of a leaf
+ * @place: placement
+ * @leaf: the leaf
+ *
+ * Return: NULL when the leaf is not in the tree.
+ */
+const struct node *
+leaf_node(const struct place *place, const struct leaf *leaf)
+{
+    const struct node *node;
+
+    if (place->tree == NULL) {
+        return NULL;
+    }
+    node = tree_node_by_id(place->tree, leaf->id);
+    return node != NULL && node_is_leaf(node) ? node : NULL;
+}
+
+/**
+ * leaf_wanted() - callers of a member wait for the leaf
+ * @place: placement
+ * @leaf: the leaf
+ * @asker: the member; several wants of a member count as one
+ * @priority: highest priority of the waiting calls
+ */
+void
+leaf_wanted(struct place *place, struct leaf *leaf, uint64_t asker,
+            int priority)
+{
+    if (leaf->want_ms == 0) {
+        leaf->since_ms = place->now_ms;
+        leaf->priority = priority;
+    }
+    leaf->want_ms = place->now_ms;
+    leaf->used_ms = place->now_ms;
+    if (priority > leaf->priority) {
+        leaf->priority = priority;
+    }
+    /* An asker that finds no room here repeats its want. */
+    if (leaf->asker_count < LEAF_ASKERS_MAX &&
+        !report_has(leaf->askers, leaf->asker_count, asker)) {
+        leaf->askers[leaf->asker_count++] = asker;
+    }
+}
+
+/**
+ * leaf_tell_use() - tell the owner of a use, unless it was told recently
+ * @place: placement
+ * @leaf: the leaf
+ */
+void
+leaf_tell_use(struct place *place, struct leaf *leaf)
+{
+    const struct node *node = leaf_node(place, leaf);
+    int64_t pause_ms;
+
+    if (leaf->owned || node == NULL || leaf->used_ms <= leaf->told_ms) {
+        return;
+    }
+    pause_ms = node->settings.idle_unload_s * 1000 / USES_TOLD_PER_IDLE;
+    if (place->now_ms - leaf->told_ms >= pause_ms) {
+        leaf->told_ms = place->now_ms;
+        send_want(place, leaf, 0);
+    }
+}
+
+static void
+use_one(struct place *place, const struct node *node)
+{
+    struct leaf *leaf = leaf_get(place, node->id, node->path);
+
+    leaf->used_ms = place->now_ms;
+    leaf_tell_use(place, leaf);
+}
+
+/**
+ * leaf_used() - a request was routed to the leaf; its model is used too
+ * @place: placement
+ * @id: id of the leaf
+ */
+void
+leaf_used(struct place *place, uint64_t id)
+{
+    const struct node *node =
+        place->tree == NULL ? NULL : tree_node_by_id(place->tree, id);
+
+    if (node == NULL || !node_is_leaf(node)) {
+        return;
+    }
+    use_one(place, node);
+    if (node->base != 0) {
+        node = tree_node_by_id(place->tree, node->base);
+        if (node != NULL) {
+            use_one(place, node);
+        }
+    }
+}
+
+/**
+ * leaf_answer() - answer everyone who waits for the leaf
+ * @place: placement
+ * @leaf: the leaf
+ * @placement: the answer
+ */
+void
+leaf_answer(struct place *place, struct leaf *leaf,
+            const struct placement *placement)
+{
+    for (int i = 0; i < leaf->asker_count; i++) {
+        if (leaf->askers[i] == place->self) {
+            place->port->ops->placed(place->port, placement);
+        }
+        else {
+            send_answer(place, leaf->askers[i], placement);
+        }
+    }
+    leaf->asker_count = 0;
+    leaf->want_ms = 0;
+    if (placement->kind == ERR_NONE) {
+        leaf->answered_ms = place->now_ms;
+    }
+}
+
+/**
+ * leaves_list() - all leaves, for loops that may add leaves
+ * @place: placement
+ *
+ * Return: array of struct leaf, to be released with g_ptr_array_unref().
+ */
+GPtrArray *
+leaves_list(const struct place *place)
+{
+    GPtrArray *list = g_ptr_array_sized_new(g_hash_table_size(place->leaves));
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, place->leaves);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(list, value);
+    }
+    return list;
+}
+
+/**
+ * leaf_refuse() - tell everyone who waits that the leaf won't be loaded
+ * @place: placement
+ * @leaf: the leaf
+ * @kind: why
+ * @text: detail
+ */
+void
+leaf_refuse(struct place *place, struct leaf *leaf, enum err_kind kind,
+            const char *text)
+{
+    struct placement placement = {.leaf = leaf->id, .kind = kind};
+
+    g_strlcpy(placement.text, text, sizeof(placement.text));
+    leaf_answer(place, leaf, &placement);
+}
--- /dev/null
+++ b/src/turmericd/place/reserve.c
@@ -0,0 +1,666 @@
+/**
+ * DOC: Transitions of the two records, each from a record to the next one.
+ *
+ * Safety rests on these functions alone, because every write is a
+ * compare-and-swap of their result.
+ *
+ * An item is released only when no order to load it can still take effect.
+ * An engine that checks fences refuses earlier orders once it has
+ * acknowledged an unload with a higher fence. On an engine that ignores
+ * fences, the unload must have been written after every sender's call had
+ * ended: a load whose call ended without an answer may still be waiting in
+ * the engine, which takes requests in the order of their connections, so only
+ * an acknowledged unload that was sent later proves that nothing is left.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/inner/dat.h"
+#include "turmericd/place/inner/fns.h"
+
+static bool
+same_sender(const struct sender *a, const struct sender *b)
+{
+    return a->member == b->member && a->start == b->start &&
+           a->fence == b->fence;
+}
+
+/**
+ * slot_find() - slot of a leaf on an engine
+ * @record: replica record
+ * @engine: id of the engine
+ *
+ * Return: the slot or NULL.
+ */
+const struct replica_slot *
+slot_find(const struct replica_record *record, uint64_t engine)
+{
+    for (int i = 0; i < record->slot_count; i++) {
+        if (record->slots[i].engine == engine) {
+            return &record->slots[i];
+        }
+    }
+    return NULL;
+}
+
+/**
+ * slot_add() - take a slot, or announce another reservation in one
+ * @old: replica record
+ * @engine: engine that gets the replica
+ * @by: writer, and the fence of the reservation that follows
+ * @limit: replicas_max
+ * @revision: configuration revision of the writer
+ * @next: filled in
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_CONFIG_STALE for a writer with an older
+ * configuration, ERR_REPLICAS_FULL at the limit.
+ */
+bool
+slot_add(const struct replica_record *old, uint64_t engine,
+         const struct sender *by, int64_t limit, int64_t revision,
+         struct replica_record *next, struct err *err)
+{
+    struct replica_slot *slot;
+    bool present = slot_find(old, engine) != NULL;
+
+    if (revision < old->revision) {
+        return err_set(err, ERR_CONFIG_STALE,
+                       "%s: written at revision %lld, this is %lld", old->path,
+                       (long long)old->revision, (long long)revision);
+    }
+    if (old->slot_count + (present ? 0 : 1) > limit) {
+        return err_set(err, ERR_REPLICAS_FULL, "%s: %d of %lld replicas",
+                       old->path, old->slot_count, (long long)limit);
+    }
+    if (!present && old->slot_count == REPLICA_SLOTS_MAX) {
+        return err_set(err, ERR_TABLE_FULL, "%s: record is full", old->path);
+    }
+    if (next != old) {
+        *next = *old;
+    }
+    next->revision = revision;
+    slot = (struct replica_slot *)slot_find(next, engine);
+    if (slot == NULL) {
+        slot = &next->slots[next->slot_count++];
+    }
+    slot->engine = engine;
+    slot->by = *by;
+    return true;
+}
+
+/**
+ * slot_remove() - give back a slot
+ * @old: replica record
+ * @slot: the slot as it was read
+ * @next: filled in
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_KV_CONFLICT when the slot has changed since.
+ */
+bool
+slot_remove(const struct replica_record *old, const struct replica_slot *slot,
+            struct replica_record *next, struct err *err)
+{
+    const struct replica_slot *found = slot_find(old, slot->engine);
+    int index;
+
+    if (found == NULL || !same_sender(&found->by, &slot->by)) {
+        return err_set(err, ERR_KV_CONFLICT, "%s: slot has changed",
+                       old->path);
+    }
+    index = (int)(found - old->slots);
+    if (next != old) {
+        *next = *old;
+    }
+    next->slots[index] = next->slots[--next->slot_count];
+    return true;
+}
+
+/**
+ * item_find() - item of a leaf in an engine's record
+ * @record: engine's record
+ * @leaf: id of the leaf
+ *
+ * Return: the item or NULL.
+ */
+const struct item *
+item_find(const struct engine_record *record, uint64_t leaf)
+{
+    for (int i = 0; i < record->item_count; i++) {
+        if (record->items[i].leaf == leaf) {
+            return &record->items[i];
+        }
+    }
+    return NULL;
+}
+
+/**
+ * item_sent_by() - whether an order of this sender may be in flight
+ * @item: the item
+ * @sender: member, start number and fence
+ */
+bool
+item_sent_by(const struct item *item, const struct sender *sender)
+{
+    for (int i = 0; i < item->sender_count; i++) {
+        if (same_sender(&item->senders[i], sender)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * reserved_mb() - memory counted in a record
+ * @record: engine's record
+ */
+int64_t
+reserved_mb(const struct engine_record *record)
+{
+    int64_t sum = record->foreign_mb;
+
+    for (int i = 0; i < record->item_count; i++) {
+        sum += record->items[i].mb;
+    }
+    return sum;
+}
+
+static struct item *
+find(struct engine_record *record, uint64_t leaf)
+{
+    return (struct item *)item_find(record, leaf);
+}
+
+/* Copies the record and finds the item in the copy. */
+static struct item *
+begin(const struct engine_record *old, uint64_t leaf,
+      struct engine_record *next, struct err *err)
+{
+    if (item_find(old, leaf) == NULL) {
+        err_set(err, ERR_KV_CONFLICT, "the engine has no item of the leaf");
+        return NULL;
+    }
+    if (next != old) {
+        *next = *old;
+    }
+    return find(next, leaf);
+}
+
+static void
+drop_item(struct engine_record *record, struct item *item)
+{
+    *item = record->items[--record->item_count];
+}
+
+static void
+drop_sender(struct item *item, const struct sender *sender)
+{
+    for (int i = 0; i < item->sender_count; i++) {
+        if (same_sender(&item->senders[i], sender)) {
+            item->senders[i] = item->senders[--item->sender_count];
+            return;
+        }
+    }
+}
+
+/* An engine that checks fences refuses every order older than @fence. */
+static void
+drop_senders_below(struct item *item, uint64_t fence)
+{
+    int kept = 0;
+
+    for (int i = 0; i < item->sender_count; i++) {
+        if (item->senders[i].fence >= fence) {
+            item->senders[kept++] = item->senders[i];
+        }
+    }
+    item->sender_count = kept;
+}
+
+/**
+ * reserve_restart() - take note of the engine's process and memory
+ * @old: engine's record
+ * @incarnation: start number in a report
+ * @memory_mb: memory in the report
+ * @next: filled in
+ *
+ * A new process holds nothing, but orders in flight may still reach it: their
+ * items stay in doubt. A report older than the record changes nothing.
+ *
+ * Return: whether the record has changed.
+ */
+bool
+reserve_restart(const struct engine_record *old, uint64_t incarnation,
+                int64_t memory_mb, struct engine_record *next)
+{
+    if (next != old) {
+        *next = *old;
+    }
+    if (incarnation == old->incarnation && memory_mb != old->memory_mb) {
+        next->memory_mb = memory_mb;
+        return true;
+    }
+    if (incarnation <= old->incarnation) {
+        return false;
+    }
+    next->incarnation = incarnation;
+    next->memory_mb = memory_mb;
+    next->foreign_mb = 0;
+    for (int i = next->item_count - 1; i >= 0; i--) {
+        next->items[i].state = ITEM_DOUBT;
+        if (next->items[i].sender_count == 0) {
+            drop_item(next, &next->items[i]);
+        }
+    }
+    return true;
+}
+
+/*
+ * Memory in use that no item explains. An item whose load is under way may or
+ * may not be part of used_mb, so while there is one the last certain value is
+ * kept unless the excess is larger.
+ */
+static int64_t
+foreign_memory(const struct engine_record *record,
+               const struct target_report *report)
+{
+    int64_t listed = 0;
+    int64_t all = 0;
+    bool moving = false;
+    int64_t excess;
+
+    for (int i = 0; i < record->item_count; i++) {
+        const struct item *item = &record->items[i];
+
+        all += item->mb;
+        moving |= item->state != ITEM_LOADED;
+        if (report_has(report->loaded, report->loaded_count, item->leaf)) {
+            listed += item->mb;
+        }
+    }
+    if (!moving) {
+        excess = (int64_t)report->used_mb - listed;
+        return excess > 0 ? excess : 0;
+    }
+    excess = (int64_t)report->used_mb - all;
+    return excess > record->foreign_mb ? excess : record->foreign_mb;
+}
+
+static bool
+has_base(const struct engine_record *record, uint64_t base)
+{
+    const struct item *item = item_find(record, base);
+
+    return base == 0 || (item != NULL && item->state == ITEM_LOADED);
+}
+
+static bool
+check_add(const struct engine_record *record, const struct reservation *want,
+          const struct target_report *report, struct err *err)
+{
+    if (item_find(record, want->leaf) != NULL) {
+        return err_set(err, ERR_KV_CONFLICT, "%s is already reserved on %s",
+                       want->path, report->name);
+    }
+    if (report->incarnation < record->incarnation) {
+        return err_set(err, ERR_NO_TARGET, "report of %s is out of date",
+                       report->name);
+    }
+    if (!has_base(record, want->base)) {
+        return err_set(err, ERR_NO_TARGET, "base model of %s is not on %s",
+                       want->path, report->name);
+    }
+    if (record->item_count == RESERVE_ITEMS_MAX) {
+        return err_set(err, ERR_MEMORY_FULL, "record of %s is full",
+                       report->name);
+    }
+    return true;
+}
+
+static void
+fill_item(struct item *item, const struct reservation *want, uint64_t fence)
+{
+    memset(item, 0, sizeof(*item));
+    item->leaf = want->leaf;
+    strncpy(item->path, want->path, PATH_MAX_BYTES - 1);
+    item->mb = want->mb;
+    item->state = ITEM_LOADING;
+    item->fence = fence;
+    item->senders[item->sender_count++] =
+        (struct sender){want->member, want->start, fence};
+}
+
+/**
+ * reserve_add() - reserve memory for a leaf that the engine does not hold
+ * @old: engine's record
+ * @want: leaf, memory and writer
+ * @report: the engine's report
+ * @next: filled in; next->fence is the fence of the order
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_MEMORY_FULL when the sum would exceed the memory,
+ * ERR_KV_CONFLICT when there is an item already, ERR_NO_TARGET when the base
+ * model of an adapter is missing or the report is older than the record.
+ */
+bool
+reserve_add(const struct engine_record *old, const struct reservation *want,
+            const struct target_report *report, struct engine_record *next,
+            struct err *err)
+{
+    int64_t sum;
+
+    reserve_restart(old, report->incarnation, report->memory_mb, next);
+    if (!check_add(next, want, report, err)) {
+        return false;
+    }
+    next->foreign_mb = foreign_memory(next, report);
+    sum = reserved_mb(next);
+    if (sum + want->mb > next->memory_mb) {
+        return err_set(err, ERR_MEMORY_FULL,
+                       "%s: %lld of %lld MB reserved, %s needs %lld",
+                       report->name, (long long)sum,
+                       (long long)next->memory_mb, want->path,
+                       (long long)want->mb);
+    }
+    next->fence++;
+    fill_item(&next->items[next->item_count++], want, next->fence);
+    return true;
+}
+
+/**
+ * reserve_adopt() - order the load of an existing item again
+ * @old: engine's record
+ * @want: leaf and writer; the item keeps its memory
+ * @next: filled in; next->fence is the fence of the order
+ * @err: filled in on failure
+ *
+ * Earlier senders stay in the item, as their orders may still be in flight.
+ *
+ * Return: false with ERR_KV_CONFLICT without an item, ERR_TABLE_FULL when too
+ * many orders may be in flight.
+ */
+bool
+reserve_adopt(const struct engine_record *old, const struct reservation *want,
+              struct engine_record *next, struct err *err)
+{
+    struct item *item = begin(old, want->leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    if (item->sender_count == RESERVE_SENDERS_MAX) {
+        return err_set(err, ERR_TABLE_FULL, "%s: too many orders in flight",
+                       item->path);
+    }
+    next->fence++;
+    item->fence = next->fence;
+    item->state = ITEM_LOADING;
+    item->adopted = true;
+    item->senders[item->sender_count++] =
+        (struct sender){want->member, want->start, next->fence};
+    return true;
+}
+
+/**
+ * reserve_loaded() - the engine has confirmed a load
+ * @old: engine's record
+ * @leaf: id of the leaf
+ * @sender: the order that was confirmed
+ * @checks_fence: the engine refuses old fences
+ * @next: filled in
+ * @err: filled in on failure
+ *
+ * An order that is no longer the newest only settles its own sender.
+ */
+bool
+reserve_loaded(const struct engine_record *old, uint64_t leaf,
+               const struct sender *sender, bool checks_fence,
+               struct engine_record *next, struct err *err)
+{
+    struct item *item = begin(old, leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    drop_sender(item, sender);
+    if (checks_fence) {
+        drop_senders_below(item, sender->fence);
+    }
+    if (item->state == ITEM_LOADING && item->fence == sender->fence) {
+        item->state = ITEM_LOADED;
+    }
+    return true;
+}
+
+/**
+ * reserve_refused() - the engine has definitely refused a load
+ * @old: engine's record
+ * @leaf: id of the leaf
+ * @sender: the order that was refused
+ * @next: filled in; without the item when that was its only order
+ * @err: filled in on failure
+ *
+ * An item with earlier orders goes to doubt: one of them may have taken
+ * effect.
+ */
+bool
+reserve_refused(const struct engine_record *old, uint64_t leaf,
+                const struct sender *sender, struct engine_record *next,
+                struct err *err)
+{
+    struct item *item = begin(old, leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    drop_sender(item, sender);
+    if (item->fence != sender->fence) {
+        return true;
+    }
+    if (!item->adopted && item->sender_count == 0) {
+        drop_item(next, item);
+        return true;
+    }
+    item->state = ITEM_DOUBT;
+    return true;
+}
+
+/**
+ * reserve_doubt() - a load ended without an answer
+ * @old: engine's record
+ * @leaf: id of the leaf
+ * @sender: the order; it stays in the item
+ * @next: filled in
+ * @err: filled in on failure
+ */
+bool
+reserve_doubt(const struct engine_record *old, uint64_t leaf,
+              const struct sender *sender, struct engine_record *next,
+              struct err *err)
+{
+    struct item *item = begin(old, leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    if (item->fence == sender->fence) {
+        item->state = ITEM_DOUBT;
+    }
+    return true;
+}
+
+/**
+ * reserve_settle() - forget senders that have no order in flight
+ * @old: engine's record
+ * @leaf: id of the leaf
+ * @settled: senders; one settles its orders up to its fence
+ * @settled_count: how many
+ * @next: filled in
+ * @err: filled in on failure
+ */
+bool
+reserve_settle(const struct engine_record *old, uint64_t leaf,
+               const struct sender *settled, int settled_count,
+               struct engine_record *next, struct err *err)
+{
+    struct item *item = begin(old, leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    for (int s = 0; s < settled_count; s++) {
+        for (int i = item->sender_count - 1; i >= 0; i--) {
+            const struct sender *sender = &item->senders[i];
+
+            if (sender->member == settled[s].member &&
+                sender->start == settled[s].start &&
+                sender->fence <= settled[s].fence) {
+                item->senders[i] = item->senders[--item->sender_count];
+            }
+        }
+    }
+    return true;
+}
+
+static bool
+has_adapters(const struct engine_record *record, const struct item *base)
+{
+    size_t length = strlen(base->path);
+
+    for (int i = 0; i < record->item_count; i++) {
+        if (strncmp(record->items[i].path, base->path, length) == 0 &&
+            record->items[i].path[length] == '/') {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * reserve_unload() - write down an order to unload
+ * @old: engine's record, after reserve_settle()
+ * @leaf: id of the leaf
+ * @checks_fence: the engine refuses old fences
+ * @next: filled in; next->fence is the fence of the order
+ * @err: filled in on failure
+ *
+ * The item is in state unloading only when the acknowledgement will prove
+ * that nothing can load it any more; otherwise it is in doubt.
+ *
+ * Return: false with ERR_KV_CONFLICT without an item or while adapters of the
+ * model have items.
+ */
+bool
+reserve_unload(const struct engine_record *old, uint64_t leaf,
+               bool checks_fence, struct engine_record *next, struct err *err)
+{
+    struct item *item = begin(old, leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    if (has_adapters(next, item)) {
+        return err_set(err, ERR_KV_CONFLICT, "%s has adapters on the engine",
+                       item->path);
+    }
+    next->fence++;
+    item->fence = next->fence;
+    item->state = ITEM_DOUBT;
+    if (checks_fence || item->sender_count == 0) {
+        item->state = ITEM_UNLOADING;
+    }
+    return true;
+}
+
+/**
+ * reserve_unloaded() - the engine has acknowledged an unload
+ * @old: engine's record
+ * @leaf: id of the leaf
+ * @fence: fence of the unload
+ * @next: filled in; without the item unless it is in doubt
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_KV_CONFLICT when a newer order was written since.
+ */
+bool
+reserve_unloaded(const struct engine_record *old, uint64_t leaf,
+                 uint64_t fence, struct engine_record *next, struct err *err)
+{
+    struct item *item = begin(old, leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    if (item->fence != fence) {
+        return err_set(err, ERR_KV_CONFLICT, "%s: a newer order was written",
+                       item->path);
+    }
+    if (item->state == ITEM_UNLOADING) {
+        drop_item(next, item);
+    }
+    return true;
+}
+
+/**
+ * reserve_release() - drop an item of an engine that no longer exists
+ * @old: engine's record, after reserve_settle()
+ * @leaf: id of the leaf
+ * @next: filled in
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_KV_CONFLICT while an order may be in flight.
+ */
+bool
+reserve_release(const struct engine_record *old, uint64_t leaf,
+                struct engine_record *next, struct err *err)
+{
+    struct item *item = begin(old, leaf, next, err);
+
+    if (item == NULL) {
+        return false;
+    }
+    if (item->sender_count > 0) {
+        return err_set(err, ERR_KV_CONFLICT, "%s: %d orders may be in flight",
+                       item->path, item->sender_count);
+    }
+    drop_item(next, item);
+    return true;
+}
+
+/**
+ * reserve_pass() - make reservations that were announced before now fail
+ * @old: engine's record
+ * @leaf: leaf of a slot without an item
+ * @next: filled in
+ * @err: filled in on failure
+ *
+ * Whoever took the slot writes its reservation against the revision of the
+ * engine's record that it read before. This write changes that revision, so
+ * the slot can be removed without a reservation appearing afterwards.
+ *
+ * Return: false with ERR_KV_CONFLICT when there is an item.
+ */
+bool
+reserve_pass(const struct engine_record *old, uint64_t leaf,
+             struct engine_record *next, struct err *err)
+{
+    if (item_find(old, leaf) != NULL) {
+        return err_set(err, ERR_KV_CONFLICT, "the engine has an item");
+    }
+    if (next != old) {
+        *next = *old;
+    }
+    next->fence++;
+    return true;
+}
--- /dev/null
+++ b/test/order_test.c
@@ -0,0 +1,760 @@
+/* Tests of the place duty against a store and engines in memory. */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/fns.h"
+#include "turmericd/place/inner/dat.h"
+#include "turmericd/place/inner/fns.h"
+
+enum {
+    ENGINES_MAX = 4,
+    NODES_MAX = 3,
+    LATE_MAX = 16,
+    WANT_REPEAT_MS = 500,
+    GHOST = 77,
+};
+
+enum load_mode {
+    LOAD_NORMAL,
+    LOAD_HELD,
+    LOAD_ANSWER_LOST,
+    LOAD_ORDER_LATE,
+    LOAD_REFUSED,
+};
+
+/* An order that the network still holds. */
+struct late {
+    char path[PATH_MAX_BYTES];
+    int64_t mb;
+    uint64_t fence;
+};
+
+/*
+ * An engine that aborts the test when it is asked to hold more memory than it
+ * has. Fences are kept per leaf, as the engine's API names the leaf.
+ */
+struct engine {
+    uint64_t id;
+    char name[NAME_MAX_BYTES];
+    int64_t memory_mb;
+    bool checks_fence;
+    uint64_t incarnation;
+    enum target_state state;
+    enum load_mode mode;
+    GHashTable *loaded;
+    GHashTable *fences;
+    GHashTable *cached;
+    struct late late[LATE_MAX];
+    int late_count;
+    int loads;
+    int unloads;
+    int held;
+};
+
+struct world;
+
+/* One instance. */
+struct node_under_test {
+    struct place_port port;
+    struct world *world;
+    uint64_t self;
+    struct place *place;
+    struct supervisor supervisor;
+    pthread_t thread;
+    bool running;
+    struct ring placed;
+    _Atomic bool fresh;
+};
+
+/* The store counts as one of the fakes: it signals each of its calls. */
+struct world {
+    struct kv kv;
+    struct engine_api api;
+    struct kv_memory store;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    struct engine engines[ENGINES_MAX];
+    int engine_count;
+    struct node_under_test nodes[NODES_MAX];
+    int node_count;
+    struct tree *tree;
+    uint64_t owner;
+    int64_t limit;
+    bool ghost_alive;
+    int store_held;
+    bool hold_store;
+};
+
+static void
+changed(struct world *world)
+{
+    pthread_cond_broadcast(&world->changed);
+}
+
+static struct world *
+world_of_kv(struct kv *kv)
+{
+    return (struct world *)kv;
+}
+
+/* A slow store: calls wait until the test lets them go on. */
+static void
+pass_store_gate(struct world *world)
+{
+    pthread_mutex_lock(&world->lock);
+    world->store_held++;
+    changed(world);
+    while (world->hold_store) {
+        pthread_cond_wait(&world->changed, &world->lock);
+    }
+    world->store_held--;
+    pthread_mutex_unlock(&world->lock);
+}
+
+static void
+signal_store(struct world *world)
+{
+    pthread_mutex_lock(&world->lock);
+    changed(world);
+    pthread_mutex_unlock(&world->lock);
+}
+
+static bool
+gate_get(struct kv *kv, const char *key, struct kv_entry *entry,
+         struct err *err)
+{
+    struct world *world = world_of_kv(kv);
+
+    pass_store_gate(world);
+    return world->store.kv.ops->get(&world->store.kv, key, entry, err);
+}
+
+static bool
+gate_range(struct kv *kv, const char *from, const char *end, int limit,
+           struct kv_entries *entries, struct err *err)
+{
+    struct world *world = world_of_kv(kv);
+
+    pass_store_gate(world);
+    return world->store.kv.ops->range(&world->store.kv, from, end, limit,
+                                      entries, err);
+}
+
+static bool
+gate_cas(struct kv *kv, const char *key, int64_t expected, const void *value,
+         size_t value_bytes, int64_t *revision, struct err *err)
+{
+    struct world *world = world_of_kv(kv);
+    bool ok;
+
+    pass_store_gate(world);
+    ok = world->store.kv.ops->cas(&world->store.kv, key, expected, value,
+                                  value_bytes, revision, err);
+    signal_store(world);
+    return ok;
+}
+
+static const struct kv_ops gate_ops = {
+    .get = gate_get,
+    .range = gate_range,
+    .cas = gate_cas,
+};
+
+static int64_t
+used_mb(const struct engine *engine)
+{
+    GHashTableIter iter;
+    gpointer value;
+    int64_t sum = 0;
+
+    g_hash_table_iter_init(&iter, engine->loaded);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        sum += GPOINTER_TO_INT(value);
+    }
+    return sum;
+}
+
+/* Called with the lock held. */
+static int
+replicas(const struct world *world, const char *path)
+{
+    int count = 0;
+
+    for (int i = 0; i < world->engine_count; i++) {
+        count += g_hash_table_contains(world->engines[i].loaded, path) ? 1 : 0;
+    }
+    return count;
+}
+
+/* Called with the lock held. Aborts when an invariant is broken. */
+static void
+check_invariants(const struct world *world, const char *path)
+{
+    for (int i = 0; i < world->engine_count; i++) {
+        const struct engine *engine = &world->engines[i];
+
+        g_assert_cmpint(used_mb(engine), <=, engine->memory_mb);
+    }
+    g_assert_cmpint(replicas(world, path), <=, world->limit);
+}
+
+static bool
+fence_passes(struct engine *engine, const char *path, uint64_t fence,
+             struct err *err)
+{
+    uint64_t seen =
+        (uint64_t)GPOINTER_TO_SIZE(g_hash_table_lookup(engine->fences, path));
+
+    if (engine->checks_fence && fence < seen) {
+        return err_set(err, ERR_FENCE_OLD, "%s: fence", path);
+    }
+    if (fence > seen) {
+        g_hash_table_insert(engine->fences, g_strdup(path),
+                            GSIZE_TO_POINTER(fence));
+    }
+    return true;
+}
+
+/* Called with the lock held. What the engine does with an order to load. */
+static bool
+apply_load(struct world *world, struct engine *engine, const char *path,
+           int64_t mb, uint64_t fence, struct err *err)
+{
+    if (!fence_passes(engine, path, fence, err)) {
+        return false;
+    }
+    engine->loads++;
+    g_hash_table_insert(engine->loaded, g_strdup(path), GINT_TO_POINTER(mb));
+    check_invariants(world, path);
+    return true;
+}
+
+static struct engine *
+engine_at(struct world *world, const char *address)
+{
+    for (int i = 0; i < world->engine_count; i++) {
+        if (strcmp(world->engines[i].name, address) == 0) {
+            return &world->engines[i];
+        }
+    }
+    g_assert_not_reached();
+    return NULL;
+}
+
+/* Called with the lock held. */
+static void
+fill_report(const struct engine *engine, struct target_report *report)
+{
+    GHashTableIter iter;
+    gpointer key;
+
+    memset(report, 0, sizeof(*report));
+    report->id = engine->id;
+    g_strlcpy(report->name, engine->name, sizeof(report->name));
+    g_strlcpy(report->service, "mind", sizeof(report->service));
+    g_strlcpy(report->data_centre, "nemom", sizeof(report->data_centre));
+    g_strlcpy(report->address, engine->name, sizeof(report->address));
+    report->kind = TARGET_ENGINE;
+    report->state = engine->state;
+    report->incarnation = engine->incarnation;
+    report->memory_mb = (uint32_t)engine->memory_mb;
+    report->used_mb = (uint32_t)used_mb(engine);
+    g_hash_table_iter_init(&iter, engine->loaded);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        report->loaded[report->loaded_count++] = hash_text(key);
+    }
+    g_hash_table_iter_init(&iter, engine->cached);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        report->cached_memory[report->cached_memory_count++] = hash_text(key);
+    }
+}
+
+/* Called with the lock held: reports come in the order of the changes. */
+static void
+report_all(struct world *world)
+{
+    for (int n = 0; n < world->node_count; n++) {
+        for (int i = 0; i < world->engine_count; i++) {
+            struct target_report report;
+
+            fill_report(&world->engines[i], &report);
+            if (world->nodes[n].running) {
+                place_post_report(world->nodes[n].place, &report, NULL);
+            }
+        }
+    }
+    changed(world);
+}
+
+static bool
+fake_load(struct engine_api *api, const char *address, const char *path,
+          int64_t memory_mb, uint64_t fence, struct err *err)
+{
+    struct world *world =
+        (struct world *)((char *)api - offsetof(struct world, api));
+    struct engine *engine = engine_at(world, address);
+    struct late *late;
+    bool ok = false;
+
+    pthread_mutex_lock(&world->lock);
+    engine->held++;
+    changed(world);
+    while (engine->mode == LOAD_HELD) {
+        pthread_cond_wait(&world->changed, &world->lock);
+    }
+    engine->held--;
+    switch (engine->mode) {
+    case LOAD_REFUSED:
+        err_set(err, ERR_LOAD_FAILED, "refused");
+        break;
+    case LOAD_ORDER_LATE:
+        g_assert_cmpint(engine->late_count, <, LATE_MAX);
+        late = &engine->late[engine->late_count++];
+        g_strlcpy(late->path, path, sizeof(late->path));
+        late->mb = memory_mb;
+        late->fence = fence;
+        err_set(err, ERR_TIMEOUT, "no answer");
+        break;
+    case LOAD_ANSWER_LOST:
+        apply_load(world, engine, path, memory_mb, fence, err);
+        err_set(err, ERR_IO, "answer lost");
+        break;
+    default:
+        ok = apply_load(world, engine, path, memory_mb, fence, err);
+        break;
+    }
+    report_all(world);
+    pthread_mutex_unlock(&world->lock);
+    return ok;
+}
+
+static bool
+fake_unload(struct engine_api *api, const char *address, const char *path,
+            uint64_t fence, struct err *err)
+{
+    struct world *world =
+        (struct world *)((char *)api - offsetof(struct world, api));
+    struct engine *engine = engine_at(world, address);
+    bool ok;
+
+    pthread_mutex_lock(&world->lock);
+    ok = fence_passes(engine, path, fence, err);
+    if (ok) {
+        engine->unloads++;
+        g_hash_table_remove(engine->loaded, path);
+    }
+    report_all(world);
+    pthread_mutex_unlock(&world->lock);
+    return ok;
+}
+
+static const struct engine_api_ops fake_api_ops = {fake_load, fake_unload};
+
+static struct node_under_test *
+node_of(struct place_port *port)
+{
+    return (struct node_under_test *)port;
+}
+
+static void
+fake_placed(struct place_port *port, const struct placement *placement)
+{
+    ring_push(&node_of(port)->placed, placement, NULL);
+}
+
+/* An owner of 0 makes every instance take itself for the owner. */
+static uint64_t
+fake_owner(struct place_port *port, uint64_t leaf)
+{
+    struct world *world = node_of(port)->world;
+    uint64_t owner;
+
+    (void)leaf;
+    pthread_mutex_lock(&world->lock);
+    owner = world->owner;
+    pthread_mutex_unlock(&world->lock);
+    return owner == 0 ? node_of(port)->self : owner;
+}
+
+static bool
+fake_send(struct place_port *port, uint64_t member,
+          Turmeric__Envelope *envelope)
+{
+    struct world *world = node_of(port)->world;
+    size_t bytes = turmeric__envelope__get_packed_size(envelope);
+    uint8_t *packed = g_malloc(bytes);
+    Turmeric__Envelope *copy;
+    bool sent = false;
+
+    turmeric__envelope__pack(envelope, packed);
+    copy = turmeric__envelope__unpack(NULL, bytes, packed);
+    g_free(packed);
+    pthread_mutex_lock(&world->lock);
+    for (int i = 0; i < world->node_count; i++) {
+        if (world->nodes[i].self == member && world->nodes[i].running) {
+            sent = place_post_envelope(world->nodes[i].place, copy, NULL);
+        }
+    }
+    pthread_mutex_unlock(&world->lock);
+    if (!sent) {
+        turmeric__envelope__free_unpacked(copy, NULL);
+    }
+    return sent;
+}
+
+static struct tree *
+fake_tree(struct place_port *port)
+{
+    struct world *world = node_of(port)->world;
+    struct tree *tree;
+
+    pthread_mutex_lock(&world->lock);
+    tree = tree_ref(world->tree);
+    pthread_mutex_unlock(&world->lock);
+    return tree;
+}
+
+static bool
+fake_fresh(struct place_port *port)
+{
+    return node_of(port)->fresh;
+}
+
+static bool
+fake_member_alive(struct place_port *port, uint64_t member, uint64_t start)
+{
+    struct world *world = node_of(port)->world;
+    bool alive;
+
+    (void)start;
+    pthread_mutex_lock(&world->lock);
+    alive = member != GHOST || world->ghost_alive;
+    pthread_mutex_unlock(&world->lock);
+    return alive;
+}
+
+static const struct place_port_ops fake_port_ops = {
+    .placed = fake_placed,
+    .owner = fake_owner,
+    .send = fake_send,
+    .tree = fake_tree,
+    .fresh = fake_fresh,
+    .member_alive = fake_member_alive,
+};
+
+/* Changes the tree; "node key value" for each change. */
+static void
+set_tree(struct world *world, const char *const *lines, int count)
+{
+    struct change changes[32];
+    struct edit edit = {.id = "e", .author = "a", .changes = changes};
+    struct tree *tree;
+    struct tree *old;
+    struct err err = {0};
+
+    memset(changes, 0, sizeof(changes));
+    for (int i = 0; i < count; i++) {
+        gchar **parts = g_strsplit(lines[i], " ", 3);
+
+        g_strlcpy(changes[i].node, parts[0], sizeof(changes[i].node));
+        g_strlcpy(changes[i].key, parts[1], sizeof(changes[i].key));
+        g_strlcpy(changes[i].value, parts[2], sizeof(changes[i].value));
+        g_strfreev(parts);
+    }
+    edit.change_count = count;
+    pthread_mutex_lock(&world->lock);
+    old = world->tree;
+    tree = tree_apply(old, &edit, tree_revision(old) + 1, &err);
+    if (tree == NULL) {
+        g_error("tree: %s", err.text);
+    }
+    world->tree = tree;
+    pthread_mutex_unlock(&world->lock);
+    tree_unref(old);
+}
+
+#define LEAF "/mind/wheat"
+#define RIVAL "/mind/rye"
+#define ADAPTER "/mind/wheat/caterers"
+
+static const char *const base_tree[] = {
+    "/mind type \"service\"",
+    "/mind/wheat type \"model\"",
+    "/mind/rye type \"model\"",
+    "/mind/wheat/caterers type \"adapter\"",
+    "/mind/wheat memory_mb 60",
+    "/mind/rye memory_mb 60",
+    "/mind/wheat/caterers memory_mb 10",
+};
+
+static void
+world_init(struct world *world, int engines, bool checks_fence)
+{
+    memset(world, 0, sizeof(*world));
+    world->kv.ops = &gate_ops;
+    world->api.ops = &fake_api_ops;
+    kv_memory_init(&world->store);
+    pthread_mutex_init(&world->lock, NULL);
+    cond_init_monotonic(&world->changed);
+    world->tree = tree_new();
+    world->limit = 1;
+    world->ghost_alive = true;
+    world->engine_count = engines;
+    for (int i = 0; i < engines; i++) {
+        struct engine *engine = &world->engines[i];
+
+        snprintf(engine->name, sizeof(engine->name), "engine-%d", i);
+        engine->id = hash_text(engine->name);
+        engine->memory_mb = 100;
+        engine->checks_fence = checks_fence;
+        engine->incarnation = 1;
+        engine->loaded =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        engine->fences =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        engine->cached =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    }
+    set_tree(world, base_tree, G_N_ELEMENTS(base_tree));
+    if (checks_fence) {
+        const char *line = "/mind checks_fence true";
+
+        set_tree(world, &line, 1);
+    }
+}
+
+static void *
+run_node(void *argument)
+{
+    struct node_under_test *node = argument;
+    struct err err = {0};
+
+    g_assert_true(supervisor_run(&node->supervisor, &err));
+    return NULL;
+}
+
+static struct node_under_test *
+start_node(struct world *world)
+{
+    struct node_under_test *node = &world->nodes[world->node_count];
+
+    node->port.ops = &fake_port_ops;
+    node->world = world;
+    node->self = (uint64_t)world->node_count + 1;
+    node->fresh = true;
+    g_assert_true(
+        ring_init(&node->placed, 1024, sizeof(struct placement), NULL));
+    node->place =
+        place_new(&world->kv, &world->api, node->self, 1, &node->port, NULL);
+    g_assert_nonnull(node->place);
+    supervisor_init(&node->supervisor, "test");
+    supervisor_add(&node->supervisor, place_duty(node->place));
+    pthread_create(&node->thread, NULL, run_node, node);
+    pthread_mutex_lock(&world->lock);
+    world->node_count++;
+    node->running = true;
+    report_all(world);
+    pthread_mutex_unlock(&world->lock);
+    return node;
+}
+
+static void
+stop_node(struct node_under_test *node)
+{
+    struct world *world = node->world;
+
+    pthread_mutex_lock(&world->lock);
+    node->running = false;
+    pthread_mutex_unlock(&world->lock);
+    supervisor_stop(&node->supervisor);
+    pthread_join(node->thread, NULL);
+    supervisor_free(&node->supervisor);
+    place_free(node->place);
+    ring_free(&node->placed);
+}
+
+static void
+world_free(struct world *world)
+{
+    for (int i = 0; i < world->node_count; i++) {
+        if (world->nodes[i].running) {
+            stop_node(&world->nodes[i]);
+        }
+    }
+    for (int i = 0; i < world->engine_count; i++) {
+        g_hash_table_unref(world->engines[i].loaded);
+        g_hash_table_unref(world->engines[i].fences);
+        g_hash_table_unref(world->engines[i].cached);
+    }
+    tree_unref(world->tree);
+    kv_memory_free(&world->store);
+    pthread_cond_destroy(&world->changed);
+    pthread_mutex_destroy(&world->lock);
+}
+
+static void
+post_want(struct node_under_test *node, const char *path)
+{
+    struct want want = {.leaf = hash_text(path), .priority = 5, .waiting = 1};
+
+    g_strlcpy(want.path, path, sizeof(want.path));
+    g_assert_true(place_post_want(node->place, &want, NULL));
+}
+
+/* Repeats the want, as the route duty does, until there is an answer. */
+static struct placement
+want_leaf(struct node_under_test *node, const char *path)
+{
+    struct placement placement;
+
+    post_want(node, path);
+    for (;;) {
+        enum ring_result result =
+            ring_pop(&node->placed, &placement, WANT_REPEAT_MS);
+
+        if (result == RING_OK && placement.leaf == hash_text(path)) {
+            return placement;
+        }
+        if (result == RING_TIMEOUT) {
+            post_want(node, path);
+        }
+    }
+}
+
+static void
+lock(struct world *world)
+{
+    pthread_mutex_lock(&world->lock);
+}
+
+static void
+unlock(struct world *world)
+{
+    pthread_mutex_unlock(&world->lock);
+}
+
+/* Called with the lock held. */
+static void
+wait_change(struct world *world)
+{
+    pthread_cond_wait(&world->changed, &world->lock);
+}
+
+static struct engine_record *
+read_engine_record(struct world *world, const struct engine *engine)
+{
+    struct engine_record *record = g_new0(struct engine_record, 1);
+    struct kv_entry entry = {0};
+    char key[KV_KEY_MAX_BYTES];
+    struct err err = {0};
+
+    record_key(key, sizeof(key), "engines", engine->id);
+    g_assert_true(kv_get(&world->store.kv, key, &entry, NULL));
+    if (entry.revision != 0) {
+        g_assert_true(engine_decode(entry.value, engine->id, record, &err));
+    }
+    kv_entry_free(&entry);
+    return record;
+}
+
+static int
+slot_count(struct world *world, const char *path)
+{
+    struct replica_record *record = g_new0(struct replica_record, 1);
+    struct kv_entry entry = {0};
+    char key[KV_KEY_MAX_BYTES];
+    struct err err = {0};
+    int count;
+
+    record_key(key, sizeof(key), "replicas", hash_text(path));
+    g_assert_true(kv_get(&world->store.kv, key, &entry, NULL));
+    if (entry.revision != 0) {
+        g_assert_true(
+            replica_decode(entry.value, hash_text(path), record, &err));
+    }
+    kv_entry_free(&entry);
+    count = record->slot_count;
+    g_free(record);
+    return count;
+}
+
+/* Waits until the leaf has no slot and no engine counts memory for it. */
+static void
+wait_released(struct world *world, const char *path)
+{
+    bool released = false;
+
+    lock(world);
+    while (!released) {
+        released = slot_count(world, path) == 0;
+        for (int i = 0; i < world->engine_count; i++) {
+            struct engine_record *record =
+                read_engine_record(world, &world->engines[i]);
+
+            released &= item_find(record, hash_text(path)) == NULL;
+            g_free(record);
+        }
+        if (!released) {
+            wait_change(world);
+        }
+    }
+    unlock(world);
+}
+
+/* Guards against a wanted leaf that is never loaded or never answered. */
+static void
+test_load(void)
+{
+    struct world world;
+    struct node_under_test *node;
+    struct placement placement;
+
+    world_init(&world, 2, false);
+    node = start_node(&world);
+    placement = want_leaf(node, LEAF);
+    g_assert_cmpint(placement.kind, ==, ERR_NONE);
+    lock(&world);
+    g_assert_cmpint(replicas(&world, LEAF), ==, 1);
+    unlock(&world);
+    world_free(&world);
+}
+
+/* Guards against an idle leaf that stays loaded, or whose slot is kept. */
+static void
+test_idle_unload(void)
+{
+    const char *line = "/mind idle_unload_s 1";
+    struct world world;
+    struct node_under_test *node;
+
+    world_init(&world, 1, false);
+    set_tree(&world, &line, 1);
+    node = start_node(&world);
+    g_assert_cmpint(want_leaf(node, LEAF).kind, ==, ERR_NONE);
+    wait_released(&world, LEAF);
+    lock(&world);
+    g_assert_cmpint(replicas(&world, LEAF), ==, 0);
+    unlock(&world);
+    world_free(&world);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/order/load", test_load);
+    g_test_add_func("/order/idle_unload", test_idle_unload);
+    return g_test_run();
+}
