Bound the wait for callers that don't read

Cause: a caller that kept its connection without reading held a thread of the forward duty and one of the server for ever. Change: a write ends the call after 60 s without room; the server closes connections after 180 s without a byte; the limit between two parts of a target's answer can be set by tests.

--- a/src/turmericd/serve/call/call.c
+++ b/src/turmericd/serve/call/call.c
@@ -4,6 +4,7 @@
  * A table gives out the handles under its own lock. Each slot has a mutex
  * and a condition variable, so calls don't wait for each other.
  */
+#include <errno.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +17,10 @@
 #include "turmericd/serve/call/dat.h"
 #include "turmericd/serve/call/fns.h"
 
+/* A caller that keeps its connection but doesn't read would hold a thread of
+ * the forward duty for ever. */
+enum { WRITE_STALL_MS = 60000 };
+
 /**
  * struct slot - one call
  * @lock: guards all other members
@@ -55,6 +60,7 @@
     struct table handles;
     struct slot *slots;
     uint32_t capacity;
+    int64_t stall_ms;
 };
 
 /**
@@ -80,6 +86,7 @@
         return NULL;
     }
     calls->capacity = capacity;
+    calls->stall_ms = WRITE_STALL_MS;
     pthread_mutex_init(&calls->lock, NULL);
     for (uint32_t i = 0; i < capacity; i++) {
         pthread_mutex_init(&calls->slots[i].lock, NULL);
@@ -127,6 +134,17 @@
     free(calls);
 }
 
+/**
+ * calls_set_stall_ms() - how long a write waits for a caller that doesn't read
+ * @calls: the table; no call is open yet
+ * @stall_ms: longest wait for room
+ */
+void
+calls_set_stall_ms(struct calls *calls, int64_t stall_ms)
+{
+    calls->stall_ms = stall_ms;
+}
+
 /**
  * calls_count() - number of open calls
  * @calls: the table
@@ -459,6 +477,34 @@
     return started;
 }
 
+static bool
+is_open(const struct slot *slot, struct handle call)
+{
+    return slot->generation == call.generation &&
+           slot->phase == CALL_ANSWERING;
+}
+
+/* Returns false when the call ended, or was ended because no room came. */
+static bool
+wait_for_room(struct slot *slot, struct handle call, int64_t stall_ms)
+{
+    struct timespec deadline = clock_deadline(stall_ms);
+    int result = 0;
+
+    while (is_open(slot, call) && slot->held == CALL_OUTPUT_BYTES &&
+           result != ETIMEDOUT) {
+        result =
+            pthread_cond_timedwait(&slot->changed, &slot->lock, &deadline);
+    }
+    if (is_open(slot, call) && slot->held == CALL_OUTPUT_BYTES) {
+        slot->phase = CALL_REFUSED;
+        slot->outcome = OUTCOME_UNKNOWN;
+        err_set(&slot->err, ERR_TIMEOUT, "the caller did not read");
+        pthread_cond_broadcast(&slot->changed);
+    }
+    return is_open(slot, call);
+}
+
 /**
  * call_write() - add output; waits while the buffer is full
  * @calls: the table
@@ -466,8 +512,8 @@
  * @data: the output
  * @bytes: its length
  *
- * Return: false when the caller is gone or the call is at its end; part of
- * the output may have been taken then.
+ * Return: false when the caller is gone or doesn't read, or the call is at
+ * its end; part of the output may have been taken then.
  */
 bool
 call_write(struct calls *calls, struct handle call, const void *data,
@@ -480,7 +526,7 @@
     if (slot == NULL) {
         return false;
     }
-    open = slot->phase == CALL_ANSWERING;
+    open = is_open(slot, call);
     while (open && bytes > 0) {
         size_t count = output_put(slot, next, bytes);
 
@@ -490,10 +536,8 @@
             pthread_cond_broadcast(&slot->changed);
         }
         if (bytes > 0) {
-            pthread_cond_wait(&slot->changed, &slot->lock);
+            open = wait_for_room(slot, call, calls->stall_ms);
         }
-        open = slot->generation == call.generation &&
-               slot->phase == CALL_ANSWERING;
     }
     slot_unlock(slot);
     return open;
--- a/src/turmericd/serve/call/fns.h
+++ b/src/turmericd/serve/call/fns.h
@@ -3,6 +3,8 @@
 
 struct calls *calls_new(uint32_t capacity, struct err *err);
 void calls_free(struct calls *calls);
+/* Longest wait of call_write() for a caller that doesn't read. */
+void calls_set_stall_ms(struct calls *calls, int64_t stall_ms);
 uint32_t calls_count(struct calls *calls);
 
 /* The caller's side (front). Takes ownership of request->body on success. */
--- a/src/turmericd/serve/forward/forward.c
+++ b/src/turmericd/serve/forward/forward.c
@@ -31,6 +31,7 @@
 enum {
     GROUPS_MAX = SUPERVISOR_CHILDREN_MAX,
     WORKERS_MAX = GROUPS_MAX * SUPERVISOR_CHILDREN_MAX,
+    CHUNK_GAP_MAX_MS = 30000,
 };
 
 /**
@@ -54,6 +55,7 @@
     struct ring attempts;
     atomic_int taken;
     atomic_bool stopping;
+    int64_t gap_ms;
     struct calls *calls;
     struct forward_port *port;
 };
@@ -79,7 +81,8 @@
     }
     answer_init(&answer, forward->calls, attempt, request);
     end = transfer_run(worker->multi, attempt, request, text, &answer,
-                       &forward->stopping, result->text, sizeof(result->text));
+                       forward->gap_ms, &forward->stopping, result->text,
+                       sizeof(result->text));
     answer_end(&answer, end, result);
     answer_clear(&answer);
     free(text);
@@ -226,6 +229,7 @@
     }
     supervisor_init(&forward->pool, "forward");
     forward->pool.duty.ops = &pool_ops;
+    forward->gap_ms = CHUNK_GAP_MAX_MS;
     forward->calls = calls;
     forward->port = port;
     forward->workers = calloc((size_t)workers, sizeof(*forward->workers));
@@ -263,6 +267,17 @@
     free(forward);
 }
 
+/**
+ * forward_set_gap_ms() - longest wait between two parts of an answer
+ * @forward: the pool, which doesn't run yet
+ * @gap_ms: the wait
+ */
+void
+forward_set_gap_ms(struct forward *forward, int64_t gap_ms)
+{
+    forward->gap_ms = gap_ms;
+}
+
 /**
  * forward_duty() - the pool as a duty
  * @forward: the pool
--- a/src/turmericd/serve/forward/internal.h
+++ b/src/turmericd/serve/forward/internal.h
@@ -116,8 +116,13 @@
 enum transfer_end transfer_run(CURLM *multi, const struct attempt *attempt,
                                const struct call_request *request,
                                const char *text, struct answer *answer,
-                               atomic_bool *stopping, char *detail,
-                               size_t detail_bytes);
+                               int64_t gap_ms, atomic_bool *stopping,
+                               char *detail, size_t detail_bytes);
 void transfer_cancel(const struct attempt *attempt);
 
+struct forward;
+
+/* forward.c: for tests; before the duty runs. */
+void forward_set_gap_ms(struct forward *forward, int64_t gap_ms);
+
 #endif
--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -32,7 +32,6 @@
 
 enum {
     CONNECT_MAX_MS = 2000,
-    CHUNK_GAP_MAX_MS = 30000,
     CANCEL_TIMEOUT_S = 1,
     URL_MAX_BYTES = ADDRESS_MAX_BYTES + CALL_URL_MAX_BYTES + 16,
     HEADER_MAX_BYTES = 512,
@@ -44,6 +43,7 @@
  * @answer: where the answer goes
  * @body: body sent to the target
  * @headers: header fields sent
+ * @gap_ms: longest wait between two parts of the body
  * @last_ms: when the last part of the body was dealt with
  * @has_byte: the first byte of the body has come
  */
@@ -52,6 +52,7 @@
     struct answer *answer;
     char *body;
     struct curl_slist *headers;
+    int64_t gap_ms;
     int64_t last_ms;
     bool has_byte;
 };
@@ -221,8 +222,8 @@
         snprintf(detail, detail_bytes, "no first byte by the deadline");
         return TRANSFER_NO_FIRST_BYTE;
     }
-    snprintf(detail, detail_bytes, "nothing came for %d s",
-             CHUNK_GAP_MAX_MS / 1000);
+    snprintf(detail, detail_bytes, "nothing came for %lld ms",
+             (long long)transfer->gap_ms);
     return TRANSFER_BROKEN;
 }
 
@@ -231,7 +232,7 @@
 static int64_t
 limit_ms(const struct transfer *transfer, const struct attempt *attempt)
 {
-    return transfer->has_byte ? transfer->last_ms + CHUNK_GAP_MAX_MS
+    return transfer->has_byte ? transfer->last_ms + transfer->gap_ms
                               : attempt->deadline_ms;
 }
 
@@ -284,6 +285,7 @@
  * @request: what to send
  * @text: text so far that another engine shall go on with, or NULL
  * @answer: takes the answer
+ * @gap_ms: longest wait between two parts of the body
  * @stopping: set by another thread to end the transfer
  * @detail: filled in when it doesn't end well
  * @detail_bytes: size of @detail
@@ -294,10 +296,10 @@
 enum transfer_end
 transfer_run(CURLM *multi, const struct attempt *attempt,
              const struct call_request *request, const char *text,
-             struct answer *answer, atomic_bool *stopping, char *detail,
-             size_t detail_bytes)
+             struct answer *answer, int64_t gap_ms, atomic_bool *stopping,
+             char *detail, size_t detail_bytes)
 {
-    struct transfer transfer = {.answer = answer};
+    struct transfer transfer = {.answer = answer, .gap_ms = gap_ms};
     enum transfer_end end = TRANSFER_NOT_CONNECTED;
 
     transfer.easy = curl_easy_init();
--- a/src/turmericd/serve/front/front.c
+++ b/src/turmericd/serve/front/front.c
@@ -35,6 +35,11 @@
      * instance. */
     THREAD_STACK_BYTES = 512 * 1024,
     PORT_MAX = 65535,
+    /* Ends idle connections and those of callers that don't read. The server
+     * also counts the time between two parts of an answer, which may be 30 s
+     * until a stalled stream is given up, 30 s until it is resumed and 30 s
+     * until its next event. */
+    CONNECTION_IDLE_S = 180,
 };
 
 static bool
@@ -98,6 +103,7 @@
         {MHD_OPTION_LISTEN_SOCKET, fd, NULL},
         {MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK_BYTES, NULL},
         {MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL},
+        {MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_S, NULL},
         {MHD_OPTION_END, 0, NULL},
     };
 
--- a/test/call_test.c
+++ b/test/call_test.c
@@ -264,6 +264,25 @@
     calls_free(calls);
 }
 
+/* Guards against a thread that waits for ever for a caller that neither reads
+ * nor leaves. */
+static void
+test_stalled_reader(void)
+{
+    struct calls *calls = calls_new(1, NULL);
+    struct writer writer = {.calls = calls};
+    struct err err = {0};
+    enum outcome outcome;
+
+    calls_set_stall_ms(calls, 1);
+    writer.call = open_call(calls);
+    write_answer(&writer);
+    g_assert_false(writer.written);
+    g_assert_true(call_refusal(calls, writer.call, &err, &outcome));
+    g_assert_cmpint(err.kind, ==, ERR_TIMEOUT);
+    calls_free(calls);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -274,6 +293,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(flow_cases); i++) {
         test_add("call/flow", flow_cases[i].name, &flow_cases[i], test_flow);
     }
+    g_test_add_func("/call/stalled_reader", test_stalled_reader);
     g_test_add_func("/call/full", test_full);
     g_test_add_func("/call/copy", test_copy);
     g_test_add_func("/call/text", test_text);
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -25,186 +25,15 @@
 #include "turmericd/serve/forward/fns.h"
 #include "turmericd/serve/forward/internal.h"
 #include "serve.h"
+#include "target.h"
 
 enum {
     FAR_MS = 60000,
     /* Long enough for a connection over loopback on a busy machine. */
     NEAR_MS = 1500,
-    PIECE_BYTES = 7,
     LARGE_BYTES = HELD_ANSWER_MAX_BYTES + 1000,
 };
 
-enum end { END_WHOLE, END_BREAK, END_STALL };
-
-/**
- * struct plan - what the server answers
- * @length: announced length; 0 for chunks without one
- * @fill: bytes of 'x' in place of @body
- */
-struct plan {
-    int status;
-    const char *type;
-    const char *header;
-    const char *body;
-    enum end end;
-    size_t length;
-    size_t fill;
-};
-
-/**
- * struct server - a target
- * @seen: requests that came, as text, in the order of their arrival
- */
-struct server {
-    struct _u_instance instance;
-    int port;
-    struct plan plan;
-    struct ring seen;
-    pthread_mutex_t lock;
-    pthread_cond_t changed;
-    bool released;
-};
-
-struct seen {
-    char line[1024];
-};
-
-struct progress {
-    struct server *server;
-    size_t sent;
-};
-
-static ssize_t
-read_plan(void *data, uint64_t offset, char *buffer, size_t max)
-{
-    struct progress *progress = data;
-    struct server *server = progress->server;
-    const struct plan *plan = &server->plan;
-    size_t size = plan->fill > 0 ? plan->fill : strlen(plan->body);
-    size_t count = MIN(size - progress->sent, max);
-
-    (void)offset;
-    if (count == 0 && plan->end == END_STALL) {
-        pthread_mutex_lock(&server->lock);
-        while (!server->released) {
-            pthread_cond_wait(&server->changed, &server->lock);
-        }
-        pthread_mutex_unlock(&server->lock);
-    }
-    if (count == 0) {
-        return plan->end == END_WHOLE ? U_STREAM_END : U_STREAM_ERROR;
-    }
-    if (plan->fill > 0) {
-        memset(buffer, 'x', count);
-    }
-    else {
-        count = MIN(count, PIECE_BYTES);
-        memcpy(buffer, plan->body + progress->sent, count);
-    }
-    progress->sent += count;
-    return (ssize_t)count;
-}
-
-static const char *
-field(const struct _u_request *request, const char *name)
-{
-    const char *value = u_map_get_case(request->map_header, name);
-
-    return value != NULL ? value : "-";
-}
-
-static int
-on_request(const struct _u_request *request, struct _u_response *response,
-           void *data)
-{
-    struct server *server = data;
-    const struct plan *plan = &server->plan;
-    struct seen seen;
-    struct progress *progress;
-
-    snprintf(
-        seen.line, sizeof(seen.line), "%s %s stream=%s from=%s key=%s %.*s",
-        request->http_verb, request->http_url, field(request, "X-Stream-Id"),
-        field(request, "X-Resume-From"), field(request, "Idempotency-Key"),
-        (int)request->binary_body_length, (const char *)request->binary_body);
-    ring_push(&server->seen, &seen, NULL);
-    if (strcmp(request->http_url, "/v1/cancel") == 0) {
-        ulfius_set_string_body_response(response, 200, "{}");
-        return U_CALLBACK_COMPLETE;
-    }
-    progress = g_new0(struct progress, 1);
-    progress->server = server;
-    u_map_put(response->map_header, "Content-Type", plan->type);
-    if (plan->header != NULL) {
-        u_map_put(response->map_header, "X-Outcome", plan->header);
-    }
-    ulfius_set_stream_response(
-        response, (unsigned)plan->status, read_plan, g_free,
-        plan->length > 0 ? plan->length : U_STREAM_SIZE_UNKNOWN, 64 * 1024,
-        progress);
-    return U_CALLBACK_COMPLETE;
-}
-
-/* Binds to a port that the kernel chooses. */
-static int
-listen_anywhere(int *port)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t bytes = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&address, bytes), ==, 0);
-    g_assert_cmpint(listen(fd, 16), ==, 0);
-    getsockname(fd, (struct sockaddr *)&address, &bytes);
-    *port = ntohs(address.sin_port);
-    return fd;
-}
-
-static void
-server_start(struct server *server)
-{
-    int fd = listen_anywhere(&server->port);
-    struct MHD_OptionItem options[] = {
-        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL},
-        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL},
-        {MHD_OPTION_LISTEN_SOCKET, fd, NULL},
-        {MHD_OPTION_END, 0, NULL},
-    };
-
-    pthread_mutex_init(&server->lock, NULL);
-    pthread_cond_init(&server->changed, NULL);
-    ring_init(&server->seen, 16, sizeof(struct seen), NULL);
-    ulfius_init_instance(&server->instance, (unsigned)server->port, NULL,
-                         NULL);
-    server->instance.allowed_post_processor = U_POST_PROCESS_NONE;
-    ulfius_set_default_endpoint(&server->instance, on_request, server);
-    g_assert_cmpint(
-        ulfius_start_framework_with_mhd_options(
-            &server->instance,
-            MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-            options),
-        ==, U_OK);
-}
-
-static void
-server_release(struct server *server)
-{
-    pthread_mutex_lock(&server->lock);
-    server->released = true;
-    pthread_cond_broadcast(&server->changed);
-    pthread_mutex_unlock(&server->lock);
-}
-
-static void
-server_stop(struct server *server)
-{
-    server_release(server);
-    ulfius_stop_framework(&server->instance);
-    ulfius_clean_instance(&server->instance);
-    ring_free(&server->seen);
-}
-
 /**
  * struct scene - a forward duty with one worker and a call
  */
@@ -488,7 +317,7 @@
     static struct scene scene;
 
     scene_open(&scene, &request);
-    scene.server.plan = c->plan;
+    scene.server.plans[0] = c->plan;
     pthread_create(&scene.reader, NULL, read_answer, &scene);
     post(&scene);
     result = wait_result(&scene);
@@ -548,7 +377,7 @@
     struct seen seen;
 
     scene_open(&scene, &request);
-    scene.server.plan = (struct plan){
+    scene.server.plans[0] = (struct plan){
         200, SSE, NULL, EVENT("x") "data: [DONE]\n\n", END_WHOLE, 0, 0};
     if (c->resume_from > 0) {
         g_assert_true(call_start_answer(scene.calls, scene.call, &head));
@@ -577,7 +406,7 @@
     struct attempt_result result;
 
     scene_open(&scene, &request);
-    scene.server.plan = (struct plan){
+    scene.server.plans[0] = (struct plan){
         200,
         SSE,
         NULL,
@@ -607,7 +436,7 @@
     struct call_answer head = {200, SSE};
 
     scene_open(&scene, &request);
-    scene.server.plan = (struct plan){
+    scene.server.plans[0] = (struct plan){
         404, JSON, NULL, "{\"error\":\"unknown_stream\"}", END_WHOLE, 0, 0};
     g_assert_true(call_start_answer(scene.calls, scene.call, &head));
     scene.attempt.resume_from = 3;
@@ -671,7 +500,7 @@
     struct seen seen;
 
     scene_open(&scene, &request);
-    scene.server.plan = (struct plan){200, SSE, NULL, "", END_STALL, 0, 0};
+    scene.server.plans[0] = (struct plan){200, SSE, NULL, "", END_STALL, 0, 0};
     scene.attempt.deadline_ms = clock_now_ms() + NEAR_MS;
     post(&scene);
     g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_TIMEOUT);
@@ -681,6 +510,25 @@
     scene_close(&scene);
 }
 
+/* Guards against a stream that stops in the middle and is waited for. */
+static void
+test_gap(void)
+{
+    struct call_request request = make_request(CHAT_STREAM);
+    static struct scene scene;
+    struct attempt_result result;
+
+    scene_open(&scene, &request);
+    forward_set_gap_ms(scene.forward, 1);
+    scene.server.plans[0] =
+        (struct plan){200, SSE, NULL, EVENT("a"), END_STALL, 0, 0};
+    post(&scene);
+    result = wait_result(&scene);
+    g_assert_cmpint(result.kind, ==, ATTEMPT_BROKEN);
+    g_assert_cmpuint(result.events, <=, 1);
+    scene_close(&scene);
+}
+
 /* Guards against an attempt that is sent after its deadline. */
 static void
 test_too_late(void)
@@ -710,7 +558,7 @@
         g_string_append(body, EVENT("0123456789"));
     }
     scene_open(&scene, &request);
-    scene.server.plan =
+    scene.server.plans[0] =
         (struct plan){200, SSE, NULL, body->str, END_STALL, 0, 0};
     post(&scene);
     g_assert_cmpint(call_wait_answer(scene.calls, scene.call, &answer, NULL),
@@ -736,7 +584,8 @@
     struct duty *duty;
 
     scene_open(&scene, &request);
-    scene.server.plan = (struct plan){200, JSON, NULL, "{", END_STALL, 0, 0};
+    scene.server.plans[0] =
+        (struct plan){200, JSON, NULL, "{", END_STALL, 0, 0};
     post(&scene);
     g_assert_cmpint(ring_pop(&scene.server.seen, &seen, -1), ==, RING_OK);
     g_assert_false(forward_post_attempt(scene.forward, &scene.attempt, &err));
@@ -811,6 +660,7 @@
     g_test_add_func("/forward/refused_connection", test_refused_connection);
     g_test_add_func("/forward/closed_connection", test_closed_connection);
     g_test_add_func("/forward/stalled", test_stalled);
+    g_test_add_func("/forward/gap", test_gap);
     g_test_add_func("/forward/too_late", test_too_late);
     g_test_add_func("/forward/caller_gone", test_caller_gone);
     g_test_add_func("/forward/pool_full_and_stop", test_pool_full_and_stop);
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -65,6 +65,7 @@
     struct attempt attempt[CALLS_MAX];
     struct claim_request claim[CALLS_MAX];
     uint32_t running;
+    int uses;
 };
 
 static void trace(struct scene *scene, const char *format, ...)
@@ -142,8 +143,8 @@
 static void
 on_use(struct route_port *port, uint64_t leaf)
 {
-    (void)port;
     (void)leaf;
+    ((struct scene *)port)->uses++;
 }
 
 static bool
@@ -761,6 +762,31 @@
     scene_close(&scene);
 }
 
+/* Guards against a used leaf that is unloaded as idle, and against a message
+ * for each of thousands of requests. */
+static void
+test_use(void)
+{
+    static const char *const script[] = {
+        "report e1 x live 1 w",
+        "report p1 x live 1 p",
+        "call 0 w idem",
+        "call 1 p idem",
+        "+999",
+        "call 2 w idem",
+        "+1",
+        "call 3 w idem",
+    };
+    static struct scene scene;
+
+    scene_open(&scene);
+    for (size_t i = 0; i < G_N_ELEMENTS(script); i++) {
+        run_command(&scene, script[i]);
+    }
+    g_assert_cmpint(scene.uses, ==, 2);
+    scene_close(&scene);
+}
+
 /* Guards against a timer that is lost when others are moved or removed. */
 static void
 test_heap(void)
@@ -836,6 +862,7 @@
                  test_budget);
     }
     g_test_add_func("/route/budget_outcome", test_budget_outcome);
+    g_test_add_func("/route/use", test_use);
     g_test_add_func("/route/heap", test_heap);
     g_test_add_func("/route/strikes_bounded", test_strikes_bounded);
     return g_test_run();
