--- a/src/turmericd/place/enginehttp.c
+++ b/src/turmericd/place/enginehttp.c
@@ -4,7 +4,6 @@
  * A refusal needs a status and a body. Whatever else happens leaves open
  * whether the engine acts on the order.
  */
-#define U_DISABLE_JANSSON
 #include <glib.h>
 #include <json-c/json.h>
 #include <stdio.h>
--- a/test/cluster/dat.h
+++ b/test/cluster/dat.h
@@ -2,8 +2,7 @@
 #define CLUSTER_DAT_H
 
 enum {
-    PROCESSES_MAX = 32,
-    ENTRIES_MAX = 8,
+    PROCESSES_MAX = 64,
     ANSWER_MAX_BYTES = 256 * 1024,
     CLUSTER_WAIT_MS = 30000,
 };
