--- a/test/config_test.c
+++ b/test/config_test.c
@@ -1239,6 +1239,7 @@
     port_send(&a->port, b->id, &envelope);
     pump(&world);
     g_assert_cmpint(state_of(b).revision, ==, 0);
+    g_assert_cmpint(b->config->assembly.revision, ==, 0);
     edit_now(a, "/om", "type", "\"service\"");
     run_for(&world, 1000);
     assert_same_tree(a, b);
