--- a/src/turmericd/state/claim/claim.c
+++ b/src/turmericd/state/claim/claim.c
@@ -125,11 +125,11 @@
 {
     struct message message;
 
-    for (int i = 0; i < ROUND_MESSAGES; i++) {
-        if (ring_pop(&claim->ring, &message, 0) != RING_OK) {
-            break;
+    /* ring_pop() waits for the timer's slack even without a timeout. */
+    for (int i = 0; i < ROUND_MESSAGES && ring_count(&claim->ring) > 0; i++) {
+        if (ring_pop(&claim->ring, &message, 0) == RING_OK) {
+            take_message(claim, &message, now_ms);
         }
-        take_message(claim, &message, now_ms);
     }
     claim_asks_scan(claim, now_ms);
     serve_shards(claim, now_ms, wall_ms);
