--- a/src/turmericd/serve/desk/dat.h
+++ b/src/turmericd/serve/desk/dat.h
@@ -29,10 +29,14 @@
 
 /**
  * struct desk_settings - where to listen and the operators' token
+ * @address: IP:PORT; port 0 lets the kernel choose
+ * @token_file: file with the token, readable by its owner only
+ * @name: name of this instance in the status
  */
 struct desk_settings {
     char address[ADDRESS_MAX_BYTES];
     char token_file[PATH_MAX_BYTES];
+    char name[NAME_MAX_BYTES];
 };
 
 /**
