Check that the operators' port is closed when the duty has stopped

The check ran after the duty was released, which closes the socket as well, so it could not fail. It now runs before; with the close taken out it fails. A check of a digit that the number parser makes anyway is gone.

--- a/src/turmericd/serve/desk/answer.c
+++ b/src/turmericd/serve/desk/answer.c
@@ -191,8 +191,7 @@
     if (text == NULL) {
         return true;
     }
-    if (!g_ascii_isdigit(text[0]) ||
-        !g_ascii_string_to_signed(text, 10, 0, INT64_MAX, &parsed, NULL)) {
+    if (!g_ascii_string_to_signed(text, 10, 0, INT64_MAX, &parsed, NULL)) {
         return err_set(err, ERR_BAD_REQUEST,
                        "the parameter %s must be a number of 0 or more", name);
     }
--- a/test/desk_test.c
+++ b/test/desk_test.c
@@ -234,12 +234,18 @@
 }
 
 static void
-stop_desk(struct running *running)
+join_desk(struct running *running)
 {
     struct duty *duty = desk_duty(running->desk);
 
     duty->ops->stop(duty);
     pthread_join(running->thread, NULL);
+}
+
+static void
+stop_desk(struct running *running)
+{
+    join_desk(running);
     desk_free(running->desk);
 }
 
@@ -593,8 +599,9 @@
     port = desk_listen_port(running.desk);
     g_assert_cmpint(try_connect("127.0.0.1", port), ==, 0);
     g_assert_cmpint(try_connect("127.0.0.2", port), ==, ECONNREFUSED);
-    stop_desk(&running);
+    join_desk(&running);
     g_assert_cmpint(try_connect("127.0.0.1", port), ==, ECONNREFUSED);
+    desk_free(running.desk);
 }
 
 /* Guards against a wrong address that is taken for another one. */
