Compute the edit that leads from a tree to a file

The operators' tool applies a file of nodes as one edit of its differences. A node that the file names is stated completely, so a key that it leaves out is unset. Changes are ordered so that any first part of them is a valid edit: parents before children, and removals from the leaves up.

--- a/src/tree/fns.h
+++ b/src/tree/fns.h
@@ -25,6 +25,10 @@
 char *edit_format(const struct edit *edit);
 void edit_free(struct edit *edit);
 
+/* diff.c: the edit's changes may exceed EDIT_CHANGES_MAX. */
+bool tree_diff(const struct tree *tree, const char *text, size_t bytes,
+               bool prune, struct edit *edit, struct err *err);
+
 /* snapshot.c */
 char *tree_format(const struct tree *tree);
 struct tree *tree_parse(const char *text, size_t bytes, struct err *err);
--- a/test/tree_test.c
+++ b/test/tree_test.c
@@ -592,6 +592,96 @@
     tree_unref(tree);
 }
 
+/* Guards against a file that changes more or less than its differences. */
+struct diff_case {
+    const char *name;
+    const char *file;
+    bool prune;
+    const char *changes;
+    enum err_kind kind;
+};
+
+static const struct diff_case diff_cases[] = {
+    {"nothing", "{}", false, "", ERR_NONE},
+    {"same", "{\"/om/kov/chat\": {\"type\": \"model\", \"memory_mb\": 900}}",
+     false, "", ERR_NONE},
+    {"comment", "/* a */ {// b\n}", false, "", ERR_NONE},
+    {"value", "{\"/om/kov/chat\": {\"type\": \"model\", \"memory_mb\": 7}}",
+     false, "/om/kov/chat memory_mb 7", ERR_NONE},
+    {"left_out_key", "{\"/om/kov/chat\": {\"type\": \"model\"}}", false,
+     "/om/kov/chat memory_mb", ERR_NONE},
+    {"left_out_type", "{\"/om/kov/chat\": {\"memory_mb\": 900}}", false, "",
+     ERR_NONE},
+    {"root", "{\"/\": {\"priority\": 5}}", false, "/ priority 5", ERR_NONE},
+    {"new_child_first",
+     "{\"/s/m\": {\"type\": \"model\"}, \"/s\": {\"type\": \"service\"}}",
+     false, "/s type \"service\"; /s/m type \"model\"", ERR_NONE},
+    {"type_before_keys",
+     "{\"/s\": {\"enabled\": false, \"type\": \"service\"}}", false,
+     "/s type \"service\"; /s enabled false", ERR_NONE},
+    {"prune",
+     "{\"/om\": {\"type\": \"service\", \"wait_max_ms\": 2000}, \"/om/plans\":"
+     " {\"type\": \"model\"}}",
+     true,
+     "/om/plans/menu type; /om/kov/chat type; /om/kov type; /om/chat type",
+     ERR_NONE},
+    {"bad_json", "{", false, "", ERR_BAD_JSON},
+    {"array", "[]", false, "", ERR_BAD_JSON},
+    {"node_not_object", "{\"/om\": 3}", false, "", ERR_EDIT_INVALID},
+    {"unknown_key", "{\"/om\": {\"colour\": 3}}", false, "", ERR_EDIT_INVALID},
+    {"bad_value", "{\"/om\": {\"priority\": 10}}", false, "",
+     ERR_EDIT_INVALID},
+    {"null_value", "{\"/om\": {\"priority\": null}}", false, "",
+     ERR_EDIT_INVALID},
+    {"bad_path", "{\"om\": {}}", false, "", ERR_EDIT_INVALID},
+};
+
+/* The form that apply() reads. */
+static char *
+changes_text(const struct edit *edit)
+{
+    GString *text = g_string_new(NULL);
+
+    for (int i = 0; i < edit->change_count; i++) {
+        const struct change *change = &edit->changes[i];
+
+        g_string_append_printf(text, "%s%s %s", i == 0 ? "" : "; ",
+                               change->node, change->key);
+        if (change->value[0] != '\0') {
+            g_string_append_printf(text, " %s", change->value);
+        }
+    }
+    return g_string_free(text, FALSE);
+}
+
+static void
+test_diff(gconstpointer data)
+{
+    const struct diff_case *c = data;
+    struct tree *tree = make_tree();
+    struct edit edit = {.id = "diff", .author = "test"};
+    struct err err = {0};
+    char *text;
+
+    g_assert_true(tree_diff(tree, c->file, strlen(c->file), c->prune, &edit,
+                            &err) == (c->kind == ERR_NONE));
+    g_assert_cmpint(err.kind, ==, c->kind);
+    if (c->kind == ERR_NONE) {
+        text = changes_text(&edit);
+        g_assert_cmpstr(text, ==, c->changes);
+        g_free(text);
+        g_assert_cmpint(edit.base_revision, ==, tree_revision(tree));
+    }
+    if (edit.change_count > 0 && c->kind == ERR_NONE) {
+        struct tree *next = tree_apply(tree, &edit, 9, &err);
+
+        g_assert_cmpstr(err.text, ==, "");
+        tree_unref(next);
+    }
+    edit_free(&edit);
+    tree_unref(tree);
+}
+
 #define ADD_CASES(group, cases, function)                                     \
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
         char *path = g_strdup_printf("/tree/%s/%s", group, cases[i].name);    \
@@ -609,6 +699,7 @@
     ADD_CASES("leaf", leaf_cases, test_leaf);
     ADD_CASES("conflict", conflict_cases, test_conflict);
     ADD_CASES("parse", parse_cases, test_parse);
+    ADD_CASES("diff", diff_cases, test_diff);
     ADD_CASES("snapshot", snapshot_cases, test_snapshot_parse);
     g_test_add_func("/tree/placement_fields", test_placement_fields);
     g_test_add_func("/tree/sharing", test_sharing);
