--- a/src/turmericd/state/config/append.c
+++ b/src/turmericd/state/config/append.c
@@ -38,6 +38,7 @@
  * @text: the entry
  * @open: number at which an unanswered write may still create the entry; 0
  *        when there is none
+ * @wrote: this call has sent a write, answered or not
  * @revision: number at which the edit was accepted
  */
 struct append {
@@ -45,6 +46,7 @@
     const struct edit *edit;
     char *text;
     int64_t open;
+    bool wrote;
     int64_t revision;
 };
 
@@ -264,6 +266,7 @@
 
     journal_init(&journal, append->config->kv, CONFIG_LOG);
     journal.next = number;
+    append->wrote = true;
     switch (
         journal_append(&journal, append->text, strlen(append->text), err)) {
     case JOURNAL_APPENDED:
@@ -396,7 +399,8 @@
         }
         return false;
     }
-    counter_add(CTR_EDITS_ACCEPTED, 1);
+    /* An edit that is sent again is counted once. */
+    counter_add(CTR_EDITS_ACCEPTED, append.wrote ? 1 : 0);
     *revision = append.revision;
     /* A full ring only delays the announcement to the next tick. */
     ring_push(&config->inbox, &wake, NULL);
--- a/test/config_test.c
+++ b/test/config_test.c
@@ -664,7 +664,8 @@
     world_free(&world);
 }
 
-/* Guards against an edit that is accepted twice, or whose unknown outcome is
+/* Guards against an edit that is accepted or counted twice, or whose unknown
+ * outcome is
  * told as a refusal. */
 enum loss { LOSE_ANSWER, LOSE_CALL, LOSE_ANSWER_AND_LOOK, HOLD_THEN_LAND };
 
@@ -737,6 +738,8 @@
     struct edit edit = {"mine", "author101", 0, &change, 1};
     struct err err = {0};
     int64_t revision = 0;
+    const uint64_t base = counter_read(CTR_EDITS_ACCEPTED);
+    uint64_t accepted;
     bool late_landed = false;
 
     world_init(&world);
@@ -761,6 +764,11 @@
         late_landed = store_release(&a->store);
     }
     g_assert_false(late_landed);
+    accepted = counter_read(CTR_EDITS_ACCEPTED) - base;
+    g_assert_true(
+        config_edit(a->config, &edit, world.now_ms, &revision, &err));
+    g_assert_cmpuint(accepted, <=, c->rival_between ? 2 : 1);
+    g_assert_cmpuint(counter_read(CTR_EDITS_ACCEPTED), ==, base + accepted);
     run_for(&world, 1000);
     g_assert_cmpint(count_keys(&world, CONFIG_LOG), ==,
                     c->rival_between ? 2 : 1);
