--- a/src/turmericd/place/decide.c
+++ b/src/turmericd/place/decide.c
@@ -32,6 +32,9 @@
     /* A report polled before the load ended may come after it. */
     MISSING_MS = 3000,
     SETTLE_REPEAT_MS = 1000,
+    /* Membership declares a dead instance within 5 s, so a sender that is
+       silent for longer is paused or cut off. */
+    SILENT_MS = 10000,
     BASE_REPEAT_MS = 500,
     /* Right after a start no engine has been reported yet. */
     NO_TARGET_MS = 2000,
@@ -131,6 +134,8 @@
         .has_item = slot->has_item,
         .state = slot->item.state,
         .checks_fence = checks_fence(place, leaf->path),
+        .silent = leaf->silent_ms != 0 &&
+                  place->now_ms - leaf->silent_ms >= SILENT_MS,
         .evict = leaf->evict_engine == slot->slot.engine &&
                  place->now_ms < leaf->evict_until_ms,
     };
@@ -224,6 +229,9 @@
         return;
     }
     leaf->settle_ms = place->now_ms;
+    if (leaf->silent_ms == 0) {
+        leaf->silent_ms = place->now_ms;
+    }
     for (int i = 0; i < slot->item.sender_count; i++) {
         const struct sender *sender = &slot->item.senders[i];
 
@@ -509,9 +517,14 @@
         g_new0(struct slot_facts, (gsize)leaf->view_count + 1);
     struct leaf_facts about;
     struct step step;
+    int unsettled = 0;
 
     for (int i = 0; i < leaf->view_count; i++) {
         facts[i] = facts_of(place, leaf, &leaf->views[i]);
+        unsettled += facts[i].unsettled;
+    }
+    if (unsettled == 0) {
+        leaf->silent_ms = 0;
     }
     if (!refuse_unplaceable(place, leaf, node)) {
         answer_usable(place, leaf, facts);
--- a/src/turmericd/place/inner/dat.h
+++ b/src/turmericd/place/inner/dat.h
@@ -364,6 +364,7 @@
  * @has_item: the engine's record has an item for the leaf
  * @state: state of the item
  * @unsettled: senders of the item that may have an order in flight
+ * @silent: senders were asked and have not answered for long
  * @checks_fence: the engine refuses old fences
  * @orphan: a slot without an item that nobody is about to reserve
  * @restarted: the engine runs with a newer incarnation than its record has
@@ -375,6 +376,7 @@
     bool has_item;
     enum item_state state;
     int unsettled;
+    bool silent;
     bool checks_fence;
     bool orphan;
     bool restarted;
@@ -462,7 +464,8 @@
  * @turn_ms: when the turn was last asked for
  * @settled: senders that have said that they have no order in flight
  * @settled_count: number of @settled
- * @settle_ms: when they were last asked
+ * @settle_ms: when senders were last asked
+ * @silent_ms: since when no asked sender has answered; 0 when none was asked
  * @evict_engine: engine to unload it from for another leaf; 0 when none
  * @evict_until_ms: until when that is wanted
  * @evict_asked_ms: as a victim: when its owner was asked to unload it
@@ -498,6 +501,7 @@
     struct settled settled[ORDER_SETTLED_MAX];
     int settled_count;
     int64_t settle_ms;
+    int64_t silent_ms;
     uint64_t evict_engine;
     int64_t evict_until_ms;
     int64_t evict_asked_ms;
--- a/src/turmericd/place/message.c
+++ b/src/turmericd/place/message.c
@@ -293,13 +293,20 @@
     struct settled settled = {reply->engine,
                               {from, reply->start, reply->fence}};
 
-    if (leaf == NULL || !reply->settled) {
+    if (leaf == NULL) {
+        return;
+    }
+    leaf->silent_ms = place->now_ms;
+    if (!reply->settled) {
         return;
     }
     if (leaf->settled_count == ORDER_SETTLED_MAX) {
         leaf->settled_count = 0;
     }
     leaf->settled[leaf->settled_count++] = settled;
+    /* The sender has written down how its order ended. */
+    leaf->known = false;
+    leaf->retry_ms = 0;
     leaf_decide(place, leaf);
 }
 
--- a/src/turmericd/place/place.c
+++ b/src/turmericd/place/place.c
@@ -233,15 +233,26 @@
     send_want(place, leaf, want->waiting > 0 ? want->waiting : 1);
 }
 
-static bool
-concerns(const struct leaf *leaf, uint64_t engine)
+/* Decides again about leaves with a slot on the engine. */
+static void
+decide_on_report(struct place *place, struct leaf *leaf,
+                 const struct target_report *report)
 {
     for (int i = 0; i < leaf->view_count; i++) {
-        if (leaf->views[i].slot.engine == engine) {
-            return true;
+        const struct slot_view *view = &leaf->views[i];
+
+        if (view->slot.engine != report->id) {
+            continue;
         }
+        if (!leaf->busy && view->has_item &&
+            view->item.state == ITEM_LOADING &&
+            report_has(report->loaded, report->loaded_count, leaf->id)) {
+            /* Another member's order has ended; its record says how. */
+            leaf->known = false;
+        }
+        leaf_decide(place, leaf);
+        return;
     }
-    return false;
 }
 
 static void
@@ -257,8 +268,8 @@
     for (guint i = 0; i < list->len; i++) {
         struct leaf *leaf = list->pdata[i];
 
-        if (leaf->owned && concerns(leaf, report->id)) {
-            leaf_decide(place, leaf);
+        if (leaf->owned) {
+            decide_on_report(place, leaf, report);
         }
     }
     g_ptr_array_unref(list);
--- a/src/turmericd/place/step.c
+++ b/src/turmericd/place/step.c
@@ -108,10 +108,27 @@
     return slot->evict || leaf->idle;
 }
 
+/*
+ * Senders are asked before anything is sent after their orders: the engine
+ * may be carrying one out, and a second load of the same leaf could count its
+ * memory twice there. A sender that stays silent may be paused.
+ */
+static bool
+wait_for_senders(const struct slot_facts *slot)
+{
+    return slot->unsettled > 0 && !slot->silent;
+}
+
 /* An item that is not known to be loaded and that nobody needs. */
 static enum step_kind
 step_back(const struct slot_facts *slot)
 {
+    if (slot->state == ITEM_UNLOADING) {
+        return STEP_UNLOAD;
+    }
+    if (wait_for_senders(slot)) {
+        return STEP_SETTLE;
+    }
     if (slot->state == ITEM_DOUBT && slot->unsettled > 0 &&
         !slot->checks_fence) {
         return STEP_SETTLE;
@@ -130,7 +147,10 @@
         return step_back(slot);
     }
     /* Adopting forgets settled senders and adds one. */
-    return slot->unsettled < RESERVE_SENDERS_MAX ? STEP_ADOPT : STEP_SETTLE;
+    if (wait_for_senders(slot) || slot->unsettled == RESERVE_SENDERS_MAX) {
+        return STEP_SETTLE;
+    }
+    return STEP_ADOPT;
 }
 
 static enum step_kind
