--- a/src/turmericd/fleet/observe/dat.h
+++ b/src/turmericd/fleet/observe/dat.h
@@ -1,6 +1,10 @@
 #ifndef OBSERVE_DAT_H
 #define OBSERVE_DAT_H
 
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
 enum {
     REPORT_LOADED_MAX = 128,
     REPORT_CACHED_MAX = 64,
@@ -84,6 +88,143 @@
     int poll_timeout_ms;
 };
 
+enum listed_kind { LISTED_ENTRY, LISTED_ENGINE, LISTED_PLAIN };
+
+/**
+ * struct listed - one record of the platform's list
+ * @kind: what kind of instance
+ * @leaving: the platform will stop it
+ * @name: unique name
+ * @service: service of a target, empty for an entry instance
+ * @data_centre: where it runs
+ * @address: IP address and port
+ * @peer_address: address for frames, only of an entry instance
+ */
+struct listed {
+    enum listed_kind kind;
+    bool leaving;
+    char name[NAME_MAX_BYTES];
+    char service[NAME_MAX_BYTES];
+    char data_centre[NAME_MAX_BYTES];
+    char address[ADDRESS_MAX_BYTES];
+    char peer_address[ADDRESS_MAX_BYTES];
+};
+
+/**
+ * struct list - a successful read of the platform's list
+ * @records: owned
+ * @count: number of records
+ * @skipped: records that were not usable
+ */
+struct list {
+    struct listed *records;
+    int count;
+    int skipped;
+};
+
+/**
+ * enum share - what the members of the target's data centre must be told
+ */
+enum share { SHARE_NOTHING, SHARE_LOAD, SHARE_FULL };
+
+/**
+ * struct shared - what the other members were last told about a target
+ * @content: hash of everything but the load; 0 when nothing was told
+ * @state: state told
+ * @running: load told
+ * @waiting: load told
+ * @told_ms: when anything was told
+ * @full_ms: when a full report was told
+ */
+struct shared {
+    uint64_t content;
+    enum target_state state;
+    uint32_t running;
+    uint32_t waiting;
+    int64_t told_ms;
+    int64_t full_ms;
+};
+
+/**
+ * struct observed - a target and where the knowledge about it comes from
+ * @report: present report, owned
+ * @listed_leaving: the list says that it leaves
+ * @said_leaving: its own status, or a peer's report of it, says so
+ * @down: it doesn't answer
+ * @missing_reads: successful reads of the list in a row that lacked it
+ * @failed_polls: own polls in a row that failed
+ * @polling: a poll is in progress
+ * @known_ms: when its content was last confirmed by a poll, own or a peer's
+ * @polled_ms: when an own poll last succeeded
+ * @poll_ms: when the next poll is due
+ * @poll_started_ms: when the poll in progress began
+ * @seen: number of the last list that named the target
+ * @to_share: an own poll has ended since the last share
+ * @shared: what the other members know from this instance
+ */
+struct observed {
+    struct target_report *report;
+    bool listed_leaving;
+    bool said_leaving;
+    bool down;
+    int missing_reads;
+    int failed_polls;
+    bool polling;
+    int64_t known_ms;
+    int64_t polled_ms;
+    int64_t poll_ms;
+    int64_t poll_started_ms;
+    uint32_t seen;
+    bool to_share;
+    struct shared shared;
+};
+
+/**
+ * struct poll_job - one HTTP request for a poller
+ * @list: a read of the list instead of a target's status
+ * @target: id of the target
+ * @url: what to read
+ */
+struct poll_job {
+    bool list;
+    uint64_t target;
+    char url[ADDRESS_MAX_BYTES + 32];
+};
+
+enum observe_kind { OBSERVE_STATUS, OBSERVE_LIST, OBSERVE_ENVELOPE };
+
+/**
+ * struct observe_message - message to the duty that decides
+ * @kind: which members are set
+ * @target: target that was polled
+ * @status: its status, or NULL when the poll failed; owned
+ * @list: what was read; owned
+ * @list_read: whether the list could be read
+ * @envelope: Reports of a peer; owned
+ */
+struct observe_message {
+    enum observe_kind kind;
+    uint64_t target;
+    struct target_report *status;
+    struct list list;
+    bool list_read;
+    Turmeric__Envelope *envelope;
+};
+
+/**
+ * struct poller - duty that makes HTTP requests, one at a time
+ * @duty: first member
+ * @jobs: requests to make; may be shared between pollers
+ * @results: where the results go
+ * @timeout_ms: longest time for an answer
+ */
+struct poller {
+    struct duty duty;
+    struct ring *jobs;
+    struct ring *results;
+    int timeout_ms;
+};
+
 /**
  * struct observe - duty that polls targets and the platform's list
  */
--- a/test/peer_test.c
+++ b/test/peer_test.c
@@ -13,7 +13,7 @@
 #include "turmericd/fleet/peer/fns.h"
 
 /* Ends a test that would otherwise hang; no verdict depends on it. */
-enum { WATCHDOG_MS = 60000, SENDER = 7, RECEIVED_MAX = 8192 };
+enum { WATCHDOG_MS = 30000, SENDER = 7, RECEIVED_MAX = 8192 };
 
 enum mutation {
     MUTATE_NOTHING,
@@ -697,6 +697,47 @@
     instance_stop(&b);
 }
 
+/* Guards against room in a queue that isn't given back: the sum of the frames
+ * is several times what a queue holds. */
+static void
+test_room_returns(void)
+{
+    struct instance a;
+    struct instance b;
+
+    instance_start(&a, 1, 0);
+    instance_start(&b, 2, 0);
+    introduce(&a, 2, peer_listen_port(b.peer));
+    for (uint64_t i = 0; i < 10; i++) {
+        g_assert_true(send_ping(&a, 2, i, 900 * 1024, NULL));
+        g_assert_cmpuint(receive_ping(&b, 1, WATCHDOG_MS), ==, i);
+    }
+    instance_stop(&a);
+    instance_stop(&b);
+}
+
+/* Guards against messages that still go to the old address after a member has
+ * moved, while something there still accepts them. */
+static void
+test_moved(void)
+{
+    struct instance a;
+    struct instance old;
+    struct instance moved;
+
+    instance_start(&a, 1, 0);
+    instance_start(&old, 2, 0);
+    instance_start(&moved, 2, 0);
+    introduce(&a, 2, peer_listen_port(old.peer));
+    g_assert_true(send_ping(&a, 2, 1, 0, NULL));
+    g_assert_cmpuint(receive_ping(&old, 1, WATCHDOG_MS), ==, 1);
+    introduce(&a, 2, peer_listen_port(moved.peer));
+    g_assert_cmpuint(send_until_received(&a, &moved, 2), ==, 2);
+    instance_stop(&a);
+    instance_stop(&old);
+    instance_stop(&moved);
+}
+
 static void
 add(const char *group, const char *name, gconstpointer data,
     GTestDataFunc function)
@@ -738,6 +779,8 @@
     }
     g_test_add_func("/peer/link_drops_old", test_link_drops_old);
     g_test_add_func("/peer/both_ways", test_both_ways);
+    g_test_add_func("/peer/moved", test_moved);
+    g_test_add_func("/peer/room_returns", test_room_returns);
     g_test_add_func("/peer/slow_reader", test_slow_reader);
     return g_test_run();
 }
