--- a/src/turmericctl/print.c
+++ b/src/turmericctl/print.c
@@ -72,7 +72,7 @@
 void
 rows_print(struct rows *rows)
 {
-    int widths[TABLE_COLUMNS_MAX];
+    int widths[TABLE_COLUMNS_MAX] = {0};
 
     for (int i = 0; i < rows->columns; i++) {
         /* No blanks at the end of a line. */
--- a/test/config_test.c
+++ b/test/config_test.c
@@ -665,8 +665,7 @@
 }
 
 /* Guards against an edit that is accepted or counted twice, or whose unknown
- * outcome is
- * told as a refusal. */
+ * outcome is told as a refusal. */
 enum loss { LOSE_ANSWER, LOSE_CALL, LOSE_ANSWER_AND_LOOK, HOLD_THEN_LAND };
 
 struct loss_case {
