Handle all waiting messages between two reads of the service

The duty handled one message after each read. While reads of a slow service take as long as their timeout, peers send faster than that, so freshness would wait in the inbox until it is too old to count.

All messages that wait are now handled before the next read. The new case fails when only one is taken.

--- a/src/turmericd/state/config/config.c
+++ b/src/turmericd/state/config/config.c
@@ -129,6 +129,26 @@
     return (struct config *)duty;
 }
 
+/**
+ * config_drain() - handle all messages that wait in the inbox
+ * @config: the duty
+ * @now_ms: present time
+ *
+ * A read of a slow service takes longer than the interval at which peers send,
+ * so one message for each read would let the inbox grow.
+ */
+void
+config_drain(struct config *config, int64_t now_ms)
+{
+    struct message message;
+
+    for (int i = 0; i < INBOX_CAPACITY &&
+                    ring_pop(&config->inbox, &message, 0) == RING_OK;
+         i++) {
+        config_handle(config, &message, now_ms);
+    }
+}
+
 static bool
 run(struct duty *duty, struct err *err)
 {
@@ -138,18 +158,18 @@
     (void)err;
     while (result != RING_CLOSED) {
         struct message message;
+        int64_t due_ms = config_tick(config, clock_now_ms());
         int64_t before_ms = clock_now_ms();
-        int64_t wait_ms = config_tick(config, before_ms) - clock_now_ms();
+        int64_t wait_ms = CLAMP(due_ms - before_ms, 0, IDLE_WAIT_MS);
         int64_t after_ms;
 
-        wait_ms = CLAMP(wait_ms, 0, IDLE_WAIT_MS);
-        before_ms = clock_now_ms();
         result = ring_pop(&config->inbox, &message, wait_ms);
         after_ms = clock_now_ms();
         follow_note_wait(&config->follow, wait_ms, after_ms - before_ms,
                          after_ms);
         if (result == RING_OK) {
             config_handle(config, &message, after_ms);
+            config_drain(config, after_ms);
         }
     }
     return true;
--- a/src/turmericd/state/config/internal.h
+++ b/src/turmericd/state/config/internal.h
@@ -160,6 +160,7 @@
 int64_t config_tick(struct config *config, int64_t now_ms);
 void config_handle(struct config *config, const struct message *message,
                    int64_t now_ms);
+void config_drain(struct config *config, int64_t now_ms);
 void config_announce(struct config *config, int64_t now_ms);
 
 /* hold.c */
--- a/test/config_test.c
+++ b/test/config_test.c
@@ -322,16 +322,6 @@
     world->mail = kept;
 }
 
-static void
-take_wake_ups(struct instance *instance, int64_t now_ms)
-{
-    struct message message;
-
-    while (ring_pop(&instance->config->inbox, &message, 0) == RING_OK) {
-        config_handle(instance->config, &message, now_ms);
-    }
-}
-
 static void
 step(struct world *world)
 {
@@ -339,7 +329,7 @@
         struct instance *instance = &world->instances[i];
 
         if (!instance->paused) {
-            take_wake_ups(instance, world->now_ms);
+            config_drain(instance->config, world->now_ms);
             config_tick(instance->config, world->now_ms);
         }
     }
@@ -989,7 +979,7 @@
 
         g_snprintf(value, sizeof(value), "%d", 1 + i);
         edit_now(a, "/om/m", "queue_max", value);
-        take_wake_ups(a, world.now_ms);
+        config_drain(a->config, world.now_ms);
         config_tick(a->config, world.now_ms);
     }
     g_assert_cmpint(count_keys(&world, CONFIG_LOG), <=, 2 * SNAPSHOT_INTERVAL);
@@ -1039,7 +1029,7 @@
     edit_now(a, "/om", "type", "\"service\"");
     for (int i = 0; i < 2 * SNAPSHOT_INTERVAL + 100; i++) {
         edit_now(a, "/om", "queue_max", i % 2 == 0 ? "5" : "6");
-        take_wake_ups(a, world.now_ms);
+        config_drain(a->config, world.now_ms);
         config_tick(a->config, world.now_ms);
     }
     fresh = world_add(&world, 2, true);
@@ -1194,6 +1184,34 @@
     world_free(&world);
 }
 
+/* Guards against an inbox that grows while reads of the service are slow. */
+static void
+test_drain(void)
+{
+    struct world world;
+    struct instance *a;
+    const int messages = 10;
+
+    world_init(&world);
+    a = world_add(&world, 1, true);
+    world_add(&world, 1, false);
+    run_for(&world, 500);
+    for (int i = 0; i < messages; i++) {
+        Turmeric__Envelope *envelope = calloc(1, sizeof(*envelope));
+
+        turmeric__envelope__init(envelope);
+        envelope->from = world.instances[1].id;
+        envelope->body_case = TURMERIC__ENVELOPE__BODY_CONFIG_FETCH;
+        envelope->config_fetch = calloc(1, sizeof(*envelope->config_fetch));
+        turmeric__config_fetch__init(envelope->config_fetch);
+        g_assert_true(config_post_envelope(a->config, envelope, NULL));
+    }
+    config_drain(a->config, world.now_ms);
+    g_assert_cmpuint(ring_count(&a->config->inbox), ==, 0);
+    g_assert_cmpuint(g_queue_get_length(&world.mail), ==, (guint)messages);
+    world_free(&world);
+}
+
 /* Guards against a broken message of a peer that changes the tree or breaks
  * the duty. */
 struct message_case {
@@ -1476,6 +1494,7 @@
     g_test_add_func("/config/id_reused", test_id_reused);
     g_test_add_func("/config/service_down", test_service_down);
     g_test_add_func("/config/snapshot_and_gap", test_snapshot_and_gap);
+    g_test_add_func("/config/drain", test_drain);
     g_test_add_func("/config/pause", test_pause);
     g_test_add_func("/config/threads", test_threads);
     return g_test_run();
