Test the store of claims against more faults

Cause: four faults put back on trial kept all cases green: a removal that reaches beyond the base, a second entry when only the check after an append fails, pending claims that fill the table, and a set that isn't read again after a lost append. A fifth, an older base over a newer one, did so too.

Change: a case for each.

--- a/test/claim_test.c
+++ b/test/claim_test.c
@@ -276,6 +276,11 @@
      "run 100; ask 0 1 12; run 100; granted 0 1 12; ask 1 1 22; "
      "run 100; refused 1 duplicate_request 22; release 0 1 12; "
      "run 1100; ask 1 1 23; run 100; granted 1 1 23"},
+    /* The second one has seen the key free. */
+    {"append_taken",
+     "owner 1 2; ask 1 1 21; run 50; granted 1 1 21; "
+     "release 1 1 21; run 60; ask 0 1 11; run 50; granted 0 1 11; "
+     "ask 1 1 22; run 100; refused 1 duplicate_request 22"},
     {"down", "fail 0 1000000; ask 0 1 11; run 4900; run 200; "
              "refused 0 claim_unavailable 11; fail 0 0; run 1500; ask 0 1 12; "
              "run 100; granted 0 1 12"},
@@ -592,7 +597,8 @@
     nodes_free(nodes, &memory);
 }
 
-/* Guards against work without a bound while the service is down. */
+/* Guards against work without a bound while the service is down, and against
+ * pending claims that leave no room for releases. */
 static void
 test_bounds(void)
 {
@@ -603,6 +609,8 @@
     int asked = 0;
     int full = 0;
     struct claim_verdict verdict;
+    struct claim_request release;
+    uint64_t refused;
 
     nodes_init(nodes, &memory);
     nodes[0].access.fail_calls = MANY;
@@ -619,6 +627,11 @@
         full++;
     }
     g_assert_cmpint(full, >, 0);
+    release = request_in_shard(MANY);
+    refused = refusal_read(ERR_TABLE_FULL);
+    g_assert_true(claim_post_release(nodes[0].claim, &release, &err));
+    run_nodes(nodes, &now_ms, ROUND_MS);
+    g_assert_cmpuint(refusal_read(ERR_TABLE_FULL), ==, refused);
     run_nodes(nodes, &now_ms, 5200);
     full += (int)ring_count(&nodes[0].verdicts);
     g_assert_cmpint(full, ==, asked);
@@ -1040,8 +1053,9 @@
     return true;
 }
 
-/* Action letters: a append by the active member, c compact by it, p append by
- * a paused third member that has read as much as the reader. */
+/* Action letters: a append by the active member, c compact by it; p append, b
+ * compact by a paused third member that has read as much as the reader; B a
+ * compaction by it that must be refused. */
 struct overtaken_case {
     const char *name;
     const char *actions;
@@ -1056,6 +1070,8 @@
     {"gap_before_tail", "aaca", JOURNAL_TAKEN, "1234"},
     {"number_taken_again", "aacp", JOURNAL_TAKEN, "123"},
     {"number_before_tail", "acpa", JOURNAL_TAKEN, "123"},
+    {"compacted_behind", "ab", JOURNAL_TAKEN, "12"},
+    {"older_base", "acaB", JOURNAL_TAKEN, "123"},
     {"compacted_twice", "acaca", JOURNAL_TAKEN, "1234"},
 };
 
@@ -1087,6 +1103,11 @@
             g_assert_true(claim_store_compact(&active.store, &active.set,
                                               ++active.ids, NULL));
         }
+        else if (g_ascii_tolower(*action) == 'b') {
+            g_assert_cmpint(claim_store_compact(&paused.store, &paused.set,
+                                                ++paused.ids, NULL),
+                            ==, *action == 'b');
+        }
         else {
             g_assert_cmpint(reader_append(&paused, "c9p"), ==, JOURNAL_TAKEN);
         }
@@ -1104,6 +1125,25 @@
     kv_memory_free(&memory);
 }
 
+/* Guards against a second entry when only the check after an append fails. */
+static void
+test_append_unchecked(void)
+{
+    struct kv_memory memory;
+    struct reader reader;
+
+    kv_memory_init(&memory);
+    reader_init(&reader, &memory, 100);
+    g_assert_true(claim_store_catch_up(&reader.store, &reader.set, NULL));
+    reader.access.skip = 1;
+    reader.access.fail_calls = 1;
+    g_assert_cmpint(reader_append(&reader, "c1a"), ==, JOURNAL_UNKNOWN);
+    g_assert_cmpint(reader_append(&reader, "c1a"), ==, JOURNAL_APPENDED);
+    g_assert_cmpint(memory.writes, ==, 1);
+    reader_free(&reader);
+    kv_memory_free(&memory);
+}
+
 /* Guards against claims lost by a compaction that stops at any call, with the
  * call's effect or without. */
 static void
@@ -1180,6 +1220,7 @@
     ADD_CASES("frame", frame_cases, test_frame);
     g_test_add_func("/claim/key_hash", test_key_hash);
     g_test_add_func("/claim/set_bounds", test_set_bounds);
+    g_test_add_func("/claim/append_unchecked", test_append_unchecked);
     g_test_add_func("/claim/compaction_stops", test_compaction_stops);
     g_test_add_func("/claim/bounds", test_bounds);
     g_test_add_func("/claim/race", test_race);
