--- a/examples/run.sh
+++ b/examples/run.sh
@@ -28,6 +28,7 @@
 
 fail() {
     echo "run: $1" >&2
+    cat "$work"/*.out >&2 2>/dev/null
     tail -n 20 "$work"/*.log >&2
     exit 1
 }
@@ -120,6 +121,7 @@
 done
 
 members_alive() {
+    "$ctl" status >"$work/status.out" 2>&1
     "$ctl" status 2>/dev/null | grep -c alive | grep -qx 3
 }
 await "membership of three" members_alive
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -36,6 +36,7 @@
     int64_t fences_refused;
     int64_t chats;
     int64_t cancels;
+    struct json_object *history; /* one object for each replica ever held */
 };
 
 /* One streamed answer. */
@@ -128,6 +129,35 @@
     return U_CALLBACK_COMPLETE;
 }
 
+/* Called with the lock held. Notes from when on memory is held for a path. */
+static void
+note_allocated(struct engine_role *engine, const char *path)
+{
+    struct json_object *replica = json_object_new_object();
+
+    json_object_object_add(replica, "model", json_object_new_string(path));
+    json_object_object_add(replica, "from_ms",
+                           json_object_new_int64(clock_now_ms()));
+    json_object_array_add(engine->history, replica);
+}
+
+/* Called with the lock held. Ends the oldest open note of a path. */
+static void
+note_freed(struct engine_role *engine, const char *path)
+{
+    for (size_t i = 0; i < json_object_array_length(engine->history); i++) {
+        struct json_object *replica =
+            json_object_array_get_idx(engine->history, i);
+
+        if (strcmp(json_text(replica, "model", ""), path) == 0 &&
+            json_number(replica, "to_ms", 0) == 0) {
+            json_object_object_add(replica, "to_ms",
+                                   json_object_new_int64(clock_now_ms()));
+            return;
+        }
+    }
+}
+
 /* Called with the lock held. Records the number of a carried out order. */
 static bool
 fence_accepts(struct engine_role *engine, uint64_t fence)
@@ -187,6 +217,7 @@
     }
     else {
         engine->used_mb += memory_mb;
+        note_allocated(engine, path);
     }
     pthread_mutex_unlock(&engine->role.lock);
     return status;
@@ -199,6 +230,7 @@
     pthread_mutex_lock(&engine->role.lock);
     if (g_hash_table_contains(engine->loaded, path)) {
         engine->used_mb -= memory_mb;
+        note_freed(engine, path);
     }
     else {
         g_hash_table_insert(engine->loaded, g_strdup(path),
@@ -269,6 +301,7 @@
     if (accepted && g_hash_table_contains(engine->loaded, path)) {
         engine->used_mb -= (int64_t)g_hash_table_lookup(engine->loaded, path);
         g_hash_table_remove(engine->loaded, path);
+        note_freed(engine, path);
         engine->unloads++;
     }
     pthread_mutex_unlock(&engine->role.lock);
@@ -577,6 +610,7 @@
 
     (void)err;
     engine->incarnation = (uint64_t)clock_wall_ms();
+    engine->history = json_object_new_array();
     engine->loaded =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     engine->cached =
@@ -616,6 +650,7 @@
                                json_object_new_int64(fields[i].value));
     }
     json_object_object_add(stats, "loaded", keys_of(engine->loaded));
+    json_object_object_add(stats, "history", json_object_get(engine->history));
     return stats;
 }
 
--- a/src/turmericd/root.c
+++ b/src/turmericd/root.c
@@ -114,6 +114,7 @@
 
     g_strlcpy(front.address, settings->address, sizeof(front.address));
     g_strlcpy(desk.address, settings->desk_address, sizeof(desk.address));
+    g_strlcpy(desk.name, settings->name, sizeof(desk.name));
     g_strlcpy(desk.token_file, settings->token_file, sizeof(desk.token_file));
     root->calls = calls_new((uint32_t)settings->calls_max, err);
     if (root->calls == NULL) {
--- a/src/turmericd/serve/route/retry.c
+++ b/src/turmericd/serve/route/retry.c
@@ -154,6 +154,9 @@
 
     switch (failure->kind) {
     case ATTEMPT_NOT_SENT:
+        /* A refused connection costs the target nothing, and the target is
+         * avoided afterwards; after a crash every call meets one. */
+        wanted.spends = false;
         wanted.counter = CTR_RETRY_CONNECT;
         wanted.action = failure->attempts > 1 ? RETRY_BACKOFF : RETRY_QUEUE;
         return again(failure, wanted, ERR_NO_TARGET);
--- a/test/cluster/fns.h
+++ b/test/cluster/fns.h
@@ -20,6 +20,7 @@
 struct json_object *process_stats(struct process *process);
 int64_t process_stat(struct process *process, const char *key);
 void process_faults(struct process *process, const char *faults);
+void cluster_unlist(struct cluster *cluster, struct process *process);
 bool cluster_edit(struct process *entry, const char *changes,
                   int64_t base_revision, int64_t *revision,
                   struct answer *answer);
--- a/test/cluster/request.c
+++ b/test/cluster/request.c
@@ -185,6 +185,23 @@
     json_object_put(now);
 }
 
+/**
+ * cluster_unlist() - drop an instance from the platform's list
+ * @cluster: the cluster
+ * @process: the instance
+ */
+void
+cluster_unlist(struct cluster *cluster, struct process *process)
+{
+    struct answer *answer = g_new0(struct answer, 1);
+    char *path = g_strdup_printf("/instances/%s", process->name);
+
+    g_assert_true(request_send(cluster_find(cluster, PROCESS_LIST, 1),
+                               "DELETE", path, NULL, NULL, answer));
+    g_free(path);
+    g_free(answer);
+}
+
 static const char *const operator_headers[][2] = {
     {"Authorization", "Bearer test-token"}, {NULL, NULL}};
 
