Wait for another engine when the only one is gone

Cause: after an engine had died in the middle of a stream, the refused connection of the resume there and one of a new attempt at the same engine used up attempts_max before its report showed it as down; system test engine_killed failed. Change: a target that refused a connection is not picked for 1 s, not even as the last one, and a resume that found no connection doesn't count as an attempt.

--- a/src/turmericd/serve/route/core.c
+++ b/src/turmericd/serve/route/core.c
@@ -601,6 +601,11 @@
     if (result->kind == ATTEMPT_NOT_SENT && target != NULL) {
         target->avoid_until_ms = now_ms + AVOID_MS;
     }
+    if (result->kind == ATTEMPT_NOT_SENT && running->resume_here) {
+        /* It only showed that the engine is gone; the one that goes on must
+         * not be the last attempt because of it. */
+        work->attempts--;
+    }
     if (result->kind == ATTEMPT_NOT_LOADED && target != NULL) {
         fleet_drop_loaded(&core->fleet, target, work->leaf->id);
     }
--- a/src/turmericd/serve/route/internal.h
+++ b/src/turmericd/serve/route/internal.h
@@ -55,7 +55,7 @@
  * @inflight_at_report: own attempts running when the report came
  * @started: own attempts running that started since the report
  * @report_number: counts reports
- * @avoid_until_ms: refused a connection; used only when no other is free
+ * @avoid_until_ms: refused a connection; not used until then
  */
 struct target {
     struct target_report report;
--- a/src/turmericd/serve/route/pick.c
+++ b/src/turmericd/serve/route/pick.c
@@ -72,7 +72,16 @@
             return true;
         }
     }
-    return target->avoid_until_ms > query->now_ms;
+    return false;
+}
+
+/* A target that just refused a connection is as good as down until a report
+ * says so; further attempts there would only use up the call's attempts. */
+static bool
+is_live(const struct target *target, const struct pick_query *query)
+{
+    return target->report.state == TARGET_LIVE &&
+           target->avoid_until_ms <= query->now_ms;
 }
 
 static int
@@ -92,8 +101,7 @@
 static bool
 is_candidate(const struct target *target, const struct pick_query *query)
 {
-    return target->report.state == TARGET_LIVE &&
-           has_room(target, query->inflight_max);
+    return is_live(target, query) && has_room(target, query->inflight_max);
 }
 
 /* The index-th candidate of a class. */
@@ -152,7 +160,7 @@
     enum pick_result result = PICK_NONE;
 
     for (int i = 0; i < count; i++) {
-        if (targets[i]->report.state == TARGET_LIVE) {
+        if (is_live(targets[i], query)) {
             result = PICK_BUSY;
         }
         if (is_candidate(targets[i], query)) {
