Let broken streams wait for the retry budget

Cause: each stream of a dead engine spent two retries of the budget, so with at least 3 in 10 s only one of several streams was resumed and the others were broken off as retry_budget. Result: of four streams of a dead engine three go on at once and the fourth within 10 s of virtual time; route_test 69, path_test 10 ok.

--- a/src/turmericd/serve/route/core.c
+++ b/src/turmericd/serve/route/core.c
@@ -662,6 +662,21 @@
     return retry_decide(&failure);
 }
 
+/* The caller has part of the answer, so a stream waits for the budget where
+ * a call that has not begun is refused. */
+static void
+resume_elsewhere(struct core *core, struct work *work, int64_t now_ms)
+{
+    work->resume_here = false;
+    work->owes_budget = !budget_has_room(&core->budget, now_ms);
+    if (work->owes_budget) {
+        wait_until(core, work, now_ms + HOLD_MS);
+        return;
+    }
+    budget_spend(&core->budget, now_ms);
+    enqueue(core, work);
+}
+
 static void
 resume_here(struct core *core, struct work *work, int64_t now_ms)
 {
@@ -671,8 +686,7 @@
     work->resume_here = true;
     if (target == NULL || target->report.state == TARGET_DOWN ||
         target->report.state == TARGET_GONE) {
-        work->resume_here = false;
-        enqueue(core, work);
+        resume_elsewhere(core, work, now_ms);
     }
     else if (!start_attempt(core, work, target, now_ms, &err)) {
         wait_until(core, work, now_ms + BACKOFF_MIN_MS);
@@ -714,6 +728,9 @@
     if (retry->action == RETRY_RESUME_HERE) {
         resume_here(core, work, now_ms);
     }
+    else if (retry->action == RETRY_RESUME_ELSEWHERE) {
+        resume_elsewhere(core, work, now_ms);
+    }
     else if (retry->action == RETRY_BACKOFF) {
         wait_until(core, work,
                    now_ms + backoff_ms(work->attempts, &core->random));
@@ -964,6 +981,10 @@
     else if (work->phase == WORK_CLAIMING) {
         ask_claim(core, work, now_ms);
     }
+    else if (work->owes_budget) {
+        resume_elsewhere(core, work, now_ms);
+        dispatch(core, work->leaf, now_ms);
+    }
     else if (work->resume_here) {
         resume_here(core, work, now_ms);
         dispatch(core, work->leaf, now_ms);
--- a/src/turmericd/serve/route/retry.c
+++ b/src/turmericd/serve/route/retry.c
@@ -133,7 +133,7 @@
 static struct retry
 after_begin(const struct failure *failure)
 {
-    struct retry wanted = {.counter = CTR_RETRY_RESUME, .spends = true};
+    struct retry wanted = {.counter = CTR_RETRY_RESUME};
 
     if (!failure->idempotent || failure->no_resume) {
         return refuse(failure, ERR_TARGET_FAILED);
