--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -50,12 +50,20 @@
     pthread_t reader;
     GString *output;
     ssize_t end;
+    bool follow;
 };
 
 static void
 on_done(struct forward_port *port, const struct attempt_result *result)
 {
-    ring_push(&((struct scene *)port)->results, result, NULL);
+    struct scene *scene = (struct scene *)port;
+
+    if (scene->follow) {
+        scene->follow = false;
+        g_assert_true(
+            forward_post_attempt(scene->forward, &scene->attempt, NULL));
+    }
+    ring_push(&scene->results, result, NULL);
 }
 
 static const struct forward_port_ops ops = {on_done};
@@ -634,6 +642,26 @@
     scene_close(&scene);
 }
 
+/* Guards against an attempt that finds no worker although the result that it
+ * follows from has freed one. */
+static void
+test_follow(void)
+{
+    struct call_request request = make_request(CHAT_WHOLE);
+    static struct scene scene;
+
+    scene_open(&scene, &request);
+    scene.server.plans[0] =
+        (struct plan){503, JSON, "not_run", "{}", END_WHOLE, 0, 0};
+    scene.server.plans[1] =
+        (struct plan){200, JSON, NULL, "{}", END_WHOLE, 0, 0};
+    scene.follow = true;
+    post(&scene);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_BUSY);
+    g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_OK);
+    scene_close(&scene);
+}
+
 /* Guards against events that are split or joined wrongly, whatever pieces
  * they come in. */
 struct sse_case {
@@ -702,6 +730,7 @@
     g_test_add_func("/forward/gap", test_gap);
     g_test_add_func("/forward/too_late", test_too_late);
     g_test_add_func("/forward/caller_gone", test_caller_gone);
+    g_test_add_func("/forward/follow", test_follow);
     g_test_add_func("/forward/pool_full_and_stop", test_pool_full_and_stop);
     return g_test_run();
 }
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -621,11 +621,11 @@
      "report e1 x live 1 w; report e2 y live 1 w; call 0 w sse; "
      "call 1 w sse; call 2 w sse; call 3 w sse; report e1 x down 1 w; "
      "result 0 broken 1; result 1 broken 1; result 2 broken 1; "
-     "result 3 broken 1; +9000; +1200",
+     "result 3 broken 1; +9000; call 4 off idem; +1200",
      "send(0,e1) send(1,e1) send(2,e1) send(3,e1) "
      "strike(e1,1) send(0,e2 elsewhere:1) strike(e1,1) "
      "send(1,e2 elsewhere:1) strike(e1,1) send(2,e2 elsewhere:1) "
-     "strike(e1,1) send(3,e2 elsewhere:1)"},
+     "strike(e1,1) refuse(4,disabled,not_run) send(3,e2 elsewhere:1)"},
     {"no_event_is_a_plain_retry",
      "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; "
      "result 0 broken 0",
