Shorten the tables of the tests of forward and of the whole path

Cause: the formatter put each field of a case with a nested plan on a line. Change: plans are written with a macro, which the formatter packs.

--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -180,121 +180,58 @@
  * that reaches the caller, and a refusal of the target that is taken for an
  * answer or for a run. */
 static const struct answer_case answer_cases[] = {
-    {"whole",
-     CHAT_WHOLE,
-     {200, JSON, NULL, "{\"a\":1}", END_WHOLE, 0, 0},
-     ATTEMPT_OK,
-     0,
-     "200 {\"a\":1}"},
-    {"other_status",
-     CHAT_WHOLE,
-     {418, JSON, NULL, "tea", END_WHOLE, 0, 0},
-     ATTEMPT_OK,
-     0,
-     "418 tea"},
-    {"plain",
-     PLAIN,
-     {201, "text/plain", NULL, "made", END_WHOLE, 4, 0},
-     ATTEMPT_OK,
-     0,
-     "201 made"},
-    {"broken_chunks",
-     CHAT_WHOLE,
-     {200, JSON, NULL, "{\"a\"", END_BREAK, 0, 0},
-     ATTEMPT_BROKEN,
-     0,
-     ""},
-    {"broken_length",
-     PLAIN,
-     {200, JSON, NULL, "half", END_BREAK, 8, 0},
-     ATTEMPT_BROKEN,
-     0,
-     ""},
-    {"broken_at_once",
-     CHAT_STREAM,
-     {200, SSE, NULL, "", END_BREAK, 0, 0},
-     ATTEMPT_BROKEN,
-     0,
-     ""},
-    {"stream",
-     CHAT_STREAM,
-     {200, SSE, NULL, EVENT("a") EVENT("b") "data: [DONE]\n\n", END_WHOLE, 0,
-      0},
-     ATTEMPT_OK,
-     3,
-     "200 " EVENT("a") EVENT("b") "data: [DONE]\n\n"},
-    {"stream_that_stays_open",
-     CHAT_STREAM,
-     {200, SSE, NULL, EVENT("a") "data: [DONE]\n\n", END_STALL, 0, 0},
-     ATTEMPT_OK,
-     2,
-     "200 " EVENT("a") "data: [DONE]\n\n"},
-    {"stream_breaks_within_an_event",
-     CHAT_STREAM,
-     {200, SSE, NULL, EVENT("a") "data: {\"cho", END_BREAK, 0, 0},
-     ATTEMPT_BROKEN,
-     1,
+    {"whole", CHAT_WHOLE, PLAN(200, JSON, NULL, "{\"a\":1}", END_WHOLE, 0, 0),
+     ATTEMPT_OK, 0, "200 {\"a\":1}"},
+    {"other_status", CHAT_WHOLE, PLAN(418, JSON, NULL, "tea", END_WHOLE, 0, 0),
+     ATTEMPT_OK, 0, "418 tea"},
+    {"plain", PLAIN, PLAN(201, "text/plain", NULL, "made", END_WHOLE, 4, 0),
+     ATTEMPT_OK, 0, "201 made"},
+    {"broken_chunks", CHAT_WHOLE,
+     PLAN(200, JSON, NULL, "{\"a\"", END_BREAK, 0, 0), ATTEMPT_BROKEN, 0, ""},
+    {"broken_length", PLAIN, PLAN(200, JSON, NULL, "half", END_BREAK, 8, 0),
+     ATTEMPT_BROKEN, 0, ""},
+    {"broken_at_once", CHAT_STREAM, PLAN(200, SSE, NULL, "", END_BREAK, 0, 0),
+     ATTEMPT_BROKEN, 0, ""},
+    {"stream", CHAT_STREAM,
+     PLAN(200, SSE, NULL, EVENT("a") EVENT("b") "data: [DONE]\n\n", END_WHOLE,
+          0, 0),
+     ATTEMPT_OK, 3, "200 " EVENT("a") EVENT("b") "data: [DONE]\n\n"},
+    {"stream_that_stays_open", CHAT_STREAM,
+     PLAN(200, SSE, NULL, EVENT("a") "data: [DONE]\n\n", END_STALL, 0, 0),
+     ATTEMPT_OK, 2, "200 " EVENT("a") "data: [DONE]\n\n"},
+    {"stream_breaks_within_an_event", CHAT_STREAM,
+     PLAN(200, SSE, NULL, EVENT("a") "data: {\"cho", END_BREAK, 0, 0),
+     ATTEMPT_BROKEN, 1, "200 " EVENT("a")},
+    {"stream_without_done", CHAT_STREAM,
+     PLAN(200, SSE, NULL, EVENT("a"), END_WHOLE, 0, 0), ATTEMPT_BROKEN, 1,
      "200 " EVENT("a")},
-    {"stream_without_done",
-     CHAT_STREAM,
-     {200, SSE, NULL, EVENT("a"), END_WHOLE, 0, 0},
-     ATTEMPT_BROKEN,
-     1,
-     "200 " EVENT("a")},
-    {"comments_are_no_events",
-     CHAT_STREAM,
-     {200, SSE, NULL, ": ping\n\n" EVENT("a"), END_BREAK, 0, 0},
-     ATTEMPT_BROKEN,
-     1,
-     "200 : ping\n\n" EVENT("a")},
-    {"not_loaded",
-     CHAT_STREAM,
-     {404, JSON, NULL, "{\"error\":\"not_loaded\"}", END_WHOLE, 0, 0},
-     ATTEMPT_NOT_LOADED,
-     0,
-     ""},
-    {"other_404",
-     CHAT_WHOLE,
-     {404, JSON, NULL, "{\"error\":\"gone\"}", END_WHOLE, 0, 0},
-     ATTEMPT_OK,
-     0,
-     "404 {\"error\":\"gone\"}"},
-    {"busy_body",
-     CHAT_WHOLE,
-     {503, JSON, NULL, "{\"outcome\":\"not_run\"}", END_WHOLE, 0, 0},
-     ATTEMPT_BUSY,
-     0,
-     ""},
-    {"busy_header",
-     PLAIN,
-     {429, "text/plain", "not_run", "no", END_WHOLE, 0, 0},
-     ATTEMPT_BUSY,
-     0,
-     ""},
-    {"503_that_may_have_run",
-     PLAIN,
-     {503, "text/plain", NULL, "no", END_WHOLE, 0, 0},
-     ATTEMPT_OK,
-     0,
+    {"comments_are_no_events", CHAT_STREAM,
+     PLAN(200, SSE, NULL, ": ping\n\n" EVENT("a"), END_BREAK, 0, 0),
+     ATTEMPT_BROKEN, 1, "200 : ping\n\n" EVENT("a")},
+    {"not_loaded", CHAT_STREAM,
+     PLAN(404, JSON, NULL, "{\"error\":\"not_loaded\"}", END_WHOLE, 0, 0),
+     ATTEMPT_NOT_LOADED, 0, ""},
+    {"other_404", CHAT_WHOLE,
+     PLAN(404, JSON, NULL, "{\"error\":\"gone\"}", END_WHOLE, 0, 0),
+     ATTEMPT_OK, 0, "404 {\"error\":\"gone\"}"},
+    {"busy_body", CHAT_WHOLE,
+     PLAN(503, JSON, NULL, "{\"outcome\":\"not_run\"}", END_WHOLE, 0, 0),
+     ATTEMPT_BUSY, 0, ""},
+    {"busy_header", PLAIN,
+     PLAN(429, "text/plain", "not_run", "no", END_WHOLE, 0, 0), ATTEMPT_BUSY,
+     0, ""},
+    {"503_that_may_have_run", PLAIN,
+     PLAN(503, "text/plain", NULL, "no", END_WHOLE, 0, 0), ATTEMPT_OK, 0,
      "503 no"},
-    {"500_with_the_header",
-     PLAIN,
-     {500, "text/plain", "not_run", "no", END_WHOLE, 0, 0},
-     ATTEMPT_OK,
-     0,
+    {"500_with_the_header", PLAIN,
+     PLAN(500, "text/plain", "not_run", "no", END_WHOLE, 0, 0), ATTEMPT_OK, 0,
      "500 no"},
-    {"large",
-     PLAIN,
-     {200, "text/plain", NULL, "", END_WHOLE, 0, LARGE_BYTES},
-     ATTEMPT_OK,
-     0,
-     NULL},
-    {"large_broken",
-     PLAIN,
-     {200, "text/plain", NULL, "", END_BREAK, 0, LARGE_BYTES},
-     ATTEMPT_BROKEN,
-     ATTEMPT_EVENTS_NO_RESUME,
-     NULL},
+    {"large", PLAIN,
+     PLAN(200, "text/plain", NULL, "", END_WHOLE, 0, LARGE_BYTES), ATTEMPT_OK,
+     0, NULL},
+    {"large_broken", PLAIN,
+     PLAN(200, "text/plain", NULL, "", END_BREAK, 0, LARGE_BYTES),
+     ATTEMPT_BROKEN, ATTEMPT_EVENTS_NO_RESUME, NULL},
 };
 
 static struct call_request
@@ -386,8 +323,8 @@
     struct seen seen;
 
     scene_open(&scene, &request);
-    scene.server.plans[0] = (struct plan){
-        200, SSE, NULL, EVENT("x") "data: [DONE]\n\n", END_WHOLE, 0, 0};
+    scene.server.plans[0] = (struct plan)PLAN(
+        200, SSE, NULL, EVENT("x") "data: [DONE]\n\n", END_WHOLE, 0, 0);
     if (c->resume_from > 0) {
         g_assert_true(call_start_answer(scene.calls, scene.call, &head));
         call_add_text(scene.calls, scene.call, "so far", 6);
@@ -415,15 +352,11 @@
     struct attempt_result result;
 
     scene_open(&scene, &request);
-    scene.server.plans[0] = (struct plan){
-        200,
-        SSE,
-        NULL,
+    scene.server.plans[0] = (struct plan)PLAN(
+        200, SSE, NULL,
         "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":"
         "\"\"}}]}\n\n" EVENT("b") "data: [DONE]\n\n",
-        END_WHOLE,
-        0,
-        0};
+        END_WHOLE, 0, 0);
     g_assert_true(call_start_answer(scene.calls, scene.call, &head));
     pthread_create(&scene.reader, NULL, read_answer, &scene);
     scene.attempt.resume_from = 3;
@@ -445,8 +378,8 @@
     struct call_answer head = {200, SSE};
 
     scene_open(&scene, &request);
-    scene.server.plans[0] = (struct plan){
-        404, JSON, NULL, "{\"error\":\"unknown_stream\"}", END_WHOLE, 0, 0};
+    scene.server.plans[0] = (struct plan)PLAN(
+        404, JSON, NULL, "{\"error\":\"unknown_stream\"}", END_WHOLE, 0, 0);
     g_assert_true(call_start_answer(scene.calls, scene.call, &head));
     scene.attempt.resume_from = 3;
     scene.attempt.resume_here = true;
@@ -546,7 +479,8 @@
     struct seen seen;
 
     scene_open(&scene, &request);
-    scene.server.plans[0] = (struct plan){200, SSE, NULL, "", END_STALL, 0, 0};
+    scene.server.plans[0] =
+        (struct plan)PLAN(200, SSE, NULL, "", END_STALL, 0, 0);
     scene.attempt.deadline_ms = clock_now_ms() + NEAR_MS;
     post(&scene);
     g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_TIMEOUT);
@@ -567,7 +501,7 @@
     scene_open(&scene, &request);
     forward_set_gap_ms(scene.forward, 1);
     scene.server.plans[0] =
-        (struct plan){200, SSE, NULL, EVENT("a"), END_STALL, 0, 0};
+        (struct plan)PLAN(200, SSE, NULL, EVENT("a"), END_STALL, 0, 0);
     post(&scene);
     result = wait_result(&scene);
     g_assert_cmpint(result.kind, ==, ATTEMPT_BROKEN);
@@ -605,7 +539,7 @@
     }
     scene_open(&scene, &request);
     scene.server.plans[0] =
-        (struct plan){200, SSE, NULL, body->str, END_STALL, 0, 0};
+        (struct plan)PLAN(200, SSE, NULL, body->str, END_STALL, 0, 0);
     post(&scene);
     g_assert_cmpint(call_wait_answer(scene.calls, scene.call, &answer, NULL),
                     ==, CALL_ANSWERING);
@@ -631,7 +565,7 @@
 
     scene_open(&scene, &request);
     scene.server.plans[0] =
-        (struct plan){200, JSON, NULL, "{", END_STALL, 0, 0};
+        (struct plan)PLAN(200, JSON, NULL, "{", END_STALL, 0, 0);
     post(&scene);
     g_assert_cmpint(ring_pop(&scene.server.seen, &seen, -1), ==, RING_OK);
     g_assert_false(forward_post_attempt(scene.forward, &scene.attempt, &err));
@@ -652,9 +586,9 @@
 
     scene_open(&scene, &request);
     scene.server.plans[0] =
-        (struct plan){503, JSON, "not_run", "{}", END_WHOLE, 0, 0};
+        (struct plan)PLAN(503, JSON, "not_run", "{}", END_WHOLE, 0, 0);
     scene.server.plans[1] =
-        (struct plan){200, JSON, NULL, "{}", END_WHOLE, 0, 0};
+        (struct plan)PLAN(200, JSON, NULL, "{}", END_WHOLE, 0, 0);
     scene.follow = true;
     post(&scene);
     g_assert_cmpint(wait_result(&scene).kind, ==, ATTEMPT_BUSY);
--- a/test/path_test.c
+++ b/test/path_test.c
@@ -242,26 +242,13 @@
 #define EVENT(text)                                                           \
     "data: {\"choices\":[{\"delta\":{\"content\":\"" text "\"}}]}\n\n"
 #define DONE "data: [DONE]\n\n"
-#define WHOLE                                                                 \
-    {                                                                         \
-        200, JSON, NULL, "{\"text\":\"whole\"}", END_WHOLE, 0, 0              \
-    }
-#define BROKEN                                                                \
-    {                                                                         \
-        200, JSON, NULL, "{\"text\":", END_BREAK, 0, 0                        \
-    }
+#define WHOLE PLAN(200, JSON, NULL, "{\"text\":\"whole\"}", END_WHOLE, 0, 0)
+#define BROKEN PLAN(200, JSON, NULL, "{\"text\":", END_BREAK, 0, 0)
 #define NOT_LOADED                                                            \
-    {                                                                         \
-        404, JSON, NULL, "{\"error\":\"not_loaded\"}", END_WHOLE, 0, 0        \
-    }
-#define STREAM(text, end)                                                     \
-    {                                                                         \
-        200, SSE, NULL, text, end, 0, 0                                       \
-    }
+    PLAN(404, JSON, NULL, "{\"error\":\"not_loaded\"}", END_WHOLE, 0, 0)
+#define STREAM(text, end) PLAN(200, SSE, NULL, text, end, 0, 0)
 #define NO_STREAM                                                             \
-    {                                                                         \
-        404, JSON, NULL, "{\"error\":\"unknown_stream\"}", END_WHOLE, 0, 0    \
-    }
+    PLAN(404, JSON, NULL, "{\"error\":\"unknown_stream\"}", END_WHOLE, 0, 0)
 
 /**
  * struct path_case - a chat, what the two targets answer, and the reply
--- a/test/target.h
+++ b/test/target.h
@@ -38,6 +38,12 @@
     bool released;
 };
 
+/* Keeps a plan within a table of cases on few lines. */
+#define PLAN(...)                                                             \
+    {                                                                         \
+        __VA_ARGS__                                                           \
+    }
+
 struct seen {
     char line[1024];
 };
