Don't count refused connections as attempts; keep test ports reserved

Cause: after an engine was killed in the middle of a stream, the resume met refused connections until the engine was reported as down; with attempts_max 3 and a budget of 3 retries the stream was given up after 200 ms although another engine could go on (system test engine_killed). The harness's ports could be taken by outgoing connections before a process listened on them.

Change: attempts_max counts attempts that reached a target, and refused connections spend no budget, also while resuming; the deadline bounds them. The harness keeps its ports bound.

--- a/src/turmericd/serve/route/core.c
+++ b/src/turmericd/serve/route/core.c
@@ -598,6 +598,7 @@
              const struct running *running,
              const struct attempt_result *result, int64_t now_ms)
 {
+    work->sent += result->kind != ATTEMPT_NOT_SENT;
     if (result->kind == ATTEMPT_NOT_SENT && target != NULL) {
         target->avoid_until_ms = now_ms + AVOID_MS;
     }
@@ -647,6 +648,7 @@
         .no_resume = work->no_resume,
         .was_resume_here = running->resume_here,
         .attempts = work->attempts,
+        .sent = work->sent,
         .attempts_max = node != NULL ? node->settings.attempts_max : 1,
         .has_budget = budget_has_room(&core->budget, now_ms),
     };
--- a/src/turmericd/serve/route/internal.h
+++ b/src/turmericd/serve/route/internal.h
@@ -107,6 +107,7 @@
  * @granted: the claim is held
  * @maybe_ran: an attempt broke, so "not run" can't be said any more
  * @attempts: attempts made
+ * @sent: attempts that reached a target
  * @tried: targets of the attempts
  * @tried_count: number of them
  * @stream_id: random part of the stream's id
@@ -131,6 +132,7 @@
     bool granted;
     bool maybe_ran;
     int attempts;
+    int sent;
     uint64_t tried[TRIED_MAX];
     int tried_count;
     uint64_t stream_id;
@@ -189,7 +191,8 @@
  * @no_resume: and it can't be resumed
  * @was_resume_here: the attempt resumed at the same engine
  * @attempts: attempts made
- * @attempts_max: most attempts
+ * @sent: attempts that reached a target, with this one
+ * @attempts_max: most attempts that reach a target
  * @has_budget: the retry budget allows another attempt
  */
 struct failure {
@@ -200,6 +203,7 @@
     bool no_resume;
     bool was_resume_here;
     int attempts;
+    int sent;
     int64_t attempts_max;
     bool has_budget;
 };
--- a/src/turmericd/serve/route/retry.c
+++ b/src/turmericd/serve/route/retry.c
@@ -121,7 +121,7 @@
 again(const struct failure *failure, struct retry wanted,
       enum err_kind exhausted)
 {
-    if (failure->attempts >= failure->attempts_max) {
+    if (failure->sent >= failure->attempts_max) {
         return refuse(failure, exhausted);
     }
     if (wanted.spends && !failure->has_budget) {
@@ -133,7 +133,10 @@
 static struct retry
 after_begin(const struct failure *failure)
 {
-    struct retry wanted = {.counter = CTR_RETRY_RESUME, .spends = true};
+    struct retry wanted = {
+        .counter = CTR_RETRY_RESUME,
+        .spends = failure->kind != ATTEMPT_NOT_SENT,
+    };
 
     if (!failure->idempotent || failure->no_resume) {
         return refuse(failure, ERR_TARGET_FAILED);
@@ -155,7 +158,9 @@
     switch (failure->kind) {
     case ATTEMPT_NOT_SENT:
         /* A refused connection costs the target nothing, and the target is
-         * avoided afterwards; after a crash every call meets one. */
+         * avoided afterwards. Neither the budget nor attempts_max counts
+         * it: after a crash every call meets some until the target is
+         * reported as down. The deadline bounds them. */
         wanted.spends = false;
         wanted.counter = CTR_RETRY_CONNECT;
         wanted.action = failure->attempts > 1 ? RETRY_BACKOFF : RETRY_QUEUE;
--- a/test/cluster/dat.h
+++ b/test/cluster/dat.h
@@ -3,6 +3,7 @@
 
 enum {
     PROCESSES_MAX = 64,
+    SOCKETS_MAX = 3 * PROCESSES_MAX,
     ANSWER_MAX_BYTES = 256 * 1024,
     CLUSTER_WAIT_MS = 30000,
 };
@@ -53,12 +54,15 @@
 
 /**
  * struct cluster - running processes; ended by cluster_stop()
+ * @sockets: keep the processes' ports reserved
  */
 struct cluster {
     const struct shape *shape;
     char directory[PATH_MAX_BYTES];
     struct process processes[PROCESSES_MAX];
     int count;
+    int sockets[SOCKETS_MAX];
+    int socket_count;
 };
 
 /**
