Don't reach instances through a proxy

The HTTP client takes a proxy from the environment: with http_proxy set, the tool sent its call, and with it the operators' token, to the proxy instead of the instance (seen by hand: "no answer" with a proxy that is not there).

The tool forgets these variables. The test program runs with them set; without the change its cases fail.

--- a/src/turmericctl/main.c
+++ b/src/turmericctl/main.c
@@ -194,6 +194,18 @@
     return command->run(ctl);
 }
 
+/* The address is reached directly; a proxy would get to see the token. */
+static void
+forget_proxies(void)
+{
+    static const char *const names[] = {"http_proxy", "all_proxy",
+                                        "ALL_PROXY"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        g_unsetenv(names[i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -204,6 +216,7 @@
     };
     enum exit_code code;
 
+    forget_proxies();
     argp_err_exit_status = EXIT_USAGE;
     argp_parse(&argp, argc, argv, 0, NULL, &ctl);
     ulfius_global_init();
--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -417,6 +417,9 @@
     int status = 0;
 
     env = g_environ_setenv(env, "TURMERIC_TOKEN_FILE", token, TRUE);
+    /* Guards against a token that is sent to a proxy. */
+    env = g_environ_setenv(env, "http_proxy", "http://127.0.0.1:1", TRUE);
+    env = g_environ_setenv(env, "ALL_PROXY", "http://127.0.0.1:1", TRUE);
     for (int i = 0; argv[i] != NULL; i++) {
         if (strcmp(argv[i], FILE_ARGUMENT) == 0) {
             g_free(argv[i]);
