--- a/src/turmericd/serve/route/internal.h
+++ b/src/turmericd/serve/route/internal.h
@@ -55,7 +55,7 @@
  * @inflight_at_report: own attempts running when the report came
  * @started: own attempts running that started since the report
  * @report_number: counts reports
- * @avoid_until_ms: refused a connection; used only when no other is free
+ * @avoid_until_ms: refused a connection; not used until then
  */
 struct target {
     struct target_report report;
@@ -116,6 +116,7 @@
  * @stream_events: events taken from the present stream
  * @no_resume: the answer has begun and can't be resumed
  * @resume_here: the next attempt resumes the stream at @last_target
+ * @owes_budget: a resume at another engine waits for the retry budget
  * @last_target: target of the last attempt
  * @not_before_ms: end of a backoff
  * @last_failure: how the last attempt failed
@@ -141,6 +142,7 @@
     uint32_t stream_events;
     bool no_resume;
     bool resume_here;
+    bool owes_budget;
     uint64_t last_target;
     int64_t not_before_ms;
     char last_failure[ERR_TEXT_MAX];
