Let a resume pay the retry budget once

Cause: a resume at another engine spent the budget again for each refused connection, which costs a target nothing. Change: a resume is paid for until it reaches a target.

--- a/src/turmericd/serve/route/core.c
+++ b/src/turmericd/serve/route/core.c
@@ -598,7 +598,10 @@
              const struct running *running,
              const struct attempt_result *result, int64_t now_ms)
 {
-    work->sent += result->kind != ATTEMPT_NOT_SENT;
+    if (result->kind != ATTEMPT_NOT_SENT) {
+        work->sent++;
+        work->paid_budget = false;
+    }
     if (result->kind == ATTEMPT_NOT_SENT && target != NULL) {
         target->avoid_until_ms = now_ms + AVOID_MS;
     }
@@ -665,12 +668,16 @@
 resume_elsewhere(struct core *core, struct work *work, int64_t now_ms)
 {
     work->resume_here = false;
-    work->owes_budget = !budget_has_room(&core->budget, now_ms);
+    work->owes_budget =
+        !work->paid_budget && !budget_has_room(&core->budget, now_ms);
     if (work->owes_budget) {
         wait_until(core, work, now_ms + HOLD_MS);
         return;
     }
-    budget_spend(&core->budget, now_ms);
+    if (!work->paid_budget) {
+        budget_spend(&core->budget, now_ms);
+        work->paid_budget = true;
+    }
     enqueue(core, work);
 }
 
--- a/src/turmericd/serve/route/internal.h
+++ b/src/turmericd/serve/route/internal.h
@@ -117,6 +117,7 @@
  * @no_resume: the answer has begun and can't be resumed
  * @resume_here: the next attempt resumes the stream at @last_target
  * @owes_budget: a resume at another engine waits for the retry budget
+ * @paid_budget: that resume is paid for until it reaches a target
  * @last_target: target of the last attempt
  * @not_before_ms: end of a backoff
  * @last_failure: how the last attempt failed
@@ -143,6 +144,7 @@
     bool no_resume;
     bool resume_here;
     bool owes_budget;
+    bool paid_budget;
     uint64_t last_target;
     int64_t not_before_ms;
     char last_failure[ERR_TEXT_MAX];
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -623,6 +623,16 @@
      "report e2 x live 1 a; result 0 not_loaded; place a e2 none; result 0 ok",
      "send(0,e1) send(0,e1 here:4) want(/s/a,5,1) strike(e1,1) "
      "send(0,e2 elsewhere:4) send(0,e2 elsewhere:4)"},
+    {"pays_once_however_often_it_is_refused",
+     "report e1 x live 1 w; report e2 y live 1 w; call 0 w sse; call 1 w sse; "
+     "call 2 w sse; report e1 x down 1 w; result 0 broken 1; "
+     "result 0 not_sent; +1000; result 0 not_sent; +1000; "
+     "result 1 broken 1; result 2 broken 1; call 3 off idem",
+     "send(0,e1) send(1,e1) send(2,e1) strike(e1,1) "
+     "send(0,e2 elsewhere:1) want(/s/w,5,1) send(0,e2 elsewhere:1) "
+     "want(/s/w,5,1) send(0,e2 elsewhere:1) strike(e1,1) "
+     "send(1,e2 elsewhere:1) strike(e1,1) send(2,e2 elsewhere:1) "
+     "refuse(3,disabled,not_run)"},
     {"waits_for_the_budget",
      "report e1 x live 1 w; report e2 y live 1 w; call 0 w sse; "
      "call 1 w sse; call 2 w sse; call 3 w sse; report e1 x down 1 w; "
