Wait with poll() for callers and log the stop and strikes

Cause: the server waited with select(), which fails for descriptors above 1023, so an instance with more than about 500 streams refused connections. A stop that cut calls off left no line in the log. Change: asks libmicrohttpd for poll(); logs leaving, drained with the number of calls cut off, and each strike.

--- a/src/turmericd/serve/front/front.c
+++ b/src/turmericd/serve/front/front.c
@@ -40,6 +40,10 @@
      * until a stalled stream is given up, 30 s until it is resumed and 30 s
      * until its next event. */
     CONNECTION_IDLE_S = 180,
+    /* Without MHD_USE_POLL the server waits with select(), which fails for
+     * descriptors above 1023. */
+    SERVER_FLAGS = MHD_USE_THREAD_PER_CONNECTION |
+                   MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
 };
 
 static bool
@@ -119,10 +123,8 @@
      * be repeated into one that may. */
     instance->check_utf8 = 0;
     if (!handlers_add(instance, front) ||
-        ulfius_start_framework_with_mhd_options(
-            instance,
-            MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-            options) != U_OK) {
+        ulfius_start_framework_with_mhd_options(instance, SERVER_FLAGS,
+                                                options) != U_OK) {
         ulfius_clean_instance(instance);
         close(fd);
         return err_set(err, ERR_IO, "cannot start the server on port %d",
@@ -160,14 +162,19 @@
 {
     struct front *front = (struct front *)duty;
     struct _u_instance instance;
+    int cut_off;
 
     if (!start_server(front, &instance, err)) {
         return false;
     }
     wait_for_stop(front);
+    log_line(LOG_PRI_INFO, "front", "event=leaving keep_s=%lld",
+             (long long)front->settings.keep_s);
     front->port->ops->leave(front->port);
     wait_for_callers(front);
-    open_drain(front, front->settings.drain_max_s * 1000);
+    cut_off = open_drain(front, front->settings.drain_max_s * 1000);
+    log_line(cut_off > 0 ? LOG_PRI_WARNING : LOG_PRI_INFO, "front",
+             "event=drained calls_cut_off=%d", cut_off);
     ulfius_stop_framework(&instance);
     ulfius_clean_instance(&instance);
     /* Otherwise new connections would wait in the backlog for ever. */
--- a/src/turmericd/serve/front/internal.h
+++ b/src/turmericd/serve/front/internal.h
@@ -87,7 +87,7 @@
 void open_release(struct front *front);
 void open_add(struct front *front, struct handle call);
 void open_remove(struct front *front, struct handle call);
-void open_drain(struct front *front, int64_t timeout_ms);
+int open_drain(struct front *front, int64_t timeout_ms);
 
 /* handler.c */
 struct _u_instance;
--- a/src/turmericd/serve/front/open.c
+++ b/src/turmericd/serve/front/open.c
@@ -144,14 +144,20 @@
  * open_drain() - refuse new calls and wait for the open ones
  * @front: the duty
  * @timeout_ms: longest wait; what is open then is refused or broken off
+ *
+ * Return: number of calls that were cut off.
  */
-void
+int
 open_drain(struct front *front, int64_t timeout_ms)
 {
+    int cut_off;
+
     pthread_mutex_lock(&front->lock);
     front->refusing = true;
     wait_until_closed(front, timeout_ms);
+    cut_off = front->open_count;
     refuse_open(front);
     wait_until_closed(front, LAST_WORDS_MS);
     pthread_mutex_unlock(&front->lock);
+    return cut_off;
 }
--- a/src/turmericd/serve/route/core.c
+++ b/src/turmericd/serve/route/core.c
@@ -586,6 +586,9 @@
         for (int i = 0; i < count; i++) {
             if (strike_add(core->strikes, fingerprints[i], report->id,
                            incarnations[i], now_ms)) {
+                log_line(LOG_PRI_WARNING, "route",
+                         "event=strike request=%016" PRIx64 " target=%s",
+                         fingerprints[i], report->name);
                 core->port->ops->strike(core->port, fingerprints[i],
                                         report->id, incarnations[i]);
             }
--- a/test/path_test.c
+++ b/test/path_test.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <ulfius.h>
 #include <unistd.h>
@@ -387,6 +388,40 @@
     g_free(body);
 }
 
+/* Guards against a server that waits with select(), which fails for
+ * descriptors above 1023. */
+static void
+test_many_descriptors(void)
+{
+    enum { SELECT_MAX = 1024, SPARE = 512 };
+    struct rlimit limit;
+    GArray *fds = g_array_new(FALSE, FALSE, sizeof(int));
+    char *text = test_request("POST /v1/chat/completions HTTP/1.1",
+                              "{\"model\":\"s/a\",\"messages\":[]}");
+    char *reply;
+    int fd = 0;
+
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = MIN(limit.rlim_max, SELECT_MAX + SPARE);
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+    scene_open();
+    scene.targets[0].plans[0] = (struct plan)WHOLE;
+    while (fd < SELECT_MAX) {
+        fd = dup(STDIN_FILENO);
+        g_assert_cmpint(fd, >=, 0);
+        g_array_append_val(fds, fd);
+    }
+    reply = test_read_all(test_connect(front_listen_port(scene.front), text));
+    g_assert_nonnull(strstr(reply, "whole"));
+    for (guint i = 0; i < fds->len; i++) {
+        close(g_array_index(fds, int, i));
+    }
+    scene_close();
+    g_array_free(fds, TRUE);
+    g_free(text);
+    g_free(reply);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -394,5 +429,6 @@
     for (size_t i = 0; i < G_N_ELEMENTS(path_cases); i++) {
         test_add("path", path_cases[i].name, &path_cases[i], test_path);
     }
+    g_test_add_func("/path/many_descriptors", test_many_descriptors);
     return g_test_run();
 }
--- a/test/target.h
+++ b/test/target.h
@@ -163,12 +163,12 @@
                          NULL);
     server->instance.allowed_post_processor = U_POST_PROCESS_NONE;
     ulfius_set_default_endpoint(&server->instance, on_request, server);
-    g_assert_cmpint(
-        ulfius_start_framework_with_mhd_options(
-            &server->instance,
-            MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-            options),
-        ==, U_OK);
+    g_assert_cmpint(ulfius_start_framework_with_mhd_options(
+                        &server->instance,
+                        MHD_USE_THREAD_PER_CONNECTION |
+                            MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
+                        options),
+                    ==, U_OK);
 }
 
 static inline void
