Refuse an edit that was created at a removed number

It was told as accepted (revision 3, newest 770 in the new test) and was in force nowhere; the instance also held another tree than the rest. This is the lagging writer's side of the trap that the paper on log compaction describes for readers.

The harness's processes end with the test program.

Result: config_test failed at paused_before_write before and passes now; an edit costs one more read.

--- a/src/turmericd/state/config/append.c
+++ b/src/turmericd/state/config/append.c
@@ -258,11 +258,34 @@
     return after != NULL;
 }
 
+/*
+ * An instance that was paused before its write may create an entry whose
+ * number has been removed, where no reader looks. Entries are removed only up
+ * to a snapshot whose pointer was written before, so an entry above the
+ * pointer read after the write is in force.
+ */
+static enum attempt
+check_in_force(struct append *append, int64_t number, struct err *err)
+{
+    struct base base;
+
+    if (!base_read(append->config->kv, &base, err)) {
+        append->open = number;
+        return ATTEMPT_UNKNOWN;
+    }
+    if (number <= base.revision) {
+        counter_add(CTR_RETRY_KV_CONFLICT, 1);
+        return ATTEMPT_TAKEN;
+    }
+    return ATTEMPT_DONE;
+}
+
 static enum attempt
 write_entry(struct append *append, int64_t number, int64_t now_ms,
             struct err *err)
 {
     struct journal journal;
+    enum attempt result;
 
     journal_init(&journal, append->config->kv, CONFIG_LOG);
     journal.next = number;
@@ -270,6 +293,10 @@
     switch (
         journal_append(&journal, append->text, strlen(append->text), err)) {
     case JOURNAL_APPENDED:
+        result = check_in_force(append, number, err);
+        if (result != ATTEMPT_DONE) {
+            return result;
+        }
         append->open = 0;
         append->revision = number;
         /* The entry is accepted even if it can't be put in force here. */
--- a/test/cluster/cluster.c
+++ b/test/cluster/cluster.c
@@ -9,10 +9,10 @@
 #include <json-c/json.h>
 #include <poll.h>
 #include <signal.h>
-#include <spawn.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -22,8 +22,6 @@
 #include "test/cluster/dat.h"
 #include "test/cluster/fns.h"
 
-extern char **environ;
-
 enum { ARGUMENTS_MAX = 24, POLL_INTERVAL_MS = 20 };
 
 static char programs[PATH_MAX_BYTES];
@@ -104,29 +102,34 @@
     g_assert_not_reached();
 }
 
+/* The child ends with the test program, also when an assertion aborts it. */
 static void
-spawn(struct cluster *cluster, struct process *process, char **arguments)
+run_child(const char *log, char **arguments)
 {
-    posix_spawn_file_actions_t actions;
+    int log_fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+    int null_fd = open("/dev/null", O_WRONLY);
     sigset_t none;
-    posix_spawnattr_t attributes;
+
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, NULL);
+    dup2(null_fd, STDOUT_FILENO);
+    dup2(log_fd, STDERR_FILENO);
+    execv(arguments[0], arguments);
+    _exit(127);
+}
+
+static void
+spawn(struct cluster *cluster, struct process *process, char **arguments)
+{
     char *log =
         g_strdup_printf("%s/%s.log", cluster->directory, process->name);
 
-    sigemptyset(&none);
-    posix_spawnattr_init(&attributes);
-    posix_spawnattr_setsigmask(&attributes, &none);
-    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log,
-                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null",
-                                     O_WRONLY, 0);
-    g_assert_cmpint(posix_spawn(&process->pid, arguments[0], &actions,
-                                &attributes, arguments, environ),
-                    ==, 0);
-    posix_spawn_file_actions_destroy(&actions);
-    posix_spawnattr_destroy(&attributes);
+    process->pid = fork();
+    g_assert_cmpint(process->pid, >=, 0);
+    if (process->pid == 0) {
+        run_child(log, arguments);
+    }
     g_free(log);
 }
 
--- a/test/config_test.c
+++ b/test/config_test.c
@@ -999,6 +999,52 @@
     world_free(&world);
 }
 
+/* Many edits of another instance, during which old entries are removed. */
+static void
+overtake(void *data)
+{
+    struct instance *other = data;
+
+    for (int i = 0; i < 3 * SNAPSHOT_INTERVAL; i++) {
+        edit_now(other, "/om/m", "queue_max", i % 2 == 0 ? "5" : "6");
+        config_drain(other->config, other->world->now_ms);
+        config_tick(other->config, other->world->now_ms);
+    }
+}
+
+/* Guards against an edit that is accepted at the number of a removed entry,
+ * where no reader looks, by an instance that was paused before its write. */
+static void
+test_paused_before_write(void)
+{
+    struct world world;
+    struct instance *a;
+    struct instance *paused;
+    struct change change = {"/om/m", "priority", "1"};
+    struct err err = {0};
+    int64_t revision = 0;
+
+    world_init(&world);
+    a = world_add(&world, 1, true);
+    paused = world_add(&world, 2, true);
+    run_for(&world, 500);
+    edit_now(a, "/om", "type", "\"service\"");
+    edit_now(a, "/om/m", "type", "\"model\"");
+    run_for(&world, 1000);
+    paused->store.before_cas = overtake;
+    paused->store.data = a;
+    if (edit_as(paused, "late", 2, change, &revision, &err)) {
+        g_assert_cmpint(revision, >, 3 * SNAPSHOT_INTERVAL);
+    }
+    else {
+        g_assert_cmpint(err.kind, ==, ERR_EDIT_CONFLICT);
+    }
+    run_for(&world, 1000);
+    g_assert_cmpint(state_of(paused).revision, ==, state_of(a).revision);
+    assert_same_tree(a, paused);
+    world_free(&world);
+}
+
 /* Guards against an edit based on entries that are no longer known. */
 struct old_base_case {
     const char *name;
@@ -1493,6 +1539,7 @@
     g_test_add_func("/config/refused_after_loss", test_refused_after_loss);
     g_test_add_func("/config/id_reused", test_id_reused);
     g_test_add_func("/config/service_down", test_service_down);
+    g_test_add_func("/config/paused_before_write", test_paused_before_write);
     g_test_add_func("/config/snapshot_and_gap", test_snapshot_and_gap);
     g_test_add_func("/config/drain", test_drain);
     g_test_add_func("/config/pause", test_pause);
--- a/test/member_test.c
+++ b/test/member_test.c
@@ -156,7 +156,7 @@
 
     roster_init(&roster, NULL);
     for (int i = 0; i < 12; i++) {
-        char name[8];
+        char name[16];
         struct member_info info;
 
         snprintf(name, sizeof(name), "m%02d", i);
