Test placement by tables and against faults of store and engines

Cause: the transitions, choices and the duty were checked by two tests only.

An eviction that an owner's view doesn't show reads the records again, a leaf that an engine reports without a slot is unloaded, and a stale instance refuses at once even while the store is slow.

--- a/src/turmericd/place/decide.c
+++ b/src/turmericd/place/decide.c
@@ -25,7 +25,8 @@
 
 enum {
     RETRY_MS = 100,
-    RETRY_LONGEST_MS = 5000,
+    RETRY_SLOW_MS = 1000,
+    FAILED_PAUSE_MS = 2000,
     FAILURES_MAX = 3,
     /* The slot's taker writes its reservation within milliseconds. */
     ORPHAN_MS = 2000,
@@ -553,16 +554,19 @@
 void
 leaf_decide(struct place *place, struct leaf *leaf)
 {
-    if (!leaf->owned || leaf->busy) {
+    if (!leaf->owned) {
         return;
     }
-    if (leaf->known) {
-        decide_known(place, leaf);
-    }
-    else if (!place->fresh && leaf->want_ms != 0) {
+    if (!leaf->known && !place->fresh && leaf->want_ms != 0) {
         leaf_refuse(place, leaf, ERR_CONFIG_STALE,
                     "loads wait until the configuration is confirmed");
     }
+    if (leaf->busy) {
+        return;
+    }
+    if (leaf->known) {
+        decide_known(place, leaf);
+    }
     else if (place->now_ms >= leaf->retry_ms) {
         leaf_scan(place, leaf);
     }
@@ -666,7 +670,7 @@
         leaf_refuse(place, leaf, ERR_LOAD_FAILED, order->err.text);
         leaf->failures = 0;
         leaf->skip_count = 0;
-        leaf->retry_ms = place->now_ms + RETRY_LONGEST_MS;
+        leaf->retry_ms = place->now_ms + FAILED_PAUSE_MS;
     }
 }
 
@@ -700,19 +704,35 @@
             load_failed(place, leaf, order);
         }
         else {
-            leaf->retry_ms = place->now_ms + RETRY_LONGEST_MS / 5;
+            leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
         }
         break;
     case ERR_CONFIG_STALE:
         leaf_refuse(place, leaf, ERR_CONFIG_STALE, order->err.text);
         break;
+    case ERR_KV_DOWN:
+        leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
+        break;
     default:
         log_failure(order);
-        leaf->retry_ms = place->now_ms + RETRY_LONGEST_MS / 5;
+        leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
         break;
     }
 }
 
+static void
+note_store(struct place *place, const struct order *order)
+{
+    bool down = order->err.kind == ERR_KV_DOWN;
+
+    if (down != place->store_down && (down || order->read)) {
+        place->store_down = down;
+        log_line(LOG_PRI_WARNING, "place", "event=%s detail=\"%s\"",
+                 down ? "records_unavailable" : "records_available",
+                 order->err.text);
+    }
+}
+
 static void
 order_succeeded(struct place *place, struct leaf *leaf,
                 const struct order *order)
@@ -783,6 +803,7 @@
     }
     else if (leaf != NULL) {
         leaf->busy = false;
+        note_store(place, order);
         take_views(place, leaf, order);
         if (is_load(order)) {
             turn_end(place, leaf);
@@ -801,6 +822,51 @@
     order_free(order);
 }
 
+static bool
+has_slot(const struct leaf *leaf, uint64_t engine)
+{
+    for (int i = 0; i < leaf->view_count; i++) {
+        if (leaf->views[i].slot.engine == engine) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * leaf_stray() - an engine reports a leaf that may have no slot there
+ * @place: placement
+ * @leaf: the leaf
+ * @engine: the engine
+ *
+ * The records are read again first, as another member may have loaded it. A
+ * leaf without a slot that is still reported after that is unloaded.
+ */
+void
+leaf_stray(struct place *place, struct leaf *leaf,
+           const struct engine_view *engine)
+{
+    struct order *order;
+    uint64_t id = engine->report.id;
+
+    if (!leaf->owned || !leaf->known || leaf->busy || !place->fresh ||
+        place->now_ms - leaf->checked_ms < MISSING_MS || has_slot(leaf, id)) {
+        return;
+    }
+    if (leaf->stray_engine != id) {
+        leaf->stray_engine = id;
+        leaf_scan(place, leaf);
+        return;
+    }
+    leaf->stray_engine = 0;
+    order = new_order(place, leaf, ORDER_UNLOAD);
+    order->report = engine->report;
+    order->stray = true;
+    log_line(LOG_PRI_WARNING, "place", "event=stray_replica leaf=%s engine=%s",
+             leaf->path, engine->report.name);
+    push_order(place, leaf, order);
+}
+
 /**
  * leaf_evict() - unload a leaf from an engine if it is idle
  * @place: placement
@@ -821,6 +887,9 @@
     leaf->evict_engine = engine;
     leaf->evict_until_ms = place->now_ms + EVICT_WANTED_MS;
     leaf->retry_ms = 0;
+    if (!has_slot(leaf, engine)) {
+        leaf->known = false;
+    }
     leaf_decide(place, leaf);
 }
 
--- a/src/turmericd/place/enginehttp.c
+++ b/src/turmericd/place/enginehttp.c
@@ -56,8 +56,8 @@
     }
     json_object_object_add(root, "fence",
                            json_object_new_int64((int64_t)fence));
-    text =
-        g_strdup(json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+    text = g_strdup(json_object_to_json_string_ext(
+        root, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
     json_object_put(root);
     return text;
 }
--- a/src/turmericd/place/evict.c
+++ b/src/turmericd/place/evict.c
@@ -65,8 +65,8 @@
         may_run(view, place->now_ms - leaf->used_ms, unload_ms)) {
         return true;
     }
-    if (leaf->owned && leaf->known) {
-        return leaf->view_count <= node->settings.replicas_min;
+    if (leaf->owned && leaf->view_count > node->settings.replicas_min) {
+        return false;
     }
     return node->settings.replicas_min > 0;
 }
--- a/src/turmericd/place/inner/dat.h
+++ b/src/turmericd/place/inner/dat.h
@@ -264,6 +264,7 @@
  * @revision: configuration revision of the decision
  * @checks_fence: the engine refuses old fences
  * @gone: the engine no longer exists
+ * @stray: the engine has the leaf although no record says so
  * @report: the engine as known when the order was decided
  * @settled: senders known to have no order in flight
  * @settled_count: number of valid ids in @settled
@@ -286,6 +287,7 @@
     int64_t revision;
     bool checks_fence;
     bool gone;
+    bool stray;
     struct target_report report;
     struct sender settled[ORDER_SETTLED_MAX];
     int settled_count;
@@ -471,6 +473,7 @@
  * @evict_asked_ms: as a victim: when its owner was asked to unload it
  * @evicting_ms: when eviction was last asked for to load it
  * @base_ms: when the base model was last wanted
+ * @stray_engine: engine that has reported the leaf without a slot
  */
 struct leaf {
     uint64_t id;
@@ -507,6 +510,7 @@
     int64_t evict_asked_ms;
     int64_t evicting_ms;
     int64_t base_ms;
+    uint64_t stray_engine;
 };
 
 /**
@@ -545,6 +549,7 @@
  * @sweep: where the sweep of replica records goes on
  * @sweep_ms: last sweep
  * @sweeping: a sweep is under way
+ * @store_down: the last order could not reach the records
  */
 struct place {
     struct supervisor supervisor;
@@ -573,6 +578,7 @@
     char sweep[KV_KEY_MAX_BYTES + 1];
     int64_t sweep_ms;
     bool sweeping;
+    bool store_down;
 };
 
 #endif
--- a/src/turmericd/place/inner/fns.h
+++ b/src/turmericd/place/inner/fns.h
@@ -120,6 +120,8 @@
 void leaf_decide(struct place *place, struct leaf *leaf);
 void order_done(struct place *place, struct order *order);
 void order_loaded(struct place *place, uint64_t id, uint64_t engine);
+void leaf_stray(struct place *place, struct leaf *leaf,
+                const struct engine_view *engine);
 void leaf_evict(struct place *place, uint64_t id, uint64_t engine);
 void place_sweep(struct place *place);
 
--- a/src/turmericd/place/order.c
+++ b/src/turmericd/place/order.c
@@ -485,7 +485,7 @@
     if (!change_engine(work, apply_unload, &order->err)) {
         return;
     }
-    if (!item_gone(work)) {
+    if (order->stray || !item_gone(work)) {
         if (!send_unload(work)) {
             return;
         }
--- a/src/turmericd/place/place.c
+++ b/src/turmericd/place/place.c
@@ -255,6 +255,20 @@
     }
 }
 
+static void
+find_strays(struct place *place, const struct engine_view *view)
+{
+    const struct target_report *report = &view->report;
+
+    for (int i = 0; i < report->loaded_count; i++) {
+        struct leaf *leaf = leaf_find(place, report->loaded[i]);
+
+        if (leaf != NULL) {
+            leaf_stray(place, leaf, view);
+        }
+    }
+}
+
 static void
 handle_report(struct place *place, const struct target_report *report)
 {
@@ -264,6 +278,9 @@
         return;
     }
     engine_reported(place, report);
+    if (report->state == TARGET_LIVE || report->state == TARGET_LEAVING) {
+        find_strays(place, engine_find(place, report->id));
+    }
     list = leaves_list(place);
     for (guint i = 0; i < list->len; i++) {
         struct leaf *leaf = list->pdata[i];
--- a/src/turmericd/place/record.c
+++ b/src/turmericd/place/record.c
@@ -161,8 +161,8 @@
 static char *
 finish(struct json_object *root)
 {
-    char *text =
-        g_strdup(json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+    char *text = g_strdup(json_object_to_json_string_ext(
+        root, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
 
     json_object_put(root);
     return text;
--- a/test/order_test.c
+++ b/test/order_test.c
@@ -241,6 +241,29 @@
     return true;
 }
 
+/*
+ * Called with the lock held. Executes what the network still holds. The calls
+ * of these orders have ended, so they come before any order sent now.
+ */
+static void
+deliver_late(struct world *world, struct engine *engine)
+{
+    for (int i = 0; i < engine->late_count; i++) {
+        const struct late *late = &engine->late[i];
+
+        apply_load(world, engine, late->path, late->mb, late->fence, NULL);
+    }
+    engine->late_count = 0;
+}
+
+static void
+take_ended_orders(struct world *world, struct engine *engine)
+{
+    if (!engine->checks_fence) {
+        deliver_late(world, engine);
+    }
+}
+
 static struct engine *
 engine_at(struct world *world, const char *address)
 {
@@ -352,6 +375,7 @@
     pthread_mutex_lock(&world->lock);
     ok = fence_passes(engine, path, fence, err);
     if (ok) {
+        take_ended_orders(world, engine);
         engine->unloads++;
         g_hash_table_remove(engine->loaded, path);
     }
@@ -713,48 +737,602 @@
     unlock(world);
 }
 
-/* Guards against a wanted leaf that is never loaded or never answered. */
+/* Called with the lock held. */
 static void
-test_load(void)
+set_state(struct world *world, int engine, enum target_state state)
 {
+    world->engines[engine].state = state;
+    report_all(world);
+}
+
+static void
+set_mode(struct world *world, int engine, enum load_mode mode)
+{
+    lock(world);
+    world->engines[engine].mode = mode;
+    changed(world);
+    unlock(world);
+}
+
+static void
+wait_replicas(struct world *world, const char *path, int count)
+{
+    lock(world);
+    while (replicas(world, path) != count) {
+        wait_change(world);
+    }
+    unlock(world);
+}
+
+/* Waits until the engine's record has the leaf in this state. */
+static void
+wait_item(struct world *world, int engine, const char *path,
+          enum item_state state)
+{
+    bool reached = false;
+
+    lock(world);
+    while (!reached) {
+        struct engine_record *record =
+            read_engine_record(world, &world->engines[engine]);
+        const struct item *item = item_find(record, hash_text(path));
+
+        reached = item != NULL && item->state == state;
+        g_free(record);
+        if (!reached) {
+            wait_change(world);
+        }
+    }
+    unlock(world);
+}
+
+/* Guards against a wanted leaf that is never loaded or never answered, also
+   when answers of the store or of the engine get lost. */
+struct load_case {
+    const char *name;
+    bool checks_fence;
+    int lose_answers;
+    int fail_calls;
+    enum load_mode mode;
+    int refusals;
+    const char *path;
+};
+
+static const struct load_case load_cases[] = {
+    {"plain", false, 0, 0, LOAD_NORMAL, 0, LEAF},
+    {"fences", true, 0, 0, LOAD_NORMAL, 0, LEAF},
+    {"adapter_loads_its_model_first", false, 0, 0, LOAD_NORMAL, 0, ADAPTER},
+    {"first_write_unanswered", false, 1, 0, LOAD_NORMAL, 0, LEAF},
+    {"two_writes_unanswered", false, 2, 0, LOAD_NORMAL, 0, LEAF},
+    {"all_writes_unanswered", true, 3, 0, LOAD_NORMAL, 0, LEAF},
+    {"store_down_at_first", false, 0, 30, LOAD_NORMAL, 0, LEAF},
+    {"engine_answer_lost", false, 0, 0, LOAD_ANSWER_LOST, 1, LEAF},
+    {"engine_answer_lost_fences", true, 0, 0, LOAD_ANSWER_LOST, 1, LEAF},
+    {"order_late", false, 0, 0, LOAD_ORDER_LATE, 1, LEAF},
+    {"order_late_fences", true, 0, 0, LOAD_ORDER_LATE, 1, LEAF},
+    {"refused", false, 0, 0, LOAD_REFUSED, 1, LEAF},
+};
+
+static void
+test_load(gconstpointer data)
+{
+    const struct load_case *c = data;
+    const char *line = "/mind idle_unload_s 1";
     struct world world;
     struct node_under_test *node;
     struct placement placement;
 
+    world_init(&world, 1, c->checks_fence);
+    set_tree(&world, &line, 1);
+    world.store.lose_answers = c->lose_answers;
+    world.store.fail_calls = c->fail_calls;
+    world.engines[0].mode = c->mode;
+    node = start_node(&world);
+    for (int i = 0; i < c->refusals; i++) {
+        placement = want_leaf(node, c->path);
+        g_assert_cmpint(placement.kind, ==, ERR_LOAD_FAILED);
+    }
+    set_mode(&world, 0, LOAD_NORMAL);
+    placement = want_leaf(node, c->path);
+    g_assert_cmpint(placement.kind, ==, ERR_NONE);
+    g_assert_cmpuint(placement.target, ==, world.engines[0].id);
+    lock(&world);
+    g_assert_cmpint(replicas(&world, c->path), ==, 1);
+    deliver_late(&world, &world.engines[0]);
+    unlock(&world);
+    wait_released(&world, c->path);
+    lock(&world);
+    deliver_late(&world, &world.engines[0]);
+    g_assert_cmpint(replicas(&world, c->path), ==, 0);
+    unlock(&world);
+    world_free(&world);
+}
+
+/* Guards against two owners that together exceed replicas_max or the memory
+   of an engine. The fakes abort the test when that happens. */
+struct race_case {
+    const char *name;
+    int engines;
+    const char *paths[2];
+    bool checks_fence;
+    int lose_answers;
+};
+
+static const struct race_case race_cases[] = {
+    {"last_replica", 2, {LEAF, LEAF}, false, 0},
+    {"last_replica_fences", 2, {LEAF, LEAF}, true, 0},
+    {"last_replica_one_engine", 1, {LEAF, LEAF}, false, 0},
+    {"last_replica_answers_lost", 2, {LEAF, LEAF}, false, 4},
+    {"last_memory", 1, {LEAF, RIVAL}, false, 0},
+    {"last_memory_answers_lost", 1, {LEAF, RIVAL}, true, 4},
+};
+
+static void
+test_race(gconstpointer data)
+{
+    const struct race_case *c = data;
+    struct world world;
+    struct node_under_test *nodes[2];
+    uint64_t targets[2];
+
+    world_init(&world, c->engines, c->checks_fence);
+    world.store.lose_answers = c->lose_answers;
+    for (int i = 0; i < 2; i++) {
+        nodes[i] = start_node(&world);
+    }
+    for (int i = 0; i < 2; i++) {
+        post_want(nodes[i], c->paths[i]);
+    }
+    for (int i = 0; i < 2; i++) {
+        struct placement placement = want_leaf(nodes[i], c->paths[i]);
+
+        g_assert_cmpint(placement.kind, ==, ERR_NONE);
+        targets[i] = placement.target;
+    }
+    if (strcmp(c->paths[0], c->paths[1]) == 0) {
+        g_assert_cmpuint(targets[0], ==, targets[1]);
+    }
+    world_free(&world);
+}
+
+/* What an instance leaves behind that died between the reservation and the
+   order. Its order may still come. */
+static void
+leave_reservation(struct world *world, int engine, bool slot_only)
+{
+    struct engine_record *record = g_new0(struct engine_record, 1);
+    struct replica_record *replica = g_new0(struct replica_record, 1);
+    struct sender ghost = {GHOST, 1, 1};
+    struct reservation want = {hash_text(LEAF), LEAF, 60, 0, GHOST, 1};
+    struct target_report report;
+    char key[KV_KEY_MAX_BYTES];
+    int64_t revision;
+    char *text;
+
+    replica->leaf = want.leaf;
+    g_strlcpy(replica->path, LEAF, sizeof(replica->path));
+    g_assert_true(slot_add(replica, world->engines[engine].id, &ghost, 1, 1,
+                           replica, NULL));
+    text = replica_encode(replica);
+    record_key(key, sizeof(key), "replicas", want.leaf);
+    kv_cas(&world->store.kv, key, 0, text, strlen(text), &revision, NULL);
+    g_free(text);
+    record->engine = world->engines[engine].id;
+    fill_report(&world->engines[engine], &report);
+    g_assert_true(reserve_add(record, &want, &report, record, NULL));
+    text = engine_encode(record);
+    record_key(key, sizeof(key), "engines", record->engine);
+    if (!slot_only) {
+        kv_cas(&world->store.kv, key, 0, text, strlen(text), &revision, NULL);
+    }
+    g_free(text);
+    g_free(record);
+    g_free(replica);
+}
+
+/* The order of the dead or paused sender arrives. */
+static void
+deliver_ghost_order(struct world *world, int engine)
+{
+    lock(world);
+    apply_load(world, &world->engines[engine], LEAF, 60, 1, NULL);
+    report_all(world);
+    unlock(world);
+}
+
+/* Guards against a reservation of a dead owner that is kept for ever, and
+   against one that is released while its order can still arrive. */
+struct left_case {
+    const char *name;
+    bool checks_fence;
+    bool slot_only;
+    bool wanted;
+    bool alive;
+};
+
+static const struct left_case left_cases[] = {
+    {"dead_wanted", false, false, true, false},
+    {"dead_wanted_fences", true, false, true, false},
+    {"dead_unwanted", false, false, false, false},
+    {"dead_unwanted_fences", true, false, false, false},
+    {"slot_without_reservation", false, true, false, false},
+    {"slot_without_reservation_wanted", false, true, true, false},
+    {"paused_unwanted", false, false, false, true},
+    {"paused_unwanted_fences", true, false, false, true},
+};
+
+static void
+check_paused(struct world *world, const struct left_case *c)
+{
+    if (c->checks_fence) {
+        /* The unload with a higher fence makes the late order harmless. */
+        wait_released(world, LEAF);
+        deliver_ghost_order(world, 0);
+        lock(world);
+        g_assert_cmpint(replicas(world, LEAF), ==, 0);
+        unlock(world);
+        return;
+    }
+    wait_item(world, 0, LEAF, ITEM_DOUBT);
+    deliver_ghost_order(world, 0);
+    lock(world);
+    g_assert_cmpint(slot_count(world, LEAF), ==, 1);
+    world->ghost_alive = false;
+    unlock(world);
+    wait_released(world, LEAF);
+}
+
+static void
+test_left(gconstpointer data)
+{
+    const struct left_case *c = data;
+    struct world world;
+    struct node_under_test *node;
+
+    world_init(&world, 2, c->checks_fence);
+    world.ghost_alive = c->alive;
+    leave_reservation(&world, 0, c->slot_only);
+    node = start_node(&world);
+    if (c->wanted) {
+        g_assert_cmpint(want_leaf(node, LEAF).kind, ==, ERR_NONE);
+        wait_replicas(&world, LEAF, 1);
+    }
+    else if (c->alive) {
+        check_paused(&world, c);
+    }
+    else {
+        wait_released(&world, LEAF);
+        wait_replicas(&world, LEAF, 0);
+    }
+    world_free(&world);
+}
+
+/* Guards against an owner that repeats what a live member is just loading. */
+static void
+test_new_owner_waits(void)
+{
+    struct world world;
+    struct node_under_test *old;
+    struct node_under_test *new;
+
+    world_init(&world, 1, false);
+    world.owner = 1;
+    world.engines[0].mode = LOAD_HELD;
+    old = start_node(&world);
+    new = start_node(&world);
+    post_want(old, LEAF);
+    lock(&world);
+    while (world.engines[0].held == 0) {
+        wait_change(&world);
+    }
+    world.owner = 2;
+    unlock(&world);
+    post_want(new, LEAF);
+    set_mode(&world, 0, LOAD_NORMAL);
+    g_assert_cmpint(want_leaf(new, LEAF).kind, ==, ERR_NONE);
+    lock(&world);
+    g_assert_cmpint(world.engines[0].loads, ==, 1);
+    unlock(&world);
+    world_free(&world);
+}
+
+/* Guards against a want that is lost between an asker and the owner. */
+static void
+test_remote_want(void)
+{
+    struct world world;
+    struct node_under_test *asker;
+
+    world_init(&world, 2, false);
+    world.owner = 1;
+    start_node(&world);
+    asker = start_node(&world);
+    g_assert_cmpint(want_leaf(asker, LEAF).kind, ==, ERR_NONE);
+    world_free(&world);
+}
+
+/* Guards against decisions with an unconfirmed configuration, and against a
+   duty that stands still while the store is slow. */
+static void
+test_stale(void)
+{
+    struct world world;
+    struct node_under_test *node;
+
+    world_init(&world, 1, false);
+    world.hold_store = true;
+    node = start_node(&world);
+    post_want(node, LEAF);
+    lock(&world);
+    while (world.store_held == 0) {
+        wait_change(&world);
+    }
+    unlock(&world);
+    node->fresh = false;
+    g_assert_cmpint(want_leaf(node, RIVAL).kind, ==, ERR_CONFIG_STALE);
+    lock(&world);
+    world.hold_store = false;
+    changed(&world);
+    unlock(&world);
+    g_assert_cmpint(want_leaf(node, LEAF).kind, ==, ERR_CONFIG_STALE);
+    g_assert_cmpint(world.store.writes, ==, 0);
+    node->fresh = true;
+    g_assert_cmpint(want_leaf(node, LEAF).kind, ==, ERR_NONE);
+    world_free(&world);
+}
+
+/* Guards against replicas that stay where they may no longer be. */
+struct move_case {
+    const char *name;
+    const char *lines[3];
+    enum target_state state;
+    bool restart;
+    int before;
+    int after;
+};
+
+static const struct move_case move_cases[] = {
+    {"disabled", {"/mind/wheat enabled false"}, TARGET_LIVE, false, 1, 0},
+    {"removed",
+     {"/mind/wheat/caterers type ", "/mind/wheat type "},
+     TARGET_LIVE,
+     false,
+     1,
+     0},
+    {"leaving", {NULL}, TARGET_LEAVING, false, 1, 1},
+    {"restarted", {NULL}, TARGET_LIVE, true, 1, 0},
+};
+
+static void
+change_world(struct world *world, const struct move_case *c, int engine)
+{
+    int lines = 0;
+
+    while (c->lines[lines] != NULL) {
+        lines++;
+    }
+    if (lines > 0) {
+        set_tree(world, c->lines, lines);
+    }
+    lock(world);
+    if (c->restart) {
+        world->engines[engine].incarnation++;
+        g_hash_table_remove_all(world->engines[engine].loaded);
+        g_hash_table_remove_all(world->engines[engine].fences);
+    }
+    set_state(world, engine, c->state);
+    unlock(world);
+}
+
+static void
+test_move(gconstpointer data)
+{
+    const struct move_case *c = data;
+    struct world world;
+    struct node_under_test *node;
+    struct placement placement;
+    int engine;
+
     world_init(&world, 2, false);
     node = start_node(&world);
     placement = want_leaf(node, LEAF);
     g_assert_cmpint(placement.kind, ==, ERR_NONE);
+    engine = placement.target == world.engines[0].id ? 0 : 1;
+    wait_item(&world, engine, LEAF, ITEM_LOADED);
+    change_world(&world, c, engine);
+    if (c->after == 0) {
+        wait_released(&world, LEAF);
+        wait_replicas(&world, LEAF, 0);
+    }
+    else {
+        wait_item(&world, 1 - engine, LEAF, ITEM_LOADED);
+        wait_replicas(&world, LEAF, 1);
+    }
+    world_free(&world);
+}
+
+/* Guards against a replica that is lost with its engine and keeps the slot,
+   and against a slot that is freed while the engine may still be there. */
+static void
+test_gone(void)
+{
+    struct world world;
+    struct node_under_test *node;
+    struct placement placement;
+    int engine;
+
+    world_init(&world, 2, false);
+    node = start_node(&world);
+    placement = want_leaf(node, LEAF);
+    engine = placement.target == world.engines[0].id ? 0 : 1;
+    wait_item(&world, engine, LEAF, ITEM_LOADED);
     lock(&world);
-    g_assert_cmpint(replicas(&world, LEAF), ==, 1);
+    set_state(&world, engine, TARGET_DOWN);
     unlock(&world);
+    post_want(node, LEAF);
+    lock(&world);
+    g_hash_table_remove_all(world.engines[engine].loaded);
+    set_state(&world, engine, TARGET_GONE);
+    unlock(&world);
+    do {
+        placement = want_leaf(node, LEAF);
+    } while (placement.target == world.engines[engine].id);
+    g_assert_cmpint(placement.kind, ==, ERR_NONE);
+    g_assert_cmpuint(placement.target, ==, world.engines[1 - engine].id);
     world_free(&world);
 }
 
-/* Guards against an idle leaf that stays loaded, or whose slot is kept. */
+/* Guards against replicas_min and a lowered replicas_max without effect. */
 static void
-test_idle_unload(void)
+test_replicas(void)
 {
-    const char *line = "/mind idle_unload_s 1";
+    const char *up[] = {"/mind/wheat replicas_max 2",
+                        "/mind/wheat replicas_min 2"};
+    const char *down[] = {"/mind/wheat replicas_min 1",
+                          "/mind/wheat replicas_max 1"};
+    struct world world;
+
+    world_init(&world, 3, false);
+    world.limit = 2;
+    set_tree(&world, up, 2);
+    start_node(&world);
+    wait_replicas(&world, LEAF, 2);
+    set_tree(&world, down, 2);
+    wait_replicas(&world, LEAF, 1);
+    world_free(&world);
+}
+
+/* Guards against a cold leaf that waits for ever beside an idle one, and
+   against an eviction that breaks replicas_min. */
+static void
+test_evict(void)
+{
+    const char *line = "/mind/rye replicas_min 1";
     struct world world;
+    struct node_under_test *other;
     struct node_under_test *node;
 
-    world_init(&world, 1, false);
+    world_init(&world, 2, false);
     set_tree(&world, &line, 1);
+    world.owner = 2;
+    other = start_node(&world);
     node = start_node(&world);
-    g_assert_cmpint(want_leaf(node, LEAF).kind, ==, ERR_NONE);
-    wait_released(&world, LEAF);
+    wait_replicas(&world, RIVAL, 1);
+    g_assert_cmpint(want_leaf(other, LEAF).kind, ==, ERR_NONE);
+    set_tree(&world,
+             (const char *const[]){"/mind/oat type \"model\"",
+                                   "/mind/oat memory_mb 60"},
+             2);
+    g_assert_cmpint(want_leaf(node, "/mind/oat").kind, ==, ERR_NONE);
     lock(&world);
     g_assert_cmpint(replicas(&world, LEAF), ==, 0);
+    g_assert_cmpint(replicas(&world, RIVAL), ==, 1);
     unlock(&world);
     world_free(&world);
 }
 
+/* Guards against invariants that hold only in the order of the other tests.
+   Faults and wants come from the seed; the interleaving is free. */
+static const unsigned random_seeds[] = {1, 20261204, 77};
+
+enum { RANDOM_ROUNDS = 60 };
+
+static void
+set_faults(struct world *world, int lose_answers, int fail_calls)
+{
+    pthread_mutex_lock(&world->store.lock);
+    world->store.lose_answers = lose_answers;
+    world->store.fail_calls = fail_calls;
+    pthread_mutex_unlock(&world->store.lock);
+}
+
+static void
+random_round(struct world *world, GRand *random,
+             struct node_under_test *const *nodes)
+{
+    static const char *const paths[] = {LEAF, RIVAL, ADAPTER};
+    static const enum load_mode modes[] = {LOAD_NORMAL, LOAD_ANSWER_LOST,
+                                           LOAD_ORDER_LATE, LOAD_REFUSED};
+    int engine = g_rand_int_range(random, 0, world->engine_count);
+    struct placement placement;
+
+    set_faults(world, g_rand_int_range(random, 0, 3),
+               g_rand_int_range(random, 0, 2));
+    set_mode(world, engine, modes[g_rand_int_range(random, 0, 4)]);
+    post_want(nodes[g_rand_int_range(random, 0, 2)],
+              paths[g_rand_int_range(random, 0, 3)]);
+    ring_pop(&nodes[0]->placed, &placement, g_rand_int_range(random, 0, 40));
+    lock(world);
+    if (!world->engines[0].checks_fence && g_rand_boolean(random)) {
+        deliver_late(world, &world->engines[engine]);
+    }
+    unlock(world);
+}
+
+static void
+test_random(gconstpointer data)
+{
+    unsigned seed = *(const unsigned *)data;
+    GRand *random = g_rand_new_with_seed(seed);
+    const char *line = "/mind idle_unload_s 1";
+    struct world world;
+    struct node_under_test *nodes[2];
+
+    g_test_message("seed %u", seed);
+    world_init(&world, 2, seed % 2 == 0);
+    set_tree(&world, &line, 1);
+    nodes[0] = start_node(&world);
+    nodes[1] = start_node(&world);
+    for (int i = 0; i < RANDOM_ROUNDS; i++) {
+        random_round(&world, random, nodes);
+    }
+    set_faults(&world, 0, 0);
+    set_mode(&world, 0, LOAD_NORMAL);
+    set_mode(&world, 1, LOAD_NORMAL);
+    wait_released(&world, LEAF);
+    wait_released(&world, RIVAL);
+    wait_released(&world, ADAPTER);
+    g_rand_free(random);
+    world_free(&world);
+}
+
+static void
+add(const char *group, const char *name, gconstpointer data,
+    GTestDataFunc function)
+{
+    char *path = g_strdup_printf("/order/%s/%s", group, name);
+
+    g_test_add_data_func(path, data, function);
+    g_free(path);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/order/load", test_load);
-    g_test_add_func("/order/idle_unload", test_idle_unload);
+    for (size_t i = 0; i < G_N_ELEMENTS(load_cases); i++) {
+        add("load", load_cases[i].name, &load_cases[i], test_load);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(race_cases); i++) {
+        add("race", race_cases[i].name, &race_cases[i], test_race);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(left_cases); i++) {
+        add("left", left_cases[i].name, &left_cases[i], test_left);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(move_cases); i++) {
+        add("move", move_cases[i].name, &move_cases[i], test_move);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(random_seeds); i++) {
+        char name[32];
+
+        snprintf(name, sizeof(name), "seed_%u", random_seeds[i]);
+        add("random", name, &random_seeds[i], test_random);
+    }
+    g_test_add_func("/order/new_owner_waits", test_new_owner_waits);
+    g_test_add_func("/order/remote_want", test_remote_want);
+    g_test_add_func("/order/stale", test_stale);
+    g_test_add_func("/order/gone", test_gone);
+    g_test_add_func("/order/replicas", test_replicas);
+    g_test_add_func("/order/evict", test_evict);
     return g_test_run();
 }
