Tell addresses again only for instances that were forgotten

Cause: each received ping set the sender's address, which locks the directory and wakes the peer duty although nothing has changed.

Change: the address is told again only for candidates and dead instances; test_dead_speaks covers the three ways in which a dead one speaks.

--- a/src/turmericd/fleet/member/swim.c
+++ b/src/turmericd/fleet/member/swim.c
@@ -241,6 +241,15 @@
                              entry->info.peer_address);
 }
 
+/* The address of an instance that is no member may have been forgotten. */
+static void
+reach_again(struct swim *swim, const struct roster_entry *entry)
+{
+    if (!roster_is_member(entry)) {
+        reach(swim, entry);
+    }
+}
+
 static void
 greet_later(struct roster_entry *entry, int64_t wait_ms, int64_t now_ms)
 {
@@ -375,7 +384,7 @@
     if (entry == NULL) {
         return;
     }
-    reach(swim, entry);
+    reach_again(swim, entry);
     add_news(&ack, own_entry(swim));
     send_message(swim, from, &ack);
     if (!known && roster_is_member(entry) && now_ms >= swim->introduce_ms) {
@@ -399,7 +408,7 @@
     if (entry->candidate) {
         entry->hello_ms = now_ms;
     }
-    reach(swim, entry);
+    reach_again(swim, entry);
     send_ack(swim, from, message->sequence, swim->self, swim->revision);
 }
 
@@ -429,7 +438,7 @@
         return;
     }
     entry->told_ms = now_ms;
-    reach(swim, entry);
+    reach_again(swim, entry);
     send_ping(swim, entry->info.id, 0);
 }
 
@@ -478,7 +487,7 @@
     relay->target = message->about;
     relay->asker = from;
     relay->asker_sequence = message->sequence;
-    reach(swim, target);
+    reach_again(swim, target);
     send_ping(swim, message->about, relay->sequence);
 }
 
@@ -735,7 +744,7 @@
     greet_later(entry,
                 wait_ms < GREET_WAIT_MAX_MS ? wait_ms : GREET_WAIT_MAX_MS,
                 now_ms);
-    reach(swim, entry);
+    reach_again(swim, entry);
     send_hello(swim, entry->info.id);
 }
 
--- a/test/member_test.c
+++ b/test/member_test.c
@@ -579,6 +579,37 @@
     script_free(&script);
 }
 
+/* Guards against an instance that was declared dead, and so forgotten, and
+ * gets no answer when it speaks again. */
+static void
+test_dead_speaks(gconstpointer data)
+{
+    struct script script;
+    struct swim_message message = {.kind = *(const enum swim_kind *)data,
+                                   .sequence = 7};
+    int64_t now_ms = SCRIPT_START_MS + 3700;
+
+    script_new(&script, 1);
+    script_run(&script, now_ms);
+    g_assert_cmpint(script.forgotten, ==, 1);
+    if (message.kind == SWIM_HELLO) {
+        message.news[message.news_count++] = info_of("x", MEMBER_ALIVE, 5, 0);
+    }
+    message.about = hash_text("x");
+    swim_receive(&script.swim, hash_text("x"), &message, now_ms);
+    g_assert_cmpuint(script.last_to, ==, hash_text("x"));
+    g_assert_cmpint(script.last.kind, ==,
+                    message.kind == SWIM_ACK ? SWIM_PING : SWIM_ACK);
+    for (int i = 0; i < script.last.news_count; i++) {
+        if (script.last.news[i].id == hash_text("x")) {
+            g_assert_cmpint(script.last.news[i].state, ==, MEMBER_DEAD);
+            script_free(&script);
+            return;
+        }
+    }
+    g_assert_not_reached();
+}
+
 /* Guards against an indirect probe whose answer is lost on the way back. */
 static void
 test_relay(void)
@@ -1077,6 +1108,8 @@
         add(group, cases[i].name, &cases[i], function);                       \
     }
 
+static const enum swim_kind kinds[] = {SWIM_HELLO, SWIM_PING, SWIM_ACK};
+
 int
 main(int argc, char **argv)
 {
@@ -1093,6 +1126,9 @@
     ADD_CASES("loss", loss_cases, test_loss)
     g_test_add_func("/member/news_order", test_news_order);
     g_test_add_func("/member/suspect_is_told", test_suspect_is_told);
+    add("dead_speaks", "hello", &kinds[0], test_dead_speaks);
+    add("dead_speaks", "ping", &kinds[1], test_dead_speaks);
+    add("dead_speaks", "ack", &kinds[2], test_dead_speaks);
     g_test_add_func("/member/relay", test_relay);
     g_test_add_func("/member/newcomer", test_newcomer);
     g_test_add_func("/member/duty", test_duty);
