Refuse a claim whose token another member uses

Cause: a claim of this instance whose token is also that of another member's pending ask would have replaced that ask's call and never got a verdict.

Change: such a claim is refused as not run. Tokens are random, so this only happens when a member misbehaves.

Result: 92 claim cases pass, also with the address and thread sanitizers, and 20 runs in a row of claim_test and kv_test had no failure.

--- a/src/turmericd/state/claim/ask.c
+++ b/src/turmericd/state/claim/ask.c
@@ -239,12 +239,13 @@
     struct claim_ask *ask = find_ask(claim, record.token, false);
     struct err err = {0};
 
-    if (ask != NULL) {
+    if (ask != NULL && ask->from == 0) {
         ask->call = request->call;
         return;
     }
-    if (find_ask(claim, record.token, true) != NULL) {
-        /* The token is being given back, so it must not be granted again. */
+    if (ask != NULL || find_ask(claim, record.token, true) != NULL) {
+        /* Another member uses the token, or it is being given back and must
+         * not be granted again. */
         tell_route(claim, request->call, record.token, ERR_CLAIM_UNAVAILABLE);
         return;
     }
