--- a/src/turmericd/place/decide.c
+++ b/src/turmericd/place/decide.c
@@ -37,8 +37,9 @@
        silent for longer is paused or cut off. */
     SILENT_MS = 10000,
     BASE_REPEAT_MS = 500,
-    /* Right after a start no engine has been reported yet. */
-    NO_TARGET_MS = 2000,
+    /* Callers hear why they wait only when it lasts: right after a start no
+       engine has been reported yet, and an eviction may make room. */
+    NO_ROOM_MS = 2000,
     EVICT_WANTED_MS = 5000,
     /* Wants repeated within this time after an answer mean that the present
        replicas have no room for the callers. */
@@ -299,9 +300,7 @@
 no_room(struct place *place, struct leaf *leaf, const struct node *node,
         const struct choice *choice, const struct err *err)
 {
-    int64_t waited_ms = place->now_ms - leaf->since_ms;
-    int64_t patience_ms =
-        err->kind == ERR_NO_TARGET ? NO_TARGET_MS : node->settings.wait_max_ms;
+    bool hopeless = !can_ever_fit(place, node);
 
     turn_end(place, leaf);
     leaf->retry_ms = place->now_ms + RETRY_MS;
@@ -313,9 +312,14 @@
     if (err->kind == ERR_MEMORY_FULL) {
         evict_for(place, leaf, choice);
     }
-    if (leaf->want_ms != 0 &&
-        (waited_ms >= patience_ms || !can_ever_fit(place, node))) {
+    if (leaf->asker_count > 0 &&
+        (hopeless || place->now_ms - leaf->since_ms >= NO_ROOM_MS)) {
+        int64_t want_ms = leaf->want_ms;
+
+        /* The callers go on waiting, so the leaf stays wanted. */
         leaf_refuse(place, leaf, err->kind, err->text);
+        leaf->want_ms = want_ms;
+        leaf->since_ms = place->now_ms;
     }
 }
 
@@ -685,6 +689,12 @@
 {
     leaf->retry_ms = place->now_ms + RETRY_MS;
     switch (order->err.kind) {
+    case ERR_NO_TARGET:
+        /* The report shows the model of an adapter, the record does not. */
+        if (order->want.base != 0 && leaf_node(place, leaf) != NULL) {
+            want_base(place, leaf, leaf_node(place, leaf));
+        }
+        break;
     case ERR_KV_CONFLICT:
         /* An unload refused for adapters in use: the model is in use too. */
         if (order->kind == ORDER_UNLOAD && leaf->evict_engine == 0) {
@@ -692,7 +702,6 @@
         }
         break;
     case ERR_MEMORY_FULL:
-    case ERR_NO_TARGET:
     case ERR_FENCE_OLD:
     case ERR_REPLICAS_FULL:
         break;
--- a/src/turmericd/place/inner/dat.h
+++ b/src/turmericd/place/inner/dat.h
@@ -322,7 +322,7 @@
     const struct orders_port_ops *ops;
 };
 
-enum { ORDER_THREADS = 8, ORDERS_MAX = 256 };
+enum { ORDER_THREADS = 12, ORDERS_MAX = 256 };
 
 struct orders;
 
