--- a/src/turmericd/fleetports.c
+++ b/src/turmericd/fleetports.c
@@ -48,18 +48,12 @@
  * @member: id of the receiver
  * @envelope: stays the caller's
  *
- * Return: false when it was not handed over; counted.
+ * Return: false when it was not handed over; peer_send() has counted it.
  */
 bool
 root_send(struct root *root, uint64_t member, Turmeric__Envelope *envelope)
 {
-    struct err err = {0};
-
-    if (peer_send(root->peer, member, envelope, &err)) {
-        return true;
-    }
-    counter_add(CTR_PEER_DROPPED, 1);
-    return false;
+    return peer_send(root->peer, member, envelope, NULL);
 }
 
 /**
--- a/src/turmericd/main.c
+++ b/src/turmericd/main.c
@@ -8,7 +8,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/types.h>
+#include <ulfius.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
@@ -136,6 +138,28 @@
     return NULL;
 }
 
+/*
+ * Each call in progress takes two descriptors, each other instance another
+ * two. Calls to targets and to the platform must not follow a proxy of the
+ * environment.
+ */
+static void
+prepare_process(void)
+{
+    static const char *const proxies[] = {"http_proxy", "HTTP_PROXY",
+                                          "all_proxy", "ALL_PROXY"};
+    struct rlimit limit;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(proxies); i++) {
+        unsetenv(proxies[i]);
+    }
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ulfius_global_init();
+}
+
 static int
 run(const struct settings *settings)
 {
@@ -146,6 +170,7 @@
     bool stopped;
 
     block_signals(&signals);
+    prepare_process();
     if (!root_init(&root, settings, &err)) {
         return fail(&err, EXIT_FAILED);
     }
--- a/src/turmericd/settings.c
+++ b/src/turmericd/settings.c
@@ -78,7 +78,7 @@
     INTEGER(keep_s, 1, 300, 5),
     INTEGER(drain_max_s, 1, 3600, 300),
     INTEGER(calls_max, 16, 65536, 4096),
-    INTEGER(forward_workers, 1, 2048, 256),
+    INTEGER(forward_workers, 1, 256, 256),
 };
 
 static const struct setting *
--- a/test/system_test.c
+++ b/test/system_test.c
@@ -493,6 +493,16 @@
     return alive == 2;
 }
 
+static bool
+is_fresh(void *context)
+{
+    struct json_object *status = cluster_status(context);
+    bool fresh = status != NULL && !json_flag(status, "stale", true);
+
+    json_object_put(status);
+    return fresh;
+}
+
 /* Guards against a paused instance that comes back and loads what another
  * has loaded meanwhile, or that stays outside. */
 static void
@@ -510,6 +520,9 @@
     ask(cluster_find(cluster, PROCESS_ENTRY, 3), "m3", 3, 3);
     cluster_kill(paused, SIGCONT);
     pthread_join(before->thread, NULL);
+    /* Until it has read the tree again it refuses cold models: config_stale,
+     * not run. */
+    g_assert_true(cluster_await(is_fresh, paused));
     ask(paused, "m1", 3, 4);
     ask(paused, "m2", 3, 5);
     ask(paused, "m3", 3, 6);
