--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES := libulfius libcurl json-c glib-2.0 libprotobuf-c libxxhash
 # ulfius.h would include jansson.h, whose names clash with json-c. The shared
 # libraries have versioned symbols, so both can be loaded.
-CPPFLAGS := -Isrc -D_GNU_SOURCE -DU_DISABLE_JANSSON $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+CPPFLAGS := -Isrc -I. -D_GNU_SOURCE -DU_DISABLE_JANSSON $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 SANITIZE_plain := -O2
 SANITIZE_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 SANITIZE_tsan := -O1 -fsanitize=thread
@@ -48,19 +48,22 @@
 	@ar rcs $@ $^
 
 $(BUILD)/turmericd: $(BUILD)/src/turmericd/main.o $(LIB)
-	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 $(BUILD)/standin: $(BUILD)/src/standin/main.o $(BUILD)/libstandin.a $(LIB)
-	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 $(BUILD)/turmericctl: $(call OBJECT,$(PART_turmericctl)) $(LIB)
-	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
+CLUSTER := $(call OBJECT,$(wildcard test/cluster/*.c))
+$(BUILD)/test/system_test: $(CLUSTER)
 $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/libstandin.a $(LIB)
-	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/libstandin.a $(LIB)
-	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/bench/system_bench: $(CLUSTER)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/sample.o $(BUILD)/libstandin.a $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 # Generated code is committed; run this after a change of peer.proto.
 proto:
