Split the decisions of placement by job

Cause: decide.c had grown to 932 lines with five jobs.

Change: facts.c, issue.c, load.c and done.c take over facts, orders handed out, loads and results; decide.c keeps the decision. No behaviour changes.

--- a/src/turmericd/place/decide.c
+++ b/src/turmericd/place/decide.c
@@ -6,7 +6,6 @@
  * leaf.
  */
 #include <glib.h>
-#include <inttypes.h>
 #include <string.h>
 
 #include "base/dat.h"
@@ -24,22 +23,6 @@
 #include "turmericd/place/inner/fns.h"
 
 enum {
-    RETRY_MS = 100,
-    RETRY_SLOW_MS = 1000,
-    FAILED_PAUSE_MS = 2000,
-    FAILURES_MAX = 3,
-    /* The slot's taker writes its reservation within milliseconds. */
-    ORPHAN_MS = 2000,
-    /* A report polled before the load ended may come after it. */
-    MISSING_MS = 3000,
-    SETTLE_REPEAT_MS = 1000,
-    /* Membership declares a dead instance within 5 s, so a sender that is
-       silent for longer is paused or cut off. */
-    SILENT_MS = 10000,
-    BASE_REPEAT_MS = 500,
-    /* Callers hear why they wait only when it lasts: right after a start no
-       engine has been reported yet, and an eviction may make room. */
-    NO_ROOM_MS = 2000,
     EVICT_WANTED_MS = 5000,
     /* Wants repeated within this time after an answer mean that the present
        replicas have no room for the callers. */
@@ -47,351 +30,6 @@
     MORE_AFTER_MS = 400,
 };
 
-static bool
-checks_fence(const struct place *place, const char *path)
-{
-    const struct node *node;
-    char service[PATH_MAX_BYTES];
-    char *slash;
-
-    g_strlcpy(service, path, sizeof(service));
-    slash = strchr(service + 1, '/');
-    if (slash != NULL) {
-        *slash = '\0';
-    }
-    node = place->tree == NULL ? NULL : tree_node(place->tree, service);
-    return node != NULL && node->settings.checks_fence;
-}
-
-static int64_t
-limit_of(const struct node *node)
-{
-    if (node == NULL || !node->settings.enabled ||
-        node->settings.kind != TARGET_ENGINE) {
-        return 0;
-    }
-    return node->settings.replicas_max;
-}
-
-static bool
-said_settled(const struct leaf *leaf, uint64_t engine,
-             const struct sender *sender)
-{
-    for (int i = 0; i < leaf->settled_count; i++) {
-        const struct sender *settled = &leaf->settled[i].sender;
-
-        if (leaf->settled[i].engine == engine &&
-            settled->member == sender->member &&
-            settled->start == sender->start &&
-            settled->fence >= sender->fence) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Called only while no own order is under way for the leaf. */
-static bool
-sender_settled(struct place *place, const struct leaf *leaf, uint64_t engine,
-               const struct sender *sender)
-{
-    if (sender->member == place->self) {
-        return sender->start <= place->start;
-    }
-    return said_settled(leaf, engine, sender) ||
-           !place->port->ops->member_alive(place->port, sender->member,
-                                           sender->start);
-}
-
-static void
-count_senders(struct place *place, const struct leaf *leaf,
-              const struct slot_view *view, struct slot_facts *facts)
-{
-    for (int i = 0; i < view->item.sender_count; i++) {
-        if (!sender_settled(place, leaf, view->slot.engine,
-                            &view->item.senders[i])) {
-            facts->unsettled++;
-        }
-    }
-}
-
-static bool
-is_missing(const struct place *place, const struct leaf *leaf,
-           const struct engine_view *view)
-{
-    (void)place;
-    return view->seen_ms - leaf->checked_ms >= MISSING_MS &&
-           view->report.loaded_count < REPORT_LOADED_MAX &&
-           !report_has(view->report.loaded, view->report.loaded_count,
-                       leaf->id);
-}
-
-static struct slot_facts
-facts_of(struct place *place, const struct leaf *leaf,
-         const struct slot_view *slot)
-{
-    const struct engine_view *view = engine_find(place, slot->slot.engine);
-    struct slot_facts facts = {
-        .engine = engine_fact_of(place, slot->slot.engine),
-        .has_item = slot->has_item,
-        .state = slot->item.state,
-        .checks_fence = checks_fence(place, leaf->path),
-        .silent = leaf->silent_ms != 0 &&
-                  place->now_ms - leaf->silent_ms >= SILENT_MS,
-        .evict = leaf->evict_engine == slot->slot.engine &&
-                 place->now_ms < leaf->evict_until_ms,
-    };
-
-    facts.orphan =
-        !slot->has_item && (slot->slot.by.member == place->self ||
-                            place->now_ms - leaf->checked_ms >= ORPHAN_MS);
-    count_senders(place, leaf, slot, &facts);
-    if (view != NULL) {
-        facts.restarted = view->report.incarnation > slot->incarnation;
-        facts.missing = is_missing(place, leaf, view);
-    }
-    return facts;
-}
-
-static struct order *
-new_order(struct place *place, const struct leaf *leaf, enum order_kind kind)
-{
-    const struct node *node = leaf_node(place, leaf);
-    struct order *order = g_new0(struct order, 1);
-
-    order->kind = kind;
-    g_strlcpy(order->path, leaf->path, PATH_MAX_BYTES);
-    order->want.leaf = leaf->id;
-    order->want.path = order->path;
-    order->want.member = place->self;
-    order->want.start = place->start;
-    order->limit = limit_of(node);
-    order->revision = place->tree == NULL ? 0 : tree_revision(place->tree);
-    order->checks_fence = checks_fence(place, leaf->path);
-    if (node != NULL) {
-        order->want.mb = node->settings.memory_mb;
-        order->want.base = node->base;
-    }
-    return order;
-}
-
-static bool
-push_order(struct place *place, struct leaf *leaf, struct order *order)
-{
-    struct err err = {0};
-
-    if (!orders_push(&place->orders, order, &err)) {
-        refusal_add(err.kind);
-        order_free(order);
-        leaf->retry_ms = place->now_ms + RETRY_MS;
-        return false;
-    }
-    leaf->busy = true;
-    return true;
-}
-
-/**
- * leaf_scan() - read the records of a leaf
- * @place: placement
- * @leaf: the leaf
- */
-void
-leaf_scan(struct place *place, struct leaf *leaf)
-{
-    push_order(place, leaf, new_order(place, leaf, ORDER_SCAN));
-}
-
-static void
-push_slot_order(struct place *place, struct leaf *leaf, enum order_kind kind,
-                const struct slot_view *slot)
-{
-    const struct engine_view *view = engine_find(place, slot->slot.engine);
-    struct order *order = new_order(place, leaf, kind);
-
-    order->report.id = slot->slot.engine;
-    if (view != NULL) {
-        order->report = view->report;
-    }
-    order->gone = engine_fact_of(place, slot->slot.engine) == ENGINE_GONE;
-    for (int i = 0; i < slot->item.sender_count; i++) {
-        const struct sender *sender = &slot->item.senders[i];
-
-        if (sender_settled(place, leaf, slot->slot.engine, sender)) {
-            order->settled[order->settled_count++] = *sender;
-        }
-    }
-    push_order(place, leaf, order);
-}
-
-static void
-ask_senders(struct place *place, struct leaf *leaf,
-            const struct slot_view *slot)
-{
-    if (place->now_ms - leaf->settle_ms < SETTLE_REPEAT_MS) {
-        return;
-    }
-    leaf->settle_ms = place->now_ms;
-    if (leaf->silent_ms == 0) {
-        leaf->silent_ms = place->now_ms;
-    }
-    for (int i = 0; i < slot->item.sender_count; i++) {
-        const struct sender *sender = &slot->item.senders[i];
-
-        if (!sender_settled(place, leaf, slot->slot.engine, sender)) {
-            send_settle(place, sender, slot->slot.engine, leaf->id);
-        }
-    }
-}
-
-static bool
-base_loaded(const struct place *place, const struct node *node)
-{
-    for (int i = 0; i < place->view_count; i++) {
-        const struct target_report *report = &place->views[i]->report;
-
-        if (report->state == TARGET_LIVE &&
-            strcmp(report->service, node->service) == 0 &&
-            report_has(report->loaded, report->loaded_count, node->base)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* An adapter waits until its model is loaded somewhere. */
-static void
-want_base(struct place *place, struct leaf *leaf, const struct node *node)
-{
-    const struct node *base = tree_node_by_id(place->tree, node->base);
-    struct leaf *state;
-
-    if (base == NULL || place->now_ms - leaf->base_ms < BASE_REPEAT_MS) {
-        return;
-    }
-    leaf->base_ms = place->now_ms;
-    state = leaf_get(place, base->id, base->path);
-    if (state->priority < leaf->priority || state->want_ms == 0) {
-        state->priority = leaf->priority;
-    }
-    send_want(place, state, 1);
-}
-
-static bool
-can_ever_fit(const struct place *place, const struct node *node)
-{
-    bool any = false;
-
-    for (int i = 0; i < place->view_count; i++) {
-        const struct target_report *report = &place->views[i]->report;
-
-        if (strcmp(report->service, node->service) != 0 ||
-            report->state == TARGET_GONE) {
-            continue;
-        }
-        any = true;
-        if (report->memory_mb >= node->settings.memory_mb) {
-            return true;
-        }
-    }
-    return !any;
-}
-
-static void
-no_room(struct place *place, struct leaf *leaf, const struct node *node,
-        const struct choice *choice, const struct err *err)
-{
-    bool hopeless = !can_ever_fit(place, node);
-
-    turn_end(place, leaf);
-    leaf->retry_ms = place->now_ms + RETRY_MS;
-    if (err->kind == ERR_NO_TARGET && leaf->skip_count > 0) {
-        /* Every engine has failed once; they are tried again. */
-        leaf->skip_count = 0;
-        return;
-    }
-    if (err->kind == ERR_MEMORY_FULL) {
-        evict_for(place, leaf, choice);
-    }
-    if (leaf->asker_count > 0 &&
-        (hopeless || place->now_ms - leaf->since_ms >= NO_ROOM_MS)) {
-        int64_t want_ms = leaf->want_ms;
-
-        /* The callers go on waiting, so the leaf stays wanted. */
-        leaf_refuse(place, leaf, err->kind, err->text);
-        leaf->want_ms = want_ms;
-        leaf->since_ms = place->now_ms;
-    }
-}
-
-static int
-skipped_engines(const struct leaf *leaf, uint64_t *skip, int max)
-{
-    int count = 0;
-
-    for (int i = 0; i < leaf->view_count && count < max; i++) {
-        skip[count++] = leaf->views[i].slot.engine;
-    }
-    for (int i = 0; i < leaf->skip_count && count < max; i++) {
-        skip[count++] = leaf->skip[i];
-    }
-    return count;
-}
-
-static void
-push_load(struct place *place, struct leaf *leaf, struct engine_view *view)
-{
-    struct order *order = new_order(place, leaf, ORDER_LOAD);
-
-    order->report = view->report;
-    if (push_order(place, leaf, order)) {
-        /* Until the record is read again, the choice for the next leaf must
-           know of this one. */
-        int64_t used = (int64_t)view->report.memory_mb -
-                       engine_free_mb(view, place->now_ms);
-
-        view->reserved_mb = used + order->want.mb;
-        view->reserved_ms = place->now_ms;
-    }
-}
-
-static void
-start_load(struct place *place, struct leaf *leaf, const struct node *node)
-{
-    uint64_t skip[REPLICA_SLOTS_MAX];
-    struct err err = {0};
-    struct choice choice = {
-        .leaf = leaf->id,
-        .service = node->service,
-        .data_centre = node->data_centre,
-        .mb = node->settings.memory_mb,
-        .base = node->base,
-        .skip = skip,
-    };
-    int index;
-
-    if (leaf->want_ms == 0) {
-        leaf->priority = (int)node->settings.priority;
-    }
-    if (node->base != 0 && !base_loaded(place, node)) {
-        want_base(place, leaf, node);
-        return;
-    }
-    choice.skip_count = skipped_engines(leaf, skip, REPLICA_SLOTS_MAX);
-    index = choose_engine(&choice, place->views, place->view_count,
-                          place->now_ms, &err);
-    if (index < 0) {
-        no_room(place, leaf, node, &choice, &err);
-        return;
-    }
-    if (checkpoint_of(&place->views[index]->report, leaf->id) ==
-            CHECKPOINT_REMOTE &&
-        !leaf->granted) {
-        turn_ask(place, leaf);
-        return;
-    }
-    push_load(place, leaf, place->views[index]);
-}
-
 static const struct engine_view *
 least_loaded(struct place *place, const struct leaf *leaf,
              const struct slot_facts *facts)
@@ -450,7 +88,7 @@
     else if (!node->settings.enabled) {
         leaf_refuse(place, leaf, ERR_DISABLED, leaf->path);
     }
-    else if (limit_of(node) == 0) {
+    else if (leaf_limit(node) == 0) {
         leaf_refuse(place, leaf, ERR_REPLICAS_FULL, leaf->path);
     }
     else {
@@ -470,10 +108,10 @@
     case STEP_NONE:
         break;
     case STEP_LOAD:
-        start_load(place, leaf, node);
+        load_start(place, leaf, node);
         break;
     case STEP_ADOPT:
-        push_slot_order(place, leaf, ORDER_ADOPT, slot);
+        slot_order_issue(place, leaf, ORDER_ADOPT, slot);
         break;
     case STEP_UNLOAD:
         leaf->moving |=
@@ -481,39 +119,17 @@
             engine_fact_of(place, slot->slot.engine) == ENGINE_LEAVING &&
             place->now_ms - leaf->used_ms <
                 node->settings.idle_unload_s * 1000;
-        push_slot_order(place, leaf, ORDER_UNLOAD, slot);
+        slot_order_issue(place, leaf, ORDER_UNLOAD, slot);
         break;
     case STEP_CLEAR:
-        push_slot_order(place, leaf, ORDER_CLEAR, slot);
+        slot_order_issue(place, leaf, ORDER_CLEAR, slot);
         break;
     case STEP_SETTLE:
-        ask_senders(place, leaf, slot);
+        senders_ask(place, leaf, slot);
         break;
     }
 }
 
-static struct leaf_facts
-leaf_facts_of(const struct place *place, const struct leaf *leaf,
-              const struct node *node)
-{
-    struct leaf_facts facts = {
-        .limit = limit_of(node),
-        .wanted = leaf->want_ms != 0,
-        .more = leaf->more,
-    };
-
-    if (node != NULL) {
-        facts.min = node->settings.replicas_min;
-        facts.idle = place->now_ms - leaf->used_ms >=
-                     node->settings.idle_unload_s * 1000;
-        facts.wanted |= leaf->moving && !facts.idle;
-    }
-    if (facts.min > facts.limit) {
-        facts.min = facts.limit;
-    }
-    return facts;
-}
-
 static void
 decide_known(struct place *place, struct leaf *leaf)
 {
@@ -525,7 +141,7 @@
     int unsettled = 0;
 
     for (int i = 0; i < leaf->view_count; i++) {
-        facts[i] = facts_of(place, leaf, &leaf->views[i]);
+        facts[i] = slot_facts_of(place, leaf, &leaf->views[i]);
         unsettled += facts[i].unsettled;
     }
     if (unsettled == 0) {
@@ -598,165 +214,6 @@
     g_ptr_array_unref(list);
 }
 
-/**
- * order_loaded() - an engine has confirmed a load; the record comes later
- * @place: placement
- * @id: id of the leaf
- * @engine: id of the engine
- */
-void
-order_loaded(struct place *place, uint64_t id, uint64_t engine)
-{
-    struct leaf *leaf = leaf_find(place, id);
-    struct placement placement = {.leaf = id, .target = engine};
-
-    engine_add_loaded(place, engine, id);
-    if (leaf == NULL) {
-        return;
-    }
-    turn_end(place, leaf);
-    leaf->failures = 0;
-    leaf->skip_count = 0;
-    leaf->moving = false;
-    leaf->more = false;
-    leaf->used_ms = place->now_ms;
-    leaf_answer(place, leaf, &placement);
-    base_ready(place, id);
-}
-
-static void
-take_views(struct place *place, struct leaf *leaf, struct order *order)
-{
-    struct engine_view *view = engine_find(place, order->report.id);
-
-    leaf->known = order->read;
-    if (order->read) {
-        g_free(leaf->views);
-        leaf->views = order->views;
-        leaf->view_count = order->view_count;
-        leaf->checked_ms = place->now_ms;
-        order->views = NULL;
-    }
-    if (view != NULL && order->reserved_mb >= 0) {
-        view->reserved_mb = order->reserved_mb;
-        view->reserved_ms = place->now_ms;
-    }
-}
-
-static void
-log_failure(const struct order *order)
-{
-    static const char *const names[] = {"scan",   "load",  "adopt",
-                                        "unload", "clear", "sweep"};
-
-    log_line(LOG_PRI_WARNING, "place",
-             "event=order_failed order=%s leaf=%s engine=%s error=%s "
-             "detail=\"%s\"",
-             names[order->kind], order->path, order->report.name,
-             err_info(order->err.kind)->name, order->err.text);
-}
-
-static void
-skip_engine(struct leaf *leaf, uint64_t engine)
-{
-    if (leaf->skip_count == LEAF_SKIP_MAX) {
-        leaf->skip_count = 0;
-    }
-    leaf->skip[leaf->skip_count++] = engine;
-}
-
-static void
-load_failed(struct place *place, struct leaf *leaf, const struct order *order)
-{
-    leaf->failures++;
-    skip_engine(leaf, order->report.id);
-    if (leaf->failures >= FAILURES_MAX) {
-        leaf_refuse(place, leaf, ERR_LOAD_FAILED, order->err.text);
-        leaf->failures = 0;
-        leaf->skip_count = 0;
-        leaf->retry_ms = place->now_ms + FAILED_PAUSE_MS;
-    }
-}
-
-static bool
-is_load(const struct order *order)
-{
-    return order->kind == ORDER_LOAD || order->kind == ORDER_ADOPT;
-}
-
-static void
-order_failed(struct place *place, struct leaf *leaf, const struct order *order)
-{
-    leaf->retry_ms = place->now_ms + RETRY_MS;
-    switch (order->err.kind) {
-    case ERR_NO_TARGET:
-        /* The report shows the model of an adapter, the record does not. */
-        if (order->want.base != 0 && leaf_node(place, leaf) != NULL) {
-            want_base(place, leaf, leaf_node(place, leaf));
-        }
-        break;
-    case ERR_KV_CONFLICT:
-        /* An unload refused for adapters in use: the model is in use too. */
-        if (order->kind == ORDER_UNLOAD && leaf->evict_engine == 0) {
-            leaf->used_ms = place->now_ms;
-        }
-        break;
-    case ERR_MEMORY_FULL:
-    case ERR_FENCE_OLD:
-    case ERR_REPLICAS_FULL:
-        break;
-    case ERR_LOAD_FAILED:
-    case ERR_IO:
-    case ERR_TIMEOUT:
-        log_failure(order);
-        if (is_load(order)) {
-            load_failed(place, leaf, order);
-        }
-        else {
-            leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
-        }
-        break;
-    case ERR_CONFIG_STALE:
-        leaf_refuse(place, leaf, ERR_CONFIG_STALE, order->err.text);
-        break;
-    case ERR_KV_DOWN:
-        leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
-        break;
-    default:
-        log_failure(order);
-        leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
-        break;
-    }
-}
-
-static void
-note_store(struct place *place, const struct order *order)
-{
-    bool down = order->err.kind == ERR_KV_DOWN;
-
-    if (down != place->store_down && (down || order->read)) {
-        place->store_down = down;
-        log_line(LOG_PRI_WARNING, "place", "event=%s detail=\"%s\"",
-                 down ? "records_unavailable" : "records_available",
-                 order->err.text);
-    }
-}
-
-static void
-order_succeeded(struct place *place, struct leaf *leaf,
-                const struct order *order)
-{
-    leaf->retry_ms = 0;
-    if (order->kind != ORDER_UNLOAD) {
-        return;
-    }
-    engine_drop_loaded(place, order->report.id, leaf->id);
-    if (leaf->evict_engine == order->report.id) {
-        leaf->evict_engine = 0;
-    }
-    leaf->settled_count = 0;
-}
-
 /**
  * decide_waiting() - room may have been made for leaves that fitted nowhere
  * @place: placement
@@ -777,105 +234,6 @@
     g_ptr_array_unref(list);
 }
 
-static void
-sweep_done(struct place *place, const struct order *order)
-{
-    place->sweeping = false;
-    if (order->err.kind != ERR_NONE) {
-        return;
-    }
-    g_strlcpy(place->sweep, order->from, sizeof(place->sweep));
-    for (int i = 0; i < order->swept_count; i++) {
-        const struct swept *swept = &order->swept[i];
-
-        if (place->port->ops->owner(place->port, swept->leaf) == place->self) {
-            struct leaf *leaf = leaf_get(place, swept->leaf, swept->path);
-
-            leaf->owned = true;
-            leaf_decide(place, leaf);
-        }
-    }
-}
-
-/**
- * order_done() - an order has ended
- * @place: placement
- * @order: released
- */
-void
-order_done(struct place *place, struct order *order)
-{
-    struct leaf *leaf = leaf_find(place, order->want.leaf);
-
-    if (order->kind == ORDER_SWEEP) {
-        sweep_done(place, order);
-    }
-    else if (leaf != NULL) {
-        leaf->busy = false;
-        note_store(place, order);
-        take_views(place, leaf, order);
-        if (is_load(order)) {
-            turn_end(place, leaf);
-        }
-        if (order->err.kind == ERR_NONE) {
-            order_succeeded(place, leaf, order);
-        }
-        else {
-            order_failed(place, leaf, order);
-        }
-        leaf_decide(place, leaf);
-        if (order->kind == ORDER_UNLOAD) {
-            decide_waiting(place);
-        }
-    }
-    order_free(order);
-}
-
-static bool
-has_slot(const struct leaf *leaf, uint64_t engine)
-{
-    for (int i = 0; i < leaf->view_count; i++) {
-        if (leaf->views[i].slot.engine == engine) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/**
- * leaf_stray() - an engine reports a leaf that may have no slot there
- * @place: placement
- * @leaf: the leaf
- * @engine: the engine
- *
- * The records are read again first, as another member may have loaded it. A
- * leaf without a slot that is still reported after that is unloaded.
- */
-void
-leaf_stray(struct place *place, struct leaf *leaf,
-           const struct engine_view *engine)
-{
-    struct order *order;
-    uint64_t id = engine->report.id;
-
-    if (!leaf->owned || !leaf->known || leaf->busy || !place->fresh ||
-        place->now_ms - leaf->checked_ms < MISSING_MS || has_slot(leaf, id)) {
-        return;
-    }
-    if (leaf->stray_engine != id) {
-        leaf->stray_engine = id;
-        leaf_scan(place, leaf);
-        return;
-    }
-    leaf->stray_engine = 0;
-    order = new_order(place, leaf, ORDER_UNLOAD);
-    order->report = engine->report;
-    order->stray = true;
-    log_line(LOG_PRI_WARNING, "place", "event=stray_replica leaf=%s engine=%s",
-             leaf->path, engine->report.name);
-    push_order(place, leaf, order);
-}
-
 /**
  * leaf_evict() - unload a leaf from an engine if it is idle
  * @place: placement
@@ -896,37 +254,8 @@
     leaf->evict_engine = engine;
     leaf->evict_until_ms = place->now_ms + EVICT_WANTED_MS;
     leaf->retry_ms = 0;
-    if (!has_slot(leaf, engine)) {
+    if (!leaf_has_slot(leaf, engine)) {
         leaf->known = false;
     }
     leaf_decide(place, leaf);
 }
-
-/**
- * place_sweep() - read the next page of replica records
- * @place: placement
- *
- * Finds records of leaves that were removed from the tree while their owner
- * was away.
- */
-void
-place_sweep(struct place *place)
-{
-    struct order *order;
-    struct err err = {0};
-
-    if (place->sweeping) {
-        return;
-    }
-    order = g_new0(struct order, 1);
-    order->kind = ORDER_SWEEP;
-    g_strlcpy(order->from,
-              place->sweep[0] != '\0' ? place->sweep : "/turmeric/replicas/",
-              sizeof(order->from));
-    if (!orders_push(&place->orders, order, &err)) {
-        order_free(order);
-        return;
-    }
-    place->sweeping = true;
-    place->sweep_ms = place->now_ms;
-}
--- /dev/null
+++ b/src/turmericd/place/done.c
@@ -0,0 +1,238 @@
+/**
+ * DOC: Takes the results of orders.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/fns.h"
+#include "turmericd/place/inner/dat.h"
+#include "turmericd/place/inner/fns.h"
+
+enum {
+    RETRY_SLOW_MS = 1000,
+    FAILED_PAUSE_MS = 2000,
+    FAILURES_MAX = 3,
+};
+
+/**
+ * order_loaded() - an engine has confirmed a load; the record comes later
+ * @place: placement
+ * @id: id of the leaf
+ * @engine: id of the engine
+ */
+void
+order_loaded(struct place *place, uint64_t id, uint64_t engine)
+{
+    struct leaf *leaf = leaf_find(place, id);
+    struct placement placement = {.leaf = id, .target = engine};
+
+    engine_add_loaded(place, engine, id);
+    if (leaf == NULL) {
+        return;
+    }
+    turn_end(place, leaf);
+    leaf->failures = 0;
+    leaf->skip_count = 0;
+    leaf->moving = false;
+    leaf->more = false;
+    leaf->used_ms = place->now_ms;
+    leaf_answer(place, leaf, &placement);
+    base_ready(place, id);
+}
+
+static void
+take_views(struct place *place, struct leaf *leaf, struct order *order)
+{
+    struct engine_view *view = engine_find(place, order->report.id);
+
+    leaf->known = order->read;
+    if (order->read) {
+        g_free(leaf->views);
+        leaf->views = order->views;
+        leaf->view_count = order->view_count;
+        leaf->checked_ms = place->now_ms;
+        order->views = NULL;
+    }
+    if (view != NULL && order->reserved_mb >= 0) {
+        view->reserved_mb = order->reserved_mb;
+        view->reserved_ms = place->now_ms;
+    }
+}
+
+static void
+log_failure(const struct order *order)
+{
+    static const char *const names[] = {"scan",   "load",  "adopt",
+                                        "unload", "clear", "sweep"};
+
+    log_line(LOG_PRI_WARNING, "place",
+             "event=order_failed order=%s leaf=%s engine=%s error=%s "
+             "detail=\"%s\"",
+             names[order->kind], order->path, order->report.name,
+             err_info(order->err.kind)->name, order->err.text);
+}
+
+static void
+skip_engine(struct leaf *leaf, uint64_t engine)
+{
+    if (leaf->skip_count == LEAF_SKIP_MAX) {
+        leaf->skip_count = 0;
+    }
+    leaf->skip[leaf->skip_count++] = engine;
+}
+
+static void
+load_failed(struct place *place, struct leaf *leaf, const struct order *order)
+{
+    leaf->failures++;
+    skip_engine(leaf, order->report.id);
+    if (leaf->failures >= FAILURES_MAX) {
+        leaf_refuse(place, leaf, ERR_LOAD_FAILED, order->err.text);
+        leaf->failures = 0;
+        leaf->skip_count = 0;
+        leaf->retry_ms = place->now_ms + FAILED_PAUSE_MS;
+    }
+}
+
+static bool
+is_load(const struct order *order)
+{
+    return order->kind == ORDER_LOAD || order->kind == ORDER_ADOPT;
+}
+
+static void
+order_failed(struct place *place, struct leaf *leaf, const struct order *order)
+{
+    leaf->retry_ms = place->now_ms + ORDER_RETRY_MS;
+    switch (order->err.kind) {
+    case ERR_NO_TARGET:
+        /* The report shows the model of an adapter, the record does not. */
+        if (order->want.base != 0 && leaf_node(place, leaf) != NULL) {
+            base_want(place, leaf, leaf_node(place, leaf));
+        }
+        break;
+    case ERR_KV_CONFLICT:
+        /* An unload refused for adapters in use: the model is in use too. */
+        if (order->kind == ORDER_UNLOAD && leaf->evict_engine == 0) {
+            leaf->used_ms = place->now_ms;
+        }
+        break;
+    case ERR_MEMORY_FULL:
+    case ERR_FENCE_OLD:
+    case ERR_REPLICAS_FULL:
+        break;
+    case ERR_LOAD_FAILED:
+    case ERR_IO:
+    case ERR_TIMEOUT:
+        log_failure(order);
+        if (is_load(order)) {
+            load_failed(place, leaf, order);
+        }
+        else {
+            leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
+        }
+        break;
+    case ERR_CONFIG_STALE:
+        leaf_refuse(place, leaf, ERR_CONFIG_STALE, order->err.text);
+        break;
+    case ERR_KV_DOWN:
+        leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
+        break;
+    default:
+        log_failure(order);
+        leaf->retry_ms = place->now_ms + RETRY_SLOW_MS;
+        break;
+    }
+}
+
+static void
+note_store(struct place *place, const struct order *order)
+{
+    bool down = order->err.kind == ERR_KV_DOWN;
+
+    if (down != place->store_down && (down || order->read)) {
+        place->store_down = down;
+        log_line(LOG_PRI_WARNING, "place", "event=%s detail=\"%s\"",
+                 down ? "records_unavailable" : "records_available",
+                 order->err.text);
+    }
+}
+
+static void
+order_succeeded(struct place *place, struct leaf *leaf,
+                const struct order *order)
+{
+    leaf->retry_ms = 0;
+    if (order->kind != ORDER_UNLOAD) {
+        return;
+    }
+    engine_drop_loaded(place, order->report.id, leaf->id);
+    if (leaf->evict_engine == order->report.id) {
+        leaf->evict_engine = 0;
+    }
+    leaf->settled_count = 0;
+}
+
+static void
+sweep_done(struct place *place, const struct order *order)
+{
+    place->sweeping = false;
+    if (order->err.kind != ERR_NONE) {
+        return;
+    }
+    g_strlcpy(place->sweep, order->from, sizeof(place->sweep));
+    for (int i = 0; i < order->swept_count; i++) {
+        const struct swept *swept = &order->swept[i];
+
+        if (place->port->ops->owner(place->port, swept->leaf) == place->self) {
+            struct leaf *leaf = leaf_get(place, swept->leaf, swept->path);
+
+            leaf->owned = true;
+            leaf_decide(place, leaf);
+        }
+    }
+}
+
+/**
+ * order_done() - an order has ended
+ * @place: placement
+ * @order: released
+ */
+void
+order_done(struct place *place, struct order *order)
+{
+    struct leaf *leaf = leaf_find(place, order->want.leaf);
+
+    if (order->kind == ORDER_SWEEP) {
+        sweep_done(place, order);
+    }
+    else if (leaf != NULL) {
+        leaf->busy = false;
+        note_store(place, order);
+        take_views(place, leaf, order);
+        if (is_load(order)) {
+            turn_end(place, leaf);
+        }
+        if (order->err.kind == ERR_NONE) {
+            order_succeeded(place, leaf, order);
+        }
+        else {
+            order_failed(place, leaf, order);
+        }
+        leaf_decide(place, leaf);
+        if (order->kind == ORDER_UNLOAD) {
+            decide_waiting(place);
+        }
+    }
+    order_free(order);
+}
--- a/src/turmericd/place/inner/dat.h
+++ b/src/turmericd/place/inner/dat.h
@@ -322,6 +322,13 @@
     const struct orders_port_ops *ops;
 };
 
+enum {
+    /* Pause before an order for a leaf is tried again. */
+    ORDER_RETRY_MS = 100,
+    /* A report polled before an order ended may come this much after it. */
+    REPORT_LATE_MS = 3000,
+};
+
 enum { ORDER_THREADS = 12, ORDERS_MAX = 256 };
 
 struct orders;
--- a/src/turmericd/place/inner/fns.h
+++ b/src/turmericd/place/inner/fns.h
@@ -113,17 +113,46 @@
 enum engine_fact engine_fact_of(struct place *place, uint64_t id);
 void engines_expire(struct place *place);
 
+/* facts.c */
+bool leaf_checks_fence(const struct place *place, const char *path);
+int64_t leaf_limit(const struct node *node);
+bool sender_settled(struct place *place, const struct leaf *leaf,
+                    uint64_t engine, const struct sender *sender);
+struct slot_facts slot_facts_of(struct place *place, const struct leaf *leaf,
+                                const struct slot_view *slot);
+struct leaf_facts leaf_facts_of(const struct place *place,
+                                const struct leaf *leaf,
+                                const struct node *node);
+
+/* issue.c */
+struct order *order_new(struct place *place, const struct leaf *leaf,
+                        enum order_kind kind);
+bool order_issue(struct place *place, struct leaf *leaf, struct order *order);
+void slot_order_issue(struct place *place, struct leaf *leaf,
+                      enum order_kind kind, const struct slot_view *slot);
+void senders_ask(struct place *place, struct leaf *leaf,
+                 const struct slot_view *slot);
+void leaf_scan(struct place *place, struct leaf *leaf);
+void leaf_stray(struct place *place, struct leaf *leaf,
+                const struct engine_view *engine);
+void place_sweep(struct place *place);
+bool leaf_has_slot(const struct leaf *leaf, uint64_t engine);
+
+/* load.c */
+void base_want(struct place *place, struct leaf *leaf,
+               const struct node *node);
+void load_start(struct place *place, struct leaf *leaf,
+                const struct node *node);
+
+/* done.c */
+void order_loaded(struct place *place, uint64_t id, uint64_t engine);
+void order_done(struct place *place, struct order *order);
+
 /* decide.c */
 void base_ready(struct place *place, uint64_t base);
-void leaf_scan(struct place *place, struct leaf *leaf);
 void decide_waiting(struct place *place);
 void leaf_decide(struct place *place, struct leaf *leaf);
-void order_done(struct place *place, struct order *order);
-void order_loaded(struct place *place, uint64_t id, uint64_t engine);
-void leaf_stray(struct place *place, struct leaf *leaf,
-                const struct engine_view *engine);
 void leaf_evict(struct place *place, uint64_t id, uint64_t engine);
-void place_sweep(struct place *place);
 
 /* evict.c */
 bool leaf_fixed(struct place *place, const struct leaf *leaf,
--- /dev/null
+++ b/src/turmericd/place/issue.c
@@ -0,0 +1,218 @@
+/**
+ * DOC: Hands orders to the order threads, and questions to other senders.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "kv/dat.h"
+#include "kv/fns.h"
+#include "tree/dat.h"
+#include "tree/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/member/dat.h"
+#include "turmericd/fleet/observe/dat.h"
+#include "turmericd/place/dat.h"
+#include "turmericd/place/fns.h"
+#include "turmericd/place/inner/dat.h"
+#include "turmericd/place/inner/fns.h"
+
+enum {
+    SETTLE_REPEAT_MS = 1000,
+};
+
+/**
+ * order_new() - order with the settings in force
+ * @place: placement
+ * @leaf: the leaf
+ * @kind: what to do
+ */
+struct order *
+order_new(struct place *place, const struct leaf *leaf, enum order_kind kind)
+{
+    const struct node *node = leaf_node(place, leaf);
+    struct order *order = g_new0(struct order, 1);
+
+    order->kind = kind;
+    g_strlcpy(order->path, leaf->path, PATH_MAX_BYTES);
+    order->want.leaf = leaf->id;
+    order->want.path = order->path;
+    order->want.member = place->self;
+    order->want.start = place->start;
+    order->limit = leaf_limit(node);
+    order->revision = place->tree == NULL ? 0 : tree_revision(place->tree);
+    order->checks_fence = leaf_checks_fence(place, leaf->path);
+    if (node != NULL) {
+        order->want.mb = node->settings.memory_mb;
+        order->want.base = node->base;
+    }
+    return order;
+}
+
+/**
+ * order_issue() - hand an order to the threads
+ * @place: placement
+ * @leaf: the leaf, which is busy from then on
+ * @order: taken in every case
+ */
+bool
+order_issue(struct place *place, struct leaf *leaf, struct order *order)
+{
+    struct err err = {0};
+
+    if (!orders_push(&place->orders, order, &err)) {
+        refusal_add(err.kind);
+        order_free(order);
+        leaf->retry_ms = place->now_ms + ORDER_RETRY_MS;
+        return false;
+    }
+    leaf->busy = true;
+    return true;
+}
+
+/**
+ * leaf_scan() - read the records of a leaf
+ * @place: placement
+ * @leaf: the leaf
+ */
+void
+leaf_scan(struct place *place, struct leaf *leaf)
+{
+    order_issue(place, leaf, order_new(place, leaf, ORDER_SCAN));
+}
+
+/**
+ * slot_order_issue() - hand over an order about a slot
+ * @place: placement
+ * @leaf: the leaf
+ * @kind: what to do
+ * @slot: the slot as last read
+ */
+void
+slot_order_issue(struct place *place, struct leaf *leaf, enum order_kind kind,
+                 const struct slot_view *slot)
+{
+    const struct engine_view *view = engine_find(place, slot->slot.engine);
+    struct order *order = order_new(place, leaf, kind);
+
+    order->report.id = slot->slot.engine;
+    if (view != NULL) {
+        order->report = view->report;
+    }
+    order->gone = engine_fact_of(place, slot->slot.engine) == ENGINE_GONE;
+    for (int i = 0; i < slot->item.sender_count; i++) {
+        const struct sender *sender = &slot->item.senders[i];
+
+        if (sender_settled(place, leaf, slot->slot.engine, sender)) {
+            order->settled[order->settled_count++] = *sender;
+        }
+    }
+    order_issue(place, leaf, order);
+}
+
+/**
+ * senders_ask() - ask the senders of a slot whether their orders have ended
+ * @place: placement
+ * @leaf: the leaf
+ * @slot: the slot as last read
+ */
+void
+senders_ask(struct place *place, struct leaf *leaf,
+            const struct slot_view *slot)
+{
+    if (place->now_ms - leaf->settle_ms < SETTLE_REPEAT_MS) {
+        return;
+    }
+    leaf->settle_ms = place->now_ms;
+    if (leaf->silent_ms == 0) {
+        leaf->silent_ms = place->now_ms;
+    }
+    for (int i = 0; i < slot->item.sender_count; i++) {
+        const struct sender *sender = &slot->item.senders[i];
+
+        if (!sender_settled(place, leaf, slot->slot.engine, sender)) {
+            send_settle(place, sender, slot->slot.engine, leaf->id);
+        }
+    }
+}
+
+/**
+ * leaf_has_slot() - whether the leaf has a slot on the engine
+ * @leaf: the leaf
+ * @engine: id of the engine
+ */
+bool
+leaf_has_slot(const struct leaf *leaf, uint64_t engine)
+{
+    for (int i = 0; i < leaf->view_count; i++) {
+        if (leaf->views[i].slot.engine == engine) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * leaf_stray() - an engine reports a leaf that may have no slot there
+ * @place: placement
+ * @leaf: the leaf
+ * @engine: the engine
+ *
+ * The records are read again first, as another member may have loaded it. A
+ * leaf without a slot that is still reported after that is unloaded.
+ */
+void
+leaf_stray(struct place *place, struct leaf *leaf,
+           const struct engine_view *engine)
+{
+    struct order *order;
+    uint64_t id = engine->report.id;
+
+    if (!leaf->owned || !leaf->known || leaf->busy || !place->fresh ||
+        place->now_ms - leaf->checked_ms < REPORT_LATE_MS ||
+        leaf_has_slot(leaf, id)) {
+        return;
+    }
+    if (leaf->stray_engine != id) {
+        leaf->stray_engine = id;
+        leaf_scan(place, leaf);
+        return;
+    }
+    leaf->stray_engine = 0;
+    order = order_new(place, leaf, ORDER_UNLOAD);
+    order->report = engine->report;
+    order->stray = true;
+    log_line(LOG_PRI_WARNING, "place", "event=stray_replica leaf=%s engine=%s",
+             leaf->path, engine->report.name);
+    order_issue(place, leaf, order);
+}
+
+/**
+ * place_sweep() - read the next page of replica records
+ * @place: placement
+ *
+ * Finds records of leaves that were removed from the tree while their owner
+ * was away.
+ */
+void
+place_sweep(struct place *place)
+{
+    struct order *order;
+    struct err err = {0};
+
+    if (place->sweeping) {
+        return;
+    }
+    order = g_new0(struct order, 1);
+    order->kind = ORDER_SWEEP;
+    g_strlcpy(order->from,
+              place->sweep[0] != '\0' ? place->sweep : "/turmeric/replicas/",
+              sizeof(order->from));
+    if (!orders_push(&place->orders, order, &err)) {
+        order_free(order);
+        return;
+    }
+    place->sweeping = true;
+    place->sweep_ms = place->now_ms;
+}
