Pass on evictions between owners; let the stand-in's unload end a load

Cause: the new message Evict had no case in the dispatch, so a leaf that another member owns was never evicted. The release rule of reserve.c needs an acknowledged unload to mean that no earlier load of the path is still running; the stand-in engine acknowledged it at once and let the load finish.

Change: the case; loads and unloads of a path wait in the engine for a load under way; the harness looks at test results only inside a test.

--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -24,6 +24,7 @@
     struct role role;
     uint64_t incarnation;
     GHashTable *loaded;  /* path -> memory in MB */
+    GHashTable *loading; /* path -> itself, while its weights are fetched */
     GHashTable *cached;  /* path -> itself */
     GHashTable *streams; /* stream id -> itself */
     GHashTable *cancelled;
@@ -187,6 +188,20 @@
     http_call("GET", url, NULL, NULL, LOAD_TIMEOUT_S, &status, NULL, &err);
 }
 
+/*
+ * Called with the lock held. An order for a path waits until a load of the
+ * path that is under way has ended, so that an acknowledged unload means that
+ * no earlier load is left, and a second load takes no memory.
+ */
+static void
+wait_for_load(struct engine_role *engine, const char *path)
+{
+    while (g_hash_table_contains(engine->loading, path) &&
+           !engine->role.stopping) {
+        pthread_cond_wait(&engine->role.wake, &engine->role.lock);
+    }
+}
+
 /*
  * Reserves the memory before the weights are fetched, as an engine does that
  * allocates first. Returns the HTTP status and sets the error's name.
@@ -198,6 +213,7 @@
     unsigned status = 200;
 
     pthread_mutex_lock(&engine->role.lock);
+    wait_for_load(engine, path);
     if (!fence_accepts(engine, fence)) {
         *error = "fence_old";
         status = 409;
@@ -217,27 +233,22 @@
     }
     else {
         engine->used_mb += memory_mb;
+        g_hash_table_add(engine->loading, g_strdup(path));
         note_allocated(engine, path);
     }
     pthread_mutex_unlock(&engine->role.lock);
     return status;
 }
 
-/* A second load of the same path that ran meanwhile gives its memory back. */
 static void
 finish_load(struct engine_role *engine, const char *path, int64_t memory_mb)
 {
     pthread_mutex_lock(&engine->role.lock);
-    if (g_hash_table_contains(engine->loaded, path)) {
-        engine->used_mb -= memory_mb;
-        note_freed(engine, path);
-    }
-    else {
-        g_hash_table_insert(engine->loaded, g_strdup(path),
-                            (gpointer)memory_mb);
-        g_hash_table_add(engine->cached, g_strdup(path));
-        engine->loads++;
-    }
+    g_hash_table_insert(engine->loaded, g_strdup(path), (gpointer)memory_mb);
+    g_hash_table_add(engine->cached, g_strdup(path));
+    g_hash_table_remove(engine->loading, path);
+    engine->loads++;
+    pthread_cond_broadcast(&engine->role.wake);
     pthread_mutex_unlock(&engine->role.lock);
 }
 
@@ -297,6 +308,7 @@
     role_begin_call(&engine->role, request);
     path = json_text(body, "model", "");
     pthread_mutex_lock(&engine->role.lock);
+    wait_for_load(engine, path);
     accepted = fence_accepts(engine, (uint64_t)json_number(body, "fence", 0));
     if (accepted && g_hash_table_contains(engine->loaded, path)) {
         engine->used_mb -= (int64_t)g_hash_table_lookup(engine->loaded, path);
@@ -613,6 +625,8 @@
     engine->history = json_object_new_array();
     engine->loaded =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    engine->loading =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     engine->cached =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     engine->streams =
--- a/src/turmericd/dispatch.c
+++ b/src/turmericd/dispatch.c
@@ -75,6 +75,7 @@
     case TURMERIC__ENVELOPE__BODY_TURN_ASK:
     case TURMERIC__ENVELOPE__BODY_TURN_GRANT:
     case TURMERIC__ENVELOPE__BODY_TURN_DONE:
+    case TURMERIC__ENVELOPE__BODY_EVICT:
         return place_post_envelope(root->place, envelope, err);
     case TURMERIC__ENVELOPE__BODY_CLAIM_ASK:
     case TURMERIC__ENVELOPE__BODY_CLAIM_REPLY:
--- a/test/cluster/cluster.c
+++ b/test/cluster/cluster.c
@@ -465,7 +465,7 @@
             cluster_wait_exit(process);
         }
     }
-    if (g_test_failed()) {
+    if (g_test_initialized() && g_test_failed()) {
         print_logs(cluster);
     }
     for (int i = 0; i < cluster->socket_count; i++) {
