Add a bench of the running system under random faults

Cause: single faults are tested; their combinations at any moment were not run.

Change: bench/chaos_bench kills, pauses and restarts instances and engines and disturbs the key-value service while callers send chats and orders; it prints how calls ended and every breach of an invariant.

--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/libstandin.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
-$(BUILD)/bench/system_bench: $(CLUSTER)
+$(BUILD)/bench/system_bench $(BUILD)/bench/chaos_bench: $(CLUSTER)
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/sample.o $(BUILD)/libstandin.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
--- /dev/null
+++ b/bench/chaos_bench.c
@@ -0,0 +1,511 @@
+/*
+ * The running system under random faults for a minute: instances and engines
+ * are killed, paused and started again, the key-value service goes down, loses
+ * answers and becomes slow. Callers go on sending chats and orders and repeat
+ * what was refused at another instance. Prints how calls ended and every
+ * breach of an invariant. Faults come from a printed seed; their effect
+ * depends on timing, so this is no test.
+ *
+ * Usage: chaos_bench [SEED [SECONDS]]
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+#include "test/cluster/dat.h"
+#include "test/cluster/fns.h"
+#include "bench/dat.h"
+#include "bench/fns.h"
+
+enum {
+    ENTRIES = 4,
+    ENGINES = 4,
+    PLAINS = 2,
+    MODELS = 6,
+    CHAT_CALLERS = 6,
+    ORDER_CALLERS = 3,
+    TOKENS = 20,
+    REPEATS_MAX = 12,
+    SECONDS = 60,
+    FAULT_INTERVAL_MS = 2500,
+    FAULT_LENGTH_MS = 1800,
+    LATENCIES_MAX = 20000,
+};
+
+/* How calls ended, over all callers. */
+struct tally {
+    atomic_int whole;
+    atomic_int broken;
+    atomic_int mixed_up;
+    atomic_int refused;
+    atomic_int unreachable;
+    atomic_int given_up;
+    atomic_int orders;
+    atomic_int confirmed;
+    atomic_int duplicates;
+    atomic_int unknown;
+    atomic_int latency_count;
+    int latencies_ms[LATENCIES_MAX];
+};
+
+struct chaos {
+    struct cluster *cluster;
+    struct tally tally;
+    atomic_bool stop;
+    struct json_object *history; /* replicas of engines that were killed */
+    int faults;
+};
+
+struct caller {
+    struct chaos *chaos;
+    int number;
+    uint64_t random;
+    pthread_t thread;
+};
+
+static char tree[4096];
+
+static uint64_t
+next_random(uint64_t *state)
+{
+    *state = hash_pair(*state, 0x9e3779b97f4a7c15);
+    return *state;
+}
+
+static void
+wait_ms(int64_t duration_ms)
+{
+    int64_t end_ms = clock_now_ms() + duration_ms;
+    int64_t left;
+
+    while ((left = end_ms - clock_now_ms()) > 0) {
+        poll(NULL, 0, (int)left);
+    }
+}
+
+static void
+build_tree(void)
+{
+    GString *text = g_string_new("[");
+
+    for (int i = 1; i <= MODELS; i++) {
+        g_string_append_printf(text,
+                               "{\"node\": \"/chat/m%d\", \"key\": \"type\", "
+                               "\"value\": \"model\"},",
+                               i);
+    }
+    g_string_append(
+        text,
+        "{\"node\": \"/chat\", \"key\": \"type\", \"value\": \"service\"},"
+        "{\"node\": \"/chat\", \"key\": \"checks_fence\", \"value\": true},"
+        "{\"node\": \"/chat\", \"key\": \"wait_max_ms\", \"value\": 10000},"
+        "{\"node\": \"/orders\", \"key\": \"type\", \"value\": \"service\"},"
+        "{\"node\": \"/orders\", \"key\": \"kind\", \"value\": \"plain\"},"
+        "{\"node\": \"/orders\", \"key\": \"wait_max_ms\", \"value\": 4000},"
+        "{\"node\": \"/orders\", \"key\": \"repeatable\", \"value\": false}]");
+    g_strlcpy(tree, text->str, sizeof(tree));
+    g_string_free(text, TRUE);
+}
+
+static struct process *
+random_entry(struct caller *caller)
+{
+    int number = 1 + (int)(next_random(&caller->random) % ENTRIES);
+
+    return cluster_find(caller->chaos->cluster, PROCESS_ENTRY, number);
+}
+
+static void
+note_latency(struct tally *tally, int64_t since_ms)
+{
+    int index = atomic_fetch_add(&tally->latency_count, 1);
+
+    if (index < LATENCIES_MAX) {
+        tally->latencies_ms[index] = (int)(clock_now_ms() - since_ms);
+    }
+}
+
+/* Returns whether the call is over. */
+static bool
+judge_chat(struct tally *tally, const struct answer *answer,
+           const char *question)
+{
+    char *text;
+    char *expected;
+
+    if (answer->status != 200) {
+        atomic_fetch_add(
+            answer->status == 0 ? &tally->unreachable : &tally->refused, 1);
+        return false;
+    }
+    text = stream_text(answer);
+    expected = g_strdup_printf("%s: t1 t2", question);
+    if (text == NULL) {
+        atomic_fetch_add(&tally->broken, 1);
+    }
+    else if (!g_str_has_prefix(text, expected) ||
+             g_strrstr(text, " t20") == NULL) {
+        atomic_fetch_add(&tally->mixed_up, 1);
+    }
+    else {
+        atomic_fetch_add(&tally->whole, 1);
+    }
+    g_free(expected);
+    g_free(text);
+    return true;
+}
+
+static void
+chat_once(struct caller *caller, struct answer *answer, int call)
+{
+    struct tally *tally = &caller->chaos->tally;
+    char *question = g_strdup_printf("caller-%d-%d", caller->number, call);
+    char *body = g_strdup_printf(
+        "{\"model\": \"m%d\", \"stream\": true, \"max_tokens\": %d, "
+        "\"messages\": [{\"role\": \"user\", \"content\": \"%s\"}]}",
+        1 + (int)(next_random(&caller->random) % MODELS), TOKENS, question);
+    int64_t start_ms = clock_now_ms();
+    bool over = false;
+
+    for (int i = 0; i < REPEATS_MAX && !over; i++) {
+        request_send(random_entry(caller), "POST", "/v1/chat/completions",
+                     NULL, body, answer);
+        over = judge_chat(tally, answer, question);
+        if (!over) {
+            wait_ms(250);
+        }
+    }
+    if (!over) {
+        atomic_fetch_add(&tally->given_up, 1);
+    }
+    note_latency(tally, start_ms);
+    g_free(body);
+    g_free(question);
+}
+
+static void *
+run_chats(void *argument)
+{
+    struct caller *caller = argument;
+    struct answer *answer = g_new0(struct answer, 1);
+
+    for (int call = 0; !atomic_load(&caller->chaos->stop); call++) {
+        chat_once(caller, answer, call);
+    }
+    g_free(answer);
+    return NULL;
+}
+
+/* A caller repeats an order only while it is told that it was not run. */
+static void
+order_once(struct caller *caller, struct answer *answer, int call)
+{
+    struct tally *tally = &caller->chaos->tally;
+    char key[64];
+    const char *const headers[][2] = {{"Idempotency-Key", key}, {NULL, NULL}};
+
+    snprintf(key, sizeof(key), "order-%d-%d", caller->number, call);
+    atomic_fetch_add(&tally->orders, 1);
+    for (int i = 0; i < REPEATS_MAX; i++) {
+        request_send(random_entry(caller), "POST",
+                     "/v1/services/orders/orders", headers, "{}", answer);
+        if (answer->status == 200) {
+            atomic_fetch_add(&tally->confirmed, 1);
+            return;
+        }
+        if (answer->status == 409) {
+            atomic_fetch_add(&tally->duplicates, 1);
+            return;
+        }
+        if (strstr(answer->text, "\"unknown\"") != NULL) {
+            atomic_fetch_add(&tally->unknown, 1);
+            return;
+        }
+        wait_ms(250);
+    }
+    atomic_fetch_add(&tally->given_up, 1);
+}
+
+static void *
+run_orders(void *argument)
+{
+    struct caller *caller = argument;
+    struct answer *answer = g_new0(struct answer, 1);
+
+    for (int call = 0; !atomic_load(&caller->chaos->stop); call++) {
+        order_once(caller, answer, call);
+        wait_ms(50);
+    }
+    g_free(answer);
+    return NULL;
+}
+
+/* Replicas of an engine that is about to be killed end now. */
+static void
+keep_history(struct chaos *chaos, struct process *engine, bool dies)
+{
+    struct json_object *stats = process_stats(engine);
+    struct json_object *history;
+
+    if (stats == NULL ||
+        !json_object_object_get_ex(stats, "history", &history)) {
+        json_object_put(stats);
+        return;
+    }
+    for (size_t i = 0; i < json_object_array_length(history); i++) {
+        struct json_object *replica = json_object_array_get_idx(history, i);
+
+        if (dies && json_number(replica, "to_ms", 0) == 0) {
+            json_object_object_add(replica, "to_ms",
+                                   json_object_new_int64(clock_now_ms()));
+        }
+        json_object_array_add(chaos->history, json_object_get(replica));
+    }
+    json_object_put(stats);
+}
+
+static void
+kill_and_restart(struct chaos *chaos, struct process *process)
+{
+    if (process->kind == PROCESS_ENGINE) {
+        keep_history(chaos, process, true);
+    }
+    cluster_kill(process, SIGKILL);
+    cluster_wait_exit(process);
+    wait_ms(FAULT_LENGTH_MS);
+    cluster_restart(chaos->cluster, process);
+}
+
+static void
+pause_and_resume(struct chaos *chaos, struct process *process)
+{
+    (void)chaos;
+    cluster_kill(process, SIGSTOP);
+    wait_ms(FAULT_LENGTH_MS * 3);
+    cluster_kill(process, SIGCONT);
+}
+
+static void
+fault_and_mend(struct process *process, const char *fault, const char *mend)
+{
+    process_faults(process, fault);
+    wait_ms(FAULT_LENGTH_MS);
+    process_faults(process, mend);
+}
+
+static void
+entry_killed(struct chaos *chaos, uint64_t random)
+{
+    kill_and_restart(chaos, cluster_find(chaos->cluster, PROCESS_ENTRY,
+                                         1 + (int)(random % ENTRIES)));
+}
+
+static void
+entry_paused(struct chaos *chaos, uint64_t random)
+{
+    pause_and_resume(chaos, cluster_find(chaos->cluster, PROCESS_ENTRY,
+                                         1 + (int)(random % ENTRIES)));
+}
+
+static void
+engine_killed(struct chaos *chaos, uint64_t random)
+{
+    kill_and_restart(chaos, cluster_find(chaos->cluster, PROCESS_ENGINE,
+                                         1 + (int)(random % ENGINES)));
+}
+
+static void
+plain_loses_answers(struct chaos *chaos, uint64_t random)
+{
+    fault_and_mend(cluster_find(chaos->cluster, PROCESS_PLAIN,
+                                1 + (int)(random % PLAINS)),
+                   "{\"lose_answers\": 2}", "{\"lose_answers\": 0}");
+}
+
+static void
+kv_down(struct chaos *chaos, uint64_t random)
+{
+    (void)random;
+    fault_and_mend(cluster_find(chaos->cluster, PROCESS_KV, 1),
+                   "{\"down\": true}", "{\"down\": false}");
+}
+
+static void
+kv_loses_answers(struct chaos *chaos, uint64_t random)
+{
+    (void)random;
+    fault_and_mend(cluster_find(chaos->cluster, PROCESS_KV, 1),
+                   "{\"lose_answers\": 10}", "{\"lose_answers\": 0}");
+}
+
+static void
+kv_slow(struct chaos *chaos, uint64_t random)
+{
+    (void)random;
+    fault_and_mend(cluster_find(chaos->cluster, PROCESS_KV, 1),
+                   "{\"slow_ms\": 300}", "{\"slow_ms\": 0}");
+}
+
+static const struct {
+    const char *name;
+    void (*run)(struct chaos *chaos, uint64_t random);
+} kinds[] = {
+    {"entry_killed", entry_killed},
+    {"entry_paused", entry_paused},
+    {"engine_killed", engine_killed},
+    {"plain_loses_answers", plain_loses_answers},
+    {"kv_down", kv_down},
+    {"kv_loses_answers", kv_loses_answers},
+    {"kv_slow", kv_slow},
+};
+
+static void
+run_faults(struct chaos *chaos, uint64_t seed, int seconds)
+{
+    int64_t end_ms = clock_now_ms() + (int64_t)seconds * 1000;
+
+    while (clock_now_ms() < end_ms) {
+        uint64_t random = next_random(&seed);
+        size_t kind = random % G_N_ELEMENTS(kinds);
+
+        printf("fault %s\n", kinds[kind].name);
+        kinds[kind].run(chaos, random >> 8);
+        chaos->faults++;
+        wait_ms(FAULT_INTERVAL_MS - FAULT_LENGTH_MS);
+    }
+}
+
+static int
+most_replicas(struct json_object *history, const char *model)
+{
+    int most = 0;
+
+    for (size_t i = 0; i < json_object_array_length(history); i++) {
+        int64_t moment =
+            json_number(json_object_array_get_idx(history, i), "from_ms", 0);
+        int held = 0;
+
+        for (size_t j = 0; j < json_object_array_length(history); j++) {
+            struct json_object *at = json_object_array_get_idx(history, j);
+
+            held += strcmp(json_text(at, "model", ""), model) == 0 &&
+                    json_number(at, "from_ms", 0) <= moment &&
+                    json_number(at, "to_ms", INT64_MAX) > moment;
+        }
+        most = MAX(most, held);
+    }
+    return most;
+}
+
+static void
+print_invariants(struct chaos *chaos)
+{
+    int64_t run_twice = 0;
+    int64_t overcommits = 0;
+
+    for (int i = 1; i <= PLAINS; i++) {
+        run_twice += process_stat(
+            cluster_find(chaos->cluster, PROCESS_PLAIN, i), "run_twice");
+    }
+    for (int i = 1; i <= ENGINES; i++) {
+        struct process *engine =
+            cluster_find(chaos->cluster, PROCESS_ENGINE, i);
+
+        overcommits += process_stat(engine, "overcommits_refused");
+        keep_history(chaos, engine, false);
+    }
+    printf("orders_run_twice=%lld overcommits=%lld\n", (long long)run_twice,
+           (long long)overcommits);
+    for (int i = 1; i <= MODELS; i++) {
+        char *model = g_strdup_printf("chat/m%d", i);
+
+        printf("model=%s most_replicas=%d limit=1\n", model,
+               most_replicas(chaos->history, model));
+        g_free(model);
+    }
+}
+
+static int
+compare_int(const void *a, const void *b)
+{
+    return *(const int *)a - *(const int *)b;
+}
+
+static void
+print_tally(struct tally *tally)
+{
+    int count = MIN(tally->latency_count, LATENCIES_MAX);
+
+    printf("chats whole=%d broken=%d mixed_up=%d refused_tries=%d "
+           "unreachable_tries=%d given_up=%d\n",
+           tally->whole, tally->broken, tally->mixed_up, tally->refused,
+           tally->unreachable, tally->given_up);
+    printf("orders=%d confirmed=%d duplicates=%d unknown=%d\n", tally->orders,
+           tally->confirmed, tally->duplicates, tally->unknown);
+    qsort(tally->latencies_ms, (size_t)count, sizeof(int), compare_int);
+    if (count > 0) {
+        printf("chat_ms median=%d p95=%d p99=%d max=%d calls=%d\n",
+               tally->latencies_ms[count / 2],
+               tally->latencies_ms[count * 95 / 100],
+               tally->latencies_ms[count * 99 / 100],
+               tally->latencies_ms[count - 1], count);
+    }
+}
+
+static void
+start_callers(struct chaos *chaos, struct caller *callers, uint64_t seed)
+{
+    for (int i = 0; i < CHAT_CALLERS + ORDER_CALLERS; i++) {
+        callers[i].chaos = chaos;
+        callers[i].number = i;
+        callers[i].random = hash_pair(seed, (uint64_t)i);
+        pthread_create(&callers[i].thread, NULL,
+                       i < CHAT_CALLERS ? run_chats : run_orders, &callers[i]);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct shape shape = {.engines = ENGINES,
+                                       .engine_memory_mb = 4096,
+                                       .load_ms = 200,
+                                       .token_ms = 10,
+                                       .plains = PLAINS,
+                                       .entries = ENTRIES,
+                                       .tree = tree};
+    static struct chaos chaos;
+    struct caller callers[CHAT_CALLERS + ORDER_CALLERS];
+    uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 20261204;
+    int seconds = argc > 2 ? atoi(argv[2]) : SECONDS;
+
+    printf("seed=%llu seconds=%d\n", (unsigned long long)seed, seconds);
+    signal(SIGPIPE, SIG_IGN);
+    cluster_use_programs(argv[0]);
+    build_tree();
+    chaos.cluster = cluster_start(&shape);
+    chaos.history = json_object_new_array();
+    start_callers(&chaos, callers, seed);
+    run_faults(&chaos, seed, seconds);
+    atomic_store(&chaos.stop, true);
+    for (int i = 0; i < CHAT_CALLERS + ORDER_CALLERS; i++) {
+        pthread_join(callers[i].thread, NULL);
+    }
+    printf("faults=%d\n", chaos.faults);
+    print_tally(&chaos.tally);
+    print_invariants(&chaos);
+    cluster_stop(chaos.cluster);
+    json_object_put(chaos.history);
+    return 0;
+}
