Let the chaos bench run one kind of fault

Cause: broken streams could not be attributed to a kind of fault. Change: an optional third argument names the only kind.

--- a/bench/chaos_bench.c
+++ b/bench/chaos_bench.c
@@ -6,7 +6,7 @@
  * breach of an invariant. Faults come from a printed seed; their effect
  * depends on timing, so this is no test.
  *
- * Usage: chaos_bench [SEED [SECONDS]]
+ * Usage: chaos_bench [SEED [SECONDS [FAULT]]]; FAULT allows one kind only.
  */
 #include <glib.h>
 #include <json-c/json.h>
@@ -371,7 +371,7 @@
 };
 
 static void
-run_faults(struct chaos *chaos, uint64_t seed, int seconds)
+run_faults(struct chaos *chaos, uint64_t seed, int seconds, const char *only)
 {
     int64_t end_ms = clock_now_ms() + (int64_t)seconds * 1000;
 
@@ -379,6 +379,9 @@
         uint64_t random = next_random(&seed);
         size_t kind = random % G_N_ELEMENTS(kinds);
 
+        if (only != NULL && strcmp(kinds[kind].name, only) != 0) {
+            continue;
+        }
         printf("fault %s\n", kinds[kind].name);
         kinds[kind].run(chaos, random >> 8);
         chaos->faults++;
@@ -497,7 +500,7 @@
     chaos.cluster = cluster_start(&shape);
     chaos.history = json_object_new_array();
     start_callers(&chaos, callers, seed);
-    run_faults(&chaos, seed, seconds);
+    run_faults(&chaos, seed, seconds, argc > 3 ? argv[3] : NULL);
     atomic_store(&chaos.stop, true);
     for (int i = 0; i < CHAT_CALLERS + ORDER_CALLERS; i++) {
         pthread_join(callers[i].thread, NULL);
