Serve desk, front and stand-ins with one HTTP server

The desk and front duties each opened a listening socket, started ulfius with MHD options and stopped it, and the stand-ins had a third form.

--- a/src/http/dat.h
+++ b/src/http/dat.h
@@ -3,17 +3,34 @@
 
 #include <netinet/in.h>
 
+/**
+ * struct http_limits - limits of a server
+ * @body_max_bytes: larger bodies reach the handlers cut off one byte above
+ *                  this limit, so that a handler can tell
+ * @connections_max: connections that are open at the same time
+ * @idle_s: ends connections on which nothing passes; 0 for never
+ * @any_bytes: pass on headers and parameters that are no UTF-8
+ */
+struct http_limits {
+    size_t body_max_bytes;
+    int connections_max;
+    int idle_s;
+    bool any_bytes;
+};
+
 /**
  * struct http_server - an ulfius instance bound to one address
  * @instance: ulfius's part; endpoints are added to it before the start
- * @bind_address: ulfius keeps a pointer to it
- * @initialised: @instance must be cleaned
+ * @limits: limits of connections and bodies
+ * @address: where it listens, with the port that the kernel chose
+ * @listen_fd: listening socket; -1 while stopped
  * @running: the server accepts connections
  */
 struct http_server {
     struct _u_instance instance;
-    struct sockaddr_in bind_address;
-    bool initialised;
+    struct http_limits limits;
+    struct sockaddr_in address;
+    int listen_fd;
     bool running;
 };
 
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -4,11 +4,13 @@
 /* server.c */
 bool address_parse(const char *address, struct sockaddr_in *socket_address,
                    struct err *err);
-bool http_server_init(struct http_server *server, const char *address,
-                      size_t body_max_bytes, struct err *err);
+struct http_server *http_server_new(const char *address,
+                                    const struct http_limits *limits,
+                                    struct err *err);
 bool http_server_start(struct http_server *server, struct err *err);
 void http_server_stop(struct http_server *server);
 void http_server_free(struct http_server *server);
+int http_server_port(const struct http_server *server);
 void http_reply_json(struct _u_response *response, unsigned status,
                      struct json_object *body);
 struct json_object *http_body_json(const struct _u_request *request,
--- a/src/standin/dat.h
+++ b/src/standin/dat.h
@@ -63,8 +63,8 @@
 struct role {
     const struct role_ops *ops;
     const struct options *options;
-    struct http_server server;
-    struct http_server control;
+    struct http_server *server;
+    struct http_server *control;
     struct faults faults;
     pthread_mutex_t lock;
     pthread_cond_t wake;
--- a/src/standin/role.c
+++ b/src/standin/role.c
@@ -18,7 +18,12 @@
 #include "standin/dat.h"
 #include "standin/fns.h"
 
-enum { CRASH_EXIT_CODE = 3 };
+enum { CRASH_EXIT_CODE = 3, CONNECTIONS_MAX = 1024 };
+
+static const struct http_limits limits = {
+    .body_max_bytes = STANDIN_BODY_MAX_BYTES,
+    .connections_max = CONNECTIONS_MAX,
+};
 
 /**
  * role_endpoint() - add an endpoint to the role's own address
@@ -32,7 +37,7 @@
               int (*handler)(const struct _u_request *request,
                              struct _u_response *response, void *user_data))
 {
-    return ulfius_add_endpoint_by_val(&role->server.instance, method, NULL,
+    return ulfius_add_endpoint_by_val(&role->server->instance, method, NULL,
                                       path, 0, handler, role) == U_OK;
 }
 
@@ -193,9 +198,9 @@
     pthread_mutex_unlock(&role->lock);
     json_object_put(body);
     if (down) {
-        http_server_stop(&role->server);
+        http_server_stop(role->server);
     }
-    else if (!http_server_start(&role->server, &err)) {
+    else if (!http_server_start(role->server, &err)) {
         json_object_put(reply);
         reply_error(response, 500, err.text);
         return U_CALLBACK_COMPLETE;
@@ -236,21 +241,20 @@
     role->options = options;
     pthread_mutex_init(&role->lock, NULL);
     cond_init_monotonic(&role->wake);
-    if (!http_server_init(&role->server, options->address,
-                          STANDIN_BODY_MAX_BYTES, err) ||
-        !ops->prepare(role, err)) {
+    role->server = http_server_new(options->address, &limits, err);
+    if (role->server == NULL || !ops->prepare(role, err)) {
         return false;
     }
     if (options->control == NULL) {
         return true;
     }
-    if (!http_server_init(&role->control, options->control,
-                          STANDIN_BODY_MAX_BYTES, err)) {
+    role->control = http_server_new(options->control, &limits, err);
+    if (role->control == NULL) {
         return false;
     }
-    ulfius_add_endpoint_by_val(&role->control.instance, "POST", NULL,
+    ulfius_add_endpoint_by_val(&role->control->instance, "POST", NULL,
                                "/faults", 0, post_faults, role);
-    ulfius_add_endpoint_by_val(&role->control.instance, "GET", NULL, "/stats",
+    ulfius_add_endpoint_by_val(&role->control->instance, "GET", NULL, "/stats",
                                0, get_stats, role);
     return true;
 }
@@ -264,10 +268,10 @@
 role_start(struct role *role, struct err *err)
 {
     if (role->options->control != NULL &&
-        !http_server_start(&role->control, err)) {
+        !http_server_start(role->control, err)) {
         return false;
     }
-    return http_server_start(&role->server, err);
+    return http_server_start(role->server, err);
 }
 
 /**
@@ -281,6 +285,6 @@
     role->stopping = true;
     pthread_cond_broadcast(&role->wake);
     pthread_mutex_unlock(&role->lock);
-    http_server_free(&role->control);
-    http_server_free(&role->server);
+    http_server_free(role->control);
+    http_server_free(role->server);
 }
--- a/src/turmericd/serve/desk/desk.c
+++ b/src/turmericd/serve/desk/desk.c
@@ -4,14 +4,10 @@
  * It listens on the address of the settings only and answers nothing without
  * the token of the token file.
  */
-#include <arpa/inet.h>
-#include <errno.h>
 #include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <ulfius.h>
-#include <unistd.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
@@ -27,82 +23,23 @@
 #include "turmericd/serve/desk/internal.h"
 
 enum {
-    LISTEN_BACKLOG = 64,
     CONNECTIONS_MAX = 64,
-    THREAD_STACK_BYTES = 512 * 1024,
     /* An idle connection must not hold one of the few places for ever. */
-    CONNECTION_TIMEOUT_S = 30,
+    CONNECTION_IDLE_S = 30,
 };
 
-/* The socket is bound here, so that port 0 lets the kernel choose. */
-static bool
-open_socket(struct desk *desk, struct err *err)
-{
-    struct sockaddr_in address;
-    socklen_t bytes = sizeof(address);
-    int one = 1;
-
-    if (!address_parse(desk->settings.address, &address, err)) {
-        return false;
-    }
-    desk->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (desk->listen_fd < 0) {
-        return err_set(err, ERR_IO, "socket: %s", strerror(errno));
-    }
-    setsockopt(desk->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (bind(desk->listen_fd, (struct sockaddr *)&address, bytes) != 0 ||
-        listen(desk->listen_fd, LISTEN_BACKLOG) != 0 ||
-        getsockname(desk->listen_fd, (struct sockaddr *)&address, &bytes) !=
-            0) {
-        return err_set(err, ERR_IO, "listen on %s: %s", desk->settings.address,
-                       strerror(errno));
-    }
-    desk->listen_port = ntohs(address.sin_port);
-    return true;
-}
-
-static bool
-start_server(struct desk *desk, struct _u_instance *instance, struct err *err)
-{
-    int fd = dup(desk->listen_fd);
-    struct MHD_OptionItem options[] = {
-        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL},
-        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL},
-        {MHD_OPTION_LISTEN_SOCKET, fd, NULL},
-        {MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK_BYTES, NULL},
-        {MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL},
-        {MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S, NULL},
-        {MHD_OPTION_END, 0, NULL},
-    };
-
-    if (fd < 0 || ulfius_init_instance(instance, (unsigned)desk->listen_port,
-                                       NULL, NULL) != U_OK) {
-        close(fd);
-        return err_set(err, ERR_IO, "cannot set up the operators' server");
-    }
-    /* One byte more tells a body that is too large from one that fits. */
-    instance->max_post_body_size = DESK_BODY_MAX_BYTES + 1;
-    instance->allowed_post_processor = U_POST_PROCESS_NONE;
-    if (!endpoints_add(instance, desk) ||
-        ulfius_start_framework_with_mhd_options(
-            instance,
-            MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-            options) != U_OK) {
-        ulfius_clean_instance(instance);
-        close(fd);
-        return err_set(err, ERR_IO, "cannot serve operators on port %d",
-                       desk->listen_port);
-    }
-    return true;
-}
+static const struct http_limits limits = {
+    .body_max_bytes = DESK_BODY_MAX_BYTES,
+    .connections_max = CONNECTIONS_MAX,
+    .idle_s = CONNECTION_IDLE_S,
+};
 
 static bool
 run(struct duty *duty, struct err *err)
 {
     struct desk *desk = (struct desk *)duty;
-    struct _u_instance instance;
 
-    if (!start_server(desk, &instance, err)) {
+    if (!http_server_start(desk->server, err)) {
         return false;
     }
     pthread_mutex_lock(&desk->lock);
@@ -110,11 +47,7 @@
         pthread_cond_wait(&desk->changed, &desk->lock);
     }
     pthread_mutex_unlock(&desk->lock);
-    ulfius_stop_framework(&instance);
-    ulfius_clean_instance(&instance);
-    /* Otherwise new connections would wait in the backlog for ever. */
-    close(desk->listen_fd);
-    desk->listen_fd = -1;
+    http_server_stop(desk->server);
     return true;
 }
 
@@ -129,6 +62,17 @@
     pthread_mutex_unlock(&desk->lock);
 }
 
+static bool
+open_server(struct desk *desk, struct err *err)
+{
+    desk->server = http_server_new(desk->settings.address, &limits, err);
+    if (desk->server == NULL) {
+        return false;
+    }
+    return endpoints_add(&desk->server->instance, desk) ||
+           err_set(err, ERR_NO_MEMORY, "operators' endpoints");
+}
+
 static const struct duty_ops desk_ops = {run, stop};
 
 /**
@@ -154,11 +98,10 @@
     desk->duty.name = "desk";
     desk->settings = *settings;
     desk->port = port;
-    desk->listen_fd = -1;
     pthread_mutex_init(&desk->lock, NULL);
     pthread_cond_init(&desk->changed, NULL);
     if (!token_read(settings->token_file, desk->token, err) ||
-        !open_socket(desk, err)) {
+        !open_server(desk, err)) {
         desk_free(desk);
         return NULL;
     }
@@ -175,9 +118,7 @@
     if (desk == NULL) {
         return;
     }
-    if (desk->listen_fd >= 0) {
-        close(desk->listen_fd);
-    }
+    http_server_free(desk->server);
     pthread_cond_destroy(&desk->changed);
     pthread_mutex_destroy(&desk->lock);
     memset(desk->token, 0, sizeof(desk->token));
@@ -201,5 +142,5 @@
 int
 desk_listen_port(const struct desk *desk)
 {
-    return desk->listen_port;
+    return http_server_port(desk->server);
 }
--- a/src/turmericd/serve/desk/internal.h
+++ b/src/turmericd/serve/desk/internal.h
@@ -1,6 +1,8 @@
 #ifndef DESK_INTERNAL_H
 #define DESK_INTERNAL_H
 
+struct http_server;
+
 enum {
     TOKEN_MAX_BYTES = 256,
     /* 512 changes with the longest path, key and value fit. */
@@ -14,8 +16,7 @@
  * @settings: address and name
  * @port: the rest of the instance
  * @token: the operators' token
- * @listen_fd: listening socket
- * @listen_port: its port
+ * @server: the HTTP server
  * @lock: guards @stopping
  * @changed: signalled when @stopping changes
  * @stopping: stop() was called
@@ -25,8 +26,7 @@
     struct desk_settings settings;
     struct desk_port *port;
     char token[TOKEN_MAX_BYTES];
-    int listen_fd;
-    int listen_port;
+    struct http_server *server;
     pthread_mutex_t lock;
     pthread_cond_t changed;
     bool stopping;
--- a/src/turmericd/serve/front/internal.h
+++ b/src/turmericd/serve/front/internal.h
@@ -9,8 +9,7 @@
  * @calls: table of calls
  * @settings: limits
  * @port: the rest of the instance
- * @listen_fd: listening socket
- * @listen_port: its port
+ * @server: the HTTP server
  * @lock: guards the members below
  * @changed: broadcast when one of them changes
  * @stopping: stop() was called
@@ -24,8 +23,7 @@
     struct calls *calls;
     struct front_settings settings;
     struct front_port *port;
-    int listen_fd;
-    int listen_port;
+    struct http_server *server;
     pthread_mutex_t lock;
     pthread_cond_t changed;
     bool stopping;
