Read answers of the key-value service and the desk in src/http

The etcd adapter and turmericctl each built, sent and read their HTTP calls, and parsed the answers in their own way.

Both now call http_call() or its text form http_call_text(), and read JSON by json_parse(). The adapter's checks for the status, an object and its header stay; the check for a body of at most INT32_MAX bytes moves to json_parse(). Text after the JSON value of an answer is now refused.

--- a/src/http/dat.h
+++ b/src/http/dat.h
@@ -34,4 +34,16 @@
     bool running;
 };
 
+/**
+ * struct http_answer - answer to a call
+ * @status: HTTP status
+ * @text: the body, with a NUL byte after it
+ * @bytes: length of @text
+ */
+struct http_answer {
+    int status;
+    char *text;
+    size_t bytes;
+};
+
 #endif
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -26,8 +26,12 @@
 bool json_flag(struct json_object *object, const char *key, bool fallback);
 
 /* client.c */
+bool http_call_text(const char *method, const char *url,
+                    const char *const headers[][2], const char *body,
+                    int timeout_s, struct http_answer *answer,
+                    struct err *err);
 bool http_call(const char *method, const char *url,
                const char *const headers[][2], const char *body, int timeout_s,
-               int *status, struct json_object **answer, struct err *err);
+               int *status, struct json_object **json, struct err *err);
 
 #endif
--- a/src/http/json.c
+++ b/src/http/json.c
@@ -22,11 +22,17 @@
 struct json_object *
 json_parse(const char *text, size_t bytes, struct err *err)
 {
-    struct json_tokener *tokener = json_tokener_new_ex(JSON_DEPTH_MAX);
+    struct json_tokener *tokener;
     struct json_object *object;
     enum json_tokener_error result;
     size_t end;
 
+    /* The parser takes the length as an int. */
+    if (bytes > INT32_MAX) {
+        err_set(err, ERR_BAD_JSON, "%zu bytes are too many", bytes);
+        return NULL;
+    }
+    tokener = json_tokener_new_ex(JSON_DEPTH_MAX);
     if (tokener == NULL) {
         err_set(err, ERR_NO_MEMORY, "JSON parser");
         return NULL;
--- a/src/kv/etcd.c
+++ b/src/kv/etcd.c
@@ -16,6 +16,8 @@
 
 #include "base/dat.h"
 #include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
 #include "kv/dat.h"
 #include "kv/fns.h"
 
@@ -200,52 +202,21 @@
     return true;
 }
 
-/* Parses one complete JSON object that carries the service's header. */
-static struct json_object *
-parse_answer(const struct _u_response *response, struct err *err)
+static bool
+has_header(struct json_object *answer)
 {
-    struct json_tokener *tokener = json_tokener_new();
-    struct json_object *answer;
-    struct json_object *header = NULL;
-    bool complete;
-
-    answer = json_tokener_parse_ex(tokener, response->binary_body,
-                                   (int)response->binary_body_length);
-    complete = json_tokener_get_error(tokener) == json_tokener_success &&
-               json_object_is_type(answer, json_type_object) &&
-               json_object_object_get_ex(answer, "header", &header) &&
-               json_object_is_type(header, json_type_object);
-    json_tokener_free(tokener);
-    if (!complete) {
-        json_object_put(answer);
-        malformed(err, "no JSON object with a header");
-        return NULL;
-    }
-    return answer;
-}
+    struct json_object *header;
 
-static struct json_object *
-check_response(const struct _u_response *response, const char *path,
-               struct err *err)
-{
-    if (response->status != HTTP_OK) {
-        err_set(err, ERR_KV_DOWN, "%s answered status %ld", path,
-                response->status);
-        return NULL;
-    }
-    if (response->binary_body == NULL || response->binary_body_length == 0 ||
-        response->binary_body_length > G_MAXINT) {
-        malformed(err, "no body");
-        return NULL;
-    }
-    return parse_answer(response, err);
+    return json_object_is_type(answer, json_type_object) &&
+           json_object_object_get_ex(answer, "header", &header) &&
+           json_object_is_type(header, json_type_object);
 }
 
 /* The client's timeout has whole seconds; a part of one counts as one. */
-static unsigned long
+static int
 timeout_seconds(const struct kv_etcd *etcd)
 {
-    return (unsigned long)(etcd->timeout_ms + 999) / 1000;
+    return (etcd->timeout_ms + 999) / 1000;
 }
 
 /* Posts @question, which it releases. Returns NULL with an error. */
@@ -256,27 +227,28 @@
     char url[URL_MAX_BYTES];
     const char *body = json_object_to_json_string_ext(
         question, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
-    struct _u_request request;
-    struct _u_response response;
     struct json_object *answer = NULL;
+    struct err reason = {0};
+    bool valid = false;
+    int status;
 
     snprintf(url, sizeof(url), "%s%s", etcd->url, path);
-    ulfius_init_request(&request);
-    ulfius_init_response(&response);
-    request.timeout = timeout_seconds(etcd);
-    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST",
-                                  U_OPT_HTTP_URL, url, U_OPT_HEADER_PARAMETER,
-                                  "Content-Type", "application/json",
-                                  U_OPT_STRING_BODY, body, U_OPT_NONE);
-    if (ulfius_send_http_request(&request, &response) == U_OK) {
-        answer = check_response(&response, path, err);
+    if (!http_call("POST", url, NULL, body, timeout_seconds(etcd), &status,
+                   &answer, &reason)) {
+        err_set(err, ERR_KV_DOWN, "%s", reason.text);
+    }
+    else if (status != HTTP_OK) {
+        err_set(err, ERR_KV_DOWN, "%s answered status %d", path, status);
     }
     else {
-        err_set(err, ERR_KV_DOWN, "no complete answer from %s", url);
+        valid = has_header(answer) ||
+                malformed(err, "no JSON object with a header");
     }
-    ulfius_clean_request(&request);
-    ulfius_clean_response(&response);
     json_object_put(question);
+    if (!valid) {
+        json_object_put(answer);
+        return NULL;
+    }
     return answer;
 }
 
--- a/src/turmericctl/change.c
+++ b/src/turmericctl/change.c
@@ -29,7 +29,7 @@
     if (reply->status == 200 || reply->status == 0) {
         return reply->status == 0;
     }
-    problem = json_tokener_parse(reply->text);
+    problem = reply_json(reply);
     lost = strcmp(member_text(problem, "outcome"), "not_run") != 0;
     json_object_put(problem);
     return lost;
@@ -46,7 +46,7 @@
     if (reply->status == 0 || reply->status == 200) {
         return reply->status == 200;
     }
-    problem = json_tokener_parse(reply->text);
+    problem = reply_json(reply);
     kind = err_kind_by_name(member_text(problem, "title"));
     json_object_put(problem);
     return kind == ERR_EDIT_INVALID || kind == ERR_EDIT_CONFLICT;
@@ -93,7 +93,7 @@
     free(text);
     code = client_report(ctl, &reply);
     if (code == EXIT_DONE) {
-        json = json_tokener_parse(reply.text);
+        json = reply_json(&reply);
         *revision = member_number(json, "revision");
         json_object_put(json);
     }
--- a/src/turmericctl/client.c
+++ b/src/turmericctl/client.c
@@ -9,6 +9,8 @@
 
 #include "base/dat.h"
 #include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
 #include "tree/dat.h"
 #include "turmericctl/dat.h"
 #include "turmericctl/fns.h"
@@ -62,28 +64,29 @@
             const char *body, struct reply *reply)
 {
     char url[URL_MAX_BYTES];
-    struct _u_request request;
-    struct _u_response response;
+    const char *const headers[][2] = {{"Authorization", ctl->authorization},
+                                      {NULL, NULL}};
+    struct http_answer answer;
 
     memset(reply, 0, sizeof(*reply));
     g_snprintf(url, sizeof(url), "http://%s%s", ctl->address, path);
-    ulfius_init_request(&request);
-    ulfius_init_response(&response);
-    ulfius_set_request_properties(
-        &request, U_OPT_HTTP_VERB, method, U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
-        (unsigned long)CALL_TIMEOUT_S, U_OPT_HEADER_PARAMETER, "Authorization",
-        ctl->authorization, U_OPT_NONE);
-    if (body != NULL) {
-        ulfius_set_binary_body_request(&request, body, strlen(body));
+    if (http_call_text(method, url, headers, body, CALL_TIMEOUT_S, &answer,
+                       NULL)) {
+        reply->status = answer.status;
+        reply->text = answer.text;
     }
-    if (ulfius_send_http_request(&request, &response) == U_OK) {
-        reply->status = response.status;
-        reply->text =
-            g_strndup(response.binary_body == NULL ? "" : response.binary_body,
-                      response.binary_body_length);
-    }
-    ulfius_clean_response(&response);
-    ulfius_clean_request(&request);
+}
+
+/**
+ * reply_json() - body of a reply as JSON
+ * @reply: the reply; it has a status
+ *
+ * Return: a value that the caller puts, or NULL when it is no JSON.
+ */
+struct json_object *
+reply_json(const struct reply *reply)
+{
+    return json_parse(reply->text, strlen(reply->text), NULL);
 }
 
 /**
@@ -126,7 +129,7 @@
                                : "");
         return EXIT_UNKNOWN;
     }
-    problem = json_tokener_parse(reply->text);
+    problem = reply_json(reply);
     code =
         !reply->unknown && is_refusal(problem) ? EXIT_REFUSED : EXIT_UNKNOWN;
     fprintf(stderr, "turmericctl: %s: %s: %s\n",
@@ -180,7 +183,7 @@
     struct json_object *json = NULL;
 
     if (text != NULL) {
-        json = json_tokener_parse(text);
+        json = json_parse(text, strlen(text), NULL);
         if (json == NULL) {
             fprintf(stderr, "turmericctl: the answer of %s is not JSON\n",
                     ctl->address);
--- a/src/turmericctl/fns.h
+++ b/src/turmericctl/fns.h
@@ -10,6 +10,7 @@
 char *client_get_text(const struct ctl *ctl, const char *path,
                       enum exit_code *code);
 enum exit_code client_report(const struct ctl *ctl, const struct reply *reply);
+struct json_object *reply_json(const struct reply *reply);
 void reply_free(struct reply *reply);
 
 /* read.c */
--- a/src/turmericctl/wait.c
+++ b/src/turmericctl/wait.c
@@ -85,7 +85,7 @@
 
     client_call(ctl, "GET", "/operator/v1/status", NULL, &reply);
     if (reply.status == 200) {
-        status = json_tokener_parse(reply.text);
+        status = reply_json(&reply);
     }
     if (json_object_object_get(status, "members") != NULL) {
         missing = missing_members(status, revision);
