Split the table of calls by subject

answer.c now has how far an answer is, output.c the bounded buffer between writer and reader, and call.c the table and its requests; they share struct slot in internal.h. Functions move unchanged.

--- a/src/turmericd/serve/call/call.c
+++ b/src/turmericd/serve/call/call.c
@@ -4,7 +4,6 @@
  * A table gives out the handles under its own lock. Each slot has a mutex
  * and a condition variable, so calls don't wait for each other.
  */
-#include <errno.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,53 +15,12 @@
 #include "turmericd/state/claim/dat.h"
 #include "turmericd/serve/call/dat.h"
 #include "turmericd/serve/call/fns.h"
+#include "turmericd/serve/call/internal.h"
 
 /* A caller that keeps its connection but doesn't read would hold a thread of
  * the forward duty for ever. */
 enum { WRITE_STALL_MS = 60000 };
 
-/**
- * struct slot - one call
- * @lock: guards all other members
- * @changed: broadcast after each change that a thread may wait for
- * @generation: generation of the open call, 0 while the slot is free
- * @phase: how far the call is
- * @began: the head of the answer is known, so a refusal comes too late
- * @request: the caller's request
- * @answer: head of the answer, valid when @began
- * @err: why the call was refused or broke off
- * @outcome: what is known about a refused call
- * @output: ring buffer of CALL_OUTPUT_BYTES, allocated with the answer
- * @head: offset of the oldest byte in @output
- * @held: bytes in @output
- * @text: text of the answer so far, for a resume at another engine
- * @text_lost: @text grew beyond its bound or never could be kept
- */
-struct slot {
-    pthread_mutex_t lock;
-    pthread_cond_t changed;
-    uint32_t generation;
-    enum call_phase phase;
-    bool began;
-    struct call_request request;
-    struct call_answer answer;
-    struct err err;
-    enum outcome outcome;
-    unsigned char *output;
-    size_t head;
-    size_t held;
-    GString *text;
-    bool text_lost;
-};
-
-struct calls {
-    pthread_mutex_t lock;
-    struct table handles;
-    struct slot *slots;
-    uint32_t capacity;
-    int64_t stall_ms;
-};
-
 /**
  * calls_new() - table for a number of calls
  * @capacity: most calls open at the same time
@@ -160,8 +118,14 @@
     return count;
 }
 
-/* Returns the slot with its lock held, or NULL for a stale handle. */
-static struct slot *
+/**
+ * slot_lock() - lock the slot of a call
+ * @calls: the table
+ * @call: the call
+ *
+ * Return: the slot with its lock held, or NULL for a stale handle.
+ */
+struct slot *
 slot_lock(struct calls *calls, struct handle call)
 {
     struct slot *slot;
@@ -180,7 +144,11 @@
     return slot;
 }
 
-static void
+/**
+ * slot_unlock() - release the lock that slot_lock() took
+ * @slot: the slot
+ */
+void
 slot_unlock(struct slot *slot)
 {
     pthread_mutex_unlock(&slot->lock);
@@ -219,139 +187,6 @@
     return true;
 }
 
-/**
- * call_wait_answer() - wait until the answer begins or the call is refused
- * @calls: the table
- * @call: the call
- * @answer: set to the head of the answer
- * @err: set to the reason of a refusal; may be NULL
- *
- * Return: CALL_REFUSED, or another phase when the answer has begun.
- */
-enum call_phase
-call_wait_answer(struct calls *calls, struct handle call,
-                 struct call_answer *answer, struct err *err)
-{
-    struct slot *slot = slot_lock(calls, call);
-    enum call_phase phase = CALL_REFUSED;
-
-    if (slot == NULL) {
-        err_set(err, ERR_INTERNAL, "the call is not open");
-        return CALL_REFUSED;
-    }
-    while (slot->generation == call.generation &&
-           slot->phase == CALL_WAITING) {
-        pthread_cond_wait(&slot->changed, &slot->lock);
-    }
-    if (slot->generation != call.generation) {
-        err_set(err, ERR_INTERNAL, "the call was closed");
-    }
-    else if (!slot->began) {
-        if (err != NULL) {
-            *err = slot->err;
-        }
-    }
-    else {
-        *answer = slot->answer;
-        phase = slot->phase == CALL_REFUSED ? CALL_ANSWERING : slot->phase;
-    }
-    slot_unlock(slot);
-    return phase;
-}
-
-/**
- * call_refusal() - why a call was refused or broke off
- * @calls: the table
- * @call: the call
- * @err: set to the reason
- * @outcome: set to what is known about the request
- *
- * Return: false when the call is neither refused nor broken.
- */
-bool
-call_refusal(struct calls *calls, struct handle call, struct err *err,
-             enum outcome *outcome)
-{
-    struct slot *slot = slot_lock(calls, call);
-    bool refused;
-
-    if (slot == NULL) {
-        return false;
-    }
-    refused = slot->phase == CALL_REFUSED;
-    if (refused) {
-        *err = slot->err;
-        *outcome = slot->outcome;
-    }
-    slot_unlock(slot);
-    return refused;
-}
-
-static size_t
-output_take(struct slot *slot, char *buffer, size_t bytes)
-{
-    size_t count = bytes < slot->held ? bytes : slot->held;
-    size_t first = CALL_OUTPUT_BYTES - slot->head;
-
-    first = count < first ? count : first;
-    memcpy(buffer, slot->output + slot->head, first);
-    memcpy(buffer + first, slot->output, count - first);
-    slot->head = (slot->head + count) % CALL_OUTPUT_BYTES;
-    slot->held -= count;
-    return count;
-}
-
-static size_t
-output_put(struct slot *slot, const unsigned char *data, size_t bytes)
-{
-    size_t room = CALL_OUTPUT_BYTES - slot->held;
-    size_t count = bytes < room ? bytes : room;
-    size_t tail = (slot->head + slot->held) % CALL_OUTPUT_BYTES;
-    size_t first = CALL_OUTPUT_BYTES - tail;
-
-    first = count < first ? count : first;
-    memcpy(slot->output + tail, data, first);
-    memcpy(slot->output, data + first, count - first);
-    slot->held += count;
-    return count;
-}
-
-/**
- * call_read() - take output of the answer, waiting for some
- * @calls: the table
- * @call: the call
- * @buffer: where to copy it
- * @bytes: most bytes to copy
- *
- * Return: number of bytes; 0 at the end of a whole answer; -1 when the
- * answer broke off, after all output before the break was read.
- */
-ssize_t
-call_read(struct calls *calls, struct handle call, char *buffer, size_t bytes)
-{
-    struct slot *slot = slot_lock(calls, call);
-    ssize_t result = -1;
-
-    if (slot == NULL) {
-        return -1;
-    }
-    while (slot->generation == call.generation && slot->held == 0 &&
-           (slot->phase == CALL_WAITING || slot->phase == CALL_ANSWERING)) {
-        pthread_cond_wait(&slot->changed, &slot->lock);
-    }
-    if (slot->generation == call.generation) {
-        if (slot->held > 0) {
-            result = (ssize_t)output_take(slot, buffer, bytes);
-            pthread_cond_broadcast(&slot->changed);
-        }
-        else if (slot->phase == CALL_DONE) {
-            result = 0;
-        }
-    }
-    slot_unlock(slot);
-    return result;
-}
-
 /**
  * call_close() - the caller is served or gone; frees the slot
  * @calls: the table
@@ -444,167 +279,6 @@
     request->body = NULL;
 }
 
-/**
- * call_start_answer() - the head of the answer is known
- * @calls: the table
- * @call: the call
- * @answer: the head
- *
- * Return: false when the caller is gone, or when the call is refused or its
- * answer has begun already.
- */
-bool
-call_start_answer(struct calls *calls, struct handle call,
-                  const struct call_answer *answer)
-{
-    struct slot *slot = slot_lock(calls, call);
-    bool started = false;
-
-    if (slot == NULL) {
-        return false;
-    }
-    if (slot->phase == CALL_WAITING) {
-        slot->output = malloc(CALL_OUTPUT_BYTES);
-        started = slot->output != NULL;
-    }
-    if (started) {
-        slot->answer = *answer;
-        slot->began = true;
-        slot->phase = CALL_ANSWERING;
-        pthread_cond_broadcast(&slot->changed);
-    }
-    slot_unlock(slot);
-    return started;
-}
-
-static bool
-is_open(const struct slot *slot, struct handle call)
-{
-    return slot->generation == call.generation &&
-           slot->phase == CALL_ANSWERING;
-}
-
-/* Returns false when the call ended, or was ended because no room came. */
-static bool
-wait_for_room(struct slot *slot, struct handle call, int64_t stall_ms)
-{
-    struct timespec deadline = clock_deadline(stall_ms);
-    int result = 0;
-
-    while (is_open(slot, call) && slot->held == CALL_OUTPUT_BYTES &&
-           result != ETIMEDOUT) {
-        result =
-            pthread_cond_timedwait(&slot->changed, &slot->lock, &deadline);
-    }
-    if (is_open(slot, call) && slot->held == CALL_OUTPUT_BYTES) {
-        slot->phase = CALL_REFUSED;
-        slot->outcome = OUTCOME_UNKNOWN;
-        err_set(&slot->err, ERR_TIMEOUT, "the caller did not read");
-        pthread_cond_broadcast(&slot->changed);
-    }
-    return is_open(slot, call);
-}
-
-/**
- * call_write() - add output; waits while the buffer is full
- * @calls: the table
- * @call: the call
- * @data: the output
- * @bytes: its length
- *
- * Return: false when the caller is gone or doesn't read, or the call is at
- * its end; part of the output may have been taken then.
- */
-bool
-call_write(struct calls *calls, struct handle call, const void *data,
-           size_t bytes)
-{
-    struct slot *slot = slot_lock(calls, call);
-    const unsigned char *next = data;
-    bool open;
-
-    if (slot == NULL) {
-        return false;
-    }
-    open = is_open(slot, call);
-    while (open && bytes > 0) {
-        size_t count = output_put(slot, next, bytes);
-
-        next += count;
-        bytes -= count;
-        if (count > 0) {
-            pthread_cond_broadcast(&slot->changed);
-        }
-        if (bytes > 0) {
-            open = wait_for_room(slot, call, calls->stall_ms);
-        }
-    }
-    slot_unlock(slot);
-    return open;
-}
-
-/**
- * call_finish() - the answer has ended
- * @calls: the table
- * @call: the call
- * @whole: false when it broke off and will not go on
- *
- * Return: false when the caller is gone or no answer was in progress.
- */
-bool
-call_finish(struct calls *calls, struct handle call, bool whole)
-{
-    struct slot *slot = slot_lock(calls, call);
-    bool finished;
-
-    if (slot == NULL) {
-        return false;
-    }
-    finished = slot->phase == CALL_ANSWERING;
-    if (finished && whole) {
-        slot->phase = CALL_DONE;
-        counter_add(CTR_ANSWERS, 1);
-    }
-    else if (finished) {
-        slot->phase = CALL_REFUSED;
-        slot->outcome = OUTCOME_UNKNOWN;
-        err_set(&slot->err, ERR_TARGET_FAILED, "the answer broke off");
-    }
-    pthread_cond_broadcast(&slot->changed);
-    slot_unlock(slot);
-    return finished;
-}
-
-/**
- * call_refuse() - refuse a call, or end an answer that has begun as broken
- * @calls: the table
- * @call: the call
- * @err: reason
- * @outcome: what is known about the request
- *
- * Return: false when the caller is gone or the call has already ended.
- */
-bool
-call_refuse(struct calls *calls, struct handle call, const struct err *err,
-            enum outcome outcome)
-{
-    struct slot *slot = slot_lock(calls, call);
-    bool refused;
-
-    if (slot == NULL) {
-        return false;
-    }
-    refused = slot->phase == CALL_WAITING || slot->phase == CALL_ANSWERING;
-    if (refused) {
-        slot->phase = CALL_REFUSED;
-        slot->err = *err;
-        slot->outcome = outcome;
-        pthread_cond_broadcast(&slot->changed);
-    }
-    slot_unlock(slot);
-    return refused;
-}
-
 /**
  * call_add_text() - keep text of the answer for a resume elsewhere
  * @calls: the table
