--- a/Makefile
+++ b/Makefile
@@ -56,9 +56,10 @@
 $(BUILD)/turmericctl: $(call OBJECT,$(PART_turmericctl)) $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
+TEST_HELPERS := $(call OBJECT,$(filter-out %_test.c,$(wildcard test/*.c)))
 CLUSTER := $(call OBJECT,$(wildcard test/cluster/*.c))
 $(BUILD)/test/system_test: $(CLUSTER)
-$(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/libstandin.a $(LIB)
+$(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_HELPERS) $(BUILD)/libstandin.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 $(BUILD)/bench/system_bench: $(CLUSTER)
--- a/test/base_test.c
+++ b/test/base_test.c
@@ -4,6 +4,7 @@
 
 #include "base/dat.h"
 #include "base/fns.h"
+#include "cases.h"
 
 /* Guards against a full or closed ring that loses messages silently. */
 struct ring_case {
@@ -235,27 +236,16 @@
     ring_free(&failing.wake);
 }
 
-static void
-add(const char *group, const char *name, gconstpointer data,
-    GTestDataFunc function)
-{
-    char *path = g_strdup_printf("/base/%s/%s", group, name);
-
-    g_test_add_data_func(path, data, function);
-    g_free(path);
-}
+static const struct cases groups[] = {
+    CASES("/base/ring_push", ring_cases, test_ring_push),
+    CASES("/base/supervisor", restart_cases, test_supervisor_restart),
+};
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(ring_cases); i++) {
-        add("ring_push", ring_cases[i].name, &ring_cases[i], test_ring_push);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(restart_cases); i++) {
-        add("supervisor", restart_cases[i].name, &restart_cases[i],
-            test_supervisor_restart);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/base/ring_threads", test_ring_threads);
     g_test_add_func("/base/table_stale_handle", test_table_stale_handle);
     g_test_add_func("/base/err_infos", test_err_infos);
--- a/test/call_test.c
+++ b/test/call_test.c
@@ -13,6 +13,7 @@
 #include "turmericd/serve/call/dat.h"
 #include "turmericd/serve/call/fns.h"
 #include "serve.h"
+#include "cases.h"
 
 enum { ANSWER_BYTES = 5 * CALL_OUTPUT_BYTES + 123, READ_BYTES = 1000 };
 
@@ -283,16 +284,16 @@
     calls_free(calls);
 }
 
+static const struct cases groups[] = {
+    CASES("/call/life", life_cases, test_life),
+    CASES("/call/flow", flow_cases, test_flow),
+};
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(life_cases); i++) {
-        test_add("call/life", life_cases[i].name, &life_cases[i], test_life);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(flow_cases); i++) {
-        test_add("call/flow", flow_cases[i].name, &flow_cases[i], test_flow);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/call/stalled_reader", test_stalled_reader);
     g_test_add_func("/call/full", test_full);
     g_test_add_func("/call/copy", test_copy);
--- a/test/claim_test.c
+++ b/test/claim_test.c
@@ -11,6 +11,7 @@
 #include "kv/fns.h"
 #include "turmericd/state/claim/dat.h"
 #include "turmericd/state/claim/fns.h"
+#include "cases.h"
 
 enum {
     NODES = 2,
@@ -1192,32 +1193,21 @@
     }
 }
 
-static void
-add(const char *group, const char *name, gconstpointer data,
-    GTestDataFunc function)
-{
-    char *path = g_strdup_printf("/claim/%s/%s", group, name);
-
-    g_test_add_data_func(path, data, function);
-    g_free(path);
-}
-
-#define ADD_CASES(group, cases, function)                                     \
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
-        add(group, cases[i].name, &cases[i], function);                       \
-    }
+static const struct cases groups[] = {
+    CASES("/claim/key", key_cases, test_key),
+    CASES("/claim/set", set_cases, test_set),
+    CASES("/claim/decode", decode_cases, test_decode),
+    CASES("/claim/overtaken", overtaken_cases, test_overtaken),
+    CASES("/claim/duty", duty_cases, test_duty),
+    CASES("/claim/load", load_cases, test_load),
+    CASES("/claim/frame", frame_cases, test_frame),
+};
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    ADD_CASES("key", key_cases, test_key);
-    ADD_CASES("set", set_cases, test_set);
-    ADD_CASES("decode", decode_cases, test_decode);
-    ADD_CASES("overtaken", overtaken_cases, test_overtaken);
-    ADD_CASES("duty", duty_cases, test_duty);
-    ADD_CASES("load", load_cases, test_load);
-    ADD_CASES("frame", frame_cases, test_frame);
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/claim/key_hash", test_key_hash);
     g_test_add_func("/claim/set_bounds", test_set_bounds);
     g_test_add_func("/claim/append_unchecked", test_append_unchecked);
--- a/test/config_test.c
+++ b/test/config_test.c
@@ -15,6 +15,7 @@
 #include "turmericd/state/config/dat.h"
 #include "turmericd/state/config/fns.h"
 #include "turmericd/state/config/internal.h"
+#include "cases.h"
 
 enum { INSTANCES_MAX = 4, START_MS = 1000000, STEP_MS = 100 };
 
@@ -1512,29 +1513,25 @@
     kv_memory_free(&memory);
 }
 
-#define ADD_CASES(group, cases, function)                                     \
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
-        char *path = g_strdup_printf("/config/%s/%s", group, cases[i].name);  \
-                                                                              \
-        g_test_add_data_func(path, &cases[i], function);                      \
-        g_free(path);                                                         \
-    }
+static const struct cases groups[] = {
+    CASES("/config/next_read", read_cases, test_next_read),
+    CASES("/config/stale", stale_cases, test_stale),
+    CASES("/config/spread", spread_cases, test_spread),
+    CASES("/config/race", race_cases, test_race),
+    CASES("/config/loss", loss_cases, test_loss),
+    CASES("/config/older_data", older_cases, test_older_data),
+    CASES("/config/old_base", old_base_cases, test_old_base),
+    CASES("/config/start_from_peer", start_cases, test_start_from_peer),
+    CASES("/config/broken_message", message_cases, test_broken_message),
+    CASES("/config/gap_from_peer", gap_cases, test_gap_from_peer),
+    CASES("/config/history", history_cases, test_history),
+};
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    ADD_CASES("next_read", read_cases, test_next_read);
-    ADD_CASES("stale", stale_cases, test_stale);
-    ADD_CASES("spread", spread_cases, test_spread);
-    ADD_CASES("race", race_cases, test_race);
-    ADD_CASES("loss", loss_cases, test_loss);
-    ADD_CASES("older_data", older_cases, test_older_data);
-    ADD_CASES("old_base", old_base_cases, test_old_base);
-    ADD_CASES("start_from_peer", start_cases, test_start_from_peer);
-    ADD_CASES("broken_message", message_cases, test_broken_message);
-    ADD_CASES("gap_from_peer", gap_cases, test_gap_from_peer);
-    ADD_CASES("history", history_cases, test_history);
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/config/empty_store", test_empty_store);
     g_test_add_func("/config/refused_after_loss", test_refused_after_loss);
     g_test_add_func("/config/id_reused", test_id_reused);
--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -19,6 +19,7 @@
 #include "turmericd/fleet/member/dat.h"
 #include "turmericd/serve/desk/dat.h"
 #include "turmericd/serve/desk/fns.h"
+#include "cases.h"
 
 #define TOKEN "s3cret-token"
 /* Replaced in arguments by the path of a file with the case's text. */
@@ -498,6 +499,10 @@
     g_free(token);
 }
 
+static const struct cases groups[] = {
+    CASES("/ctl", ctl_cases, test_program),
+};
+
 int
 main(int argc, char **argv)
 {
@@ -509,12 +514,7 @@
     program = g_build_filename(test_directory, "..", "turmericctl", NULL);
     directory = g_dir_make_tmp("ctl-test-XXXXXX", NULL);
     g_assert_nonnull(directory);
-    for (size_t i = 0; i < G_N_ELEMENTS(ctl_cases); i++) {
-        char *path = g_strdup_printf("/ctl/%s", ctl_cases[i].name);
-
-        g_test_add_data_func(path, &ctl_cases[i], test_program);
-        g_free(path);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     result = g_test_run();
     g_rmdir(directory);
     g_free(directory);
--- a/test/desk_test.c
+++ b/test/desk_test.c
@@ -21,6 +21,7 @@
 #include "turmericd/serve/desk/dat.h"
 #include "turmericd/serve/desk/fns.h"
 #include "turmericd/serve/desk/internal.h"
+#include "cases.h"
 
 #define TOKEN "s3cret-token"
 
@@ -632,13 +633,12 @@
     g_assert_cmpint(err.kind, ==, ERR_SETTINGS);
 }
 
-#define ADD_CASES(group, cases, function)                                     \
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
-        char *path = g_strdup_printf("/desk/%s/%s", group, cases[i].name);    \
-                                                                              \
-        g_test_add_data_func(path, &cases[i], function);                      \
-        g_free(path);                                                         \
-    }
+static const struct cases groups[] = {
+    CASES("/desk/token_file", token_cases, test_token_file),
+    CASES("/desk/token_matches", match_cases, test_token_matches),
+    CASES("/desk/request", request_cases, test_request),
+    CASES("/desk/bad_address", address_cases, test_bad_address),
+};
 
 int
 main(int argc, char **argv)
@@ -650,10 +650,7 @@
     ulfius_global_init();
     directory = g_dir_make_tmp("desk-test-XXXXXX", NULL);
     g_assert_nonnull(directory);
-    ADD_CASES("token_file", token_cases, test_token_file);
-    ADD_CASES("token_matches", match_cases, test_token_matches);
-    ADD_CASES("request", request_cases, test_request);
-    ADD_CASES("bad_address", address_cases, test_bad_address);
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/desk/bound_address", test_bound_address);
     result = g_test_run();
     token = g_build_filename(directory, "token", NULL);
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -27,6 +27,7 @@
 #include "turmericd/serve/forward/internal.h"
 #include "serve.h"
 #include "target.h"
+#include "cases.h"
 
 enum {
     FAR_MS = 60000,
@@ -640,21 +641,17 @@
     }
 }
 
+static const struct cases groups[] = {
+    CASES("/forward/answer", answer_cases, test_answer),
+    CASES("/forward/request", request_cases, test_request),
+    CASES("/forward/sse", sse_cases, test_sse),
+};
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
-        test_add("forward/answer", answer_cases[i].name, &answer_cases[i],
-                 test_answer);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(request_cases); i++) {
-        test_add("forward/request", request_cases[i].name, &request_cases[i],
-                 test_request);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(sse_cases); i++) {
-        test_add("forward/sse", sse_cases[i].name, &sse_cases[i], test_sse);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/forward/resume_elsewhere", test_resume_elsewhere);
     g_test_add_func("/forward/resume_refused", test_resume_refused);
     g_test_add_func("/forward/refused_connection", test_refused_connection);
--- a/test/front_test.c
+++ b/test/front_test.c
@@ -25,6 +25,7 @@
 #include "turmericd/serve/front/internal.h"
 #include "serve.h"
 #include "client.h"
+#include "cases.h"
 
 enum { BODY_MAX = 400 };
 
@@ -621,21 +622,17 @@
     scene_close(&scene);
 }
 
+static const struct cases groups[] = {
+    CASES("/front/request", request_cases, check_request),
+    CASES("/front/answer", answer_cases, test_answer),
+    CASES("/front/list", list_cases, test_list),
+};
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(request_cases); i++) {
-        test_add("front/request", request_cases[i].name, &request_cases[i],
-                 check_request);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
-        test_add("front/answer", answer_cases[i].name, &answer_cases[i],
-                 test_answer);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(list_cases); i++) {
-        test_add("front/list", list_cases[i].name, &list_cases[i], test_list);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/front/nul_byte", test_nul_byte);
     g_test_add_func("/front/not_ready", test_not_ready);
     g_test_add_func("/front/graceful_stop", test_graceful_stop);
--- a/test/kv_test.c
+++ b/test/kv_test.c
@@ -12,6 +12,7 @@
 #include "base/fns.h"
 #include "kv/dat.h"
 #include "kv/fns.h"
+#include "cases.h"
 
 /* Guards against a write over a value that the writer has not seen. */
 struct cas_case {
@@ -424,32 +425,18 @@
     close(server.listener);
 }
 
-static void
-add(const char *group, const char *name, gconstpointer data,
-    GTestDataFunc function)
-{
-    char *path = g_strdup_printf("/kv/%s/%s", group, name);
-
-    g_test_add_data_func(path, data, function);
-    g_free(path);
-}
+static const struct cases groups[] = {
+    CASES("/kv/cas", cas_cases, test_cas),
+    CASES("/kv/append", append_cases, test_append),
+    CASES("/kv/read", read_cases, test_read),
+    CASES("/kv/etcd", etcd_cases, test_etcd),
+};
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(cas_cases); i++) {
-        add("cas", cas_cases[i].name, &cas_cases[i], test_cas);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(append_cases); i++) {
-        add("append", append_cases[i].name, &append_cases[i], test_append);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(read_cases); i++) {
-        add("read", read_cases[i].name, &read_cases[i], test_read);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(etcd_cases); i++) {
-        add("etcd", etcd_cases[i].name, &etcd_cases[i], test_etcd);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/kv/lengths", test_lengths);
     g_test_add_func("/kv/range", test_range);
     g_test_add_func("/kv/counters", test_counters);
--- a/test/path_test.c
+++ b/test/path_test.c
@@ -34,6 +34,7 @@
 #include "client.h"
 #include "serve.h"
 #include "target.h"
+#include "cases.h"
 
 enum { WORKERS = 4, SEED = 20261204, TARGETS = 2 };
 
@@ -422,13 +423,15 @@
     g_free(reply);
 }
 
+static const struct cases groups[] = {
+    CASES("/path", path_cases, test_path),
+};
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(path_cases); i++) {
-        test_add("path", path_cases[i].name, &path_cases[i], test_path);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/path/many_descriptors", test_many_descriptors);
     return g_test_run();
 }
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -40,6 +40,7 @@
 #include "turmericd/serve/route/dat.h"
 #include "turmericd/serve/route/internal.h"
 #include "serve.h"
+#include "cases.h"
 
 enum { CALLS_MAX = 400, START_MS = 1000000, WORDS_MAX = 8, SEED = 20261204 };
 
@@ -874,29 +875,22 @@
     strikes_free(strikes);
 }
 
-static void
-add_scripts(const char *group, const struct script_case *cases, size_t count)
-{
-    for (size_t i = 0; i < count; i++) {
-        test_add(group, cases[i].name, &cases[i], test_script);
-    }
-}
+static const struct cases groups[] = {
+    CASES("/route/admit", admit_cases, test_script),
+    CASES("/route/queue", queue_cases, test_script),
+    CASES("/route/pick", pick_cases, test_script),
+    CASES("/route/retry", retry_cases, test_script),
+    CASES("/route/resume", resume_cases, test_script),
+    CASES("/route/claim", claim_cases, test_script),
+    CASES("/route/strike", strike_cases, test_script),
+    CASES("/route/budget", budget_cases, test_budget),
+};
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    add_scripts("route/admit", admit_cases, G_N_ELEMENTS(admit_cases));
-    add_scripts("route/queue", queue_cases, G_N_ELEMENTS(queue_cases));
-    add_scripts("route/pick", pick_cases, G_N_ELEMENTS(pick_cases));
-    add_scripts("route/retry", retry_cases, G_N_ELEMENTS(retry_cases));
-    add_scripts("route/resume", resume_cases, G_N_ELEMENTS(resume_cases));
-    add_scripts("route/claim", claim_cases, G_N_ELEMENTS(claim_cases));
-    add_scripts("route/strike", strike_cases, G_N_ELEMENTS(strike_cases));
-    for (size_t i = 0; i < G_N_ELEMENTS(budget_cases); i++) {
-        test_add("route/budget", budget_cases[i].name, &budget_cases[i],
-                 test_budget);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/route/budget_outcome", test_budget_outcome);
     g_test_add_func("/route/use", test_use);
     g_test_add_func("/route/heap", test_heap);
--- a/test/serve.h
+++ b/test/serve.h
@@ -30,14 +30,4 @@
     return tree;
 }
 
-static inline void
-test_add(const char *group, const char *name, gconstpointer data,
-         GTestDataFunc function)
-{
-    char *path = g_strdup_printf("/%s/%s", group, name);
-
-    g_test_add_data_func(path, data, function);
-    g_free(path);
-}
-
 #endif
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -24,6 +24,7 @@
 #include "turmericd/serve/desk/dat.h"
 #include "turmericd/dat.h"
 #include "turmericd/fns.h"
+#include "cases.h"
 
 #define NEEDED                                                                \
     "\"name\": \"entry-1\", \"data_centre\": \"kovalam\","                    \
@@ -145,27 +146,16 @@
     g_free(root);
 }
 
-static void
-add(const char *group, const char *name, gconstpointer data,
-    GTestDataFunc function)
-{
-    char *path = g_strdup_printf("/settings/%s/%s", group, name);
-
-    g_test_add_data_func(path, data, function);
-    g_free(path);
-}
+static const struct cases groups[] = {
+    CASES("/settings/parse", settings_cases, test_settings),
+    CASES("/settings/gone", gone_cases, test_gone),
+};
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(settings_cases); i++) {
-        add("parse", settings_cases[i].name, &settings_cases[i],
-            test_settings);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(gone_cases); i++) {
-        add("gone", gone_cases[i].name, &gone_cases[i], test_gone);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/settings/print", test_print_settings);
     return g_test_run();
 }
--- a/test/tree_test.c
+++ b/test/tree_test.c
@@ -7,6 +7,7 @@
 #include "base/fns.h"
 #include "tree/dat.h"
 #include "tree/fns.h"
+#include "cases.h"
 
 /* Fixed, so that every run makes the same edits. */
 enum { RANDOM_SEED = 20261204 };
@@ -682,25 +683,21 @@
     tree_unref(tree);
 }
 
-#define ADD_CASES(group, cases, function)                                     \
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
-        char *path = g_strdup_printf("/tree/%s/%s", group, cases[i].name);    \
-                                                                              \
-        g_test_add_data_func(path, &cases[i], function);                      \
-        g_free(path);                                                         \
-    }
+static const struct cases groups[] = {
+    CASES("/tree/edit_refused", edit_cases, test_edit_refused),
+    CASES("/tree/effective", value_cases, test_effective),
+    CASES("/tree/leaf", leaf_cases, test_leaf),
+    CASES("/tree/conflict", conflict_cases, test_conflict),
+    CASES("/tree/parse", parse_cases, test_parse),
+    CASES("/tree/diff", diff_cases, test_diff),
+    CASES("/tree/snapshot", snapshot_cases, test_snapshot_parse),
+};
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    ADD_CASES("edit_refused", edit_cases, test_edit_refused);
-    ADD_CASES("effective", value_cases, test_effective);
-    ADD_CASES("leaf", leaf_cases, test_leaf);
-    ADD_CASES("conflict", conflict_cases, test_conflict);
-    ADD_CASES("parse", parse_cases, test_parse);
-    ADD_CASES("diff", diff_cases, test_diff);
-    ADD_CASES("snapshot", snapshot_cases, test_snapshot_parse);
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/tree/placement_fields", test_placement_fields);
     g_test_add_func("/tree/sharing", test_sharing);
     g_test_add_func("/tree/edit_round_trip", test_edit_round_trip);
