--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -20,6 +20,7 @@
 #include "turmericd/serve/desk/dat.h"
 #include "turmericd/serve/desk/fns.h"
 #include "cases.h"
+#include "support.h"
 
 #define TOKEN "s3cret-token"
 /* Replaced in arguments by the path of a file with the case's text. */
@@ -147,27 +148,6 @@
 static const struct desk_port_ops fake_ops = {
     fake_tree, fake_state, fake_edit, fake_history, fake_members, fake_status};
 
-static char *
-write_file(const char *name, const char *text)
-{
-    char *path = g_build_filename(directory, name, NULL);
-
-    g_unlink(path);
-    g_assert_true(g_file_set_contents(path, text, -1, NULL));
-    g_assert_cmpint(g_chmod(path, 0600), ==, 0);
-    return path;
-}
-
-static void *
-run_desk(void *argument)
-{
-    struct duty *duty = argument;
-    struct err err = {0};
-
-    g_assert_true(duty->ops->run(duty, &err));
-    return NULL;
-}
-
 /* Guards against an exit code, a message or a number of edits that misleads
  * an operator. */
 struct ctl_case {
@@ -407,7 +387,7 @@
 run_program(const struct ctl_case *c, int port, const char *token)
 {
     char *text = file_text(c);
-    char *file = write_file("nodes.json", text);
+    char *file = test_write_file(directory, "nodes.json", text, 0600);
     char *words = g_strjoin(" ", program, c->arguments, NULL);
     char **argv = g_strsplit(g_strchomp(words), " ", -1);
     char *address = g_strdup_printf("127.0.0.1:%d", port);
@@ -470,7 +450,7 @@
                         .lagging = c->lagging};
     struct desk_settings settings = {.address = "127.0.0.1:0",
                                      .name = "entry-1"};
-    char *token = write_file("token", TOKEN "\n");
+    char *token = test_write_file(directory, "token", TOKEN "\n", 0600);
     struct desk *desk;
     pthread_t thread;
     int closed_fd = -1;
@@ -480,11 +460,10 @@
     g_strlcpy(settings.token_file, token, sizeof(settings.token_file));
     desk = desk_new(&settings, &fake.port, NULL);
     g_assert_nonnull(desk);
-    pthread_create(&thread, NULL, run_desk, desk_duty(desk));
+    test_duty_start(desk_duty(desk), &thread);
     port = c->unreachable ? closed_port(&closed_fd) : desk_listen_port(desk);
     run_program(c, port, token);
-    desk_duty(desk)->ops->stop(desk_duty(desk));
-    pthread_join(thread, NULL);
+    test_duty_stop(desk_duty(desk), thread);
     g_assert_cmpint(fake.edits, ==, c->edits);
     g_assert_cmpuint(g_hash_table_size(fake.ids), ==,
                      c->leaves > 0 ? 2 : MIN(c->edits, 1));
--- a/test/desk_test.c
+++ b/test/desk_test.c
@@ -22,6 +22,7 @@
 #include "turmericd/serve/desk/fns.h"
 #include "turmericd/serve/desk/internal.h"
 #include "cases.h"
+#include "support.h"
 
 #define TOKEN "s3cret-token"
 
@@ -115,17 +116,6 @@
 static const struct desk_port_ops fake_ops = {
     fake_tree, fake_state, fake_edit, fake_history, fake_members, fake_status};
 
-static char *
-write_token(const char *text, int mode)
-{
-    char *path = g_build_filename(directory, "token", NULL);
-
-    g_unlink(path);
-    g_assert_true(g_file_set_contents(path, text, -1, NULL));
-    g_assert_cmpint(g_chmod(path, mode), ==, 0);
-    return path;
-}
-
 /* Guards against an open desk: no token, an empty one, or one that others
  * can read. */
 struct token_case {
@@ -155,7 +145,8 @@
     struct fake fake = {.port = {&fake_ops}};
     struct desk_settings settings = {.address = "127.0.0.1:0"};
     struct err err = {0};
-    char *path = write_token(c->text == NULL ? "" : c->text, c->mode);
+    char *path = test_write_file(directory, "token",
+                                 c->text == NULL ? "" : c->text, c->mode);
     struct desk *desk;
 
     if (c->text == NULL) {
@@ -209,44 +200,25 @@
     pthread_t thread;
 };
 
-static void *
-run_desk(void *argument)
-{
-    struct duty *duty = argument;
-    struct err err = {0};
-
-    g_assert_true(duty->ops->run(duty, &err));
-    return NULL;
-}
-
 static void
 start_desk(struct running *running)
 {
     struct desk_settings settings = {.address = "127.0.0.1:0",
                                      .name = "entry-1"};
-    char *path = write_token(TOKEN, 0600);
+    char *path = test_write_file(directory, "token", TOKEN, 0600);
 
     g_strlcpy(settings.token_file, path, sizeof(settings.token_file));
     g_free(path);
     running->fake.port.ops = &fake_ops;
     running->desk = desk_new(&settings, &running->fake.port, NULL);
     g_assert_nonnull(running->desk);
-    pthread_create(&running->thread, NULL, run_desk, desk_duty(running->desk));
-}
-
-static void
-join_desk(struct running *running)
-{
-    struct duty *duty = desk_duty(running->desk);
-
-    duty->ops->stop(duty);
-    pthread_join(running->thread, NULL);
+    test_duty_start(desk_duty(running->desk), &running->thread);
 }
 
 static void
 stop_desk(struct running *running)
 {
-    join_desk(running);
+    test_duty_stop(desk_duty(running->desk), running->thread);
     desk_free(running->desk);
 }
 
@@ -600,7 +572,7 @@
     port = desk_listen_port(running.desk);
     g_assert_cmpint(try_connect("127.0.0.1", port), ==, 0);
     g_assert_cmpint(try_connect("127.0.0.2", port), ==, ECONNREFUSED);
-    join_desk(&running);
+    test_duty_stop(desk_duty(running.desk), running.thread);
     g_assert_cmpint(try_connect("127.0.0.1", port), ==, ECONNREFUSED);
     desk_free(running.desk);
 }
@@ -624,7 +596,7 @@
     struct fake fake = {.port = {&fake_ops}};
     struct desk_settings settings = {0};
     struct err err = {0};
-    char *path = write_token(TOKEN, 0600);
+    char *path = test_write_file(directory, "token", TOKEN, 0600);
 
     g_strlcpy(settings.address, c->address, sizeof(settings.address));
     g_strlcpy(settings.token_file, path, sizeof(settings.token_file));
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -28,6 +28,7 @@
 #include "serve.h"
 #include "target.h"
 #include "cases.h"
+#include "support.h"
 
 enum {
     FAR_MS = 60000,
@@ -69,16 +70,6 @@
 
 static const struct forward_port_ops ops = {on_done};
 
-static void *
-run_duty(void *argument)
-{
-    struct duty *duty = argument;
-    struct err err = {0};
-
-    g_assert_true(duty->ops->run(duty, &err));
-    return NULL;
-}
-
 static void *
 read_answer(void *argument)
 {
@@ -111,7 +102,7 @@
     ring_init(&scene->results, 16, sizeof(struct attempt_result), NULL);
     server_start(&scene->server);
     scene->forward = forward_new(scene->calls, 1, &scene->port, NULL);
-    pthread_create(&scene->duty, NULL, run_duty, forward_duty(scene->forward));
+    test_duty_start(forward_duty(scene->forward), &scene->duty);
     copy.body = (unsigned char *)strdup((const char *)request->body);
     copy.body_bytes = strlen((const char *)request->body);
     g_assert_true(call_open(scene->calls, &copy, &scene->call, NULL));
@@ -130,10 +121,7 @@
 static void
 scene_close(struct scene *scene)
 {
-    struct duty *duty = forward_duty(scene->forward);
-
-    duty->ops->stop(duty);
-    pthread_join(scene->duty, NULL);
+    test_duty_stop(forward_duty(scene->forward), scene->duty);
     server_stop(&scene->server);
     forward_free(scene->forward);
     calls_free(scene->calls);
--- a/test/front_test.c
+++ b/test/front_test.c
@@ -26,6 +26,7 @@
 #include "serve.h"
 #include "client.h"
 #include "cases.h"
+#include "support.h"
 
 enum { BODY_MAX = 400 };
 
@@ -160,16 +161,6 @@
 static const struct front_port_ops ops = {on_submit, on_tree, on_members,
                                           on_leave};
 
-static void *
-run_duty(void *argument)
-{
-    struct duty *duty = argument;
-    struct err err = {0};
-
-    g_assert_true(duty->ops->run(duty, &err));
-    return NULL;
-}
-
 static void
 scene_open(struct scene *scene, int64_t keep_s, int64_t drain_max_s)
 {
@@ -189,7 +180,7 @@
     ring_init(&scene->events, 4, sizeof(int), NULL);
     scene->front = front_new(scene->calls, &settings, &scene->port, &err);
     g_assert_cmpstr(err.text, ==, "");
-    pthread_create(&scene->thread, NULL, run_duty, front_duty(scene->front));
+    test_duty_start(front_duty(scene->front), &scene->thread);
 }
 
 static void
@@ -203,8 +194,7 @@
 static void
 scene_close(struct scene *scene)
 {
-    stop(scene);
-    pthread_join(scene->thread, NULL);
+    test_duty_stop(front_duty(scene->front), scene->thread);
     g_assert_cmpuint(calls_count(scene->calls), ==, 0);
     front_free(scene->front);
     calls_free(scene->calls);
