--- a/test/desk_test.c
+++ b/test/desk_test.c
@@ -21,6 +21,8 @@
 #include "turmericd/serve/desk/dat.h"
 #include "turmericd/serve/desk/fns.h"
 #include "turmericd/serve/desk/internal.h"
+#include "cases.h"
+#include "support.h"
 
 #define TOKEN "s3cret-token"
 
@@ -114,17 +116,6 @@
 static const struct desk_port_ops fake_ops = {
     fake_tree, fake_state, fake_edit, fake_history, fake_members, fake_status};
 
-static char *
-write_token(const char *text, int mode)
-{
-    char *path = g_build_filename(directory, "token", NULL);
-
-    g_unlink(path);
-    g_assert_true(g_file_set_contents(path, text, -1, NULL));
-    g_assert_cmpint(g_chmod(path, mode), ==, 0);
-    return path;
-}
-
 /* Guards against an open desk: no token, an empty one, or one that others
  * can read. */
 struct token_case {
@@ -154,7 +145,8 @@
     struct fake fake = {.port = {&fake_ops}};
     struct desk_settings settings = {.address = "127.0.0.1:0"};
     struct err err = {0};
-    char *path = write_token(c->text == NULL ? "" : c->text, c->mode);
+    char *path = test_write_file(directory, "token",
+                                 c->text == NULL ? "" : c->text, c->mode);
     struct desk *desk;
 
     if (c->text == NULL) {
@@ -208,44 +200,25 @@
     pthread_t thread;
 };
 
-static void *
-run_desk(void *argument)
-{
-    struct duty *duty = argument;
-    struct err err = {0};
-
-    g_assert_true(duty->ops->run(duty, &err));
-    return NULL;
-}
-
 static void
 start_desk(struct running *running)
 {
     struct desk_settings settings = {.address = "127.0.0.1:0",
                                      .name = "entry-1"};
-    char *path = write_token(TOKEN, 0600);
+    char *path = test_write_file(directory, "token", TOKEN, 0600);
 
     g_strlcpy(settings.token_file, path, sizeof(settings.token_file));
     g_free(path);
     running->fake.port.ops = &fake_ops;
     running->desk = desk_new(&settings, &running->fake.port, NULL);
     g_assert_nonnull(running->desk);
-    pthread_create(&running->thread, NULL, run_desk, desk_duty(running->desk));
-}
-
-static void
-join_desk(struct running *running)
-{
-    struct duty *duty = desk_duty(running->desk);
-
-    duty->ops->stop(duty);
-    pthread_join(running->thread, NULL);
+    test_duty_start(desk_duty(running->desk), &running->thread);
 }
 
 static void
 stop_desk(struct running *running)
 {
-    join_desk(running);
+    test_duty_stop(desk_duty(running->desk), running->thread);
     desk_free(running->desk);
 }
 
@@ -599,7 +572,7 @@
     port = desk_listen_port(running.desk);
     g_assert_cmpint(try_connect("127.0.0.1", port), ==, 0);
     g_assert_cmpint(try_connect("127.0.0.2", port), ==, ECONNREFUSED);
-    join_desk(&running);
+    test_duty_stop(desk_duty(running.desk), running.thread);
     g_assert_cmpint(try_connect("127.0.0.1", port), ==, ECONNREFUSED);
     desk_free(running.desk);
 }
@@ -623,7 +596,7 @@
     struct fake fake = {.port = {&fake_ops}};
     struct desk_settings settings = {0};
     struct err err = {0};
-    char *path = write_token(TOKEN, 0600);
+    char *path = test_write_file(directory, "token", TOKEN, 0600);
 
     g_strlcpy(settings.address, c->address, sizeof(settings.address));
     g_strlcpy(settings.token_file, path, sizeof(settings.token_file));
@@ -632,13 +605,12 @@
     g_assert_cmpint(err.kind, ==, ERR_SETTINGS);
 }
 
-#define ADD_CASES(group, cases, function)                                     \
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
-        char *path = g_strdup_printf("/desk/%s/%s", group, cases[i].name);    \
-                                                                              \
-        g_test_add_data_func(path, &cases[i], function);                      \
-        g_free(path);                                                         \
-    }
+static const struct cases groups[] = {
+    CASES("/desk/token_file", token_cases, test_token_file),
+    CASES("/desk/token_matches", match_cases, test_token_matches),
+    CASES("/desk/request", request_cases, test_request),
+    CASES("/desk/bad_address", address_cases, test_bad_address),
+};
 
 int
 main(int argc, char **argv)
@@ -650,10 +622,7 @@
     ulfius_global_init();
     directory = g_dir_make_tmp("desk-test-XXXXXX", NULL);
     g_assert_nonnull(directory);
-    ADD_CASES("token_file", token_cases, test_token_file);
-    ADD_CASES("token_matches", match_cases, test_token_matches);
-    ADD_CASES("request", request_cases, test_request);
-    ADD_CASES("bad_address", address_cases, test_bad_address);
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/desk/bound_address", test_bound_address);
     result = g_test_run();
     token = g_build_filename(directory, "token", NULL);
--- a/test/front_test.c
+++ b/test/front_test.c
@@ -25,6 +25,8 @@
 #include "turmericd/serve/front/internal.h"
 #include "serve.h"
 #include "client.h"
+#include "cases.h"
+#include "support.h"
 
 enum { BODY_MAX = 400 };
 
@@ -159,16 +161,6 @@
 static const struct front_port_ops ops = {on_submit, on_tree, on_members,
                                           on_leave};
 
-static void *
-run_duty(void *argument)
-{
-    struct duty *duty = argument;
-    struct err err = {0};
-
-    g_assert_true(duty->ops->run(duty, &err));
-    return NULL;
-}
-
 static void
 scene_open(struct scene *scene, int64_t keep_s, int64_t drain_max_s)
 {
@@ -188,7 +180,7 @@
     ring_init(&scene->events, 4, sizeof(int), NULL);
     scene->front = front_new(scene->calls, &settings, &scene->port, &err);
     g_assert_cmpstr(err.text, ==, "");
-    pthread_create(&scene->thread, NULL, run_duty, front_duty(scene->front));
+    test_duty_start(front_duty(scene->front), &scene->thread);
 }
 
 static void
@@ -202,8 +194,7 @@
 static void
 scene_close(struct scene *scene)
 {
-    stop(scene);
-    pthread_join(scene->thread, NULL);
+    test_duty_stop(front_duty(scene->front), scene->thread);
     g_assert_cmpuint(calls_count(scene->calls), ==, 0);
     front_free(scene->front);
     calls_free(scene->calls);
@@ -621,21 +612,17 @@
     scene_close(&scene);
 }
 
+static const struct cases groups[] = {
+    CASES("/front/request", request_cases, check_request),
+    CASES("/front/answer", answer_cases, test_answer),
+    CASES("/front/list", list_cases, test_list),
+};
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(request_cases); i++) {
-        test_add("front/request", request_cases[i].name, &request_cases[i],
-                 check_request);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
-        test_add("front/answer", answer_cases[i].name, &answer_cases[i],
-                 test_answer);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(list_cases); i++) {
-        test_add("front/list", list_cases[i].name, &list_cases[i], test_list);
-    }
+    cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/front/nul_byte", test_nul_byte);
     g_test_add_func("/front/not_ready", test_not_ready);
     g_test_add_func("/front/graceful_stop", test_graceful_stop);
