--- a/test/cluster/cluster.c
+++ b/test/cluster/cluster.c
@@ -318,6 +318,18 @@
     return true;
 }
 
+/**
+ * cluster_agrees() - wait until every entry sees all entries alive
+ * @cluster: the cluster
+ */
+bool
+cluster_agrees(struct cluster *cluster)
+{
+    struct agreement agreement = {cluster, 1};
+
+    return cluster_await(all_agree, &agreement);
+}
+
 static void
 print_logs(struct cluster *cluster)
 {
@@ -458,7 +470,9 @@
             continue;
         }
         if (process->kind == PROCESS_ENTRY) {
-            g_assert_cmpint(cluster_wait_exit(process), ==, 0);
+            int code = cluster_wait_exit(process);
+
+            g_assert_cmpint(code, ==, 0);
         }
         else {
             cluster_kill(process, SIGTERM);
