Split peer.c by subject

Cause: peer.c had grown to 850 lines.

Change: connection.c holds the table of connections and the descriptors waited on, outgoing.c the connections to write on, incoming.c those to read on; peer.c keeps the duty and the calls of other threads. What they share stands in internal.h. Functions only moved; shared ones got the prefix of their file. No change of behaviour.

--- a/src/turmericd/fleet/peer/peer.c
+++ b/src/turmericd/fleet/peer/peer.c
@@ -12,7 +12,6 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/dat.h"
@@ -20,397 +19,13 @@
 #include "proto/peer.pb-c.h"
 #include "turmericd/fleet/peer/dat.h"
 #include "turmericd/fleet/peer/fns.h"
+#include "turmericd/fleet/peer/internal.h"
 
 enum {
     RING_FRAMES = 4096,
-    CONNECTIONS_MAX = 2 * PEER_MAX,
     EVENTS_MAX = 64,
-    READ_BYTES = 64 * 1024,
-    /* Pause before accepting again when no descriptor or slot is left; the
-     * listening socket would otherwise wake the thread without end. */
-    ACCEPT_PAUSE_MS = 1000,
-    ACCEPT_TURN = 64,
 };
 
-/* epoll data of the descriptors that are no connections; a connection's data
- * is its handle, whose generation is never 0. */
-enum { DATA_WAKE = 0, DATA_LISTEN = 1 };
-
-/* A connection: a received one has a reader, an own one belongs to a link. */
-struct connection {
-    int fd;
-    bool outgoing;
-    bool writable_wanted;
-    uint32_t link;
-    struct frame_reader reader;
-};
-
-struct peer {
-    struct duty duty;
-    uint64_t self;
-    struct peer_port *port;
-    int listen_fd;
-    int listen_port;
-    int wake_fd;
-    int epoll_fd;
-    atomic_bool stopping;
-    struct ring ring;
-    struct peer_directory directory;
-    struct table connections;
-    struct peer_link links[PEER_MAX];
-    int64_t accept_again_ms;
-    unsigned char buffer[READ_BYTES];
-};
-
-static uint64_t
-data_of(struct handle handle)
-{
-    return (uint64_t)handle.generation << 32 | handle.index;
-}
-
-static struct handle
-handle_of(uint64_t data)
-{
-    struct handle handle = {(uint32_t)data, (uint32_t)(data >> 32)};
-
-    return handle;
-}
-
-static bool
-watch(struct peer *peer, int operation, int fd, uint32_t events, uint64_t data)
-{
-    struct epoll_event event = {.events = events, .data.u64 = data};
-
-    return epoll_ctl(peer->epoll_fd, operation, fd, &event) == 0;
-}
-
-static void
-wake(struct peer *peer)
-{
-    uint64_t one = 1;
-
-    /* The write fails only when the counter is full: a wake-up is pending. */
-    if (write(peer->wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN) {
-        log_line(LOG_PRI_ERR, "peer", "event=wake_failed detail=\"%s\"",
-                 strerror(errno));
-    }
-}
-
-static void
-connection_close(struct peer *peer, struct handle handle)
-{
-    struct connection *connection = table_get(&peer->connections, handle);
-
-    if (connection == NULL) {
-        return;
-    }
-    close(connection->fd);
-    frame_reader_free(&connection->reader);
-    table_free(&peer->connections, handle);
-}
-
-static struct connection *
-connection_open(struct peer *peer, int fd, uint32_t events,
-                struct handle *handle, struct err *err)
-{
-    struct connection *connection;
-
-    connection = table_alloc(&peer->connections, handle, err);
-    if (connection == NULL) {
-        close(fd);
-        return NULL;
-    }
-    connection->fd = fd;
-    if (!watch(peer, EPOLL_CTL_ADD, fd, events, data_of(*handle))) {
-        err_set(err, ERR_IO, "epoll: %s", strerror(errno));
-        connection_close(peer, *handle);
-        return NULL;
-    }
-    return connection;
-}
-
-static void
-log_link(const struct peer_entry *entry, const char *event, const char *detail)
-{
-    log_line(LOG_PRI_INFO, "peer", "event=%s member=%016llx address=%s %s",
-             event, (unsigned long long)entry->member, entry->address, detail);
-}
-
-static void
-link_close(struct peer *peer, struct peer_link *link, int64_t now_ms,
-           const char *reason)
-{
-    struct peer_entry entry;
-
-    if (link->state == LINK_UP &&
-        directory_read(&peer->directory, link->entry, &entry)) {
-        log_link(&entry, "disconnected", reason);
-    }
-    connection_close(peer, link->connection);
-    link_closed(link, now_ms);
-}
-
-/* Closes a link whose other side has closed or refused the connection. */
-static void
-link_broken(struct peer *peer, struct peer_link *link, int64_t now_ms,
-            const char *reason)
-{
-    struct peer_entry entry;
-
-    if (directory_read(&peer->directory, link->entry, &entry)) {
-        peer->port->ops->broken(peer->port, entry.member);
-    }
-    link_close(peer, link, now_ms, reason);
-}
-
-static void
-link_connect(struct peer *peer, struct peer_link *link, int64_t now_ms)
-{
-    struct peer_entry entry;
-    struct err err = {0};
-    struct connection *connection;
-    int fd;
-
-    if (!directory_read(&peer->directory, link->entry, &entry)) {
-        return;
-    }
-    link->version = entry.version;
-    fd = socket_connect(entry.address, &err);
-    if (fd < 0) {
-        link_closed(link, now_ms);
-        return;
-    }
-    connection =
-        connection_open(peer, fd, EPOLLIN | EPOLLOUT, &link->connection, &err);
-    if (connection == NULL) {
-        log_link(&entry, "connect_failed", err.text);
-        link_closed(link, now_ms);
-        return;
-    }
-    connection->outgoing = true;
-    connection->writable_wanted = true;
-    connection->link = (uint32_t)(link - peer->links);
-    link_opened(link, fd, now_ms);
-}
-
-static void
-want_writable(struct peer *peer, struct peer_link *link)
-{
-    struct connection *connection;
-    bool wanted = link->head != NULL;
-
-    connection = table_get(&peer->connections, link->connection);
-    if (connection == NULL || connection->writable_wanted == wanted) {
-        return;
-    }
-    connection->writable_wanted = wanted;
-    watch(peer, EPOLL_CTL_MOD, link->fd, wanted ? EPOLLIN | EPOLLOUT : EPOLLIN,
-          data_of(link->connection));
-}
-
-static void
-link_flush(struct peer *peer, struct peer_link *link, int64_t now_ms)
-{
-    size_t written;
-    bool whole = link_write(link, now_ms, &written);
-
-    if (written > 0) {
-        directory_release(&peer->directory, link->entry, written);
-    }
-    if (!whole) {
-        link_broken(peer, link, now_ms, "reason=write");
-        return;
-    }
-    want_writable(peer, link);
-}
-
-static void
-link_writable(struct peer *peer, struct peer_link *link, int64_t now_ms)
-{
-    struct peer_entry entry;
-    int error = 0;
-    socklen_t bytes = sizeof(error);
-
-    if (link->state == LINK_CONNECTING) {
-        getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &error, &bytes);
-        if (error == ECONNREFUSED || error == ECONNRESET) {
-            link_broken(peer, link, now_ms, "");
-            return;
-        }
-        if (error != 0) {
-            link_close(peer, link, now_ms, "");
-            return;
-        }
-        link_connected(link, now_ms);
-        if (directory_read(&peer->directory, link->entry, &entry)) {
-            log_link(&entry, "connected", "");
-        }
-    }
-    link_flush(peer, link, now_ms);
-}
-
-/* Nothing is ever received on an own connection but its end. */
-static void
-link_readable(struct peer *peer, struct peer_link *link, int64_t now_ms)
-{
-    ssize_t count = recv(link->fd, peer->buffer, READ_BYTES, 0);
-
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return;
-    }
-    link_broken(peer, link, now_ms, "reason=closed_by_peer");
-}
-
-static void
-bad_frame(const struct connection *connection, const struct err *err)
-{
-    refusal_add(ERR_BAD_FRAME);
-    log_line(LOG_PRI_WARNING, "peer",
-             "event=closed fd=%d error=%s detail=\"%s\"", connection->fd,
-             err_info(err->kind)->name, err->text);
-}
-
-static void
-deliver(struct peer *peer, Turmeric__Envelope *envelope)
-{
-    counter_add(CTR_PEER_FRAMES_IN, 1);
-    if (envelope->body_case == TURMERIC__ENVELOPE__BODY__NOT_SET) {
-        counter_add(CTR_PEER_DROPPED, 1);
-        turmeric__envelope__free_unpacked(envelope, NULL);
-        return;
-    }
-    peer->port->ops->message(peer->port, envelope);
-}
-
-static void
-decode(struct peer *peer, struct handle handle, struct connection *connection)
-{
-    Turmeric__Envelope *envelope = NULL;
-    struct err err = {0};
-    enum frame_result result;
-
-    result = frame_next(&connection->reader, &envelope, &err);
-    while (result == FRAME_READY) {
-        deliver(peer, envelope);
-        result = frame_next(&connection->reader, &envelope, &err);
-    }
-    if (result == FRAME_BAD) {
-        bad_frame(connection, &err);
-        connection_close(peer, handle);
-    }
-}
-
-static void
-receive(struct peer *peer, struct handle handle, struct connection *connection)
-{
-    struct err err = {0};
-    ssize_t count = recv(connection->fd, peer->buffer, READ_BYTES, 0);
-
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return;
-    }
-    if (count <= 0 ||
-        !frame_add(&connection->reader, peer->buffer, (size_t)count, &err)) {
-        connection_close(peer, handle);
-        return;
-    }
-    counter_add(CTR_PEER_BYTES_IN, (uint64_t)count);
-    decode(peer, handle, connection);
-}
-
-static void
-accept_pause(struct peer *peer, int64_t now_ms, const char *reason)
-{
-    log_line(LOG_PRI_WARNING, "peer", "event=accept_paused detail=\"%s\"",
-             reason);
-    peer->accept_again_ms = now_ms + ACCEPT_PAUSE_MS;
-    watch(peer, EPOLL_CTL_MOD, peer->listen_fd, 0, DATA_LISTEN);
-}
-
-static void
-accept_resume(struct peer *peer, int64_t now_ms)
-{
-    if (peer->accept_again_ms != 0 && now_ms >= peer->accept_again_ms) {
-        peer->accept_again_ms = 0;
-        watch(peer, EPOLL_CTL_MOD, peer->listen_fd, EPOLLIN, DATA_LISTEN);
-    }
-}
-
-/* Returns whether to accept another one. */
-static bool
-accept_one(struct peer *peer, int64_t now_ms)
-{
-    struct handle handle;
-    struct err err = {0};
-    int fd;
-
-    if (table_count(&peer->connections) == CONNECTIONS_MAX) {
-        accept_pause(peer, now_ms, "too many connections");
-        return false;
-    }
-    fd = accept4(peer->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) {
-        if (errno == EMFILE || errno == ENFILE || errno == ENOMEM ||
-            errno == ENOBUFS) {
-            accept_pause(peer, now_ms, strerror(errno));
-        }
-        return errno == ECONNABORTED || errno == EINTR;
-    }
-    socket_prepare(fd);
-    if (connection_open(peer, fd, EPOLLIN, &handle, &err) == NULL) {
-        counter_add(CTR_PEER_DROPPED, 1);
-    }
-    return true;
-}
-
-static void
-accept_ready(struct peer *peer, int64_t now_ms)
-{
-    for (int i = 0; i < ACCEPT_TURN && accept_one(peer, now_ms); i++) {
-    }
-}
-
-static void
-link_reset(struct peer *peer, struct peer_link *link)
-{
-    size_t dropped;
-
-    connection_close(peer, link->connection);
-    dropped = link_drop_all(link);
-    directory_release(&peer->directory, link->entry, dropped);
-    memset(link, 0, sizeof(*link));
-    link->fd = -1;
-}
-
-static bool
-same_handle(struct handle a, struct handle b)
-{
-    return a.index == b.index && a.generation == b.generation;
-}
-
-static void
-frame_take(struct peer *peer, struct peer_frame *frame, int64_t now_ms)
-{
-    struct peer_link *link = &peer->links[frame->entry.index];
-    struct peer_entry entry;
-
-    if (!directory_read(&peer->directory, frame->entry, &entry)) {
-        counter_add(CTR_PEER_DROPPED, 1);
-        free(frame->bytes);
-        free(frame);
-        return;
-    }
-    if (!same_handle(link->entry, frame->entry)) {
-        link_reset(peer, link);
-        link->entry = frame->entry;
-        link->version = entry.version;
-    }
-    link_push(link, frame, now_ms);
-    if (link->state == LINK_UP) {
-        link_flush(peer, link, now_ms);
-    }
-}
-
 static void
 wake_ready(struct peer *peer, int64_t now_ms)
 {
@@ -424,9 +39,9 @@
         if (ring_pop(&peer->ring, &frame, 0) != RING_OK) {
             return;
         }
-        frame_take(peer, frame, now_ms);
+        outgoing_take(peer, frame, now_ms);
     }
-    wake(peer);
+    peer_wake(peer);
 }
 
 static void
@@ -440,22 +55,22 @@
         return;
     }
     if (!connection->outgoing) {
-        receive(peer, handle, connection);
+        incoming_receive(peer, handle, connection);
         return;
     }
     link = &peer->links[connection->link];
     if (link->state == LINK_UP && (events & (EPOLLIN | EPOLLHUP | EPOLLERR))) {
-        link_readable(peer, link, now_ms);
+        outgoing_readable(peer, link, now_ms);
     }
     else {
-        link_writable(peer, link, now_ms);
+        outgoing_writable(peer, link, now_ms);
     }
 }
 
 static void
 event_ready(struct peer *peer, const struct epoll_event *event, int64_t now_ms)
 {
-    struct handle handle = handle_of(event->data.u64);
+    struct handle handle = peer_handle(event->data.u64);
 
     if (handle.generation != 0) {
         connection_ready(peer, handle, event->events, now_ms);
@@ -464,48 +79,7 @@
         wake_ready(peer, now_ms);
     }
     else {
-        accept_ready(peer, now_ms);
-    }
-}
-
-/* Closes the connections of members that were forgotten or have moved. */
-static void
-links_follow_directory(struct peer *peer, int64_t now_ms)
-{
-    for (int i = 0; i < PEER_MAX; i++) {
-        struct peer_link *link = &peer->links[i];
-        struct peer_entry entry;
-
-        if (link->entry.generation == 0) {
-            continue;
-        }
-        if (!directory_read(&peer->directory, link->entry, &entry)) {
-            link_reset(peer, link);
-        }
-        else if (entry.version != link->version) {
-            link_close(peer, link, now_ms, "reason=moved");
-            link->version = entry.version;
-            link->retry_ms = now_ms;
-        }
-    }
-}
-
-static void
-link_tick(struct peer *peer, struct peer_link *link, int64_t now_ms)
-{
-    size_t dropped;
-
-    if (link_timed_out(link, now_ms)) {
-        link_close(peer, link, now_ms, "reason=timeout");
-    }
-    if (link->state != LINK_UP) {
-        dropped = link_drop_old(link, now_ms);
-        if (dropped > 0) {
-            directory_release(&peer->directory, link->entry, dropped);
-        }
-    }
-    if (link_wants_connect(link, now_ms)) {
-        link_connect(peer, link, now_ms);
+        incoming_accept(peer, now_ms);
     }
 }
 
@@ -515,15 +89,15 @@
 {
     int64_t deadline = INT64_MAX;
 
-    accept_resume(peer, now_ms);
+    incoming_resume(peer, now_ms);
     if (directory_take_changed(&peer->directory)) {
-        links_follow_directory(peer, now_ms);
+        outgoing_follow(peer, now_ms);
     }
     for (int i = 0; i < PEER_MAX; i++) {
         struct peer_link *link = &peer->links[i];
 
         if (link->entry.generation != 0) {
-            link_tick(peer, link, now_ms);
+            outgoing_tick(peer, link, now_ms);
             if (link_deadline(link) < deadline) {
                 deadline = link_deadline(link);
             }
@@ -545,8 +119,9 @@
     if (peer->epoll_fd < 0) {
         return err_set(err, ERR_IO, "epoll: %s", strerror(errno));
     }
-    if (!watch(peer, EPOLL_CTL_ADD, peer->wake_fd, EPOLLIN, DATA_WAKE) ||
-        !watch(peer, EPOLL_CTL_ADD, peer->listen_fd, EPOLLIN, DATA_LISTEN)) {
+    if (!peer_watch(peer, EPOLL_CTL_ADD, peer->wake_fd, EPOLLIN, DATA_WAKE) ||
+        !peer_watch(peer, EPOLL_CTL_ADD, peer->listen_fd, EPOLLIN,
+                    DATA_LISTEN)) {
         return err_set(err, ERR_IO, "epoll: %s", strerror(errno));
     }
     return true;
@@ -559,7 +134,7 @@
     struct handle handle;
 
     for (int i = 0; i < PEER_MAX; i++) {
-        link_reset(peer, &peer->links[i]);
+        outgoing_reset(peer, &peer->links[i]);
     }
     while (table_next(&peer->connections, &cursor, &handle) != NULL) {
         connection_close(peer, handle);
@@ -608,7 +183,7 @@
 
     atomic_store(&peer->stopping, true);
     ring_close(&peer->ring);
-    wake(peer);
+    peer_wake(peer);
 }
 
 static const struct duty_ops peer_duty_ops = {peer_run, peer_stop};
@@ -764,7 +339,7 @@
                  err.text);
         return false;
     }
-    wake(peer);
+    peer_wake(peer);
     return true;
 }
 
@@ -777,7 +352,7 @@
 peer_forget(struct peer *peer, uint64_t member)
 {
     directory_forget(&peer->directory, member);
-    wake(peer);
+    peer_wake(peer);
 }
 
 static struct peer_frame *
@@ -809,7 +384,7 @@
         directory_release(&peer->directory, frame->entry, frame->count);
         return false;
     }
-    wake(peer);
+    peer_wake(peer);
     return true;
 }
 
