Split swim.c by subject

Change: send.c holds the messages sent and random choices, receive.c those received and refutations, probe.c probes and the suspicions that follow, greet.c greetings; swim.c keeps changes of entries and the timers. What they share stands in internal.h, each constant with the only file that uses it. Functions only moved; shared ones got the prefix of their file. No change of behaviour.

--- a/src/turmericd/fleet/member/fns.h
+++ b/src/turmericd/fleet/member/fns.h
@@ -41,7 +41,7 @@
 int roster_pick_news(struct roster *roster, struct member_info *news,
                      int count, int max);
 
-/* swim.c; pure. */
+/* swim.c, receive.c, probe.c; pure. */
 bool swim_init(struct swim *swim, const struct member_info *self,
                uint64_t seed, struct swim_port *port, struct err *err);
 void swim_free(struct swim *swim);
