--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 $(BUILD)/bench/system_bench: $(CLUSTER)
+$(BUILD)/bench/policy_bench: $(call OBJECT,$(wildcard bench/policy/*.c))
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/sample.o $(BUILD)/libstandin.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
