Evict a leaf that was used earlier than the requests that run

Cause: on an engine that runs any request, every leaf used within 120 s was kept, because reports count requests per engine and not per leaf. After the loss of a data centre at dawn every engine is busy, so nothing could be evicted within wait_max_ms and callers of cold leaves were refused. Change: at most as many leaves are in use as the engine runs or queues requests. A leaf is kept for the 120 s only if fewer leaves than that were used later on the engine, as far as the instance knows the uses. A wrong guess interrupts nothing, as the engine unloads gracefully. The limits of replicas and memory are not touched.

--- a/bench/policy/dat.h
+++ b/bench/policy/dat.h
@@ -6,6 +6,7 @@
     MODELS = 110,
     LEAVES_MAX = 256,
     REPLICAS_MAX = 8,
+    OWNERS = 5,
     DAY_MS = 24 * 3600 * 1000,
 };
 
@@ -110,6 +111,7 @@
  * @keep: what is kept loaded
  * @busy_ms: leaves used within this time stay on an engine that runs
  *           requests; 0 for the present rule
+ * @all_known: each owner knows the uses of all leaves, not only of its own
  * @spread: a further replica goes to another data centre where possible
  */
 struct policy {
@@ -119,6 +121,7 @@
     enum keep keep;
     int64_t busy_ms;
     bool spread;
+    bool all_known;
 };
 
 enum replica_state { REPLICA_LOADING, REPLICA_LOADED, REPLICA_UNLOADING };
@@ -165,7 +168,8 @@
  * @policy: policy
  * @fault: what fails at dawn
  * @day: the callers
- * @place: only the time in it is used, by leaf_fixed()
+ * @place: only the time and the leaves in it are used, by leaf_fixed()
+ * @known: leaves by id, those of each owner and then all
  * @now_ms: virtual time
  * @views: engines
  * @leaves: leaves
@@ -189,6 +193,7 @@
     enum fault fault;
     const struct day *day;
     struct place place;
+    GHashTable *known[OWNERS + 1];
     int64_t now_ms;
     struct engine_view views[ENGINES];
     struct sim_leaf leaves[LEAVES_MAX];
--- a/bench/policy/fleet.c
+++ b/bench/policy/fleet.c
@@ -125,8 +125,15 @@
     GRand *rand = g_rand_new_with_seed(1);
 
     sim->leaf_count = MODELS + sim->scenario->adapters;
+    for (int i = 0; i <= OWNERS; i++) {
+        sim->known[i] = g_hash_table_new(g_int64_hash, g_int64_equal);
+    }
     for (int i = 0; i < sim->leaf_count; i++) {
+        struct leaf *leaf = &sim->leaves[i].leaf;
+
         init_leaf(sim, i);
+        g_hash_table_insert(sim->known[i % OWNERS], &leaf->id, leaf);
+        g_hash_table_insert(sim->known[OWNERS], &leaf->id, leaf);
     }
     for (int i = 0; i < ENGINES; i++) {
         init_engine(sim, i, rand);
--- a/bench/policy/rules.c
+++ b/bench/policy/rules.c
@@ -82,20 +82,21 @@
 static const struct policy_ops fit = {best_fit, NULL, NULL};
 
 const struct policy policies[] = {
-    {&present, "present", 0, KEEP_NONE, 0, false},
-    {&last_use, "evict-last-use", 0, KEEP_NONE, 0, false},
-    {&no_caches, "no-caches", 0, KEEP_NONE, 0, false},
-    {&arrival, "turns-by-arrival", 0, KEEP_NONE, 0, false},
-    {&present, "idle-unload-300", 300, KEEP_NONE, 0, false},
-    {&present, "idle-unload-600", 600, KEEP_NONE, 0, false},
-    {&present, "idle-unload-1800", 1800, KEEP_NONE, 0, false},
-    {&present, "min-all-day", 0, KEEP_ALWAYS, 0, false},
-    {&present, "min-before-dawn", 0, KEEP_BEFORE, 0, false},
-    {&present, "spread-replicas", 0, KEEP_NONE, 0, true},
-    {&fit, "best-fit", 0, KEEP_NONE, 0, false},
-    {&present, "busy-120s", 0, KEEP_NONE, 120000, false},
-    {&present, "busy-30s", 0, KEEP_NONE, 30000, false},
-    {&present, "busy-10s", 0, KEEP_NONE, 10000, false},
+    {&present, "present", 0, KEEP_NONE, 0, false, false},
+    {&last_use, "evict-last-use", 0, KEEP_NONE, 0, false, false},
+    {&no_caches, "no-caches", 0, KEEP_NONE, 0, false, false},
+    {&arrival, "turns-by-arrival", 0, KEEP_NONE, 0, false, false},
+    {&present, "idle-unload-300", 300, KEEP_NONE, 0, false, false},
+    {&present, "idle-unload-600", 600, KEEP_NONE, 0, false, false},
+    {&present, "idle-unload-1800", 1800, KEEP_NONE, 0, false, false},
+    {&present, "min-all-day", 0, KEEP_ALWAYS, 0, false, false},
+    {&present, "min-before-dawn", 0, KEEP_BEFORE, 0, false, false},
+    {&present, "spread-replicas", 0, KEEP_NONE, 0, true, false},
+    {&fit, "best-fit", 0, KEEP_NONE, 0, false, false},
+    {&present, "busy-120s", 0, KEEP_NONE, 120000, false, false},
+    {&present, "busy-30s", 0, KEEP_NONE, 30000, false, false},
+    {&present, "busy-10s", 0, KEEP_NONE, 10000, false, false},
+    {&present, "all-uses-known", 0, KEEP_NONE, 0, false, true},
 };
 const int policy_count = (int)G_N_ELEMENTS(policies);
 
@@ -172,6 +173,9 @@
     if (sim->now_ms < leaf->base_until_ms) {
         return true;
     }
+    sim->place.leaves =
+        sim->known[sim->policy->all_known ? OWNERS
+                                          : (leaf - sim->leaves) % OWNERS];
     if (busy_ms == 0) {
         return leaf_fixed(&sim->place, &leaf->leaf, view, &leaf->node);
     }
--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -397,6 +397,9 @@
     for (int i = 0; i < 2; i++) {
         g_array_unref(sim->waits[i]);
     }
+    for (int i = 0; i <= OWNERS; i++) {
+        g_hash_table_unref(sim->known[i]);
+    }
     g_array_unref(sim->waiting);
     g_array_unref(sim->running);
     g_free(sim);
--- a/src/turmericd/place/evict.c
+++ b/src/turmericd/place/evict.c
@@ -33,16 +33,37 @@
     EVICT_REFUSED_MS = 5000,
 };
 
+/*
+ * At most as many leaves are in use as the engine runs requests, and those
+ * used last are the likeliest. A wrong guess interrupts nothing: the engine
+ * lets running requests finish before it unloads.
+ */
+static bool
+used_early(struct place *place, const struct leaf *leaf,
+           const struct engine_view *view)
+{
+    const struct target_report *report = &view->report;
+    uint32_t later = 0;
+
+    for (int i = 0; i < report->loaded_count; i++) {
+        const struct leaf *other = leaf_find(place, report->loaded[i]);
+
+        later += other != NULL && other->used_ms > leaf->used_ms;
+    }
+    return later >= report->running + report->waiting;
+}
+
 static bool
-may_run(const struct engine_view *view, int64_t idle_ms, int64_t unload_ms)
+may_run(struct place *place, const struct leaf *leaf,
+        const struct engine_view *view, int64_t unload_ms)
 {
     int64_t longest =
         unload_ms < RUNNING_LONGEST_MS ? unload_ms : RUNNING_LONGEST_MS;
 
-    if (view->report.running + view->report.waiting == 0) {
+    if (used_early(place, leaf, view)) {
         longest = longest < IDLE_SHORTEST_MS ? longest : IDLE_SHORTEST_MS;
     }
-    return idle_ms < longest;
+    return place->now_ms - leaf->used_ms < longest;
 }
 
 /**
@@ -62,7 +83,7 @@
         return node->settings.replicas_min > 0;
     }
     if (leaf->want_ms != 0 || leaf->moving ||
-        may_run(view, place->now_ms - leaf->used_ms, unload_ms)) {
+        may_run(place, leaf, view, unload_ms)) {
         return true;
     }
     if (leaf->owned && leaf->view_count > node->settings.replicas_min) {
--- a/test/place_test.c
+++ b/test/place_test.c
@@ -640,6 +640,59 @@
     g_assert_cmpint(eviction.count, ==, count);
 }
 
+/* Guards against room that is refused while an engine surely holds an idle
+   leaf, and against the eviction of a leaf that may run. Leaf A is asked
+   about; leaf B was used earlier or later. */
+struct stay_case {
+    const char *name;
+    int64_t idle_ms;
+    int64_t other_idle_ms;
+    bool other_here;
+    uint32_t running;
+    uint32_t waiting;
+    bool fixed;
+};
+
+static const struct stay_case stay_cases[] = {
+    {"used_last", 10000, 20000, true, 1, 0, true},
+    {"used_earlier", 20000, 10000, true, 1, 0, false},
+    {"both_may_run", 20000, 10000, true, 2, 0, true},
+    {"waiting_counts", 20000, 10000, true, 1, 1, true},
+    {"used_just_now", 2000, 1000, true, 1, 0, true},
+    {"on_another_engine", 20000, 10000, false, 1, 0, true},
+};
+
+static void
+test_stay(gconstpointer data)
+{
+    const struct stay_case *c = data;
+    const int64_t now_ms = 1000000;
+    struct place *place = g_new0(struct place, 1);
+    struct leaf leaves[2] = {
+        {.id = A, .owned = true, .view_count = 1},
+        {.id = B, .owned = true, .view_count = 1},
+    };
+    struct node node = {.settings.idle_unload_s = 600};
+    struct engine_view view;
+
+    fill_view(&view, &(struct engine_row)ROW(50), 1);
+    view.report.running = c->running;
+    view.report.waiting = c->waiting;
+    view.report.loaded[view.report.loaded_count++] = A;
+    if (c->other_here) {
+        view.report.loaded[view.report.loaded_count++] = B;
+    }
+    leaves[0].used_ms = now_ms - c->idle_ms;
+    leaves[1].used_ms = now_ms - c->other_idle_ms;
+    place->now_ms = now_ms;
+    place->leaves = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g_hash_table_insert(place->leaves, &leaves[0].id, &leaves[0]);
+    g_hash_table_insert(place->leaves, &leaves[1].id, &leaves[1]);
+    g_assert_true(leaf_fixed(place, &leaves[0], &view, &node) == c->fixed);
+    g_hash_table_unref(place->leaves);
+    g_free(place);
+}
+
 /* Guards against more loads from the store than its limits, and against turns
    that a vanished holder keeps. A step is an event and the tokens granted
    after it; the limits are 2 at once and 3 a second. */
@@ -1081,6 +1134,7 @@
     ADD_ALL("life", life_cases, test_life)
     ADD_ALL("choose", choose_cases, test_choose)
     ADD_ALL("evict", evict_cases, test_evict)
+    ADD_ALL("stay", stay_cases, test_stay)
     ADD_ALL("turn", turn_cases, test_turn)
     ADD_ALL("step", step_cases, test_step)
     ADD_ALL("http", http_cases, test_http)
