--- a/src/turmericd/serve/route/retry.c
+++ b/src/turmericd/serve/route/retry.c
@@ -66,8 +66,10 @@
  * @now_ms: present time
  *
  * Retries of the last BUDGET_SECONDS stay within BUDGET_PERCENT of the
- * requests of that time, but BUDGET_MIN are always allowed: otherwise a
- * failing fleet gets several times its usual load.
+ * requests of that time, as a failing fleet would otherwise get several times
+ * its usual load. BUDGET_MIN are always allowed: where few requests run, one
+ * lost engine breaks all its calls at once, and these few can't overload the
+ * rest.
  */
 bool
 budget_has_room(const struct budget *budget, int64_t now_ms)
