Guard the stand-ins' server against a switch while it starts

Cause: the thread sanitizer reported a race in http_server_start (outage test plain_leaving, one of 3,369 tests): a request to the control address switched the faults while the role's own thread was still starting the server.

Change: a lock around starting and stopping the server.

--- a/src/standin/dat.h
+++ b/src/standin/dat.h
@@ -60,6 +60,7 @@
  * struct role - a stand-in for one part of the platform
  * @ops: behaviour; first member of every role
  * @lock: guards @faults and the role's own state
+ * @switch_lock: guards starting and stopping @server
  * @wake: broadcast at the stop, so that simulated delays end early
  */
 struct role {
@@ -69,6 +70,7 @@
     struct http_server *control;
     struct faults faults;
     pthread_mutex_t lock;
+    pthread_mutex_t switch_lock;
     pthread_cond_t wake;
     bool stopping;
     int64_t calls;
--- a/src/standin/role.c
+++ b/src/standin/role.c
@@ -190,6 +190,23 @@
               sizeof(faults->crash_on));
 }
 
+/* The role's thread and requests on the control address switch the server. */
+static bool
+switch_server(struct role *role, bool down, struct err *err)
+{
+    bool done = true;
+
+    pthread_mutex_lock(&role->switch_lock);
+    if (down) {
+        http_server_stop(role->server);
+    }
+    else {
+        done = http_server_start(role->server, err);
+    }
+    pthread_mutex_unlock(&role->switch_lock);
+    return done;
+}
+
 static int
 post_faults(const struct _u_request *request, struct _u_response *response,
             void *user_data)
@@ -210,10 +227,7 @@
     reply = faults_format(&role->faults);
     pthread_mutex_unlock(&role->lock);
     json_object_put(body);
-    if (down) {
-        http_server_stop(role->server);
-    }
-    else if (!http_server_start(role->server, &err)) {
+    if (!switch_server(role, down, &err)) {
         json_object_put(reply);
         reply_error(response, 500, err.text);
         return U_CALLBACK_COMPLETE;
@@ -253,6 +267,7 @@
     role->ops = ops;
     role->options = options;
     pthread_mutex_init(&role->lock, NULL);
+    pthread_mutex_init(&role->switch_lock, NULL);
     cond_init_monotonic(&role->wake);
     role->server = http_server_new(options->address, &limits, err);
     if (role->server == NULL || !ops->prepare(role, err)) {
@@ -284,7 +299,7 @@
         !http_server_start(role->control, err)) {
         return false;
     }
-    return http_server_start(role->server, err);
+    return switch_server(role, false, err);
 }
 
 /**
