Believe a peer that a target leaves, also after an own poll

Cause: outage test plain_leaving failed under the thread sanitizer in 5 of 15 runs. With times in the log: two instances knew after 0 ms that the target leaves, the third after 5 s. It had polled the target itself less than 2 s before, when it still owned the polls, and ignored the owner's report; the next one came with the 5 s refresh. Ruled out: lost frames (no drop counted) and the route duty (it acts on each report).

--- a/src/turmericd/fleet/observe/merge.c
+++ b/src/turmericd/fleet/observe/merge.c
@@ -200,6 +200,18 @@
     return now_ms - observed->polled_ms < OWN_POLL_FRESH_MS;
 }
 
+/* A target says only once that it leaves, so this counts even against an own
+ * poll that is a little older; the next own poll corrects a wrong one. */
+static bool
+take_leaving(struct observed *observed, const struct target_report *report)
+{
+    if (report->state != TARGET_LEAVING) {
+        return false;
+    }
+    observed->said_leaving = true;
+    return update_state(observed);
+}
+
 /**
  * merge_peer() - a peer reports the target
  * @observed: the target
@@ -221,7 +233,7 @@
     }
     if (polled_lately(observed, now_ms) &&
         (load_only || report->incarnation <= observed->report->incarnation)) {
-        return false;
+        return take_leaving(observed, report);
     }
     if (load_only && merge_unknown(observed, now_ms)) {
         return false;
