--- a/Makefile
+++ b/Makefile
@@ -96,7 +96,7 @@
 # tests wait for processes.
 check: deps
 	$(MAKE) format lint
-	$(MAKE) -j 8 test-programs
+	$(MAKE) -j 8 test-programs $(BENCHES)
 	$(MAKE) -j 8 VARIANT=asan test-programs
 	$(MAKE) -j 8 VARIANT=tsan test-programs
 	JOBS=8 sh ./test/run.sh $(foreach v,asan tsan plain,$(TESTS:$(BUILD)/%=build/$(v)/%))
--- a/bench/chaos_bench.c
+++ b/bench/chaos_bench.c
@@ -67,7 +67,7 @@
     int faults;
 };
 
-struct caller {
+struct client {
     struct chaos *chaos;
     int number;
     uint64_t random;
@@ -119,11 +119,11 @@
 }
 
 static struct process *
-random_entry(struct caller *caller)
+random_entry(struct client *client)
 {
-    int number = 1 + (int)(next_random(&caller->random) % ENTRIES);
+    int number = 1 + (int)(next_random(&client->random) % ENTRIES);
 
-    return cluster_find(caller->chaos->cluster, PROCESS_ENTRY, number);
+    return cluster_find(client->chaos->cluster, PROCESS_ENTRY, number);
 }
 
 static void
@@ -167,19 +167,19 @@
 }
 
 static void
-chat_once(struct caller *caller, struct answer *answer, int call)
+chat_once(struct client *client, struct answer *answer, int call)
 {
-    struct tally *tally = &caller->chaos->tally;
-    char *question = g_strdup_printf("caller-%d-%d", caller->number, call);
+    struct tally *tally = &client->chaos->tally;
+    char *question = g_strdup_printf("caller-%d-%d", client->number, call);
     char *body = g_strdup_printf(
         "{\"model\": \"m%d\", \"stream\": true, \"max_tokens\": %d, "
         "\"messages\": [{\"role\": \"user\", \"content\": \"%s\"}]}",
-        1 + (int)(next_random(&caller->random) % MODELS), TOKENS, question);
+        1 + (int)(next_random(&client->random) % MODELS), TOKENS, question);
     int64_t start_ms = clock_now_ms();
     bool over = false;
 
     for (int i = 0; i < REPEATS_MAX && !over; i++) {
-        request_send(random_entry(caller), "POST", "/v1/chat/completions",
+        request_send(random_entry(client), "POST", "/v1/chat/completions",
                      NULL, body, answer);
         over = judge_chat(tally, answer, question);
         if (!over) {
@@ -197,11 +197,11 @@
 static void *
 run_chats(void *argument)
 {
-    struct caller *caller = argument;
+    struct client *client = argument;
     struct answer *answer = g_new0(struct answer, 1);
 
-    for (int call = 0; !atomic_load(&caller->chaos->stop); call++) {
-        chat_once(caller, answer, call);
+    for (int call = 0; !atomic_load(&client->chaos->stop); call++) {
+        chat_once(client, answer, call);
     }
     g_free(answer);
     return NULL;
@@ -209,16 +209,16 @@
 
 /* A caller repeats an order only while it is told that it was not run. */
 static void
-order_once(struct caller *caller, struct answer *answer, int call)
+order_once(struct client *client, struct answer *answer, int call)
 {
-    struct tally *tally = &caller->chaos->tally;
+    struct tally *tally = &client->chaos->tally;
     char key[64];
     const char *const headers[][2] = {{"Idempotency-Key", key}, {NULL, NULL}};
 
-    snprintf(key, sizeof(key), "order-%d-%d", caller->number, call);
+    snprintf(key, sizeof(key), "order-%d-%d", client->number, call);
     atomic_fetch_add(&tally->orders, 1);
     for (int i = 0; i < REPEATS_MAX; i++) {
-        request_send(random_entry(caller), "POST",
+        request_send(random_entry(client), "POST",
                      "/v1/services/orders/orders", headers, "{}", answer);
         if (answer->status == 200) {
             atomic_fetch_add(&tally->confirmed, 1);
@@ -240,11 +240,11 @@
 static void *
 run_orders(void *argument)
 {
-    struct caller *caller = argument;
+    struct client *client = argument;
     struct answer *answer = g_new0(struct answer, 1);
 
-    for (int call = 0; !atomic_load(&caller->chaos->stop); call++) {
-        order_once(caller, answer, call);
+    for (int call = 0; !atomic_load(&client->chaos->stop); call++) {
+        order_once(client, answer, call);
         wait_ms(50);
     }
     g_free(answer);
@@ -389,28 +389,6 @@
     }
 }
 
-static int
-most_replicas(struct json_object *history, const char *model)
-{
-    int most = 0;
-
-    for (size_t i = 0; i < json_object_array_length(history); i++) {
-        int64_t moment =
-            json_number(json_object_array_get_idx(history, i), "from_ms", 0);
-        int held = 0;
-
-        for (size_t j = 0; j < json_object_array_length(history); j++) {
-            struct json_object *at = json_object_array_get_idx(history, j);
-
-            held += strcmp(json_text(at, "model", ""), model) == 0 &&
-                    json_number(at, "from_ms", 0) <= moment &&
-                    json_number(at, "to_ms", INT64_MAX) > moment;
-        }
-        most = MAX(most, held);
-    }
-    return most;
-}
-
 static void
 print_invariants(struct chaos *chaos)
 {
@@ -467,14 +445,14 @@
 }
 
 static void
-start_callers(struct chaos *chaos, struct caller *callers, uint64_t seed)
+start_callers(struct chaos *chaos, struct client *clients, uint64_t seed)
 {
     for (int i = 0; i < CHAT_CALLERS + ORDER_CALLERS; i++) {
-        callers[i].chaos = chaos;
-        callers[i].number = i;
-        callers[i].random = hash_pair(seed, (uint64_t)i);
-        pthread_create(&callers[i].thread, NULL,
-                       i < CHAT_CALLERS ? run_chats : run_orders, &callers[i]);
+        clients[i].chaos = chaos;
+        clients[i].number = i;
+        clients[i].random = hash_pair(seed, (uint64_t)i);
+        pthread_create(&clients[i].thread, NULL,
+                       i < CHAT_CALLERS ? run_chats : run_orders, &clients[i]);
     }
 }
 
@@ -489,7 +467,7 @@
                                        .entries = ENTRIES,
                                        .tree = tree};
     static struct chaos chaos;
-    struct caller callers[CHAT_CALLERS + ORDER_CALLERS];
+    struct client clients[CHAT_CALLERS + ORDER_CALLERS];
     uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 20261204;
     int seconds = argc > 2 ? atoi(argv[2]) : SECONDS;
 
@@ -499,11 +477,11 @@
     build_tree();
     chaos.cluster = cluster_start(&shape);
     chaos.history = json_object_new_array();
-    start_callers(&chaos, callers, seed);
+    start_callers(&chaos, clients, seed);
     run_faults(&chaos, seed, seconds, argc > 3 ? argv[3] : NULL);
     atomic_store(&chaos.stop, true);
     for (int i = 0; i < CHAT_CALLERS + ORDER_CALLERS; i++) {
-        pthread_join(callers[i].thread, NULL);
+        pthread_join(clients[i].thread, NULL);
     }
     printf("faults=%d\n", chaos.faults);
     print_tally(&chaos.tally);
--- a/src/standin/dat.h
+++ b/src/standin/dat.h
@@ -1,6 +1,8 @@
 #ifndef STANDIN_DAT_H
 #define STANDIN_DAT_H
 
+#include <glib.h>
+
 enum { STANDIN_BODY_MAX_BYTES = 4 * 1024 * 1024, MARKER_MAX_BYTES = 64 };
 
 /**
@@ -76,6 +78,31 @@
     int64_t calls;
 };
 
+/**
+ * struct engine_role - model engine
+ *
+ * Everything is guarded by the role's lock.
+ */
+struct engine_role {
+    struct role role;
+    uint64_t incarnation;
+    GHashTable *loaded;  /* path -> memory in MB */
+    GHashTable *loading; /* path -> itself, while its weights are fetched */
+    GHashTable *cached;  /* path -> itself */
+    GHashTable *streams; /* stream id -> itself */
+    GHashTable *cancelled;
+    uint64_t fence;
+    int64_t used_mb;
+    int64_t running;
+    int64_t loads;
+    int64_t unloads;
+    int64_t overcommits_refused;
+    int64_t fences_refused;
+    int64_t chats;
+    int64_t cancels;
+    struct json_object *history; /* one object for each replica ever held */
+};
+
 /**
  * struct standin - duty that runs a role
  */
--- a/src/standin/fns.h
+++ b/src/standin/fns.h
@@ -24,6 +24,9 @@
 struct role *list_role_new(const struct options *options, struct err *err);
 struct role *store_role_new(const struct options *options, struct err *err);
 
+/* chat.c */
+bool engine_add_chat(struct engine_role *engine);
+
 /* duty.c */
 bool standin_init(struct standin *standin, struct role *role, struct err *err);
 
--- a/test/cluster/caller.c
+++ b/test/cluster/caller.c
@@ -144,8 +144,12 @@
     return sum;
 }
 
-/* Most replicas of a model that held memory at one time, over all engines. */
-static int
+/**
+ * most_replicas() - most replicas of a model that held memory at one time
+ * @history: replicas of all engines
+ * @model: name of the model
+ */
+int
 most_replicas(struct json_object *history, const char *model)
 {
     int most = 0;
--- a/test/cluster/fns.h
+++ b/test/cluster/fns.h
@@ -35,6 +35,7 @@
 bool is_whole(const struct caller *caller);
 void assert_whole(struct caller *caller);
 void ask(struct process *entry, const char *model, int tokens, int number);
+int most_replicas(struct json_object *history, const char *model);
 int64_t engines_sum(struct cluster *cluster, const char *key);
 void assert_within_limits(struct cluster *cluster);
 void *send_order(void *argument);
