Let the example check that instances stop with code 0

Cause: the example said that every process stops gracefully and did not look. Change: it waits for each instance and fails on another exit code.

--- a/examples/run.sh
+++ b/examples/run.sh
@@ -8,6 +8,7 @@
 base=${BASE_PORT:-18400}
 work=$(mktemp -d)
 pids=""
+entries=""
 
 port() { echo "127.0.0.1:$((base + $1))"; }
 
@@ -79,6 +80,7 @@
 }
 END
     start "$1" "$build/turmericd" "$work/$1.json"
+    entries="$entries $!"
 }
 
 printf 'example-token' >"$work/token"
@@ -185,4 +187,10 @@
 "$ctl" status
 "$ctl" counters | grep -v ' 0$' | head -n 40
 
-step "every process stops gracefully"
+step "every instance stops gracefully"
+# shellcheck disable=SC2086
+kill $entries
+for pid in $entries; do
+    wait "$pid" || fail "an instance ended with code $?"
+done
+echo "all instances ended with code 0"
