--- a/bench/system_bench.c
+++ b/bench/system_bench.c
@@ -26,7 +26,7 @@
 
 enum {
     IDLE_MS = 10000,
-    LOOKUPS = 300,
+    LOOKUPS = 2100,
     RUNS = 21,
     ORDERS = 200,
     STREAMS = 100,
@@ -181,11 +181,10 @@
     struct answer *answer = g_new0(struct answer, 1);
     struct samples direct = {0};
     struct samples through = {0};
-    struct samples cpu = {0};
+    double cpu_ms = read_cpu_ms(entry->pid);
 
     for (int run = 0; run < RUNS; run++) {
         gint64 start = g_get_monotonic_time();
-        double cpu_ms = read_cpu_ms(entry->pid);
 
         for (int i = 0; i < LOOKUPS / RUNS; i++) {
             request_send(plain, "GET", "/stock", NULL, NULL, answer);
@@ -199,14 +198,17 @@
         }
         sample_add(&through, (double)(g_get_monotonic_time() - start) /
                                  (LOOKUPS / RUNS));
-        sample_add(&cpu, (read_cpu_ms(entry->pid) - cpu_ms) * 1000.0 /
-                             (LOOKUPS / RUNS));
     }
     sample_print(&direct, "lookup_direct", "us");
     sample_print(&through, "lookup_through_entry", "us");
     printf("lookup_ratio=%.2f\n",
            sample_median(&through) / sample_median(&direct));
-    sample_print(&cpu, "lookup_cpu", "us_per_request");
+    /* The kernel counts processor time in steps of 10 ms, so only the sum
+     * over all lookups means something; it includes the idle instance's. */
+    printf("lookup_cpu_us=%.0f lookups=%d\n",
+           (read_cpu_ms(entry->pid) - cpu_ms) * 1000.0 /
+               (LOOKUPS / RUNS * RUNS),
+           LOOKUPS / RUNS * RUNS);
     g_free(answer);
 }
 
