Run the cases on clusters by one function

Cause: system_test and outage_test had the same 30 lines of set-up and main. Change: cluster_run_cases() in test/cluster/cases.c.

--- a/test/cluster/dat.h
+++ b/test/cluster/dat.h
@@ -110,4 +110,13 @@
     pthread_t thread;
 };
 
+/**
+ * struct cluster_case - a test on a running cluster
+ */
+struct cluster_case {
+    const char *name;
+    const struct shape *shape;
+    void (*run)(struct cluster *cluster);
+};
+
 #endif
--- a/test/cluster/fns.h
+++ b/test/cluster/fns.h
@@ -43,4 +43,8 @@
 int64_t plains_sum(struct cluster *cluster, const char *stat);
 bool is_fresh(void *context);
 
+/* cases.c */
+int cluster_run_cases(int argc, char **argv, const char *group,
+                      const struct cluster_case *cases, size_t count);
+
 #endif
--- a/test/outage_test.c
+++ b/test/outage_test.c
@@ -699,13 +699,7 @@
                                       .entries = 3,
                                       .tree = TREE("false")};
 
-struct outage_case {
-    const char *name;
-    const struct shape *shape;
-    void (*run)(struct cluster *cluster);
-};
-
-static const struct outage_case outage_cases[] = {
+static const struct cluster_case cases[] = {
     {"engine_leaving", &small, run_engine_leaving},
     {"engine_listed_leaving", &small, run_engine_listed_leaving},
     {"plain_leaving", &small, run_plain_leaving},
@@ -721,28 +715,8 @@
     {"rolling_replacement", &small, run_rolling_replacement},
 };
 
-static void
-test_outage(gconstpointer data)
-{
-    const struct outage_case *c = data;
-    struct cluster *cluster = cluster_start(c->shape);
-
-    c->run(cluster);
-    cluster_stop(cluster);
-}
-
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
-    g_test_set_nonfatal_assertions();
-    signal(SIGPIPE, SIG_IGN);
-    cluster_use_programs(argv[0]);
-    for (size_t i = 0; i < G_N_ELEMENTS(outage_cases); i++) {
-        char *path = g_strdup_printf("/outage/%s", outage_cases[i].name);
-
-        g_test_add_data_func(path, &outage_cases[i], test_outage);
-        g_free(path);
-    }
-    return g_test_run();
+    return cluster_run_cases(argc, argv, "outage", cases, G_N_ELEMENTS(cases));
 }
--- a/test/system_test.c
+++ b/test/system_test.c
@@ -414,13 +414,7 @@
                                   .entries = 3,
                                   .tree = tree};
 
-struct system_case {
-    const char *name;
-    const struct shape *shape;
-    void (*run)(struct cluster *cluster);
-};
-
-static const struct system_case system_cases[] = {
+static const struct cluster_case cases[] = {
     {"cold_burst", &small, run_cold_burst},
     {"engine_killed", &small, run_engine_killed},
     {"order_once", &small, run_order_once},
@@ -433,28 +427,8 @@
     {"edit_race", &small, run_edit_race},
 };
 
-static void
-test_system(gconstpointer data)
-{
-    const struct system_case *c = data;
-    struct cluster *cluster = cluster_start(c->shape);
-
-    c->run(cluster);
-    cluster_stop(cluster);
-}
-
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
-    g_test_set_nonfatal_assertions();
-    signal(SIGPIPE, SIG_IGN);
-    cluster_use_programs(argv[0]);
-    for (size_t i = 0; i < G_N_ELEMENTS(system_cases); i++) {
-        char *path = g_strdup_printf("/system/%s", system_cases[i].name);
-
-        g_test_add_data_func(path, &system_cases[i], test_system);
-        g_free(path);
-    }
-    return g_test_run();
+    return cluster_run_cases(argc, argv, "system", cases, G_N_ELEMENTS(cases));
 }
