Keep route's ring free for results; prove "not sent" by two signs

Cause: half of the route duty's ring is kept for results, but strikes from other instances and answers to wants could fill that half too. A result that finds no room is lost, and its call stays without an answer. "Not run" after a failed transfer rested on libcurl's connect time alone.

A request counts as sent when libcurl shows a connect time or has handed bytes of the request to the socket.

--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -188,13 +188,17 @@
     set_body(transfer, request, text);
 }
 
+/* "Not run" rests on this, so both signs must be missing: a connect time, and
+ * bytes of the request handed to the socket. */
 static bool
 was_connected(CURL *easy)
 {
     curl_off_t connect_us = 0;
+    long request_bytes = 0;
 
     curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-    return connect_us > 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    return connect_us > 0 || request_bytes > 0;
 }
 
 static enum transfer_end
--- a/src/turmericd/serve/route/route.c
+++ b/src/turmericd/serve/route/route.c
@@ -186,7 +186,8 @@
     return &route->duty;
 }
 
-/* Keeps half of the ring for what must not be lost. */
+/* Keeps half of the ring for results and verdicts. A lost result would leave
+ * its call without an answer; all else is repeated or can be refused. */
 static bool
 push_bounded(struct route *route, const struct message *message,
              struct err *err)
@@ -268,7 +269,7 @@
         .placement = *placement,
     };
 
-    return ring_push(&route->ring, &message, err);
+    return push_bounded(route, &message, err);
 }
 
 /**
@@ -303,5 +304,5 @@
         .strike = {fingerprint, target, incarnation},
     };
 
-    return ring_push(&route->ring, &message, err);
+    return push_bounded(route, &message, err);
 }
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -40,12 +40,16 @@
 #include "turmericd/serve/call/fns.h"
 #include "turmericd/serve/route/dat.h"
 #include "turmericd/serve/route/internal.h"
+#include "turmericd/serve/route/fns.h"
 #include "turmericd/serve/route/core.h"
 #include "serve.h"
 #include "cases.h"
 
 enum { CALLS_MAX = 400, START_MS = 1000000, WORDS_MAX = 8, SEED = 20261204 };
 
+/* As many as the forward duty has workers at most. */
+enum { RESULTS_AT_ONCE = 256 };
+
 static const char tree_text[] =
     "/s type \"service\"; /s inflight_max 2; /s wait_max_ms 5000; "
     "/s/a type \"model\"; /s/b type \"model\"; /s/q type \"model\"; "
@@ -883,6 +887,66 @@
     strikes_free(strikes);
 }
 
+static bool
+flood_strike(struct route *route)
+{
+    return route_post_strike(route, 1, 2, 3, NULL);
+}
+
+static bool
+flood_placement(struct route *route)
+{
+    struct placement placement = {.leaf = 1};
+
+    return route_post_placement(route, &placement, NULL);
+}
+
+static bool
+flood_report(struct route *route)
+{
+    struct target_report report = {.id = 1};
+
+    return route_post_report(route, &report, NULL);
+}
+
+static bool
+flood_call(struct route *route)
+{
+    return route_post_call(route, (struct handle){0, 1}, NULL);
+}
+
+/* Guards against a result that is lost, and with it the answer to its call,
+ * because messages that are repeated or sent by others fill the ring. */
+struct flood_case {
+    const char *name;
+    bool (*post)(struct route *route);
+};
+
+static const struct flood_case flood_cases[] = {
+    {"strikes", flood_strike},
+    {"placements", flood_placement},
+    {"reports", flood_report},
+    {"calls", flood_call},
+};
+
+static void
+test_flood(gconstpointer data)
+{
+    const struct flood_case *c = data;
+    struct calls *calls = calls_new(1, NULL);
+    struct route_port port = {NULL};
+    struct route *route = route_new(calls, "x", SEED, &port, NULL);
+    struct attempt_result result = {.kind = ATTEMPT_OK};
+
+    while (c->post(route)) {
+    }
+    for (int i = 0; i < RESULTS_AT_ONCE; i++) {
+        g_assert_true(route_post_result(route, &result, NULL));
+    }
+    route_free(route);
+    calls_free(calls);
+}
+
 static const struct cases groups[] = {
     CASES("/route/admit", admit_cases, test_script),
     CASES("/route/queue", queue_cases, test_script),
@@ -892,6 +956,7 @@
     CASES("/route/claim", claim_cases, test_script),
     CASES("/route/strike", strike_cases, test_script),
     CASES("/route/budget", budget_cases, test_budget),
+    CASES("/route/flood", flood_cases, test_flood),
 };
 
 int
