--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Builds turmericd, turmericctl and standin into build/, and runs all checks.
+# Builds the programs into build/, and runs all checks.
 
 MAKEFLAGS += --no-print-directory
 VARIANT ?= plain
@@ -9,16 +9,18 @@
 # libraries have versioned symbols, so both can be loaded.
 CPPFLAGS := -Isrc -I. -D_GNU_SOURCE -DU_DISABLE_JANSSON $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 SANITIZE_plain := -O2
+SANITIZE_platform := -O2
 SANITIZE_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 SANITIZE_tsan := -O1 -fsanitize=thread
 CFLAGS := -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Werror -pthread $(SANITIZE_$(VARIANT))
-LDLIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm -pthread
+LDLIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm -pthread
 
-PROGRAMS := turmericd turmericctl standin
+PROGRAMS := turmericd turmericctl standin turmericgate
 GENERATED := $(wildcard src/proto/*.pb-c.[ch])
 SOURCES := $(shell find src -name '*.c')
-HAND := $(filter-out $(GENERATED),$(shell find src test bench -name '*.[ch]' 2>/dev/null))
-MAINS := $(PROGRAMS:%=src/%/main.c)
+HAND := $(filter-out $(GENERATED),$(shell find src platform test bench -name '*.[ch]' 2>/dev/null))
+MAINS := $(wildcard src/*/main.c)
+PLATFORM := $(wildcard platform/*.c)
 PART_standin := $(filter src/standin/%,$(SOURCES))
 PART_turmericctl := $(filter src/turmericctl/%,$(SOURCES))
 LIB_SOURCES := $(filter-out $(PART_standin) $(PART_turmericctl) $(MAINS),$(SOURCES))
@@ -56,6 +58,13 @@
 $(BUILD)/turmericctl: $(call OBJECT,$(PART_turmericctl)) $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
+$(BUILD)/libplatform.a: $(call OBJECT,$(filter-out platform/main.c,$(PLATFORM)))
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/turmericgate: $(BUILD)/platform/main.o $(BUILD)/libplatform.a $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
+
 TEST_HELPERS := $(call OBJECT,$(filter-out %_test.c,$(wildcard test/*.c)))
 CLUSTER := $(call OBJECT,$(wildcard test/cluster/*.c))
 $(BUILD)/test/system_test $(BUILD)/test/outage_test: $(CLUSTER)
--- a/deps.sh
+++ b/deps.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build and the checks need.
 set -eu
 packages="gcc make pkg-config clang-format cppcheck spin libulfius-dev
-libprotobuf-c-dev libjson-c-dev libglib2.0-dev libxxhash-dev libcurl4-gnutls-dev curl"
+libprotobuf-c-dev libjson-c-dev libglib2.0-dev libxxhash-dev libcurl4-gnutls-dev libhttp-parser-dev curl"
 missing=""
 for package in $packages; do
     if ! dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -27,6 +27,16 @@
     return read_ms(CLOCK_MONOTONIC);
 }
 
+/**
+ * clock_boot_ms() - like clock_now_ms(), but goes on while the machine is
+ * suspended, so that a lease can be seen to have ended meanwhile
+ */
+int64_t
+clock_boot_ms(void)
+{
+    return read_ms(CLOCK_BOOTTIME);
+}
+
 /**
  * clock_wall_ms() - milliseconds since 1970, for the age of UUIDv7 keys
  */
--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -180,7 +180,11 @@
     X(CTR_MEMBER_DEAD, "member_dead_total")                                   \
     X(CTR_REPORTS, "reports_total")                                           \
     X(CTR_POLLS_FAILED, "polls_failed_total")                                 \
-    X(CTR_DUTY_RESTARTS, "duty_restarts_total")
+    X(CTR_DUTY_RESTARTS, "duty_restarts_total")                               \
+    X(CTR_CONNECTS, "target_connects_total")                                  \
+    X(CTR_ORDERS, "orders_total")                                             \
+    X(CTR_ORDERS_FAILED, "orders_failed_total")                               \
+    X(CTR_LOG_DROPPED, "log_lines_dropped_total")
 
 enum counter {
 #define X(id, name) id,
@@ -229,6 +233,26 @@
     bool closed;
 };
 
+/**
+ * struct timer - point in time at which something is due
+ * @due_ms: monotonic
+ * @place: position in the heap, counted from 1; 0 while not in it
+ * @kind: the owner's kind of timer, which tells what it is a member of
+ */
+struct timer {
+    int64_t due_ms;
+    uint32_t place;
+    int kind;
+};
+
+/**
+ * struct heap - timers, the earliest first; not thread-safe
+ * @timers: GPtrArray of the timers, which stay their owners'
+ */
+struct heap {
+    struct _GPtrArray *timers;
+};
+
 enum ring_result { RING_OK, RING_TIMEOUT, RING_CLOSED };
 
 struct duty;
--- a/src/base/fns.h
+++ b/src/base/fns.h
@@ -1,6 +1,8 @@
 #ifndef BASE_FNS_H
 #define BASE_FNS_H
 
+#include <sys/socket.h>
+
 /* err.c */
 const struct err_info *err_info(enum err_kind kind);
 enum err_kind err_kind_by_name(const char *name);
@@ -24,6 +26,7 @@
 
 /* clock.c */
 int64_t clock_now_ms(void);
+int64_t clock_boot_ms(void);
 int64_t clock_wall_ms(void);
 struct timespec clock_deadline(int64_t timeout_ms);
 void cond_init_monotonic(pthread_cond_t *cond);
@@ -47,6 +50,13 @@
 void ring_close(struct ring *ring);
 uint32_t ring_count(struct ring *ring);
 
+/* heap.c */
+void heap_init(struct heap *heap);
+void heap_clear(struct heap *heap);
+void heap_set(struct heap *heap, struct timer *timer, int64_t due_ms);
+void heap_remove(struct heap *heap, struct timer *timer);
+struct timer *heap_first(const struct heap *heap);
+
 /* table.c */
 bool table_init(struct table *table, uint32_t capacity, size_t slot_bytes,
                 struct err *err);
@@ -58,6 +68,13 @@
 void *table_next(const struct table *table, uint32_t *cursor,
                  struct handle *handle);
 
+/* socket.c */
+bool socket_address(const char *text, struct sockaddr_storage *address,
+                    socklen_t *bytes, struct err *err);
+int socket_listen(const char *text, int *port, struct err *err);
+int socket_connect(const char *text, struct err *err);
+void socket_prepare(int fd);
+
 /* supervisor.c */
 void supervisor_init(struct supervisor *supervisor, const char *name);
 void supervisor_add(struct supervisor *supervisor, struct duty *duty);
--- a/src/turmericd/serve/route/heap.c
+++ b/src/base/heap.c
@@ -1,23 +1,10 @@
 /**
- * DOC: Heap of timers, so that each waiting call is answered by its deadline.
+ * DOC: Heap of timers, the earliest first.
  */
 #include <glib.h>
-#include <sys/types.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
-#include "proto/peer.pb-c.h"
-#include "tree/dat.h"
-#include "tree/fns.h"
-#include "turmericd/state/config/dat.h"
-#include "turmericd/state/claim/dat.h"
-#include "turmericd/fleet/member/dat.h"
-#include "turmericd/fleet/observe/dat.h"
-#include "turmericd/place/dat.h"
-#include "turmericd/serve/call/dat.h"
-#include "turmericd/serve/call/fns.h"
-#include "turmericd/serve/route/dat.h"
-#include "turmericd/serve/route/internal.h"
 
 /**
  * heap_init() - set up an empty heap
--- a/src/turmericd/fleet/peer/socket.c
+++ b/src/base/socket.c
@@ -1,5 +1,5 @@
 /**
- * DOC: Sockets between instances.
+ * DOC: TCP sockets.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -13,9 +13,6 @@
 
 #include "base/dat.h"
 #include "base/fns.h"
-#include "proto/peer.pb-c.h"
-#include "turmericd/fleet/peer/dat.h"
-#include "turmericd/fleet/peer/fns.h"
 
 enum {
     LISTEN_BACKLOG = 512,
--- /dev/null
+++ b/src/gate/choose/fns.h
@@ -0,0 +1,25 @@
+#ifndef CHOOSE_FNS_H
+#define CHOOSE_FNS_H
+
+/* pick.c */
+bool choose_can_serve(const struct choose_target *target,
+                      const struct choose_need *need);
+double choose_cost(const struct choose_target *target,
+                   const struct choose_need *need, int64_t now_ms);
+bool choose_has_room(const struct choose_target *target);
+
+/* health.c */
+void health_unreachable(struct target_health *health, int64_t now_ms);
+void health_failed(struct target_health *health);
+void health_answered(struct target_health *health);
+
+/* verdict.c */
+enum verdict verdict_of(const struct verdict_facts *facts);
+
+/* budget.c */
+void repeats_count_request(struct repeat_budget *budget, int64_t window_ms,
+                    int64_t now_ms);
+bool repeats_take(struct repeat_budget *budget, const struct gate_limits *limits,
+                 int instances, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/gate/follow/feed.c
@@ -0,0 +1,376 @@
+/**
+ * DOC: Duty that follows the store: configuration, targets, instances and the
+ * holder of orders.
+ *
+ * One watch covers all keys. Targets write all the time, so it is answered at
+ * once; waiting a little between two calls gathers many changes into one,
+ * as each call is charged.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
+
+enum {
+    GATHER_MS = 200,   /* a tenth of the time to follow a change */
+    WATCH_MS = 2000,   /* a lost connection is noticed by then */
+    BACKOFF_MS = 100,
+    BACKOFF_MAX_MS = 800, /* a store that is back is noticed within 1 s */
+    PAGES_MAX = 64,
+};
+
+static void
+registry_changed(struct registry_port *port, const struct target_change *change)
+{
+    struct feed *feed = (struct feed *)((char *)port -
+                                        offsetof(struct feed, registry_port));
+
+    feed->port->ops->change(feed->port, change);
+}
+
+static const struct registry_port_ops registry_ops = {registry_changed};
+
+static void
+put_config(struct feed *feed, const struct store_item *item)
+{
+    struct err err = {0};
+    struct gate_config *config =
+        feed->decode->config(item->value, item->value_bytes, &err);
+
+    if (config == NULL) {
+        log_line(LOG_PRI_ERR, "feed",
+                 "event=config_unreadable revision=%" G_GINT64_FORMAT
+                 " kept_version=%" G_GINT64_FORMAT " reason=\"%s\"",
+                 (gint64)item->revision, (gint64)feed->config_version,
+                 err.text);
+        return;
+    }
+    if (config->version <= feed->config_version) {
+        gate_config_unref(config);
+        return;
+    }
+    feed->config_version = config->version;
+    feed->port->ops->config(feed->port, config);
+}
+
+static void
+put_target(struct feed *feed, const char *id, const struct store_item *item)
+{
+    struct target_info info;
+    struct err err = {0};
+
+    memset(&info, 0, sizeof(info));
+    if (feed->decode->target(id, item->value, item->value_bytes, &info,
+                             &err)) {
+        registry_put(&feed->registry, &info);
+        return;
+    }
+    log_line(LOG_PRI_WARNING, "feed",
+             "event=target_unreadable target=%s revision=%" G_GINT64_FORMAT
+             " reason=\"%s\"",
+             id, (gint64)item->revision, err.text);
+}
+
+static void
+put_member(struct feed *feed, const struct store_item *item)
+{
+    struct gate_member *member = g_new0(struct gate_member, 1);
+    struct err err = {0};
+
+    if (!member_parse(item->value, item->value_bytes, member, &err)) {
+        log_line(LOG_PRI_WARNING, "feed",
+                 "event=member_unreadable key=%s reason=\"%s\"", item->key,
+                 err.text);
+        g_free(member);
+        return;
+    }
+    log_line(LOG_PRI_INFO, "feed",
+             "event=member name=%s front=%s revision=%" G_GINT64_FORMAT,
+             member->name, member->front_address, (gint64)item->revision);
+    g_hash_table_insert(feed->members, g_strdup(item->key), member);
+    feed->members_changed = true;
+}
+
+static void
+put_holder(struct feed *feed, const struct store_item *item)
+{
+    g_strlcpy(feed->holder.name, item->value != NULL ? item->value : "",
+              sizeof(feed->holder.name));
+    feed->holder.fence = item->value != NULL ? item->created : 0;
+    feed->holder_changed = true;
+}
+
+static void
+put(struct feed *feed, const struct store_item *item)
+{
+    const char *id = NULL;
+
+    switch (feed->decode->key(item->key, &id)) {
+    case KEY_CONFIG:
+        put_config(feed, item);
+        return;
+    case KEY_TARGET:
+        put_target(feed, id, item);
+        return;
+    case KEY_OTHER:
+        break;
+    }
+    if (g_str_has_prefix(item->key, member_prefix)) {
+        put_member(feed, item);
+    }
+    else if (strcmp(item->key, holder_key) == 0) {
+        put_holder(feed, item);
+    }
+}
+
+static void
+deleted(struct feed *feed, const struct store_item *item, int64_t now_ms)
+{
+    const char *id = NULL;
+
+    if (feed->decode->key(item->key, &id) == KEY_TARGET) {
+        registry_delete(&feed->registry, id, now_ms);
+    }
+    else if (g_hash_table_remove(feed->members, item->key)) {
+        log_line(LOG_PRI_INFO, "feed", "event=member_gone key=%s", item->key);
+        feed->members_changed = true;
+    }
+    else if (strcmp(item->key, holder_key) == 0) {
+        put_holder(feed, item);
+    }
+}
+
+static void
+tell_members(struct feed *feed)
+{
+    GArray *members =
+        g_array_new(FALSE, FALSE, sizeof(struct gate_member));
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, feed->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_array_append_vals(members, value, 1);
+    }
+    feed->port->ops->members(feed->port, members);
+}
+
+static void
+tell(struct feed *feed)
+{
+    if (feed->members_changed) {
+        feed->members_changed = false;
+        tell_members(feed);
+    }
+    if (feed->holder_changed) {
+        feed->holder_changed = false;
+        feed->port->ops->holder(feed->port, &feed->holder);
+    }
+}
+
+/* Reads all pages; they are no snapshot, so the watch goes on from the first
+ * page's revision. */
+static bool
+read_pages(struct feed *feed, GArray *pages, struct err *err)
+{
+    char *after = g_strdup("");
+    bool done = true;
+    bool more = true;
+
+    for (int i = 0; done && more && i < PAGES_MAX; i++) {
+        struct store_items page = {0};
+
+        done = feed->store->ops->list(feed->store, "", after, &page, err);
+        if (done) {
+            more = page.more && page.count > 0;
+            if (page.count > 0) {
+                g_free(after);
+                after = g_strdup(page.items[page.count - 1].key);
+            }
+            g_array_append_val(pages, page);
+        }
+    }
+    g_free(after);
+    return done;
+}
+
+static void
+apply_pages(struct feed *feed, GArray *pages, int64_t now_ms)
+{
+    registry_list_begin(&feed->registry);
+    g_hash_table_remove_all(feed->members);
+    memset(&feed->holder, 0, sizeof(feed->holder));
+    feed->members_changed = true;
+    feed->holder_changed = true;
+    for (guint p = 0; p < pages->len; p++) {
+        struct store_items *page =
+            &g_array_index(pages, struct store_items, p);
+
+        for (int i = 0; i < page->count; i++) {
+            put(feed, &page->items[i]);
+        }
+    }
+    registry_list_end(&feed->registry, now_ms);
+    feed->after = g_array_index(pages, struct store_items, 0).revision;
+}
+
+static bool
+list_all(struct feed *feed, int64_t now_ms, struct err *err)
+{
+    GArray *pages = g_array_new(FALSE, FALSE, sizeof(struct store_items));
+    bool done = read_pages(feed, pages, err);
+
+    if (done) {
+        registry_store_back(&feed->registry, now_ms);
+        apply_pages(feed, pages, now_ms);
+        log_line(LOG_PRI_INFO, "feed",
+                 "event=listed revision=%" G_GINT64_FORMAT
+                 " version=%" G_GINT64_FORMAT " members=%u",
+                 (gint64)feed->after, (gint64)feed->config_version,
+                 g_hash_table_size(feed->members));
+        if (!feed->listed) {
+            feed->listed = true;
+            feed->port->ops->listed(feed->port);
+        }
+    }
+    for (guint i = 0; i < pages->len; i++) {
+        store_items_clear(&g_array_index(pages, struct store_items, i));
+    }
+    g_array_free(pages, TRUE);
+    return done;
+}
+
+static bool
+watch(struct feed *feed, int64_t now_ms, struct err *err)
+{
+    struct store_items items = {0};
+
+    if (!feed->store->ops->watch(feed->store, "", feed->after, WATCH_MS,
+                                 &items, err)) {
+        return false;
+    }
+    registry_store_back(&feed->registry, now_ms);
+    for (int i = 0; i < items.count; i++) {
+        if (items.items[i].value != NULL) {
+            put(feed, &items.items[i]);
+        }
+        else {
+            deleted(feed, &items.items[i], now_ms);
+        }
+    }
+    feed->after = MAX(feed->after, items.revision);
+    store_items_clear(&items);
+    return true;
+}
+
+static int64_t
+failed(struct feed *feed, const struct err *err, int64_t now_ms)
+{
+    if (err->kind == ERR_NOT_FOUND) {
+        log_line(LOG_PRI_WARNING, "feed",
+                 "event=history_lost after=%" G_GINT64_FORMAT,
+                 (gint64)feed->after);
+        feed->after = 0;
+        return 0;
+    }
+    if (!feed->registry.away) {
+        log_line(LOG_PRI_WARNING, "feed", "event=store_failed reason=\"%s\"",
+                 err->text);
+    }
+    registry_store_away(&feed->registry, now_ms);
+    feed->backoff_ms = MIN(MAX(feed->backoff_ms * 2, BACKOFF_MS),
+                           BACKOFF_MAX_MS);
+    return feed->backoff_ms;
+}
+
+/**
+ * feed_round() - ask the store once for what is new
+ * @feed: the feed
+ * @now_ms: present time
+ *
+ * Return: time to wait before the next round.
+ */
+int64_t
+feed_round(struct feed *feed, int64_t now_ms)
+{
+    struct err err = {0};
+    bool done = feed->after == 0 ? list_all(feed, now_ms, &err)
+                                 : watch(feed, now_ms, &err);
+    int64_t wait_ms = GATHER_MS;
+
+    if (done) {
+        feed->backoff_ms = 0;
+    }
+    else {
+        wait_ms = failed(feed, &err, now_ms);
+    }
+    registry_tick(&feed->registry, now_ms);
+    tell(feed);
+    return wait_ms;
+}
+
+static bool
+run(struct duty *duty, struct err *err)
+{
+    struct feed *feed = (struct feed *)duty;
+    int64_t wait_ms = 0;
+    int nothing;
+
+    (void)err;
+    while (ring_pop(&feed->wait, &nothing, wait_ms) != RING_CLOSED) {
+        wait_ms = feed_round(feed, clock_now_ms());
+    }
+    return true;
+}
+
+static void
+stop(struct duty *duty)
+{
+    ring_close(&((struct feed *)duty)->wait);
+}
+
+static const struct duty_ops duty_ops = {run, stop};
+
+/**
+ * feed_init() - set the duty up
+ * @feed: the feed
+ * @store: used by this duty only
+ * @decode: reads the documents of the operator and the targets
+ * @port: where news go, kept by reference
+ * @err: filled in on failure
+ */
+bool
+feed_init(struct feed *feed, struct store *store,
+          const struct gate_decode_ops *decode, struct feed_port *port,
+          struct err *err)
+{
+    memset(feed, 0, sizeof(*feed));
+    feed->duty.ops = &duty_ops;
+    feed->duty.name = "feed";
+    feed->store = store;
+    feed->decode = decode;
+    feed->port = port;
+    feed->registry_port.ops = &registry_ops;
+    registry_init(&feed->registry, &feed->registry_port);
+    feed->members =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return ring_init(&feed->wait, 1, sizeof(int), err);
+}
+
+/**
+ * feed_clear() - release the duty after it has stopped
+ * @feed: the feed
+ */
+void
+feed_clear(struct feed *feed)
+{
+    registry_clear(&feed->registry);
+    g_hash_table_destroy(feed->members);
+    ring_free(&feed->wait);
+}
--- /dev/null
+++ b/src/gate/follow/fns.h
@@ -0,0 +1,31 @@
+#ifndef FOLLOW_FNS_H
+#define FOLLOW_FNS_H
+
+/* store.c */
+void store_items_clear(struct store_items *items);
+
+/* member.c */
+extern const char member_prefix[];
+extern const char holder_key[];
+char *member_format(const struct gate_member *member);
+bool member_parse(const char *bytes, size_t count, struct gate_member *member,
+                  struct err *err);
+
+/* feed.c */
+bool feed_init(struct feed *feed, struct store *store,
+               const struct gate_decode_ops *decode, struct feed_port *port,
+               struct err *err);
+void feed_clear(struct feed *feed);
+int64_t feed_round(struct feed *feed, int64_t now_ms);
+
+/* tenure.c */
+bool tenure_init(struct tenure *tenure, struct store *store,
+                 const struct gate_settings *settings, struct term *term,
+                 struct err *err);
+void tenure_clear(struct tenure *tenure);
+void tenure_post_holder(struct tenure *tenure, const struct holder *holder);
+void tenure_post_leave(struct tenure *tenure);
+int64_t tenure_round(struct tenure *tenure, int64_t boot_ms);
+bool term_holds(struct term *term, int64_t boot_ms, int64_t *fence);
+
+#endif
--- /dev/null
+++ b/src/gate/follow/member.c
@@ -0,0 +1,84 @@
+/**
+ * DOC: How instances list themselves in the store.
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+
+const char member_prefix[] = "turmeric/members/";
+const char holder_key[] = "turmeric/holder";
+
+/**
+ * member_format() - an instance's entry
+ * @member: the instance
+ *
+ * Return: text that is freed with g_free().
+ */
+char *
+member_format(const struct gate_member *member)
+{
+    struct json_object *object = json_object_new_object();
+    char *text;
+
+    json_object_object_add(object, "name",
+                           json_object_new_string(member->name));
+    json_object_object_add(object, "zone",
+                           json_object_new_string(member->zone));
+    json_object_object_add(object, "front",
+                           json_object_new_string(member->front_address));
+    json_object_object_add(object, "peer",
+                           json_object_new_string(member->peer_address));
+    json_object_object_add(object, "start",
+                           json_object_new_int64(member->start));
+    text = g_strdup(
+        json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+    json_object_put(object);
+    return text;
+}
+
+/**
+ * member_parse() - read an instance's entry
+ * @bytes: the entry
+ * @count: its length
+ * @member: filled in
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_BAD_JSON when it names no instance.
+ */
+bool
+member_parse(const char *bytes, size_t count, struct gate_member *member,
+             struct err *err)
+{
+    struct json_object *object = json_parse(bytes, count, err);
+
+    if (object == NULL) {
+        return false;
+    }
+    memset(member, 0, sizeof(*member));
+    g_strlcpy(member->name, json_text(object, "name", ""),
+              sizeof(member->name));
+    g_strlcpy(member->zone, json_text(object, "zone", ""),
+              sizeof(member->zone));
+    g_strlcpy(member->front_address, json_text(object, "front", ""),
+              sizeof(member->front_address));
+    g_strlcpy(member->peer_address, json_text(object, "peer", ""),
+              sizeof(member->peer_address));
+    member->start = json_number(object, "start", 0);
+    member->id = hash_text(member->name);
+    json_object_put(object);
+    if (member->name[0] == '\0' || member->front_address[0] == '\0') {
+        return err_set(err, ERR_BAD_JSON, "name or front is missing");
+    }
+    return true;
+}
--- /dev/null
+++ b/src/gate/follow/store.c
@@ -0,0 +1,28 @@
+/**
+ * DOC: Answers of the platform's store.
+ */
+#include <glib.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
+
+/**
+ * store_items_clear() - release an answer
+ * @items: the answer
+ */
+void
+store_items_clear(struct store_items *items)
+{
+    for (int i = 0; i < items->count; i++) {
+        g_free(items->items[i].key);
+        g_free(items->items[i].value);
+    }
+    g_free(items->items);
+    items->items = NULL;
+    items->count = 0;
+}
--- /dev/null
+++ b/src/gate/news/fns.h
@@ -0,0 +1,12 @@
+#ifndef NEWS_FNS_H
+#define NEWS_FNS_H
+
+/* wire.c */
+bool news_send_activity(struct peer *peer, uint64_t member,
+                        const struct activity *activity, struct err *err);
+bool news_send_holdings(struct peer *peer, uint64_t member,
+                        const struct holdings *holdings, struct err *err);
+struct activity *news_read_activity(const Turmeric__Envelope *envelope);
+struct holdings *news_read_holdings(const Turmeric__Envelope *envelope);
+
+#endif
--- /dev/null
+++ b/src/gate/news/wire.c
@@ -0,0 +1,174 @@
+/**
+ * DOC: News between instances, as frames carry them.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "proto/peer.pb-c.h"
+#include "turmericd/fleet/peer/dat.h"
+#include "turmericd/fleet/peer/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/news/fns.h"
+
+static void
+fill_item(Turmeric__GateItem *out, const struct item_activity *item)
+{
+    turmeric__gate_item__init(out);
+    out->name = (char *)g_quark_to_string(item->item);
+    out->arrived = (uint32_t)item->arrived;
+    out->waiting = (uint32_t)item->waiting;
+    out->running = (uint32_t)item->running;
+    out->oldest_ms = (uint32_t)item->oldest_ms;
+}
+
+static void
+fill_target(Turmeric__GateTarget *out, const struct target_activity *target)
+{
+    turmeric__gate_target__init(out);
+    out->id = target->target;
+    out->running = (uint32_t)target->running;
+}
+
+/**
+ * news_send_activity() - tell an instance what this one has to do
+ * @peer: the duty that sends
+ * @member: id of the instance
+ * @activity: what there is to do
+ * @err: filled in on failure
+ */
+bool
+news_send_activity(struct peer *peer, uint64_t member,
+                   const struct activity *activity, struct err *err)
+{
+    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
+    Turmeric__GateActivity body = TURMERIC__GATE_ACTIVITY__INIT;
+    Turmeric__GateItem *items =
+        g_new(Turmeric__GateItem, activity->item_count);
+    Turmeric__GateItem **item_list =
+        g_new(Turmeric__GateItem *, activity->item_count);
+    Turmeric__GateTarget *targets =
+        g_new(Turmeric__GateTarget, activity->target_count);
+    Turmeric__GateTarget **target_list =
+        g_new(Turmeric__GateTarget *, activity->target_count);
+    bool sent;
+
+    for (int i = 0; i < activity->item_count; i++) {
+        fill_item(&items[i], &activity->items[i]);
+        item_list[i] = &items[i];
+    }
+    for (int i = 0; i < activity->target_count; i++) {
+        fill_target(&targets[i], &activity->targets[i]);
+        target_list[i] = &targets[i];
+    }
+    body.n_items = (size_t)activity->item_count;
+    body.items = item_list;
+    body.n_targets = (size_t)activity->target_count;
+    body.targets = target_list;
+    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_ACTIVITY;
+    envelope.gate_activity = &body;
+    sent = peer_send(peer, member, &envelope, err);
+    g_free(items);
+    g_free(item_list);
+    g_free(targets);
+    g_free(target_list);
+    return sent;
+}
+
+/**
+ * news_send_holdings() - tell an instance what an engine holds
+ * @peer: the duty that sends
+ * @member: id of the instance
+ * @holdings: what it holds
+ * @err: filled in on failure
+ */
+bool
+news_send_holdings(struct peer *peer, uint64_t member,
+                   const struct holdings *holdings, struct err *err)
+{
+    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
+    Turmeric__GateHoldings body = TURMERIC__GATE_HOLDINGS__INIT;
+    char *names[TARGET_ITEMS_MAX];
+
+    for (int i = 0; i < holdings->held.count; i++) {
+        names[i] = (char *)g_quark_to_string(holdings->held.ids[i]);
+    }
+    body.target = (char *)holdings->target;
+    body.born_ms = holdings->born_ms;
+    body.sequence = holdings->sequence;
+    body.n_held = (size_t)holdings->held.count;
+    body.held = names;
+    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_HOLDINGS;
+    envelope.gate_holdings = &body;
+    return peer_send(peer, member, &envelope, err);
+}
+
+/* A name that this instance has not met in the configuration is left out. */
+static bool
+read_item(const Turmeric__GateItem *in, struct item_activity *item)
+{
+    item->item = g_quark_try_string(in->name);
+    item->arrived = (int)in->arrived;
+    item->waiting = (int)in->waiting;
+    item->running = (int)in->running;
+    item->oldest_ms = in->oldest_ms;
+    return item->item != 0;
+}
+
+/**
+ * news_read_activity() - what another instance has to do
+ * @envelope: message with a gate_activity
+ *
+ * Return: to be released with activity_free().
+ */
+struct activity *
+news_read_activity(const Turmeric__Envelope *envelope)
+{
+    const Turmeric__GateActivity *body = envelope->gate_activity;
+    struct activity *activity = activity_new(envelope->from);
+
+    activity->items = g_new0(struct item_activity, body->n_items);
+    activity->targets = g_new0(struct target_activity, body->n_targets);
+    for (size_t i = 0; i < body->n_items; i++) {
+        if (read_item(body->items[i],
+                      &activity->items[activity->item_count])) {
+            activity->item_count++;
+        }
+    }
+    for (size_t i = 0; i < body->n_targets; i++) {
+        activity->targets[i].target = body->targets[i]->id;
+        activity->targets[i].running = (int)body->targets[i]->running;
+    }
+    activity->target_count = (int)body->n_targets;
+    return activity;
+}
+
+/**
+ * news_read_holdings() - what an engine holds
+ * @envelope: message with a gate_holdings
+ *
+ * Return: to be released with g_free().
+ */
+struct holdings *
+news_read_holdings(const Turmeric__Envelope *envelope)
+{
+    const Turmeric__GateHoldings *body = envelope->gate_holdings;
+    struct holdings *holdings = g_new0(struct holdings, 1);
+
+    g_strlcpy(holdings->target, body->target, sizeof(holdings->target));
+    holdings->born_ms = body->born_ms;
+    holdings->sequence = body->sequence;
+    for (size_t i = 0; i < body->n_held; i++) {
+        uint32_t item = g_quark_try_string(body->held[i]);
+
+        if (item != 0) {
+            items_add(&holdings->held, item);
+        }
+    }
+    return holdings;
+}
--- /dev/null
+++ b/src/gate/place/dat.h
@@ -0,0 +1,168 @@
+#ifndef PLACE_PLAN_DAT_H
+#define PLACE_PLAN_DAT_H
+
+/**
+ * struct plan_settings - how models are placed
+ * @store_loads_max: loads from the weight store at the same time; more make
+ *                   each other slower
+ */
+struct plan_settings {
+    int store_loads_max;
+};
+
+/**
+ * struct plan_engine - an engine as the holder of orders sees it
+ * @loading: item that is being loaded; 0 for none
+ * @loading_store: it comes from the weight store
+ * @unloading: item that is being unloaded; 0 for none
+ * @done_ms: when the order that runs should be done
+ * @ordering: an order was sent and not answered yet
+ * @reserved: item for which room is made; 0 for none
+ * @reserved_until_ms: when the room is given up
+ * @retry_ms: no order before this time
+ * @report_ms: when its report is to be read; 0 for never
+ * @reporting: its report is being read
+ * @unsure: an order may be carried out late; its report decides
+ * @running: requests there, of all instances
+ */
+struct plan_engine {
+    struct target_info info;
+    bool missing;
+    uint32_t loading;
+    bool loading_store;
+    uint32_t unloading;
+    int64_t done_ms;
+    bool ordering;
+    uint32_t reserved;
+    int64_t reserved_until_ms;
+    int64_t retry_ms;
+    int64_t report_ms;
+    bool reporting;
+    bool unsure;
+    int running;
+};
+
+/**
+ * struct plan_item - requests for a model or an adapter, of all instances
+ * @rate: requests a second, decaying
+ * @used_ms: when it was last asked for
+ * @wanted_ms: since when requests wait; 0 while none does
+ */
+struct plan_item {
+    uint32_t item;
+    int waiting;
+    int running;
+    double rate;
+    int64_t rate_ms;
+    int64_t used_ms;
+    int64_t wanted_ms;
+};
+
+/**
+ * struct plan - what engines hold and what is asked for
+ * @engines: id -> struct plan_engine
+ * @items: quark -> struct plan_item
+ * @notes: instance -> struct activity
+ */
+struct plan {
+    struct plan_settings settings;
+    struct gate_config *config;
+    GHashTable *engines;
+    GHashTable *items;
+    GHashTable *notes;
+    int64_t load_start_ms[64];
+    int load_starts;
+};
+
+/**
+ * struct plan_step - what is to be done next
+ * @report: read the engine's report; else give the order
+ * @reason: why, for the log
+ */
+struct plan_step {
+    bool report;
+    enum order_action action;
+    char target[NAME_MAX_BYTES];
+    char address[ADDRESS_MAX_BYTES];
+    int64_t born_ms;
+    uint32_t item;
+    int64_t sequence;
+    const char *reason;
+};
+
+/**
+ * struct work - a step on its way to a worker and back
+ * @fence: fencing number of the order
+ * @result: what became of an order
+ * @reported: the report was read into @info
+ */
+struct work {
+    struct plan_step step;
+    int64_t fence;
+    bool sent;
+    enum order_result result;
+    bool reported;
+    struct target_info info;
+};
+
+struct place_gate_port;
+
+/**
+ * struct place_gate_port_ops - where news of placement go
+ * @holdings: taken over; what an engine holds by now
+ */
+struct place_gate_port_ops {
+    void (*holdings)(struct place_gate_port *port, struct holdings *holdings);
+};
+
+struct place_gate_port {
+    const struct place_gate_port_ops *ops;
+};
+
+enum place_message_kind {
+    PLACE_CONFIG,
+    PLACE_CHANGE,
+    PLACE_ACTIVITY,
+    PLACE_HOLDINGS,
+    PLACE_DONE,
+};
+
+/* The receiver owns @data. */
+struct place_message {
+    enum place_message_kind kind;
+    void *data;
+};
+
+enum { ORDER_WORKERS = GATE_ENGINES };
+
+struct place_gate;
+
+/**
+ * struct order_worker - duty that sends orders and reads reports
+ */
+struct order_worker {
+    struct duty duty;
+    struct place_gate *place;
+    struct gate_engine *engine;
+};
+
+/**
+ * struct place_gate - duty that decides what engines load, if it is its turn
+ * @term: whether this instance may order
+ * @work: to the workers
+ */
+struct place_gate {
+    struct duty duty;
+    struct supervisor supervisor;
+    const char *name;
+    struct term *term;
+    struct place_gate_port *port;
+    struct ring ring;
+    struct ring work;
+    struct plan plan;
+    struct order_worker workers[ORDER_WORKERS];
+    int in_flight;
+    bool held;
+};
+
+#endif
--- /dev/null
+++ b/src/gate/place/done.c
@@ -0,0 +1,214 @@
+/**
+ * DOC: What becomes of orders.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/place/dat.h"
+#include "gate/place/fns.h"
+
+enum {
+    ADAPTER_MS = 30,      /* an adapter takes 5 to 10 ms, a few at once */
+    UNLOAD_MS = 50,       /* without runs to wait for */
+    REPORT_LAG_MS = 200,  /* a report is as old as this */
+    CONFLICT_MS = 200,    /* until the report shows what runs there */
+    REFUSED_MS = 5000,    /* the order can't be carried out */
+    UNSURE_MS = 300,      /* an order without an answer */
+};
+
+static struct plan_engine *
+engine_of(struct plan *plan, const struct plan_step *step)
+{
+    struct plan_engine *engine =
+        g_hash_table_lookup(plan->engines, step->target);
+
+    return engine != NULL && engine->info.born_ms == step->born_ms ? engine
+                                                                   : NULL;
+}
+
+/**
+ * plan_sent() - a step is on its way
+ * @plan: the plan
+ * @step: the step
+ */
+void
+plan_sent(struct plan *plan, const struct plan_step *step)
+{
+    struct plan_engine *engine = engine_of(plan, step);
+
+    if (engine == NULL) {
+        return;
+    }
+    if (step->report) {
+        engine->reporting = true;
+        engine->report_ms = 0;
+    }
+    else {
+        engine->ordering = true;
+    }
+}
+
+static struct holdings *
+holdings_of(const struct plan_engine *engine)
+{
+    struct holdings *holdings = g_new0(struct holdings, 1);
+
+    g_strlcpy(holdings->target, engine->info.id, sizeof(holdings->target));
+    holdings->born_ms = engine->info.born_ms;
+    holdings->sequence = engine->info.sequence;
+    holdings->held = engine->info.held;
+    return holdings;
+}
+
+static void
+start_load(struct plan *plan, struct plan_engine *engine, uint32_t item,
+           int64_t now_ms)
+{
+    bool from_store;
+    int64_t load_ms = room_load_ms(plan, engine, item, &from_store);
+
+    engine->loading = item;
+    engine->loading_store = from_store;
+    engine->done_ms = now_ms + load_ms;
+    if (from_store) {
+        int place = plan->load_starts % (int)G_N_ELEMENTS(plan->load_start_ms);
+
+        plan->load_start_ms[place] = now_ms;
+        plan->load_starts = MIN(plan->load_starts + 1,
+                                (int)G_N_ELEMENTS(plan->load_start_ms));
+    }
+    engine->report_ms = engine->done_ms + REPORT_LAG_MS;
+}
+
+/* Returns whether the engine holds something else by now. */
+static bool
+accepted(struct plan *plan, struct plan_engine *engine,
+         const struct plan_step *step, int64_t now_ms)
+{
+    engine->info.sequence = step->sequence + 1;
+    if (step->action == ORDER_UNLOAD) {
+        items_remove(&engine->info.held, step->item);
+        if (!item_is_adapter(step->item)) {
+            engine->unloading = step->item;
+            engine->done_ms = now_ms + UNLOAD_MS;
+            engine->report_ms = engine->done_ms + REPORT_LAG_MS;
+        }
+        return true;
+    }
+    if (item_is_adapter(step->item)) {
+        items_add(&engine->info.held, step->item);
+        engine->retry_ms = now_ms + ADAPTER_MS;
+        return true;
+    }
+    start_load(plan, engine, step->item, now_ms);
+    return false;
+}
+
+static struct holdings *
+ordered(struct plan *plan, struct plan_engine *engine, const struct work *work,
+        int64_t now_ms)
+{
+    const struct plan_step *step = &work->step;
+    bool changed = false;
+
+    engine->ordering = false;
+    if (!work->sent) {
+        return NULL;
+    }
+    switch (work->result) {
+    case ORDER_ACCEPTED:
+        changed = accepted(plan, engine, step, now_ms);
+        break;
+    case ORDER_HOLDS:
+        changed = true;
+        if (step->action == ORDER_LOAD) {
+            items_add(&engine->info.held, step->item);
+        }
+        else {
+            engine->info.sequence = step->sequence + 1;
+            items_remove(&engine->info.held, step->item);
+        }
+        engine->report_ms = now_ms + REPORT_LAG_MS;
+        break;
+    case ORDER_CONFLICT:
+        engine->retry_ms = now_ms + CONFLICT_MS;
+        engine->report_ms = now_ms + CONFLICT_MS;
+        engine->unsure = true;
+        break;
+    case ORDER_UNKNOWN:
+        engine->retry_ms = now_ms + UNSURE_MS;
+        engine->report_ms = now_ms + UNSURE_MS;
+        engine->unsure = true;
+        break;
+    case ORDER_FENCED:
+    case ORDER_MISPLACED:
+    case ORDER_REFUSED:
+        engine->retry_ms = now_ms + REFUSED_MS;
+        engine->reserved = 0;
+        break;
+    }
+    return changed ? holdings_of(engine) : NULL;
+}
+
+static struct holdings *
+reported(struct plan_engine *engine, const struct work *work, int64_t now_ms)
+{
+    const struct target_info *info = &work->info;
+    bool changed;
+
+    engine->reporting = false;
+    if (!work->reported) {
+        engine->report_ms = now_ms + CONFLICT_MS;
+        return NULL;
+    }
+    if (info->sequence < engine->info.sequence) {
+        /* The report is older than the last answer. */
+        engine->report_ms = now_ms + REPORT_LAG_MS;
+        return NULL;
+    }
+    changed = !items_equal(&engine->info.held, &info->held);
+    engine->info.held = info->held;
+    engine->info.sequence = info->sequence;
+    engine->info.in_memory = info->in_memory;
+    engine->info.on_disk = info->on_disk;
+    if (info->busy) {
+        engine->report_ms = now_ms + REPORT_LAG_MS;
+        engine->unsure = engine->loading == 0 && engine->unloading == 0;
+    }
+    else {
+        engine->unsure = false;
+        engine->loading = 0;
+        engine->unloading = 0;
+    }
+    return changed ? holdings_of(engine) : NULL;
+}
+
+/**
+ * plan_done() - a step has come back
+ * @plan: the plan
+ * @work: the step and what became of it
+ * @now_ms: present time
+ *
+ * Return: what the engine holds by now if that has changed, to be freed with
+ * g_free(); else NULL.
+ */
+struct holdings *
+plan_done(struct plan *plan, const struct work *work, int64_t now_ms)
+{
+    struct plan_engine *engine = engine_of(plan, &work->step);
+
+    if (engine == NULL) {
+        return NULL;
+    }
+    return work->step.report ? reported(engine, work, now_ms)
+                             : ordered(plan, engine, work, now_ms);
+}
--- /dev/null
+++ b/src/gate/place/step.c
@@ -0,0 +1,479 @@
+/**
+ * DOC: The next order.
+ *
+ * What requests wait for comes first, then further replicas of what is asked
+ * for most, then models that no engine has near: once an engine has read a
+ * model, its disk keeps it, and the next load takes a fraction of the time.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/place/dat.h"
+#include "gate/place/fns.h"
+
+enum {
+    VICTIM_IDLE_MS = 600,     /* requests come in clumps */
+    PRELOAD_IDLE_MS = 4000,   /* what is used is not given up for a guess */
+    RESERVE_MS = 3000,        /* runs at the item that makes way end by then */
+    LATE_MS = 600,            /* after the expected end, the report is read */
+    DOUBT_MS = 400,           /* requests wait for what should be there */
+    LOADS_WINDOW_MS = 1000,
+    ADAPTERS_AT_ONCE = 4,
+    /* Requests beyond this part of its places make an engine slow. */
+    BUSY_PERCENT = 60,
+};
+
+/* A swap on an engine with a copy beats one from the store by far, and a busy
+ * engine is worth avoiding only between equals. */
+static const double RUNNING_COST_MS = 30.0;
+static const double VICTIM_COST_MS = 150.0;
+
+/* A model with more requests than this a second gets a second replica, so
+ * that the loss of an engine doesn't stop it. */
+static const double REPLICA_RATE = 2.0;
+static const double RUN_S = 2.0;
+
+static bool
+is_free(const struct plan_engine *engine, int64_t now_ms)
+{
+    return !engine->info.leaving && !engine->missing && !engine->ordering &&
+           !engine->unsure && engine->loading == 0 && engine->unloading == 0 &&
+           now_ms >= engine->retry_ms && engine->info.sequence >= 0;
+}
+
+static int
+store_loads(const struct plan *plan)
+{
+    GHashTableIter iter;
+    void *value;
+    int count = 0;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct plan_engine *engine = value;
+
+        count += engine->loading != 0 && engine->loading_store ? 1 : 0;
+    }
+    return count;
+}
+
+static bool
+may_load_from_store(const struct plan *plan,
+                    const struct plan_engine *engine, int64_t now_ms)
+{
+    const struct gate_service *service = plan_service(plan, engine);
+    int recent = 0;
+
+    for (int i = 0; i < plan->load_starts; i++) {
+        recent += now_ms - plan->load_start_ms[i] < LOADS_WINDOW_MS ? 1 : 0;
+    }
+    return store_loads(plan) < plan->settings.store_loads_max &&
+           recent + 1 <= service->loads_per_s;
+}
+
+static void
+fill(struct plan_step *step, const struct plan_engine *engine,
+     enum order_action action, uint32_t item, const char *reason)
+{
+    memset(step, 0, sizeof(*step));
+    step->action = action;
+    step->item = item;
+    step->sequence = engine->info.sequence;
+    step->born_ms = engine->info.born_ms;
+    step->reason = reason;
+    g_strlcpy(step->target, engine->info.id, sizeof(step->target));
+    g_strlcpy(step->address, engine->info.address, sizeof(step->address));
+}
+
+static bool
+next_report(struct plan *plan, int64_t now_ms, struct plan_step *step)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct plan_engine *engine = value;
+
+        if (plan_service(plan, engine) != NULL && !engine->reporting &&
+            !engine->ordering && engine->report_ms != 0 &&
+            now_ms >= engine->report_ms) {
+            fill(step, engine, ORDER_LOAD, 0, "report");
+            step->report = true;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Engines that hold an item, are loading it or make room for it. */
+static int
+holders(struct plan *plan, uint32_t item, bool *coming, int *busy)
+{
+    GHashTableIter iter;
+    void *value;
+    int count = 0;
+
+    *coming = false;
+    *busy = 0;
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct plan_engine *engine = value;
+        int slots = MAX(engine->info.slots, 1);
+
+        if (engine->info.leaving || engine->missing) {
+            continue;
+        }
+        if (engine->loading == item || engine->reserved == item) {
+            *coming = true;
+        }
+        else if (items_have(&engine->info.held, item) &&
+                 engine->unloading != item) {
+            count++;
+            *busy += engine->running * 100 > slots * BUSY_PERCENT ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+struct choice {
+    struct plan_engine *engine;
+    uint32_t victim;
+    double cost;
+};
+
+static bool
+suits(struct plan *plan, struct plan_engine *engine, uint32_t item,
+      int64_t now_ms)
+{
+    const struct gate_service *service = plan_service(plan, engine);
+
+    if (service == NULL || !is_free(engine, now_ms) ||
+        plan_model(plan, engine, item) == NULL ||
+        items_have(&engine->info.held, item) ||
+        (engine->reserved != 0 && engine->reserved != item &&
+         now_ms < engine->reserved_until_ms)) {
+        return false;
+    }
+    return !item_is_adapter(item) ||
+           items_have(&engine->info.held, item_model(item));
+}
+
+/* The engine on which an item can be used soonest. */
+static struct choice
+choose(struct plan *plan, uint32_t item, int64_t idle_ms, int64_t now_ms)
+{
+    struct choice best = {0};
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct choice choice = {.engine = value};
+        bool from_store;
+
+        if (!suits(plan, choice.engine, item, now_ms)) {
+            continue;
+        }
+        choice.cost =
+            (double)room_load_ms(plan, choice.engine, item, &from_store) +
+            RUNNING_COST_MS * choice.engine->running;
+        if (from_store && !may_load_from_store(plan, choice.engine, now_ms)) {
+            continue;
+        }
+        if (!room_for(plan, choice.engine, item)) {
+            choice.victim =
+                room_victim(plan, choice.engine, item, idle_ms, now_ms);
+            choice.cost += VICTIM_COST_MS;
+            if (choice.victim == 0) {
+                continue;
+            }
+        }
+        if (best.engine == NULL || choice.cost < best.cost) {
+            best = choice;
+        }
+    }
+    return best;
+}
+
+static bool
+order_for(struct plan *plan, uint32_t item, int64_t idle_ms,
+          const char *reason, int64_t now_ms, struct plan_step *step)
+{
+    struct choice choice = choose(plan, item, idle_ms, now_ms);
+    struct plan_engine *engine = choice.engine;
+
+    if (engine == NULL) {
+        return false;
+    }
+    if (choice.victim != 0) {
+        engine->reserved = item;
+        engine->reserved_until_ms = now_ms + RESERVE_MS;
+        fill(step, engine, ORDER_UNLOAD, choice.victim, reason);
+        return true;
+    }
+    engine->reserved = 0;
+    fill(step, engine, ORDER_LOAD, item, reason);
+    return true;
+}
+
+/* Room that was made for an item is used. */
+static bool
+next_reserved(struct plan *plan, int64_t now_ms, struct plan_step *step)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct plan_engine *engine = value;
+        uint32_t item = engine->reserved;
+
+        if (item == 0) {
+            continue;
+        }
+        if (now_ms >= engine->reserved_until_ms) {
+            engine->reserved = 0;
+            continue;
+        }
+        if (!suits(plan, engine, item, now_ms)) {
+            continue;
+        }
+        if (room_for(plan, engine, item)) {
+            engine->reserved = 0;
+            fill(step, engine, ORDER_LOAD, item, "reserved");
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The report of an engine that should have what requests wait for. */
+static void
+doubt_holders(struct plan *plan, const struct plan_item *wanted,
+              int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+
+    if (now_ms - wanted->wanted_ms < DOUBT_MS) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct plan_engine *engine = value;
+
+        if (items_have(&engine->info.held, wanted->item) &&
+            engine->report_ms == 0) {
+            engine->report_ms = now_ms + DOUBT_MS;
+        }
+    }
+}
+
+static int
+compare_wanted(const void *a, const void *b)
+{
+    const struct plan_item *left = *(struct plan_item *const *)a;
+    const struct plan_item *right = *(struct plan_item *const *)b;
+
+    if (item_is_adapter(left->item) != item_is_adapter(right->item)) {
+        return item_is_adapter(left->item) ? -1 : 1;
+    }
+    if (left->wanted_ms != right->wanted_ms) {
+        return left->wanted_ms < right->wanted_ms ? -1 : 1;
+    }
+    return left->item < right->item ? -1 : left->item > right->item;
+}
+
+static GPtrArray *
+wanted_items(struct plan *plan)
+{
+    GPtrArray *wanted = g_ptr_array_new();
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->items);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((struct plan_item *)value)->waiting > 0) {
+            g_ptr_array_add(wanted, value);
+        }
+    }
+    g_ptr_array_sort(wanted, compare_wanted);
+    return wanted;
+}
+
+static bool
+order_wanted(struct plan *plan, const struct plan_item *wanted, int64_t now_ms,
+             struct plan_step *step)
+{
+    uint32_t item = wanted->item;
+    uint32_t model = item_model(item);
+    bool coming;
+    int busy;
+    int count = holders(plan, item, &coming, &busy);
+
+    if (coming) {
+        return false;
+    }
+    if (count > busy) {
+        doubt_holders(plan, wanted, now_ms);
+        return false;
+    }
+    if (order_for(plan, item, VICTIM_IDLE_MS, "wanted", now_ms, step)) {
+        return true;
+    }
+    if (model == item || holders(plan, model, &coming, &busy) > 0 || coming) {
+        return false;
+    }
+    return order_for(plan, model, VICTIM_IDLE_MS, "wanted_base", now_ms, step);
+}
+
+static bool
+next_wanted(struct plan *plan, int64_t now_ms, struct plan_step *step)
+{
+    GPtrArray *wanted = wanted_items(plan);
+    bool found = false;
+
+    for (guint i = 0; i < wanted->len && !found; i++) {
+        found = order_wanted(plan, wanted->pdata[i], now_ms, step);
+    }
+    g_ptr_array_free(wanted, TRUE);
+    return found;
+}
+
+static int
+replicas_wanted(const struct plan_item *item, const struct gate_service *service)
+{
+    double places = MAX(service->slots, 1) * BUSY_PERCENT / 100.0;
+    int wanted = 1 + (int)(item->rate * RUN_S / places);
+
+    return item->rate > REPLICA_RATE ? MAX(wanted, 2) : wanted;
+}
+
+static bool
+next_replica(struct plan *plan, int64_t now_ms, struct plan_step *step)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->items);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct plan_item *item = value;
+        bool coming;
+        int busy;
+        int count;
+
+        if (item->rate <= REPLICA_RATE || item_is_adapter(item->item) ||
+            now_ms - item->used_ms > PRELOAD_IDLE_MS) {
+            continue;
+        }
+        count = holders(plan, item->item, &coming, &busy);
+        for (int s = 0; s < plan->config->service_count; s++) {
+            const struct gate_service *service = &plan->config->services[s];
+
+            if (!coming && gate_service_model(service, item->item) != NULL &&
+                count < replicas_wanted(item, service) &&
+                order_for(plan, item->item, PRELOAD_IDLE_MS, "replica", now_ms,
+                          step)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* Whether some engine has the weights, or soon will. */
+static bool
+is_near(struct plan *plan, uint32_t model)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct plan_engine *engine = value;
+
+        if (!engine->info.leaving && !engine->missing &&
+            (engine->loading == model || engine->reserved == model ||
+             items_have(&engine->info.held, model) ||
+             items_have(&engine->info.in_memory, model) ||
+             items_have(&engine->info.on_disk, model))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+next_preload(struct plan *plan, int64_t now_ms, struct plan_step *step)
+{
+    if (store_loads(plan) >= plan->settings.store_loads_max) {
+        return false;
+    }
+    for (int s = 0; s < plan->config->service_count; s++) {
+        const struct gate_service *service = &plan->config->services[s];
+
+        for (int m = 0; m < service->model_count; m++) {
+            uint32_t model = service->models[m].model;
+
+            if (!is_near(plan, model) &&
+                order_for(plan, model, PRELOAD_IDLE_MS, "preload", now_ms,
+                          step)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* An order that should be done and isn't is looked at. */
+static void
+look_at_late(struct plan *plan, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct plan_engine *engine = value;
+
+        if ((engine->loading != 0 || engine->unloading != 0) &&
+            engine->report_ms == 0 && now_ms > engine->done_ms) {
+            engine->report_ms = now_ms;
+        }
+        if (engine->unsure && engine->report_ms == 0) {
+            engine->report_ms = now_ms + LATE_MS;
+        }
+    }
+}
+
+/**
+ * plan_next() - the next thing to do
+ * @plan: the plan
+ * @now_ms: present time
+ * @step: filled in
+ *
+ * Return: false when there is nothing to do at present.
+ */
+bool
+plan_next(struct plan *plan, int64_t now_ms, struct plan_step *step)
+{
+    if (plan->config == NULL) {
+        return false;
+    }
+    look_at_late(plan, now_ms);
+    return next_report(plan, now_ms, step) ||
+           next_reserved(plan, now_ms, step) ||
+           next_wanted(plan, now_ms, step) ||
+           next_replica(plan, now_ms, step) ||
+           next_preload(plan, now_ms, step);
+}
--- /dev/null
+++ b/src/gate/relay/activity.c
@@ -0,0 +1,43 @@
+/**
+ * DOC: Notes on what an instance has to do.
+ */
+#include <glib.h>
+#include <http_parser.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/choose/dat.h"
+#include "gate/choose/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/relay/internal.h"
+
+/**
+ * activity_new() - empty note
+ * @instance: id of the instance
+ */
+struct activity *
+activity_new(uint64_t instance)
+{
+    struct activity *activity = g_new0(struct activity, 1);
+
+    activity->instance = instance;
+    return activity;
+}
+
+/**
+ * activity_free() - release a note
+ * @activity: the note; may be NULL
+ */
+void
+activity_free(struct activity *activity)
+{
+    if (activity != NULL) {
+        g_free(activity->items);
+        g_free(activity->targets);
+        g_free(activity);
+    }
+}
--- /dev/null
+++ b/src/gate/relay/answer.c
@@ -0,0 +1,154 @@
+/**
+ * DOC: Answers of targets, as callers get them.
+ */
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/choose/dat.h"
+#include "gate/choose/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/relay/internal.h"
+
+void
+answer_init(struct answer *answer)
+{
+    answer->head = g_string_new(NULL);
+    answer->body = g_byte_array_new();
+    answer->length = -1;
+}
+
+void
+answer_clear(struct answer *answer)
+{
+    g_string_free(answer->head, TRUE);
+    g_byte_array_free(answer->body, TRUE);
+}
+
+/* Takes over the lines that are the caller's. */
+void
+answer_take_head(struct answer *answer, struct relay *relay,
+                 const struct upstream *upstream)
+{
+    const struct head *head = &upstream->head;
+    const char *length = head_find(head, "Content-Length");
+    struct answer_facts facts = {0};
+
+    answer->status = (int)upstream->parser.status_code;
+    answer->length = length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
+    g_string_printf(answer->head, "HTTP/1.1 %d %s\r\n", answer->status,
+                    head_start_text(head));
+    for (int i = 0; i < head_count(head); i++) {
+        const char *name = head_field_name(head, i);
+        const char *value = head_field_value(head, i);
+
+        if (!head_is_hop_field(head, name) &&
+            relay->dialect->ops->answer_field(relay->dialect, name, value,
+                                              &facts) == FIELD_PASS) {
+            g_string_append_printf(answer->head, "%s: %s\r\n", name, value);
+        }
+    }
+}
+
+static bool
+has_body(const struct exchange *exchange)
+{
+    int status = exchange->answer.status;
+
+    return !exchange->head_method && status != 204 && status != 304;
+}
+
+/**
+ * answer_begin() - send the head of an answer to the caller
+ * @relay: the relay
+ * @exchange: the request
+ * @length: length of the body; -1 to send it in chunks
+ * @now_ms: present time
+ */
+void
+answer_begin(struct relay *relay, struct exchange *exchange, int64_t length,
+             int64_t now_ms)
+{
+    struct answer *answer = &exchange->answer;
+    struct client *client = table_get(&relay->clients, exchange->client);
+    GString *text = g_string_new(answer->head->str);
+
+    answer->begun = true;
+    answer->chunked = length < 0 && has_body(exchange);
+    if (answer->chunked) {
+        g_string_append(text, "Transfer-Encoding: chunked\r\n");
+    }
+    else if (exchange->head_method && answer->length >= 0) {
+        g_string_append_printf(text, "Content-Length: %" G_GINT64_FORMAT
+                                     "\r\n",
+                               (gint64)answer->length);
+    }
+    else if (has_body(exchange)) {
+        g_string_append_printf(text, "Content-Length: %" G_GINT64_FORMAT
+                                     "\r\n",
+                               (gint64)length);
+    }
+    if (client != NULL) {
+        client->keep = client->keep && !relay->leaving;
+        if (!client->keep) {
+            g_string_append(text, "Connection: close\r\n");
+        }
+        g_string_append(text, "\r\n");
+        client_write(relay, client, text->str, text->len, now_ms);
+    }
+    g_string_free(text, TRUE);
+}
+
+/**
+ * answer_body() - send a part of the body to the caller
+ * @relay: the relay
+ * @exchange: the request, whose answer has begun
+ * @bytes: the part
+ * @count: its length
+ * @now_ms: present time
+ */
+void
+answer_body(struct relay *relay, struct exchange *exchange, const void *bytes,
+            size_t count, int64_t now_ms)
+{
+    struct client *client = table_get(&relay->clients, exchange->client);
+    GString *chunk;
+
+    if (client == NULL || count == 0) {
+        return;
+    }
+    if (!exchange->answer.chunked) {
+        client_write(relay, client, bytes, count, now_ms);
+        return;
+    }
+    chunk = g_string_new(NULL);
+    g_string_printf(chunk, "%zx\r\n", count);
+    g_string_append_len(chunk, bytes, (gssize)count);
+    g_string_append(chunk, "\r\n");
+    client_write(relay, client, chunk->str, chunk->len, now_ms);
+    g_string_free(chunk, TRUE);
+}
+
+/**
+ * answer_end() - the answer is whole
+ * @relay: the relay
+ * @exchange: the request, whose answer has begun
+ * @now_ms: present time
+ */
+void
+answer_end(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    static const char last_chunk[] = "0\r\n\r\n";
+    struct client *client = table_get(&relay->clients, exchange->client);
+
+    if (client != NULL && exchange->answer.chunked) {
+        client_write(relay, client, last_chunk, sizeof(last_chunk) - 1,
+                     now_ms);
+    }
+}
--- /dev/null
+++ b/src/gate/relay/client.c
@@ -0,0 +1,499 @@
+/**
+ * DOC: Connections of callers.
+ *
+ * A connection carries one request at a time. Bytes behind the request in
+ * progress wait; the connection is watched all the while, so that a caller
+ * that leaves is seen at once.
+ */
+#include <errno.h>
+#include <glib.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/choose/dat.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/internal.h"
+
+enum {
+    ACCEPTS_MAX = 64,        /* other connections get their turn */
+    ACCEPT_PAUSE_MS = 100,   /* until descriptors may be free again */
+    HEAD_TIMEOUT_MS = 3000,  /* while no configuration is known */
+    IDLE_MS = 15000,         /* while no configuration is known */
+    HEAD_MAX_BYTES = 16384,  /* while no configuration is known */
+    BODY_MAX_BYTES = 1024 * 1024, /* while no configuration is known */
+    LEAVE_IDLE_MS = 200,     /* callers learn of the leaving by then */
+};
+
+static size_t
+body_max(const struct relay *relay)
+{
+    return relay->config != NULL ? relay->config->body_max_bytes
+                                 : (size_t)BODY_MAX_BYTES;
+}
+
+static size_t
+head_max(const struct relay *relay)
+{
+    return relay->config != NULL ? relay->config->head_max_bytes
+                                 : (size_t)HEAD_MAX_BYTES;
+}
+
+static int64_t
+idle_ms(const struct relay *relay)
+{
+    return relay->config != NULL ? relay->config->idle_ms : IDLE_MS;
+}
+
+static int64_t
+head_timeout_ms(const struct relay *relay)
+{
+    return relay->config != NULL ? relay->config->head_timeout_ms
+                                 : HEAD_TIMEOUT_MS;
+}
+
+static int
+got_url(http_parser *parser, const char *bytes, size_t count)
+{
+    struct client *client = parser->data;
+
+    head_start(&client->head, bytes, count);
+    return 0;
+}
+
+static int
+got_name(http_parser *parser, const char *bytes, size_t count)
+{
+    struct client *client = parser->data;
+
+    return head_name(&client->head, bytes, count) ? 0 : -1;
+}
+
+static int
+got_value(http_parser *parser, const char *bytes, size_t count)
+{
+    struct client *client = parser->data;
+
+    return head_value(&client->head, bytes, count) ? 0 : -1;
+}
+
+static int
+got_head(http_parser *parser)
+{
+    struct client *client = parser->data;
+
+    head_end(&client->head);
+    return 0;
+}
+
+static int
+got_body(http_parser *parser, const char *bytes, size_t count)
+{
+    struct client *client = parser->data;
+
+    g_byte_array_append(client->body, (const guint8 *)bytes, (guint)count);
+    return 0;
+}
+
+static int
+got_whole(http_parser *parser)
+{
+    struct client *client = parser->data;
+
+    client->whole = true;
+    client->keep = http_should_keep_alive(parser);
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = got_url,
+    .on_header_field = got_name,
+    .on_header_value = got_value,
+    .on_headers_complete = got_head,
+    .on_body = got_body,
+    .on_message_complete = got_whole,
+};
+
+static void
+start_request(struct client *client)
+{
+    http_parser_init(&client->parser, HTTP_REQUEST);
+    client->parser.data = client;
+    head_reset(&client->head);
+    g_byte_array_set_size(client->body, 0);
+    client->whole = false;
+    client->reading = false;
+}
+
+static void
+watch(struct relay *relay, struct client *client)
+{
+    uint32_t events = EPOLLRDHUP;
+
+    if (client->out->len > client->out_start) {
+        events |= EPOLLOUT;
+    }
+    if (!client->closing && client->pending->len < PENDING_MAX_BYTES) {
+        events |= EPOLLIN;
+    }
+    if (events != client->events) {
+        client->events = events;
+        relay_watch(relay, EPOLL_CTL_MOD, client->fd, events, WATCH_CLIENT,
+                    client->self);
+    }
+}
+
+static void
+set_timer(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    int64_t wait_ms;
+
+    if (client->exchange.generation != 0) {
+        heap_remove(&relay->timers, &client->timer);
+        return;
+    }
+    wait_ms = client->reading || client->closing ? head_timeout_ms(relay)
+                                                 : idle_ms(relay);
+    if (relay->leaving && !client->reading && client->out->len == 0) {
+        wait_ms = LEAVE_IDLE_MS;
+    }
+    heap_set(&relay->timers, &client->timer, now_ms + wait_ms);
+}
+
+static void
+add(struct relay *relay, enum listener_kind kind, int fd, int64_t now_ms)
+{
+    struct handle handle;
+    struct err err = {0};
+    struct client *client = table_alloc(&relay->clients, &handle, &err);
+    int on = 1;
+
+    if (client == NULL) {
+        refusal_add(ERR_TABLE_FULL);
+        close(fd);
+        return;
+    }
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    client->self = handle;
+    client->fd = fd;
+    client->kind = kind;
+    client->timer.kind = TIMER_CLIENT;
+    head_init(&client->head);
+    client->body = g_byte_array_new();
+    client->pending = g_byte_array_new();
+    client->out = g_byte_array_new();
+    client->events = EPOLLIN | EPOLLRDHUP;
+    start_request(client);
+    relay_watch(relay, EPOLL_CTL_ADD, fd, client->events, WATCH_CLIENT,
+                handle);
+    set_timer(relay, client, now_ms);
+}
+
+/**
+ * client_accept() - accept the connections that wait at a listener
+ * @relay: the relay
+ * @kind: the listener
+ * @now_ms: present time
+ */
+void
+client_accept(struct relay *relay, enum listener_kind kind, int64_t now_ms)
+{
+    for (int i = 0; i < ACCEPTS_MAX; i++) {
+        int fd = accept4(relay->listeners[kind], NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+        if (fd >= 0) {
+            add(relay, kind, fd, now_ms);
+            continue;
+        }
+        if (errno == EMFILE || errno == ENFILE) {
+            refusal_add(ERR_TABLE_FULL);
+            relay->accept_again_ms = now_ms + ACCEPT_PAUSE_MS;
+        }
+        if (errno != ECONNABORTED && errno != EINTR) {
+            return;
+        }
+    }
+}
+
+/**
+ * client_close() - close a connection and give up its request
+ * @relay: the relay
+ * @client: the connection; gone afterwards
+ */
+void
+client_close(struct relay *relay, struct client *client)
+{
+    struct exchange *exchange = table_get(&relay->exchanges, client->exchange);
+
+    client->exchange = (struct handle){0};
+    heap_remove(&relay->timers, &client->timer);
+    close(client->fd);
+    head_clear(&client->head);
+    g_byte_array_free(client->body, TRUE);
+    g_byte_array_free(client->pending, TRUE);
+    g_byte_array_free(client->out, TRUE);
+    table_free(&relay->clients, client->self);
+    if (exchange != NULL) {
+        exchange->client = (struct handle){0};
+        exchange_cancel(relay, exchange, clock_now_ms());
+    }
+}
+
+/* Returns false when the connection is gone. */
+static bool
+flush(struct client *client)
+{
+    while (client->out_start < client->out->len) {
+        ssize_t sent = send(client->fd, client->out->data + client->out_start,
+                            client->out->len - client->out_start,
+                            MSG_NOSIGNAL | MSG_DONTWAIT);
+
+        if (sent < 0 && errno == EINTR) {
+            continue;
+        }
+        if (sent < 0) {
+            return errno == EAGAIN || errno == EWOULDBLOCK;
+        }
+        client->out_start += (size_t)sent;
+    }
+    g_byte_array_set_size(client->out, 0);
+    client->out_start = 0;
+    return true;
+}
+
+/* Closes the writing end first, so that the answer isn't lost to a reset when
+ * the caller is still sending. Returns whether the client is still there. */
+static bool
+after_flush(struct relay *relay, struct client *client)
+{
+    struct exchange *exchange;
+    struct upstream *upstream;
+
+    if (client->closing && client->out->len == 0 &&
+        client->exchange.generation == 0) {
+        shutdown(client->fd, SHUT_WR);
+        client_close(relay, client);
+        return false;
+    }
+    exchange = table_get(&relay->exchanges, client->exchange);
+    upstream = exchange != NULL
+                   ? table_get(&relay->upstreams, exchange->upstream)
+                   : NULL;
+    if (upstream != NULL) {
+        upstream_pause(relay, upstream,
+                       client->out->len - client->out_start > OUT_PAUSE_BYTES);
+    }
+    watch(relay, client);
+    return true;
+}
+
+/**
+ * client_write() - send bytes to a caller
+ * @relay: the relay
+ * @client: the connection; it stays until its next event even if it is broken
+ * @bytes: the bytes
+ * @count: their number
+ * @now_ms: present time
+ */
+void
+client_write(struct relay *relay, struct client *client, const void *bytes,
+             size_t count, int64_t now_ms)
+{
+    bool empty = client->out->len == client->out_start;
+
+    (void)now_ms;
+    g_byte_array_append(client->out, bytes, (guint)count);
+    if (empty && !flush(client)) {
+        /* The event of the broken connection follows and closes it. */
+        g_byte_array_set_size(client->out, 0);
+        client->out_start = 0;
+    }
+    watch(relay, client);
+}
+
+static void
+handle_request(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    if (head_start_text(&client->head)[0] != '/') {
+        refuse_client(relay, client, 400, "bad_target", now_ms);
+    }
+    else if (client->kind != LISTEN_FRONT) {
+        local_call(relay, client, now_ms);
+    }
+    else {
+        exchange_start(relay, client, now_ms);
+    }
+}
+
+/* Reads one request; returns the bytes taken. */
+static size_t
+parse(struct relay *relay, struct client *client, const void *bytes,
+      size_t count, int64_t now_ms)
+{
+    size_t taken;
+
+    client->reading = true;
+    taken = http_parser_execute(&client->parser, &parser_settings, bytes,
+                                count);
+    if (client->whole) {
+        http_parser_pause(&client->parser, 0);
+        return taken;
+    }
+    if (client->parser.upgrade ||
+        HTTP_PARSER_ERRNO(&client->parser) != HPE_OK) {
+        refuse_client(relay, client, 400,
+                      http_errno_name(HTTP_PARSER_ERRNO(&client->parser)),
+                      now_ms);
+    }
+    else if (client->head.text->len > head_max(relay)) {
+        refuse_client(relay, client, 431, "head_too_large", now_ms);
+    }
+    else if (client->body->len > body_max(relay)) {
+        refuse_client(relay, client, 413, "body_too_large", now_ms);
+    }
+    return count;
+}
+
+/* Takes requests out of @bytes until one is in progress; keeps the rest.
+ * Returns whether the client is still there. */
+static bool
+take(struct relay *relay, struct client *client, const unsigned char *bytes,
+     size_t count, int64_t now_ms)
+{
+    struct handle self = client->self;
+
+    while (count > 0 && !client->closing &&
+           client->exchange.generation == 0) {
+        size_t taken = parse(relay, client, bytes, count, now_ms);
+
+        bytes += taken;
+        count -= taken;
+        if (client->whole) {
+            handle_request(relay, client, now_ms);
+            if (table_get(&relay->clients, self) == NULL) {
+                return false;
+            }
+            if (client->exchange.generation == 0) {
+                start_request(client);
+            }
+        }
+    }
+    if (!client->closing) {
+        g_byte_array_append(client->pending, bytes, (guint)count);
+    }
+    return true;
+}
+
+/* Returns whether the client is still there. */
+static bool
+receive(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    ssize_t count = recv(client->fd, relay->buffer, sizeof(relay->buffer),
+                         MSG_DONTWAIT);
+
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return true;
+    }
+    if (count <= 0) {
+        client_close(relay, client);
+        return false;
+    }
+    if (client->exchange.generation != 0) {
+        g_byte_array_append(client->pending, relay->buffer, (guint)count);
+        return true;
+    }
+    return take(relay, client, relay->buffer, (size_t)count, now_ms);
+}
+
+/**
+ * client_event() - the connection can be read, written or is broken
+ * @relay: the relay
+ * @client: the connection; may be gone afterwards
+ * @events: epoll's events
+ * @now_ms: present time
+ */
+void
+client_event(struct relay *relay, struct client *client, uint32_t events,
+             int64_t now_ms)
+{
+    if (events & (EPOLLERR | EPOLLHUP)) {
+        client_close(relay, client);
+        return;
+    }
+    if ((events & EPOLLOUT) && !flush(client)) {
+        client_close(relay, client);
+        return;
+    }
+    if ((events & EPOLLRDHUP) && client->exchange.generation != 0) {
+        client_close(relay, client);
+        return;
+    }
+    if ((events & (EPOLLIN | EPOLLRDHUP)) &&
+        !receive(relay, client, now_ms)) {
+        return;
+    }
+    if (after_flush(relay, client)) {
+        set_timer(relay, client, now_ms);
+    }
+}
+
+/**
+ * client_timer() - the caller was idle, or sent a request too slowly
+ * @relay: the relay
+ * @client: the connection; may be gone afterwards
+ * @now_ms: present time
+ */
+void
+client_timer(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    if (client->reading && !client->closing) {
+        refuse_client(relay, client, 408, "head_timeout", now_ms);
+        if (after_flush(relay, client)) {
+            set_timer(relay, client, now_ms);
+        }
+        return;
+    }
+    client_close(relay, client);
+}
+
+/**
+ * client_answered() - the request in progress has its whole answer
+ * @relay: the relay
+ * @client: the connection; may be gone afterwards
+ * @now_ms: present time
+ */
+void
+client_answered(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    GByteArray *pending = client->pending;
+    struct handle self = client->self;
+
+    client->exchange = (struct handle){0};
+    if (!client->keep) {
+        client->closing = true;
+    }
+    start_request(client);
+    if (pending->len > 0 && !client->closing) {
+        client->pending = g_byte_array_new();
+        take(relay, client, pending->data, pending->len, now_ms);
+        g_byte_array_free(pending, TRUE);
+        client = table_get(&relay->clients, self);
+        if (client == NULL) {
+            return;
+        }
+    }
+    if (after_flush(relay, client)) {
+        set_timer(relay, client, now_ms);
+    }
+}
--- /dev/null
+++ b/src/gate/relay/events.c
@@ -0,0 +1,131 @@
+/**
+ * DOC: Event streams, cut into whole events.
+ *
+ * A target may stop in the middle of an event. Only whole events are passed
+ * on, so that another target can go on behind the last one.
+ */
+#include <glib.h>
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/choose/dat.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/internal.h"
+
+void
+events_init(struct event_reader *reader, int64_t last)
+{
+    reader->partial = g_string_new(NULL);
+    reader->last = last;
+    reader->broken = false;
+}
+
+void
+events_clear(struct event_reader *reader)
+{
+    if (reader->partial != NULL) {
+        g_string_free(reader->partial, TRUE);
+        reader->partial = NULL;
+    }
+}
+
+/* The next bytes come from another run. */
+void
+events_restart(struct event_reader *reader)
+{
+    g_string_truncate(reader->partial, 0);
+}
+
+/* Length of the first event with its blank line; 0 when it is not whole. */
+static size_t
+event_length(const char *text, size_t bytes)
+{
+    for (size_t i = 0; i + 1 < bytes; i++) {
+        if (text[i] != '\n') {
+            continue;
+        }
+        if (text[i + 1] == '\n') {
+            return i + 2;
+        }
+        if (text[i + 1] == '\r' && i + 2 < bytes && text[i + 2] == '\n') {
+            return i + 3;
+        }
+    }
+    return 0;
+}
+
+/* The event's id; -1 when it has none. */
+static int64_t
+event_id(const char *text, size_t bytes)
+{
+    const char *end = text + bytes;
+
+    while (text < end) {
+        const char *line_end = memchr(text, '\n', (size_t)(end - text));
+
+        if (line_end == NULL) {
+            break;
+        }
+        if (line_end - text > 3 && strncmp(text, "id:", 3) == 0) {
+            return strtoll(text + 3, NULL, 10);
+        }
+        text = line_end + 1;
+    }
+    return -1;
+}
+
+/* Events that the caller has are left out; a gap breaks the stream. */
+static bool
+event_wanted(struct event_reader *reader, int64_t id)
+{
+    if (id < 0) {
+        return true;
+    }
+    if (id <= reader->last) {
+        return false;
+    }
+    if (reader->last >= 0 && id != reader->last + 1) {
+        reader->broken = true;
+        return false;
+    }
+    reader->last = id;
+    return true;
+}
+
+/**
+ * events_add() - take bytes of a stream
+ * @reader: the stream
+ * @bytes: the bytes
+ * @count: their number
+ * @whole: the whole events that can be passed on are added to it
+ *
+ * Return: number of events added to @whole.
+ */
+size_t
+events_add(struct event_reader *reader, const void *bytes, size_t count,
+           GString *whole)
+{
+    size_t start = 0;
+    size_t added = 0;
+    size_t length;
+
+    g_string_append_len(reader->partial, bytes, (gssize)count);
+    while (!reader->broken &&
+           (length = event_length(reader->partial->str + start,
+                                  reader->partial->len - start)) > 0) {
+        const char *event = reader->partial->str + start;
+
+        if (event_wanted(reader, event_id(event, length))) {
+            g_string_append_len(whole, event, (gssize)length);
+            added++;
+        }
+        start += length;
+    }
+    g_string_erase(reader->partial, 0, (gssize)start);
+    return added;
+}
--- /dev/null
+++ b/src/gate/relay/head.c
@@ -0,0 +1,176 @@
+/**
+ * DOC: Heads of messages, as the parser hands them over in parts.
+ */
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/choose/dat.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/internal.h"
+
+/* Fields that concern one connection only (RFC 9110, 7.6.1), and those by
+ * which a message is framed, which is done anew. */
+static const char *const hop_fields[] = {
+    "Connection",       "Keep-Alive",          "Proxy-Connection",
+    "TE",               "Trailer",             "Transfer-Encoding",
+    "Upgrade",          "Proxy-Authenticate",  "Proxy-Authorization",
+    "Content-Length",   "Expect",              "HTTP2-Settings",
+};
+
+void
+head_init(struct head *head)
+{
+    head->text = g_string_new(NULL);
+    head->fields = g_array_new(FALSE, FALSE, sizeof(struct head_field));
+    head_reset(head);
+}
+
+void
+head_clear(struct head *head)
+{
+    g_string_free(head->text, TRUE);
+    g_array_free(head->fields, TRUE);
+}
+
+void
+head_reset(struct head *head)
+{
+    g_string_truncate(head->text, 0);
+    g_array_set_size(head->fields, 0);
+    head->in_value = false;
+    head->open = true;
+}
+
+/* Adds to the request's target or the status text. */
+void
+head_start(struct head *head, const char *bytes, size_t count)
+{
+    g_string_append_len(head->text, bytes, (gssize)count);
+}
+
+bool
+head_name(struct head *head, const char *bytes, size_t count)
+{
+    if (head->in_value || head->fields->len == 0) {
+        struct head_field field;
+
+        if (head->fields->len == FIELDS_MAX) {
+            return false;
+        }
+        g_string_append_c(head->text, '\0');
+        field.name = (uint32_t)head->text->len;
+        field.value = 0;
+        g_array_append_val(head->fields, field);
+        head->in_value = false;
+    }
+    g_string_append_len(head->text, bytes, (gssize)count);
+    return true;
+}
+
+bool
+head_value(struct head *head, const char *bytes, size_t count)
+{
+    struct head_field *field;
+
+    if (head->fields->len == 0) {
+        return false;
+    }
+    field = &g_array_index(head->fields, struct head_field,
+                           head->fields->len - 1);
+    if (!head->in_value) {
+        g_string_append_c(head->text, '\0');
+        field->value = (uint32_t)head->text->len;
+        head->in_value = true;
+    }
+    g_string_append_len(head->text, bytes, (gssize)count);
+    return true;
+}
+
+/* An empty value is not handed over, so it points to the text's last NUL. */
+void
+head_end(struct head *head)
+{
+    for (guint i = 0; i < head->fields->len; i++) {
+        struct head_field *field =
+            &g_array_index(head->fields, struct head_field, i);
+
+        if (field->value == 0) {
+            field->value = (uint32_t)head->text->len;
+        }
+    }
+    head->open = false;
+}
+
+const char *
+head_start_text(const struct head *head)
+{
+    return head->text->str;
+}
+
+int
+head_count(const struct head *head)
+{
+    return (int)head->fields->len;
+}
+
+const char *
+head_field_name(const struct head *head, int index)
+{
+    return head->text->str +
+           g_array_index(head->fields, struct head_field, index).name;
+}
+
+const char *
+head_field_value(const struct head *head, int index)
+{
+    return head->text->str +
+           g_array_index(head->fields, struct head_field, index).value;
+}
+
+const char *
+head_find(const struct head *head, const char *name)
+{
+    for (int i = 0; i < head_count(head); i++) {
+        if (strcasecmp(head_field_name(head, i), name) == 0) {
+            return head_field_value(head, i);
+        }
+    }
+    return NULL;
+}
+
+/* Whether a field of Connection names another field as its own. */
+static bool
+connection_names(const struct head *head, const char *name)
+{
+    const char *list = head_find(head, "Connection");
+    size_t length = strlen(name);
+
+    while (list != NULL && *list != '\0') {
+        size_t span;
+
+        list += strspn(list, " \t,");
+        span = strcspn(list, " \t,");
+        if (span == length && strncasecmp(list, name, span) == 0) {
+            return true;
+        }
+        list += span;
+    }
+    return false;
+}
+
+bool
+head_is_hop_field(const struct head *head, const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_fields); i++) {
+        if (strcasecmp(name, hop_fields[i]) == 0) {
+            return true;
+        }
+    }
+    return connection_names(head, name);
+}
--- /dev/null
+++ b/src/gate/relay/local.c
@@ -0,0 +1,130 @@
+/**
+ * DOC: Calls to the instance itself: ready, addresses, metrics.
+ */
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/choose/dat.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/internal.h"
+
+enum {
+    /* Callers go on using an instance that stopped for this long at most, and
+     * ask four times as often as with the longest time allowed. */
+    ADDRESS_KEEP_S = 2,
+    ADDRESSES_MAX = 64,
+    METRICS_MAX_BYTES = 64 * 1024,
+};
+
+static void
+reply(struct relay *relay, struct client *client, int status,
+      const char *type, const char *body, int64_t now_ms)
+{
+    char *text = g_strdup_printf(
+        "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n%s",
+        status, http_status_str((enum http_status)status), type, strlen(body),
+        body);
+
+    client_write(relay, client, text, strlen(text), now_ms);
+    g_free(text);
+    if (!client->keep) {
+        client->closing = true;
+    }
+}
+
+static bool
+is_ready(const struct relay *relay)
+{
+    return relay->config != NULL && relay->listed && !relay->leaving;
+}
+
+static bool
+is_self(const struct relay *relay, const struct gate_member *member)
+{
+    return strcmp(member->front_address, relay->settings->front_address) == 0;
+}
+
+/* The instances that callers can use. This instance knows about itself. */
+static GPtrArray *
+addresses(const struct relay *relay)
+{
+    GPtrArray *list = g_ptr_array_new();
+
+    if (!relay->leaving) {
+        g_ptr_array_add(list, (void *)relay->settings->front_address);
+    }
+    for (guint i = 0;
+         i < relay->members->len && list->len < ADDRESSES_MAX; i++) {
+        struct gate_member *member =
+            &g_array_index(relay->members, struct gate_member, i);
+
+        if (!is_self(relay, member)) {
+            g_ptr_array_add(list, member->front_address);
+        }
+    }
+    return list;
+}
+
+static void
+lookup(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    GPtrArray *list = addresses(relay);
+    int keep_s = MIN(ADDRESS_KEEP_S,
+                     relay->settings->limits.address_keep_max_s);
+    char *body;
+
+    if (list->len == 0) {
+        reply(relay, client, 503, "text/plain", "no instance is ready\n",
+              now_ms);
+    }
+    else {
+        body = relay->dialect->ops->addresses(relay->dialect,
+                                              (char *const *)list->pdata,
+                                              (int)list->len, keep_s);
+        reply(relay, client, 200, "application/json", body, now_ms);
+        g_free(body);
+    }
+    g_ptr_array_free(list, TRUE);
+}
+
+static void
+metrics(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    char *text = g_malloc(METRICS_MAX_BYTES);
+
+    counters_format(text, METRICS_MAX_BYTES);
+    reply(relay, client, 200, "text/plain; version=0.0.4", text, now_ms);
+    g_free(text);
+}
+
+/**
+ * local_call() - answer a call that came in on a listener of our own
+ * @relay: the relay
+ * @client: the connection with a whole request
+ * @now_ms: present time
+ */
+void
+local_call(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    const char *path = head_start_text(&client->head);
+    enum local_call call = relay->dialect->ops->local(relay->dialect, path);
+
+    if (client->kind == LISTEN_METRICS && strcmp(path, "/metrics") == 0) {
+        metrics(relay, client, now_ms);
+    }
+    else if (client->kind == LISTEN_READY && call == LOCAL_READY) {
+        reply(relay, client, is_ready(relay) ? 200 : 503, "text/plain",
+              is_ready(relay) ? "ready\n" : "not ready\n", now_ms);
+    }
+    else if (client->kind == LISTEN_LOOKUP && call == LOCAL_LOOKUP) {
+        lookup(relay, client, now_ms);
+    }
+    else {
+        reply(relay, client, 404, "text/plain", "no such call\n", now_ms);
+    }
+}
--- /dev/null
+++ b/src/gate/relay/queue.c
@@ -0,0 +1,207 @@
+/**
+ * DOC: Requests that wait for a target.
+ *
+ * A request waits in the queue of its service and item. What may end a wait
+ * only marks the queue; queue_run() sends the requests after all events of a
+ * round, so that no decision is taken inside another.
+ */
+#include <glib.h>
+#include <http_parser.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/choose/dat.h"
+#include "gate/choose/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/relay/internal.h"
+
+static void
+free_queue(void *queue)
+{
+    g_queue_free_full(queue, g_free);
+}
+
+void
+queue_init(struct relay *relay)
+{
+    relay->queues = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                          free_queue);
+    relay->woken = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                         NULL);
+}
+
+void
+queue_clear(struct relay *relay)
+{
+    g_hash_table_destroy(relay->queues);
+    g_hash_table_destroy(relay->woken);
+}
+
+uint64_t
+queue_key(const char *service, uint32_t item)
+{
+    return hash_pair(hash_text(service), item);
+}
+
+static uint64_t
+key_of(const struct exchange *exchange)
+{
+    const struct choose_need *need = &exchange->need;
+
+    return queue_key(need->service,
+                     need->adapter != 0 ? need->adapter : need->model);
+}
+
+/* The most urgent first, then the one that came first. */
+static bool
+goes_before(const struct exchange *a, const struct exchange *b)
+{
+    if (a->route->priority != b->route->priority) {
+        return a->route->priority < b->route->priority;
+    }
+    return a->arrived_ms < b->arrived_ms;
+}
+
+static GQueue *
+queue_of(struct relay *relay, uint64_t key)
+{
+    GQueue *queue = g_hash_table_lookup(relay->queues, &key);
+
+    if (queue == NULL) {
+        queue = g_queue_new();
+        g_hash_table_insert(relay->queues, g_memdup2(&key, sizeof(key)),
+                            queue);
+    }
+    return queue;
+}
+
+/**
+ * queue_add() - let a request wait
+ * @relay: the relay
+ * @exchange: the request
+ */
+void
+queue_add(struct relay *relay, struct exchange *exchange)
+{
+    GQueue *queue = queue_of(relay, key_of(exchange));
+    GList *link = queue->tail;
+
+    while (link != NULL) {
+        struct exchange *other =
+            table_get(&relay->exchanges, *(struct handle *)link->data);
+
+        if (other != NULL && !goes_before(exchange, other)) {
+            break;
+        }
+        link = link->prev;
+    }
+    g_queue_insert_after(
+        queue, link, g_memdup2(&exchange->self, sizeof(exchange->self)));
+    exchange->queued = true;
+    exchange->queue_key = key_of(exchange);
+}
+
+/**
+ * queue_remove() - a request waits no longer
+ * @relay: the relay
+ * @exchange: the request
+ */
+void
+queue_remove(struct relay *relay, struct exchange *exchange)
+{
+    GQueue *queue;
+
+    if (!exchange->queued) {
+        return;
+    }
+    exchange->queued = false;
+    queue = g_hash_table_lookup(relay->queues, &exchange->queue_key);
+    for (GList *link = queue->head; link != NULL; link = link->next) {
+        struct handle *handle = link->data;
+
+        if (handle->index == exchange->self.index) {
+            g_free(handle);
+            g_queue_delete_link(queue, link);
+            break;
+        }
+    }
+    if (queue->length == 0) {
+        g_hash_table_remove(relay->queues, &exchange->queue_key);
+    }
+}
+
+static void
+wake(struct relay *relay, uint64_t key)
+{
+    if (g_hash_table_contains(relay->queues, &key)) {
+        g_hash_table_add(relay->woken, g_memdup2(&key, sizeof(key)));
+    }
+}
+
+/**
+ * queue_wake_target() - a target may take more requests
+ * @relay: the relay
+ * @target: the target
+ */
+void
+queue_wake_target(struct relay *relay, const struct relay_target *target)
+{
+    const struct target_info *info = &target->choose.info;
+
+    if (g_hash_table_size(relay->queues) == 0) {
+        return;
+    }
+    wake(relay, queue_key(info->service, 0));
+    for (int i = 0; i < info->held.count; i++) {
+        wake(relay, queue_key(info->service, info->held.ids[i]));
+    }
+}
+
+static void
+run_queue(struct relay *relay, uint64_t key, int64_t now_ms)
+{
+    GQueue *queue = g_hash_table_lookup(relay->queues, &key);
+    guint turns = queue != NULL ? queue->length : 0;
+
+    for (guint i = 0; i < turns; i++) {
+        struct exchange *exchange;
+        struct handle self;
+
+        queue = g_hash_table_lookup(relay->queues, &key);
+        if (queue == NULL) {
+            return;
+        }
+        self = *(struct handle *)queue->head->data;
+        exchange = table_get(&relay->exchanges, self);
+        exchange_dispatch(relay, exchange, now_ms);
+        exchange = table_get(&relay->exchanges, self);
+        if (exchange != NULL && exchange->queued) {
+            return;
+        }
+    }
+}
+
+/**
+ * queue_run() - send the requests of the queues that were marked
+ * @relay: the relay
+ * @now_ms: present time
+ */
+void
+queue_run(struct relay *relay, int64_t now_ms)
+{
+    while (g_hash_table_size(relay->woken) > 0) {
+        GHashTableIter iter;
+        void *key;
+        uint64_t number;
+
+        g_hash_table_iter_init(&iter, relay->woken);
+        g_hash_table_iter_next(&iter, &key, NULL);
+        number = *(uint64_t *)key;
+        g_hash_table_iter_remove(&iter);
+        run_queue(relay, number, now_ms);
+    }
+}
--- /dev/null
+++ b/src/gate/relay/refuse.c
@@ -0,0 +1,130 @@
+/**
+ * DOC: Answers of our own, when no target's answer can be passed on.
+ */
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/choose/dat.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/internal.h"
+
+/* Statuses by what is known of the request: the first promises that it has
+ * not run. */
+static int
+status_of(enum err_kind kind, bool may_have_run)
+{
+    int status = err_info(kind)->status;
+
+    if (!may_have_run) {
+        return status >= 500 ? 503 : status;
+    }
+    return status == 504 ? 504 : 502;
+}
+
+static void
+write_refusal(struct relay *relay, struct client *client, int status,
+              const char *reason, const char *outcome, const char *remedy,
+              int64_t retry_ms, int64_t now_ms)
+{
+    char *body = g_strdup_printf(
+        "{\"type\":\"urn:turmericstall:refusal:%s\",\"status\":%d,"
+        "\"outcome\":\"%s\",\"remedy\":\"%s\"}\n",
+        reason, status, outcome, remedy);
+    GString *text = g_string_new(NULL);
+
+    g_string_printf(text,
+                    "HTTP/1.1 %d %s\r\n"
+                    "Content-Type: application/problem+json\r\n"
+                    "Content-Length: %zu\r\n",
+                    status, http_status_str((enum http_status)status),
+                    strlen(body));
+    if (retry_ms > 0) {
+        g_string_append_printf(text, "Retry-After: %" G_GINT64_FORMAT
+                                     ".%03d\r\n",
+                               (gint64)(retry_ms / 1000),
+                               (int)(retry_ms % 1000));
+    }
+    if (!client->keep) {
+        g_string_append(text, "Connection: close\r\n");
+    }
+    g_string_append(text, "\r\n");
+    g_string_append(text, body);
+    client_write(relay, client, text->str, text->len, now_ms);
+    g_string_free(text, TRUE);
+    g_free(body);
+}
+
+/**
+ * refuse() - end a request with an answer of our own
+ * @relay: the relay
+ * @exchange: the request; gone afterwards
+ * @kind: reason
+ * @retry_ms: when the caller may come again; 0 for no advice
+ * @now_ms: present time
+ *
+ * When a part of an answer has been passed on, the connection is closed
+ * instead, so that the part doesn't look complete.
+ */
+void
+refuse(struct relay *relay, struct exchange *exchange, enum err_kind kind,
+       int64_t retry_ms, int64_t now_ms)
+{
+    struct client *client = table_get(&relay->clients, exchange->client);
+    bool may_have_run = exchange->runs > 0;
+    int status = status_of(kind, may_have_run);
+
+    refusal_add(kind);
+    log_line(LOG_PRI_WARNING, "relay",
+             "event=refused id=%s reason=%s status=%d outcome=%s sends=%d "
+             "runs=%d rejects=%d unreachable=%d begun=%d route=%s item=%s "
+             "version=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
+             " left_ms=%" G_GINT64_FORMAT,
+             exchange->facts.attempt, err_info(kind)->name, status,
+             may_have_run ? "unknown" : "not_run", exchange->sends,
+             exchange->runs, exchange->rejects, exchange->unreachable,
+             exchange->answer.begun,
+             exchange->route != NULL ? exchange->route->name : "-",
+             exchange->facts.item,
+             exchange->config != NULL ? (gint64)exchange->config->version : 0,
+             (gint64)(now_ms - exchange->arrived_ms),
+             (gint64)(exchange->due_ms - now_ms));
+    if (client != NULL && exchange->answer.begun) {
+        exchange->client = (struct handle){0};
+        client->exchange = (struct handle){0};
+        client_close(relay, client);
+    }
+    else if (client != NULL) {
+        write_refusal(relay, client, status, err_info(kind)->name,
+                      may_have_run ? "unknown" : "not_run",
+                      err_info(kind)->remedy, retry_ms, now_ms);
+    }
+    exchange_finish(relay, exchange, now_ms);
+}
+
+/**
+ * refuse_client() - answer a request that could not be read, and close
+ * @relay: the relay
+ * @client: the connection
+ * @status: HTTP status
+ * @reason: what was wrong with it
+ * @now_ms: present time
+ */
+void
+refuse_client(struct relay *relay, struct client *client, int status,
+              const char *reason, int64_t now_ms)
+{
+    refusal_add(ERR_BAD_REQUEST);
+    log_line(LOG_PRI_WARNING, "relay",
+             "event=unreadable status=%d reason=%s head_bytes=%zu "
+             "body_bytes=%u",
+             status, reason, client->head.text->len, client->body->len);
+    client->keep = false;
+    client->closing = true;
+    write_refusal(relay, client, status, reason, "not_run",
+                  "correct the request", 0, now_ms);
+}
--- /dev/null
+++ b/src/gate/relay/relay.c
@@ -0,0 +1,648 @@
+/**
+ * DOC: Duty that takes requests from callers to targets and answers back.
+ *
+ * One thread serves all connections with epoll: with a part of one core, each
+ * hand-over between threads would cost more than the work on an event.
+ */
+#include <errno.h>
+#include <glib.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/choose/dat.h"
+#include "gate/choose/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/relay/internal.h"
+
+enum {
+    EVENTS_MAX = 64,
+    ROUND_MS = 250, /* notes to others are sent this often */
+    TARGETS_MAX = 8192,
+    /* Descriptors that stay free for files, peers and the store. */
+    RESERVED_DESCRIPTORS = 300,
+    BACKLOG_NOTE_MS = 1000,
+    /* Time at the end of the grace in which the process stops by itself. */
+    GRACE_MARGIN_MS = 700,
+    /* The platform and callers have learned by then that this instance
+     * leaves: its readiness is asked once a second, addresses are kept 2 s. */
+    LEAVE_ACCEPT_MS = 3500,
+};
+
+uint64_t
+relay_random(struct relay *relay)
+{
+    relay->random = hash_pair(relay->random, 1);
+    return relay->random;
+}
+
+/* The kind in the top byte, the index below it, the generation below that. */
+static uint64_t
+watch_data(enum watch_kind kind, struct handle handle)
+{
+    return (uint64_t)kind << 56 | (uint64_t)handle.index << 32 |
+           handle.generation;
+}
+
+bool
+relay_watch(struct relay *relay, int operation, int fd, uint32_t events,
+            enum watch_kind kind, struct handle handle)
+{
+    struct epoll_event event = {.events = events,
+                                .data.u64 = watch_data(kind, handle)};
+
+    if (epoll_ctl(relay->epoll_fd, operation, fd, &event) < 0) {
+        log_line(LOG_PRI_ERR, "relay", "event=epoll_failed error=%s",
+                 strerror(errno));
+        return false;
+    }
+    return true;
+}
+
+/* Instances that share what the deployment allows; never less than those
+ * that were heard or listed. */
+int
+relay_instances(const struct relay *relay)
+{
+    int heard = (int)g_hash_table_size(relay->loads) + 1;
+
+    return MAX(heard, (int)relay->members->len);
+}
+
+static void
+free_holdings(void *holdings)
+{
+    g_free(holdings);
+}
+
+static void
+take_config(struct relay *relay, struct gate_config *config)
+{
+    if (relay->config != NULL && config->version <= relay->config->version) {
+        counter_add(CTR_CONFIG_OLDER_IGNORED, 1);
+        gate_config_unref(config);
+        return;
+    }
+    log_line(LOG_PRI_INFO, "relay",
+             "event=config version=%" G_GINT64_FORMAT
+             " before=%" G_GINT64_FORMAT " routes=%d services=%d",
+             (gint64)config->version,
+             relay->config != NULL ? (gint64)relay->config->version : 0,
+             config->route_count, config->service_count);
+    counter_add(CTR_CONFIG_APPLIED, 1);
+    gate_config_unref(relay->config);
+    relay->config = config;
+}
+
+static void
+take_members(struct relay *relay, GArray *members)
+{
+    g_array_free(relay->members, TRUE);
+    relay->members = members;
+}
+
+static void
+take_leave(struct relay *relay, int64_t now_ms)
+{
+    if (!relay->leaving) {
+        relay->leaving = true;
+        relay->leave_ms = now_ms;
+        log_line(LOG_PRI_INFO, "relay",
+                 "event=leaving clients=%u requests=%u",
+                 table_count(&relay->clients), table_count(&relay->exchanges));
+    }
+}
+
+static void
+take_message(struct relay *relay, struct relay_message *message,
+             int64_t now_ms)
+{
+    switch (message->kind) {
+    case RELAY_CONFIG:
+        take_config(relay, message->data);
+        break;
+    case RELAY_CHANGE:
+        target_change(relay, message->data);
+        g_free(message->data);
+        break;
+    case RELAY_LISTED:
+        relay->listed = true;
+        break;
+    case RELAY_HOLDINGS:
+        target_holdings(relay, message->data);
+        free_holdings(message->data);
+        break;
+    case RELAY_ACTIVITY:
+        target_activity(relay, message->data, now_ms);
+        break;
+    case RELAY_MEMBERS:
+        take_members(relay, message->data);
+        break;
+    case RELAY_LEAVE:
+        take_leave(relay, now_ms);
+        break;
+    }
+}
+
+static void
+take_messages(struct relay *relay, int64_t now_ms)
+{
+    struct relay_message message;
+    uint64_t count;
+
+    if (read(relay->wake_fd, &count, sizeof(count)) < 0 && errno != EAGAIN) {
+        log_line(LOG_PRI_ERR, "relay", "event=wake_failed error=%s",
+                 strerror(errno));
+    }
+    while (ring_pop(&relay->ring, &message, 0) == RING_OK) {
+        take_message(relay, &message, now_ms);
+    }
+}
+
+static void
+take_event(struct relay *relay, const struct epoll_event *event,
+           int64_t now_ms)
+{
+    enum watch_kind kind = (enum watch_kind)(event->data.u64 >> 56);
+    struct handle handle = {
+        .index = (uint32_t)(event->data.u64 >> 32 & 0xffffff),
+        .generation = (uint32_t)event->data.u64,
+    };
+    void *slot;
+
+    switch (kind) {
+    case WATCH_WAKE:
+        take_messages(relay, now_ms);
+        break;
+    case WATCH_LISTENER:
+        client_accept(relay, (enum listener_kind)handle.index, now_ms);
+        break;
+    case WATCH_CLIENT:
+        slot = table_get(&relay->clients, handle);
+        if (slot != NULL) {
+            client_event(relay, slot, event->events, now_ms);
+        }
+        break;
+    case WATCH_UPSTREAM:
+        slot = table_get(&relay->upstreams, handle);
+        if (slot != NULL) {
+            upstream_event(relay, slot, event->events, now_ms);
+        }
+        break;
+    }
+}
+
+static void
+take_timer(struct relay *relay, struct timer *timer, int64_t now_ms)
+{
+    heap_remove(&relay->timers, timer);
+    switch ((enum timer_kind)timer->kind) {
+    case TIMER_CLIENT:
+        client_timer(relay, (struct client *)timer, now_ms);
+        break;
+    case TIMER_EXCHANGE:
+        exchange_timer(relay, (struct exchange *)timer, now_ms);
+        break;
+    case TIMER_UPSTREAM:
+        upstream_timer(relay, (struct upstream *)timer, now_ms);
+        break;
+    }
+}
+
+static void
+take_timers(struct relay *relay, int64_t now_ms)
+{
+    struct timer *timer;
+
+    while ((timer = heap_first(&relay->timers)) != NULL &&
+           timer->due_ms <= now_ms) {
+        take_timer(relay, timer, now_ms);
+    }
+}
+
+static int
+wait_ms(const struct relay *relay, int64_t now_ms)
+{
+    const struct timer *timer = heap_first(&relay->timers);
+    int64_t due_ms = relay->note_ms + ROUND_MS;
+
+    if (relay->note_now) {
+        due_ms = now_ms;
+    }
+    if (timer != NULL) {
+        due_ms = MIN(due_ms, timer->due_ms);
+    }
+    return due_ms > now_ms ? (int)(due_ms - now_ms) : 0;
+}
+
+static void
+accept_again(struct relay *relay, int64_t now_ms)
+{
+    if (relay->accept_again_ms != 0 && now_ms >= relay->accept_again_ms) {
+        relay->accept_again_ms = 0;
+        client_accept(relay, LISTEN_FRONT, now_ms);
+    }
+}
+
+static void
+stop_listening(struct relay *relay, enum listener_kind kind)
+{
+    if (relay->listeners[kind] >= 0) {
+        close(relay->listeners[kind]);
+        relay->listeners[kind] = -1;
+    }
+}
+
+/* Whether the process may stop. */
+static bool
+leave_round(struct relay *relay, int64_t now_ms)
+{
+    int64_t since_ms = now_ms - relay->leave_ms;
+
+    if (!relay->leaving) {
+        return false;
+    }
+    if (since_ms >= LEAVE_ACCEPT_MS) {
+        stop_listening(relay, LISTEN_FRONT);
+    }
+    return (since_ms >= LEAVE_ACCEPT_MS &&
+            table_count(&relay->exchanges) == 0) ||
+           since_ms >= relay->settings->limits.grace_ms - GRACE_MARGIN_MS;
+}
+
+static void
+round_of_events(struct relay *relay)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int64_t now_ms = clock_now_ms();
+    int count = epoll_wait(relay->epoll_fd, events, EVENTS_MAX,
+                           wait_ms(relay, now_ms));
+
+    now_ms = clock_now_ms();
+    for (int i = 0; i < count; i++) {
+        take_event(relay, &events[i], now_ms);
+    }
+    take_timers(relay, now_ms);
+    accept_again(relay, now_ms);
+    queue_run(relay, now_ms);
+    note_send(relay, now_ms);
+}
+
+static bool
+run(struct duty *duty, struct err *err)
+{
+    struct relay *relay = (struct relay *)duty;
+
+    (void)err;
+    while (!atomic_load(&relay->stopping)) {
+        round_of_events(relay);
+        if (leave_round(relay, clock_now_ms())) {
+            log_line(LOG_PRI_INFO, "relay", "event=left requests=%u",
+                     table_count(&relay->exchanges));
+            relay->port->ops->left(relay->port);
+            break;
+        }
+    }
+    return true;
+}
+
+static void
+wake(struct relay *relay)
+{
+    uint64_t one = 1;
+
+    if (write(relay->wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN) {
+        log_line(LOG_PRI_ERR, "relay", "event=wake_failed error=%s",
+                 strerror(errno));
+    }
+}
+
+static void
+stop(struct duty *duty)
+{
+    struct relay *relay = (struct relay *)duty;
+
+    atomic_store(&relay->stopping, true);
+    wake(relay);
+}
+
+static const struct duty_ops duty_ops = {run, stop};
+
+static bool
+listen_on(struct relay *relay, enum listener_kind kind, const char *address,
+          struct err *err)
+{
+    struct handle handle = {.index = kind};
+
+    relay->listeners[kind] = -1;
+    if (address[0] == '\0') {
+        return true;
+    }
+    relay->listeners[kind] = socket_listen(address, NULL, err);
+    return relay->listeners[kind] >= 0 &&
+           relay_watch(relay, EPOLL_CTL_ADD, relay->listeners[kind], EPOLLIN,
+                       WATCH_LISTENER, handle);
+}
+
+static bool
+open_descriptors(struct relay *relay, struct err *err)
+{
+    struct handle none = {0};
+    const struct gate_settings *settings = relay->settings;
+
+    relay->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    relay->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (relay->epoll_fd < 0 || relay->wake_fd < 0) {
+        return err_set(err, ERR_IO, "epoll: %s", strerror(errno));
+    }
+    relay_watch(relay, EPOLL_CTL_ADD, relay->wake_fd, EPOLLIN, WATCH_WAKE,
+                none);
+    return listen_on(relay, LISTEN_FRONT, settings->front_address, err) &&
+           listen_on(relay, LISTEN_READY, settings->ready_address, err) &&
+           listen_on(relay, LISTEN_LOOKUP, settings->lookup_address, err) &&
+           listen_on(relay, LISTEN_METRICS, settings->metrics_address, err);
+}
+
+static void
+free_load(void *data)
+{
+    struct peer_load *load = data;
+
+    activity_free(load->activity);
+    g_free(load);
+}
+
+static bool
+create_tables(struct relay *relay, struct err *err)
+{
+    int room = relay->settings->descriptors_max - RESERVED_DESCRIPTORS;
+    uint32_t half = (uint32_t)MAX(room / 2, 64);
+
+    heap_init(&relay->timers);
+    queue_init(relay);
+    relay->members = g_array_new(FALSE, FALSE, sizeof(struct gate_member));
+    relay->target_ids =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    relay->budgets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    relay->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                         free_load);
+    relay->arrivals = g_hash_table_new(NULL, NULL);
+    return table_init(&relay->clients, half, sizeof(struct client), err) &&
+           table_init(&relay->upstreams, half, sizeof(struct upstream), err) &&
+           table_init(&relay->exchanges, EXCHANGES_MAX,
+                      sizeof(struct exchange), err) &&
+           table_init(&relay->targets, TARGETS_MAX,
+                      sizeof(struct relay_target), err);
+}
+
+/**
+ * relay_new() - create the duty
+ * @settings: kept by reference
+ * @dialect: names of header fields and calls, kept by reference
+ * @port: where news go, kept by reference
+ * @err: filled in on failure
+ *
+ * Return: the duty, or NULL.
+ */
+struct relay *
+relay_new(const struct gate_settings *settings, struct dialect *dialect,
+          struct relay_port *port, struct err *err)
+{
+    struct relay *relay = g_new0(struct relay, 1);
+
+    relay->duty.ops = &duty_ops;
+    relay->duty.name = "relay";
+    relay->settings = settings;
+    relay->dialect = dialect;
+    relay->port = port;
+    relay->self_id = hash_text(settings->name);
+    relay->random = hash_pair(relay->self_id, (uint64_t)clock_wall_ms());
+    if (!ring_init(&relay->ring, RELAY_RING, sizeof(struct relay_message),
+                   err) ||
+        !create_tables(relay, err) || !open_descriptors(relay, err)) {
+        g_free(relay);
+        return NULL;
+    }
+    return relay;
+}
+
+static void
+free_connections(struct relay *relay)
+{
+    struct client *client;
+    struct upstream *upstream;
+    struct relay_target *target;
+    uint32_t cursor = 0;
+
+    while ((client = table_next(&relay->clients, &cursor, NULL)) != NULL) {
+        client_close(relay, client);
+    }
+    cursor = 0;
+    while ((upstream = table_next(&relay->upstreams, &cursor, NULL)) != NULL) {
+        upstream_drop(relay, upstream);
+    }
+    cursor = 0;
+    while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
+        g_array_free(target->idle, TRUE);
+    }
+}
+
+/**
+ * relay_free() - release the duty after it has stopped
+ * @relay: the duty; may be NULL
+ */
+void
+relay_free(struct relay *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    take_messages(relay, clock_now_ms());
+    free_connections(relay);
+    for (int i = 0; i < LISTENERS; i++) {
+        stop_listening(relay, (enum listener_kind)i);
+    }
+    close(relay->epoll_fd);
+    close(relay->wake_fd);
+    gate_config_unref(relay->config);
+    g_array_free(relay->members, TRUE);
+    queue_clear(relay);
+    heap_clear(&relay->timers);
+    g_hash_table_destroy(relay->target_ids);
+    g_hash_table_destroy(relay->budgets);
+    g_hash_table_destroy(relay->loads);
+    g_hash_table_destroy(relay->arrivals);
+    table_free_all(&relay->clients);
+    table_free_all(&relay->upstreams);
+    table_free_all(&relay->exchanges);
+    table_free_all(&relay->targets);
+    ring_free(&relay->ring);
+    g_free(relay);
+}
+
+/**
+ * relay_duty() - the duty for its supervisor
+ * @relay: the relay
+ */
+struct duty *
+relay_duty(struct relay *relay)
+{
+    return &relay->duty;
+}
+
+static int
+port_of(int fd)
+{
+    struct sockaddr_in address;
+    socklen_t bytes = sizeof(address);
+
+    if (getsockname(fd, (struct sockaddr *)&address, &bytes) < 0) {
+        return 0;
+    }
+    return ntohs(address.sin_port);
+}
+
+/**
+ * relay_front_port() - port for callers, as the kernel chose it
+ * @relay: the relay
+ */
+int
+relay_front_port(const struct relay *relay)
+{
+    return port_of(relay->listeners[LISTEN_FRONT]);
+}
+
+/**
+ * relay_ready_port() - port for the platform's question, as chosen
+ * @relay: the relay
+ */
+int
+relay_ready_port(const struct relay *relay)
+{
+    return port_of(relay->listeners[LISTEN_READY]);
+}
+
+/**
+ * relay_lookup_port() - port for callers' question, as chosen
+ * @relay: the relay
+ */
+int
+relay_lookup_port(const struct relay *relay)
+{
+    return port_of(relay->listeners[LISTEN_LOOKUP]);
+}
+
+/* Returns false when the ring is full; the caller keeps @data then. */
+static bool
+post(struct relay *relay, enum relay_message_kind kind, void *data)
+{
+    struct relay_message message = {.kind = kind, .data = data};
+    struct err err = {0};
+
+    if (!ring_push(&relay->ring, &message, &err)) {
+        refusal_add(err.kind);
+        log_line(LOG_PRI_ERR, "relay", "event=news_lost kind=%d reason=%s",
+                 kind, err.text);
+        return false;
+    }
+    wake(relay);
+    return true;
+}
+
+/**
+ * relay_post_config() - a configuration was read
+ * @relay: the relay
+ * @config: one reference is taken over
+ */
+void
+relay_post_config(struct relay *relay, struct gate_config *config)
+{
+    if (!post(relay, RELAY_CONFIG, config)) {
+        gate_config_unref(config);
+    }
+}
+
+/**
+ * relay_post_change() - the list of targets has changed
+ * @relay: the relay
+ * @change: copied
+ */
+void
+relay_post_change(struct relay *relay, const struct target_change *change)
+{
+    struct target_change *copy = g_memdup2(change, sizeof(*change));
+
+    if (!post(relay, RELAY_CHANGE, copy)) {
+        g_free(copy);
+    }
+}
+
+/**
+ * relay_post_listed() - the list of targets was read once
+ * @relay: the relay
+ */
+void
+relay_post_listed(struct relay *relay)
+{
+    post(relay, RELAY_LISTED, NULL);
+}
+
+/**
+ * relay_post_holdings() - the holder of orders tells what a target holds
+ * @relay: the relay
+ * @holdings: taken over
+ */
+void
+relay_post_holdings(struct relay *relay, struct holdings *holdings)
+{
+    if (!post(relay, RELAY_HOLDINGS, holdings)) {
+        g_free(holdings);
+    }
+}
+
+/**
+ * relay_post_activity() - another instance tells of its requests
+ * @relay: the relay
+ * @activity: taken over
+ */
+void
+relay_post_activity(struct relay *relay, struct activity *activity)
+{
+    if (!post(relay, RELAY_ACTIVITY, activity)) {
+        activity_free(activity);
+    }
+}
+
+/**
+ * relay_post_members() - the instances that take requests
+ * @relay: the relay
+ * @members: struct gate_member; taken over
+ */
+void
+relay_post_members(struct relay *relay, GArray *members)
+{
+    if (!post(relay, RELAY_MEMBERS, members)) {
+        g_array_free(members, TRUE);
+    }
+}
+
+/**
+ * relay_post_leave() - the process is asked to stop
+ * @relay: the relay
+ */
+void
+relay_post_leave(struct relay *relay)
+{
+    post(relay, RELAY_LEAVE, NULL);
+}
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -23,6 +23,7 @@
                       const char *fallback);
 int64_t json_number(struct json_object *object, const char *key,
                     int64_t fallback);
+double json_real(struct json_object *object, const char *key, double fallback);
 bool json_flag(struct json_object *object, const char *key, bool fallback);
 
 /* client.c */
--- a/src/http/json.c
+++ b/src/http/json.c
@@ -122,3 +122,23 @@
     }
     return fallback;
 }
+
+/**
+ * json_real() - number member of an object, whole or with a fraction
+ * @object: the object, or any other value
+ * @key: name of the member
+ * @fallback: returned when the member is missing or no number
+ */
+double
+json_real(struct json_object *object, const char *key, double fallback)
+{
+    struct json_object *member;
+
+    if (json_object_is_type(object, json_type_object) &&
+        json_object_object_get_ex(object, key, &member) &&
+        (json_object_is_type(member, json_type_double) ||
+         json_object_is_type(member, json_type_int))) {
+        return json_object_get_double(member);
+    }
+    return fallback;
+}
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1042,7 +1042,187 @@
   assert(message->base.descriptor == &turmeric__strike__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[22] =
+void   turmeric__gate_item__init
+                     (Turmeric__GateItem         *message)
+{
+  static const Turmeric__GateItem init_value = TURMERIC__GATE_ITEM__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_item__get_packed_size
+                     (const Turmeric__GateItem *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_item__pack
+                     (const Turmeric__GateItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_item__pack_to_buffer
+                     (const Turmeric__GateItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateItem *
+       turmeric__gate_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateItem *)
+     protobuf_c_message_unpack (&turmeric__gate_item__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_item__free_unpacked
+                     (Turmeric__GateItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_target__init
+                     (Turmeric__GateTarget         *message)
+{
+  static const Turmeric__GateTarget init_value = TURMERIC__GATE_TARGET__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_target__get_packed_size
+                     (const Turmeric__GateTarget *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_target__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_target__pack
+                     (const Turmeric__GateTarget *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_target__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_target__pack_to_buffer
+                     (const Turmeric__GateTarget *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_target__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateTarget *
+       turmeric__gate_target__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateTarget *)
+     protobuf_c_message_unpack (&turmeric__gate_target__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_target__free_unpacked
+                     (Turmeric__GateTarget *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_target__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_activity__init
+                     (Turmeric__GateActivity         *message)
+{
+  static const Turmeric__GateActivity init_value = TURMERIC__GATE_ACTIVITY__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_activity__get_packed_size
+                     (const Turmeric__GateActivity *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_activity__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_activity__pack
+                     (const Turmeric__GateActivity *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_activity__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_activity__pack_to_buffer
+                     (const Turmeric__GateActivity *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_activity__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateActivity *
+       turmeric__gate_activity__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateActivity *)
+     protobuf_c_message_unpack (&turmeric__gate_activity__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_activity__free_unpacked
+                     (Turmeric__GateActivity *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_activity__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_holdings__init
+                     (Turmeric__GateHoldings         *message)
+{
+  static const Turmeric__GateHoldings init_value = TURMERIC__GATE_HOLDINGS__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_holdings__get_packed_size
+                     (const Turmeric__GateHoldings *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_holdings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_holdings__pack
+                     (const Turmeric__GateHoldings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_holdings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_holdings__pack_to_buffer
+                     (const Turmeric__GateHoldings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_holdings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateHoldings *
+       turmeric__gate_holdings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateHoldings *)
+     protobuf_c_message_unpack (&turmeric__gate_holdings__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_holdings__free_unpacked
+                     (Turmeric__GateHoldings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_holdings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[24] =
 {
   {
     "version",
@@ -1308,6 +1488,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gate_activity",
+    70,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__Envelope, body_case),
+    offsetof(Turmeric__Envelope, gate_activity),
+    &turmeric__gate_activity__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gate_holdings",
+    71,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__Envelope, body_case),
+    offsetof(Turmeric__Envelope, gate_holdings),
+    &turmeric__gate_holdings__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
@@ -1319,6 +1523,8 @@
   9,   /* field[9] = config_snapshot */
   18,   /* field[18] = evict */
   1,   /* field[1] = from */
+  22,   /* field[22] = gate_activity */
+  23,   /* field[23] = gate_holdings */
   2,   /* field[2] = hello */
   3,   /* field[3] = ping */
   5,   /* field[5] = ping_req */
@@ -1333,7 +1539,7 @@
   11,   /* field[11] = want */
   12,   /* field[12] = want_reply */
 };
-static const ProtobufCIntRange turmeric__envelope__number_ranges[7 + 1] =
+static const ProtobufCIntRange turmeric__envelope__number_ranges[8 + 1] =
 {
   { 1, 0 },
   { 10, 2 },
@@ -1342,7 +1548,8 @@
   { 40, 11 },
   { 50, 19 },
   { 60, 21 },
-  { 0, 22 }
+  { 70, 22 },
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor turmeric__envelope__descriptor =
 {
@@ -1352,10 +1559,10 @@
   "Turmeric__Envelope",
   "turmeric",
   sizeof(Turmeric__Envelope),
-  22,
+  24,
   turmeric__envelope__field_descriptors,
   turmeric__envelope__field_indices_by_name,
-  7,  turmeric__envelope__number_ranges,
+  8,  turmeric__envelope__number_ranges,
   (ProtobufCMessageInit) turmeric__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3066,3 +3273,272 @@
   (ProtobufCMessageInit) turmeric__strike__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor turmeric__gate_item__field_descriptors[5] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateItem, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "arrived",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateItem, arrived),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateItem, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateItem, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "oldest_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateItem, oldest_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_item__field_indices_by_name[] = {
+  1,   /* field[1] = arrived */
+  0,   /* field[0] = name */
+  4,   /* field[4] = oldest_ms */
+  3,   /* field[3] = running */
+  2,   /* field[2] = waiting */
+};
+static const ProtobufCIntRange turmeric__gate_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateItem",
+  "GateItem",
+  "Turmeric__GateItem",
+  "turmeric",
+  sizeof(Turmeric__GateItem),
+  5,
+  turmeric__gate_item__field_descriptors,
+  turmeric__gate_item__field_indices_by_name,
+  1,  turmeric__gate_item__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_target__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateTarget, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateTarget, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_target__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = running */
+};
+static const ProtobufCIntRange turmeric__gate_target__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_target__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateTarget",
+  "GateTarget",
+  "Turmeric__GateTarget",
+  "turmeric",
+  sizeof(Turmeric__GateTarget),
+  2,
+  turmeric__gate_target__field_descriptors,
+  turmeric__gate_target__field_indices_by_name,
+  1,  turmeric__gate_target__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_target__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_activity__field_descriptors[2] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateActivity, n_items),
+    offsetof(Turmeric__GateActivity, items),
+    &turmeric__gate_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateActivity, n_targets),
+    offsetof(Turmeric__GateActivity, targets),
+    &turmeric__gate_target__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_activity__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+  1,   /* field[1] = targets */
+};
+static const ProtobufCIntRange turmeric__gate_activity__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_activity__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateActivity",
+  "GateActivity",
+  "Turmeric__GateActivity",
+  "turmeric",
+  sizeof(Turmeric__GateActivity),
+  2,
+  turmeric__gate_activity__field_descriptors,
+  turmeric__gate_activity__field_indices_by_name,
+  1,  turmeric__gate_activity__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_activity__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_holdings__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateHoldings, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateHoldings, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateHoldings, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Turmeric__GateHoldings, n_held),
+    offsetof(Turmeric__GateHoldings, held),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_holdings__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  3,   /* field[3] = held */
+  2,   /* field[2] = sequence */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange turmeric__gate_holdings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_holdings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateHoldings",
+  "GateHoldings",
+  "Turmeric__GateHoldings",
+  "turmeric",
+  sizeof(Turmeric__GateHoldings),
+  4,
+  turmeric__gate_holdings__field_descriptors,
+  turmeric__gate_holdings__field_indices_by_name,
+  1,  turmeric__gate_holdings__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_holdings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -38,6 +38,10 @@
 typedef struct Turmeric__ClaimAsk Turmeric__ClaimAsk;
 typedef struct Turmeric__ClaimReply Turmeric__ClaimReply;
 typedef struct Turmeric__Strike Turmeric__Strike;
+typedef struct Turmeric__GateItem Turmeric__GateItem;
+typedef struct Turmeric__GateTarget Turmeric__GateTarget;
+typedef struct Turmeric__GateActivity Turmeric__GateActivity;
+typedef struct Turmeric__GateHoldings Turmeric__GateHoldings;
 
 
 /* --- enums --- */
@@ -66,7 +70,9 @@
   TURMERIC__ENVELOPE__BODY_EVICT = 47,
   TURMERIC__ENVELOPE__BODY_CLAIM_ASK = 50,
   TURMERIC__ENVELOPE__BODY_CLAIM_REPLY = 51,
-  TURMERIC__ENVELOPE__BODY_STRIKE = 60
+  TURMERIC__ENVELOPE__BODY_STRIKE = 60,
+  TURMERIC__ENVELOPE__BODY_GATE_ACTIVITY = 70,
+  TURMERIC__ENVELOPE__BODY_GATE_HOLDINGS = 71
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TURMERIC__ENVELOPE__BODY__CASE)
 } Turmeric__Envelope__BodyCase;
 
@@ -100,6 +106,8 @@
     Turmeric__ClaimAsk *claim_ask;
     Turmeric__ClaimReply *claim_reply;
     Turmeric__Strike *strike;
+    Turmeric__GateActivity *gate_activity;
+    Turmeric__GateHoldings *gate_holdings;
   };
 };
 #define TURMERIC__ENVELOPE__INIT \
@@ -422,6 +430,68 @@
     , 0, 0, 0 }
 
 
+/*
+ * What an instance has to do; sent to the other instances several times a
+ * second.
+ */
+struct  Turmeric__GateItem
+{
+  ProtobufCMessage base;
+  /*
+   * model, or model and adapter
+   */
+  char *name;
+  uint32_t arrived;
+  uint32_t waiting;
+  uint32_t running;
+  uint32_t oldest_ms;
+};
+#define TURMERIC__GATE_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_item__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Turmeric__GateTarget
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t running;
+};
+#define TURMERIC__GATE_TARGET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_target__descriptor) \
+    , 0, 0 }
+
+
+struct  Turmeric__GateActivity
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Turmeric__GateItem **items;
+  size_t n_targets;
+  Turmeric__GateTarget **targets;
+};
+#define TURMERIC__GATE_ACTIVITY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_activity__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+/*
+ * What an engine holds, from the instance that orders it.
+ */
+struct  Turmeric__GateHoldings
+{
+  ProtobufCMessage base;
+  char *target;
+  int64_t born_ms;
+  int64_t sequence;
+  size_t n_held;
+  char **held;
+};
+#define TURMERIC__GATE_HOLDINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_holdings__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
 /* Turmeric__Envelope methods */
 void   turmeric__envelope__init
                      (Turmeric__Envelope         *message);
@@ -859,6 +929,82 @@
 void   turmeric__strike__free_unpacked
                      (Turmeric__Strike *message,
                       ProtobufCAllocator *allocator);
+/* Turmeric__GateItem methods */
+void   turmeric__gate_item__init
+                     (Turmeric__GateItem         *message);
+size_t turmeric__gate_item__get_packed_size
+                     (const Turmeric__GateItem   *message);
+size_t turmeric__gate_item__pack
+                     (const Turmeric__GateItem   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_item__pack_to_buffer
+                     (const Turmeric__GateItem   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateItem *
+       turmeric__gate_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_item__free_unpacked
+                     (Turmeric__GateItem *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateTarget methods */
+void   turmeric__gate_target__init
+                     (Turmeric__GateTarget         *message);
+size_t turmeric__gate_target__get_packed_size
+                     (const Turmeric__GateTarget   *message);
+size_t turmeric__gate_target__pack
+                     (const Turmeric__GateTarget   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_target__pack_to_buffer
+                     (const Turmeric__GateTarget   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateTarget *
+       turmeric__gate_target__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_target__free_unpacked
+                     (Turmeric__GateTarget *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateActivity methods */
+void   turmeric__gate_activity__init
+                     (Turmeric__GateActivity         *message);
+size_t turmeric__gate_activity__get_packed_size
+                     (const Turmeric__GateActivity   *message);
+size_t turmeric__gate_activity__pack
+                     (const Turmeric__GateActivity   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_activity__pack_to_buffer
+                     (const Turmeric__GateActivity   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateActivity *
+       turmeric__gate_activity__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_activity__free_unpacked
+                     (Turmeric__GateActivity *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateHoldings methods */
+void   turmeric__gate_holdings__init
+                     (Turmeric__GateHoldings         *message);
+size_t turmeric__gate_holdings__get_packed_size
+                     (const Turmeric__GateHoldings   *message);
+size_t turmeric__gate_holdings__pack
+                     (const Turmeric__GateHoldings   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_holdings__pack_to_buffer
+                     (const Turmeric__GateHoldings   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateHoldings *
+       turmeric__gate_holdings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_holdings__free_unpacked
+                     (Turmeric__GateHoldings *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Turmeric__Envelope_Closure)
@@ -930,6 +1076,18 @@
 typedef void (*Turmeric__Strike_Closure)
                  (const Turmeric__Strike *message,
                   void *closure_data);
+typedef void (*Turmeric__GateItem_Closure)
+                 (const Turmeric__GateItem *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateTarget_Closure)
+                 (const Turmeric__GateTarget *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateActivity_Closure)
+                 (const Turmeric__GateActivity *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateHoldings_Closure)
+                 (const Turmeric__GateHoldings *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -959,6 +1117,10 @@
 extern const ProtobufCMessageDescriptor turmeric__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__claim_reply__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__strike__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_item__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_target__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_activity__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_holdings__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/turmericd/fleet/peer/fns.h
+++ b/src/turmericd/fleet/peer/fns.h
@@ -24,13 +24,6 @@
                     struct peer_entry *entry);
 bool directory_take_changed(struct peer_directory *directory);
 
-/* socket.c */
-bool socket_address(const char *text, struct sockaddr_storage *address,
-                    socklen_t *bytes, struct err *err);
-int socket_listen(const char *text, int *port, struct err *err);
-int socket_connect(const char *text, struct err *err);
-void socket_prepare(int fd);
-
 /* link.c */
 void link_push(struct peer_link *link, struct peer_frame *frame,
                int64_t now_ms);
--- a/src/turmericd/serve/route/internal.h
+++ b/src/turmericd/serve/route/internal.h
@@ -29,25 +29,6 @@
 
 enum timer_kind { TIMER_WORK, TIMER_LEAF };
 
-/**
- * struct timer - point in time at which something is due
- * @due_ms: monotonic
- * @place: position in the heap, counted from 1; 0 while not in it
- * @kind: what it is the first member of
- */
-struct timer {
-    int64_t due_ms;
-    uint32_t place;
-    enum timer_kind kind;
-};
-
-/**
- * struct heap - timers, the earliest first
- */
-struct heap {
-    GPtrArray *timers;
-};
-
 /**
  * struct target - a target with what this instance has running there
  * @report: latest report
@@ -259,13 +240,6 @@
 
 struct strikes;
 
-/* heap.c */
-void heap_init(struct heap *heap);
-void heap_clear(struct heap *heap);
-void heap_set(struct heap *heap, struct timer *timer, int64_t due_ms);
-void heap_remove(struct heap *heap, struct timer *timer);
-struct timer *heap_first(const struct heap *heap);
-
 /* queue.c */
 void queue_add(struct leaf *leaf, struct work *work);
 void queue_remove(struct work *work);
