--- a/Makefile
+++ b/Makefile
@@ -121,4 +121,4 @@
 clean:
 	rm -rf build
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find build target -name '*.d' 2>/dev/null)
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -243,6 +243,7 @@
     struct ring ring;
     struct heap timers;
     int listeners[LISTENERS];
+    int ports[LISTENERS];
     int64_t accept_again_ms;
     struct table clients;
     struct table exchanges;
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -7,7 +7,6 @@
 #include <errno.h>
 #include <glib.h>
 #include <http_parser.h>
-#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -348,7 +347,7 @@
     if (address[0] == '\0') {
         return true;
     }
-    relay->listeners[kind] = socket_listen(address, NULL, err);
+    relay->listeners[kind] = socket_listen(address, &relay->ports[kind], err);
     return relay->listeners[kind] >= 0 &&
            relay_watch(relay, EPOLL_CTL_ADD, relay->listeners[kind], EPOLLIN,
                        WATCH_LISTENER, handle);
@@ -501,18 +500,6 @@
     return &relay->duty;
 }
 
-static int
-port_of(int fd)
-{
-    struct sockaddr_in address;
-    socklen_t bytes = sizeof(address);
-
-    if (getsockname(fd, (struct sockaddr *)&address, &bytes) < 0) {
-        return 0;
-    }
-    return ntohs(address.sin_port);
-}
-
 /**
  * relay_front_port() - port for callers, as the kernel chose it
  * @relay: the relay
@@ -520,7 +507,7 @@
 int
 relay_front_port(const struct relay *relay)
 {
-    return port_of(relay->listeners[LISTEN_FRONT]);
+    return relay->ports[LISTEN_FRONT];
 }
 
 /**
@@ -530,7 +517,7 @@
 int
 relay_ready_port(const struct relay *relay)
 {
-    return port_of(relay->listeners[LISTEN_READY]);
+    return relay->ports[LISTEN_READY];
 }
 
 /**
@@ -540,7 +527,7 @@
 int
 relay_lookup_port(const struct relay *relay)
 {
-    return port_of(relay->listeners[LISTEN_LOOKUP]);
+    return relay->ports[LISTEN_LOOKUP];
 }
 
 /* Returns false when the ring is full; the caller keeps @data then. */
