Take the number of orders from reports only

Cause: the entry's sequence counts its writes and the report's counts orders; with the first as expected number engines refused each order as a conflict.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -17,6 +17,7 @@
  * @unloading: item that is being unloaded; 0 for none
  * @done_ms: when the order that runs should be done
  * @ordering: an order was sent and not answered yet
+ * @ordered_ms: when the last order was accepted
  * @reserved: item for which room is made; 0 for none
  * @reserved_until_ms: when the room is given up
  * @retry_ms: no order before this time
@@ -33,6 +34,7 @@
     uint32_t unloading;
     int64_t done_ms;
     bool ordering;
+    int64_t ordered_ms;
     uint32_t reserved;
     int64_t reserved_until_ms;
     int64_t retry_ms;
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -95,6 +95,7 @@
          const struct plan_step *step, int64_t now_ms)
 {
     engine->info.sequence = step->sequence + 1;
+    engine->ordered_ms = now_ms;
     if (step->action == ORDER_UNLOAD) {
         items_remove(&engine->info.held, step->item);
         if (!item_is_adapter(step->item)) {
@@ -134,10 +135,12 @@
             items_add(&engine->info.held, step->item);
         }
         else {
-            engine->info.sequence = step->sequence + 1;
             items_remove(&engine->info.held, step->item);
         }
+        /* An adapter that is dropped at once counts as an order, too. */
+        engine->ordered_ms = now_ms;
         engine->report_ms = now_ms + REPORT_LAG_MS;
+        engine->unsure = true;
         break;
     case ORDER_CONFLICT:
         engine->retry_ms = now_ms + CONFLICT_MS;
@@ -170,16 +173,19 @@
         engine->report_ms = now_ms + CONFLICT_MS;
         return NULL;
     }
-    if (info->sequence < engine->info.sequence) {
-        /* The report is older than the last answer. */
+    if (info->sequence < engine->info.sequence ||
+        now_ms - engine->ordered_ms < REPORT_LAG_MS) {
+        /* The report may be older than the last answer. */
         engine->report_ms = now_ms + REPORT_LAG_MS;
         return NULL;
     }
     changed = !items_equal(&engine->info.held, &info->held);
     engine->info.held = info->held;
     engine->info.sequence = info->sequence;
-    engine->info.in_memory = info->in_memory;
-    engine->info.on_disk = info->on_disk;
+    if (info->in_memory.count > 0 || info->on_disk.count > 0) {
+        engine->info.in_memory = info->in_memory;
+        engine->info.on_disk = info->on_disk;
+    }
     if (info->busy) {
         engine->report_ms = now_ms + REPORT_LAG_MS;
         engine->unsure = engine->loading == 0 && engine->unloading == 0;
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -16,8 +16,10 @@
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
 
-/* Loads that the deployments' weight stores carry without slowing down. */
-enum { STORE_LOADS_MAX = 4 };
+enum {
+    STORE_LOADS_MAX = 4, /* more at once make each other slower */
+    ENTRY_LAG_MS = 600,  /* gathering changes, an answer, and its handling */
+};
 
 static void
 free_activity(void *activity)
@@ -126,30 +128,67 @@
     }
 }
 
+/* An entry is some hundred ms old when it is seen, so one that comes soon
+ * after an order and doesn't show its effect is older than the order. */
+static bool
+is_newer(const struct plan_engine *engine, const struct target_info *info,
+         int64_t now_ms)
+{
+    if (engine->loading != 0 && items_have(&info->held, engine->loading)) {
+        return true;
+    }
+    return !engine->ordering && now_ms - engine->ordered_ms >= ENTRY_LAG_MS;
+}
+
 static void
-update(struct plan *plan, const struct target_info *info)
+start_engine(struct plan_engine *engine, const struct target_info *info,
+             int64_t now_ms)
+{
+    engine->info = *info;
+    engine->unsure = true;
+    engine->report_ms = now_ms;
+}
+
+/* The entry does not count orders; what the report told of them stays. */
+static void
+refresh(struct plan_engine *engine, const struct target_info *info,
+        int64_t now_ms)
+{
+    struct target_info before = engine->info;
+    bool newer = is_newer(engine, info, now_ms);
+
+    engine->info = *info;
+    engine->info.sequence = before.sequence;
+    if (!newer) {
+        engine->info.held = before.held;
+    }
+    if (info->in_memory.count == 0 && info->on_disk.count == 0) {
+        engine->info.in_memory = before.in_memory;
+        engine->info.on_disk = before.on_disk;
+    }
+    if (newer) {
+        settle(engine);
+    }
+}
+
+static void
+update(struct plan *plan, const struct target_info *info, int64_t now_ms)
 {
     struct plan_engine *engine = g_hash_table_lookup(plan->engines, info->id);
 
     if (engine == NULL) {
         engine = g_new0(struct plan_engine, 1);
-        engine->info = *info;
+        start_engine(engine, info, now_ms);
         g_hash_table_insert(plan->engines, engine->info.id, engine);
         return;
     }
     engine->missing = false;
     if (engine->info.born_ms != info->born_ms) {
         forget_orders(engine);
-        engine->info = *info;
+        start_engine(engine, info, now_ms);
         return;
     }
-    if (info->sequence >= 0 && info->sequence < engine->info.sequence) {
-        /* Older than what the engine answered to the last order. */
-        engine->info.leaving = info->leaving;
-        return;
-    }
-    engine->info = *info;
-    settle(engine);
+    refresh(engine, info, now_ms);
 }
 
 /**
@@ -165,10 +204,9 @@
     struct plan_engine *engine =
         g_hash_table_lookup(plan->engines, change->info.id);
 
-    (void)now_ms;
     switch (change->kind) {
     case TARGET_CHANGED:
-        update(plan, &change->info);
+        update(plan, &change->info, now_ms);
         break;
     case TARGET_MISSING:
         if (engine != NULL) {
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -200,6 +200,8 @@
 /**
  * struct relay_target - a target with the connections to it
  * @idle: handles of idle connections, the last used at the end
+ * @orders: orders that it had accepted when the holder last told of it
+ * @holdings_ms: when that was
  */
 struct relay_target {
     struct choose_target choose;
@@ -207,6 +209,8 @@
     GArray *idle;
     int connections;
     uint64_t id_hash;
+    int64_t orders;
+    int64_t holdings_ms;
 };
 
 enum relay_message_kind {
@@ -382,8 +386,10 @@
                                  const struct choose_need *need,
                                  int64_t now_ms);
 bool target_any(struct relay *relay, const struct choose_need *need);
-void target_change(struct relay *relay, const struct target_change *change);
-void target_holdings(struct relay *relay, const struct holdings *holdings);
+void target_change(struct relay *relay, const struct target_change *change,
+                   int64_t now_ms);
+void target_holdings(struct relay *relay, const struct holdings *holdings,
+                     int64_t now_ms);
 void target_activity(struct relay *relay, struct activity *activity,
                      int64_t now_ms);
 
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -131,14 +131,14 @@
         take_config(relay, message->data);
         break;
     case RELAY_CHANGE:
-        target_change(relay, message->data);
+        target_change(relay, message->data, now_ms);
         g_free(message->data);
         break;
     case RELAY_LISTED:
         relay->listed = true;
         break;
     case RELAY_HOLDINGS:
-        target_holdings(relay, message->data);
+        target_holdings(relay, message->data, now_ms);
         free_holdings(message->data);
         break;
     case RELAY_ACTIVITY:
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -18,7 +18,10 @@
 
 /* Others tell their counts several times a second; an instance that has not
  * been heard for this long has stopped, or can't reach us. */
-enum { LOAD_OLD_MS = 3000 };
+enum {
+    LOAD_OLD_MS = 3000,
+    ENTRY_LAG_MS = 600, /* an entry is as old when it is seen */
+};
 
 /**
  * target_find() - target by id
@@ -132,11 +135,13 @@
 restarted(struct relay *relay, struct relay_target *target)
 {
     drop_idle(relay, target);
+    target->orders = 0;
+    target->holdings_ms = 0;
     memset(&target->choose.health, 0, sizeof(target->choose.health));
 }
 
 static void
-update(struct relay *relay, const struct target_info *info)
+update(struct relay *relay, const struct target_info *info, int64_t now_ms)
 {
     struct relay_target *target = target_find(relay, info->id);
     struct target_items held = info->held;
@@ -148,8 +153,7 @@
              strcmp(target->choose.info.address, info->address) != 0) {
         restarted(relay, target);
     }
-    else if (info->sequence >= 0 &&
-             info->sequence < target->choose.info.sequence) {
+    else if (now_ms - target->holdings_ms < ENTRY_LAG_MS) {
         /* What the holder of orders told is newer than the entry. */
         held = target->choose.info.held;
     }
@@ -175,22 +179,24 @@
  * target_change() - the list of targets has changed
  * @relay: the relay
  * @change: the change
+ * @now_ms: present time
  */
 void
-target_change(struct relay *relay, const struct target_change *change)
+target_change(struct relay *relay, const struct target_change *change,
+              int64_t now_ms)
 {
     struct relay_target *target = target_find(relay, change->info.id);
 
     log_line(LOG_PRI_INFO, "relay",
              "event=%s target=%s service=%s address=%s leaving=%d "
-             "sequence=%" G_GINT64_FORMAT " held=%d running=%d",
+             "born_ms=%" G_GINT64_FORMAT " held=%d running=%d",
              change_names[change->kind], change->info.id,
              change->info.service, change->info.address, change->info.leaving,
-             (gint64)change->info.sequence, change->info.held.count,
+             (gint64)change->info.born_ms, change->info.held.count,
              target != NULL ? target->choose.running : 0);
     switch (change->kind) {
     case TARGET_CHANGED:
-        update(relay, &change->info);
+        update(relay, &change->info, now_ms);
         break;
     case TARGET_MISSING:
         if (target != NULL) {
@@ -209,17 +215,20 @@
  * target_holdings() - the holder of orders tells what a target holds
  * @relay: the relay
  * @holdings: what it holds
+ * @now_ms: present time
  */
 void
-target_holdings(struct relay *relay, const struct holdings *holdings)
+target_holdings(struct relay *relay, const struct holdings *holdings,
+                int64_t now_ms)
 {
     struct relay_target *target = target_find(relay, holdings->target);
 
     if (target == NULL || target->choose.info.born_ms != holdings->born_ms ||
-        holdings->sequence < target->choose.info.sequence) {
+        holdings->sequence < target->orders) {
         return;
     }
-    target->choose.info.sequence = holdings->sequence;
+    target->orders = holdings->sequence;
+    target->holdings_ms = now_ms;
     target->choose.info.held = holdings->held;
     log_line(LOG_PRI_INFO, "relay",
              "event=holdings target=%s sequence=%" G_GINT64_FORMAT " held=%d",
