Count an order on its way as a load

Cause: until its answer an order was not seen as coming, so the same model was ordered from eight engines at once, and from the weight store beyond its limit.

--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -54,6 +54,7 @@
     }
     else {
         engine->ordering = true;
+        engine->ordered = step->action == ORDER_LOAD ? step->item : 0;
     }
 }
 
@@ -122,6 +123,7 @@
     bool changed = false;
 
     engine->ordering = false;
+    engine->ordered = 0;
     if (!work->sent) {
         return NULL;
     }
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -257,6 +257,7 @@
 
         forget_orders(engine);
         engine->ordering = false;
+        engine->ordered = 0;
         engine->reporting = false;
         engine->report_ms = now_ms;
         engine->unsure = true;
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -61,7 +61,12 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct plan_engine *engine = value;
 
-        count += engine->loading != 0 && engine->loading_store ? 1 : 0;
+        bool from_store = engine->loading != 0 && engine->loading_store;
+
+        if (engine->ordered != 0) {
+            room_load_ms(plan, engine, engine->ordered, &from_store);
+        }
+        count += from_store ? 1 : 0;
     }
     return count;
 }
@@ -133,7 +138,8 @@
         if (engine->info.leaving || engine->missing) {
             continue;
         }
-        if (engine->loading == item || engine->reserved == item) {
+        if (engine->loading == item || engine->reserved == item ||
+            engine->ordered == item) {
             *coming = true;
         }
         else if (items_have(&engine->info.held, item) &&
@@ -404,6 +410,7 @@
 
         if (!engine->info.leaving && !engine->missing &&
             (engine->loading == model || engine->reserved == model ||
+             engine->ordered == model ||
              items_have(&engine->info.held, model) ||
              items_have(&engine->info.in_memory, model) ||
              items_have(&engine->info.on_disk, model))) {
