Answer all requests before the grace ends; make room by reports only

Ruled out: orders carried out late (the sequence bars them). Change: near the end of the grace queued requests are refused as not run, the rest is answered; calls to the store end when the process stops; what makes room comes from reports alone, entries only cause one.

--- a/src/gate/belief/registry.c
+++ b/src/gate/belief/registry.c
@@ -166,7 +166,8 @@
 
 static GPtrArray *
 entries_where(struct registry *registry,
-              bool (*match)(const struct registry_entry *entry, int64_t now_ms),
+              bool (*match)(const struct registry_entry *entry,
+                            int64_t now_ms),
               int64_t now_ms)
 {
     GPtrArray *found = g_ptr_array_new();
--- a/src/gate/choose/budget.c
+++ b/src/gate/choose/budget.c
@@ -21,8 +21,7 @@
 {
     int64_t length_ms = window_ms / BUDGET_BUCKETS;
     int64_t number = now_ms / (length_ms > 0 ? length_ms : 1);
-    struct budget_bucket *bucket =
-        &budget->buckets[number % BUDGET_BUCKETS];
+    struct budget_bucket *bucket = &budget->buckets[number % BUDGET_BUCKETS];
 
     if (bucket->start_ms != number * length_ms) {
         *bucket = (struct budget_bucket){.start_ms = number * length_ms};
@@ -37,7 +36,8 @@
  * @now_ms: present time
  */
 void
-repeats_count_request(struct repeat_budget *budget, int64_t window_ms, int64_t now_ms)
+repeats_count_request(struct repeat_budget *budget, int64_t window_ms,
+                      int64_t now_ms)
 {
     bucket_at(budget, window_ms, now_ms)->requests++;
 }
@@ -53,7 +53,7 @@
  */
 bool
 repeats_take(struct repeat_budget *budget, const struct gate_limits *limits,
-            int instances, int64_t now_ms)
+             int instances, int64_t now_ms)
 {
     int64_t from_ms = now_ms - limits->retry_window_ms;
     int requests = 0;
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -18,8 +18,9 @@
 
 /* budget.c */
 void repeats_count_request(struct repeat_budget *budget, int64_t window_ms,
-                    int64_t now_ms);
-bool repeats_take(struct repeat_budget *budget, const struct gate_limits *limits,
-                 int instances, int64_t now_ms);
+                           int64_t now_ms);
+bool repeats_take(struct repeat_budget *budget,
+                  const struct gate_limits *limits, int instances,
+                  int64_t now_ms);
 
 #endif
--- a/src/gate/choose/health.c
+++ b/src/gate/choose/health.c
@@ -15,8 +15,8 @@
 static const double WEIGHT = 0.1;
 
 enum {
-    AVOID_MS = 500,       /* a target that restarts is back after seconds */
-    AVOID_MAX_MS = 4000,  /* an outage of some seconds is noticed to be over */
+    AVOID_MS = 500,      /* a target that restarts is back after seconds */
+    AVOID_MAX_MS = 4000, /* an outage of some seconds is noticed to be over */
 };
 
 /**
--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -14,7 +14,8 @@
  * @grace_ms: time between the request to stop and the kill
  * @settled_ms: time without disruption after which the others rely on us
  * @retry_ratio: repeated sends allowed for each request of a service
- * @retry_extra: repeated sends allowed beside the ratio, all instances together
+ * @retry_extra: repeated sends allowed beside the ratio, all instances
+ * together
  * @retry_window_ms: window of the two
  * @holder_gap_ms: two holders must not alternate within this time
  * @address_keep_max_s: callers keep an answer with addresses no longer
@@ -184,7 +185,9 @@
  * @leave_ms: time until it is gone; -1 when it doesn't say
  * @sequence: orders accepted since its start; -1 when it doesn't say
  * @busy: an order is being carried out
- * @held: what requests can use
+ * @strange: it holds something that the configuration doesn't name, whose size
+ *           is not known
+ * @held: what requests can use, or will within ms
  * @in_memory: weights that load from memory
  * @on_disk: weights that load from disk
  */
@@ -199,6 +202,7 @@
     int slots;
     int64_t sequence;
     bool busy;
+    bool strange;
     struct target_items held;
     struct target_items in_memory;
     struct target_items on_disk;
@@ -273,6 +277,8 @@
  * @lease_begin: grants a lease; @ttl_ms is set to the time that applies
  * @lease_keep: renews a lease; fails with ERR_NOT_FOUND when it has ended
  * @lease_end: ends a lease, and removes its keys
+ * @stop: ends the call in progress and fails all later ones; called from
+ *        another thread
  *
  * Calls block for a bounded time. One thread uses one store object.
  */
@@ -280,14 +286,14 @@
     bool (*list)(struct store *store, const char *prefix, const char *after,
                  struct store_items *items, struct err *err);
     bool (*watch)(struct store *store, const char *prefix, int64_t after,
-                  int64_t wait_ms, struct store_items *items,
-                  struct err *err);
+                  int64_t wait_ms, struct store_items *items, struct err *err);
     bool (*write)(struct store *store, const struct store_write *write,
                   int64_t *revision, struct err *err);
     bool (*lease_begin)(struct store *store, int64_t *ttl_ms, int64_t *lease,
                         struct err *err);
     bool (*lease_keep)(struct store *store, int64_t lease, struct err *err);
     bool (*lease_end)(struct store *store, int64_t lease, struct err *err);
+    void (*stop)(struct store *store);
 };
 
 struct store {
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -18,18 +18,19 @@
 #include "gate/follow/fns.h"
 
 enum {
-    GATHER_MS = 200,   /* a tenth of the time to follow a change */
-    WATCH_MS = 2000,   /* a lost connection is noticed by then */
+    GATHER_MS = 200, /* a tenth of the time to follow a change */
+    WATCH_MS = 2000, /* a lost connection is noticed by then */
     BACKOFF_MS = 100,
     BACKOFF_MAX_MS = 800, /* a store that is back is noticed within 1 s */
     PAGES_MAX = 64,
 };
 
 static void
-registry_changed(struct registry_port *port, const struct target_change *change)
+registry_changed(struct registry_port *port,
+                 const struct target_change *change)
 {
-    struct feed *feed = (struct feed *)((char *)port -
-                                        offsetof(struct feed, registry_port));
+    struct feed *feed =
+        (struct feed *)((char *)port - offsetof(struct feed, registry_port));
 
     feed->port->ops->change(feed->port, change);
 }
@@ -149,8 +150,7 @@
 static void
 tell_members(struct feed *feed)
 {
-    GArray *members =
-        g_array_new(FALSE, FALSE, sizeof(struct gate_member));
+    GArray *members = g_array_new(FALSE, FALSE, sizeof(struct gate_member));
     GHashTableIter iter;
     void *value;
 
@@ -284,8 +284,8 @@
                  err->text);
     }
     registry_store_away(&feed->registry, now_ms);
-    feed->backoff_ms = MIN(MAX(feed->backoff_ms * 2, BACKOFF_MS),
-                           BACKOFF_MAX_MS);
+    feed->backoff_ms =
+        MIN(MAX(feed->backoff_ms * 2, BACKOFF_MS), BACKOFF_MAX_MS);
     return feed->backoff_ms;
 }
 
@@ -332,7 +332,10 @@
 static void
 stop(struct duty *duty)
 {
-    ring_close(&((struct feed *)duty)->wait);
+    struct feed *feed = (struct feed *)duty;
+
+    ring_close(&feed->wait);
+    feed->store->ops->stop(feed->store);
 }
 
 static const struct duty_ops duty_ops = {run, stop};
--- a/src/gate/follow/tenure.c
+++ b/src/gate/follow/tenure.c
@@ -19,8 +19,8 @@
 #include "gate/follow/fns.h"
 
 enum {
-    LEASE_MS = 3000,   /* a dead holder is replaced within it */
-    RENEW_MS = 900,    /* two renewals may be lost */
+    LEASE_MS = 3000,      /* a dead holder is replaced within it */
+    RENEW_MS = 900,       /* two renewals may be lost */
     TERM_MARGIN_MS = 600, /* an order on its way arrives before the end */
     RETRY_MS = 300,
     /* Instances try one after the other, so that most find it taken. */
@@ -135,8 +135,8 @@
 {
     char key[KEY_BYTES];
     char *text = member_format(&tenure->self);
-    struct store_write write = {.key = key, .expected = 0, .value = text,
-                                .lease = tenure->lease};
+    struct store_write write = {
+        .key = key, .expected = 0, .value = text, .lease = tenure->lease};
     int64_t revision;
 
     g_snprintf(key, sizeof(key), "%s%s#%" G_GINT64_FORMAT, member_prefix,
@@ -167,8 +167,10 @@
 take_hold(struct tenure *tenure, int64_t boot_ms)
 {
     char name[NAME_MAX_BYTES];
-    struct store_write write = {.key = holder_key, .expected = 0,
-                                .value = name, .lease = tenure->lease};
+    struct store_write write = {.key = holder_key,
+                                .expected = 0,
+                                .value = name,
+                                .lease = tenure->lease};
     struct err err = {0};
     int64_t revision;
 
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -18,7 +18,6 @@
  * @done_ms: when the order that runs should be done
  * @ordering: an order was sent and not answered yet
  * @ordered: its item, if it is a load; else 0
- * @ordered_ms: when the last order was accepted
  * @reserved: item for which room is made; 0 for none
  * @reserved_until_ms: when the room is given up
  * @retry_ms: no order before this time
@@ -36,7 +35,6 @@
     int64_t done_ms;
     bool ordering;
     uint32_t ordered;
-    int64_t ordered_ms;
     uint32_t reserved;
     int64_t reserved_until_ms;
     int64_t retry_ms;
--- a/src/gate/place/demand.c
+++ b/src/gate/place/demand.c
@@ -115,9 +115,9 @@
             int sum = GPOINTER_TO_INT(
                 g_hash_table_lookup(sums, &note->targets[i].target));
 
-            g_hash_table_insert(sums, &note->targets[i].target,
-                                GINT_TO_POINTER(sum +
-                                                note->targets[i].running));
+            g_hash_table_insert(
+                sums, &note->targets[i].target,
+                GINT_TO_POINTER(sum + note->targets[i].running));
         }
     }
     g_hash_table_iter_init(&iter, plan->engines);
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -17,12 +17,12 @@
 #include "gate/place/fns.h"
 
 enum {
-    ADAPTER_MS = 30,      /* an adapter takes 5 to 10 ms, a few at once */
-    UNLOAD_MS = 50,       /* without runs to wait for */
-    REPORT_LAG_MS = 200,  /* a report is as old as this */
-    CONFLICT_MS = 200,    /* until the report shows what runs there */
-    REFUSED_MS = 5000,    /* the order can't be carried out */
-    UNSURE_MS = 300,      /* an order without an answer */
+    ADAPTER_MS = 30,     /* an adapter takes 5 to 10 ms, a few at once */
+    UNLOAD_MS = 20,      /* without runs to wait for */
+    REPORT_LAG_MS = 100, /* a report is as old as this, or older */
+    CONFLICT_MS = 200,   /* until the report shows what runs there */
+    REFUSED_MS = 5000,   /* the order can't be carried out */
+    UNSURE_MS = 300,     /* an order without an answer */
 };
 
 static struct plan_engine *
@@ -84,8 +84,8 @@
         int place = plan->load_starts % (int)G_N_ELEMENTS(plan->load_start_ms);
 
         plan->load_start_ms[place] = now_ms;
-        plan->load_starts = MIN(plan->load_starts + 1,
-                                (int)G_N_ELEMENTS(plan->load_start_ms));
+        plan->load_starts =
+            MIN(plan->load_starts + 1, (int)G_N_ELEMENTS(plan->load_start_ms));
     }
     engine->report_ms = engine->done_ms + REPORT_LAG_MS;
 }
@@ -96,7 +96,6 @@
          const struct plan_step *step, int64_t now_ms)
 {
     engine->info.sequence = step->sequence + 1;
-    engine->ordered_ms = now_ms;
     if (step->action == ORDER_UNLOAD) {
         items_remove(&engine->info.held, step->item);
         if (!item_is_adapter(step->item)) {
@@ -140,7 +139,6 @@
             items_remove(&engine->info.held, step->item);
         }
         /* An adapter that is dropped at once counts as an order, too. */
-        engine->ordered_ms = now_ms;
         engine->report_ms = now_ms + REPORT_LAG_MS;
         engine->unsure = true;
         break;
@@ -168,21 +166,19 @@
 reported(struct plan_engine *engine, const struct work *work, int64_t now_ms)
 {
     const struct target_info *info = &work->info;
-    bool changed;
 
     engine->reporting = false;
     if (!work->reported) {
         engine->report_ms = now_ms + CONFLICT_MS;
         return NULL;
     }
-    if (info->sequence < engine->info.sequence ||
-        now_ms - engine->ordered_ms < REPORT_LAG_MS) {
-        /* The report may be older than the last answer. */
+    if (info->sequence < engine->info.sequence) {
+        /* The report is older than the last answer. */
         engine->report_ms = now_ms + REPORT_LAG_MS;
         return NULL;
     }
-    changed = !items_equal(&engine->info.held, &info->held);
     engine->info.held = info->held;
+    engine->info.strange = info->strange;
     engine->info.sequence = info->sequence;
     if (info->in_memory.count > 0 || info->on_disk.count > 0) {
         engine->info.in_memory = info->in_memory;
@@ -197,7 +193,7 @@
         engine->loading = 0;
         engine->unloading = 0;
     }
-    return changed ? holdings_of(engine) : NULL;
+    return holdings_of(engine);
 }
 
 /**
@@ -206,8 +202,8 @@
  * @work: the step and what became of it
  * @now_ms: present time
  *
- * Return: what the engine holds by now if that has changed, to be freed with
- * g_free(); else NULL.
+ * Return: what the engine holds by now if that was read or has changed, to be
+ * freed with g_free(); else NULL.
  */
 struct holdings *
 plan_done(struct plan *plan, const struct work *work, int64_t now_ms)
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -21,7 +21,7 @@
 
 enum {
     PLACE_RING = 4096,
-    STEP_MS = 50,    /* loads from memory take some hundred ms */
+    STEP_MS = 50, /* loads from memory take some hundred ms */
     IDLE_MS = 1000,
     WORK_RING = 256,
 };
@@ -95,7 +95,8 @@
 run(struct duty *duty, struct err *err)
 {
     struct place_gate *place =
-        (struct place_gate *)((char *)duty - offsetof(struct place_gate, duty));
+        (struct place_gate *)((char *)duty -
+                              offsetof(struct place_gate, duty));
     struct place_message message;
     enum ring_result result;
 
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -16,10 +16,8 @@
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
 
-enum {
-    STORE_LOADS_MAX = 4, /* more at once make each other slower */
-    ENTRY_LAG_MS = 600,  /* gathering changes, an answer, and its handling */
-};
+/* More loads from the weight store at once make each other slower. */
+enum { STORE_LOADS_MAX = 4 };
 
 static void
 free_activity(void *activity)
@@ -114,32 +112,6 @@
     engine->unsure = false;
 }
 
-/* The entry shows that an order is done, or that there is none any more. */
-static void
-settle(struct plan_engine *engine)
-{
-    const struct target_items *held = &engine->info.held;
-
-    if (engine->loading != 0 && items_have(held, engine->loading)) {
-        engine->loading = 0;
-    }
-    if (engine->unloading != 0 && !items_have(held, engine->unloading)) {
-        engine->unloading = 0;
-    }
-}
-
-/* An entry is some hundred ms old when it is seen, so one that comes soon
- * after an order and doesn't show its effect is older than the order. */
-static bool
-is_newer(const struct plan_engine *engine, const struct target_info *info,
-         int64_t now_ms)
-{
-    if (engine->loading != 0 && items_have(&info->held, engine->loading)) {
-        return true;
-    }
-    return !engine->ordering && now_ms - engine->ordered_ms >= ENTRY_LAG_MS;
-}
-
 static void
 start_engine(struct plan_engine *engine, const struct target_info *info,
              int64_t now_ms)
@@ -149,25 +121,30 @@
     engine->report_ms = now_ms;
 }
 
-/* The entry does not count orders; what the report told of them stays. */
+/*
+ * An entry doesn't say which orders it has seen, and a slow store hands it
+ * over late. It must not make room on an engine, so it only shows that a load
+ * is done; whatever else differs is looked up in the report, which counts the
+ * orders.
+ */
 static void
 refresh(struct plan_engine *engine, const struct target_info *info,
         int64_t now_ms)
 {
     struct target_info before = engine->info;
-    bool newer = is_newer(engine, info, now_ms);
 
     engine->info = *info;
     engine->info.sequence = before.sequence;
-    if (!newer) {
-        engine->info.held = before.held;
-    }
-    if (info->in_memory.count == 0 && info->on_disk.count == 0) {
-        engine->info.in_memory = before.in_memory;
-        engine->info.on_disk = before.on_disk;
+    engine->info.held = before.held;
+    engine->info.in_memory = before.in_memory;
+    engine->info.on_disk = before.on_disk;
+    if (engine->loading != 0 && items_have(&info->held, engine->loading)) {
+        items_add(&engine->info.held, engine->loading);
+        engine->loading = 0;
     }
-    if (newer) {
-        settle(engine);
+    if (!items_equal(&engine->info.held, &info->held) &&
+        engine->report_ms == 0) {
+        engine->report_ms = now_ms;
     }
 }
 
--- a/src/gate/place/room.c
+++ b/src/gate/place/room.c
@@ -83,7 +83,7 @@
 {
     const struct gate_service *service = plan_service(plan, engine);
 
-    if (service == NULL ||
+    if (service == NULL || engine->info.strange ||
         room_used_mb(plan, engine) + item_mb(plan, engine, item) >
             service->memory_mb) {
         return false;
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -21,11 +21,11 @@
 #include "gate/place/fns.h"
 
 enum {
-    VICTIM_IDLE_MS = 600,     /* requests come in clumps */
-    PRELOAD_IDLE_MS = 4000,   /* what is used is not given up for a guess */
-    RESERVE_MS = 3000,        /* runs at the item that makes way end by then */
-    LATE_MS = 600,            /* after the expected end, the report is read */
-    DOUBT_MS = 400,           /* requests wait for what should be there */
+    VICTIM_IDLE_MS = 600,   /* requests come in clumps */
+    PRELOAD_IDLE_MS = 4000, /* what is used is not given up for a guess */
+    RESERVE_MS = 3000,      /* runs at the item that makes way end by then */
+    LATE_MS = 600,          /* after the expected end, the report is read */
+    DOUBT_MS = 400,         /* requests wait for what should be there */
     LOADS_WINDOW_MS = 1000,
     ADAPTERS_AT_ONCE = 4,
     /* Requests beyond this part of its places make an engine slow. */
@@ -72,8 +72,8 @@
 }
 
 static bool
-may_load_from_store(const struct plan *plan,
-                    const struct plan_engine *engine, int64_t now_ms)
+may_load_from_store(const struct plan *plan, const struct plan_engine *engine,
+                    int64_t now_ms)
 {
     const struct gate_service *service = plan_service(plan, engine);
     int recent = 0;
@@ -357,7 +357,8 @@
 }
 
 static int
-replicas_wanted(const struct plan_item *item, const struct gate_service *service)
+replicas_wanted(const struct plan_item *item,
+                const struct gate_service *service)
 {
     double places = MAX(service->slots, 1) * BUSY_PERCENT / 100.0;
     int wanted = 1 + (int)(item->rate * RUN_S / places);
--- a/src/gate/place/worker.c
+++ b/src/gate/place/worker.c
@@ -17,8 +17,8 @@
 #include "gate/place/fns.h"
 
 static const char *const result_names[] = {
-    [ORDER_ACCEPTED] = "accepted", [ORDER_HOLDS] = "holds",
-    [ORDER_CONFLICT] = "conflict", [ORDER_FENCED] = "fenced",
+    [ORDER_ACCEPTED] = "accepted",   [ORDER_HOLDS] = "holds",
+    [ORDER_CONFLICT] = "conflict",   [ORDER_FENCED] = "fenced",
     [ORDER_MISPLACED] = "misplaced", [ORDER_REFUSED] = "refused",
     [ORDER_UNKNOWN] = "unknown",
 };
@@ -60,8 +60,7 @@
     }
     work->sent = true;
     work->fence = order.fence;
-    work->result =
-        worker->engine->ops->order(worker->engine, &order, &err);
+    work->result = worker->engine->ops->order(worker->engine, &order, &err);
     counter_add(CTR_ORDERS, 1);
     if (work->result > ORDER_HOLDS) {
         counter_add(CTR_ORDERS_FAILED, 1);
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -189,8 +189,8 @@
 peer_broken(struct peer_port *port, uint64_t member)
 {
     (void)port;
-    log_line(LOG_PRI_INFO, "gate", "event=peer_broken member=%016" G_GINT64_MODIFIER "x",
-             member);
+    log_line(LOG_PRI_INFO, "gate",
+             "event=peer_broken member=%016" G_GINT64_MODIFIER "x", member);
 }
 
 static const struct peer_port_ops peer_ops = {peer_message, peer_broken};
--- a/src/gate/relay/answer.c
+++ b/src/gate/relay/answer.c
@@ -85,14 +85,13 @@
         g_string_append(text, "Transfer-Encoding: chunked\r\n");
     }
     else if (exchange->head_method && answer->length >= 0) {
-        g_string_append_printf(text, "Content-Length: %" G_GINT64_FORMAT
-                                     "\r\n",
+        g_string_append_printf(text,
+                               "Content-Length: %" G_GINT64_FORMAT "\r\n",
                                (gint64)answer->length);
     }
     else if (has_body(exchange)) {
-        g_string_append_printf(text, "Content-Length: %" G_GINT64_FORMAT
-                                     "\r\n",
-                               (gint64)length);
+        g_string_append_printf(
+            text, "Content-Length: %" G_GINT64_FORMAT "\r\n", (gint64)length);
     }
     if (client != NULL) {
         client->keep = client->keep && !relay->leaving;
--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -25,13 +25,13 @@
 #include "gate/relay/internal.h"
 
 enum {
-    ACCEPTS_MAX = 64,        /* other connections get their turn */
-    ACCEPT_PAUSE_MS = 100,   /* until descriptors may be free again */
-    HEAD_TIMEOUT_MS = 3000,  /* while no configuration is known */
-    IDLE_MS = 15000,         /* while no configuration is known */
-    HEAD_MAX_BYTES = 16384,  /* while no configuration is known */
+    ACCEPTS_MAX = 64,             /* other connections get their turn */
+    ACCEPT_PAUSE_MS = 100,        /* until descriptors may be free again */
+    HEAD_TIMEOUT_MS = 3000,       /* while no configuration is known */
+    IDLE_MS = 15000,              /* while no configuration is known */
+    HEAD_MAX_BYTES = 16384,       /* while no configuration is known */
     BODY_MAX_BYTES = 1024 * 1024, /* while no configuration is known */
-    LEAVE_IDLE_MS = 200,     /* callers learn of the leaving by then */
+    LEAVE_IDLE_MS = 200,          /* callers learn of the leaving by then */
 };
 
 static size_t
@@ -344,8 +344,8 @@
     size_t taken;
 
     client->reading = true;
-    taken = http_parser_execute(&client->parser, &parser_settings, bytes,
-                                count);
+    taken =
+        http_parser_execute(&client->parser, &parser_settings, bytes, count);
     if (client->whole) {
         http_parser_pause(&client->parser, 0);
         return taken;
@@ -373,8 +373,7 @@
 {
     struct handle self = client->self;
 
-    while (count > 0 && !client->closing &&
-           client->exchange.generation == 0) {
+    while (count > 0 && !client->closing && client->exchange.generation == 0) {
         size_t taken = parse(relay, client, bytes, count, now_ms);
 
         bytes += taken;
@@ -399,8 +398,8 @@
 static bool
 receive(struct relay *relay, struct client *client, int64_t now_ms)
 {
-    ssize_t count = recv(client->fd, relay->buffer, sizeof(relay->buffer),
-                         MSG_DONTWAIT);
+    ssize_t count =
+        recv(client->fd, relay->buffer, sizeof(relay->buffer), MSG_DONTWAIT);
 
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         return true;
@@ -439,8 +438,7 @@
         client_close(relay, client);
         return;
     }
-    if ((events & (EPOLLIN | EPOLLRDHUP)) &&
-        !receive(relay, client, now_ms)) {
+    if ((events & (EPOLLIN | EPOLLRDHUP)) && !receive(relay, client, now_ms)) {
         return;
     }
     if (after_flush(relay, client)) {
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -17,7 +17,7 @@
 #include "gate/relay/internal.h"
 
 enum {
-    QUEUE_LOOK_MS = 250, /* targets come back without a message at times */
+    QUEUE_LOOK_MS = 250,   /* targets come back without a message at times */
     BUDGET_RETRY_MS = 500, /* some of the budget's window has passed */
     REJECTS_MAX = 3,       /* each one is a repeat at a busy service */
     UNREACHABLE_MAX = 6,
@@ -26,6 +26,9 @@
     STREAM_PATIENCE_MS = 2000, /* a target preempts streams for about 1 s */
     STREAM_PATIENCE_GOALS = 4,
     URGENCY_MAX = 9,
+    LEAVE_RETRY_MS = 50,  /* at another instance */
+    LEAVE_TAKE_MS = 3000, /* requests that come later may not be served
+                           * whole before the process is killed */
 };
 
 /* Where the time that a caller accepts is an order of magnitude longer, the
@@ -95,8 +98,7 @@
 {
     struct handle handle;
     struct err err = {0};
-    struct exchange *exchange =
-        table_alloc(&relay->exchanges, &handle, &err);
+    struct exchange *exchange = table_alloc(&relay->exchanges, &handle, &err);
 
     if (exchange == NULL) {
         return NULL;
@@ -168,8 +170,8 @@
 
     if (budget == NULL) {
         budget = g_new0(struct repeat_budget, 1);
-        g_hash_table_insert(relay->budgets,
-                            g_strdup(exchange->service->name), budget);
+        g_hash_table_insert(relay->budgets, g_strdup(exchange->service->name),
+                            budget);
     }
     return budget;
 }
@@ -203,12 +205,16 @@
     }
     set_due(exchange);
     set_need(relay, exchange);
+    if (relay->leaving && now_ms - relay->leave_ms > LEAVE_TAKE_MS) {
+        refuse(relay, exchange, ERR_STOPPED, LEAVE_RETRY_MS, now_ms);
+        return;
+    }
     if (exchange->service->model_count > 0 && exchange->need.model == 0) {
         refuse(relay, exchange, ERR_UNKNOWN_MODEL, 0, now_ms);
         return;
     }
     repeats_count_request(budget_of(relay, exchange),
-                   relay->settings->limits.retry_window_ms, now_ms);
+                          relay->settings->limits.retry_window_ms, now_ms);
     note_arrival(relay, exchange);
     exchange_dispatch(relay, exchange, now_ms);
 }
@@ -308,8 +314,7 @@
              target->choose.running, target->choose.elsewhere,
              target->choose.health.failures, exchange_urgency(exchange),
              upstream->used == 0, (gint64)(now_ms - exchange->arrived_ms),
-             (gint64)exchange->config->version,
-             (gint64)exchange->events.last);
+             (gint64)exchange->config->version, (gint64)exchange->events.last);
     upstream_send(relay, upstream, exchange, now_ms);
     exchange_set_timer(relay, exchange);
 }
@@ -327,7 +332,7 @@
     }
     if (exchange->sends > 0 &&
         !repeats_take(budget_of(relay, exchange), &relay->settings->limits,
-                     relay_instances(relay), now_ms)) {
+                      relay_instances(relay), now_ms)) {
         refuse(relay, exchange, ERR_RETRY_BUDGET, BUDGET_RETRY_MS, now_ms);
         return false;
     }
@@ -351,8 +356,7 @@
         return;
     }
     target = target_pick(relay, &exchange->need, now_ms);
-    if (target == NULL && exchange->queued &&
-        exchange->need.tried_count > 0 &&
+    if (target == NULL && exchange->queued && exchange->need.tried_count > 0 &&
         !target_any(relay, &exchange->need)) {
         /* Each target that could serve it has had it, some time ago. */
         exchange->need.tried_count = 0;
@@ -407,13 +411,33 @@
 void
 exchange_cancel(struct relay *relay, struct exchange *exchange, int64_t now_ms)
 {
-    log_line(LOG_PRI_INFO, "relay",
-             "event=caller_left id=%s sends=%d begun=%d age_ms=%" G_GINT64_FORMAT,
-             exchange->facts.attempt, exchange->sends, exchange->answer.begun,
-             (gint64)(now_ms - exchange->arrived_ms));
+    log_line(
+        LOG_PRI_INFO, "relay",
+        "event=caller_left id=%s sends=%d begun=%d age_ms=%" G_GINT64_FORMAT,
+        exchange->facts.attempt, exchange->sends, exchange->answer.begun,
+        (gint64)(now_ms - exchange->arrived_ms));
     exchange_finish(relay, exchange, now_ms);
 }
 
+/**
+ * exchange_end_all() - answer requests before the process stops
+ * @relay: the relay
+ * @queued: only those that no target has
+ * @now_ms: present time
+ */
+void
+exchange_end_all(struct relay *relay, bool queued, int64_t now_ms)
+{
+    struct exchange *exchange;
+    uint32_t cursor = 0;
+
+    while ((exchange = table_next(&relay->exchanges, &cursor, NULL)) != NULL) {
+        if (!queued || exchange->queued) {
+            refuse(relay, exchange, ERR_STOPPED, LEAVE_RETRY_MS, now_ms);
+        }
+    }
+}
+
 /**
  * exchange_timer() - the deadline, or a target that has been silent too long
  * @relay: the relay
--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -17,10 +17,18 @@
 /* Fields that concern one connection only (RFC 9110, 7.6.1), and those by
  * which a message is framed, which is done anew. */
 static const char *const hop_fields[] = {
-    "Connection",       "Keep-Alive",          "Proxy-Connection",
-    "TE",               "Trailer",             "Transfer-Encoding",
-    "Upgrade",          "Proxy-Authenticate",  "Proxy-Authorization",
-    "Content-Length",   "Expect",              "HTTP2-Settings",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Content-Length",
+    "Expect",
+    "HTTP2-Settings",
 };
 
 void
@@ -81,8 +89,8 @@
     if (head->fields->len == 0) {
         return false;
     }
-    field = &g_array_index(head->fields, struct head_field,
-                           head->fields->len - 1);
+    field =
+        &g_array_index(head->fields, struct head_field, head->fields->len - 1);
     if (!head->in_value) {
         g_string_append_c(head->text, '\0');
         field->value = (uint32_t)head->text->len;
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -253,12 +253,12 @@
     struct table exchanges;
     struct table upstreams;
     struct table targets;
-    GHashTable *target_ids;  /* id -> handle */
-    GHashTable *queues;      /* key -> GQueue of handles */
-    GHashTable *woken;       /* keys of queues to be looked at */
-    GHashTable *budgets;     /* service name -> struct repeat_budget */
-    GHashTable *loads;       /* instance -> struct peer_load */
-    GHashTable *arrivals;    /* item -> count since the last note */
+    GHashTable *target_ids; /* id -> handle */
+    GHashTable *queues;     /* key -> GQueue of handles */
+    GHashTable *woken;      /* keys of queues to be looked at */
+    GHashTable *budgets;    /* service name -> struct repeat_budget */
+    GHashTable *loads;      /* instance -> struct peer_load */
+    GHashTable *arrivals;   /* item -> count since the last note */
     struct gate_config *config;
     bool listed;
     GArray *members;
@@ -298,8 +298,8 @@
                   int64_t now_ms);
 void client_timer(struct relay *relay, struct client *client, int64_t now_ms);
 void client_close(struct relay *relay, struct client *client);
-void client_write(struct relay *relay, struct client *client, const void *bytes,
-                  size_t count, int64_t now_ms);
+void client_write(struct relay *relay, struct client *client,
+                  const void *bytes, size_t count, int64_t now_ms);
 void client_answered(struct relay *relay, struct client *client,
                      int64_t now_ms);
 
@@ -313,6 +313,7 @@
                        int64_t now_ms);
 void exchange_cancel(struct relay *relay, struct exchange *exchange,
                      int64_t now_ms);
+void exchange_end_all(struct relay *relay, bool queued, int64_t now_ms);
 void exchange_timer(struct relay *relay, struct exchange *exchange,
                     int64_t now_ms);
 void exchange_finish(struct relay *relay, struct exchange *exchange,
--- a/src/gate/relay/local.c
+++ b/src/gate/relay/local.c
@@ -22,8 +22,8 @@
 };
 
 static void
-reply(struct relay *relay, struct client *client, int status,
-      const char *type, const char *body, int64_t now_ms)
+reply(struct relay *relay, struct client *client, int status, const char *type,
+      const char *body, int64_t now_ms)
 {
     char *text = g_strdup_printf(
         "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n%s",
@@ -58,8 +58,8 @@
     if (!relay->leaving) {
         g_ptr_array_add(list, (void *)relay->settings->front_address);
     }
-    for (guint i = 0;
-         i < relay->members->len && list->len < ADDRESSES_MAX; i++) {
+    for (guint i = 0; i < relay->members->len && list->len < ADDRESSES_MAX;
+         i++) {
         struct gate_member *member =
             &g_array_index(relay->members, struct gate_member, i);
 
@@ -74,8 +74,8 @@
 lookup(struct relay *relay, struct client *client, int64_t now_ms)
 {
     GPtrArray *list = addresses(relay);
-    int keep_s = MIN(ADDRESS_KEEP_S,
-                     relay->settings->limits.address_keep_max_s);
+    int keep_s =
+        MIN(ADDRESS_KEEP_S, relay->settings->limits.address_keep_max_s);
     char *body;
 
     if (list->len == 0) {
--- a/src/gate/relay/queue.c
+++ b/src/gate/relay/queue.c
@@ -28,10 +28,10 @@
 void
 queue_init(struct relay *relay)
 {
-    relay->queues = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                          free_queue);
-    relay->woken = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                         NULL);
+    relay->queues =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_queue);
+    relay->woken =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 }
 
 void
@@ -99,8 +99,8 @@
         }
         link = link->prev;
     }
-    g_queue_insert_after(
-        queue, link, g_memdup2(&exchange->self, sizeof(exchange->self)));
+    g_queue_insert_after(queue, link,
+                         g_memdup2(&exchange->self, sizeof(exchange->self)));
     exchange->queued = true;
     exchange->queue_key = key_of(exchange);
 }
--- a/src/gate/relay/refuse.c
+++ b/src/gate/relay/refuse.c
@@ -44,10 +44,9 @@
                     status, http_status_str((enum http_status)status),
                     strlen(body));
     if (retry_ms > 0) {
-        g_string_append_printf(text, "Retry-After: %" G_GINT64_FORMAT
-                                     ".%03d\r\n",
-                               (gint64)(retry_ms / 1000),
-                               (int)(retry_ms % 1000));
+        g_string_append_printf(
+            text, "Retry-After: %" G_GINT64_FORMAT ".%03d\r\n",
+            (gint64)(retry_ms / 1000), (int)(retry_ms % 1000));
     }
     if (!client->keep) {
         g_string_append(text, "Connection: close\r\n");
@@ -79,6 +78,9 @@
     int status = status_of(kind, may_have_run);
 
     refusal_add(kind);
+    if (client != NULL && relay->leaving) {
+        client->keep = false;
+    }
     log_line(LOG_PRI_WARNING, "relay",
              "event=refused id=%s reason=%s status=%d outcome=%s sends=%d "
              "runs=%d rejects=%d unreachable=%d begun=%d route=%s item=%s "
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -31,8 +31,12 @@
     /* Descriptors that stay free for files, peers and the store. */
     RESERVED_DESCRIPTORS = 300,
     BACKLOG_NOTE_MS = 1000,
-    /* Time at the end of the grace in which the process stops by itself. */
-    GRACE_MARGIN_MS = 700,
+    /* At the end of the grace, requests that wait are refused while another
+     * instance has time for them, then the rest gets its answer, and then the
+     * process stops by itself. */
+    GRACE_QUEUE_MS = 3000,
+    GRACE_ANSWER_MS = 1100,
+    GRACE_MARGIN_MS = 900,
     /* The platform and callers have learned by then that this instance
      * leaves: its readiness is asked once a second, addresses are kept 2 s. */
     LEAVE_ACCEPT_MS = 3500,
@@ -116,8 +120,7 @@
     if (!relay->leaving) {
         relay->leaving = true;
         relay->leave_ms = now_ms;
-        log_line(LOG_PRI_INFO, "relay",
-                 "event=leaving clients=%u requests=%u",
+        log_line(LOG_PRI_INFO, "relay", "event=leaving clients=%u requests=%u",
                  table_count(&relay->clients), table_count(&relay->exchanges));
     }
 }
@@ -267,6 +270,7 @@
 leave_round(struct relay *relay, int64_t now_ms)
 {
     int64_t since_ms = now_ms - relay->leave_ms;
+    int64_t grace_ms = relay->settings->limits.grace_ms;
 
     if (!relay->leaving) {
         return false;
@@ -274,9 +278,15 @@
     if (since_ms >= LEAVE_ACCEPT_MS) {
         stop_listening(relay, LISTEN_FRONT);
     }
+    if (since_ms >= grace_ms - GRACE_ANSWER_MS) {
+        exchange_end_all(relay, false, now_ms);
+    }
+    else if (since_ms >= grace_ms - GRACE_QUEUE_MS) {
+        exchange_end_all(relay, true, now_ms);
+    }
     return (since_ms >= LEAVE_ACCEPT_MS &&
             table_count(&relay->exchanges) == 0) ||
-           since_ms >= relay->settings->limits.grace_ms - GRACE_MARGIN_MS;
+           since_ms >= grace_ms - GRACE_MARGIN_MS;
 }
 
 static void
@@ -394,8 +404,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     relay->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    relay->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                         free_load);
+    relay->loads =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_load);
     relay->arrivals = g_hash_table_new(NULL, NULL);
     return table_init(&relay->clients, half, sizeof(struct client), err) &&
            table_init(&relay->upstreams, half, sizeof(struct upstream), err) &&
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -20,7 +20,9 @@
  * been heard for this long has stopped, or can't reach us. */
 enum {
     LOAD_OLD_MS = 3000,
-    ENTRY_LAG_MS = 600, /* an entry is as old when it is seen */
+    /* The holder of orders tells more than entries, which a slow store hands
+     * over late; after this time there may be no holder. */
+    HOLDINGS_MS = 5000,
 };
 
 /**
@@ -153,7 +155,8 @@
              strcmp(target->choose.info.address, info->address) != 0) {
         restarted(relay, target);
     }
-    else if (now_ms - target->holdings_ms < ENTRY_LAG_MS) {
+    else if (target->holdings_ms != 0 &&
+             now_ms - target->holdings_ms < HOLDINGS_MS) {
         /* What the holder of orders told is newer than the entry. */
         held = target->choose.info.held;
     }
@@ -190,8 +193,8 @@
     log_line(LOG_PRI_INFO, "relay",
              "event=%s target=%s service=%s address=%s leaving=%d "
              "born_ms=%" G_GINT64_FORMAT " held=%d running=%d",
-             change_names[change->kind], change->info.id,
-             change->info.service, change->info.address, change->info.leaving,
+             change_names[change->kind], change->info.id, change->info.service,
+             change->info.address, change->info.leaving,
              (gint64)change->info.born_ms, change->info.held.count,
              target != NULL ? target->choose.running : 0);
     switch (change->kind) {
@@ -255,16 +258,15 @@
         }
         for (int i = 0; i < load->activity->target_count; i++) {
             struct target_activity *item = &load->activity->targets[i];
-            int sum = GPOINTER_TO_INT(
-                g_hash_table_lookup(sums, &item->target));
+            int sum =
+                GPOINTER_TO_INT(g_hash_table_lookup(sums, &item->target));
 
             g_hash_table_insert(sums, &item->target,
                                 GINT_TO_POINTER(sum + item->running));
         }
     }
     while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
-        int sum =
-            GPOINTER_TO_INT(g_hash_table_lookup(sums, &target->id_hash));
+        int sum = GPOINTER_TO_INT(g_hash_table_lookup(sums, &target->id_hash));
         bool less = sum < target->choose.elsewhere;
 
         target->choose.elsewhere = sum;
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -27,13 +27,13 @@
 #include "gate/relay/internal.h"
 
 enum {
-    CONNECT_MS = 1000,     /* a lost packet is sent again within it */
-    SILENCE_MS = 1500,     /* sent bytes are acknowledged by then, or the
-                            * target is unreachable */
-    KEEP_ALIVE_S = 1,      /* a silent peer is noticed after 3 s */
+    CONNECT_MS = 1000, /* a lost packet is sent again within it */
+    SILENCE_MS = 1500, /* sent bytes are acknowledged by then, or the
+                        * target is unreachable */
+    KEEP_ALIVE_S = 1,  /* a silent peer is noticed after 3 s */
     KEEP_ALIVE_PROBES = 2,
-    KEEP_MS = 8000,        /* for targets that don't tell how long they keep */
-    KEEP_MARGIN_MS = 700,  /* a request on its way must not meet the close */
+    KEEP_MS = 8000,       /* for targets that don't tell how long they keep */
+    KEEP_MARGIN_MS = 700, /* a request on its way must not meet the close */
 };
 
 static int
@@ -150,8 +150,7 @@
 {
     struct handle handle;
     struct err err = {0};
-    struct upstream *upstream =
-        table_alloc(&relay->upstreams, &handle, &err);
+    struct upstream *upstream = table_alloc(&relay->upstreams, &handle, &err);
     int fd = -1;
 
     if (upstream != NULL) {
@@ -221,8 +220,8 @@
 upstream_take(struct relay *relay, struct relay_target *target, int64_t now_ms)
 {
     while (target->idle->len > 0) {
-        struct handle handle = g_array_index(target->idle, struct handle,
-                                             target->idle->len - 1);
+        struct handle handle =
+            g_array_index(target->idle, struct handle, target->idle->len - 1);
         struct upstream *upstream = table_get(&relay->upstreams, handle);
 
         g_array_set_size(target->idle, target->idle->len - 1);
@@ -243,8 +242,7 @@
 {
     struct exchange *exchange =
         table_get(&relay->exchanges, upstream->exchange);
-    struct relay_target *target =
-        table_get(&relay->targets, upstream->target);
+    struct relay_target *target = table_get(&relay->targets, upstream->target);
 
     if (exchange != NULL) {
         exchange->upstream = (struct handle){0};
@@ -572,9 +570,8 @@
       const unsigned char *bytes, size_t count, int64_t now_ms)
 {
     do {
-        size_t taken =
-            http_parser_execute(&upstream->parser, &parser_settings,
-                                (const char *)bytes, count);
+        size_t taken = http_parser_execute(&upstream->parser, &parser_settings,
+                                           (const char *)bytes, count);
         bool whole = upstream->complete;
 
         if (whole) {
@@ -613,8 +610,8 @@
 static void
 receive(struct relay *relay, struct upstream *upstream, int64_t now_ms)
 {
-    ssize_t count = recv(upstream->fd, relay->buffer, sizeof(relay->buffer),
-                         MSG_DONTWAIT);
+    ssize_t count =
+        recv(upstream->fd, relay->buffer, sizeof(relay->buffer), MSG_DONTWAIT);
 
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
--- a/src/gate/root.c
+++ b/src/gate/root.c
@@ -46,8 +46,8 @@
 
     gate->peer = peer_new(settings->peer_address, gate->self_id,
                           &gate->peer_port.port, err);
-    gate->relay = relay_new(settings, platform->dialect,
-                            &gate->relay_port.port, err);
+    gate->relay =
+        relay_new(settings, platform->dialect, &gate->relay_port.port, err);
     return gate->peer != NULL && gate->relay != NULL &&
            place_gate_init(&gate->place, settings->name, &gate->term,
                            (struct gate_engine **)platform->engines,
