Refuse what can't be served in time; rank loads by demand; swap faster

Cause: a request held until its deadline costs its whole credit; loads from the weight store went to the oldest wait; each swap waited for two lagging reports. Change: the holder tells when items will be ready, and a request whose item is not coming in time is refused as not run with the time to come back; loads are ranked by demand; an unload of an idle model and a load from memory or disk need no report in between.

--- a/src/gate/news/fns.h
+++ b/src/gate/news/fns.h
@@ -6,6 +6,9 @@
                         const struct activity *activity, struct err *err);
 bool news_send_holdings(struct peer *peer, uint64_t member,
                         const struct holdings *holdings, struct err *err);
+bool news_send_outlook(struct peer *peer, uint64_t member,
+                       const struct outlook *outlook, struct err *err);
+struct outlook *news_read_outlook(const Turmeric__Envelope *envelope);
 struct activity *news_read_activity(const Turmeric__Envelope *envelope);
 struct holdings *news_read_holdings(const Turmeric__Envelope *envelope);
 
--- a/src/gate/news/wire.c
+++ b/src/gate/news/wire.c
@@ -172,3 +172,63 @@
     }
     return holdings;
 }
+
+/**
+ * news_send_outlook() - tell an instance when items can be used
+ * @peer: the duty that sends
+ * @member: id of the instance
+ * @outlook: the forecasts
+ * @err: filled in on failure
+ */
+bool
+news_send_outlook(struct peer *peer, uint64_t member,
+                  const struct outlook *outlook, struct err *err)
+{
+    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
+    Turmeric__GateOutlook body = TURMERIC__GATE_OUTLOOK__INIT;
+    Turmeric__GateForecast *items =
+        g_new(Turmeric__GateForecast, outlook->count);
+    Turmeric__GateForecast **list =
+        g_new(Turmeric__GateForecast *, outlook->count);
+    bool sent;
+
+    for (int i = 0; i < outlook->count; i++) {
+        turmeric__gate_forecast__init(&items[i]);
+        items[i].name = (char *)g_quark_to_string(outlook->items[i].item);
+        items[i].coming = outlook->items[i].coming;
+        items[i].ready_ms = (uint32_t)MAX(outlook->items[i].ready_ms, 0);
+        list[i] = &items[i];
+    }
+    body.n_items = (size_t)outlook->count;
+    body.items = list;
+    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_OUTLOOK;
+    envelope.gate_outlook = &body;
+    sent = peer_send(peer, member, &envelope, err);
+    g_free(items);
+    g_free(list);
+    return sent;
+}
+
+/**
+ * news_read_outlook() - when items can be used
+ * @envelope: message with a gate_outlook
+ *
+ * Return: to be released with outlook_free().
+ */
+struct outlook *
+news_read_outlook(const Turmeric__Envelope *envelope)
+{
+    const Turmeric__GateOutlook *body = envelope->gate_outlook;
+    struct outlook *outlook = outlook_new((int)body->n_items);
+
+    outlook->count = 0;
+    for (size_t i = 0; i < body->n_items; i++) {
+        struct forecast *forecast = &outlook->items[outlook->count];
+
+        forecast->item = g_quark_try_string(body->items[i]->name);
+        forecast->coming = body->items[i]->coming;
+        forecast->ready_ms = body->items[i]->ready_ms;
+        outlook->count += forecast->item != 0 ? 1 : 0;
+    }
+    return outlook;
+}
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -16,6 +16,7 @@
  * @loading_store: it comes from the weight store
  * @unloading: item that is being unloaded; 0 for none
  * @done_ms: when the order that runs should be done
+ * @assume_ms: when the load that runs is taken as done; 0 for not
  * @ordering: an order was sent and not answered yet
  * @ordered: its item, if it is a load; else 0
  * @reserved: item for which room is made; 0 for none
@@ -33,6 +34,7 @@
     bool loading_store;
     uint32_t unloading;
     int64_t done_ms;
+    int64_t assume_ms;
     bool ordering;
     uint32_t ordered;
     uint32_t reserved;
@@ -112,9 +114,11 @@
 /**
  * struct place_gate_port_ops - where news of placement go
  * @holdings: taken over; what an engine holds by now
+ * @outlook: taken over; when engines will have what requests wait for
  */
 struct place_gate_port_ops {
     void (*holdings)(struct place_gate_port *port, struct holdings *holdings);
+    void (*outlook)(struct place_gate_port *port, struct outlook *outlook);
 };
 
 struct place_gate_port {
@@ -165,6 +169,7 @@
     struct order_worker workers[ORDER_WORKERS];
     int in_flight;
     bool held;
+    int64_t outlook_ms;
 };
 
 #endif
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -17,6 +17,7 @@
 #include "gate/place/fns.h"
 
 enum {
+    ASSUME_MS = 20,      /* an engine's steps end some ms later */
     ADAPTER_MS = 30,     /* an adapter takes 5 to 10 ms, a few at once */
     UNLOAD_MS = 20,      /* without runs to wait for */
     REPORT_LAG_MS = 100, /* a report is as old as this, or older */
@@ -88,6 +89,42 @@
             MIN(plan->load_starts + 1, (int)G_N_ELEMENTS(plan->load_start_ms));
     }
     engine->report_ms = engine->done_ms + REPORT_LAG_MS;
+    engine->assume_ms = from_store ? 0 : engine->done_ms + ASSUME_MS;
+}
+
+/**
+ * plan_assumed() - a load that should be done by now
+ * @plan: the plan
+ * @now_ms: present time
+ *
+ * Loads from an engine's memory or disk take a known time, and the report lags
+ * behind: their end is assumed. The report still decides about room.
+ *
+ * Return: what an engine holds by now, to be freed with g_free(); NULL when
+ * nothing is to be told.
+ */
+struct holdings *
+plan_assumed(struct plan *plan, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct plan_engine *engine = value;
+
+        if (engine->assume_ms != 0 && now_ms >= engine->assume_ms) {
+            struct holdings *holdings = holdings_of(engine);
+
+            engine->assume_ms = 0;
+            if (engine->loading != 0) {
+                items_add(&holdings->held, engine->loading);
+                return holdings;
+            }
+            g_free(holdings);
+        }
+    }
+    return NULL;
 }
 
 /* Returns whether the engine holds something else by now. */
@@ -98,7 +135,8 @@
     engine->info.sequence = step->sequence + 1;
     if (step->action == ORDER_UNLOAD) {
         items_remove(&engine->info.held, step->item);
-        if (!item_is_adapter(step->item)) {
+        if (!item_is_adapter(step->item) &&
+            plan_item(plan, step->item)->running > 0) {
             engine->unloading = step->item;
             engine->done_ms = now_ms + UNLOAD_MS;
             engine->report_ms = engine->done_ms + REPORT_LAG_MS;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -33,8 +33,12 @@
 /* step.c */
 bool plan_next(struct plan *plan, int64_t now_ms, struct plan_step *step);
 
+/* outlook.c */
+struct outlook *plan_outlook(struct plan *plan, int64_t now_ms);
+
 /* done.c */
 void plan_sent(struct plan *plan, const struct plan_step *step);
+struct holdings *plan_assumed(struct plan *plan, int64_t now_ms);
 struct holdings *plan_done(struct plan *plan, const struct work *work,
                            int64_t now_ms);
 
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -24,6 +24,7 @@
     STEP_MS = 50, /* loads from memory take some hundred ms */
     IDLE_MS = 1000,
     WORK_RING = 256,
+    OUTLOOK_MS = 100, /* callers are told within an eighth of their goal */
 };
 
 static void
@@ -79,6 +80,7 @@
 act(struct place_gate *place, int64_t now_ms)
 {
     struct plan_step step;
+    struct holdings *holdings;
     bool holds = term_holds(place->term, clock_boot_ms(), NULL);
 
     if (holds && !place->held) {
@@ -89,6 +91,17 @@
            plan_next(&place->plan, now_ms, &step)) {
         give_work(place, &step);
     }
+    while (holds && (holdings = plan_assumed(&place->plan, now_ms)) != NULL) {
+        place->port->ops->holdings(place->port, holdings);
+    }
+    if (holds && now_ms - place->outlook_ms >= OUTLOOK_MS) {
+        struct outlook *outlook = plan_outlook(&place->plan, now_ms);
+
+        place->outlook_ms = now_ms;
+        if (outlook != NULL) {
+            place->port->ops->outlook(place->port, outlook);
+        }
+    }
 }
 
 static bool
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -107,6 +107,7 @@
 forget_orders(struct plan_engine *engine)
 {
     engine->loading = 0;
+    engine->assume_ms = 0;
     engine->unloading = 0;
     engine->reserved = 0;
     engine->unsure = false;
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -6,6 +6,7 @@
  * model, its disk keeps it, and the next load takes a fraction of the time.
  */
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "base/dat.h"
@@ -37,11 +38,15 @@
 static const double RUNNING_COST_MS = 30.0;
 static const double VICTIM_COST_MS = 150.0;
 
-/* A model with more requests than this a second gets a second replica, so
- * that the loss of an engine doesn't stop it. */
-static const double REPLICA_RATE = 2.0;
 static const double RUN_S = 2.0;
 
+/* Demand is that of the time that a load from the weight store takes. */
+static const double RATE_MS = 4000.0;
+static const double LOAD_S = 6.0;
+
+/* A third of a request that is expected or was refused lately. */
+static const double DEMAND_MIN = 0.3;
+
 static bool
 is_free(const struct plan_engine *engine, int64_t now_ms)
 {
@@ -285,36 +290,93 @@
     }
 }
 
+struct wanted {
+    const struct plan_item *item;
+    int rank;
+    double demand;
+};
+
+/* Whether some engine has the weights, or soon will. */
+static bool
+is_near(struct plan *plan, uint32_t model)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct plan_engine *engine = value;
+
+        if (!engine->info.leaving && !engine->missing &&
+            (engine->loading == model || engine->reserved == model ||
+             engine->ordered == model ||
+             items_have(&engine->info.held, model) ||
+             items_have(&engine->info.in_memory, model) ||
+             items_have(&engine->info.on_disk, model))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* How much an item is asked for: what waits, and what comes in the time of a
+ * load from the weight store. Requests that were refused come back. */
+static double
+demand(const struct plan_item *item, int64_t now_ms)
+{
+    double decay = exp(-(double)(now_ms - item->rate_ms) / RATE_MS);
+
+    return item->waiting + item->rate * decay * LOAD_S;
+}
+
+static bool
+is_wanted(const struct plan_item *item, int64_t now_ms)
+{
+    return item->waiting > 0 ||
+           (!item_is_adapter(item->item) && demand(item, now_ms) > DEMAND_MIN);
+}
+
 static int
 compare_wanted(const void *a, const void *b)
 {
-    const struct plan_item *left = *(struct plan_item *const *)a;
-    const struct plan_item *right = *(struct plan_item *const *)b;
+    const struct wanted *left = a;
+    const struct wanted *right = b;
 
-    if (item_is_adapter(left->item) != item_is_adapter(right->item)) {
-        return item_is_adapter(left->item) ? -1 : 1;
+    if (left->rank != right->rank) {
+        return left->rank < right->rank ? -1 : 1;
     }
-    if (left->wanted_ms != right->wanted_ms) {
-        return left->wanted_ms < right->wanted_ms ? -1 : 1;
+    if (left->demand != right->demand) {
+        return left->demand > right->demand ? -1 : 1;
     }
-    return left->item < right->item ? -1 : left->item > right->item;
+    return left->item->item < right->item->item ? -1 : 1;
 }
 
-static GPtrArray *
-wanted_items(struct plan *plan)
+/* Adapters take some ms, copies at hand less than a second, the weight store
+ * many seconds: what is quick goes first. */
+static GArray *
+wanted_items(struct plan *plan, int64_t now_ms)
 {
-    GPtrArray *wanted = g_ptr_array_new();
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(struct wanted));
     GHashTableIter iter;
     void *value;
 
     g_hash_table_iter_init(&iter, plan->items);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (((struct plan_item *)value)->waiting > 0) {
-            g_ptr_array_add(wanted, value);
+        const struct plan_item *item = value;
+        struct wanted wanted = {.item = item, .demand = demand(item, now_ms)};
+
+        if (!is_wanted(item, now_ms)) {
+            continue;
+        }
+        if (!item_is_adapter(item->item)) {
+            wanted.rank = is_near(plan, item->item) ? 1 : 2;
+        }
+        if (item->waiting > 0 || wanted.rank == 2) {
+            g_array_append_val(list, wanted);
         }
     }
-    g_ptr_array_sort(wanted, compare_wanted);
-    return wanted;
+    g_array_sort(list, compare_wanted);
+    return list;
 }
 
 static bool
@@ -330,6 +392,9 @@
     if (coming) {
         return false;
     }
+    if (count > busy && wanted->waiting == 0) {
+        return false;
+    }
     if (count > busy) {
         doubt_holders(plan, wanted, now_ms);
         return false;
@@ -346,24 +411,26 @@
 static bool
 next_wanted(struct plan *plan, int64_t now_ms, struct plan_step *step)
 {
-    GPtrArray *wanted = wanted_items(plan);
+    GArray *list = wanted_items(plan, now_ms);
     bool found = false;
 
-    for (guint i = 0; i < wanted->len && !found; i++) {
-        found = order_wanted(plan, wanted->pdata[i], now_ms, step);
+    for (guint i = 0; i < list->len && !found; i++) {
+        found = order_wanted(plan, g_array_index(list, struct wanted, i).item,
+                             now_ms, step);
     }
-    g_ptr_array_free(wanted, TRUE);
+    g_array_free(list, TRUE);
     return found;
 }
 
+/* The weight store is the bottleneck, so a second replica is loaded only for
+ * requests that the first has no places for. */
 static int
 replicas_wanted(const struct plan_item *item,
                 const struct gate_service *service)
 {
     double places = MAX(service->slots, 1) * BUSY_PERCENT / 100.0;
-    int wanted = 1 + (int)(item->rate * RUN_S / places);
 
-    return item->rate > REPLICA_RATE ? MAX(wanted, 2) : wanted;
+    return 1 + (int)(item->rate * RUN_S / places);
 }
 
 static bool
@@ -379,7 +446,7 @@
         int busy;
         int count;
 
-        if (item->rate <= REPLICA_RATE || item_is_adapter(item->item) ||
+        if (item->rate < 1.0 || item_is_adapter(item->item) ||
             now_ms - item->used_ms > PRELOAD_IDLE_MS) {
             continue;
         }
@@ -398,29 +465,6 @@
     return false;
 }
 
-/* Whether some engine has the weights, or soon will. */
-static bool
-is_near(struct plan *plan, uint32_t model)
-{
-    GHashTableIter iter;
-    void *value;
-
-    g_hash_table_iter_init(&iter, plan->engines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct plan_engine *engine = value;
-
-        if (!engine->info.leaving && !engine->missing &&
-            (engine->loading == model || engine->reserved == model ||
-             engine->ordered == model ||
-             items_have(&engine->info.held, model) ||
-             items_have(&engine->info.in_memory, model) ||
-             items_have(&engine->info.on_disk, model))) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 next_preload(struct plan *plan, int64_t now_ms, struct plan_step *step)
 {
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -155,7 +155,26 @@
     relay_post_holdings(gate->relay, holdings);
 }
 
-static const struct place_gate_port_ops place_ops = {place_holdings};
+static void
+place_outlook(struct place_gate_port *port, struct outlook *outlook)
+{
+    struct gate *gate = ((struct gate_place_port *)port)->gate;
+    struct err err = {0};
+
+    pthread_mutex_lock(&gate->peers_lock);
+    for (guint i = 0; i < gate->peers->len; i++) {
+        if (!news_send_outlook(gate->peer,
+                               g_array_index(gate->peers, uint64_t, i),
+                               outlook, &err)) {
+            counter_add(CTR_PEER_DROPPED, 1);
+        }
+    }
+    pthread_mutex_unlock(&gate->peers_lock);
+    relay_post_outlook(gate->relay, outlook);
+}
+
+static const struct place_gate_port_ops place_ops = {place_holdings,
+                                                     place_outlook};
 
 static void
 got_activity(struct gate *gate, const Turmeric__Envelope *envelope)
@@ -182,6 +201,9 @@
     else if (envelope->body_case == TURMERIC__ENVELOPE__BODY_GATE_HOLDINGS) {
         got_holdings(gate, envelope);
     }
+    else if (envelope->body_case == TURMERIC__ENVELOPE__BODY_GATE_OUTLOOK) {
+        relay_post_outlook(gate->relay, news_read_outlook(envelope));
+    }
     turmeric__envelope__free_unpacked(envelope, NULL);
 }
 
--- a/src/gate/relay/activity.c
+++ b/src/gate/relay/activity.c
@@ -41,3 +41,30 @@
         g_free(activity);
     }
 }
+
+/**
+ * outlook_new() - forecasts to be filled in
+ * @count: their number
+ */
+struct outlook *
+outlook_new(int count)
+{
+    struct outlook *outlook = g_new0(struct outlook, 1);
+
+    outlook->items = g_new0(struct forecast, count);
+    outlook->count = count;
+    return outlook;
+}
+
+/**
+ * outlook_free() - release forecasts
+ * @outlook: the forecasts; may be NULL
+ */
+void
+outlook_free(struct outlook *outlook)
+{
+    if (outlook != NULL) {
+        g_free(outlook->items);
+        g_free(outlook);
+    }
+}
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -149,6 +149,25 @@
     struct target_items held;
 };
 
+/**
+ * struct forecast - when an item that requests wait for can be used
+ * @coming: it is being loaded, or room is made for it
+ * @ready_ms: from now on; only if it is coming
+ */
+struct forecast {
+    uint32_t item;
+    bool coming;
+    int64_t ready_ms;
+};
+
+/**
+ * struct outlook - forecasts for all items that requests wait for
+ */
+struct outlook {
+    struct forecast *items;
+    int count;
+};
+
 struct relay_port;
 
 /**
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -248,7 +248,8 @@
     int64_t patience = patience_ms(exchange);
 
     if (exchange->queued) {
-        due_ms = MIN(due_ms, exchange->progress_ms + QUEUE_LOOK_MS);
+        due_ms = MIN(due_ms, MAX(exchange->arrived_ms + hope_look_ms(exchange),
+                                 exchange->progress_ms + QUEUE_LOOK_MS));
     }
     else if (patience > 0) {
         due_ms = MIN(due_ms, exchange->progress_ms + patience);
@@ -438,6 +439,21 @@
     }
 }
 
+static void
+look_at_waiting(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    int64_t retry_ms;
+
+    if (target_pick(relay, &exchange->need, now_ms) == NULL &&
+        hope_is_gone(relay, exchange, now_ms, &retry_ms)) {
+        refuse(relay, exchange,
+               exchange->runs > 0 ? ERR_TARGET_FAILED : ERR_NO_TARGET,
+               retry_ms, now_ms);
+        return;
+    }
+    exchange_dispatch(relay, exchange, now_ms);
+}
+
 /**
  * exchange_timer() - the deadline, or a target that has been silent too long
  * @relay: the relay
@@ -451,7 +467,7 @@
         refuse(relay, exchange, ERR_DEADLINE, 0, now_ms);
     }
     else if (exchange->queued) {
-        exchange_dispatch(relay, exchange, now_ms);
+        look_at_waiting(relay, exchange, now_ms);
     }
     else {
         result_broken(relay, exchange, "silent", now_ms);
--- a/src/gate/relay/fns.h
+++ b/src/gate/relay/fns.h
@@ -15,6 +15,7 @@
                        const struct target_change *change);
 void relay_post_listed(struct relay *relay);
 void relay_post_holdings(struct relay *relay, struct holdings *holdings);
+void relay_post_outlook(struct relay *relay, struct outlook *outlook);
 void relay_post_activity(struct relay *relay, struct activity *activity);
 void relay_post_members(struct relay *relay, GArray *members);
 void relay_post_leave(struct relay *relay);
@@ -22,5 +23,7 @@
 /* activity.c */
 struct activity *activity_new(uint64_t instance);
 void activity_free(struct activity *activity);
+struct outlook *outlook_new(int count);
+void outlook_free(struct outlook *outlook);
 
 #endif
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -219,6 +219,7 @@
     RELAY_LISTED,
     RELAY_HOLDINGS,
     RELAY_ACTIVITY,
+    RELAY_OUTLOOK,
     RELAY_MEMBERS,
     RELAY_LEAVE,
 };
@@ -235,6 +236,13 @@
     struct activity *activity;
 };
 
+/* When an item can be used, as the holder of orders last told. */
+struct expectation {
+    int64_t heard_ms;
+    int64_t ready_ms;
+    bool coming;
+};
+
 struct relay {
     struct duty duty;
     const struct gate_settings *settings;
@@ -259,6 +267,7 @@
     GHashTable *budgets;    /* service name -> struct repeat_budget */
     GHashTable *loads;      /* instance -> struct peer_load */
     GHashTable *arrivals;   /* item -> count since the last note */
+    GHashTable *outlook;    /* item -> struct expectation */
     struct gate_config *config;
     bool listed;
     GArray *members;
@@ -367,6 +376,13 @@
 void queue_wake_target(struct relay *relay, const struct relay_target *target);
 void queue_run(struct relay *relay, int64_t now_ms);
 
+/* hope.c */
+void hope_learn(struct relay *relay, const struct outlook *outlook,
+                int64_t now_ms);
+int64_t hope_look_ms(const struct exchange *exchange);
+bool hope_is_gone(struct relay *relay, const struct exchange *exchange,
+                  int64_t now_ms, int64_t *retry_ms);
+
 /* upstream.c */
 struct upstream *upstream_take(struct relay *relay,
                                struct relay_target *target, int64_t now_ms);
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -147,6 +147,10 @@
     case RELAY_ACTIVITY:
         target_activity(relay, message->data, now_ms);
         break;
+    case RELAY_OUTLOOK:
+        hope_learn(relay, message->data, now_ms);
+        outlook_free(message->data);
+        break;
     case RELAY_MEMBERS:
         take_members(relay, message->data);
         break;
@@ -407,6 +411,7 @@
     relay->loads =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_load);
     relay->arrivals = g_hash_table_new(NULL, NULL);
+    relay->outlook = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return table_init(&relay->clients, half, sizeof(struct client), err) &&
            table_init(&relay->upstreams, half, sizeof(struct upstream), err) &&
            table_init(&relay->exchanges, EXCHANGES_MAX,
@@ -492,6 +497,7 @@
     g_hash_table_destroy(relay->budgets);
     g_hash_table_destroy(relay->loads);
     g_hash_table_destroy(relay->arrivals);
+    g_hash_table_destroy(relay->outlook);
     table_free_all(&relay->clients);
     table_free_all(&relay->upstreams);
     table_free_all(&relay->exchanges);
@@ -608,6 +614,19 @@
     }
 }
 
+/**
+ * relay_post_outlook() - the holder tells when items can be used
+ * @relay: the relay
+ * @outlook: taken over
+ */
+void
+relay_post_outlook(struct relay *relay, struct outlook *outlook)
+{
+    if (!post(relay, RELAY_OUTLOOK, outlook)) {
+        outlook_free(outlook);
+    }
+}
+
 /**
  * relay_post_activity() - another instance tells of its requests
  * @relay: the relay
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1222,7 +1222,97 @@
   assert(message->base.descriptor == &turmeric__gate_holdings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[24] =
+void   turmeric__gate_forecast__init
+                     (Turmeric__GateForecast         *message)
+{
+  static const Turmeric__GateForecast init_value = TURMERIC__GATE_FORECAST__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_forecast__get_packed_size
+                     (const Turmeric__GateForecast *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_forecast__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_forecast__pack
+                     (const Turmeric__GateForecast *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_forecast__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_forecast__pack_to_buffer
+                     (const Turmeric__GateForecast *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_forecast__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateForecast *
+       turmeric__gate_forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateForecast *)
+     protobuf_c_message_unpack (&turmeric__gate_forecast__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_forecast__free_unpacked
+                     (Turmeric__GateForecast *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_forecast__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_outlook__init
+                     (Turmeric__GateOutlook         *message)
+{
+  static const Turmeric__GateOutlook init_value = TURMERIC__GATE_OUTLOOK__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_outlook__get_packed_size
+                     (const Turmeric__GateOutlook *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_outlook__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_outlook__pack
+                     (const Turmeric__GateOutlook *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_outlook__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_outlook__pack_to_buffer
+                     (const Turmeric__GateOutlook *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_outlook__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateOutlook *
+       turmeric__gate_outlook__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateOutlook *)
+     protobuf_c_message_unpack (&turmeric__gate_outlook__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_outlook__free_unpacked
+                     (Turmeric__GateOutlook *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_outlook__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[25] =
 {
   {
     "version",
@@ -1512,6 +1602,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gate_outlook",
+    72,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__Envelope, body_case),
+    offsetof(Turmeric__Envelope, gate_outlook),
+    &turmeric__gate_outlook__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
@@ -1525,6 +1627,7 @@
   1,   /* field[1] = from */
   22,   /* field[22] = gate_activity */
   23,   /* field[23] = gate_holdings */
+  24,   /* field[24] = gate_outlook */
   2,   /* field[2] = hello */
   3,   /* field[3] = ping */
   5,   /* field[5] = ping_req */
@@ -1549,7 +1652,7 @@
   { 50, 19 },
   { 60, 21 },
   { 70, 22 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor turmeric__envelope__descriptor =
 {
@@ -1559,7 +1662,7 @@
   "Turmeric__Envelope",
   "turmeric",
   sizeof(Turmeric__Envelope),
-  24,
+  25,
   turmeric__envelope__field_descriptors,
   turmeric__envelope__field_indices_by_name,
   8,  turmeric__envelope__number_ranges,
@@ -3542,3 +3645,105 @@
   (ProtobufCMessageInit) turmeric__gate_holdings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor turmeric__gate_forecast__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateForecast, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "coming",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateForecast, coming),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateForecast, ready_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_forecast__field_indices_by_name[] = {
+  1,   /* field[1] = coming */
+  0,   /* field[0] = name */
+  2,   /* field[2] = ready_ms */
+};
+static const ProtobufCIntRange turmeric__gate_forecast__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_forecast__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateForecast",
+  "GateForecast",
+  "Turmeric__GateForecast",
+  "turmeric",
+  sizeof(Turmeric__GateForecast),
+  3,
+  turmeric__gate_forecast__field_descriptors,
+  turmeric__gate_forecast__field_indices_by_name,
+  1,  turmeric__gate_forecast__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_forecast__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_outlook__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateOutlook, n_items),
+    offsetof(Turmeric__GateOutlook, items),
+    &turmeric__gate_forecast__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_outlook__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange turmeric__gate_outlook__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_outlook__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateOutlook",
+  "GateOutlook",
+  "Turmeric__GateOutlook",
+  "turmeric",
+  sizeof(Turmeric__GateOutlook),
+  1,
+  turmeric__gate_outlook__field_descriptors,
+  turmeric__gate_outlook__field_indices_by_name,
+  1,  turmeric__gate_outlook__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_outlook__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -42,6 +42,8 @@
 typedef struct Turmeric__GateTarget Turmeric__GateTarget;
 typedef struct Turmeric__GateActivity Turmeric__GateActivity;
 typedef struct Turmeric__GateHoldings Turmeric__GateHoldings;
+typedef struct Turmeric__GateForecast Turmeric__GateForecast;
+typedef struct Turmeric__GateOutlook Turmeric__GateOutlook;
 
 
 /* --- enums --- */
@@ -72,7 +74,8 @@
   TURMERIC__ENVELOPE__BODY_CLAIM_REPLY = 51,
   TURMERIC__ENVELOPE__BODY_STRIKE = 60,
   TURMERIC__ENVELOPE__BODY_GATE_ACTIVITY = 70,
-  TURMERIC__ENVELOPE__BODY_GATE_HOLDINGS = 71
+  TURMERIC__ENVELOPE__BODY_GATE_HOLDINGS = 71,
+  TURMERIC__ENVELOPE__BODY_GATE_OUTLOOK = 72
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TURMERIC__ENVELOPE__BODY__CASE)
 } Turmeric__Envelope__BodyCase;
 
@@ -108,6 +111,7 @@
     Turmeric__Strike *strike;
     Turmeric__GateActivity *gate_activity;
     Turmeric__GateHoldings *gate_holdings;
+    Turmeric__GateOutlook *gate_outlook;
   };
 };
 #define TURMERIC__ENVELOPE__INIT \
@@ -492,6 +496,36 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
+/*
+ * When engines will have what requests wait for, from the instance that orders
+ * them.
+ */
+struct  Turmeric__GateForecast
+{
+  ProtobufCMessage base;
+  char *name;
+  protobuf_c_boolean coming;
+  /*
+   * from now on, if it is coming
+   */
+  uint32_t ready_ms;
+};
+#define TURMERIC__GATE_FORECAST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_forecast__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Turmeric__GateOutlook
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Turmeric__GateForecast **items;
+};
+#define TURMERIC__GATE_OUTLOOK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_outlook__descriptor) \
+    , 0,NULL }
+
+
 /* Turmeric__Envelope methods */
 void   turmeric__envelope__init
                      (Turmeric__Envelope         *message);
@@ -1005,6 +1039,44 @@
 void   turmeric__gate_holdings__free_unpacked
                      (Turmeric__GateHoldings *message,
                       ProtobufCAllocator *allocator);
+/* Turmeric__GateForecast methods */
+void   turmeric__gate_forecast__init
+                     (Turmeric__GateForecast         *message);
+size_t turmeric__gate_forecast__get_packed_size
+                     (const Turmeric__GateForecast   *message);
+size_t turmeric__gate_forecast__pack
+                     (const Turmeric__GateForecast   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_forecast__pack_to_buffer
+                     (const Turmeric__GateForecast   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateForecast *
+       turmeric__gate_forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_forecast__free_unpacked
+                     (Turmeric__GateForecast *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateOutlook methods */
+void   turmeric__gate_outlook__init
+                     (Turmeric__GateOutlook         *message);
+size_t turmeric__gate_outlook__get_packed_size
+                     (const Turmeric__GateOutlook   *message);
+size_t turmeric__gate_outlook__pack
+                     (const Turmeric__GateOutlook   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_outlook__pack_to_buffer
+                     (const Turmeric__GateOutlook   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateOutlook *
+       turmeric__gate_outlook__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_outlook__free_unpacked
+                     (Turmeric__GateOutlook *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Turmeric__Envelope_Closure)
@@ -1088,6 +1160,12 @@
 typedef void (*Turmeric__GateHoldings_Closure)
                  (const Turmeric__GateHoldings *message,
                   void *closure_data);
+typedef void (*Turmeric__GateForecast_Closure)
+                 (const Turmeric__GateForecast *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateOutlook_Closure)
+                 (const Turmeric__GateOutlook *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1121,6 +1199,8 @@
 extern const ProtobufCMessageDescriptor turmeric__gate_target__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_activity__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_holdings__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_forecast__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_outlook__descriptor;
 
 PROTOBUF_C__END_DECLS
 
