--- a/src/gate/choose/pick.c
+++ b/src/gate/choose/pick.c
@@ -14,13 +14,12 @@
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
 
-/* Bytes between zones are charged, but a place in another zone is better than
- * a queue: an eighth of a target's places. */
-static const double ZONE_COST = 0.125;
+/* Bytes between zones are charged, but two requests fewer at a target are worth
+ * more: a sixteenth of its places. */
+static const double ZONE_COST = 0.0625;
 
-/* Reading a shared prompt again costs about as much as a quarter of a
- * target's places slows a request. */
-static const double AFFINITY_COST = 0.25;
+/* Reading a shared prompt again takes as long as the steps of two requests. */
+static const double AFFINITY_COST = 0.0625;
 
 /* A target that fails each request is worse than one twice full. */
 static const double FAILURE_COST = 3.0;
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -31,6 +31,7 @@
     ADAPTERS_AT_ONCE = 4,
     /* Requests beyond this part of its places make an engine slow. */
     BUSY_PERCENT = 60,
+    CROWDED_PERCENT = 65,
 };
 
 /* A swap on an engine with a copy beats one from the store by far, and a busy
@@ -38,8 +39,6 @@
 static const double RUNNING_COST_MS = 30.0;
 static const double VICTIM_COST_MS = 150.0;
 
-static const double RUN_S = 2.0;
-
 /* Demand is that of the time that a load from the weight store takes. */
 static const double RATE_MS = 4000.0;
 static const double LOAD_S = 6.0;
@@ -422,15 +421,15 @@
     return found;
 }
 
-/* The weight store is the bottleneck, so a second replica is loaded only for
- * requests that the first has no places for. */
+/* Requests share an engine's steps, so long prompts of some hold up the events
+ * of the others: a model gets another replica long before its places are
+ * taken. */
 static int
 replicas_wanted(const struct plan_item *item,
                 const struct gate_service *service)
 {
-    double places = MAX(service->slots, 1) * BUSY_PERCENT / 100.0;
-
-    return 1 + (int)(item->rate * RUN_S / places);
+    return 1 + item->running * 100 /
+                   (MAX(service->slots, 1) * CROWDED_PERCENT);
 }
 
 static bool
@@ -446,7 +445,7 @@
         int busy;
         int count;
 
-        if (item->rate < 1.0 || item_is_adapter(item->item) ||
+        if (item->running == 0 || item_is_adapter(item->item) ||
             now_ms - item->used_ms > PRELOAD_IDLE_MS) {
             continue;
         }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -127,6 +127,8 @@
  * @resumes: runs that went on with a stream
  * @due_ms: final answer by then
  * @look_ms: when the target's silence is looked at; 0 for never
+ * @event_ms: when the last event was passed on
+ * @gap_ms: longest pause between events so far
  * @queued: it is in the queue of its @item
  */
 struct exchange {
@@ -156,6 +158,8 @@
     int64_t sent_ms;
     int64_t first_ms;
     int64_t progress_ms;
+    int64_t event_ms;
+    int64_t gap_ms;
     struct answer answer;
     struct event_reader events;
     bool queued;
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -250,6 +250,11 @@
     GString *whole = g_string_new(NULL);
 
     if (events_add(&exchange->events, bytes, count, whole) > 0) {
+        if (exchange->first_ms != 0) {
+            exchange->gap_ms =
+                MAX(exchange->gap_ms, now_ms - exchange->event_ms);
+        }
+        exchange->event_ms = now_ms;
         first_bytes(exchange, now_ms);
         exchange->progress_ms = now_ms;
         if (!exchange->answer.begun) {
@@ -325,13 +330,15 @@
     counter_add(CTR_ANSWERS, 1);
     log_line(LOG_PRI_INFO, "relay",
              "event=answered id=%s status=%d sends=%d resumes=%d "
-             "first_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
-             " goal_ms=%" G_GINT64_FORMAT,
+             "waited_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
+             " gap_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
+             " goal_ms=%" G_GINT64_FORMAT " item=%s",
              exchange->facts.attempt, answer->status, exchange->sends,
              exchange->resumes,
+             (gint64)(exchange->sent_ms - exchange->arrived_ms),
              (gint64)(exchange->first_ms - exchange->arrived_ms),
-             (gint64)(now_ms - exchange->arrived_ms),
-             (gint64)exchange->route->goal_ms);
+             (gint64)exchange->gap_ms, (gint64)(now_ms - exchange->arrived_ms),
+             (gint64)exchange->route->goal_ms, exchange->facts.item);
     exchange_finish(relay, exchange, now_ms);
 }
 
