--- a/src/gate/choose/pick.c
+++ b/src/gate/choose/pick.c
@@ -14,8 +14,8 @@
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
 
-/* Bytes between zones are charged, but two requests fewer at a target are worth
- * more: a sixteenth of its places. */
+/* Bytes between zones are charged, but two requests fewer at a target are
+ * worth more: a sixteenth of its places. */
 static const double ZONE_COST = 0.0625;
 
 /* Reading a shared prompt again takes as long as the steps of two requests. */
--- a/src/gate/follow/fns.h
+++ b/src/gate/follow/fns.h
@@ -25,6 +25,9 @@
 void tenure_clear(struct tenure *tenure);
 void tenure_post_holder(struct tenure *tenure, const struct holder *holder);
 void tenure_post_leave(struct tenure *tenure);
+void tenure_learn(struct tenure *tenure, const struct holder *holder,
+                  int64_t boot_ms);
+void tenure_leave(struct tenure *tenure);
 int64_t tenure_round(struct tenure *tenure, int64_t boot_ms);
 bool term_holds(struct term *term, int64_t boot_ms, int64_t *fence);
 
--- a/src/gate/follow/tenure.c
+++ b/src/gate/follow/tenure.c
@@ -195,9 +195,15 @@
              err.text);
 }
 
-/* The store's word on who holds it, which may come before or after ours. */
-static void
-learn_holder(struct tenure *tenure, const struct holder *holder,
+/**
+ * tenure_learn() - the store tells who may order, before or after this
+ * instance's own calls are answered
+ * @tenure: the duty
+ * @holder: who it is
+ * @boot_ms: present time by clock_boot_ms()
+ */
+void
+tenure_learn(struct tenure *tenure, const struct holder *holder,
              int64_t boot_ms)
 {
     bool mine = is_self(tenure, holder);
@@ -255,8 +261,12 @@
     return RENEW_MS;
 }
 
-static void
-leave(struct tenure *tenure)
+/**
+ * tenure_leave() - give the right and the lease back
+ * @tenure: the duty
+ */
+void
+tenure_leave(struct tenure *tenure)
 {
     struct err err = {0};
 
@@ -282,15 +292,15 @@
     while ((result = ring_pop(&tenure->ring, &message, wait_ms)) !=
            RING_CLOSED) {
         if (result == RING_OK && message.leave) {
-            leave(tenure);
+            tenure_leave(tenure);
         }
         else if (result == RING_OK) {
-            learn_holder(tenure, &message.holder, clock_boot_ms());
+            tenure_learn(tenure, &message.holder, clock_boot_ms());
         }
         wait_ms = tenure_round(tenure, clock_boot_ms());
     }
     if (!tenure->leaving) {
-        leave(tenure);
+        tenure_leave(tenure);
     }
     return true;
 }
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -428,8 +428,8 @@
 replicas_wanted(const struct plan_item *item,
                 const struct gate_service *service)
 {
-    return 1 + item->running * 100 /
-                   (MAX(service->slots, 1) * CROWDED_PERCENT);
+    return 1 +
+           item->running * 100 / (MAX(service->slots, 1) * CROWDED_PERCENT);
 }
 
 static bool
--- a/src/gate/relay/events.c
+++ b/src/gate/relay/events.c
@@ -39,6 +39,7 @@
 events_restart(struct event_reader *reader)
 {
     g_string_truncate(reader->partial, 0);
+    reader->broken = false;
 }
 
 /* Length of the first event with its blank line; 0 when it is not whole. */
--- /dev/null
+++ b/test/belief_test.c
@@ -0,0 +1,238 @@
+/* Tests of what the gate believes: routes, and the list of targets. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "cases.h"
+
+/* Guards against a request that is run by a service it must not go to. */
+struct match_case {
+    const char *name;
+    const char *host;
+    const char *path;
+    const char *route;
+};
+
+static const struct match_case match_cases[] = {
+    {"exact", "a.example", "/x/", "x"},
+    {"longest", "a.example", "/x/y/z", "xy"},
+    {"shorter", "a.example", "/x/yz", "x"},
+    {"host_case", "A.Example", "/x/1", "x"},
+    {"other_host", "b.example", "/x/1", "bx"},
+    {"no_prefix", "a.example", "/z/", NULL},
+    {"no_slash", "a.example", "/x", NULL},
+    {"no_host", "c.example", "/x/", NULL},
+};
+
+static void
+set_route(struct gate_route *route, const char *name, const char *host,
+          const char *prefix)
+{
+    g_strlcpy(route->name, name, sizeof(route->name));
+    route->host = g_strdup(host);
+    route->prefix = g_strdup(prefix);
+    route->prefix_bytes = strlen(prefix);
+}
+
+static struct gate_config *
+three_routes(void)
+{
+    struct gate_config *config = gate_config_new(3, 0);
+
+    config->route_count = 3;
+    set_route(&config->routes[0], "x", "a.example", "/x/");
+    set_route(&config->routes[1], "bx", "b.example", "/x/");
+    set_route(&config->routes[2], "xy", "a.example", "/x/y/");
+    gate_config_index(config);
+    return config;
+}
+
+static void
+test_match(gconstpointer data)
+{
+    const struct match_case *c = data;
+    struct gate_config *config = three_routes();
+    const struct gate_route *route =
+        gate_config_match(config, c->host, c->path);
+
+    g_assert_cmpstr(route != NULL ? route->name : NULL, ==, c->route);
+    gate_config_unref(config);
+}
+
+/* Guards against shares of a split that get requests beyond their weight. */
+struct share_case {
+    const char *name;
+    int weights[3];
+    uint64_t random;
+    int service;
+};
+
+static const struct share_case share_cases[] = {
+    {"first", {90, 10, 0}, 0, 0},
+    {"last_of_first", {90, 10, 0}, 89, 0},
+    {"second", {90, 10, 0}, 90, 1},
+    {"wraps", {90, 10, 0}, 100, 0},
+    {"none_has_weight", {0, 0, 0}, 5, -1},
+    {"skips_zero", {0, 1, 1}, 0, 1},
+};
+
+static void
+test_share(gconstpointer data)
+{
+    const struct share_case *c = data;
+    struct gate_route route = {.share_count = 3};
+
+    for (int i = 0; i < 3; i++) {
+        route.shares[i].service = i;
+        route.shares[i].weight = c->weights[i];
+    }
+    g_assert_cmpint(gate_route_service(&route, c->random), ==, c->service);
+}
+
+/*
+ * Guards against two faults: a target that leaves is used further, and all
+ * targets are dropped because their entries lapsed while the store was away.
+ *
+ * Steps: p put, l put as leaving, d deleted, a store away, b store back,
+ * t tick, [ ] a list in which nothing stands, 0-9 time in seconds.
+ */
+struct registry_case {
+    const char *name;
+    const char *steps;
+    const char *told;
+};
+
+static const struct registry_case registry_cases[] = {
+    {"new", "0p", "C"},
+    {"same_again", "0p1p", "C"},
+    {"gone_at_once", "0p1d", "CG"},
+    {"leaving_then_gone", "0p1l2d", "CCG"},
+    {"lapsed_and_back", "0p1a5b5d6p", "CMC"},
+    {"lapsed_for_good", "0p1a5b5d8t", "CMG"},
+    {"lapsed_not_yet_gone", "0p1a5b5d6t", "CM"},
+    {"lapse_is_over", "0p1a2b6d", "CG"},
+    {"lapsed_unlisted", "0p1a5b5[]6p", "CMC"},
+    {"unlisted_without_outage", "0p1[]", "CG"},
+    {"leaving_does_not_lapse", "0l1a5b5d", "CG"},
+    {"away_drops_nothing", "0p1a2b2d3a9t", "CM"},
+};
+
+struct told_port {
+    struct registry_port port;
+    GString *told;
+};
+
+static void
+note_change(struct registry_port *port, const struct target_change *change)
+{
+    static const char letters[] = {'C', 'M', 'G'};
+
+    g_string_append_c(((struct told_port *)port)->told, letters[change->kind]);
+}
+
+static const struct registry_port_ops told_ops = {note_change};
+
+static void
+registry_step(struct registry *registry, char step, int64_t now_ms)
+{
+    struct target_info info;
+
+    memset(&info, 0, sizeof(info));
+    g_strlcpy(info.id, "i-1", sizeof(info.id));
+    info.leaving = step == 'l';
+    switch (step) {
+    case 'p':
+    case 'l':
+        registry_put(registry, &info);
+        break;
+    case 'd':
+        registry_delete(registry, info.id, now_ms);
+        break;
+    case 'a':
+        registry_store_away(registry, now_ms);
+        break;
+    case 'b':
+        registry_store_back(registry, now_ms);
+        break;
+    case 't':
+        registry_tick(registry, now_ms);
+        break;
+    case '[':
+        registry_list_begin(registry);
+        break;
+    case ']':
+        registry_list_end(registry, now_ms);
+        break;
+    default:
+        g_assert_not_reached();
+    }
+}
+
+static void
+test_registry(gconstpointer data)
+{
+    const struct registry_case *c = data;
+    struct told_port port = {{&told_ops}, g_string_new(NULL)};
+    struct registry registry;
+    int64_t now_ms = 0;
+
+    registry_init(&registry, &port.port);
+    for (const char *step = c->steps; *step != '\0'; step++) {
+        if (g_ascii_isdigit(*step)) {
+            now_ms = (*step - '0') * 1000;
+        }
+        else {
+            registry_step(&registry, *step, now_ms);
+        }
+    }
+    g_assert_cmpstr(port.told->str, ==, c->told);
+    registry_clear(&registry);
+    g_string_free(port.told, TRUE);
+}
+
+/* Guards against adapters that are counted after their model has gone. */
+struct items_case {
+    const char *name;
+    const char *removed;
+    int left;
+};
+
+static const struct items_case items_cases[] = {
+    {"model_with_adapters", "m", 1},
+    {"adapter", "m/a1", 3},
+    {"other", "n", 3},
+    {"absent", "o", 4},
+};
+
+static void
+test_items(gconstpointer data)
+{
+    static const char *const names[] = {"m", "m/a1", "m/a2", "n"};
+    const struct items_case *c = data;
+    struct target_items items = {.count = 0};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        g_assert_true(items_add(&items, g_quark_from_string(names[i])));
+    }
+    items_remove(&items, g_quark_from_string(c->removed));
+    g_assert_cmpint(items.count, ==, c->left);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct cases groups[] = {
+        CASES("/belief/match", match_cases, test_match),
+        CASES("/belief/share", share_cases, test_share),
+        CASES("/belief/registry", registry_cases, test_registry),
+        CASES("/belief/items", items_cases, test_items),
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    cases_add(groups, G_N_ELEMENTS(groups));
+    return g_test_run();
+}
--- /dev/null
+++ b/test/relay_test.c
@@ -0,0 +1,717 @@
+/*
+ * Tests of the relay with real connections: what callers and targets see when
+ * targets fail in each way.
+ */
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <json-c/json.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "platform/dat.h"
+#include "platform/fns.h"
+#include "cases.h"
+#include "script.h"
+#include "support.h"
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+#define OK OK_HEAD "Content-Length: 4\r\n\r\ndone"
+#define CHUNKED OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define TEXT1 "id: 1\ndata: a\n\n"
+#define EVENT1 "f\r\n" TEXT1 "\r\n"
+#define TEXT2 "id: 2\ndata: b\n\n"
+#define EVENT2 "f\r\n" TEXT2 "\r\n"
+#define TEXT3 "id: 3\ndata: c\n\n"
+#define EVENT3 "f\r\n" TEXT3 "\r\n"
+#define END "0\r\n\r\n"
+#define BUSY                                                                  \
+    "HTTP/1.1 503 Busy\r\nAttempt-Id: %ID%\r\nNot-Executed: 1\r\n"            \
+    "Content-Length: 0\r\n\r\n"
+
+struct bench {
+    struct script script;
+    struct gate_settings settings;
+    struct relay_port port;
+    struct relay *relay;
+    pthread_t thread;
+    GMutex lock;
+    GCond left;
+    bool has_left;
+};
+
+static void
+drop_activity(struct relay_port *port, struct activity *activity)
+{
+    (void)port;
+    activity_free(activity);
+}
+
+static void
+note_left(struct relay_port *port)
+{
+    struct bench *bench =
+        (struct bench *)((char *)port - offsetof(struct bench, port));
+
+    g_mutex_lock(&bench->lock);
+    bench->has_left = true;
+    g_cond_broadcast(&bench->left);
+    g_mutex_unlock(&bench->lock);
+}
+
+static const struct relay_port_ops port_ops = {drop_activity, note_left};
+
+static void
+fill_settings(struct gate_settings *settings)
+{
+    g_strlcpy(settings->name, "test", sizeof(settings->name));
+    g_strlcpy(settings->zone, "z", sizeof(settings->zone));
+    g_strlcpy(settings->front_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
+    g_strlcpy(settings->ready_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
+    g_strlcpy(settings->lookup_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
+    settings->descriptors_max = 1024;
+    settings->limits.retry_ratio = 0.2;
+    settings->limits.retry_extra = 50;
+    settings->limits.retry_window_ms = 10000;
+    settings->limits.address_keep_max_s = 5;
+    settings->limits.grace_ms = 8000;
+}
+
+static struct gate_config *
+parse_config(void)
+{
+    static const char text[] =
+        "{\"version\":1,\"routes\":["
+        "{\"name\":\"once\",\"host\":\"h\",\"path_prefix\":\"/once/\","
+        "\"kind\":\"non_idempotent\",\"timeout_ms\":60000,"
+        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
+        "{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\","
+        "\"kind\":\"idempotent\",\"timeout_ms\":60000,"
+        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
+        "{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
+        "\"kind\":\"stream\",\"resumable\":true,\"timeout_ms\":60000,"
+        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
+        "{\"name\":\"fixed\",\"host\":\"h\",\"path_prefix\":\"/fixed/\","
+        "\"kind\":\"stream\",\"timeout_ms\":60000,"
+        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
+        "{\"name\":\"empty\",\"host\":\"h\",\"path_prefix\":\"/empty/\","
+        "\"kind\":\"idempotent\",\"timeout_ms\":60000,"
+        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"none\"}],"
+        "\"services\":[{\"name\":\"s\"},{\"name\":\"none\"}],"
+        "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000,"
+        "\"header_timeout_ms\":60000,\"idle_timeout_ms\":60000}}";
+    struct err err = {0};
+    struct gate_config *config = platform_config(text, strlen(text), &err);
+
+    g_assert_cmpstr(err.text, ==, "");
+    return config;
+}
+
+static void
+post_target(struct bench *bench, int index)
+{
+    struct target_change change = {.kind = TARGET_CHANGED};
+
+    g_snprintf(change.info.id, sizeof(change.info.id), "i-%d", index);
+    g_strlcpy(change.info.service, "s", sizeof(change.info.service));
+    g_strlcpy(change.info.zone, "z", sizeof(change.info.zone));
+    g_snprintf(change.info.address, ADDRESS_MAX_BYTES, "127.0.0.1:%d",
+               bench->script.ports[index]);
+    change.info.slots = 8;
+    relay_post_change(bench->relay, &change);
+}
+
+static void
+bench_start(struct bench *bench, const char *const *answers, int targets)
+{
+    struct err err = {0};
+
+    memset(bench, 0, sizeof(*bench));
+    g_mutex_init(&bench->lock);
+    g_cond_init(&bench->left);
+    script_start(&bench->script, answers, targets);
+    fill_settings(&bench->settings);
+    bench->port.ops = &port_ops;
+    bench->relay =
+        relay_new(&bench->settings, &platform_dialect, &bench->port, &err);
+    g_assert_nonnull(bench->relay);
+    relay_post_config(bench->relay, parse_config());
+    for (int i = 0; i < targets; i++) {
+        post_target(bench, i);
+    }
+    relay_post_listed(bench->relay);
+    test_duty_start(relay_duty(bench->relay), &bench->thread);
+}
+
+static void
+bench_stop(struct bench *bench)
+{
+    test_duty_stop(relay_duty(bench->relay), bench->thread);
+    relay_free(bench->relay);
+    script_stop(&bench->script);
+    g_mutex_clear(&bench->lock);
+    g_cond_clear(&bench->left);
+}
+
+static int
+dial(int port)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)port),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    return fd;
+}
+
+static void
+send_text(int fd, const char *text)
+{
+    g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
+                    (gssize)strlen(text));
+}
+
+/* All that comes until the other side closes. */
+static char *
+read_all(int fd)
+{
+    GString *text = g_string_new(NULL);
+    char bytes[1024];
+    ssize_t count;
+
+    while ((count = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+        g_string_append_len(text, bytes, count);
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* The body without the framing of chunks; "<end>" stands for the last one. */
+static char *
+without_chunks(const char *answer)
+{
+    const char *body = strstr(answer, "\r\n\r\n");
+    GString *text = g_string_new(NULL);
+
+    if (body == NULL || strstr(answer, "chunked") == NULL) {
+        return g_string_free(text, FALSE);
+    }
+    body += 4;
+    while (*body != '\0') {
+        char *start;
+        size_t bytes = strtoul(body, &start, 16);
+
+        if (bytes == 0) {
+            g_string_append(text, "<end>");
+            break;
+        }
+        g_string_append_len(text, start + 2, (gssize)bytes);
+        body = start + 2 + bytes + 2;
+    }
+    return g_string_free(text, FALSE);
+}
+
+/*
+ * Guards against answers that are mixed up, cut off or invented, requests that
+ * run twice, and refusals that promise too much. The request asks to close the
+ * connection, so that the caller's end of the answer is seen.
+ */
+struct relay_case {
+    const char *name;
+    const char *path;
+    const char *extra; /* more lines of the head */
+    const char *answers[SCRIPT_ANSWERS_MAX];
+    const char *begins; /* of what the caller gets */
+    const char *ends;
+    int arrivals;
+};
+
+static const struct relay_case relay_cases[] = {
+    {"passed", "/once/1", "", {OK}, "HTTP/1.1 200", "\r\n\r\ndone", 1},
+    {"no_route", "/other/1", "", {OK}, "HTTP/1.1 404", "}\n", 0},
+    {"own_error_passed",
+     "/once/1",
+     "",
+     {"HTTP/1.1 500 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+      "Content-Length: 1\r\n\r\nx"},
+     "HTTP/1.1 500",
+     "x",
+     1},
+    {"unsigned_once",
+     "/once/1",
+     "",
+     {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID%\r\nContent-Length: 1\r\n\r\nx"},
+     "HTTP/1.1 502",
+     "}\n",
+     1},
+    {"unsigned_safe",
+     "/safe/1",
+     "",
+     {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID%\r\nContent-Length: 1\r\n\r\nx", OK},
+     "HTTP/1.1 200",
+     "done",
+     2},
+    {"busy_once", "/once/1", "", {BUSY, OK}, "HTTP/1.1 200", "done", 2},
+    {"claims_busy_once",
+     "/once/1",
+     "",
+     {"HTTP/1.1 503 B\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+      "Content-Length: 0\r\n\r\n"},
+     "HTTP/1.1 502",
+     "}\n",
+     1},
+    {"misdirected",
+     "/once/1",
+     "",
+     {"HTTP/1.1 421 M\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n", OK},
+     "HTTP/1.1 200",
+     "done",
+     2},
+    {"closed_once", "/once/1", "", {"<close>"}, "HTTP/1.1 502", "}\n", 1},
+    {"reset_once", "/once/1", "", {"<reset>"}, "HTTP/1.1 502", "}\n", 1},
+    {"closed_safe", "/safe/1", "", {"<close>", OK}, "HTTP/1.1 200", "done", 2},
+    {"cut_short_safe",
+     "/safe/1",
+     "",
+     {OK_HEAD "Content-Length: 9\r\n\r\nhalf<close>", OK},
+     "HTTP/1.1 200",
+     "done",
+     2},
+    {"cut_short_once",
+     "/once/1",
+     "",
+     {OK_HEAD "Content-Length: 9\r\n\r\nhalf<close>"},
+     "HTTP/1.1 502",
+     "}\n",
+     1},
+    {"cut_chunks_safe",
+     "/safe/1",
+     "",
+     {CHUNKED "4\r\nhalf\r\n<close>", OK},
+     "HTTP/1.1 200",
+     "done",
+     2},
+    {"unframed",
+     "/once/1",
+     "",
+     {OK_HEAD "\r\nall<close>"},
+     "HTTP/1.1 200",
+     "all",
+     1},
+    {"unframed_reset_safe",
+     "/safe/1",
+     "",
+     {OK_HEAD "\r\npart<reset>", OK},
+     "HTTP/1.1 200",
+     "done",
+     2},
+    {"no_http_once",
+     "/once/1",
+     "",
+     {"garbage\r\n\r\n<hold>"},
+     "HTTP/1.1 502",
+     "}\n",
+     1},
+    {"no_http_safe",
+     "/safe/1",
+     "",
+     {"garbage\r\n\r\n<hold>", OK},
+     "HTTP/1.1 200",
+     "done",
+     2},
+    {"answer_of_another",
+     "/once/1",
+     "",
+     {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: s\r\n"
+      "Content-Length: 5\r\n\r\nother" OK},
+     "HTTP/1.1 200",
+     "done",
+     1},
+    {"only_answer_of_another",
+     "/once/1",
+     "",
+     {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: s\r\n"
+      "Content-Length: 5\r\n\r\nother<close>"},
+     "HTTP/1.1 502",
+     "}\n",
+     1},
+    {"interim_answer",
+     "/once/1",
+     "",
+     {"HTTP/1.1 100 Continue\r\n\r\n" OK},
+     "HTTP/1.1 200",
+     "done",
+     1},
+    {"two_lengths",
+     "/once/1",
+     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+     {OK},
+     "HTTP/1.1 400",
+     "}\n",
+     0},
+    {"bad_deadline",
+     "/once/1",
+     "Deadline-Ms: soon\r\n",
+     {OK},
+     "HTTP/1.1 400",
+     "}\n",
+     0},
+    {"deadline_once",
+     "/once/1",
+     "Deadline-Ms: 150\r\n",
+     {"<hold>"},
+     "HTTP/1.1 504",
+     "}\n",
+     1},
+    {"deadline_not_sent",
+     "/empty/1",
+     "Deadline-Ms: 150\r\n",
+     {OK},
+     "HTTP/1.1 503",
+     "}\n",
+     0},
+    {"stream",
+     "/stream/1",
+     "",
+     {CHUNKED EVENT1 EVENT2 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 "<end>",
+     1},
+    {"stream_resumed",
+     "/stream/1",
+     "",
+     {CHUNKED EVENT1 EVENT2 "5\r\nid: 3\r\n<close>", CHUNKED EVENT3 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 TEXT3 "<end>",
+     2},
+    {"stream_repeats_events",
+     "/stream/1",
+     "",
+     {CHUNKED EVENT1 EVENT2 "<reset>", CHUNKED EVENT2 EVENT3 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 TEXT3 "<end>",
+     2},
+    {"stream_with_gap",
+     "/stream/1",
+     "",
+     {CHUNKED EVENT1 EVENT3 "<hold>", CHUNKED EVENT2 EVENT3 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 TEXT3 "<end>",
+     2},
+    {"stream_broken_for_good",
+     "/fixed/1",
+     "",
+     {CHUNKED EVENT1 "<close>", OK},
+     "HTTP/1.1 200",
+     TEXT1,
+     1},
+    {"stream_not_begun",
+     "/fixed/1",
+     "",
+     {BUSY, CHUNKED EVENT1 END},
+     "HTTP/1.1 200",
+     TEXT1 "<end>",
+     2},
+};
+
+static void
+test_relay(gconstpointer data)
+{
+    const struct relay_case *c = data;
+    struct bench bench;
+    char *request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n"
+                                    "Attempt-Id: a-1\r\n%s"
+                                    "Connection: close\r\n\r\n",
+                                    c->path, c->extra);
+    char *answer;
+    char *events;
+    int fd;
+
+    bench_start(&bench, c->answers, 2);
+    fd = dial(relay_front_port(bench.relay));
+    send_text(fd, request);
+    answer = read_all(fd);
+    g_assert_true(g_str_has_prefix(answer, c->begins));
+    events = without_chunks(answer);
+    if (events[0] != '\0') {
+        g_assert_cmpstr(events, ==, c->ends);
+    }
+    else {
+        g_assert_true(g_str_has_suffix(answer, c->ends));
+    }
+    g_free(events);
+    g_assert_cmpint(script_arrivals(&bench.script), ==, c->arrivals);
+    close(fd);
+    g_free(answer);
+    g_free(request);
+    bench_stop(&bench);
+}
+
+/* Guards against requests that reach a target changed, or with fields that
+ * are the system's to set. */
+struct passed_case {
+    const char *name;
+    const char *line; /* sent by the caller */
+    const char *seen; /* at the target; NULL for not at all */
+    const char *unseen;
+};
+
+static const struct passed_case passed_cases[] = {
+    {"other_field", "X-Any: v", "X-Any: v\r\n", NULL},
+    {"instance", "Expect-Instance: i-9", "Expect-Instance: i-", "i-9"},
+    {"urgency", "Request-Urgency: 9", "Request-Urgency: 1", "Urgency: 9"},
+    {"hold", "Hold: x", NULL, "Hold"},
+    {"pin", "Pin-Ms: 5", NULL, "Pin-Ms"},
+    {"backup", "Kv-Backup: 1.2.3.4:5", NULL, "Kv-Backup"},
+    {"from", "Kv-From: 1.2.3.4:5/x", NULL, "Kv-From"},
+    {"hop", "Connection: close, X-Hop\r\nX-Hop: v", NULL, "X-Hop"},
+    {"last_event", "Last-Event-Id: 12", "Last-Event-Id: 12", NULL},
+    {"body", "Content-Length: 3\r\n\r\nabc", "\r\n\r\nabc", NULL},
+    {"chunked", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+     "Content-Length: 3\r\n\r\nabc", NULL},
+};
+
+static void
+test_passed(gconstpointer data)
+{
+    const struct passed_case *c = data;
+    static const char *const answers[] = {OK, NULL};
+    struct bench bench;
+    char *request = g_strdup_printf("POST /once/a%%20b?q=1 HTTP/1.1\r\n"
+                                    "Host: h\r\nAttempt-Id: a-1\r\n%s\r\n\r\n",
+                                    c->line);
+    const char *seen;
+    int fd;
+
+    bench_start(&bench, answers, 1);
+    fd = dial(relay_front_port(bench.relay));
+    send_text(fd, request);
+    script_wait_arrivals(&bench.script, 1);
+    seen = bench.script.arrivals->pdata[0];
+    g_assert_true(g_str_has_prefix(seen, "POST /once/a%20b?q=1 HTTP/1.1\r\n"));
+    g_assert_nonnull(strstr(seen, "Attempt-Id: a-1\r\n"));
+    g_assert_nonnull(strstr(seen, "Deadline-Ms: "));
+    if (c->seen != NULL) {
+        g_assert_nonnull(strstr(seen, c->seen));
+    }
+    if (c->unseen != NULL) {
+        g_assert_null(strstr(seen, c->unseen));
+    }
+    close(fd);
+    g_free(request);
+    bench_stop(&bench);
+}
+
+static void
+expect_answer(int fd, const char *end)
+{
+    GString *text = g_string_new(NULL);
+    char byte;
+
+    while (!g_str_has_suffix(text->str, end)) {
+        g_assert_cmpint(recv(fd, &byte, 1, 0), ==, 1);
+        g_string_append_c(text, byte);
+    }
+    g_string_free(text, TRUE);
+}
+
+/* Guards against connections that are opened anew for each request, and
+ * against an answer's surplus that reaches the next request. */
+struct reuse_case {
+    const char *name;
+    const char *answers[SCRIPT_ANSWERS_MAX];
+    int connections;
+};
+
+static const struct reuse_case reuse_cases[] = {
+    {"kept", {OK, OK}, 1},
+    {"surplus", {OK "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", OK}, 2},
+    {"asked_to_close",
+     {OK_HEAD "Connection: close\r\nContent-Length: 4\r\n\r\ndone", OK},
+     2},
+    {"kept_for_no_time",
+     {OK_HEAD "Keep-Alive: timeout=0\r\nContent-Length: 4\r\n\r\ndone", OK},
+     2},
+};
+
+static void
+test_reuse(gconstpointer data)
+{
+    const struct reuse_case *c = data;
+    static const char request[] =
+        "GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\n\r\n";
+    struct bench bench;
+    int fd;
+
+    bench_start(&bench, c->answers, 1);
+    fd = dial(relay_front_port(bench.relay));
+    for (int i = 0; i < 2; i++) {
+        send_text(fd, request);
+        expect_answer(fd, "done");
+    }
+    g_assert_cmpint(bench.script.connections, ==, c->connections);
+    close(fd);
+    bench_stop(&bench);
+}
+
+/* Guards against work for a caller that has left. */
+static void
+test_caller_leaves(void)
+{
+    static const char *const answers[] = {"<hold>", NULL};
+    struct bench bench;
+    int fd;
+
+    bench_start(&bench, answers, 1);
+    fd = dial(relay_front_port(bench.relay));
+    send_text(fd,
+              "GET /safe/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\n\r\n");
+    script_wait_arrivals(&bench.script, 1);
+    close(fd);
+    script_wait_left(&bench.script, 1);
+    bench_stop(&bench);
+}
+
+/* Guards against a second request that is lost, or read as a part of the
+ * first, when it comes before the first is answered. */
+static void
+test_pipelined(void)
+{
+    static const char *const answers[] = {OK, OK, NULL};
+    struct bench bench;
+    int fd;
+
+    bench_start(&bench, answers, 1);
+    fd = dial(relay_front_port(bench.relay));
+    send_text(fd, "GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\n\r\n"
+                  "GET /once/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-2\r\n"
+                  "\r\n");
+    expect_answer(fd, "done");
+    expect_answer(fd, "done");
+    g_assert_cmpint(script_arrivals(&bench.script), ==, 2);
+    close(fd);
+    bench_stop(&bench);
+}
+
+/* Guards against requests that are cut off without an answer when the process
+ * stops: one that waits for a target, and one that comes late. */
+struct leave_case {
+    const char *name;
+    int64_t grace_ms;
+    const char *path;
+    const char *begins;
+};
+
+static const struct leave_case leave_cases[] = {
+    {"waiting", 3200, "/empty/1", "HTTP/1.1 503"},
+    {"at_a_target", 1600, "/once/1", "HTTP/1.1 502"},
+};
+
+static void
+test_leave(gconstpointer data)
+{
+    const struct leave_case *c = data;
+    static const char *const answers[] = {"<hold>", NULL};
+    struct bench bench;
+    char *request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n"
+                                    "Attempt-Id: a-1\r\n\r\n",
+                                    c->path);
+    char *answer;
+    int fd;
+
+    bench_start(&bench, answers, 1);
+    bench.settings.limits.grace_ms = c->grace_ms;
+    fd = dial(relay_front_port(bench.relay));
+    send_text(fd, request);
+    relay_post_leave(bench.relay);
+    answer = read_all(fd);
+    g_assert_true(g_str_has_prefix(answer, c->begins));
+    g_mutex_lock(&bench.lock);
+    while (!bench.has_left) {
+        g_cond_wait(&bench.left, &bench.lock);
+    }
+    g_mutex_unlock(&bench.lock);
+    close(fd);
+    g_free(answer);
+    g_free(request);
+    bench_stop(&bench);
+}
+
+/* Guards against an instance that takes requests before it knows anything, or
+ * is named to callers when it leaves. */
+struct local_case {
+    const char *name;
+    const char *path;
+    bool leaving;
+    bool lookup;
+    const char *begins;
+    const char *has;
+};
+
+static const struct local_case local_cases[] = {
+    {"ready", "/v1/readiness", false, false, "HTTP/1.1 200", ""},
+    {"not_ready", "/v1/readiness", true, false, "HTTP/1.1 503", ""},
+    {"unknown", "/v1/other", false, false, "HTTP/1.1 404", ""},
+    {"lookup", "/v1/resolve?name=h&region=r&zone=z", false, true,
+     "HTTP/1.1 200", "\"addresses\":[\"127.0.0.1:0\"],\"ttl_s\":2"},
+    {"lookup_when_leaving", "/v1/resolve?name=h", true, true, "HTTP/1.1 503",
+     ""},
+};
+
+static void
+test_local(gconstpointer data)
+{
+    const struct local_case *c = data;
+    static const char *const answers[] = {NULL};
+    struct bench bench;
+    char *request = g_strdup_printf(
+        "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", c->path);
+    char *answer;
+    int fd;
+
+    bench_start(&bench, answers, 1);
+    if (c->leaving) {
+        relay_post_leave(bench.relay);
+    }
+    fd = dial(c->lookup ? relay_lookup_port(bench.relay)
+                        : relay_ready_port(bench.relay));
+    send_text(fd, request);
+    answer = read_all(fd);
+    g_assert_true(g_str_has_prefix(answer, c->begins));
+    g_assert_nonnull(strstr(answer, c->has));
+    close(fd);
+    g_free(answer);
+    g_free(request);
+    bench_stop(&bench);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct cases groups[] = {
+        CASES("/relay/answer", relay_cases, test_relay),
+        CASES("/relay/passed", passed_cases, test_passed),
+        CASES("/relay/reuse", reuse_cases, test_reuse),
+        CASES("/relay/leave", leave_cases, test_leave),
+        CASES("/relay/local", local_cases, test_local),
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    cases_add(groups, G_N_ELEMENTS(groups));
+    g_test_add_func("/relay/caller_leaves", test_caller_leaves);
+    g_test_add_func("/relay/pipelined", test_pipelined);
+    return g_test_run();
+}
--- /dev/null
+++ b/test/script.c
@@ -0,0 +1,265 @@
+/* A target that answers by a script, for tests of the relay. */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "script.h"
+
+struct connection {
+    struct script *script;
+    int fd;
+};
+
+/* Reads one request with its body; NULL at the connection's end. */
+static char *
+read_request(int fd)
+{
+    GString *text = g_string_new(NULL);
+    size_t wanted = 0;
+    char byte;
+
+    while (wanted == 0 || text->len < wanted) {
+        if (recv(fd, &byte, 1, 0) != 1) {
+            g_string_free(text, TRUE);
+            return NULL;
+        }
+        g_string_append_c(text, byte);
+        if (wanted == 0 && g_str_has_suffix(text->str, "\r\n\r\n")) {
+            const char *length = strcasestr(text->str, "content-length:");
+
+            wanted = text->len +
+                     (length != NULL ? strtoul(length + 15, NULL, 10) : 0);
+        }
+    }
+    return g_string_free(text, FALSE);
+}
+
+static char *
+attempt_of(const char *request)
+{
+    const char *field = strcasestr(request, "attempt-id:");
+    char *value;
+
+    if (field == NULL) {
+        return g_strdup("none");
+    }
+    value = g_strndup(field + 11, strcspn(field + 11, "\r"));
+    return g_strstrip(value);
+}
+
+static const char *
+next_answer(struct script *script, char *request)
+{
+    const char *answer;
+    guint number;
+
+    g_mutex_lock(&script->lock);
+    number = script->arrivals->len;
+    g_ptr_array_add(script->arrivals, request);
+    answer = script->answers[0];
+    for (guint i = 0; answer != NULL && i < number; i++) {
+        answer = script->answers[i + 1];
+    }
+    g_cond_broadcast(&script->changed);
+    g_mutex_unlock(&script->lock);
+    return answer;
+}
+
+static void
+reset(int fd)
+{
+    struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static void
+wait_for_close(struct script *script, int fd)
+{
+    char byte;
+
+    while (recv(fd, &byte, 1, 0) > 0) {
+    }
+    g_mutex_lock(&script->lock);
+    script->left++;
+    g_cond_broadcast(&script->changed);
+    g_mutex_unlock(&script->lock);
+}
+
+/* Returns whether the connection goes on. */
+static bool
+play(struct script *script, int fd, const char *answer, const char *attempt)
+{
+    char **parts = g_strsplit(answer, "%ID%", -1);
+    char *text = g_strjoinv(attempt, parts);
+    char *mark = strstr(text, "<");
+    size_t bytes = mark != NULL ? (size_t)(mark - text) : strlen(text);
+    bool goes_on = mark == NULL;
+
+    if (send(fd, text, bytes, MSG_NOSIGNAL) < 0) {
+        goes_on = false;
+    }
+    if (mark != NULL && strcmp(mark, "<reset>") == 0) {
+        reset(fd);
+    }
+    if (mark != NULL && strcmp(mark, "<hold>") == 0) {
+        wait_for_close(script, fd);
+    }
+    g_strfreev(parts);
+    g_free(text);
+    return goes_on;
+}
+
+static void *
+serve(void *data)
+{
+    struct connection *connection = data;
+    struct script *script = connection->script;
+    bool goes_on = true;
+    char *request;
+
+    while (goes_on && (request = read_request(connection->fd)) != NULL) {
+        char *attempt = attempt_of(request);
+        const char *answer = next_answer(script, request);
+
+        goes_on =
+            answer != NULL && play(script, connection->fd, answer, attempt);
+        g_free(attempt);
+    }
+    g_mutex_lock(&script->lock);
+    for (guint i = 0; i < script->sockets->len; i++) {
+        if (g_array_index(script->sockets, int, i) == connection->fd) {
+            g_array_remove_index_fast(script->sockets, i);
+            break;
+        }
+    }
+    close(connection->fd);
+    g_mutex_unlock(&script->lock);
+    g_free(connection);
+    return NULL;
+}
+
+struct listener {
+    struct script *script;
+    int fd;
+};
+
+static void *
+accept_all(void *data)
+{
+    struct listener *listener = data;
+    struct script *script = listener->script;
+    int fd;
+
+    while ((fd = accept(listener->fd, NULL, NULL)) >= 0) {
+        struct connection *connection = g_new0(struct connection, 1);
+
+        connection->script = script;
+        connection->fd = fd;
+        g_mutex_lock(&script->lock);
+        script->connections++;
+        g_array_append_val(script->sockets, fd);
+        g_ptr_array_add(script->threads,
+                        g_thread_new("connection", serve, connection));
+        g_mutex_unlock(&script->lock);
+    }
+    g_free(listener);
+    return NULL;
+}
+
+/* Starts targets that answer from one list. */
+void
+script_start(struct script *script, const char *const *answers, int targets)
+{
+    struct err err = {0};
+
+    memset(script, 0, sizeof(*script));
+    script->answers = answers;
+    g_mutex_init(&script->lock);
+    g_cond_init(&script->changed);
+    script->arrivals = g_ptr_array_new_with_free_func(g_free);
+    script->threads = g_ptr_array_new();
+    script->sockets = g_array_new(FALSE, FALSE, sizeof(int));
+    for (int i = 0; i < SCRIPT_TARGETS_MAX; i++) {
+        struct listener *listener;
+
+        script->listeners[i] = -1;
+        if (i >= targets) {
+            continue;
+        }
+        script->listeners[i] =
+            socket_listen("127.0.0.1:0", &script->ports[i], &err);
+        g_assert_cmpint(script->listeners[i], >=, 0);
+        /* Its own thread waits in accept(). */
+        g_assert_cmpint(fcntl(script->listeners[i], F_SETFL, 0), ==, 0);
+        listener = g_new0(struct listener, 1);
+        listener->script = script;
+        listener->fd = dup(script->listeners[i]);
+        g_ptr_array_add(script->threads,
+                        g_thread_new("listener", accept_all, listener));
+    }
+}
+
+/* Ends all connections and joins all threads. */
+void
+script_stop(struct script *script)
+{
+    for (int i = 0; i < SCRIPT_TARGETS_MAX; i++) {
+        if (script->listeners[i] >= 0) {
+            shutdown(script->listeners[i], SHUT_RDWR);
+            close(script->listeners[i]);
+        }
+    }
+    g_mutex_lock(&script->lock);
+    for (guint i = 0; i < script->sockets->len; i++) {
+        shutdown(g_array_index(script->sockets, int, i), SHUT_RDWR);
+    }
+    g_mutex_unlock(&script->lock);
+    for (guint i = 0; i < script->threads->len; i++) {
+        g_thread_join(script->threads->pdata[i]);
+    }
+    g_ptr_array_free(script->threads, TRUE);
+    g_ptr_array_free(script->arrivals, TRUE);
+    g_array_free(script->sockets, TRUE);
+    g_mutex_clear(&script->lock);
+    g_cond_clear(&script->changed);
+}
+
+int
+script_arrivals(struct script *script)
+{
+    int count;
+
+    g_mutex_lock(&script->lock);
+    count = (int)script->arrivals->len;
+    g_mutex_unlock(&script->lock);
+    return count;
+}
+
+void
+script_wait_arrivals(struct script *script, int count)
+{
+    g_mutex_lock(&script->lock);
+    while ((int)script->arrivals->len < count) {
+        g_cond_wait(&script->changed, &script->lock);
+    }
+    g_mutex_unlock(&script->lock);
+}
+
+void
+script_wait_left(struct script *script, int count)
+{
+    g_mutex_lock(&script->lock);
+    while (script->left < count) {
+        g_cond_wait(&script->changed, &script->lock);
+    }
+    g_mutex_unlock(&script->lock);
+}
