--- a/src/gate/place/outlook.c
+++ b/src/gate/place/outlook.c
@@ -42,15 +42,22 @@
     return -1;
 }
 
-/* A model that an engine reads from its disk or memory is as good as coming:
- * it waits for an order of some hundred ms only. */
-static bool
-is_close(const struct plan_engine *engine, uint32_t model)
+/* What an engine has near waits for orders of some hundred ms only, though
+ * others may come first. -1 when the engine does not have it near. */
+static int64_t
+near_ms(const struct plan *plan, const struct plan_engine *engine,
+        uint32_t model)
 {
-    return !engine->info.leaving && !engine->missing &&
-           (items_have(&engine->info.in_memory, model) ||
-            items_have(&engine->info.on_disk, model) ||
-            items_have(&engine->info.held, model));
+    bool from_store;
+    int64_t load_ms = room_load_ms(plan, engine, model, &from_store);
+
+    if (engine->info.leaving || engine->missing) {
+        return -1;
+    }
+    if (items_have(&engine->info.held, model)) {
+        return SWAP_MS;
+    }
+    return from_store ? -1 : 2 * (load_ms + SWAP_MS);
 }
 
 static void
@@ -65,11 +72,8 @@
         const struct plan_engine *engine = value;
         int64_t ready = ready_ms(plan, engine, forecast->item, now_ms);
 
-        if (ready < 0 && is_close(engine, model)) {
-            bool from_store;
-
-            ready =
-                2 * (room_load_ms(plan, engine, model, &from_store) + SWAP_MS);
+        if (ready < 0) {
+            ready = near_ms(plan, engine, model);
         }
         if (ready >= 0 && (!forecast->coming || ready < forecast->ready_ms)) {
             forecast->coming = true;
