Count adapters of a model that is being unloaded

An adapter that is dropped at once was followed by a report of 100 ms before the next order. Ruled out: memory for weights, as an engine refuses a load while it unloads. Change: the model and its adapters count until a report or an accepted load shows that they are gone. The new case fails without the change.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -15,6 +15,7 @@
  * @loading: item that is being loaded; 0 for none
  * @loading_store: it comes from the weight store
  * @unloading: item that is being unloaded; 0 for none
+ * @unload_idle: no request runs there with @unloading, so it goes at once
  * @done_ms: when the order that runs should be done
  * @assume_ms: when the load that runs is taken as done; 0 for not
  * @ordering: an order was sent and not answered yet
@@ -33,6 +34,7 @@
     uint32_t loading;
     bool loading_store;
     uint32_t unloading;
+    bool unload_idle;
     int64_t done_ms;
     int64_t assume_ms;
     bool ordering;
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -68,6 +68,7 @@
     holdings->born_ms = engine->info.born_ms;
     holdings->sequence = engine->info.sequence;
     holdings->held = engine->info.held;
+    items_remove(&holdings->held, engine->unloading);
     return holdings;
 }
 
@@ -78,6 +79,9 @@
     bool from_store;
     int64_t load_ms = room_load_ms(plan, engine, item, &from_store);
 
+    /* An engine accepts a load only when its last order is done. */
+    items_remove(&engine->info.held, engine->unloading);
+    engine->unloading = 0;
     engine->loading = item;
     engine->loading_store = from_store;
     engine->done_ms = now_ms + load_ms;
@@ -127,6 +131,22 @@
     return NULL;
 }
 
+/* The model and its adapters take their room until the report says that they
+ * are gone, as an adapter is loaded beside an unload that is under way. */
+static void
+start_unload(struct plan *plan, struct plan_engine *engine, uint32_t item,
+             int64_t now_ms)
+{
+    if (item_is_adapter(item)) {
+        items_remove(&engine->info.held, item);
+        return;
+    }
+    engine->unloading = item;
+    engine->unload_idle = plan_item(plan, item)->running == 0;
+    engine->done_ms = now_ms + UNLOAD_MS;
+    engine->report_ms = engine->done_ms + REPORT_LAG_MS;
+}
+
 /* Returns whether the engine holds something else by now. */
 static bool
 accepted(struct plan *plan, struct plan_engine *engine,
@@ -134,13 +154,7 @@
 {
     engine->info.sequence = step->sequence + 1;
     if (step->action == ORDER_UNLOAD) {
-        items_remove(&engine->info.held, step->item);
-        if (!item_is_adapter(step->item) &&
-            plan_item(plan, step->item)->running > 0) {
-            engine->unloading = step->item;
-            engine->done_ms = now_ms + UNLOAD_MS;
-            engine->report_ms = engine->done_ms + REPORT_LAG_MS;
-        }
+        start_unload(plan, engine, step->item, now_ms);
         return true;
     }
     if (item_is_adapter(step->item)) {
@@ -174,11 +188,11 @@
             items_add(&engine->info.held, step->item);
         }
         else {
+            /* An adapter is dropped at once, which counts as an order. */
             items_remove(&engine->info.held, step->item);
+            engine->info.sequence = step->sequence + 1;
         }
-        /* An adapter that is dropped at once counts as an order, too. */
         engine->report_ms = now_ms + REPORT_LAG_MS;
-        engine->unsure = true;
         break;
     case ORDER_CONFLICT:
         engine->retry_ms = now_ms + CONFLICT_MS;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -21,7 +21,8 @@
 struct plan_item *plan_item(struct plan *plan, uint32_t item);
 
 /* room.c */
-double room_used_mb(const struct plan *plan, const struct plan_engine *engine);
+double room_used_mb(const struct plan *plan, const struct plan_engine *engine,
+                    uint32_t item);
 int room_adapters(const struct plan_engine *engine);
 bool room_for(const struct plan *plan, const struct plan_engine *engine,
               uint32_t item);
--- a/src/gate/place/room.c
+++ b/src/gate/place/room.c
@@ -35,17 +35,23 @@
  * room_used_mb() - memory that is taken or may be taken by an order that runs
  * @plan: the plan
  * @engine: the engine
+ * @item: what is to be loaded; a model is only accepted after an unload that
+ *        is under way, so what that frees doesn't count
  */
 double
-room_used_mb(const struct plan *plan, const struct plan_engine *engine)
+room_used_mb(const struct plan *plan, const struct plan_engine *engine,
+             uint32_t item)
 {
-    const struct target_items *held = &engine->info.held;
+    struct target_items held = engine->info.held;
     double used = 0.0;
 
-    for (int i = 0; i < held->count; i++) {
-        used += item_mb(plan, engine, held->ids[i]);
+    if (!item_is_adapter(item)) {
+        items_remove(&held, engine->unloading);
+    }
+    for (int i = 0; i < held.count; i++) {
+        used += item_mb(plan, engine, held.ids[i]);
     }
-    if (engine->loading != 0 && !items_have(held, engine->loading)) {
+    if (engine->loading != 0 && !items_have(&held, engine->loading)) {
         used += item_mb(plan, engine, engine->loading);
     }
     return used;
@@ -84,7 +90,7 @@
     const struct gate_service *service = plan_service(plan, engine);
 
     if (service == NULL || engine->info.strange ||
-        room_used_mb(plan, engine) + item_mb(plan, engine, item) >
+        room_used_mb(plan, engine, item) + item_mb(plan, engine, item) >
             service->memory_mb) {
         return false;
     }
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -47,10 +47,13 @@
 static const double DEMAND_MIN = 0.3;
 
 static bool
-is_free(const struct plan_engine *engine, int64_t now_ms)
+is_free(const struct plan_engine *engine, uint32_t item, int64_t now_ms)
 {
+    bool unloading = engine->unloading != 0 &&
+                     (item_is_adapter(item) || !engine->unload_idle);
+
     return !engine->info.leaving && !engine->missing && !engine->ordering &&
-           !engine->unsure && engine->loading == 0 && engine->unloading == 0 &&
+           !engine->unsure && engine->loading == 0 && !unloading &&
            now_ms >= engine->retry_ms && engine->info.sequence >= 0;
 }
 
@@ -167,7 +170,7 @@
 {
     const struct gate_service *service = plan_service(plan, engine);
 
-    if (service == NULL || !is_free(engine, now_ms) ||
+    if (service == NULL || !is_free(engine, item, now_ms) ||
         plan_model(plan, engine, item) == NULL ||
         items_have(&engine->info.held, item) ||
         (engine->reserved != 0 && engine->reserved != item &&
@@ -497,6 +500,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct plan_engine *engine = value;
 
+        if (engine->reporting) {
+            continue;
+        }
         if ((engine->loading != 0 || engine->unloading != 0) &&
             engine->report_ms == 0 && now_ms > engine->done_ms) {
             engine->report_ms = now_ms;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -75,6 +75,10 @@
     {"idle_adapter_makes_way",
      "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9050 n",
      "report1 unload1:m1/a1@0 load1:m1/a3@1"},
+    {"adapters_of_a_leaving_model_count",
+     "e1:m1,m2,m2/a1,m2/a2 n r1:0:m1,m2,m2/a1,m2/a2 t=9000 w:m1:run=1 "
+     "w:m1:run=0 w:m3=1 n a w:m3=0 w:m1/a1=1 t=12100 n n r1:1:m1 n",
+     "report1 unload1:m2@0 report1 - load1:m1/a1@1"},
     {"conflict_is_looked_up", "e1: n r1:0: w:m1=1 n c n t=300 n r1:4: n",
      "report1 load1:m1@0 - report1 load1:m1@4"},
     {"no_answer_is_looked_up", "e1: n r1:0: w:m1=1 n u n t=400 n r1:1:m1 n",
