Wait some ms for an unload before the load that follows

Change: the load comes 60 ms after the unload; a conflict meanwhile is repeated without a report; an unload lasts until the report shows that the model is gone.

--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -19,7 +19,7 @@
 enum {
     ASSUME_MS = 20,      /* an engine's steps end some ms later */
     ADAPTER_MS = 30,     /* an adapter takes 5 to 10 ms, a few at once */
-    UNLOAD_MS = 20,      /* without runs to wait for */
+    UNLOAD_MS = 60,      /* without runs to wait for */
     REPORT_LAG_MS = 100, /* a report is as old as this, or older */
     CONFLICT_MS = 200,   /* until the report shows what runs there */
     REFUSED_MS = 5000,   /* the order can't be carried out */
@@ -82,6 +82,7 @@
     /* An engine accepts a load only when its last order is done. */
     items_remove(&engine->info.held, engine->unloading);
     engine->unloading = 0;
+    engine->reserved = 0;
     engine->loading = item;
     engine->loading_store = from_store;
     engine->done_ms = now_ms + load_ms;
@@ -144,6 +145,7 @@
     engine->unloading = item;
     engine->unload_idle = plan_item(plan, item)->running == 0;
     engine->done_ms = now_ms + UNLOAD_MS;
+    engine->retry_ms = engine->done_ms;
     engine->report_ms = engine->done_ms + REPORT_LAG_MS;
 }
 
@@ -159,6 +161,7 @@
     }
     if (item_is_adapter(step->item)) {
         items_add(&engine->info.held, step->item);
+        engine->reserved = 0;
         engine->retry_ms = now_ms + ADAPTER_MS;
         return true;
     }
@@ -166,6 +169,20 @@
     return false;
 }
 
+/* While an unload that was accepted is under way there is nothing to find
+ * out. */
+static void
+conflict(struct plan_engine *engine, int64_t now_ms)
+{
+    if (engine->unloading != 0) {
+        engine->retry_ms = now_ms + UNLOAD_MS;
+        return;
+    }
+    engine->retry_ms = now_ms + CONFLICT_MS;
+    engine->report_ms = now_ms + CONFLICT_MS;
+    engine->unsure = true;
+}
+
 static struct holdings *
 ordered(struct plan *plan, struct plan_engine *engine, const struct work *work,
         int64_t now_ms)
@@ -195,9 +212,7 @@
         engine->report_ms = now_ms + REPORT_LAG_MS;
         break;
     case ORDER_CONFLICT:
-        engine->retry_ms = now_ms + CONFLICT_MS;
-        engine->report_ms = now_ms + CONFLICT_MS;
-        engine->unsure = true;
+        conflict(engine, now_ms);
         break;
     case ORDER_UNKNOWN:
         engine->retry_ms = now_ms + UNSURE_MS;
@@ -243,6 +258,13 @@
     else {
         engine->unsure = false;
         engine->loading = 0;
+    }
+    /* An unload that waits for runs doesn't make an engine busy. */
+    if (items_have(&info->held, engine->unloading)) {
+        engine->unload_idle = false;
+        engine->report_ms = now_ms + REPORT_LAG_MS;
+    }
+    else {
         engine->unloading = 0;
     }
     return holdings_of(engine);
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -234,7 +234,6 @@
         fill(step, engine, ORDER_UNLOAD, choice.victim, reason);
         return true;
     }
-    engine->reserved = 0;
     fill(step, engine, ORDER_LOAD, item, reason);
     return true;
 }
@@ -262,7 +261,6 @@
             continue;
         }
         if (room_for(plan, engine, item)) {
-            engine->reserved = 0;
             fill(step, engine, ORDER_LOAD, item, "reserved");
             return true;
         }
