--- a/src/turmericd/place/inner/fns.h
+++ b/src/turmericd/place/inner/fns.h
@@ -80,7 +80,7 @@
 bool orders_init(struct orders *orders, struct kv *kv, struct engine_api *api,
                  struct orders_port *port, struct err *err);
 void orders_free(struct orders *orders);
-bool orders_push(struct orders *orders, struct order *order, struct err *err);
+bool orders_push(struct orders *orders, struct order **order, struct err *err);
 void order_free(struct order *order);
 void order_execute(struct orders *orders, struct order *order);
 
@@ -127,7 +127,7 @@
 /* issue.c */
 struct order *order_new(struct place *place, const struct leaf *leaf,
                         enum order_kind kind);
-bool order_issue(struct place *place, struct leaf *leaf, struct order *order);
+bool order_issue(struct place *place, struct leaf *leaf, struct order **order);
 void slot_order_issue(struct place *place, struct leaf *leaf,
                       enum order_kind kind, const struct slot_view *slot);
 void senders_ask(struct place *place, struct leaf *leaf,
@@ -161,6 +161,7 @@
                const struct choice *choice);
 
 /* message.c */
+void place_run_own(struct place *place);
 bool place_send(struct place *place, uint64_t member,
                 Turmeric__Envelope *envelope);
 void place_envelope(struct place *place, const Turmeric__Envelope *envelope);
--- a/src/turmericd/place/issue.c
+++ b/src/turmericd/place/issue.c
@@ -54,16 +54,17 @@
  * order_issue() - hand an order to the threads
  * @place: placement
  * @leaf: the leaf, which is busy from then on
- * @order: taken in every case
+ * @order: taken in every case, and set to NULL
  */
 bool
-order_issue(struct place *place, struct leaf *leaf, struct order *order)
+order_issue(struct place *place, struct leaf *leaf, struct order **order)
 {
     struct err err = {0};
 
     if (!orders_push(&place->orders, order, &err)) {
         refusal_add(err.kind);
-        order_free(order);
+        order_free(*order);
+        *order = NULL;
         leaf->retry_ms = place->now_ms + ORDER_RETRY_MS;
         return false;
     }
@@ -79,7 +80,9 @@
 void
 leaf_scan(struct place *place, struct leaf *leaf)
 {
-    order_issue(place, leaf, order_new(place, leaf, ORDER_SCAN));
+    struct order *order = order_new(place, leaf, ORDER_SCAN);
+
+    order_issue(place, leaf, &order);
 }
 
 /**
@@ -108,7 +111,7 @@
             order->settled[order->settled_count++] = *sender;
         }
     }
-    order_issue(place, leaf, order);
+    order_issue(place, leaf, &order);
 }
 
 /**
@@ -185,7 +188,7 @@
     order->stray = true;
     log_line(LOG_PRI_WARNING, "place", "event=stray_replica leaf=%s engine=%s",
              leaf->path, engine->report.name);
-    order_issue(place, leaf, order);
+    order_issue(place, leaf, &order);
 }
 
 /**
@@ -209,7 +212,7 @@
     g_strlcpy(order->from,
               place->sweep[0] != '\0' ? place->sweep : "/turmeric/replicas/",
               sizeof(order->from));
-    if (!orders_push(&place->orders, order, &err)) {
+    if (!orders_push(&place->orders, &order, &err)) {
         order_free(order);
         return;
     }
--- a/src/turmericd/place/load.c
+++ b/src/turmericd/place/load.c
@@ -129,15 +129,16 @@
 push_load(struct place *place, struct leaf *leaf, struct engine_view *view)
 {
     struct order *order = order_new(place, leaf, ORDER_LOAD);
+    int64_t mb = order->want.mb;
 
     order->report = view->report;
-    if (order_issue(place, leaf, order)) {
+    if (order_issue(place, leaf, &order)) {
         /* Until the record is read again, the choice for the next leaf must
            know of this one. */
         int64_t used = (int64_t)view->report.memory_mb -
                        engine_free_mb(view, place->now_ms);
 
-        view->reserved_mb = used + order->want.mb;
+        view->reserved_mb = used + mb;
         view->reserved_ms = place->now_ms;
     }
 }
--- a/src/turmericd/place/order.c
+++ b/src/turmericd/place/order.c
@@ -750,13 +750,21 @@
 /**
  * orders_push() - hand an order to the threads
  * @orders: the pool
- * @order: taken when the result is true
+ * @order: taken and set to NULL when the result is true, as a thread may end
+ *         and free it before this returns
  * @err: filled in on failure
  *
  * Return: false with ERR_RING_FULL or ERR_STOPPED.
  */
 bool
-orders_push(struct orders *orders, struct order *order, struct err *err)
+orders_push(struct orders *orders, struct order **order, struct err *err)
 {
-    return ring_push(&orders->ring, &order, err);
+    struct order *handed = *order;
+
+    *order = NULL;
+    if (ring_push(&orders->ring, &handed, err)) {
+        return true;
+    }
+    *order = handed;
+    return false;
 }
