--- a/test/order_test.c
+++ b/test/order_test.c
@@ -1582,7 +1582,8 @@
         add("lost", lost_cases[i].name, &lost_cases[i], test_lost);
     }
     for (size_t i = 0; i < G_N_ELEMENTS(handover_cases); i++) {
-        add("handover", handover_cases[i].name, &handover_cases[i], test_handover);
+        add("handover", handover_cases[i].name, &handover_cases[i],
+            test_handover);
     }
     for (size_t i = 0; i < G_N_ELEMENTS(race_cases); i++) {
         add("race", race_cases[i].name, &race_cases[i], test_race);
