--- a/src/turmericd/place/inner/dat.h
+++ b/src/turmericd/place/inner/dat.h
@@ -586,7 +586,6 @@
     int64_t sweep_ms;
     bool sweeping;
     bool store_down;
-    GQueue own; /* GBytes of envelopes that this instance sent to itself */
 };
 
 #endif
--- a/src/turmericd/place/inner/fns.h
+++ b/src/turmericd/place/inner/fns.h
@@ -161,7 +161,6 @@
                const struct choice *choice);
 
 /* message.c */
-void place_run_own(struct place *place);
 bool place_send(struct place *place, uint64_t member,
                 Turmeric__Envelope *envelope);
 void place_envelope(struct place *place, const Turmeric__Envelope *envelope);
--- a/src/turmericd/place/message.c
+++ b/src/turmericd/place/message.c
@@ -23,42 +23,6 @@
 
 enum { TURN_REPEAT_MS = 1000 };
 
-/* A decision must not be entered inside another, so what this instance sends
- * to itself waits until the present one is taken. */
-static void
-queue_own(struct place *place, const Turmeric__Envelope *envelope)
-{
-    size_t count = turmeric__envelope__get_packed_size(envelope);
-    uint8_t *bytes = g_malloc(count);
-
-    turmeric__envelope__pack(envelope, bytes);
-    g_queue_push_tail(&place->own, g_bytes_new_take(bytes, count));
-}
-
-/**
- * place_run_own() - handle what this instance has sent to itself
- * @place: placement
- *
- * What that sends to this instance again is handled in the next round.
- */
-void
-place_run_own(struct place *place)
-{
-    guint turns = place->own.length;
-
-    for (guint i = 0; i < turns; i++) {
-        GBytes *bytes = g_queue_pop_head(&place->own);
-        gsize count;
-        const uint8_t *data = g_bytes_get_data(bytes, &count);
-        Turmeric__Envelope *envelope =
-            turmeric__envelope__unpack(NULL, count, data);
-
-        place_envelope(place, envelope);
-        turmeric__envelope__free_unpacked(envelope, NULL);
-        g_bytes_unref(bytes);
-    }
-}
-
 /**
  * place_send() - send a message, to this instance too
  * @place: placement
@@ -71,7 +35,7 @@
     envelope->version = PEER_VERSION;
     envelope->from = place->self;
     if (member == place->self) {
-        queue_own(place, envelope);
+        place_envelope(place, envelope);
         return true;
     }
     return place->port->ops->send(place->port, member, envelope);
--- a/src/turmericd/place/place.c
+++ b/src/turmericd/place/place.c
@@ -473,9 +473,6 @@
 {
     int64_t left = place->tick_ms + TICK_MS - clock_now_ms();
 
-    if (place->own.length > 0) {
-        return 0;
-    }
     if (place->turns.count > 0 && left > TURNS_TICK_MS) {
         left = TURNS_TICK_MS;
     }
@@ -503,7 +500,6 @@
             tick(place);
         }
         turns_tick(place);
-        place_run_own(place);
         end(place);
     }
     return true;
@@ -523,7 +519,6 @@
 static void
 free_tables(struct place *place)
 {
-    g_queue_clear_full(&place->own, (GDestroyNotify)g_bytes_unref);
     g_hash_table_unref(place->leaves);
     g_hash_table_unref(place->engines);
     g_free(place->views);
