--- a/src/gate/internal.h
+++ b/src/gate/internal.h
@@ -26,7 +26,7 @@
 /**
  * struct gate - the supervisor tree of an instance on the platform
  * @peers_lock: guards @peers, which several duties' threads read
- * @peers: ids of the other instances
+ * @peers: struct news_peer, the other instances
  */
 struct gate {
     const struct gate_settings *settings;
--- a/src/gate/news/fns.h
+++ b/src/gate/news/fns.h
@@ -1,6 +1,10 @@
 #ifndef NEWS_FNS_H
 #define NEWS_FNS_H
 
+/* roster.c */
+void roster_update(GArray *peers, const GArray *members, uint64_t self,
+                   int64_t keep_ms, int64_t now_ms);
+
 /* wire.c */
 bool news_send_activity(struct peer *peer, uint64_t member,
                         const struct activity *activity, struct err *err);
--- a/src/gate/news/wire.c
+++ b/src/gate/news/wire.c
@@ -14,6 +14,7 @@
 #include "gate/belief/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
+#include "gate/news/dat.h"
 #include "gate/news/fns.h"
 
 static void
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -19,10 +19,17 @@
 #include "gate/relay/fns.h"
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
+#include "gate/news/dat.h"
 #include "gate/news/fns.h"
 #include "gate/fns.h"
 #include "gate/internal.h"
 
+static uint64_t
+peer_at(const struct gate *gate, guint index)
+{
+    return g_array_index(gate->peers, struct news_peer, index).id;
+}
+
 static struct gate *
 feed_gate(struct feed_port *port)
 {
@@ -54,17 +61,14 @@
 }
 
 static void
-forget_peers(struct gate *gate, const GArray *members)
+set_addresses(struct gate *gate, const GArray *members)
 {
-    for (guint i = 0; i < gate->peers->len; i++) {
-        uint64_t id = g_array_index(gate->peers, uint64_t, i);
-        bool found = false;
+    for (guint i = 0; i < members->len; i++) {
+        struct gate_member *member =
+            &g_array_index(members, struct gate_member, i);
 
-        for (guint m = 0; m < members->len && !found; m++) {
-            found = g_array_index(members, struct gate_member, m).id == id;
-        }
-        if (!found) {
-            peer_forget(gate->peer, id);
+        if (member->id != gate->self_id) {
+            peer_set_address(gate->peer, member->id, member->peer_address);
         }
     }
 }
@@ -75,17 +79,9 @@
     struct gate *gate = feed_gate(port);
 
     pthread_mutex_lock(&gate->peers_lock);
-    forget_peers(gate, members);
-    g_array_set_size(gate->peers, 0);
-    for (guint i = 0; i < members->len; i++) {
-        struct gate_member *member =
-            &g_array_index(members, struct gate_member, i);
-
-        if (member->id != gate->self_id &&
-            peer_set_address(gate->peer, member->id, member->peer_address)) {
-            g_array_append_val(gate->peers, member->id);
-        }
-    }
+    roster_update(gate->peers, members, gate->self_id,
+                  gate->settings->limits.grace_ms, clock_now_ms());
+    set_addresses(gate, members);
     pthread_mutex_unlock(&gate->peers_lock);
     relay_post_members(gate->relay, members);
 }
@@ -111,9 +107,8 @@
 
     pthread_mutex_lock(&gate->peers_lock);
     for (guint i = 0; i < gate->peers->len; i++) {
-        if (!news_send_activity(gate->peer,
-                                g_array_index(gate->peers, uint64_t, i),
-                                activity, &err)) {
+        if (!news_send_activity(gate->peer, peer_at(gate, i), activity,
+                                &err)) {
             counter_add(CTR_PEER_DROPPED, 1);
         }
     }
@@ -145,9 +140,8 @@
 
     pthread_mutex_lock(&gate->peers_lock);
     for (guint i = 0; i < gate->peers->len; i++) {
-        if (!news_send_holdings(gate->peer,
-                                g_array_index(gate->peers, uint64_t, i),
-                                holdings, &err)) {
+        if (!news_send_holdings(gate->peer, peer_at(gate, i), holdings,
+                                &err)) {
             counter_add(CTR_PEER_DROPPED, 1);
         }
     }
@@ -163,9 +157,7 @@
 
     pthread_mutex_lock(&gate->peers_lock);
     for (guint i = 0; i < gate->peers->len; i++) {
-        if (!news_send_outlook(gate->peer,
-                               g_array_index(gate->peers, uint64_t, i),
-                               outlook, &err)) {
+        if (!news_send_outlook(gate->peer, peer_at(gate, i), outlook, &err)) {
             counter_add(CTR_PEER_DROPPED, 1);
         }
     }
--- a/src/gate/root.c
+++ b/src/gate/root.c
@@ -21,6 +21,7 @@
 #include "gate/relay/fns.h"
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
+#include "gate/news/dat.h"
 #include "gate/news/fns.h"
 #include "gate/fns.h"
 #include "gate/internal.h"
@@ -74,7 +75,7 @@
 
     gate->settings = settings;
     gate->self_id = hash_text(settings->name);
-    gate->peers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    gate->peers = g_array_new(FALSE, FALSE, sizeof(struct news_peer));
     pthread_mutex_init(&gate->peers_lock, NULL);
     gate_init_ports(gate);
     if (!create(gate, platform, err)) {
