--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -193,6 +193,23 @@
         COUNTER_COUNT
 };
 
+/**
+ * HISTOGRAMS - latencies in milliseconds
+ */
+#define HISTOGRAMS(X)                                                         \
+    X(HIST_FIRST_BYTE, "request_first_byte_ms")                               \
+    X(HIST_WHOLE, "request_whole_ms")                                         \
+    X(HIST_WAIT, "request_wait_ms")                                           \
+    X(HIST_STORE_CALL, "store_call_ms")                                       \
+    X(HIST_ORDER, "order_ms")
+
+enum histogram {
+#define X(id, name) id,
+    HISTOGRAMS(X)
+#undef X
+        HISTOGRAM_COUNT
+};
+
 /**
  * struct handle - reference to a slot of a table
  * @index: slot number
--- a/src/base/fns.h
+++ b/src/base/fns.h
@@ -19,6 +19,10 @@
 const char *counter_name(enum counter counter);
 size_t counters_format(char *buffer, size_t bytes);
 
+/* histogram.c */
+void histogram_add(enum histogram histogram, int64_t ms);
+size_t histograms_format(char *buffer, size_t bytes);
+
 /* log.c */
 enum log_priority { LOG_PRI_ERR = 3, LOG_PRI_WARNING = 4, LOG_PRI_INFO = 6 };
 void log_line(enum log_priority priority, const char *name, const char *format,
--- a/src/gate/place/worker.c
+++ b/src/gate/place/worker.c
@@ -50,6 +50,7 @@
         .holder = worker->place->name,
     };
     struct err err = {0};
+    int64_t start_ms;
 
     g_strlcpy(order.target, step->target, sizeof(order.target));
     g_strlcpy(order.address, step->address, sizeof(order.address));
@@ -60,7 +61,9 @@
     }
     work->sent = true;
     work->fence = order.fence;
+    start_ms = clock_now_ms();
     work->result = worker->engine->ops->order(worker->engine, &order, &err);
+    histogram_add(HIST_ORDER, clock_now_ms() - start_ms);
     counter_add(CTR_ORDERS, 1);
     if (work->result > ORDER_HOLDS) {
         counter_add(CTR_ORDERS_FAILED, 1);
--- a/src/gate/relay/local.c
+++ b/src/gate/relay/local.c
@@ -97,7 +97,11 @@
 {
     char *text = g_malloc(METRICS_MAX_BYTES);
 
-    counters_format(text, METRICS_MAX_BYTES);
+    size_t used = counters_format(text, METRICS_MAX_BYTES);
+
+    if (used < METRICS_MAX_BYTES) {
+        histograms_format(text + used, METRICS_MAX_BYTES - used);
+    }
     reply(relay, client, 200, "text/plain; version=0.0.4", text, now_ms);
     g_free(text);
 }
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -328,6 +328,12 @@
     }
     answer_end(relay, exchange, now_ms);
     counter_add(CTR_ANSWERS, 1);
+    if (exchange->first_ms != 0) {
+        histogram_add(HIST_FIRST_BYTE,
+                      exchange->first_ms - exchange->arrived_ms);
+    }
+    histogram_add(HIST_WHOLE, now_ms - exchange->arrived_ms);
+    histogram_add(HIST_WAIT, exchange->sent_ms - exchange->arrived_ms);
     log_line(LOG_PRI_INFO, "relay",
              "event=answered id=%s status=%d sends=%d resumes=%d "
              "waited_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
--- /dev/null
+++ b/test/platform_test.c
@@ -0,0 +1,197 @@
+/* Tests of the adapter: what it makes of documents that are odd. */
+#include <curl/curl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/relay/dat.h"
+#include "platform/dat.h"
+#include "platform/fns.h"
+#include "cases.h"
+#include "support.h"
+
+/* Guards against entries of other writers that are taken for targets. */
+struct target_case {
+    const char *name;
+    const char *entry;
+    bool usable;
+};
+
+#define ENTRY(rest)                                                           \
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\"," rest "}"
+
+static const struct target_case target_cases[] = {
+    {"ready", ENTRY("\"slots\":4,\"state\":\"ready\""), true},
+    {"leaving", ENTRY("\"slots\":4,\"state\":\"draining\""), true},
+    {"new_fields", ENTRY("\"slots\":4,\"state\":\"ready\",\"x\":[1]"), true},
+    {"unknown_state", ENTRY("\"slots\":4,\"state\":\"asleep\""), false},
+    {"no_state", ENTRY("\"slots\":4"), false},
+    {"slots_as_text", ENTRY("\"slots\":\"4\",\"state\":\"ready\""), false},
+    {"no_slots", ENTRY("\"state\":\"ready\""), false},
+    {"state_as_number", ENTRY("\"slots\":4,\"state\":1"), false},
+    {"no_service",
+     "{\"address\":\"a\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\"}",
+     false},
+    {"array", "[1,2]", false},
+    {"no_json", "\xff\xfe{", false},
+    {"empty", "", false},
+    {"models_as_text",
+     ENTRY("\"slots\":4,\"state\":\"ready\",\"models\":\"m\""), true},
+    {"models_of_numbers",
+     ENTRY("\"slots\":4,\"state\":\"ready\",\"models\":[1,null,{}]"), true},
+};
+
+static void
+test_target(gconstpointer data)
+{
+    const struct target_case *c = data;
+    struct target_info info;
+    struct err err = {0};
+
+    memset(&info, 0, sizeof(info));
+    g_assert_cmpint(
+        platform_decode.target("i-1", c->entry, strlen(c->entry), &info, &err),
+        ==, c->usable);
+    g_assert_cmpint(err.kind == ERR_NONE, ==, c->usable);
+}
+
+/* Guards against a configuration that is taken in part. */
+struct config_case {
+    const char *name;
+    const char *text;
+    bool usable;
+};
+
+#define ROUTE(rest)                                                           \
+    "{\"version\":1,\"services\":[{\"name\":\"s\"}],\"routes\":[{"            \
+    "\"host\":\"h\",\"path_prefix\":\"/x/\"," rest "}]}"
+
+static const struct config_case config_cases[] = {
+    {"service", ROUTE("\"kind\":\"idempotent\",\"service\":\"s\""), true},
+    {"split",
+     ROUTE("\"kind\":\"stream\",\"split\":[{\"service\":\"s\",\"weight\":1}]"),
+     true},
+    {"unknown_service", ROUTE("\"kind\":\"idempotent\",\"service\":\"t\""),
+     false},
+    {"no_service", ROUTE("\"kind\":\"idempotent\""), false},
+    {"unknown_kind", ROUTE("\"kind\":\"often\",\"service\":\"s\""), false},
+    {"no_host", "{\"version\":1,\"routes\":[{\"path_prefix\":\"/\"}]}", false},
+    {"nothing", "{\"version\":1}", true},
+    {"no_json", "{\"version\":", false},
+};
+
+static void
+test_config(gconstpointer data)
+{
+    const struct config_case *c = data;
+    struct err err = {0};
+    struct gate_config *config =
+        platform_config(c->text, strlen(c->text), &err);
+
+    g_assert_cmpint(config != NULL, ==, c->usable);
+    g_assert_cmpint(err.kind == ERR_NONE, ==, c->usable);
+    gate_config_unref(config);
+}
+
+/* Guards against heads whose numbers are taken for others. */
+struct field_case {
+    const char *name;
+    const char *field;
+    const char *value;
+    enum field_use use;
+};
+
+static const struct field_case field_cases[] = {
+    {"attempt", "attempt-id", "a", FIELD_PASS},
+    {"attempt_empty", "Attempt-Id", "", FIELD_BAD},
+    {"deadline", "Deadline-Ms", "100", FIELD_DROP},
+    {"deadline_negative", "Deadline-Ms", "-1", FIELD_BAD},
+    {"deadline_text", "Deadline-Ms", "1s", FIELD_BAD},
+    {"tokens", "Token-Count", "10,20", FIELD_PASS},
+    {"tokens_one", "Token-Count", "10", FIELD_BAD},
+    {"last_event", "Last-Event-Id", "3", FIELD_DROP},
+    {"last_event_text", "Last-Event-Id", "x", FIELD_BAD},
+    {"parts_odd", "Prompt-Prefix", "zz:1,,", FIELD_PASS},
+    {"own", "Kv-Fetch", "1.2.3.4:5", FIELD_DROP},
+    {"other", "X-Any", "", FIELD_PASS},
+};
+
+static void
+test_field(gconstpointer data)
+{
+    const struct field_case *c = data;
+    struct request_facts facts = {.deadline_ms = -1, .last_event = -1};
+
+    g_assert_cmpint(platform_dialect.ops->request_field(
+                        &platform_dialect, c->field, c->value, &facts),
+                    ==, c->use);
+}
+
+/* Guards against a start with settings that lack what is needed. */
+struct settings_case {
+    const char *name;
+    const char *text;
+    bool usable;
+};
+
+#define LISTEN "\"listen\":{\"front\":\"1.2.3.4:1\",\"ready\":\"1.2.3.4:2\"}"
+#define STORE "\"platform\":{\"address\":\"1.2.3.4:3\"}"
+
+static const struct settings_case settings_cases[] = {
+    {"least",
+     "{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\","
+     "\"internal_ports\":[7000,7001]," LISTEN "," STORE "}",
+     true},
+    {"no_name",
+     "{\"zone\":\"z\",\"ip\":\"1.2.3.4\",\"internal_ports\":[7000]," LISTEN
+     "," STORE "}",
+     false},
+    {"no_ports",
+     "{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\"," LISTEN "," STORE
+     "}",
+     false},
+    {"no_store",
+     "{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\","
+     "\"internal_ports\":[7000]," LISTEN "}",
+     false},
+    {"no_json", "node_name = \"n\"", false},
+};
+
+static void
+test_settings(gconstpointer data)
+{
+    const struct settings_case *c = data;
+    char *directory = g_dir_make_tmp("turmeric-XXXXXX", NULL);
+    char *file = test_write_file(directory, "settings.json", c->text, 0600);
+    struct gate_settings settings;
+    struct err err = {0};
+
+    g_assert_cmpint(platform_settings_read(file, &settings, &err), ==,
+                    c->usable);
+    g_assert_cmpint(err.kind, ==, c->usable ? ERR_NONE : ERR_SETTINGS);
+    g_assert_cmpint(g_remove(file), ==, 0);
+    g_assert_cmpint(g_rmdir(directory), ==, 0);
+    g_free(file);
+    g_free(directory);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct cases groups[] = {
+        CASES("/platform/target", target_cases, test_target),
+        CASES("/platform/config", config_cases, test_config),
+        CASES("/platform/field", field_cases, test_field),
+        CASES("/platform/settings", settings_cases, test_settings),
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    cases_add(groups, G_N_ELEMENTS(groups));
+    return g_test_run();
+}
