--- a/src/gate/relay/fns.h
+++ b/src/gate/relay/fns.h
@@ -1,7 +1,7 @@
 #ifndef RELAY_FNS_H
 #define RELAY_FNS_H
 
-/* relay.c; the relay_post functions are safe from any thread. */
+/* relay.c */
 struct relay *relay_new(const struct gate_settings *settings,
                         struct dialect *dialect, struct relay_port *port,
                         struct err *err);
@@ -10,6 +10,8 @@
 int relay_front_port(const struct relay *relay);
 int relay_ready_port(const struct relay *relay);
 int relay_lookup_port(const struct relay *relay);
+
+/* post.c; safe from any thread. */
 void relay_post_config(struct relay *relay, struct gate_config *config);
 void relay_post_change(struct relay *relay,
                        const struct target_change *change);
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -289,6 +289,7 @@
 bool relay_watch(struct relay *relay, int operation, int fd, uint32_t events,
                  enum watch_kind kind, struct handle handle);
 int relay_instances(const struct relay *relay);
+void relay_wake(struct relay *relay);
 
 /* head.c */
 void head_init(struct head *head);
@@ -400,9 +401,21 @@
                     int64_t now_ms);
 void upstream_drop(struct relay *relay, struct upstream *upstream);
 void upstream_release(struct relay *relay, struct upstream *upstream);
+void upstream_detach(struct relay *relay, struct upstream *upstream);
+void upstream_broken(struct relay *relay, struct upstream *upstream,
+                     const char *reason, int64_t now_ms);
+void upstream_become_idle(struct relay *relay, struct upstream *upstream,
+                          int64_t now_ms);
 void upstream_pause(struct relay *relay, struct upstream *upstream,
                     bool paused);
 
+/* reply.c */
+void reply_start(struct upstream *upstream);
+void reply_parse(struct relay *relay, struct upstream *upstream,
+                 const unsigned char *bytes, size_t count, int64_t now_ms);
+void reply_closed(struct relay *relay, struct upstream *upstream,
+                  int64_t now_ms);
+
 /* target.c */
 struct relay_target *target_find(struct relay *relay, const char *id);
 struct relay_target *target_pick(struct relay *relay,
--- /dev/null
+++ b/src/gate/relay/post.c
@@ -0,0 +1,133 @@
+/**
+ * DOC: News of other duties for the relay; safe from any thread.
+ */
+#include <glib.h>
+#include <http_parser.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/belief/dat.h"
+#include "gate/belief/fns.h"
+#include "gate/choose/dat.h"
+#include "gate/choose/fns.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/relay/internal.h"
+
+/* Returns false when the ring is full; the caller keeps @data then. */
+static bool
+post(struct relay *relay, enum relay_message_kind kind, void *data)
+{
+    struct relay_message message = {.kind = kind, .data = data};
+    struct err err = {0};
+
+    if (!ring_push(&relay->ring, &message, &err)) {
+        refusal_add(err.kind);
+        log_line(LOG_PRI_ERR, "relay", "event=news_lost kind=%d reason=%s",
+                 kind, err.text);
+        return false;
+    }
+    relay_wake(relay);
+    return true;
+}
+
+/**
+ * relay_post_config() - a configuration was read
+ * @relay: the relay
+ * @config: one reference is taken over
+ */
+void
+relay_post_config(struct relay *relay, struct gate_config *config)
+{
+    if (!post(relay, RELAY_CONFIG, config)) {
+        gate_config_unref(config);
+    }
+}
+
+/**
+ * relay_post_change() - the list of targets has changed
+ * @relay: the relay
+ * @change: copied
+ */
+void
+relay_post_change(struct relay *relay, const struct target_change *change)
+{
+    struct target_change *copy = g_memdup2(change, sizeof(*change));
+
+    if (!post(relay, RELAY_CHANGE, copy)) {
+        g_free(copy);
+    }
+}
+
+/**
+ * relay_post_listed() - the list of targets was read once
+ * @relay: the relay
+ */
+void
+relay_post_listed(struct relay *relay)
+{
+    post(relay, RELAY_LISTED, NULL);
+}
+
+/**
+ * relay_post_holdings() - the holder of orders tells what a target holds
+ * @relay: the relay
+ * @holdings: taken over
+ */
+void
+relay_post_holdings(struct relay *relay, struct holdings *holdings)
+{
+    if (!post(relay, RELAY_HOLDINGS, holdings)) {
+        g_free(holdings);
+    }
+}
+
+/**
+ * relay_post_outlook() - the holder tells when items can be used
+ * @relay: the relay
+ * @outlook: taken over
+ */
+void
+relay_post_outlook(struct relay *relay, struct outlook *outlook)
+{
+    if (!post(relay, RELAY_OUTLOOK, outlook)) {
+        outlook_free(outlook);
+    }
+}
+
+/**
+ * relay_post_activity() - another instance tells of its requests
+ * @relay: the relay
+ * @activity: taken over
+ */
+void
+relay_post_activity(struct relay *relay, struct activity *activity)
+{
+    if (!post(relay, RELAY_ACTIVITY, activity)) {
+        activity_free(activity);
+    }
+}
+
+/**
+ * relay_post_members() - the instances that take requests
+ * @relay: the relay
+ * @members: struct gate_member; taken over
+ */
+void
+relay_post_members(struct relay *relay, GArray *members)
+{
+    if (!post(relay, RELAY_MEMBERS, members)) {
+        g_array_free(members, TRUE);
+    }
+}
+
+/**
+ * relay_post_leave() - the process is asked to stop
+ * @relay: the relay
+ */
+void
+relay_post_leave(struct relay *relay)
+{
+    post(relay, RELAY_LEAVE, NULL);
+}
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -32,89 +32,10 @@
                         * target is unreachable */
     KEEP_ALIVE_S = 1,  /* a silent peer is noticed after 3 s */
     KEEP_ALIVE_PROBES = 2,
-    KEEP_MS = 8000,       /* for targets that don't tell how long they keep */
-    KEEP_MARGIN_MS = 700, /* a request on its way must not meet the close */
+    KEEP_MS = 8000,  /* for targets that don't tell how long they keep */
     FRESH_MS = 1500, /* an idle connection may be dropped without notice */
 };
 
-static int
-got_status(http_parser *parser, const char *bytes, size_t count)
-{
-    struct upstream *upstream = parser->data;
-
-    head_start(&upstream->head, bytes, count);
-    return 0;
-}
-
-static int
-got_name(http_parser *parser, const char *bytes, size_t count)
-{
-    struct upstream *upstream = parser->data;
-
-    return head_name(&upstream->head, bytes, count) ? 0 : -1;
-}
-
-static int
-got_value(http_parser *parser, const char *bytes, size_t count)
-{
-    struct upstream *upstream = parser->data;
-
-    return head_value(&upstream->head, bytes, count) ? 0 : -1;
-}
-
-static int
-got_head(http_parser *parser)
-{
-    struct upstream *upstream = parser->data;
-
-    head_end(&upstream->head);
-    upstream->head_done = true;
-    return upstream->no_body ? 1 : 0;
-}
-
-static int
-got_body(http_parser *parser, const char *bytes, size_t count)
-{
-    struct upstream *upstream = parser->data;
-
-    g_byte_array_append(upstream->chunk, (const guint8 *)bytes, (guint)count);
-    return 0;
-}
-
-static int
-got_whole(http_parser *parser)
-{
-    struct upstream *upstream = parser->data;
-
-    upstream->complete = true;
-    upstream->keep = http_should_keep_alive(parser);
-    http_parser_pause(parser, 1);
-    return 0;
-}
-
-static const http_parser_settings parser_settings = {
-    .on_status = got_status,
-    .on_header_field = got_name,
-    .on_header_value = got_value,
-    .on_headers_complete = got_head,
-    .on_body = got_body,
-    .on_message_complete = got_whole,
-};
-
-static void
-start_answer(struct upstream *upstream)
-{
-    http_parser_init(&upstream->parser, HTTP_RESPONSE);
-    upstream->parser.data = upstream;
-    head_reset(&upstream->head);
-    g_byte_array_set_size(upstream->chunk, 0);
-    memset(&upstream->facts, 0, sizeof(upstream->facts));
-    upstream->head_done = false;
-    upstream->judged = false;
-    upstream->other = false;
-    upstream->complete = false;
-}
-
 static void
 watch(struct relay *relay, struct upstream *upstream)
 {
@@ -244,9 +165,13 @@
     return connect_to(relay, target, now_ms);
 }
 
-/* The request is no longer the connection's. */
-static void
-detach(struct relay *relay, struct upstream *upstream)
+/**
+ * upstream_detach() - the request is no longer the connection's
+ * @relay: the relay
+ * @upstream: the connection
+ */
+void
+upstream_detach(struct relay *relay, struct upstream *upstream)
 {
     struct exchange *exchange =
         table_get(&relay->exchanges, upstream->exchange);
@@ -272,7 +197,7 @@
 {
     struct relay_target *target = table_get(&relay->targets, upstream->target);
 
-    detach(relay, upstream);
+    upstream_detach(relay, upstream);
     if (target != NULL) {
         forget_idle(target, upstream->self);
         target->connections--;
@@ -295,7 +220,7 @@
 void
 upstream_release(struct relay *relay, struct upstream *upstream)
 {
-    detach(relay, upstream);
+    upstream_detach(relay, upstream);
     upstream->other = true;
     heap_set(&relay->timers, &upstream->timer, clock_now_ms() + CONNECT_MS);
 }
@@ -366,7 +291,7 @@
 {
     struct relay_target *target = table_get(&relay->targets, upstream->target);
 
-    start_answer(upstream);
+    reply_start(upstream);
     upstream->no_body = exchange->head_method;
     upstream->exchange = exchange->self;
     exchange->upstream = upstream->self;
@@ -409,9 +334,16 @@
     }
 }
 
-static void
-broken(struct relay *relay, struct upstream *upstream, const char *reason,
-       int64_t now_ms)
+/**
+ * upstream_broken() - the connection ended before its answer was whole
+ * @relay: the relay
+ * @upstream: the connection; gone afterwards
+ * @reason: for the log
+ * @now_ms: present time
+ */
+void
+upstream_broken(struct relay *relay, struct upstream *upstream,
+                const char *reason, int64_t now_ms)
 {
     struct exchange *exchange =
         table_get(&relay->exchanges, upstream->exchange);
@@ -442,73 +374,15 @@
     return true;
 }
 
-static void
-read_facts(struct relay *relay, struct upstream *upstream)
-{
-    const struct head *head = &upstream->head;
-
-    for (int i = 0; i < head_count(head); i++) {
-        relay->dialect->ops->answer_field(
-            relay->dialect, head_field_name(head, i),
-            head_field_value(head, i), &upstream->facts);
-    }
-}
-
-/* The target's Keep-Alive: timeout, in whole seconds. */
-static void
-read_keep(struct upstream *upstream)
-{
-    const char *text = head_find(&upstream->head, "Keep-Alive");
-    const char *timeout = text != NULL ? strstr(text, "timeout=") : NULL;
-
-    if (timeout != NULL) {
-        int64_t seconds = g_ascii_strtoll(timeout + 8, NULL, 10);
-
-        upstream->keep_ms = MAX(seconds * 1000 - KEEP_MARGIN_MS, 0);
-    }
-}
-
-/* A proven refusal may lack the attempt when the target could not read it. */
-static bool
-is_ours(const struct upstream *upstream, const struct exchange *exchange)
-{
-    const struct answer_facts *facts = &upstream->facts;
-
-    if (facts->attempt[0] != '\0') {
-        return strcmp(facts->attempt, exchange->facts.attempt) == 0;
-    }
-    return facts->not_run || upstream->parser.status_code == 421;
-}
-
-/* Returns false when the connection is gone. */
-static bool
-judge(struct relay *relay, struct upstream *upstream, int64_t now_ms)
-{
-    struct exchange *exchange =
-        table_get(&relay->exchanges, upstream->exchange);
-    struct handle self = upstream->self;
-
-    upstream->judged = true;
-    if (upstream->other || exchange == NULL) {
-        return true;
-    }
-    read_facts(relay, upstream);
-    read_keep(upstream);
-    if (!is_ours(upstream, exchange)) {
-        counter_add(CTR_ANSWER_STALE, 1);
-        log_line(LOG_PRI_WARNING, "relay",
-                 "event=other_answer id=%s answers=%s status=%d",
-                 exchange->facts.attempt, upstream->facts.attempt,
-                 (int)upstream->parser.status_code);
-        upstream->other = true;
-        return true;
-    }
-    result_head(relay, exchange, upstream, now_ms);
-    return table_get(&relay->upstreams, self) != NULL;
-}
-
-static void
-become_idle(struct relay *relay, struct upstream *upstream, int64_t now_ms)
+/**
+ * upstream_become_idle() - keep a connection for the next request, or close it
+ * @relay: the relay
+ * @upstream: the connection after a whole answer; may be gone afterwards
+ * @now_ms: present time
+ */
+void
+upstream_become_idle(struct relay *relay, struct upstream *upstream,
+                     int64_t now_ms)
 {
     struct relay_target *target = table_get(&relay->targets, upstream->target);
 
@@ -518,104 +392,13 @@
         upstream_drop(relay, upstream);
         return;
     }
-    start_answer(upstream);
+    reply_start(upstream);
     upstream->idle_since_ms = now_ms;
     g_array_append_val(target->idle, upstream->self);
     heap_set(&relay->timers, &upstream->timer, now_ms + upstream->keep_ms);
     watch(relay, upstream);
 }
 
-/* The present answer is whole. Returns false when the connection is gone or
- * has nothing more to read. */
-static bool
-complete(struct relay *relay, struct upstream *upstream, int64_t now_ms)
-{
-    struct exchange *exchange =
-        table_get(&relay->exchanges, upstream->exchange);
-
-    if (upstream->other && exchange != NULL) {
-        /* Ours is still to come, if the connection stays. */
-        if (!upstream->keep) {
-            broken(relay, upstream, "other_answer_closed", now_ms);
-            return false;
-        }
-        start_answer(upstream);
-        return true;
-    }
-    detach(relay, upstream);
-    become_idle(relay, upstream, now_ms);
-    if (exchange != NULL) {
-        result_complete(relay, exchange, now_ms);
-    }
-    return false;
-}
-
-/* Passes on what the parser has found. Returns false when the connection is
- * gone or has nothing more to read. */
-static bool
-progress(struct relay *relay, struct upstream *upstream, int64_t now_ms)
-{
-    struct handle self = upstream->self;
-    struct exchange *exchange;
-
-    if (upstream->head_done && !upstream->judged &&
-        !judge(relay, upstream, now_ms)) {
-        return false;
-    }
-    exchange = table_get(&relay->exchanges, upstream->exchange);
-    if (exchange != NULL && !upstream->other && upstream->chunk->len > 0) {
-        result_body(relay, exchange, upstream->chunk->data,
-                    upstream->chunk->len, now_ms);
-        if (table_get(&relay->upstreams, self) == NULL) {
-            return false;
-        }
-    }
-    g_byte_array_set_size(upstream->chunk, 0);
-    return !upstream->complete || complete(relay, upstream, now_ms);
-}
-
-static void
-parse(struct relay *relay, struct upstream *upstream,
-      const unsigned char *bytes, size_t count, int64_t now_ms)
-{
-    do {
-        size_t taken = http_parser_execute(&upstream->parser, &parser_settings,
-                                           (const char *)bytes, count);
-        bool whole = upstream->complete;
-
-        if (whole) {
-            http_parser_pause(&upstream->parser, 0);
-            upstream->surplus = taken < count && !upstream->other;
-        }
-        else if (upstream->parser.upgrade ||
-                 HTTP_PARSER_ERRNO(&upstream->parser) != HPE_OK) {
-            broken(relay, upstream, "not_http", now_ms);
-            return;
-        }
-        if (!progress(relay, upstream, now_ms)) {
-            return;
-        }
-        bytes += taken;
-        count -= taken;
-    } while (count > 0);
-}
-
-/* The target has closed the connection; an answer without a length is whole
- * then. */
-static void
-closed(struct relay *relay, struct upstream *upstream, int64_t now_ms)
-{
-    if (upstream->head_done) {
-        http_parser_execute(&upstream->parser, &parser_settings, NULL, 0);
-        if (upstream->complete) {
-            upstream->keep = false;
-            progress(relay, upstream, now_ms);
-            return;
-        }
-    }
-    broken(relay, upstream, "closed", now_ms);
-}
-
 static void
 receive(struct relay *relay, struct upstream *upstream, int64_t now_ms)
 {
@@ -626,17 +409,17 @@
         return;
     }
     if (count == 0) {
-        closed(relay, upstream, now_ms);
+        reply_closed(relay, upstream, now_ms);
     }
     else if (count < 0) {
-        broken(relay, upstream, errno == ETIMEDOUT ? "unreachable" : "reset",
-               now_ms);
+        upstream_broken(relay, upstream,
+                        errno == ETIMEDOUT ? "unreachable" : "reset", now_ms);
     }
     else if (upstream->exchange.generation == 0 && !upstream->other) {
         upstream_drop(relay, upstream);
     }
     else {
-        parse(relay, upstream, relay->buffer, (size_t)count, now_ms);
+        reply_parse(relay, upstream, relay->buffer, (size_t)count, now_ms);
     }
 }
 
@@ -665,7 +448,7 @@
         return;
     }
     if (!flush(upstream)) {
-        broken(relay, upstream, "reset", now_ms);
+        upstream_broken(relay, upstream, "reset", now_ms);
         return;
     }
     watch(relay, upstream);
