--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -2,7 +2,6 @@
 #define GATE_DAT_H
 
 enum {
-    SEEDS_MAX = 3,
     TARGET_ITEMS_MAX = 96,
     MEMBERS_MAX = 512,
     SHARES_MAX = 8,
@@ -10,24 +9,18 @@
 
 /**
  * struct gate_limits - what the deployment demands of an instance
- * @leave_ms: a leaving target gets no request after this time
  * @grace_ms: time between the request to stop and the kill
- * @settled_ms: time without disruption after which the others rely on us
  * @retry_ratio: repeated sends allowed for each request of a service
  * @retry_extra: repeated sends allowed beside the ratio, all instances
  * together
  * @retry_window_ms: window of the two
- * @holder_gap_ms: two holders must not alternate within this time
  * @address_keep_max_s: callers keep an answer with addresses no longer
  */
 struct gate_limits {
-    int64_t leave_ms;
     int64_t grace_ms;
-    int64_t settled_ms;
     double retry_ratio;
     int retry_extra;
     int64_t retry_window_ms;
-    int64_t holder_gap_ms;
     int address_keep_max_s;
 };
 
@@ -39,7 +32,6 @@
  * @peer_address: where other instances connect
  * @metrics_address: where counters are served; empty when not served
  * @store_address: the platform's store
- * @seeds: peer addresses of instances that may be up
  * @lease_min_ms: shortest lease that the store grants
  * @descriptors_max: descriptors that the process may open
  */
@@ -52,8 +44,6 @@
     char peer_address[ADDRESS_MAX_BYTES];
     char metrics_address[ADDRESS_MAX_BYTES];
     char store_address[ADDRESS_MAX_BYTES];
-    char seeds[SEEDS_MAX][ADDRESS_MAX_BYTES];
-    int seed_count;
     int64_t lease_min_ms;
     int descriptors_max;
     struct gate_limits limits;
@@ -182,7 +172,6 @@
  * @id: name of this start of the target, or of several; see @born_ms
  * @born_ms: wall time of its start; 0 when it doesn't say
  * @leaving: it takes no new work soon
- * @leave_ms: time until it is gone; -1 when it doesn't say
  * @sequence: orders accepted since its start; -1 when it doesn't say
  * @busy: an order is being carried out
  * @strange: it holds something that the configuration doesn't name, whose size
@@ -198,7 +187,6 @@
     char zone[NAME_MAX_BYTES];
     int64_t born_ms;
     bool leaving;
-    int64_t leave_ms;
     int slots;
     int64_t sequence;
     bool busy;
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -62,7 +62,6 @@
  * @out: bytes to be written, from @out_start
  * @exchange: the request in progress; generation 0 for none
  * @whole: a request was read completely
- * @since_ms: when the present wait began
  * @closing: nothing more is read; closed when @out is written
  */
 struct client {
@@ -79,7 +78,6 @@
     struct handle exchange;
     bool reading;
     bool whole;
-    bool too_large;
     bool keep;
     bool closing;
     uint32_t events;
