--- /dev/null
+++ b/spec/term.pml
@@ -0,0 +1,129 @@
+/*
+ * The right to order engines (docs/platform.md, 2.2).
+ *
+ * Two instances share a store that gives out one lease. Time passes in ticks,
+ * also while an instance is frozen. A call reaches the store late or not at
+ * all, and its answer may be lost. The lease ends TTL ticks after the last
+ * renewal reached the store; an instance takes its term as ended MARGIN ticks
+ * before that, counted from when it sent the call.
+ *
+ * Checked: two instances that run never both take themselves for the holder.
+ *
+ * Each switch puts a fault back when set to 0; check.sh sees that it is found.
+ * MUTANTS COUNT_FROM_SENDING CONDITION CLOCK_WHILE_FROZEN REFUSAL_IS_NO_GRANT
+ */
+#ifndef COUNT_FROM_SENDING
+#define COUNT_FROM_SENDING 1
+#endif
+#ifndef CONDITION
+#define CONDITION 1
+#endif
+#ifndef CLOCK_WHILE_FROZEN
+#define CLOCK_WHILE_FROZEN 1
+#endif
+#ifndef REFUSAL_IS_NO_GRANT
+#define REFUSAL_IS_NO_GRANT 1
+#endif
+
+#define TTL 3
+#define MARGIN 1
+#define TICKS_MAX 14
+#define NOBODY 2
+
+byte holder = NOBODY;
+byte lease_left;
+byte term_left[2];
+bool frozen[2];
+bool calling[2];
+bool arrived[2];
+bool granted[2];
+byte since_sent[2];
+
+#define HOLDS(i) (term_left[i] > 0 && !frozen[i])
+
+inline tick_instance(i)
+{
+    if
+    :: term_left[i] > 0 && (CLOCK_WHILE_FROZEN || !frozen[i]) ->
+        term_left[i]--
+    :: else
+    fi;
+    if
+    :: calling[i] && since_sent[i] < TTL -> since_sent[i]++
+    :: else
+    fi
+}
+
+active proctype clock()
+{
+    byte ticks;
+
+    do
+    :: ticks < TICKS_MAX ->
+        atomic {
+            ticks++;
+            if
+            :: lease_left > 0 ->
+                lease_left--;
+                if
+                :: lease_left == 0 -> holder = NOBODY
+                :: else
+                fi
+            :: else
+            fi;
+            tick_instance(0);
+            tick_instance(1)
+        }
+    :: ticks == TICKS_MAX -> break
+    od
+}
+
+/* What the store makes of a call when it arrives. */
+inline arrive(i)
+{
+    arrived[i] = true;
+    granted[i] = false;
+    if
+    :: holder == i || holder == NOBODY || !CONDITION ->
+        holder = i;
+        lease_left = TTL;
+        granted[i] = true
+    :: else
+    fi
+}
+
+inline answer(i)
+{
+    calling[i] = false;
+    arrived[i] = false;
+    if
+    :: granted[i] && COUNT_FROM_SENDING ->
+        term_left[i] = (since_sent[i] < TTL - MARGIN ->
+                        TTL - MARGIN - since_sent[i] : 0)
+    :: granted[i] && !COUNT_FROM_SENDING -> term_left[i] = TTL - MARGIN
+    :: !granted[i] && REFUSAL_IS_NO_GRANT -> term_left[i] = 0
+    :: !granted[i] && !REFUSAL_IS_NO_GRANT -> term_left[i] = TTL
+    fi
+}
+
+proctype instance(byte self)
+{
+    do
+    :: atomic { !frozen[self] && !calling[self] ->
+        calling[self] = true; since_sent[self] = 0 }
+    :: atomic { calling[self] && !arrived[self] -> arrive(self) }
+    :: atomic { calling[self] && !arrived[self] -> calling[self] = false }
+    :: atomic { calling[self] && arrived[self] && !frozen[self] ->
+        answer(self) }
+    :: atomic { calling[self] && arrived[self] ->
+        calling[self] = false; arrived[self] = false }
+    :: atomic { !frozen[self] -> frozen[self] = true }
+    :: atomic { frozen[self] -> frozen[self] = false }
+    :: assert(!(HOLDS(0) && HOLDS(1)))
+    od
+}
+
+init
+{
+    atomic { run instance(0); run instance(1) }
+}
