--- a/src/gate/belief/config.c
+++ b/src/gate/belief/config.c
@@ -97,6 +97,9 @@
 void
 gate_config_index(struct gate_config *config)
 {
+    if (config->route_count == 0) {
+        return;
+    }
     qsort(config->routes, (size_t)config->route_count,
           sizeof(struct gate_route), compare_routes);
 }
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -45,8 +45,8 @@
     struct relay_port port;
     struct relay *relay;
     pthread_t thread;
-    GMutex lock;
-    GCond left;
+    pthread_mutex_t lock;
+    pthread_cond_t left;
     bool has_left;
 };
 
@@ -63,10 +63,10 @@
     struct bench *bench =
         (struct bench *)((char *)port - offsetof(struct bench, port));
 
-    g_mutex_lock(&bench->lock);
+    pthread_mutex_lock(&bench->lock);
     bench->has_left = true;
-    g_cond_broadcast(&bench->left);
-    g_mutex_unlock(&bench->lock);
+    pthread_cond_broadcast(&bench->left);
+    pthread_mutex_unlock(&bench->lock);
 }
 
 static const struct relay_port_ops port_ops = {drop_activity, note_left};
@@ -137,8 +137,8 @@
     struct err err = {0};
 
     memset(bench, 0, sizeof(*bench));
-    g_mutex_init(&bench->lock);
-    g_cond_init(&bench->left);
+    pthread_mutex_init(&bench->lock, NULL);
+    pthread_cond_init(&bench->left, NULL);
     script_start(&bench->script, answers, targets);
     fill_settings(&bench->settings);
     bench->port.ops = &port_ops;
@@ -159,8 +159,8 @@
     test_duty_stop(relay_duty(bench->relay), bench->thread);
     relay_free(bench->relay);
     script_stop(&bench->script);
-    g_mutex_clear(&bench->lock);
-    g_cond_clear(&bench->left);
+    pthread_mutex_destroy(&bench->lock);
+    pthread_cond_destroy(&bench->left);
 }
 
 static int
@@ -500,7 +500,7 @@
     fd = dial(relay_front_port(bench.relay));
     send_text(fd, request);
     script_wait_arrivals(&bench.script, 1);
-    seen = bench.script.arrivals->pdata[0];
+    seen = script_arrival(&bench.script, 0);
     g_assert_true(g_str_has_prefix(seen, "POST /once/a%20b?q=1 HTTP/1.1\r\n"));
     g_assert_nonnull(strstr(seen, "Attempt-Id: a-1\r\n"));
     g_assert_nonnull(strstr(seen, "Deadline-Ms: "));
@@ -562,7 +562,7 @@
         send_text(fd, request);
         expect_answer(fd, "done");
     }
-    g_assert_cmpint(bench.script.connections, ==, c->connections);
+    g_assert_cmpint(script_connections(&bench.script), ==, c->connections);
     close(fd);
     bench_stop(&bench);
 }
@@ -639,11 +639,11 @@
     relay_post_leave(bench.relay);
     answer = read_all(fd);
     g_assert_true(g_str_has_prefix(answer, c->begins));
-    g_mutex_lock(&bench.lock);
+    pthread_mutex_lock(&bench.lock);
     while (!bench.has_left) {
-        g_cond_wait(&bench.left, &bench.lock);
+        pthread_cond_wait(&bench.left, &bench.lock);
     }
-    g_mutex_unlock(&bench.lock);
+    pthread_mutex_unlock(&bench.lock);
     close(fd);
     g_free(answer);
     g_free(request);
--- a/test/script.c
+++ b/test/script.c
@@ -61,15 +61,15 @@
     const char *answer;
     guint number;
 
-    g_mutex_lock(&script->lock);
+    pthread_mutex_lock(&script->lock);
     number = script->arrivals->len;
     g_ptr_array_add(script->arrivals, request);
     answer = script->answers[0];
     for (guint i = 0; answer != NULL && i < number; i++) {
         answer = script->answers[i + 1];
     }
-    g_cond_broadcast(&script->changed);
-    g_mutex_unlock(&script->lock);
+    pthread_cond_broadcast(&script->changed);
+    pthread_mutex_unlock(&script->lock);
     return answer;
 }
 
@@ -88,10 +88,10 @@
 
     while (recv(fd, &byte, 1, 0) > 0) {
     }
-    g_mutex_lock(&script->lock);
+    pthread_mutex_lock(&script->lock);
     script->left++;
-    g_cond_broadcast(&script->changed);
-    g_mutex_unlock(&script->lock);
+    pthread_cond_broadcast(&script->changed);
+    pthread_mutex_unlock(&script->lock);
 }
 
 /* Returns whether the connection goes on. */
@@ -134,7 +134,7 @@
             answer != NULL && play(script, connection->fd, answer, attempt);
         g_free(attempt);
     }
-    g_mutex_lock(&script->lock);
+    pthread_mutex_lock(&script->lock);
     for (guint i = 0; i < script->sockets->len; i++) {
         if (g_array_index(script->sockets, int, i) == connection->fd) {
             g_array_remove_index_fast(script->sockets, i);
@@ -142,11 +142,42 @@
         }
     }
     close(connection->fd);
-    g_mutex_unlock(&script->lock);
+    pthread_mutex_unlock(&script->lock);
     g_free(connection);
     return NULL;
 }
 
+/* Called with the lock held. */
+static void
+start_thread(struct script *script, void *(*run)(void *data), void *data)
+{
+    pthread_t thread;
+
+    g_assert_cmpint(pthread_create(&thread, NULL, run, data), ==, 0);
+    g_array_append_val(script->threads, thread);
+}
+
+/* Listeners may start further threads until they have ended. */
+static void
+join_all(struct script *script)
+{
+    for (guint i = 0;; i++) {
+        pthread_t thread = 0;
+        bool found;
+
+        pthread_mutex_lock(&script->lock);
+        found = i < script->threads->len;
+        if (found) {
+            thread = g_array_index(script->threads, pthread_t, i);
+        }
+        pthread_mutex_unlock(&script->lock);
+        if (!found) {
+            return;
+        }
+        pthread_join(thread, NULL);
+    }
+}
+
 struct listener {
     struct script *script;
     int fd;
@@ -164,12 +195,11 @@
 
         connection->script = script;
         connection->fd = fd;
-        g_mutex_lock(&script->lock);
+        pthread_mutex_lock(&script->lock);
         script->connections++;
         g_array_append_val(script->sockets, fd);
-        g_ptr_array_add(script->threads,
-                        g_thread_new("connection", serve, connection));
-        g_mutex_unlock(&script->lock);
+        start_thread(script, serve, connection);
+        pthread_mutex_unlock(&script->lock);
     }
     g_free(listener);
     return NULL;
@@ -183,10 +213,10 @@
 
     memset(script, 0, sizeof(*script));
     script->answers = answers;
-    g_mutex_init(&script->lock);
-    g_cond_init(&script->changed);
+    pthread_mutex_init(&script->lock, NULL);
+    pthread_cond_init(&script->changed, NULL);
     script->arrivals = g_ptr_array_new_with_free_func(g_free);
-    script->threads = g_ptr_array_new();
+    script->threads = g_array_new(FALSE, FALSE, sizeof(pthread_t));
     script->sockets = g_array_new(FALSE, FALSE, sizeof(int));
     for (int i = 0; i < SCRIPT_TARGETS_MAX; i++) {
         struct listener *listener;
@@ -203,8 +233,9 @@
         listener = g_new0(struct listener, 1);
         listener->script = script;
         listener->fd = dup(script->listeners[i]);
-        g_ptr_array_add(script->threads,
-                        g_thread_new("listener", accept_all, listener));
+        pthread_mutex_lock(&script->lock);
+        start_thread(script, accept_all, listener);
+        pthread_mutex_unlock(&script->lock);
     }
 }
 
@@ -218,19 +249,17 @@
             close(script->listeners[i]);
         }
     }
-    g_mutex_lock(&script->lock);
+    pthread_mutex_lock(&script->lock);
     for (guint i = 0; i < script->sockets->len; i++) {
         shutdown(g_array_index(script->sockets, int, i), SHUT_RDWR);
     }
-    g_mutex_unlock(&script->lock);
-    for (guint i = 0; i < script->threads->len; i++) {
-        g_thread_join(script->threads->pdata[i]);
-    }
-    g_ptr_array_free(script->threads, TRUE);
+    pthread_mutex_unlock(&script->lock);
+    join_all(script);
+    g_array_free(script->threads, TRUE);
     g_ptr_array_free(script->arrivals, TRUE);
     g_array_free(script->sockets, TRUE);
-    g_mutex_clear(&script->lock);
-    g_cond_clear(&script->changed);
+    pthread_mutex_destroy(&script->lock);
+    pthread_cond_destroy(&script->changed);
 }
 
 int
@@ -238,28 +267,51 @@
 {
     int count;
 
-    g_mutex_lock(&script->lock);
+    pthread_mutex_lock(&script->lock);
     count = (int)script->arrivals->len;
-    g_mutex_unlock(&script->lock);
+    pthread_mutex_unlock(&script->lock);
     return count;
 }
 
 void
 script_wait_arrivals(struct script *script, int count)
 {
-    g_mutex_lock(&script->lock);
+    pthread_mutex_lock(&script->lock);
     while ((int)script->arrivals->len < count) {
-        g_cond_wait(&script->changed, &script->lock);
+        pthread_cond_wait(&script->changed, &script->lock);
     }
-    g_mutex_unlock(&script->lock);
+    pthread_mutex_unlock(&script->lock);
 }
 
 void
 script_wait_left(struct script *script, int count)
 {
-    g_mutex_lock(&script->lock);
+    pthread_mutex_lock(&script->lock);
     while (script->left < count) {
-        g_cond_wait(&script->changed, &script->lock);
+        pthread_cond_wait(&script->changed, &script->lock);
     }
-    g_mutex_unlock(&script->lock);
+    pthread_mutex_unlock(&script->lock);
+}
+
+int
+script_connections(struct script *script)
+{
+    int count;
+
+    pthread_mutex_lock(&script->lock);
+    count = script->connections;
+    pthread_mutex_unlock(&script->lock);
+    return count;
+}
+
+/* The request that arrived as the given one; it stays the script's. */
+const char *
+script_arrival(struct script *script, int index)
+{
+    const char *request;
+
+    pthread_mutex_lock(&script->lock);
+    request = script->arrivals->pdata[index];
+    pthread_mutex_unlock(&script->lock);
+    return request;
 }
--- a/test/script.h
+++ b/test/script.h
@@ -15,23 +15,23 @@
  */
 struct script {
     const char *const *answers;
-    GMutex lock;
-    GCond changed;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
     GPtrArray *arrivals;
     int connections;
     int left;
     int listeners[SCRIPT_TARGETS_MAX];
     int ports[SCRIPT_TARGETS_MAX];
-    GPtrArray *threads;
+    GArray *threads;
     GArray *sockets;
-    bool stopping;
-    bool joined;
 };
 
 void script_start(struct script *script, const char *const *answers,
                   int targets);
 void script_stop(struct script *script);
 int script_arrivals(struct script *script);
+int script_connections(struct script *script);
+const char *script_arrival(struct script *script, int index);
 void script_wait_arrivals(struct script *script, int count);
 void script_wait_left(struct script *script, int count);
 
