Take the time of a load from the configuration; one decay of demand

Cause: the plan had the load time of today's deployments as a constant and a second copy of the decay; a comment in room.c told of what the code doesn't do.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -50,7 +50,7 @@
 
 /**
  * struct plan_item - requests for a model or an adapter, of all instances
- * @rate: requests a second, decaying
+ * @rate: requests a second at @rate_ms; see plan_rate()
  * @used_ms: when it was last asked for
  * @wanted_ms: since when requests wait; 0 while none does
  */
--- a/src/gate/place/demand.c
+++ b/src/gate/place/demand.c
@@ -42,13 +42,23 @@
     return found;
 }
 
+/**
+ * plan_rate() - how often an item was asked for lately
+ * @item: the item
+ * @now_ms: present time
+ *
+ * Return: requests a second.
+ */
+double
+plan_rate(const struct plan_item *item, int64_t now_ms)
+{
+    return item->rate * exp(-(double)(now_ms - item->rate_ms) / RATE_MS);
+}
+
 static void
 add_rate(struct plan_item *item, int arrived, int64_t now_ms)
 {
-    double past_ms = (double)(now_ms - item->rate_ms);
-
-    item->rate *= exp(-past_ms / RATE_MS);
-    item->rate += arrived * 1000.0 / RATE_MS;
+    item->rate = plan_rate(item, now_ms) + arrived * 1000.0 / RATE_MS;
     item->rate_ms = now_ms;
 }
 
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -19,6 +19,7 @@
 void plan_activity(struct plan *plan, struct activity *activity,
                    int64_t now_ms);
 struct plan_item *plan_item(struct plan *plan, uint32_t item);
+double plan_rate(const struct plan_item *item, int64_t now_ms);
 
 /* room.c */
 double room_used_mb(const struct plan *plan, const struct plan_engine *engine,
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -16,7 +16,8 @@
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
 
-/* More loads from the weight store at once make each other slower. */
+/* More loads from the weight store at once make each other slower. The
+ * configuration doesn't name the number; this is the deployments' own. */
 enum { STORE_LOADS_MAX = 4 };
 
 static void
--- a/src/gate/place/room.c
+++ b/src/gate/place/room.c
@@ -120,16 +120,6 @@
     return count;
 }
 
-/* When the item was last used; a replica among several is as good as not used
- * when the others carry the requests. */
-static int64_t
-last_use_ms(struct plan *plan, uint32_t item)
-{
-    const struct plan_item *use = plan_item(plan, item);
-
-    return use->used_ms;
-}
-
 static bool
 may_go(struct plan *plan, uint32_t victim, int64_t idle_ms, int64_t now_ms)
 {
@@ -164,7 +154,7 @@
 
     for (int i = 0; i < held->count; i++) {
         uint32_t victim = held->ids[i];
-        int64_t used_ms = last_use_ms(plan, victim);
+        int64_t used_ms = plan_item(plan, victim)->used_ms;
 
         if (item_is_adapter(victim) != item_is_adapter(item) ||
             victim == item_model(item) || victim == engine->unloading ||
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -6,7 +6,6 @@
  * model, its disk keeps it, and the next load takes a fraction of the time.
  */
 #include <glib.h>
-#include <math.h>
 #include <string.h>
 
 #include "base/dat.h"
@@ -25,10 +24,9 @@
     VICTIM_IDLE_MS = 600,   /* requests come in clumps */
     PRELOAD_IDLE_MS = 4000, /* what is used is not given up for a guess */
     RESERVE_MS = 3000,      /* runs at the item that makes way end by then */
-    LATE_MS = 600,          /* after the expected end, the report is read */
+    LATE_MS = 600,          /* an engine in doubt is looked at again */
     DOUBT_MS = 400,         /* requests wait for what should be there */
-    LOADS_WINDOW_MS = 1000,
-    ADAPTERS_AT_ONCE = 4,
+    LOADS_WINDOW_MS = 1000, /* the weight store's limit is for a second */
     /* Requests beyond this part of its places make an engine slow. */
     BUSY_PERCENT = 60,
     CROWDED_PERCENT = 65,
@@ -39,10 +37,6 @@
 static const double RUNNING_COST_MS = 30.0;
 static const double VICTIM_COST_MS = 150.0;
 
-/* Demand is that of the time that a load from the weight store takes. */
-static const double RATE_MS = 4000.0;
-static const double LOAD_S = 6.0;
-
 /* A third of a request that is expected or was refused lately. */
 static const double DEMAND_MIN = 0.3;
 
@@ -319,21 +313,36 @@
     return false;
 }
 
+static int64_t
+store_load_ms(const struct plan *plan, uint32_t item)
+{
+    for (int s = 0; s < plan->config->service_count; s++) {
+        const struct gate_model *model =
+            gate_service_model(&plan->config->services[s], item_model(item));
+
+        if (model != NULL) {
+            return model->load_ms;
+        }
+    }
+    return 0;
+}
+
 /* How much an item is asked for: what waits, and what comes in the time of a
  * load from the weight store. Requests that were refused come back. */
 static double
-demand(const struct plan_item *item, int64_t now_ms)
+demand(const struct plan *plan, const struct plan_item *item, int64_t now_ms)
 {
-    double decay = exp(-(double)(now_ms - item->rate_ms) / RATE_MS);
+    double load_s = (double)store_load_ms(plan, item->item) / 1000.0;
 
-    return item->waiting + item->rate * decay * LOAD_S;
+    return item->waiting + plan_rate(item, now_ms) * load_s;
 }
 
 static bool
-is_wanted(const struct plan_item *item, int64_t now_ms)
+is_wanted(const struct plan *plan, const struct plan_item *item,
+          int64_t now_ms)
 {
-    return item->waiting > 0 ||
-           (!item_is_adapter(item->item) && demand(item, now_ms) > DEMAND_MIN);
+    return item->waiting > 0 || (!item_is_adapter(item->item) &&
+                                 demand(plan, item, now_ms) > DEMAND_MIN);
 }
 
 static int
@@ -363,9 +372,10 @@
     g_hash_table_iter_init(&iter, plan->items);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct plan_item *item = value;
-        struct wanted wanted = {.item = item, .demand = demand(item, now_ms)};
+        struct wanted wanted = {.item = item,
+                                .demand = demand(plan, item, now_ms)};
 
-        if (!is_wanted(item, now_ms)) {
+        if (!is_wanted(plan, item, now_ms)) {
             continue;
         }
         if (!item_is_adapter(item->item)) {
