Cover the order's call by the term, and keep news that a full ring refuses

The term's margin (600 ms) was shorter than a call to an engine may take (1,000 ms), so an order sent at its end could arrive after the next holder's. A refusal without an attempt id was taken for the present request's also on a connection that had carried another. A configuration or a change that met a full ring was logged and lost. An instance that knew no other took the whole constant of the repeats' budget.

Change: the margin is the longest call and 200 ms; unnamed refusals count on a connection's first request only; the feed keeps the newest of what was not taken and offers it again; the place ring keeps room for workers' results; the constant is cut by the most instances known within a window, and not touched while none is known. The request to leave no longer needs room in a ring.

--- a/spec/term.pml
+++ b/spec/term.pml
@@ -5,12 +5,14 @@
  * also while an instance is frozen. A call reaches the store late or not at
  * all, and its answer may be lost. The lease ends TTL ticks after the last
  * renewal reached the store; an instance takes its term as ended MARGIN ticks
- * before that, counted from when it sent the call.
+ * before that, counted from when it sent the call. An order that a holder
+ * sends arrives within CALL ticks, also while its sender is frozen, or never.
  *
- * Checked: two instances that run never both take themselves for the holder.
+ * Checked: two instances that run never both take themselves for the holder,
+ * and no order arrives after another instance has become the holder.
  *
  * Each switch puts a fault back when set to 0; check.sh sees that it is found.
- * MUTANTS COUNT_FROM_SENDING CONDITION CLOCK_WHILE_FROZEN REFUSAL_IS_NO_GRANT
+ * MUTANTS COUNT_FROM_SENDING CONDITION CLOCK_WHILE_FROZEN REFUSAL_IS_NO_GRANT MARGIN_COVERS_CALL
  */
 #ifndef COUNT_FROM_SENDING
 #define COUNT_FROM_SENDING 1
@@ -25,8 +27,17 @@
 #define REFUSAL_IS_NO_GRANT 1
 #endif
 
-#define TTL 3
-#define MARGIN 1
+#ifndef MARGIN_COVERS_CALL
+#define MARGIN_COVERS_CALL 1
+#endif
+
+#define TTL 4
+#define CALL 2
+#if MARGIN_COVERS_CALL
+#define MARGIN CALL
+#else
+#define MARGIN (CALL - 1)
+#endif
 #define TICKS_MAX 14
 #define NOBODY 2
 
@@ -38,6 +49,8 @@
 bool arrived[2];
 bool granted[2];
 byte since_sent[2];
+bool ordering[2];
+byte order_age[2];
 
 #define HOLDS(i) (term_left[i] > 0 && !frozen[i])
 
@@ -51,6 +64,11 @@
     if
     :: calling[i] && since_sent[i] < TTL -> since_sent[i]++
     :: else
+    fi;
+    if
+    :: ordering[i] && order_age[i] == CALL -> ordering[i] = false
+    :: ordering[i] && order_age[i] < CALL -> order_age[i]++
+    :: else
     fi
 }
 
@@ -119,6 +137,10 @@
         calling[self] = false; arrived[self] = false }
     :: atomic { !frozen[self] -> frozen[self] = true }
     :: atomic { frozen[self] -> frozen[self] = false }
+    :: atomic { HOLDS(self) && !ordering[self] ->
+        ordering[self] = true; order_age[self] = 0 }
+    :: atomic { ordering[self] ->
+        assert(holder != 1 - self); ordering[self] = false }
     :: assert(!(HOLDS(0) && HOLDS(1)))
     od
 }
--- a/src/gate/choose/budget.c
+++ b/src/gate/choose/budget.c
@@ -4,7 +4,8 @@
  * The deployment bounds the repeats of all instances together in any window.
  * Each instance keeps to the ratio of its own requests and to its part of the
  * constant, so no messages are needed and the bound holds when instances
- * can't reach each other.
+ * can't reach each other. The parts are cut by the largest number of instances
+ * known within a window, as the list of them can be lost for a while.
  */
 #include "base/dat.h"
 #include "base/fns.h"
@@ -46,7 +47,8 @@
  * repeats_take() - ask to send a request once more
  * @budget: of the request's service
  * @limits: what the deployment allows
- * @instances: instances that share the constant part; at least 1
+ * @instances: instances that share the constant part; 0 when they are not
+ *             known, and there is no part to take then
  * @now_ms: present time
  *
  * Return: whether it may be sent; if so, the send is counted.
@@ -58,7 +60,7 @@
     int64_t from_ms = now_ms - limits->retry_window_ms;
     int requests = 0;
     int repeats = 0;
-    double allowed;
+    double allowed = 0;
 
     for (int i = 0; i < BUDGET_BUCKETS; i++) {
         if (budget->buckets[i].start_ms > from_ms) {
@@ -66,8 +68,10 @@
             repeats += budget->buckets[i].repeats;
         }
     }
-    allowed = limits->retry_ratio * requests +
-              (double)limits->retry_extra / (instances > 0 ? instances : 1);
+    allowed = limits->retry_ratio * requests;
+    if (instances > 0) {
+        allowed += (double)limits->retry_extra / instances;
+    }
     if (repeats + 1 > USED_PART * allowed) {
         return false;
     }
--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -88,4 +88,22 @@
     struct budget_bucket buckets[BUDGET_BUCKETS];
 };
 
+/* One more than a window has, so that a whole window is covered. */
+enum { SHARERS_BUCKETS = BUDGET_BUCKETS + 1 };
+
+/**
+ * struct sharers_bucket - largest count in a part of the window
+ */
+struct sharers_bucket {
+    int64_t number;
+    int most;
+};
+
+/**
+ * struct sharers - instances that share a budget, over a window
+ */
+struct sharers {
+    struct sharers_bucket buckets[SHARERS_BUCKETS];
+};
+
 #endif
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -23,4 +23,10 @@
                   const struct gate_limits *limits, int instances,
                   int64_t now_ms);
 
+/* sharers.c */
+void sharers_count(struct sharers *sharers, int count, int64_t window_ms,
+                   int64_t now_ms);
+int sharers_most(const struct sharers *sharers, int64_t window_ms,
+                 int64_t now_ms);
+
 #endif
--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -288,6 +288,10 @@
     const struct store_ops *ops;
 };
 
+/* Longest time that a call to an engine may take, connecting included; it is
+ * usually answered within some ms. */
+enum { ORDER_CALL_MS = 1000 };
+
 enum order_action { ORDER_LOAD, ORDER_UNLOAD };
 
 /**
@@ -320,7 +324,7 @@
 
 /**
  * struct gate_engine_ops - orders to engines and their reports
- * @order: gives an order and waits for the answer
+ * @order: gives an order and waits for the answer, ORDER_CALL_MS at most
  * @report: reads what the engine holds; fields that it does not tell stay
  */
 struct gate_engine_ops {
--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -17,26 +17,44 @@
 
 /**
  * struct feed_port_ops - what the store tells
- * @config: one reference to @config is handed over
+ * @config: a newer configuration
  * @change: the list of targets has changed
  * @listed: the list of targets was read once
- * @members: struct gate_member; handed over
+ * @members: all instances, as struct gate_member
  * @holder: who may order engines
  *
- * Called in the feed's thread; must not block.
+ * Called in the feed's thread; must not block. Arguments stay the caller's.
+ * Each returns false when it could not be taken; it is offered again then,
+ * also to those that had taken it.
  */
 struct feed_port_ops {
-    void (*config)(struct feed_port *port, struct gate_config *config);
-    void (*change)(struct feed_port *port, const struct target_change *change);
-    void (*listed)(struct feed_port *port);
-    void (*members)(struct feed_port *port, GArray *members);
-    void (*holder)(struct feed_port *port, const struct holder *holder);
+    bool (*config)(struct feed_port *port, struct gate_config *config);
+    bool (*change)(struct feed_port *port, const struct target_change *change);
+    bool (*listed)(struct feed_port *port);
+    bool (*members)(struct feed_port *port, const GArray *members);
+    bool (*holder)(struct feed_port *port, const struct holder *holder);
 };
 
 struct feed_port {
     const struct feed_port_ops *ops;
 };
 
+/**
+ * struct outbox - news that other duties have yet to take
+ * @config: owned reference; NULL for none
+ * @changes: id of a target -> its last struct target_change
+ * @members: struct gate_member; NULL for no news
+ * @listed: the first list was read
+ */
+struct outbox {
+    struct gate_config *config;
+    GHashTable *changes;
+    GArray *members;
+    struct holder holder;
+    bool listed;
+    bool holder_changed;
+};
+
 /**
  * struct feed - duty that follows the store
  * @store: used by this duty only
@@ -53,13 +71,12 @@
     struct registry registry;
     struct ring wait;
     GHashTable *members;
-    struct holder holder;
+    struct outbox outbox;
     int64_t config_version;
     int64_t after;
     int64_t backoff_ms;
     bool listed;
     bool members_changed;
-    bool holder_changed;
 };
 
 /**
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -32,7 +32,7 @@
     struct feed *feed =
         (struct feed *)((char *)port - offsetof(struct feed, registry_port));
 
-    feed->port->ops->change(feed->port, change);
+    outbox_change(&feed->outbox, change);
 }
 
 static const struct registry_port_ops registry_ops = {registry_changed};
@@ -57,7 +57,7 @@
         return;
     }
     feed->config_version = config->version;
-    feed->port->ops->config(feed->port, config);
+    outbox_config(&feed->outbox, config);
 }
 
 static void
@@ -101,10 +101,13 @@
 static void
 put_holder(struct feed *feed, const struct store_item *item)
 {
-    g_strlcpy(feed->holder.name, item->value != NULL ? item->value : "",
-              sizeof(feed->holder.name));
-    feed->holder.fence = item->value != NULL ? item->created : 0;
-    feed->holder_changed = true;
+    struct holder holder = {.fence = 0};
+
+    if (item->value != NULL) {
+        g_strlcpy(holder.name, item->value, sizeof(holder.name));
+        holder.fence = item->created;
+    }
+    outbox_holder(&feed->outbox, &holder);
 }
 
 static void
@@ -158,7 +161,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         g_array_append_vals(members, value, 1);
     }
-    feed->port->ops->members(feed->port, members);
+    outbox_members(&feed->outbox, members);
 }
 
 static void
@@ -168,9 +171,11 @@
         feed->members_changed = false;
         tell_members(feed);
     }
-    if (feed->holder_changed) {
-        feed->holder_changed = false;
-        feed->port->ops->holder(feed->port, &feed->holder);
+    if (!outbox_offer(&feed->outbox, feed->port)) {
+        log_line(LOG_PRI_WARNING, "feed",
+                 "event=news_kept version=%" G_GINT64_FORMAT " targets=%u",
+                 (gint64)feed->config_version,
+                 g_hash_table_size(feed->outbox.changes));
     }
 }
 
@@ -203,11 +208,12 @@
 static void
 apply_pages(struct feed *feed, GArray *pages, int64_t now_ms)
 {
+    const struct holder nobody = {.fence = 0};
+
     registry_list_begin(&feed->registry);
     g_hash_table_remove_all(feed->members);
-    memset(&feed->holder, 0, sizeof(feed->holder));
+    outbox_holder(&feed->outbox, &nobody);
     feed->members_changed = true;
-    feed->holder_changed = true;
     for (guint p = 0; p < pages->len; p++) {
         struct store_items *page =
             &g_array_index(pages, struct store_items, p);
@@ -236,7 +242,7 @@
                  g_hash_table_size(feed->members));
         if (!feed->listed) {
             feed->listed = true;
-            feed->port->ops->listed(feed->port);
+            feed->outbox.listed = true;
         }
     }
     for (guint i = 0; i < pages->len; i++) {
@@ -361,6 +367,7 @@
     feed->port = port;
     feed->registry_port.ops = &registry_ops;
     registry_init(&feed->registry, &feed->registry_port);
+    outbox_init(&feed->outbox);
     feed->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return ring_init(&feed->wait, 1, sizeof(int), err);
@@ -374,6 +381,7 @@
 feed_clear(struct feed *feed)
 {
     registry_clear(&feed->registry);
+    outbox_clear(&feed->outbox);
     g_hash_table_destroy(feed->members);
     ring_free(&feed->wait);
 }
--- a/src/gate/follow/fns.h
+++ b/src/gate/follow/fns.h
@@ -11,6 +11,15 @@
 bool member_parse(const char *bytes, size_t count, struct gate_member *member,
                   struct err *err);
 
+/* outbox.c */
+void outbox_init(struct outbox *outbox);
+void outbox_clear(struct outbox *outbox);
+void outbox_config(struct outbox *outbox, struct gate_config *config);
+void outbox_change(struct outbox *outbox, const struct target_change *change);
+void outbox_members(struct outbox *outbox, GArray *members);
+void outbox_holder(struct outbox *outbox, const struct holder *holder);
+bool outbox_offer(struct outbox *outbox, struct feed_port *port);
+
 /* feed.c */
 bool feed_init(struct feed *feed, struct store *store,
                const struct gate_decode_ops *decode, struct feed_port *port,
@@ -23,7 +32,7 @@
                  const struct gate_settings *settings, struct term *term,
                  struct err *err);
 void tenure_clear(struct tenure *tenure);
-void tenure_post_holder(struct tenure *tenure, const struct holder *holder);
+bool tenure_post_holder(struct tenure *tenure, const struct holder *holder);
 void tenure_post_leave(struct tenure *tenure);
 void tenure_learn(struct tenure *tenure, const struct holder *holder,
                   int64_t boot_ms);
--- a/src/gate/follow/tenure.c
+++ b/src/gate/follow/tenure.c
@@ -19,9 +19,11 @@
 #include "gate/follow/fns.h"
 
 enum {
-    LEASE_MS = 3000,      /* a dead holder is replaced within it */
-    RENEW_MS = 900,       /* two renewals may be lost */
-    TERM_MARGIN_MS = 600, /* an order on its way arrives before the end */
+    LEASE_MS = 3000, /* a dead holder is replaced within it */
+    RENEW_MS = 900,  /* two renewals may be lost */
+    /* An order that is sent at the end of the term arrives, or its call has
+     * failed, before the lease can end; the rest is for the store's clock. */
+    TERM_MARGIN_MS = ORDER_CALL_MS + 200,
     RETRY_MS = 300,
     /* Instances try one after the other, so that most find it taken. */
     STAGGER_MS = 120,
@@ -356,7 +358,7 @@
     ring_free(&tenure->ring);
 }
 
-static void
+static bool
 post(struct tenure *tenure, const struct tenure_message *message)
 {
     struct err err = {0};
@@ -365,20 +367,24 @@
         refusal_add(err.kind);
         log_line(LOG_PRI_ERR, "tenure", "event=news_lost reason=\"%s\"",
                  err.text);
+        return false;
     }
+    return true;
 }
 
 /**
  * tenure_post_holder() - the store tells who may order engines
  * @tenure: the duty
  * @holder: copied
+ *
+ * Return: false when the ring is full.
  */
-void
+bool
 tenure_post_holder(struct tenure *tenure, const struct holder *holder)
 {
     struct tenure_message message = {.holder = *holder};
 
-    post(tenure, &message);
+    return post(tenure, &message);
 }
 
 /**
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -49,9 +49,9 @@
                      struct term *term, struct gate_engine *engines[],
                      struct place_gate_port *port, struct err *err);
 void place_gate_clear(struct place_gate *place);
-void place_gate_post_config(struct place_gate *place,
+bool place_gate_post_config(struct place_gate *place,
                             struct gate_config *config);
-void place_gate_post_change(struct place_gate *place,
+bool place_gate_post_change(struct place_gate *place,
                             const struct target_change *change);
 void place_gate_post_activity(struct place_gate *place,
                               struct activity *activity);
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -21,6 +21,9 @@
 
 enum {
     PLACE_RING = 4096,
+    /* Left to workers, whose results must not be lost, and to posts that meet
+     * between the count and the push. */
+    DONE_ROOM = 64,
     STEP_MS = 50, /* loads from memory take some hundred ms */
     IDLE_MS = 1000,
     WORK_RING = 256,
@@ -199,8 +202,11 @@
 {
     struct place_message message = {.kind = kind, .data = data};
     struct err err = {0};
+    bool room =
+        ring_count(&place->ring) < PLACE_RING - DONE_ROOM ||
+        err_set(&err, ERR_RING_FULL, "ring holds %d messages", PLACE_RING);
 
-    if (!ring_push(&place->ring, &message, &err)) {
+    if (!room || !ring_push(&place->ring, &message, &err)) {
         refusal_add(err.kind);
         log_line(LOG_PRI_ERR, "place", "event=news_lost kind=%d reason=\"%s\"",
                  kind, err.text);
@@ -212,30 +218,39 @@
 /**
  * place_gate_post_config() - a configuration is in force
  * @place: the duty
- * @config: one reference is taken over
+ * @config: a reference is taken
+ *
+ * Return: false when the ring is full.
  */
-void
+bool
 place_gate_post_config(struct place_gate *place, struct gate_config *config)
 {
-    if (!post(place, PLACE_CONFIG, config)) {
+    bool posted = post(place, PLACE_CONFIG, gate_config_ref(config));
+
+    if (!posted) {
         gate_config_unref(config);
     }
+    return posted;
 }
 
 /**
  * place_gate_post_change() - the list of targets has changed
  * @place: the duty
  * @change: copied
+ *
+ * Return: false when the ring is full.
  */
-void
+bool
 place_gate_post_change(struct place_gate *place,
                        const struct target_change *change)
 {
     struct target_change *copy = g_memdup2(change, sizeof(*change));
+    bool posted = post(place, PLACE_CHANGE, copy);
 
-    if (!post(place, PLACE_CHANGE, copy)) {
+    if (!posted) {
         g_free(copy);
     }
+    return posted;
 }
 
 /**
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -36,28 +36,28 @@
     return ((struct gate_feed_port *)port)->gate;
 }
 
-static void
+static bool
 feed_config(struct feed_port *port, struct gate_config *config)
 {
     struct gate *gate = feed_gate(port);
 
-    place_gate_post_config(&gate->place, gate_config_ref(config));
-    relay_post_config(gate->relay, config);
+    return place_gate_post_config(&gate->place, config) &&
+           relay_post_config(gate->relay, config);
 }
 
-static void
+static bool
 feed_change(struct feed_port *port, const struct target_change *change)
 {
     struct gate *gate = feed_gate(port);
 
-    place_gate_post_change(&gate->place, change);
-    relay_post_change(gate->relay, change);
+    return place_gate_post_change(&gate->place, change) &&
+           relay_post_change(gate->relay, change);
 }
 
-static void
+static bool
 feed_listed(struct feed_port *port)
 {
-    relay_post_listed(feed_gate(port)->relay);
+    return relay_post_listed(feed_gate(port)->relay);
 }
 
 static void
@@ -73,8 +73,8 @@
     }
 }
 
-static void
-feed_members(struct feed_port *port, GArray *members)
+static bool
+feed_members(struct feed_port *port, const GArray *members)
 {
     struct gate *gate = feed_gate(port);
 
@@ -83,16 +83,16 @@
                   gate->settings->limits.grace_ms, clock_now_ms());
     set_addresses(gate, members);
     pthread_mutex_unlock(&gate->peers_lock);
-    relay_post_members(gate->relay, members);
+    return relay_post_members(gate->relay, members);
 }
 
-static void
+static bool
 feed_holder(struct feed_port *port, const struct holder *holder)
 {
     log_line(LOG_PRI_INFO, "gate",
              "event=holder name=%s fence=%" G_GINT64_FORMAT, holder->name,
              (gint64)holder->fence);
-    tenure_post_holder(&feed_gate(port)->tenure, holder);
+    return tenure_post_holder(&feed_gate(port)->tenure, holder);
 }
 
 static const struct feed_port_ops feed_ops = {
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -334,7 +334,7 @@
     }
     if (exchange->sends > 0 &&
         !repeats_take(budget_of(relay, exchange), &relay->settings->limits,
-                      relay_instances(relay), now_ms)) {
+                      relay_instances(relay, now_ms), now_ms)) {
         refuse(relay, exchange, ERR_RETRY_BUDGET, BUDGET_RETRY_MS, now_ms);
         return false;
     }
--- a/src/gate/relay/fns.h
+++ b/src/gate/relay/fns.h
@@ -12,14 +12,14 @@
 int relay_lookup_port(const struct relay *relay);
 
 /* post.c; safe from any thread. */
-void relay_post_config(struct relay *relay, struct gate_config *config);
-void relay_post_change(struct relay *relay,
+bool relay_post_config(struct relay *relay, struct gate_config *config);
+bool relay_post_change(struct relay *relay,
                        const struct target_change *change);
-void relay_post_listed(struct relay *relay);
+bool relay_post_listed(struct relay *relay);
 void relay_post_holdings(struct relay *relay, struct holdings *holdings);
 void relay_post_outlook(struct relay *relay, struct outlook *outlook);
 void relay_post_activity(struct relay *relay, struct activity *activity);
-void relay_post_members(struct relay *relay, GArray *members);
+bool relay_post_members(struct relay *relay, const GArray *members);
 void relay_post_leave(struct relay *relay);
 
 /* activity.c */
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -224,7 +224,6 @@
     RELAY_ACTIVITY,
     RELAY_OUTLOOK,
     RELAY_MEMBERS,
-    RELAY_LEAVE,
 };
 
 /* The receiver owns @data. */
@@ -255,6 +254,7 @@
     int epoll_fd;
     int wake_fd;
     atomic_bool stopping;
+    atomic_bool leave_asked;
     struct ring ring;
     struct heap timers;
     int listeners[LISTENERS];
@@ -274,6 +274,7 @@
     struct gate_config *config;
     bool listed;
     GArray *members;
+    struct sharers sharers;
     bool leaving;
     int64_t leave_ms;
     int64_t note_ms;
@@ -286,7 +287,7 @@
 uint64_t relay_random(struct relay *relay);
 bool relay_watch(struct relay *relay, int operation, int fd, uint32_t events,
                  enum watch_kind kind, struct handle handle);
-int relay_instances(const struct relay *relay);
+int relay_instances(struct relay *relay, int64_t now_ms);
 void relay_wake(struct relay *relay);
 
 /* head.c */
--- a/src/gate/relay/post.c
+++ b/src/gate/relay/post.c
@@ -35,39 +35,50 @@
 /**
  * relay_post_config() - a configuration was read
  * @relay: the relay
- * @config: one reference is taken over
+ * @config: a reference is taken
+ *
+ * Return: false when the ring is full.
  */
-void
+bool
 relay_post_config(struct relay *relay, struct gate_config *config)
 {
-    if (!post(relay, RELAY_CONFIG, config)) {
+    bool posted = post(relay, RELAY_CONFIG, gate_config_ref(config));
+
+    if (!posted) {
         gate_config_unref(config);
     }
+    return posted;
 }
 
 /**
  * relay_post_change() - the list of targets has changed
  * @relay: the relay
  * @change: copied
+ *
+ * Return: false when the ring is full.
  */
-void
+bool
 relay_post_change(struct relay *relay, const struct target_change *change)
 {
     struct target_change *copy = g_memdup2(change, sizeof(*change));
+    bool posted = post(relay, RELAY_CHANGE, copy);
 
-    if (!post(relay, RELAY_CHANGE, copy)) {
+    if (!posted) {
         g_free(copy);
     }
+    return posted;
 }
 
 /**
  * relay_post_listed() - the list of targets was read once
  * @relay: the relay
+ *
+ * Return: false when the ring is full.
  */
-void
+bool
 relay_post_listed(struct relay *relay)
 {
-    post(relay, RELAY_LISTED, NULL);
+    return post(relay, RELAY_LISTED, NULL);
 }
 
 /**
@@ -112,14 +123,23 @@
 /**
  * relay_post_members() - the instances that take requests
  * @relay: the relay
- * @members: struct gate_member; taken over
+ * @members: struct gate_member; copied
+ *
+ * Return: false when the ring is full.
  */
-void
-relay_post_members(struct relay *relay, GArray *members)
+bool
+relay_post_members(struct relay *relay, const GArray *members)
 {
-    if (!post(relay, RELAY_MEMBERS, members)) {
-        g_array_free(members, TRUE);
+    GArray *copy = g_array_sized_new(FALSE, FALSE, sizeof(struct gate_member),
+                                     members->len);
+    bool posted;
+
+    g_array_append_vals(copy, members->data, members->len);
+    posted = post(relay, RELAY_MEMBERS, copy);
+    if (!posted) {
+        g_array_free(copy, TRUE);
     }
+    return posted;
 }
 
 /**
@@ -129,5 +149,6 @@
 void
 relay_post_leave(struct relay *relay)
 {
-    post(relay, RELAY_LEAVE, NULL);
+    atomic_store(&relay->leave_asked, true);
+    relay_wake(relay);
 }
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -72,14 +72,24 @@
     return true;
 }
 
-/* Instances that share what the deployment allows; never less than those
- * that were heard or listed. */
-int
-relay_instances(const struct relay *relay)
+static void
+count_instances(struct relay *relay, int64_t now_ms)
 {
     int heard = (int)g_hash_table_size(relay->loads) + 1;
 
-    return MAX(heard, (int)relay->members->len);
+    if (relay->listed || heard > 1) {
+        sharers_count(&relay->sharers, MAX(heard, (int)relay->members->len),
+                      relay->settings->limits.retry_window_ms, now_ms);
+    }
+}
+
+/* Instances that share what the deployment allows; 0 while none is known. */
+int
+relay_instances(struct relay *relay, int64_t now_ms)
+{
+    count_instances(relay, now_ms);
+    return sharers_most(&relay->sharers,
+                        relay->settings->limits.retry_window_ms, now_ms);
 }
 
 static void
@@ -108,8 +118,9 @@
 }
 
 static void
-take_members(struct relay *relay, GArray *members)
+take_members(struct relay *relay, GArray *members, int64_t now_ms)
 {
+    count_instances(relay, now_ms);
     g_array_free(relay->members, TRUE);
     relay->members = members;
 }
@@ -152,10 +163,7 @@
         outlook_free(message->data);
         break;
     case RELAY_MEMBERS:
-        take_members(relay, message->data);
-        break;
-    case RELAY_LEAVE:
-        take_leave(relay, now_ms);
+        take_members(relay, message->data, now_ms);
         break;
     }
 }
@@ -173,6 +181,9 @@
     while (ring_pop(&relay->ring, &message, 0) == RING_OK) {
         take_message(relay, &message, now_ms);
     }
+    if (atomic_load(&relay->leave_asked)) {
+        take_leave(relay, now_ms);
+    }
 }
 
 static void
--- a/src/gate/relay/reply.c
+++ b/src/gate/relay/reply.c
@@ -128,14 +128,23 @@
 
 /* A proven refusal may lack the attempt when the target could not read it. */
 static bool
-is_ours(const struct upstream *upstream, const struct exchange *exchange)
+is_unnamed_refusal(const struct upstream *upstream)
 {
     const struct answer_facts *facts = &upstream->facts;
 
-    if (facts->attempt[0] != '\0') {
-        return strcmp(facts->attempt, exchange->facts.attempt) == 0;
+    return facts->attempt[0] == '\0' &&
+           (facts->not_run || upstream->parser.status_code == 421);
+}
+
+/* On a connection that has carried another request, a refusal without an
+ * attempt may be a late answer to that one. */
+static bool
+is_ours(const struct upstream *upstream, const struct exchange *exchange)
+{
+    if (is_unnamed_refusal(upstream)) {
+        return upstream->used <= 1;
     }
-    return facts->not_run || upstream->parser.status_code == 421;
+    return strcmp(upstream->facts.attempt, exchange->facts.attempt) == 0;
 }
 
 /* Returns false when the connection is gone. */
@@ -158,6 +167,10 @@
                  "event=other_answer id=%s answers=%s status=%d",
                  exchange->facts.attempt, upstream->facts.attempt,
                  (int)upstream->parser.status_code);
+        if (is_unnamed_refusal(upstream)) {
+            upstream_broken(relay, upstream, "unnamed_refusal", now_ms);
+            return false;
+        }
         upstream->other = true;
         return true;
     }
--- a/test/memstore.c
+++ b/test/memstore.c
@@ -100,6 +100,18 @@
     g_hash_table_remove(memory->leases, &lease);
 }
 
+/* Time until a key ends with its lease; 0 when there is no such key. */
+int64_t
+memstore_left_ms(struct memstore *memory, const char *key)
+{
+    struct memitem *item = find(memory, key);
+    struct memlease *lease =
+        item != NULL ? g_hash_table_lookup(memory->leases, &item->lease)
+                     : NULL;
+
+    return lease != NULL ? lease->ends_ms - memory->now_ms : 0;
+}
+
 /* Moves the store's clock; leases that are not renewed end. */
 void
 memstore_tick(struct memstore *memory, int64_t now_ms)
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -30,6 +30,7 @@
 void memstore_put(struct memstore *memory, const char *key, const char *value,
                   int64_t lease);
 void memstore_delete(struct memstore *memory, const char *key);
+int64_t memstore_left_ms(struct memstore *memory, const char *key);
 void memstore_tick(struct memstore *memory, int64_t now_ms);
 
 #endif
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -567,6 +567,52 @@
     bench_stop(&bench);
 }
 
+/* Guards against a refusal without an attempt's id that comes late, on a kept
+ * connection, and is taken for the answer to the next request. */
+struct second_case {
+    const char *name;
+    const char *path;
+    const char *answers[SCRIPT_ANSWERS_MAX];
+    const char *begins;
+    int arrivals;
+};
+
+#define UNNAMED(status)                                                       \
+    "HTTP/1.1 " status " No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+static const struct second_case second_cases[] = {
+    {"busy_once", "/once/2", {OK, UNNAMED("503")}, "HTTP/1.1 502", 2},
+    {"moved_once", "/once/2", {OK, UNNAMED("421")}, "HTTP/1.1 502", 2},
+    {"busy_safe", "/safe/2", {OK, UNNAMED("503"), OK}, "HTTP/1.1 200", 3},
+};
+
+static void
+test_second(gconstpointer data)
+{
+    const struct second_case *c = data;
+    struct bench bench;
+    char *request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n"
+                                    "Attempt-Id: a-2\r\n"
+                                    "Connection: close\r\n\r\n",
+                                    c->path);
+    char *answer;
+    int fd;
+
+    bench_start(&bench, c->answers, 1);
+    fd = dial(relay_front_port(bench.relay));
+    send_text(fd,
+              "GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\n\r\n");
+    expect_answer(fd, "done");
+    send_text(fd, request);
+    answer = read_all(fd);
+    g_assert_true(g_str_has_prefix(answer, c->begins));
+    g_assert_cmpint(script_arrivals(&bench.script), ==, c->arrivals);
+    close(fd);
+    g_free(answer);
+    g_free(request);
+    bench_stop(&bench);
+}
+
 /* Guards against work for a caller that has left. */
 static void
 test_caller_leaves(void)
@@ -705,6 +751,7 @@
         CASES("/relay/answer", relay_cases, test_relay),
         CASES("/relay/passed", passed_cases, test_passed),
         CASES("/relay/reuse", reuse_cases, test_reuse),
+        CASES("/relay/second", second_cases, test_second),
         CASES("/relay/leave", leave_cases, test_leave),
         CASES("/relay/local", local_cases, test_local),
     };
