Wait for an engine with a copy, and load as many as the weight store carries

Choice moves to choice.c. Pauses between events are counted by target, told in the notes and weighed in the choice, as targets differ in speed and one that runs two models does the steps of both.

Ruled out: crowding.

Tests: plan_test engine_with_a_copy_is_waited_for, copy_beats_a_load_under_way, engine_with_a_copy_is_busy_for_long and slowed_loads_are_fewer (three seen to fail without the change, the third guards the limit of the first); choose_test slow_streams, pace.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -15,6 +15,18 @@
     int row;
 };
 
+/**
+ * struct target_pace - pauses between the events of a target's streams
+ * @pause_ms: their sum, decaying
+ * @pauses: their number, decaying
+ * @learnt_ms: when they were last added to
+ */
+struct target_pace {
+    double pause_ms;
+    double pauses;
+    int64_t learnt_ms;
+};
+
 /**
  * struct choose_target - a target with what is known of its load
  * @info: as it describes itself
@@ -28,6 +40,7 @@
     int elsewhere;
     bool missing;
     struct target_health health;
+    struct target_pace pace;
 };
 
 /**
@@ -36,6 +49,7 @@
  * @zone: where this instance is
  * @model: quark; 0 for a plain service
  * @adapter: quark; 0 for none
+ * @gap_ms: longest pause between events that is on time; 0 for no stream
  * @affinity: requests with the same number share a prompt; 0 for none
  * @tried: ids of targets not to be used again, as hashes
  */
@@ -44,6 +58,7 @@
     const char *zone;
     uint32_t model;
     uint32_t adapter;
+    int64_t gap_ms;
     uint64_t affinity;
     uint64_t tried[TRIED_MAX];
     int tried_count;
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -23,6 +23,11 @@
                   const struct gate_limits *limits, int instances,
                   int64_t now_ms);
 
+/* pace.c */
+void pace_learn(struct target_pace *pace, int pauses, int64_t pause_ms,
+                int64_t now_ms);
+double pace_ms(const struct target_pace *pace, int64_t now_ms);
+
 /* sharers.c */
 void sharers_count(struct sharers *sharers, int count, int64_t window_ms,
                    int64_t now_ms);
--- a/src/gate/choose/pick.c
+++ b/src/gate/choose/pick.c
@@ -21,6 +21,10 @@
 /* Reading a shared prompt again takes as long as the steps of two requests. */
 static const double AFFINITY_COST = 0.0625;
 
+/* A target whose usual pause is the longest that is on time is worth avoiding
+ * like one that is full. */
+static const double PACE_COST = 1.0;
+
 /* A target that fails each request is worse than one twice full. */
 static const double FAILURE_COST = 3.0;
 static const double MISSING_COST = 2.0;
@@ -81,6 +85,10 @@
 
         cost += AFFINITY_COST * ((double)(rank >> 11) / (double)(1ULL << 53));
     }
+    if (need->gap_ms > 0) {
+        cost +=
+            PACE_COST * pace_ms(&target->pace, now_ms) / (double)need->gap_ms;
+    }
     if (target->missing) {
         cost += MISSING_COST;
     }
--- a/src/gate/news/wire.c
+++ b/src/gate/news/wire.c
@@ -34,6 +34,8 @@
     turmeric__gate_target__init(out);
     out->id = target->target;
     out->running = (uint32_t)target->running;
+    out->pauses = (uint32_t)target->pauses;
+    out->pause_ms = (uint32_t)target->pause_ms;
 }
 
 /**
@@ -144,6 +146,8 @@
     for (size_t i = 0; i < body->n_targets; i++) {
         activity->targets[i].target = body->targets[i]->id;
         activity->targets[i].running = (int)body->targets[i]->running;
+        activity->targets[i].pauses = (int)body->targets[i]->pauses;
+        activity->targets[i].pause_ms = body->targets[i]->pause_ms;
     }
     activity->target_count = (int)body->n_targets;
     return activity;
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -4,7 +4,7 @@
 /**
  * struct plan_settings - how models are placed
  * @store_loads_max: loads from the weight store at the same time; more make
- *                   each other slower
+ *                   each other slower, as was seen or is supposed
  */
 struct plan_settings {
     int store_loads_max;
@@ -14,6 +14,8 @@
  * struct plan_engine - an engine as the holder of orders sees it
  * @loading: item that is being loaded; 0 for none
  * @loading_store: it comes from the weight store
+ * @load_start_ms: since when
+ * @load_beside: most loads from the weight store at one time since then
  * @unloading: item that is being unloaded; 0 for none
  * @unload_idle: no request runs there with @unloading, so it goes at once
  * @done_ms: when the order that runs should be done
@@ -33,6 +35,8 @@
     bool missing;
     uint32_t loading;
     bool loading_store;
+    int64_t load_start_ms;
+    int load_beside;
     uint32_t unloading;
     bool unload_idle;
     int64_t done_ms;
@@ -96,6 +100,27 @@
     const char *reason;
 };
 
+/**
+ * enum choice_source - where an item may be loaded from
+ * @SOURCE_ANY: the weight store, too
+ * @SOURCE_NEAR: the engine's own memory or disk only
+ */
+enum choice_source { SOURCE_ANY, SOURCE_NEAR };
+
+/**
+ * struct choice - an engine for an item
+ * @engine: NULL for none
+ * @victim: what it has to unload first; 0 for nothing
+ * @from_store: the weight store is asked
+ * @cost: milliseconds until the item can be used, and more for a busy engine
+ */
+struct choice {
+    struct plan_engine *engine;
+    uint32_t victim;
+    bool from_store;
+    double cost;
+};
+
 /**
  * struct work - a step on its way to a worker and back
  * @fence: fencing number of the order
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -87,11 +87,7 @@
     engine->loading_store = from_store;
     engine->done_ms = now_ms + load_ms;
     if (from_store) {
-        int place = plan->load_starts % (int)G_N_ELEMENTS(plan->load_start_ms);
-
-        plan->load_start_ms[place] = now_ms;
-        plan->load_starts =
-            MIN(plan->load_starts + 1, (int)G_N_ELEMENTS(plan->load_start_ms));
+        loads_began(plan, engine, now_ms);
     }
     engine->report_ms = engine->done_ms + REPORT_LAG_MS;
     engine->assume_ms = from_store ? 0 : engine->done_ms + ASSUME_MS;
@@ -229,8 +225,21 @@
     return changed ? holdings_of(engine) : NULL;
 }
 
+/* A load that has failed tells nothing. */
+static void
+store_load_ended(struct plan *plan, const struct plan_engine *engine,
+                 const struct target_info *info, int64_t now_ms)
+{
+    const struct gate_model *model = plan_model(plan, engine, engine->loading);
+
+    if (model != NULL && items_have(&info->held, engine->loading)) {
+        loads_ended(plan, engine, model->load_ms, now_ms);
+    }
+}
+
 static struct holdings *
-reported(struct plan_engine *engine, const struct work *work, int64_t now_ms)
+reported(struct plan *plan, struct plan_engine *engine,
+         const struct work *work, int64_t now_ms)
 {
     const struct target_info *info = &work->info;
 
@@ -256,6 +265,9 @@
         engine->unsure = engine->loading == 0 && engine->unloading == 0;
     }
     else {
+        if (engine->loading != 0 && engine->loading_store) {
+            store_load_ended(plan, engine, info, now_ms);
+        }
         engine->unsure = false;
         engine->loading = 0;
     }
@@ -287,6 +299,6 @@
     if (engine == NULL) {
         return NULL;
     }
-    return work->step.report ? reported(engine, work, now_ms)
+    return work->step.report ? reported(plan, engine, work, now_ms)
                              : ordered(plan, engine, work, now_ms);
 }
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -32,6 +32,21 @@
 int64_t room_load_ms(const struct plan *plan, const struct plan_engine *engine,
                      uint32_t item, bool *from_store);
 
+/* loads.c */
+void loads_init(struct plan *plan);
+void loads_began(struct plan *plan, struct plan_engine *engine,
+                 int64_t now_ms);
+void loads_ended(struct plan *plan, const struct plan_engine *engine,
+                 int64_t load_ms, int64_t now_ms);
+
+/* choice.c */
+int choice_store_loads(const struct plan *plan);
+bool choice_suits(struct plan *plan, const struct plan_engine *engine,
+                  uint32_t item, int64_t now_ms);
+struct choice choice_make(struct plan *plan, uint32_t item,
+                          enum choice_source source, int64_t idle_ms,
+                          int64_t now_ms);
+
 /* step.c */
 bool plan_next(struct plan *plan, int64_t now_ms, struct plan_step *step);
 
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -16,10 +16,6 @@
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
 
-/* More loads from the weight store at once make each other slower. The
- * configuration doesn't name the number; this is the deployments' own. */
-enum { STORE_LOADS_MAX = 4 };
-
 static void
 free_activity(void *activity)
 {
@@ -34,7 +30,7 @@
 plan_init(struct plan *plan)
 {
     memset(plan, 0, sizeof(*plan));
-    plan->settings.store_loads_max = STORE_LOADS_MAX;
+    loads_init(plan);
     plan->engines =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     plan->items = g_hash_table_new_full(NULL, NULL, NULL, g_free);
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -26,66 +26,14 @@
     RESERVE_MS = 3000,      /* runs at the item that makes way end by then */
     LATE_MS = 600,          /* an engine in doubt is looked at again */
     DOUBT_MS = 400,         /* requests wait for what should be there */
-    LOADS_WINDOW_MS = 1000, /* the weight store's limit is for a second */
     /* Requests beyond this part of its places make an engine slow. */
     BUSY_PERCENT = 60,
     CROWDED_PERCENT = 65,
 };
 
-/* A swap on an engine with a copy beats one from the store by far, and a busy
- * engine is worth avoiding only between equals. */
-static const double RUNNING_COST_MS = 30.0;
-static const double VICTIM_COST_MS = 150.0;
-
 /* A third of a request that is expected or was refused lately. */
 static const double DEMAND_MIN = 0.3;
 
-static bool
-is_free(const struct plan_engine *engine, uint32_t item, int64_t now_ms)
-{
-    bool unloading = engine->unloading != 0 &&
-                     (item_is_adapter(item) || !engine->unload_idle);
-
-    return !engine->info.leaving && !engine->missing && !engine->ordering &&
-           !engine->unsure && engine->loading == 0 && !unloading &&
-           now_ms >= engine->retry_ms && engine->info.sequence >= 0;
-}
-
-static int
-store_loads(const struct plan *plan)
-{
-    GHashTableIter iter;
-    void *value;
-    int count = 0;
-
-    g_hash_table_iter_init(&iter, plan->engines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct plan_engine *engine = value;
-
-        bool from_store = engine->loading != 0 && engine->loading_store;
-
-        if (engine->ordered != 0) {
-            room_load_ms(plan, engine, engine->ordered, &from_store);
-        }
-        count += from_store ? 1 : 0;
-    }
-    return count;
-}
-
-static bool
-may_load_from_store(const struct plan *plan, const struct plan_engine *engine,
-                    int64_t now_ms)
-{
-    const struct gate_service *service = plan_service(plan, engine);
-    int recent = 0;
-
-    for (int i = 0; i < plan->load_starts; i++) {
-        recent += now_ms - plan->load_start_ms[i] < LOADS_WINDOW_MS ? 1 : 0;
-    }
-    return store_loads(plan) < plan->settings.store_loads_max &&
-           recent + 1 <= service->loads_per_s;
-}
-
 static void
 fill(struct plan_step *step, const struct plan_engine *engine,
      enum order_action action, uint32_t item, const char *reason)
@@ -121,15 +69,19 @@
     return false;
 }
 
-/* Engines that hold an item, are loading it or make room for it. */
+/* How an item is on its way to some engine. */
+enum coming { COMING_NOT, COMING_FROM_STORE, COMING_SOON };
+
+/* Engines that hold an item, and whether one is loading it or makes room for
+ * it. */
 static int
-holders(struct plan *plan, uint32_t item, bool *coming, int *busy)
+holders(struct plan *plan, uint32_t item, enum coming *coming, int *busy)
 {
     GHashTableIter iter;
     void *value;
     int count = 0;
 
-    *coming = false;
+    *coming = COMING_NOT;
     *busy = 0;
     g_hash_table_iter_init(&iter, plan->engines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -139,9 +91,12 @@
         if (engine->info.leaving || engine->missing) {
             continue;
         }
-        if (engine->loading == item || engine->reserved == item ||
-            engine->ordered == item) {
-            *coming = true;
+        if (engine->loading == item && engine->loading_store) {
+            *coming = MAX(*coming, COMING_FROM_STORE);
+        }
+        else if (engine->loading == item || engine->reserved == item ||
+                 engine->ordered == item) {
+            *coming = COMING_SOON;
         }
         else if (items_have(&engine->info.held, item) &&
                  engine->unloading != item) {
@@ -152,71 +107,12 @@
     return count;
 }
 
-struct choice {
-    struct plan_engine *engine;
-    uint32_t victim;
-    double cost;
-};
-
-static bool
-suits(struct plan *plan, struct plan_engine *engine, uint32_t item,
-      int64_t now_ms)
-{
-    const struct gate_service *service = plan_service(plan, engine);
-
-    if (service == NULL || !is_free(engine, item, now_ms) ||
-        plan_model(plan, engine, item) == NULL ||
-        items_have(&engine->info.held, item) ||
-        (engine->reserved != 0 && engine->reserved != item &&
-         now_ms < engine->reserved_until_ms)) {
-        return false;
-    }
-    return !item_is_adapter(item) ||
-           items_have(&engine->info.held, item_model(item));
-}
-
-/* The engine on which an item can be used soonest. */
-static struct choice
-choose(struct plan *plan, uint32_t item, int64_t idle_ms, int64_t now_ms)
-{
-    struct choice best = {0};
-    GHashTableIter iter;
-    void *value;
-
-    g_hash_table_iter_init(&iter, plan->engines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct choice choice = {.engine = value};
-        bool from_store;
-
-        if (!suits(plan, choice.engine, item, now_ms)) {
-            continue;
-        }
-        choice.cost =
-            (double)room_load_ms(plan, choice.engine, item, &from_store) +
-            RUNNING_COST_MS * choice.engine->running;
-        if (from_store && !may_load_from_store(plan, choice.engine, now_ms)) {
-            continue;
-        }
-        if (!room_for(plan, choice.engine, item)) {
-            choice.victim =
-                room_victim(plan, choice.engine, item, idle_ms, now_ms);
-            choice.cost += VICTIM_COST_MS;
-            if (choice.victim == 0) {
-                continue;
-            }
-        }
-        if (best.engine == NULL || choice.cost < best.cost) {
-            best = choice;
-        }
-    }
-    return best;
-}
-
 static bool
-order_for(struct plan *plan, uint32_t item, int64_t idle_ms,
-          const char *reason, int64_t now_ms, struct plan_step *step)
+order_for(struct plan *plan, uint32_t item, enum choice_source source,
+          int64_t idle_ms, const char *reason, int64_t now_ms,
+          struct plan_step *step)
 {
-    struct choice choice = choose(plan, item, idle_ms, now_ms);
+    struct choice choice = choice_make(plan, item, source, idle_ms, now_ms);
     struct plan_engine *engine = choice.engine;
 
     if (engine == NULL) {
@@ -251,7 +147,7 @@
             engine->reserved = 0;
             continue;
         }
-        if (!suits(plan, engine, item, now_ms)) {
+        if (!choice_suits(plan, engine, item, now_ms)) {
             continue;
         }
         if (room_for(plan, engine, item)) {
@@ -395,11 +291,11 @@
 {
     uint32_t item = wanted->item;
     uint32_t model = item_model(item);
-    bool coming;
+    enum coming coming;
     int busy;
     int count = holders(plan, item, &coming, &busy);
 
-    if (coming) {
+    if (coming == COMING_SOON) {
         return false;
     }
     if (count > busy && wanted->waiting == 0) {
@@ -409,13 +305,17 @@
         doubt_holders(plan, wanted, now_ms);
         return false;
     }
-    if (order_for(plan, item, VICTIM_IDLE_MS, "wanted", now_ms, step)) {
+    if (order_for(plan, item,
+                  coming == COMING_FROM_STORE ? SOURCE_NEAR : SOURCE_ANY,
+                  VICTIM_IDLE_MS, "wanted", now_ms, step)) {
         return true;
     }
-    if (model == item || holders(plan, model, &coming, &busy) > 0 || coming) {
+    if (model == item || holders(plan, model, &coming, &busy) > 0 ||
+        coming != COMING_NOT) {
         return false;
     }
-    return order_for(plan, model, VICTIM_IDLE_MS, "wanted_base", now_ms, step);
+    return order_for(plan, model, SOURCE_ANY, VICTIM_IDLE_MS, "wanted_base",
+                     now_ms, step);
 }
 
 static bool
@@ -452,7 +352,7 @@
     g_hash_table_iter_init(&iter, plan->items);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct plan_item *item = value;
-        bool coming;
+        enum coming coming;
         int busy;
         int count;
 
@@ -464,10 +364,11 @@
         for (int s = 0; s < plan->config->service_count; s++) {
             const struct gate_service *service = &plan->config->services[s];
 
-            if (!coming && gate_service_model(service, item->item) != NULL &&
+            if (coming == COMING_NOT &&
+                gate_service_model(service, item->item) != NULL &&
                 count < replicas_wanted(item, service) &&
-                order_for(plan, item->item, PRELOAD_IDLE_MS, "replica", now_ms,
-                          step)) {
+                order_for(plan, item->item, SOURCE_ANY, PRELOAD_IDLE_MS,
+                          "replica", now_ms, step)) {
                 return true;
             }
         }
@@ -478,7 +379,7 @@
 static bool
 next_preload(struct plan *plan, int64_t now_ms, struct plan_step *step)
 {
-    if (store_loads(plan) >= plan->settings.store_loads_max) {
+    if (choice_store_loads(plan) >= plan->settings.store_loads_max) {
         return false;
     }
     for (int s = 0; s < plan->config->service_count; s++) {
@@ -488,8 +389,8 @@
             uint32_t model = service->models[m].model;
 
             if (!is_near(plan, model) &&
-                order_for(plan, model, PRELOAD_IDLE_MS, "preload", now_ms,
-                          step)) {
+                order_for(plan, model, SOURCE_ANY, PRELOAD_IDLE_MS, "preload",
+                          now_ms, step)) {
                 return true;
             }
         }
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -119,10 +119,14 @@
 /**
  * struct target_activity - requests of this instance at a target
  * @target: hash of its id
+ * @pauses: between events of its streams, since the last note
+ * @pause_ms: their sum
  */
 struct target_activity {
     uint64_t target;
     int running;
+    int pauses;
+    int64_t pause_ms;
 };
 
 /**
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -44,6 +44,7 @@
 
     need->service = exchange->service->name;
     need->zone = relay->settings->zone;
+    need->gap_ms = exchange->route->stream ? exchange->route->gap_ms : 0;
     if (exchange->service->model_count == 0 || facts->item[0] == '\0') {
         return;
     }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -203,6 +203,8 @@
 /**
  * struct relay_target - a target with the connections to it
  * @idle: handles of idle connections, the last used at the end
+ * @pauses: between events of its streams, since the last note
+ * @pause_ms: their sum
  * @orders: orders that it had accepted when the holder last told of it
  * @holdings_ms: when that was
  */
@@ -212,6 +214,8 @@
     GArray *idle;
     int connections;
     uint64_t id_hash;
+    int pauses;
+    int64_t pause_ms;
     int64_t orders;
     int64_t holdings_ms;
 };
@@ -264,13 +268,14 @@
     struct table exchanges;
     struct table upstreams;
     struct table targets;
-    GHashTable *target_ids; /* id -> handle */
-    GHashTable *queues;     /* key -> GQueue of handles */
-    GHashTable *woken;      /* keys of queues to be looked at */
-    GHashTable *budgets;    /* service name -> struct repeat_budget */
-    GHashTable *loads;      /* instance -> struct peer_load */
-    GHashTable *arrivals;   /* item -> count since the last note */
-    GHashTable *outlook;    /* item -> struct expectation */
+    GHashTable *target_ids;    /* id -> handle */
+    GHashTable *target_hashes; /* hash of the id -> handle */
+    GHashTable *queues;        /* key -> GQueue of handles */
+    GHashTable *woken;         /* keys of queues to be looked at */
+    GHashTable *budgets;       /* service name -> struct repeat_budget */
+    GHashTable *loads;         /* instance -> struct peer_load */
+    GHashTable *arrivals;      /* item -> count since the last note */
+    GHashTable *outlook;       /* item -> struct expectation */
     struct gate_config *config;
     bool listed;
     GArray *members;
--- a/src/gate/relay/note.c
+++ b/src/gate/relay/note.c
@@ -104,7 +104,7 @@
 }
 
 static void
-fill_targets(struct relay *relay, struct activity *activity)
+fill_targets(struct relay *relay, struct activity *activity, int64_t now_ms)
 {
     GArray *targets =
         g_array_new(FALSE, FALSE, sizeof(struct target_activity));
@@ -113,9 +113,14 @@
 
     while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
         struct target_activity item = {.target = target->id_hash,
-                                       .running = target->choose.running};
-
-        if (item.running > 0) {
+                                       .running = target->choose.running,
+                                       .pauses = target->pauses,
+                                       .pause_ms = target->pause_ms};
+
+        pace_learn(&target->choose.pace, item.pauses, item.pause_ms, now_ms);
+        target->pauses = 0;
+        target->pause_ms = 0;
+        if (item.running > 0 || item.pauses > 0) {
             g_array_append_val(targets, item);
         }
     }
@@ -143,6 +148,6 @@
     relay->note_now = false;
     activity = activity_new(relay->self_id);
     fill_items(relay, activity, now_ms);
-    fill_targets(relay, activity);
+    fill_targets(relay, activity, now_ms);
     relay->port->ops->activity(relay->port, activity);
 }
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -417,6 +417,8 @@
     relay->members = g_array_new(FALSE, FALSE, sizeof(struct gate_member));
     relay->target_ids =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    relay->target_hashes =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     relay->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     relay->loads =
@@ -505,6 +507,7 @@
     queue_clear(relay);
     heap_clear(&relay->timers);
     g_hash_table_destroy(relay->target_ids);
+    g_hash_table_destroy(relay->target_hashes);
     g_hash_table_destroy(relay->budgets);
     g_hash_table_destroy(relay->loads);
     g_hash_table_destroy(relay->arrivals);
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -243,6 +243,17 @@
     }
 }
 
+static void
+count_pause(struct relay *relay, struct exchange *exchange, int64_t pause_ms)
+{
+    struct relay_target *target = target_of(relay, exchange);
+
+    if (target != NULL) {
+        target->pauses++;
+        target->pause_ms += pause_ms;
+    }
+}
+
 static bool
 pass_events(struct relay *relay, struct exchange *exchange,
             const unsigned char *bytes, size_t count, int64_t now_ms)
@@ -253,6 +264,7 @@
         if (exchange->first_ms != 0) {
             exchange->gap_ms =
                 MAX(exchange->gap_ms, now_ms - exchange->event_ms);
+            count_pause(relay, exchange, now_ms - exchange->event_ms);
         }
         exchange->event_ms = now_ms;
         first_bytes(exchange, now_ms);
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -110,6 +110,9 @@
     target->id_hash = hash_text(info->id);
     g_hash_table_insert(relay->target_ids, g_strdup(info->id),
                         g_memdup2(&handle, sizeof(handle)));
+    g_hash_table_insert(relay->target_hashes,
+                        g_memdup2(&target->id_hash, sizeof(target->id_hash)),
+                        g_memdup2(&handle, sizeof(handle)));
     return target;
 }
 
@@ -130,6 +133,7 @@
     drop_idle(relay, target);
     g_array_free(target->idle, TRUE);
     g_hash_table_remove(relay->target_ids, target->choose.info.id);
+    g_hash_table_remove(relay->target_hashes, &target->id_hash);
     table_free(&relay->targets, target->self);
 }
 
@@ -140,6 +144,7 @@
     target->orders = 0;
     target->holdings_ms = 0;
     memset(&target->choose.health, 0, sizeof(target->choose.health));
+    memset(&target->choose.pace, 0, sizeof(target->choose.pace));
 }
 
 static void
@@ -277,6 +282,24 @@
     g_hash_table_destroy(sums);
 }
 
+static void
+learn_paces(struct relay *relay, const struct activity *activity,
+            int64_t now_ms)
+{
+    for (int i = 0; i < activity->target_count; i++) {
+        const struct target_activity *item = &activity->targets[i];
+        const struct handle *handle =
+            g_hash_table_lookup(relay->target_hashes, &item->target);
+        struct relay_target *target =
+            handle != NULL ? table_get(&relay->targets, *handle) : NULL;
+
+        if (target != NULL && item->pauses > 0) {
+            pace_learn(&target->choose.pace, item->pauses, item->pause_ms,
+                       now_ms);
+        }
+    }
+}
+
 /**
  * target_activity() - another instance tells of its requests
  * @relay: the relay
@@ -295,6 +318,7 @@
             relay->loads,
             g_memdup2(&activity->instance, sizeof(activity->instance)), load);
     }
+    learn_paces(relay, activity, now_ms);
     activity_free(load->activity);
     load->activity = activity;
     load->heard_ms = now_ms;
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -3466,7 +3466,7 @@
   (ProtobufCMessageInit) turmeric__gate_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor turmeric__gate_target__field_descriptors[2] =
+static const ProtobufCFieldDescriptor turmeric__gate_target__field_descriptors[4] =
 {
   {
     "id",
@@ -3492,15 +3492,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pauses",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateTarget, pauses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pause_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateTarget, pause_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__gate_target__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  3,   /* field[3] = pause_ms */
+  2,   /* field[2] = pauses */
   1,   /* field[1] = running */
 };
 static const ProtobufCIntRange turmeric__gate_target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor turmeric__gate_target__descriptor =
 {
@@ -3510,7 +3536,7 @@
   "Turmeric__GateTarget",
   "turmeric",
   sizeof(Turmeric__GateTarget),
-  2,
+  4,
   turmeric__gate_target__field_descriptors,
   turmeric__gate_target__field_indices_by_name,
   1,  turmeric__gate_target__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -460,10 +460,18 @@
   ProtobufCMessage base;
   uint64_t id;
   uint32_t running;
+  /*
+   * between events of its streams, since the last note
+   */
+  uint32_t pauses;
+  /*
+   * their sum
+   */
+  uint32_t pause_ms;
 };
 #define TURMERIC__GATE_TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_target__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Turmeric__GateActivity
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -198,6 +198,12 @@
     {"failures", {.running = 8}, {.health = {.failures = 0.9}}},
     {"missing", {.running = 8}, {.missing = true}},
     {"unreachable", {.missing = true}, {.health = {.avoid_until_ms = 2}}},
+    {"slow_streams",
+     {.running = 2, .pace = {.pause_ms = 3000, .pauses = 100}},
+     {.pace = {.pause_ms = 24000, .pauses = 100}}},
+    {"load_beats_one_pause",
+     {.pace = {.pause_ms = 240, .pauses = 1}},
+     {.running = 2}},
 };
 
 static void
@@ -206,7 +212,7 @@
     const struct cost_case *c = data;
     struct choose_target better = c->better;
     struct choose_target worse = c->worse;
-    struct choose_need need = {.service = "s", .zone = "z"};
+    struct choose_need need = {.service = "s", .zone = "z", .gap_ms = 300};
 
     better.info.slots = 8;
     worse.info.slots = 8;
@@ -214,6 +220,19 @@
                       choose_cost(&worse, &need, 1));
 }
 
+/* Guards against a slow target that is never tried again. */
+static void
+test_pace(void)
+{
+    struct target_pace pace = {0};
+
+    g_assert_cmpfloat(pace_ms(&pace, 1000), ==, 0.0);
+    pace_learn(&pace, 95, 19000, 1000);
+    g_assert_cmpfloat(pace_ms(&pace, 1000), >=, 180.0);
+    g_assert_cmpfloat(pace_ms(&pace, 1000), <=, 200.0);
+    g_assert_cmpfloat(pace_ms(&pace, 11000), <, 50.0);
+}
+
 /* Guards against a target that is given up for good, or tried all the time. */
 static void
 test_health(void)
@@ -248,6 +267,7 @@
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/choose/budget_slides", test_budget_slides);
+    g_test_add_func("/choose/pace", test_pace);
     g_test_add_func("/choose/health", test_health);
     return g_test_run();
 }
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -23,7 +23,7 @@
  * Guards against orders that an engine crashes on, the same load on several
  * engines, and demand that nobody serves.
  *
- * An engine has room for two models (m1 to m5) and two adapters (m1/a1 ...);
+ * An engine has room for two models (m1 to m7) and two adapters (m1/a1 ...);
  * loads take 6 s, from memory 0.4 s, from disk 0.8 s. Words of a script:
  *   t=MS            time
  *   e1:ITEMS        engine 1's entry says that it holds ITEMS
@@ -107,6 +107,23 @@
      "w:m1=1 w:m2=1 w:m3=1 w:m4=1 w:m5=1 n a n a n a n a n",
      "report5 report2 report4 report1 report3 load5:m1@0 load2:m2@0 "
      "load4:m3@0 load1:m4@0 -"},
+    {"engine_with_a_copy_is_waited_for",
+     "e1: e2: n n r1:0::disk=m1 r2:0: w:m1=1 n c n t=300 n r1:4::disk=m1 n",
+     "report2 report1 load1:m1@0 - report1 load1:m1@4"},
+    {"copy_beats_a_load_under_way",
+     "e1: e2: n n r1:0: r2:0: w:m1=1 n a r1:0::disk=m1 n n",
+     "report2 report1 load2:m1@0 load1:m1@0 -"},
+    {"engine_with_a_copy_is_busy_for_long",
+     "e1: n r1:0::disk=m1 w:m2=1 n a w:m2=0 e2: n r2:0: w:m1=1 n",
+     "report1 load1:m2@0 report2 load2:m1@0"},
+    {"slowed_loads_are_fewer",
+     "e1: e2: e3: e4: e5: n n n n n r1:0: r2:0: r3:0: r4:0: r5:0: "
+     "w:m1=1 w:m2=1 w:m3=1 w:m4=1 n a n a n a n a "
+     "t=12100 n n n n r5:1:m1 r2:1:m2 r4:1:m3 r1:1:m4 "
+     "w:m1=0 w:m2=0 w:m3=0 w:m4=0 w:m5=1 w:m6=1 w:m7=1 n a n a n",
+     "report5 report2 report4 report1 report3 load5:m1@0 load2:m2@0 "
+     "load4:m3@0 load1:m4@0 report5 report2 report4 report1 "
+     "load5:m5@1 load2:m6@1 -"},
     {"most_wanted_first", "e1: n r1:0: w:m1=1 w:m2=5 n", "report1 load1:m2@0"},
     {"crowded_model_gets_a_replica",
      "e1:m1 e2: n n r1:0:m1 r2:0: w:m1:run=9 n", "report2 report1 load2:m1@0"},
@@ -122,7 +139,7 @@
 };
 
 static struct gate_config *
-five_models(void)
+seven_models(void)
 {
     GString *text = g_string_new(
         "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\","
@@ -131,7 +148,7 @@
     struct err err = {0};
     struct gate_config *config;
 
-    for (int i = 1; i <= 5; i++) {
+    for (int i = 1; i <= 7; i++) {
         g_string_append_printf(
             text,
             "%s{\"name\":\"m%d\",\"weights_mb\":60,\"load_s\":6,"
@@ -344,7 +361,7 @@
     char **words = g_strsplit(c->script, " ", -1);
 
     plan_init(&bench.plan);
-    plan_config(&bench.plan, five_models());
+    plan_config(&bench.plan, seven_models());
     bench.steps = g_string_new(NULL);
     for (int i = 0; words[i] != NULL; i++) {
         play_word(&bench, words[i]);
@@ -386,7 +403,7 @@
     struct outlook *outlook;
 
     plan_init(&bench.plan);
-    plan_config(&bench.plan, five_models());
+    plan_config(&bench.plan, seven_models());
     bench.steps = g_string_new(NULL);
     for (int i = 0; words[i] != NULL; i++) {
         play_word(&bench, words[i]);
