--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 TEST_HELPERS := $(call OBJECT,$(filter-out %_test.c,$(wildcard test/*.c)))
 CLUSTER := $(call OBJECT,$(wildcard test/cluster/*.c))
 $(BUILD)/test/system_test $(BUILD)/test/outage_test: $(CLUSTER)
+$(BUILD)/test/soak_test: $(call OBJECT,$(wildcard test/soak/*.c))
 $(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_HELPERS) $(BUILD)/libstandin.a $(BUILD)/libplatform.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -18,7 +18,12 @@
 #include "gate/follow/fns.h"
 
 enum {
-    GATHER_MS = 400, /* a fifth of the time to follow a change */
+    /* Forty calls a second of all instances together, as each is charged; but
+     * a fifth to a half of the time that deployments give to follow a
+     * change. */
+    GATHER_EACH_MS = 25,
+    GATHER_MIN_MS = 400,
+    GATHER_MAX_MS = 1000,
     WATCH_MS = 2000, /* a lost connection is noticed by then */
     BACKOFF_MS = 100,
     BACKOFF_MAX_MS = 800, /* a store that is back is noticed within 1 s */
@@ -308,7 +313,9 @@
     struct err err = {0};
     bool done = feed->after == 0 ? list_all(feed, now_ms, &err)
                                  : watch(feed, now_ms, &err);
-    int64_t wait_ms = GATHER_MS;
+    int64_t wait_ms =
+        CLAMP((int64_t)g_hash_table_size(feed->members) * GATHER_EACH_MS,
+              GATHER_MIN_MS, GATHER_MAX_MS);
 
     if (done) {
         feed->backoff_ms = 0;
--- a/src/gate/internal.h
+++ b/src/gate/internal.h
@@ -25,7 +25,7 @@
 
 /**
  * struct gate - the supervisor tree of an instance on the platform
- * @peers_lock: guards @peers, which several duties' threads read
+ * @peers_lock: guards @peers and @circle, which several duties' threads use
  * @peers: struct news_peer, the other instances
  */
 struct gate {
@@ -45,6 +45,7 @@
     struct gate_peer_port peer_port;
     pthread_mutex_t peers_lock;
     GArray *peers;
+    struct circle circle;
 };
 
 /* ports.c */
--- a/src/gate/news/dat.h
+++ b/src/gate/news/dat.h
@@ -10,4 +10,16 @@
     int64_t gone_ms;
 };
 
+/**
+ * struct circle - who sums up the notes
+ * @from: who told the last sum
+ * @fence: of its term; 0 for none
+ * @heard_ms: when
+ */
+struct circle {
+    uint64_t from;
+    int64_t fence;
+    int64_t heard_ms;
+};
+
 #endif
--- a/src/gate/news/fns.h
+++ b/src/gate/news/fns.h
@@ -5,6 +5,12 @@
 void roster_update(GArray *peers, const GArray *members, uint64_t self,
                    int64_t keep_ms, int64_t now_ms);
 
+/* circle.c */
+bool circle_heard(struct circle *circle, uint64_t from, int64_t fence,
+                  int64_t now_ms);
+uint64_t circle_note_to(const struct circle *circle, int64_t now_ms);
+bool circle_has_sums(int peers);
+
 /* wire.c */
 bool news_send_activity(struct peer *peer, uint64_t member,
                         const struct activity *activity, struct err *err);
@@ -13,6 +19,10 @@
 bool news_send_outlook(struct peer *peer, uint64_t member,
                        const struct outlook *outlook, struct err *err);
 struct outlook *news_read_outlook(const Turmeric__Envelope *envelope);
+bool news_send_sum(struct peer *peer, uint64_t member,
+                   const struct activity *activity, int64_t fence,
+                   struct err *err);
+struct activity *news_read_sum(const Turmeric__Envelope *envelope);
 struct activity *news_read_activity(const Turmeric__Envelope *envelope);
 struct holdings *news_read_holdings(const Turmeric__Envelope *envelope);
 
--- a/src/gate/news/wire.c
+++ b/src/gate/news/wire.c
@@ -38,6 +38,30 @@
     out->pause_ms = (uint32_t)target->pause_ms;
 }
 
+static bool
+send_activity(struct peer *peer, uint64_t member, Turmeric__GateActivity *body,
+              const struct target_activity *targets, int target_count,
+              struct err *err)
+{
+    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
+    Turmeric__GateTarget *out = g_new(Turmeric__GateTarget, target_count);
+    Turmeric__GateTarget **list = g_new(Turmeric__GateTarget *, target_count);
+    bool sent;
+
+    for (int i = 0; i < target_count; i++) {
+        fill_target(&out[i], &targets[i]);
+        list[i] = &out[i];
+    }
+    body->n_targets = (size_t)target_count;
+    body->targets = list;
+    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_ACTIVITY;
+    envelope.gate_activity = body;
+    sent = peer_send(peer, member, &envelope, err);
+    g_free(out);
+    g_free(list);
+    return sent;
+}
+
 /**
  * news_send_activity() - tell an instance what this one has to do
  * @peer: the duty that sends
@@ -49,40 +73,46 @@
 news_send_activity(struct peer *peer, uint64_t member,
                    const struct activity *activity, struct err *err)
 {
-    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
     Turmeric__GateActivity body = TURMERIC__GATE_ACTIVITY__INIT;
     Turmeric__GateItem *items =
         g_new(Turmeric__GateItem, activity->item_count);
-    Turmeric__GateItem **item_list =
+    Turmeric__GateItem **list =
         g_new(Turmeric__GateItem *, activity->item_count);
-    Turmeric__GateTarget *targets =
-        g_new(Turmeric__GateTarget, activity->target_count);
-    Turmeric__GateTarget **target_list =
-        g_new(Turmeric__GateTarget *, activity->target_count);
     bool sent;
 
     for (int i = 0; i < activity->item_count; i++) {
         fill_item(&items[i], &activity->items[i]);
-        item_list[i] = &items[i];
-    }
-    for (int i = 0; i < activity->target_count; i++) {
-        fill_target(&targets[i], &activity->targets[i]);
-        target_list[i] = &targets[i];
+        list[i] = &items[i];
     }
     body.n_items = (size_t)activity->item_count;
-    body.items = item_list;
-    body.n_targets = (size_t)activity->target_count;
-    body.targets = target_list;
-    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_ACTIVITY;
-    envelope.gate_activity = &body;
-    sent = peer_send(peer, member, &envelope, err);
+    body.items = list;
+    sent = send_activity(peer, member, &body, activity->targets,
+                         activity->target_count, err);
     g_free(items);
-    g_free(item_list);
-    g_free(targets);
-    g_free(target_list);
+    g_free(list);
     return sent;
 }
 
+/**
+ * news_send_sum() - tell an instance what all have to do
+ * @peer: the duty that sends
+ * @member: id of the instance
+ * @activity: its sums are sent
+ * @fence: of the term of this instance
+ * @err: filled in on failure
+ */
+bool
+news_send_sum(struct peer *peer, uint64_t member,
+              const struct activity *activity, int64_t fence, struct err *err)
+{
+    Turmeric__GateActivity body = TURMERIC__GATE_ACTIVITY__INIT;
+
+    body.sum_fence = fence;
+    body.instances = (uint32_t)activity->instances;
+    return send_activity(peer, member, &body, activity->sums,
+                         activity->sum_count, err);
+}
+
 /**
  * news_send_holdings() - tell an instance what an engine holds
  * @peer: the duty that sends
@@ -123,6 +153,21 @@
     return item->item != 0;
 }
 
+static struct target_activity *
+read_targets(const Turmeric__GateActivity *body)
+{
+    struct target_activity *targets =
+        g_new0(struct target_activity, body->n_targets);
+
+    for (size_t i = 0; i < body->n_targets; i++) {
+        targets[i].target = body->targets[i]->id;
+        targets[i].running = (int)body->targets[i]->running;
+        targets[i].pauses = (int)body->targets[i]->pauses;
+        targets[i].pause_ms = body->targets[i]->pause_ms;
+    }
+    return targets;
+}
+
 /**
  * news_read_activity() - what another instance has to do
  * @envelope: message with a gate_activity
@@ -136,23 +181,35 @@
     struct activity *activity = activity_new(envelope->from);
 
     activity->items = g_new0(struct item_activity, body->n_items);
-    activity->targets = g_new0(struct target_activity, body->n_targets);
     for (size_t i = 0; i < body->n_items; i++) {
         if (read_item(body->items[i],
                       &activity->items[activity->item_count])) {
             activity->item_count++;
         }
     }
-    for (size_t i = 0; i < body->n_targets; i++) {
-        activity->targets[i].target = body->targets[i]->id;
-        activity->targets[i].running = (int)body->targets[i]->running;
-        activity->targets[i].pauses = (int)body->targets[i]->pauses;
-        activity->targets[i].pause_ms = body->targets[i]->pause_ms;
-    }
+    activity->targets = read_targets(body);
     activity->target_count = (int)body->n_targets;
     return activity;
 }
 
+/**
+ * news_read_sum() - what all instances have to do
+ * @envelope: message with a gate_activity that bears a fence
+ *
+ * Return: to be released with activity_free().
+ */
+struct activity *
+news_read_sum(const Turmeric__Envelope *envelope)
+{
+    const Turmeric__GateActivity *body = envelope->gate_activity;
+    struct activity *activity = activity_new(envelope->from);
+
+    activity->sums = read_targets(body);
+    activity->sum_count = (int)body->n_targets;
+    activity->instances = (int)body->instances;
+    return activity;
+}
+
 /**
  * news_read_holdings() - what an engine holds
  * @envelope: message with a gate_holdings
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -99,19 +99,50 @@
     feed_config, feed_change, feed_listed, feed_members, feed_holder,
 };
 
-/* A frame that can't be queued is counted; the next one tells the same. */
+/* Frames that can't be queued are counted; the next ones tell the same. */
 static void
-send_activity(struct gate *gate, const struct activity *activity)
+send_sum(struct gate *gate, const struct activity *activity, int64_t fence)
+{
+    struct err err = {0};
+
+    for (guint i = 0; i < gate->peers->len; i++) {
+        if (!news_send_sum(gate->peer, peer_at(gate, i), activity, fence,
+                           &err)) {
+            counter_add(CTR_PEER_DROPPED, 1);
+        }
+    }
+}
+
+static void
+send_note(struct gate *gate, const struct activity *activity, uint64_t to)
 {
     struct err err = {0};
 
-    pthread_mutex_lock(&gate->peers_lock);
     for (guint i = 0; i < gate->peers->len; i++) {
-        if (!news_send_activity(gate->peer, peer_at(gate, i), activity,
+        if ((to == 0 || to == peer_at(gate, i)) &&
+            !news_send_activity(gate->peer, peer_at(gate, i), activity,
                                 &err)) {
             counter_add(CTR_PEER_DROPPED, 1);
         }
     }
+}
+
+static void
+send_activity(struct gate *gate, const struct activity *activity)
+{
+    int64_t now_ms = clock_now_ms();
+    int64_t fence;
+
+    pthread_mutex_lock(&gate->peers_lock);
+    if (!term_holds(&gate->term, clock_boot_ms(), &fence)) {
+        send_note(gate, activity, circle_note_to(&gate->circle, now_ms));
+    }
+    else if (!circle_has_sums((int)gate->peers->len)) {
+        send_note(gate, activity, 0);
+    }
+    else if (activity->regular) {
+        send_sum(gate, activity, fence);
+    }
     pthread_mutex_unlock(&gate->peers_lock);
 }
 
@@ -168,9 +199,27 @@
 static const struct place_gate_port_ops place_ops = {place_holdings,
                                                      place_outlook};
 
+static void
+got_sum(struct gate *gate, const Turmeric__Envelope *envelope)
+{
+    bool current;
+
+    pthread_mutex_lock(&gate->peers_lock);
+    current = circle_heard(&gate->circle, envelope->from,
+                           envelope->gate_activity->sum_fence, clock_now_ms());
+    pthread_mutex_unlock(&gate->peers_lock);
+    if (current) {
+        relay_post_sum(gate->relay, news_read_sum(envelope));
+    }
+}
+
 static void
 got_activity(struct gate *gate, const Turmeric__Envelope *envelope)
 {
+    if (envelope->gate_activity->sum_fence != 0) {
+        got_sum(gate, envelope);
+        return;
+    }
     relay_post_activity(gate->relay, news_read_activity(envelope));
     place_gate_post_activity(&gate->place, news_read_activity(envelope));
 }
--- a/src/gate/relay/activity.c
+++ b/src/gate/relay/activity.c
@@ -38,6 +38,7 @@
     if (activity != NULL) {
         g_free(activity->items);
         g_free(activity->targets);
+        g_free(activity->sums);
         g_free(activity);
     }
 }
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -4,6 +4,9 @@
 enum {
     PARTS_MAX = 32,
     TOKEN_MAX_BYTES = 128,
+    /* From this number of instances on, the holder of orders sums up their
+     * notes; below, notes from all to all are few, and known sooner. */
+    SUM_INSTANCES_MIN = 9,
 };
 
 /**
@@ -117,7 +120,7 @@
 };
 
 /**
- * struct target_activity - requests of this instance at a target
+ * struct target_activity - requests of an instance, or of all, at a target
  * @target: hash of its id
  * @pauses: between events of its streams, since the last note
  * @pause_ms: their sum
@@ -132,6 +135,9 @@
 /**
  * struct activity - what an instance has to do
  * @instance: id of the instance
+ * @regular: it comes at the usual time, with the pauses since the last such
+ * @sums: the same as @targets for all instances that were heard
+ * @instances: that @sums covers
  */
 struct activity {
     uint64_t instance;
@@ -139,6 +145,10 @@
     int item_count;
     struct target_activity *targets;
     int target_count;
+    struct target_activity *sums;
+    int sum_count;
+    int instances;
+    bool regular;
 };
 
 /**
--- a/src/gate/relay/fns.h
+++ b/src/gate/relay/fns.h
@@ -18,6 +18,7 @@
 bool relay_post_listed(struct relay *relay);
 void relay_post_holdings(struct relay *relay, struct holdings *holdings);
 void relay_post_outlook(struct relay *relay, struct outlook *outlook);
+void relay_post_sum(struct relay *relay, struct activity *activity);
 void relay_post_activity(struct relay *relay, struct activity *activity);
 bool relay_post_members(struct relay *relay, const GArray *members);
 void relay_post_leave(struct relay *relay);
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -205,6 +205,9 @@
  * @idle: handles of idle connections, the last used at the end
  * @pauses: between events of its streams, since the last note
  * @pause_ms: their sum
+ * @heard_pauses: of other instances, since the last note
+ * @heard_pause_ms: their sum
+ * @told: requests there by the last note
  * @orders: orders that it had accepted when the holder last told of it
  * @holdings_ms: when that was
  */
@@ -216,6 +219,9 @@
     uint64_t id_hash;
     int pauses;
     int64_t pause_ms;
+    int heard_pauses;
+    int64_t heard_pause_ms;
+    int told;
     int64_t orders;
     int64_t holdings_ms;
 };
@@ -226,6 +232,7 @@
     RELAY_LISTED,
     RELAY_HOLDINGS,
     RELAY_ACTIVITY,
+    RELAY_SUM,
     RELAY_OUTLOOK,
     RELAY_MEMBERS,
 };
@@ -274,6 +281,8 @@
     GHashTable *woken;         /* keys of queues to be looked at */
     GHashTable *budgets;       /* service name -> struct repeat_budget */
     GHashTable *loads;         /* instance -> struct peer_load */
+    int64_t sum_ms;            /* when a sum was last heard */
+    int sum_instances;         /* that it covered */
     GHashTable *arrivals;      /* item -> count since the last note */
     GHashTable *outlook;       /* item -> struct expectation */
     struct gate_config *config;
@@ -283,6 +292,7 @@
     bool leaving;
     int64_t leave_ms;
     int64_t note_ms;
+    int64_t regular_note_ms;
     bool note_now;
     uint64_t random;
     unsigned char buffer[READ_BYTES];
@@ -292,6 +302,7 @@
 uint64_t relay_random(struct relay *relay);
 bool relay_watch(struct relay *relay, int operation, int fd, uint32_t events,
                  enum watch_kind kind, struct handle handle);
+int relay_heard(const struct relay *relay);
 int relay_instances(struct relay *relay, int64_t now_ms);
 void relay_wake(struct relay *relay);
 
@@ -432,6 +443,8 @@
                      int64_t now_ms);
 void target_activity(struct relay *relay, struct activity *activity,
                      int64_t now_ms);
+void target_sum(struct relay *relay, struct activity *activity,
+                int64_t now_ms);
 
 /* note.c */
 void note_arrival(struct relay *relay, const struct exchange *exchange);
--- a/src/gate/relay/note.c
+++ b/src/gate/relay/note.c
@@ -17,7 +17,12 @@
 
 /* Others choose targets by these counts, whose error is what arrives within
  * the interval: a few requests a target. */
-enum { NOTE_MS = 250, NOTE_SOON_MS = 20 };
+enum {
+    NOTE_MS = 250,
+    NOTE_SOON_MS = 20,
+    /* Notes that are summed up reach others in two steps, and are few. */
+    NOTE_SUMMED_MS = 150,
+};
 
 static uint32_t
 item_of(const struct exchange *exchange)
@@ -103,29 +108,60 @@
     activity->items = (struct item_activity *)g_array_free(items, FALSE);
 }
 
+/* The pauses since the last regular note, which starts them anew. */
+static void
+take_pauses(struct relay_target *target, struct target_activity *item,
+            struct target_activity *sum, int64_t now_ms)
+{
+    item->pauses = target->pauses;
+    item->pause_ms = target->pause_ms;
+    sum->pauses = target->pauses + target->heard_pauses;
+    sum->pause_ms = target->pause_ms + target->heard_pause_ms;
+    pace_learn(&target->choose.pace, item->pauses, item->pause_ms, now_ms);
+    target->pauses = 0;
+    target->pause_ms = 0;
+    target->heard_pauses = 0;
+    target->heard_pause_ms = 0;
+}
+
 static void
 fill_targets(struct relay *relay, struct activity *activity, int64_t now_ms)
 {
     GArray *targets =
         g_array_new(FALSE, FALSE, sizeof(struct target_activity));
+    GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct target_activity));
     struct relay_target *target;
     uint32_t cursor = 0;
 
     while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
         struct target_activity item = {.target = target->id_hash,
-                                       .running = target->choose.running,
-                                       .pauses = target->pauses,
-                                       .pause_ms = target->pause_ms};
+                                       .running = target->choose.running};
+        struct target_activity sum = {.target = target->id_hash,
+                                      .running = target->choose.running +
+                                                 target->choose.elsewhere};
 
-        pace_learn(&target->choose.pace, item.pauses, item.pause_ms, now_ms);
-        target->pauses = 0;
-        target->pause_ms = 0;
+        if (activity->regular) {
+            take_pauses(target, &item, &sum, now_ms);
+        }
+        target->told = item.running;
         if (item.running > 0 || item.pauses > 0) {
             g_array_append_val(targets, item);
         }
+        if (sum.running > 0 || sum.pauses > 0) {
+            g_array_append_val(sums, sum);
+        }
     }
     activity->target_count = (int)targets->len;
     activity->targets = (struct target_activity *)g_array_free(targets, FALSE);
+    activity->sum_count = (int)sums->len;
+    activity->sums = (struct target_activity *)g_array_free(sums, FALSE);
+    activity->instances = relay_heard(relay);
+}
+
+static int64_t
+usual_note_ms(const struct relay *relay)
+{
+    return relay->members->len >= SUM_INSTANCES_MIN ? NOTE_SUMMED_MS : NOTE_MS;
 }
 
 /**
@@ -138,7 +174,8 @@
 void
 note_send(struct relay *relay, int64_t now_ms)
 {
-    int64_t wait_ms = relay->note_now ? NOTE_SOON_MS : NOTE_MS;
+    int64_t usual_ms = usual_note_ms(relay);
+    int64_t wait_ms = relay->note_now ? NOTE_SOON_MS : usual_ms;
     struct activity *activity;
 
     if (now_ms - relay->note_ms < wait_ms) {
@@ -147,6 +184,10 @@
     relay->note_ms = now_ms;
     relay->note_now = false;
     activity = activity_new(relay->self_id);
+    activity->regular = now_ms - relay->regular_note_ms >= usual_ms;
+    if (activity->regular) {
+        relay->regular_note_ms = now_ms;
+    }
     fill_items(relay, activity, now_ms);
     fill_targets(relay, activity, now_ms);
     relay->port->ops->activity(relay->port, activity);
--- a/src/gate/relay/post.c
+++ b/src/gate/relay/post.c
@@ -120,6 +120,19 @@
     }
 }
 
+/**
+ * relay_post_sum() - the holder of orders tells the requests of all
+ * @relay: the relay
+ * @activity: with sums; taken over
+ */
+void
+relay_post_sum(struct relay *relay, struct activity *activity)
+{
+    if (!post(relay, RELAY_SUM, activity)) {
+        activity_free(activity);
+    }
+}
+
 /**
  * relay_post_members() - the instances that take requests
  * @relay: the relay
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -26,7 +26,7 @@
 
 enum {
     EVENTS_MAX = 64,
-    ROUND_MS = 250, /* notes to others are sent this often */
+    ROUND_MS = 150, /* notes to others are sent as often at most */
     TARGETS_MAX = 8192,
     /* Descriptors that stay free for files, peers and the store. */
     RESERVED_DESCRIPTORS = 300,
@@ -72,10 +72,17 @@
     return true;
 }
 
+/* Instances that told of their requests, this one included. */
+int
+relay_heard(const struct relay *relay)
+{
+    return (int)g_hash_table_size(relay->loads) + 1;
+}
+
 static void
 count_instances(struct relay *relay, int64_t now_ms)
 {
-    int heard = (int)g_hash_table_size(relay->loads) + 1;
+    int heard = MAX(relay_heard(relay), relay->sum_instances);
 
     if (relay->listed || heard > 1) {
         sharers_count(&relay->sharers, MAX(heard, (int)relay->members->len),
@@ -158,6 +165,9 @@
     case RELAY_ACTIVITY:
         target_activity(relay, message->data, now_ms);
         break;
+    case RELAY_SUM:
+        target_sum(relay, message->data, now_ms);
+        break;
     case RELAY_OUTLOOK:
         hope_learn(relay, message->data, now_ms);
         outlook_free(message->data);
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -20,6 +20,9 @@
  * been heard for this long has stopped, or can't reach us. */
 enum {
     LOAD_OLD_MS = 3000,
+    /* Sums come several times a second; notes that are heard beside them are
+     * those of instances that the holder does not reach. */
+    SUM_OLD_MS = 1200,
     /* The holder of orders tells more than entries, which a slow store hands
      * over late; after this time there may be no holder. */
     HOLDINGS_MS = 5000,
@@ -245,6 +248,17 @@
     queue_wake_target(relay, target);
 }
 
+static void
+set_elsewhere(struct relay *relay, struct relay_target *target, int count)
+{
+    bool less = count < target->choose.elsewhere;
+
+    target->choose.elsewhere = count;
+    if (less) {
+        queue_wake_target(relay, target);
+    }
+}
+
 static void
 sum_loads(struct relay *relay, int64_t now_ms)
 {
@@ -271,13 +285,9 @@
         }
     }
     while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
-        int sum = GPOINTER_TO_INT(g_hash_table_lookup(sums, &target->id_hash));
-        bool less = sum < target->choose.elsewhere;
-
-        target->choose.elsewhere = sum;
-        if (less) {
-            queue_wake_target(relay, target);
-        }
+        set_elsewhere(
+            relay, target,
+            GPOINTER_TO_INT(g_hash_table_lookup(sums, &target->id_hash)));
     }
     g_hash_table_destroy(sums);
 }
@@ -296,6 +306,8 @@
         if (target != NULL && item->pauses > 0) {
             pace_learn(&target->choose.pace, item->pauses, item->pause_ms,
                        now_ms);
+            target->heard_pauses += item->pauses;
+            target->heard_pause_ms += item->pause_ms;
         }
     }
 }
@@ -322,5 +334,44 @@
     activity_free(load->activity);
     load->activity = activity;
     load->heard_ms = now_ms;
-    sum_loads(relay, now_ms);
+    if (now_ms - relay->sum_ms > SUM_OLD_MS) {
+        sum_loads(relay, now_ms);
+    }
+}
+
+/**
+ * target_sum() - the holder of orders tells the requests of all instances
+ * @relay: the relay
+ * @activity: with sums only; released
+ * @now_ms: present time
+ *
+ * The sum has this instance's requests as it last told them, and its pauses,
+ * which weigh twice then.
+ */
+void
+target_sum(struct relay *relay, struct activity *activity, int64_t now_ms)
+{
+    GHashTable *sums = g_hash_table_new(g_int64_hash, g_int64_equal);
+    struct relay_target *target;
+    uint32_t cursor = 0;
+
+    relay->sum_ms = now_ms;
+    relay->sum_instances = activity->instances;
+    for (int i = 0; i < activity->sum_count; i++) {
+        g_hash_table_insert(sums, &activity->sums[i].target,
+                            &activity->sums[i]);
+    }
+    while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
+        const struct target_activity *sum =
+            g_hash_table_lookup(sums, &target->id_hash);
+
+        set_elsewhere(relay, target,
+                      sum != NULL ? MAX(sum->running - target->told, 0) : 0);
+        if (sum != NULL && sum->pauses > 0) {
+            pace_learn(&target->choose.pace, sum->pauses, sum->pause_ms,
+                       now_ms);
+        }
+    }
+    g_hash_table_destroy(sums);
+    activity_free(activity);
 }
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -3543,7 +3543,7 @@
   (ProtobufCMessageInit) turmeric__gate_target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor turmeric__gate_activity__field_descriptors[2] =
+static const ProtobufCFieldDescriptor turmeric__gate_activity__field_descriptors[4] =
 {
   {
     "items",
@@ -3569,15 +3569,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sum_fence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateActivity, sum_fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateActivity, instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__gate_activity__field_indices_by_name[] = {
+  3,   /* field[3] = instances */
   0,   /* field[0] = items */
+  2,   /* field[2] = sum_fence */
   1,   /* field[1] = targets */
 };
 static const ProtobufCIntRange turmeric__gate_activity__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor turmeric__gate_activity__descriptor =
 {
@@ -3587,7 +3613,7 @@
   "Turmeric__GateActivity",
   "turmeric",
   sizeof(Turmeric__GateActivity),
-  2,
+  4,
   turmeric__gate_activity__field_descriptors,
   turmeric__gate_activity__field_indices_by_name,
   1,  turmeric__gate_activity__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -481,10 +481,18 @@
   Turmeric__GateItem **items;
   size_t n_targets;
   Turmeric__GateTarget **targets;
+  /*
+   * of the holder that summed up all instances; 0: a note
+   */
+  int64_t sum_fence;
+  /*
+   * that are summed up
+   */
+  uint32_t instances;
 };
 #define TURMERIC__GATE_ACTIVITY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_activity__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -211,6 +211,51 @@
     g_string_free(bench.told, TRUE);
 }
 
+/* Guards against calls to the store that grow with the instances, and against
+ * changes that are seen late. */
+struct gather_case {
+    const char *name;
+    int members;
+    int64_t wait_ms;
+};
+
+static const struct gather_case gather_cases[] = {
+    {"alone", 1, 400},
+    {"some", 5, 400},
+    {"dozens", 33, 825},
+    {"hundreds", 340, 1000},
+};
+
+static void
+test_gather(gconstpointer data)
+{
+    const struct gather_case *c = data;
+    struct feed_bench bench = {.port = {&feed_ops}};
+    struct err err = {0};
+
+    memstore_init(&bench.memory);
+    bench.told = g_string_new(NULL);
+    g_assert_true(feed_init(&bench.feed, &bench.memory.store, &platform_decode,
+                            &bench.port, &err));
+    for (int i = 0; i < c->members; i++) {
+        struct gate_member member = {.id = (uint64_t)i + 1, .start = 1};
+        char *key = g_strdup_printf("%sm%d", member_prefix, i);
+        char *text;
+
+        g_snprintf(member.name, sizeof(member.name), "m%d", i);
+        g_strlcpy(member.front_address, "127.0.0.1:1", ADDRESS_MAX_BYTES);
+        text = member_format(&member);
+        memstore_put(&bench.memory, key, text, 0);
+        g_free(text);
+        g_free(key);
+    }
+    feed_round(&bench.feed, 1);
+    g_assert_cmpint(feed_round(&bench.feed, 2), ==, c->wait_ms);
+    feed_clear(&bench.feed);
+    memstore_clear(&bench.memory);
+    g_string_free(bench.told, TRUE);
+}
+
 /*
  * Guards against two holders at the same time, against none for long, and
  * against a term that ends too late for an order's call to end within the
@@ -389,6 +434,7 @@
 {
     static const struct cases groups[] = {
         CASES("/follow/feed", feed_cases, test_feed),
+        CASES("/follow/gather", gather_cases, test_gather),
         CASES("/follow/tenure", tenure_cases, test_tenure),
     };
 
--- a/test/news_test.c
+++ b/test/news_test.c
@@ -79,11 +79,63 @@
     g_array_free(members, TRUE);
 }
 
+/*
+ * Guards against notes to all from all in a large deployment, and against
+ * notes that only a holder gets that is gone.
+ *
+ * Steps: a letter, a fence and a time in ms, a sum from that instance; "?" and
+ * a time, a note is sent.
+ */
+struct circle_case {
+    const char *name;
+    const char *steps;
+    const char *sent; /* to whom; "*" for all */
+};
+
+static const struct circle_case circle_cases[] = {
+    {"no_sum_yet", "?:1000", "*"},
+    {"summed", "a:5:1000 ?:1100", "a"},
+    {"silent", "a:5:1000 ?:2100 ?:2300", "a*"},
+    {"new_holder", "a:5:1000 b:7:1200 ?:1300", "b"},
+    {"former_holder", "b:7:1000 a:5:1100 ?:1200", "b"},
+    {"former_holder_after_silence", "b:7:1000 a:5:3000 ?:3100", "a"},
+};
+
+static void
+test_circle(gconstpointer data)
+{
+    const struct circle_case *c = data;
+    struct circle circle = {0};
+    GString *sent = g_string_new(NULL);
+    char **steps = g_strsplit(c->steps, " ", -1);
+
+    for (int i = 0; steps[i] != NULL; i++) {
+        char **parts = g_strsplit(steps[i], ":", -1);
+
+        if (parts[2] != NULL) {
+            circle_heard(&circle, (uint64_t)parts[0][0],
+                         g_ascii_strtoll(parts[1], NULL, 10),
+                         g_ascii_strtoll(parts[2], NULL, 10));
+        }
+        else {
+            uint64_t to =
+                circle_note_to(&circle, g_ascii_strtoll(parts[1], NULL, 10));
+
+            g_string_append_c(sent, to == 0 ? '*' : (char)to);
+        }
+        g_strfreev(parts);
+    }
+    g_assert_cmpstr(sent->str, ==, c->sent);
+    g_string_free(sent, TRUE);
+    g_strfreev(steps);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/news/roster", roster_cases, test_roster),
+        CASES("/news/circle", circle_cases, test_circle),
     };
 
     g_test_init(&argc, &argv, NULL);
--- /dev/null
+++ b/test/soak/engine.c
@@ -0,0 +1,521 @@
+/* Engines and plain targets, which check what reaches them. */
+#include <glib.h>
+#include <json-c/json.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+#include "test/soak/dat.h"
+#include "test/soak/fns.h"
+
+enum {
+    SLOTS = 8,
+    LOAD_MS = 600,
+    COPY_MS = 150,
+    UNLOAD_MS = 50,
+    RUN_MS = 30,
+    EVENT_MS = 30,
+    LEASE_MS = 3000,
+    MODEL_MB = 60,
+    MEMORY_MB = 130,
+    ADAPTERS_MAX = 2,
+    EVENT_BYTES = 160,
+};
+
+static bool
+has(const GPtrArray *names, const char *name)
+{
+    return g_ptr_array_find_with_equal_func((GPtrArray *)names, name,
+                                            g_str_equal, NULL);
+}
+
+static void
+drop(GPtrArray *names, const char *name)
+{
+    guint index;
+
+    if (g_ptr_array_find_with_equal_func(names, name, g_str_equal, &index)) {
+        g_ptr_array_remove_index_fast(names, index);
+    }
+}
+
+static struct json_object *
+names_json(const GPtrArray *names)
+{
+    struct json_object *list = json_object_new_array();
+
+    for (guint i = 0; i < names->len; i++) {
+        json_object_array_add(list, json_object_new_string(names->pdata[i]));
+    }
+    return list;
+}
+
+static struct json_object *
+models_json(const struct soak_engine *engine)
+{
+    struct json_object *list = json_object_new_array();
+
+    for (guint i = 0; i < engine->held->len; i++) {
+        const char *name = engine->held->pdata[i];
+        struct json_object *model;
+        struct json_object *adapters;
+
+        if (strchr(name, '/') != NULL) {
+            continue;
+        }
+        model = json_object_new_object();
+        adapters = json_object_new_array();
+        for (guint k = 0; k < engine->held->len; k++) {
+            const char *other = engine->held->pdata[k];
+
+            if (g_str_has_prefix(other, name) && other[strlen(name)] == '/') {
+                json_object_array_add(adapters, json_object_new_string(
+                                                    other + strlen(name) + 1));
+            }
+        }
+        json_object_object_add(model, "name", json_object_new_string(name));
+        json_object_object_add(model, "adapters", adapters);
+        json_object_array_add(list, model);
+    }
+    return list;
+}
+
+static struct json_object *
+holdings_json(const struct soak_engine *engine)
+{
+    struct json_object *object = json_object_new_object();
+    struct json_object *copies = json_object_new_object();
+
+    json_object_object_add(object, "models", models_json(engine));
+    json_object_object_add(copies, "on_disk", names_json(engine->at_hand));
+    json_object_object_add(object, "at_hand", copies);
+    json_object_object_add(object, "sequence",
+                           json_object_new_int64(engine->sequence));
+    return object;
+}
+
+/* An order that runs ends when its time is over. Called with the lock held. */
+static void
+settle(struct soak_engine *engine, int64_t now_ms)
+{
+    if (engine->loading[0] != '\0' && now_ms >= engine->busy_until_ms) {
+        g_ptr_array_add(engine->held, g_strdup(engine->loading));
+        if (strchr(engine->loading, '/') == NULL &&
+            !has(engine->at_hand, engine->loading)) {
+            g_ptr_array_add(engine->at_hand, g_strdup(engine->loading));
+        }
+        engine->loading[0] = '\0';
+    }
+}
+
+static void
+put_entry(struct soak_engine *engine)
+{
+    struct json_object *object = holdings_json(engine);
+    char *key = g_strdup_printf("servers/%s", engine->id);
+    char *address = g_strdup_printf("127.0.0.1:%d", engine->link->port);
+
+    json_object_object_add(object, "service",
+                           json_object_new_string(engine->service));
+    json_object_object_add(object, "address", json_object_new_string(address));
+    json_object_object_add(object, "zone", json_object_new_string("z"));
+    json_object_object_add(object, "slots", json_object_new_int(SLOTS));
+    json_object_object_add(object, "born",
+                           json_object_new_int64(engine->born_ms));
+    json_object_object_add(object, "state",
+                           json_object_new_string(engine->leaving_ms != 0
+                                                      ? "draining"
+                                                      : "ready"));
+    soak_store_put(
+        engine->soak->store, key,
+        json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN),
+        engine->lease);
+    json_object_put(object);
+    g_free(address);
+    g_free(key);
+}
+
+static int
+get_report(const struct _u_request *request, struct _u_response *response,
+           void *user_data)
+{
+    struct soak_engine *engine = user_data;
+    struct json_object *body;
+
+    (void)request;
+    pthread_mutex_lock(&engine->soak->lock);
+    settle(engine, clock_now_ms());
+    body = holdings_json(engine);
+    json_object_object_add(
+        body, "busy",
+        json_object_new_boolean(clock_now_ms() < engine->busy_until_ms));
+    pthread_mutex_unlock(&engine->soak->lock);
+    http_reply_json(response, 200, body);
+    return U_CALLBACK_COMPLETE;
+}
+
+/* Orders of A, B and A again within a lease. Called with the lock held. */
+static bool
+turns(struct soak_engine *engine, const char *holder, int64_t now_ms)
+{
+    bool found;
+
+    if (strcmp(engine->holder, holder) == 0) {
+        return false;
+    }
+    found = strcmp(engine->holder_before, holder) == 0 &&
+            now_ms - engine->holder_before_ms < LEASE_TURN_MS;
+    g_strlcpy(engine->holder_before, engine->holder,
+              sizeof(engine->holder_before));
+    engine->holder_before_ms = now_ms;
+    g_strlcpy(engine->holder, holder, sizeof(engine->holder));
+    return found;
+}
+
+static bool
+fits(const struct soak_engine *engine, const char *item)
+{
+    int models = 0;
+    int adapters = 0;
+
+    for (guint i = 0; i < engine->held->len; i++) {
+        if (strchr(engine->held->pdata[i], '/') != NULL) {
+            adapters++;
+        }
+        else {
+            models++;
+        }
+    }
+    return strchr(item, '/') != NULL ? adapters < ADAPTERS_MAX
+                                     : (models + 1) * MODEL_MB <= MEMORY_MB;
+}
+
+static void
+unload(struct soak_engine *engine, const char *item)
+{
+    drop(engine->held, item);
+    for (guint i = engine->held->len; i > 0; i--) {
+        const char *name = engine->held->pdata[i - 1];
+
+        if (g_str_has_prefix(name, item) && name[strlen(item)] == '/') {
+            g_ptr_array_remove_index_fast(engine->held, i - 1);
+        }
+    }
+}
+
+/* Called with the lock held. Sets @overfull when the order would crash a real
+ * engine. */
+static unsigned
+take_order(struct soak_engine *engine, struct json_object *order,
+           const char *item, int64_t now_ms, bool *overfull)
+{
+    bool load = strcmp(json_text(order, "operation", ""), "load") == 0;
+
+    settle(engine, now_ms);
+    if (now_ms < engine->busy_until_ms ||
+        json_number(order, "expected", engine->sequence) != engine->sequence) {
+        return 409;
+    }
+    if (load == has(engine->held, item)) {
+        return 200;
+    }
+    engine->sequence++;
+    if (!load) {
+        unload(engine, item);
+        engine->busy_until_ms = now_ms + UNLOAD_MS;
+        return 202;
+    }
+    *overfull = !fits(engine, item);
+    g_strlcpy(engine->loading, item, sizeof(engine->loading));
+    engine->busy_until_ms = now_ms + (strchr(item, '/') != NULL    ? 0
+                                      : has(engine->at_hand, item) ? COPY_MS
+                                                                   : LOAD_MS);
+    settle(engine, now_ms);
+    return 202;
+}
+
+static bool
+is_other(const struct soak_engine *engine, const struct _u_request *request)
+{
+    const char *expected =
+        u_map_get_case(request->map_header, "Expect-Instance");
+
+    return expected != NULL && strcmp(expected, engine->id) != 0;
+}
+
+static int
+post_order(const struct _u_request *request, struct _u_response *response,
+           void *user_data)
+{
+    struct soak_engine *engine = user_data;
+    struct err err = {0};
+    struct json_object *order = http_body_json(request, &err);
+    const char *adapter = json_text(order, "adapter", NULL);
+    char *item =
+        adapter != NULL
+            ? g_strdup_printf("%s/%s", json_text(order, "model", ""), adapter)
+            : g_strdup(json_text(order, "model", ""));
+    int64_t now_ms = clock_now_ms();
+    bool overfull = false;
+    bool taken_turns = false;
+    unsigned status = 421;
+
+    pthread_mutex_lock(&engine->soak->lock);
+    if (!is_other(engine, request)) {
+        taken_turns = turns(engine, json_text(order, "holder", ""), now_ms);
+        status = take_order(engine, order, item, now_ms, &overfull);
+    }
+    pthread_mutex_unlock(&engine->soak->lock);
+    if (taken_turns) {
+        soak_fail(engine->soak, "ONE: holders take turns at %s", engine->id);
+    }
+    if (overfull) {
+        soak_fail(engine->soak, "LIMIT: %s is ordered to load %s", engine->id,
+                  item);
+    }
+    ulfius_set_string_body_response(response, status, "");
+    json_object_put(order);
+    g_free(item);
+    return U_CALLBACK_COMPLETE;
+}
+
+/* One stream; it ends when its engine starts anew. */
+struct stream {
+    struct soak_engine *engine;
+    char id[NAME_MAX_BYTES];
+    char attempt[NAME_MAX_BYTES];
+    int next;
+    char text[EVENT_BYTES];
+    size_t sent;
+};
+
+static bool
+runs_still(struct stream *stream)
+{
+    bool same;
+
+    pthread_mutex_lock(&stream->engine->soak->lock);
+    same =
+        strcmp(stream->id, stream->engine->id) == 0 && !stream->engine->down;
+    pthread_mutex_unlock(&stream->engine->soak->lock);
+    return same;
+}
+
+static ssize_t
+next_event(void *user_data, uint64_t offset, char *out, size_t max)
+{
+    struct stream *stream = user_data;
+    size_t count;
+
+    (void)offset;
+    if (stream->text[stream->sent] == '\0') {
+        if (stream->next >= STREAM_EVENTS) {
+            return U_STREAM_END;
+        }
+        g_usleep(EVENT_MS * 1000);
+        if (!runs_still(stream)) {
+            return U_STREAM_ERROR;
+        }
+        g_snprintf(stream->text, sizeof(stream->text),
+                   "id: %d\ndata: %s:%d\n\n", stream->next, stream->attempt,
+                   stream->next);
+        stream->next++;
+        stream->sent = 0;
+    }
+    count = MIN(strlen(stream->text + stream->sent), max);
+    memcpy(out, stream->text + stream->sent, count);
+    stream->sent += count;
+    return (ssize_t)count;
+}
+
+static void
+start_stream(struct soak_engine *engine, const struct _u_request *request,
+             const char *attempt, struct _u_response *response)
+{
+    struct stream *stream = g_new0(struct stream, 1);
+    const char *last = u_map_get_case(request->map_header, "Last-Event-Id");
+
+    stream->engine = engine;
+    g_strlcpy(stream->id, engine->id, sizeof(stream->id));
+    g_strlcpy(stream->attempt, attempt, sizeof(stream->attempt));
+    stream->next = last != NULL ? atoi(last) + 1 : 0;
+    ulfius_add_header_to_response(response, "Content-Type",
+                                  "text/event-stream");
+    ulfius_set_stream_response(response, 200, next_event, g_free,
+                               U_STREAM_SIZE_UNKNOWN, EVENT_BYTES, stream);
+}
+
+/* Whether the engine's leaving must have been believed by all. Called with the
+ * lock held. */
+static bool
+is_drained(const struct soak_engine *engine, int64_t now_ms)
+{
+    const struct soak *soak = engine->soak;
+    int64_t since_ms = engine->leaving_ms - CONTACT_MS;
+
+    if (engine->leaving_ms == 0 || now_ms - engine->leaving_ms <= DRAIN_MS ||
+        soak->store_trouble_ms > since_ms) {
+        return false;
+    }
+    for (int i = 0; i < GATES; i++) {
+        if (soak->gates[i].trouble_ms > since_ms) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* 0 when the request may run. Called with the lock held. */
+static unsigned
+refusal(const struct soak_engine *engine, const struct _u_request *request)
+{
+    const char *model = u_map_get_case(request->map_header, "Model");
+
+    if (is_other(engine, request)) {
+        return 421;
+    }
+    if (model != NULL && !has(engine->held, model)) {
+        return 421;
+    }
+    return engine->down ? 503 : 0;
+}
+
+static int
+run_request(const struct _u_request *request, struct _u_response *response,
+            void *user_data)
+{
+    struct soak_engine *engine = user_data;
+    const char *attempt = u_map_get_case(request->map_header, "Attempt-Id");
+    const char *path = request->http_url;
+    bool stream = strstr(path, "stream/") != NULL || strstr(path, "chat/");
+    bool once = strstr(path, "once/") != NULL || strstr(path, "chat/");
+    bool drained;
+    unsigned status;
+
+    pthread_mutex_lock(&engine->soak->lock);
+    settle(engine, clock_now_ms());
+    status = refusal(engine, request);
+    drained = status == 0 && is_drained(engine, clock_now_ms());
+    pthread_mutex_unlock(&engine->soak->lock);
+    attempt = attempt != NULL ? attempt : "";
+    ulfius_add_header_to_response(response, "Attempt-Id", attempt);
+    if (drained) {
+        soak_fail(engine->soak, "DRAIN: %s gets %s", engine->id, attempt);
+    }
+    if (status != 0) {
+        ulfius_add_header_to_response(response, "Not-Executed", "1");
+        ulfius_set_string_body_response(response, status, "");
+        return U_CALLBACK_COMPLETE;
+    }
+    soak_note_run(engine->soak, attempt, once);
+    ulfius_add_header_to_response(response, "Server-Seal", "s");
+    if (stream) {
+        start_stream(engine, request, attempt, response);
+        return U_CALLBACK_COMPLETE;
+    }
+    g_usleep(RUN_MS * 1000);
+    {
+        char *body = g_strdup_printf("%s by %s", attempt, engine->service);
+
+        ulfius_set_string_body_response(response, 200, body);
+        g_free(body);
+    }
+    return U_CALLBACK_COMPLETE;
+}
+
+void
+soak_engine_init(struct soak *soak, int number)
+{
+    struct soak_engine *engine = &soak->engines[number];
+    struct http_limits limits = {.body_max_bytes = 1 << 16,
+                                 .connections_max = 256};
+    struct err err = {0};
+
+    engine->soak = soak;
+    engine->number = number;
+    engine->held = g_ptr_array_new_with_free_func(g_free);
+    engine->at_hand = g_ptr_array_new_with_free_func(g_free);
+    engine->link = proxy_link(soak->proxy);
+    if (number < MODEL_ENGINES) {
+        g_strlcpy(engine->service, "chat", sizeof(engine->service));
+    }
+    else {
+        g_snprintf(engine->service, sizeof(engine->service), "p%d",
+                   number % 2);
+    }
+    engine->server = http_server_new("127.0.0.1:0", &limits, &err);
+    g_assert_nonnull(engine->server);
+    ulfius_add_endpoint_by_val(&engine->server->instance, "GET", "/v1",
+                               "/report", 0, get_report, engine);
+    ulfius_add_endpoint_by_val(&engine->server->instance, "POST", "/v1",
+                               "/order", 0, post_order, engine);
+    ulfius_set_default_endpoint(&engine->server->instance, run_request,
+                                engine);
+    g_assert_true(http_server_start(engine->server, &err));
+}
+
+/* A new start: another name, nothing loaded, its disk as before. */
+void
+soak_engine_start(struct soak_engine *engine)
+{
+    struct soak *soak = engine->soak;
+    char *address =
+        g_strdup_printf("127.0.0.1:%d", http_server_port(engine->server));
+
+    pthread_mutex_lock(&soak->lock);
+    engine->born_ms = clock_wall_ms();
+    g_snprintf(engine->id, sizeof(engine->id), "i-%d-%d", engine->number,
+               (int)(clock_now_ms() - soak->start_ms));
+    g_ptr_array_set_size(engine->held, 0);
+    engine->sequence = 0;
+    engine->loading[0] = '\0';
+    engine->busy_until_ms = 0;
+    engine->leaving_ms = 0;
+    engine->holder[0] = '\0';
+    engine->holder_before[0] = '\0';
+    engine->lease = 0;
+    engine->down = false;
+    pthread_mutex_unlock(&soak->lock);
+    proxy_server(soak->proxy, engine->link, address);
+    g_free(address);
+}
+
+void
+soak_engine_stop(struct soak_engine *engine)
+{
+    pthread_mutex_lock(&engine->soak->lock);
+    engine->down = true;
+    pthread_mutex_unlock(&engine->soak->lock);
+    proxy_server(engine->soak->proxy, engine->link, "");
+}
+
+void
+soak_engine_free(struct soak_engine *engine)
+{
+    http_server_stop(engine->server);
+    http_server_free(engine->server);
+    g_ptr_array_free(engine->held, TRUE);
+    g_ptr_array_free(engine->at_hand, TRUE);
+}
+
+/* Keeps the engine's entry, as a live engine does. */
+void
+soak_engine_tick(struct soak_engine *engine, int64_t now_ms)
+{
+    pthread_mutex_lock(&engine->soak->lock);
+    settle(engine, now_ms);
+    if (!engine->down) {
+        if (engine->lease == 0 ||
+            !soak_store_keep(engine->soak->store, engine->lease)) {
+            engine->lease = soak_store_lease(engine->soak->store, LEASE_MS);
+        }
+        put_entry(engine);
+    }
+    pthread_mutex_unlock(&engine->soak->lock);
+}
--- /dev/null
+++ b/test/soak/fns.h
@@ -0,0 +1,51 @@
+#ifndef SOAK_FNS_H
+#define SOAK_FNS_H
+
+/* proxy.c */
+struct proxy *proxy_new(void);
+void proxy_free(struct proxy *proxy);
+struct link *proxy_link(struct proxy *proxy);
+void proxy_server(struct proxy *proxy, struct link *link, const char *server);
+void proxy_mode(struct proxy *proxy, struct link *link, enum link_mode mode);
+
+/* store.c */
+struct soak_store *soak_store_new(const char *address);
+void soak_store_free(struct soak_store *store);
+int soak_store_port(const struct soak_store *store);
+int64_t soak_store_lease(struct soak_store *store, int64_t ttl_ms);
+bool soak_store_keep(struct soak_store *store, int64_t lease);
+bool soak_store_put(struct soak_store *store, const char *key,
+                    const char *value, int64_t lease);
+void soak_store_delete(struct soak_store *store, const char *key);
+void soak_store_away(struct soak_store *store, bool away);
+void soak_store_slow(struct soak_store *store, int64_t wait_ms);
+void soak_store_lose(struct soak_store *store, int answers);
+void soak_store_forget(struct soak_store *store);
+
+/* engine.c */
+void soak_engine_init(struct soak *soak, int number);
+void soak_engine_start(struct soak_engine *engine);
+void soak_engine_stop(struct soak_engine *engine);
+void soak_engine_free(struct soak_engine *engine);
+void soak_engine_tick(struct soak_engine *engine, int64_t now_ms);
+
+/* gate.c */
+void soak_gate_init(struct soak *soak, int number, int store_port);
+void soak_gate_start(struct soak *soak, struct soak_gate *gate);
+void soak_gate_signal(struct soak_gate *gate, int signal_number);
+bool soak_gate_ended(struct soak_gate *gate);
+void soak_gate_stop(struct soak_gate *gate);
+
+/* caller.c */
+void soak_caller_start(struct soak *soak, int number, pthread_t *thread);
+
+/* fault.c */
+void soak_faults(struct soak *soak, int64_t until_ms);
+
+/* check.c */
+void soak_fail(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+void soak_note_run(struct soak *soak, const char *attempt, bool once);
+void soak_note_refused(struct soak *soak, const char *attempt);
+void soak_write_config(struct soak *soak);
+
+#endif
--- /dev/null
+++ b/test/soak/gate.c
@@ -0,0 +1,114 @@
+/* Instances of the gate as processes. */
+#include <fcntl.h>
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "test/soak/dat.h"
+#include "test/soak/fns.h"
+
+/* Each instance has a loopback address of its own, as its ports are the same
+ * on all machines; runs side by side differ by their process. */
+void
+soak_gate_init(struct soak *soak, int number, int store_port)
+{
+    struct soak_gate *gate = &soak->gates[number];
+    int pid = (int)getpid();
+    char *front;
+    char *server;
+    char *text;
+
+    gate->number = number;
+    g_snprintf(gate->ip, sizeof(gate->ip), "127.%d.%d.%d", 1 + pid / 250 % 250,
+               1 + pid % 250, number + 1);
+    gate->front = proxy_link(soak->proxy);
+    gate->store = proxy_link(soak->proxy);
+    front = g_strdup_printf("%s:%d", gate->ip, FRONT_PORT);
+    server = g_strdup_printf("127.0.0.1:%d", store_port);
+    proxy_server(soak->proxy, gate->front, front);
+    proxy_server(soak->proxy, gate->store, server);
+    text = g_strdup_printf(
+        "{\"node_name\":\"gate-%d\",\"zone\":\"z\",\"ip\":\"%s\","
+        "\"listen\":{\"front\":\"%s\",\"ready\":\"%s:%d\","
+        "\"directory\":\"%s:%d\"},\"internal_ports\":[%d,%d],"
+        "\"platform\":{\"address\":\"127.0.0.1:%d\",\"ttl_min_ms\":1000},"
+        "\"limits\":{\"max_fds\":1024},"
+        "\"bounds\":{\"grace_s\":6,\"budget_ratio\":0.2,\"budget_extra\":50,"
+        "\"budget_window_s\":10,\"ttl_max_s\":5}}",
+        number, gate->ip, front, gate->ip, READY_PORT, gate->ip, LOOKUP_PORT,
+        PEER_PORT, PEER_PORT + 10, gate->store->port);
+    g_snprintf(gate->settings, sizeof(gate->settings), "%s/gate-%d.json",
+               soak->directory, number);
+    g_snprintf(gate->log, sizeof(gate->log), "%s/gate-%d.log", soak->directory,
+               number);
+    g_assert_true(g_file_set_contents(gate->settings, text, -1, NULL));
+    g_free(text);
+    g_free(server);
+    g_free(front);
+}
+
+/* The child ends with the test program, also when an assertion aborts it. */
+static void
+run_child(const struct soak *soak, const struct soak_gate *gate)
+{
+    int log_fd = open(gate->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+    sigset_t none;
+
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, NULL);
+    dup2(log_fd, STDOUT_FILENO);
+    dup2(log_fd, STDERR_FILENO);
+    execl(soak->program, soak->program, gate->settings, (char *)NULL);
+    _exit(127);
+}
+
+void
+soak_gate_start(struct soak *soak, struct soak_gate *gate)
+{
+    pid_t pid = fork();
+
+    g_assert_cmpint(pid, >=, 0);
+    if (pid == 0) {
+        run_child(soak, gate);
+    }
+    pthread_mutex_lock(&soak->lock);
+    gate->pid = pid;
+    gate->starts++;
+    pthread_mutex_unlock(&soak->lock);
+}
+
+void
+soak_gate_signal(struct soak_gate *gate, int signal_number)
+{
+    if (gate->pid != 0) {
+        kill(gate->pid, signal_number);
+    }
+}
+
+/* Returns whether the process has ended. */
+bool
+soak_gate_ended(struct soak_gate *gate)
+{
+    if (gate->pid != 0 && waitpid(gate->pid, NULL, WNOHANG) == gate->pid) {
+        gate->pid = 0;
+    }
+    return gate->pid == 0;
+}
+
+void
+soak_gate_stop(struct soak_gate *gate)
+{
+    if (gate->pid != 0) {
+        kill(gate->pid, SIGKILL);
+        waitpid(gate->pid, NULL, 0);
+        gate->pid = 0;
+    }
+}
--- /dev/null
+++ b/test/soak/store.c
@@ -0,0 +1,563 @@
+/* The platform's store: keys, leases, watches, and its misbehaviour. */
+#include <glib.h>
+#include <json-c/json.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
+#include "test/soak/dat.h"
+#include "test/soak/fns.h"
+
+enum { PAUSE_US = 5000, EVENTS_KEPT = 4000 };
+
+struct entry {
+    char *key;
+    char *value; /* base64; NULL in an event for a removal */
+    int64_t revision;
+    int64_t created;
+    int64_t lease;
+};
+
+struct store_lease {
+    int64_t ends_ms;
+    int64_t ttl_ms;
+};
+
+struct soak_store {
+    struct http_server *server;
+    pthread_mutex_t lock;
+    GPtrArray *entries;
+    GPtrArray *events;
+    GHashTable *leases;
+    int64_t revision;
+    int64_t next_lease;
+    int64_t forgotten;
+    bool away;
+    int64_t slow_ms;
+    int lose;
+    atomic_bool stopping;
+};
+
+static void
+entry_free(void *data)
+{
+    struct entry *entry = data;
+
+    g_free(entry->key);
+    g_free(entry->value);
+    g_free(entry);
+}
+
+static struct entry *
+find(struct soak_store *store, const char *key)
+{
+    for (guint i = 0; i < store->entries->len; i++) {
+        struct entry *entry = store->entries->pdata[i];
+
+        if (strcmp(entry->key, key) == 0) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+static void
+add_event(struct soak_store *store, const struct entry *entry, bool removed)
+{
+    struct entry *event = g_new0(struct entry, 1);
+
+    *event = *entry;
+    event->key = g_strdup(entry->key);
+    event->value = removed ? NULL : g_strdup(entry->value);
+    event->revision = store->revision;
+    g_ptr_array_add(store->events, event);
+    if (store->events->len > EVENTS_KEPT) {
+        store->forgotten = ((struct entry *)store->events->pdata[0])->revision;
+        g_ptr_array_remove_index(store->events, 0);
+    }
+}
+
+static void
+put(struct soak_store *store, const char *key, const char *base64,
+    int64_t lease)
+{
+    struct entry *entry = find(store, key);
+
+    store->revision++;
+    if (entry == NULL) {
+        entry = g_new0(struct entry, 1);
+        entry->key = g_strdup(key);
+        entry->created = store->revision;
+        g_ptr_array_add(store->entries, entry);
+    }
+    g_free(entry->value);
+    entry->value = g_strdup(base64);
+    entry->revision = store->revision;
+    entry->lease = lease;
+    add_event(store, entry, false);
+}
+
+static void
+removed(struct soak_store *store, const char *key)
+{
+    struct entry *entry = find(store, key);
+
+    if (entry != NULL) {
+        store->revision++;
+        add_event(store, entry, true);
+        g_ptr_array_remove(store->entries, entry);
+    }
+}
+
+static void
+end_lease(struct soak_store *store, int64_t lease)
+{
+    for (guint i = store->entries->len; i > 0; i--) {
+        struct entry *entry = store->entries->pdata[i - 1];
+
+        if (entry->lease == lease) {
+            removed(store, entry->key);
+        }
+    }
+    g_hash_table_remove(store->leases, &lease);
+}
+
+static void
+end_leases(struct soak_store *store)
+{
+    GList *keys = g_hash_table_get_keys(store->leases);
+
+    for (GList *item = keys; item != NULL; item = item->next) {
+        int64_t lease = *(int64_t *)item->data;
+        struct store_lease *known = g_hash_table_lookup(store->leases, &lease);
+
+        if (known->ends_ms <= clock_now_ms()) {
+            end_lease(store, lease);
+        }
+    }
+    g_list_free(keys);
+}
+
+static struct json_object *
+entry_json(const struct entry *entry)
+{
+    struct json_object *object = json_object_new_object();
+
+    json_object_object_add(object, "key", json_object_new_string(entry->key));
+    json_object_object_add(object, "revision",
+                           json_object_new_int64(entry->revision));
+    if (entry->value == NULL) {
+        json_object_object_add(object, "deleted",
+                               json_object_new_boolean(true));
+        return object;
+    }
+    json_object_object_add(object, "value",
+                           json_object_new_string(entry->value));
+    json_object_object_add(object, "create_rev",
+                           json_object_new_int64(entry->created));
+    json_object_object_add(object, "lease",
+                           json_object_new_int64(entry->lease));
+    return object;
+}
+
+/* Takes the lock. Returns false when the call is not served. */
+static bool
+begin(struct soak_store *store, struct _u_response *response)
+{
+    int64_t slow_ms;
+
+    pthread_mutex_lock(&store->lock);
+    slow_ms = store->slow_ms;
+    if (slow_ms > 0) {
+        pthread_mutex_unlock(&store->lock);
+        g_usleep((gulong)slow_ms * 1000);
+        pthread_mutex_lock(&store->lock);
+    }
+    if (store->away || atomic_load(&store->stopping)) {
+        pthread_mutex_unlock(&store->lock);
+        ulfius_set_string_body_response(response, 503, "away");
+        return false;
+    }
+    end_leases(store);
+    return true;
+}
+
+/* An answer that is lost is replaced by one that says nothing. */
+static void
+finish(struct soak_store *store, struct _u_response *response, unsigned status,
+       struct json_object *body)
+{
+    if (store->lose > 0) {
+        store->lose--;
+        status = 500;
+        json_object_put(body);
+        body = json_object_new_object();
+    }
+    pthread_mutex_unlock(&store->lock);
+    http_reply_json(response, status, body);
+}
+
+static const char *
+query(const struct _u_request *request, const char *name)
+{
+    const char *value = u_map_get(request->map_url, name);
+
+    return value != NULL ? value : "";
+}
+
+static int
+get_range(const struct _u_request *request, struct _u_response *response,
+          void *user_data)
+{
+    struct soak_store *store = user_data;
+    struct json_object *body = json_object_new_object();
+    struct json_object *items = json_object_new_array();
+
+    if (!begin(store, response)) {
+        json_object_put(body);
+        json_object_put(items);
+        return U_CALLBACK_COMPLETE;
+    }
+    for (guint i = 0; i < store->entries->len; i++) {
+        const struct entry *entry = store->entries->pdata[i];
+
+        if (strcmp(entry->key, query(request, "after")) > 0 &&
+            g_str_has_prefix(entry->key, query(request, "path_prefix"))) {
+            json_object_array_add(items, entry_json(entry));
+        }
+    }
+    json_object_object_add(body, "items", items);
+    json_object_object_add(body, "store_revision",
+                           json_object_new_int64(store->revision));
+    json_object_object_add(body, "truncated", json_object_new_boolean(false));
+    finish(store, response, 200, body);
+    return U_CALLBACK_COMPLETE;
+}
+
+static int
+get_watch(const struct _u_request *request, struct _u_response *response,
+          void *user_data)
+{
+    struct soak_store *store = user_data;
+    int64_t after = g_ascii_strtoll(query(request, "after"), NULL, 10);
+    int64_t end_ms =
+        clock_now_ms() + g_ascii_strtoll(query(request, "wait_ms"), NULL, 10);
+    struct json_object *body;
+    struct json_object *events;
+
+    if (!begin(store, response)) {
+        return U_CALLBACK_COMPLETE;
+    }
+    while (store->revision <= after && clock_now_ms() < end_ms &&
+           !store->away && !atomic_load(&store->stopping)) {
+        pthread_mutex_unlock(&store->lock);
+        g_usleep(PAUSE_US);
+        pthread_mutex_lock(&store->lock);
+        end_leases(store);
+    }
+    body = json_object_new_object();
+    if (after < store->forgotten || store->away) {
+        finish(store, response, store->away ? 503 : 410, body);
+        return U_CALLBACK_COMPLETE;
+    }
+    events = json_object_new_array();
+    for (guint i = 0; i < store->events->len; i++) {
+        const struct entry *event = store->events->pdata[i];
+
+        if (event->revision > after) {
+            json_object_array_add(events, entry_json(event));
+        }
+    }
+    json_object_object_add(body, "events", events);
+    json_object_object_add(body, "store_revision",
+                           json_object_new_int64(store->revision));
+    finish(store, response, 200, body);
+    return U_CALLBACK_COMPLETE;
+}
+
+static bool
+expected_holds(struct soak_store *store, struct json_object *rows)
+{
+    for (size_t i = 0; i < json_object_array_length(rows); i++) {
+        struct json_object *row = json_object_array_get_idx(rows, i);
+        const struct entry *entry = find(store, json_text(row, "key", ""));
+
+        if ((entry != NULL ? entry->revision : 0) !=
+            json_number(row, "revision", -1)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+leases_hold(struct soak_store *store, struct json_object *puts)
+{
+    for (size_t i = 0; i < json_object_array_length(puts); i++) {
+        int64_t lease =
+            json_number(json_object_array_get_idx(puts, i), "lease", 0);
+
+        if (lease != 0 && !g_hash_table_contains(store->leases, &lease)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+apply(struct soak_store *store, struct json_object *puts,
+      struct json_object *keys)
+{
+    for (size_t i = 0; i < json_object_array_length(puts); i++) {
+        struct json_object *row = json_object_array_get_idx(puts, i);
+
+        put(store, json_text(row, "key", ""), json_text(row, "value", ""),
+            json_number(row, "lease", 0));
+    }
+    for (size_t i = 0; i < json_object_array_length(keys); i++) {
+        removed(store,
+                json_object_get_string(json_object_array_get_idx(keys, i)));
+    }
+}
+
+static int
+post_txn(const struct _u_request *request, struct _u_response *response,
+         void *user_data)
+{
+    struct soak_store *store = user_data;
+    struct err err = {0};
+    struct json_object *input = http_body_json(request, &err);
+    struct json_object *rows = json_object_object_get(input, "expected");
+    struct json_object *puts = json_object_object_get(input, "puts");
+    struct json_object *body = json_object_new_object();
+    unsigned status = 200;
+
+    if (!begin(store, response)) {
+        json_object_put(input);
+        json_object_put(body);
+        return U_CALLBACK_COMPLETE;
+    }
+    if (!leases_hold(store, puts)) {
+        status = 404;
+    }
+    else if (!expected_holds(store, rows)) {
+        status = 412;
+    }
+    else {
+        apply(store, puts, json_object_object_get(input, "remove"));
+        json_object_object_add(body, "revision",
+                               json_object_new_int64(store->revision));
+    }
+    finish(store, response, status, body);
+    json_object_put(input);
+    return U_CALLBACK_COMPLETE;
+}
+
+static int64_t
+new_lease(struct soak_store *store, int64_t ttl_ms)
+{
+    struct store_lease *lease = g_new0(struct store_lease, 1);
+    int64_t number = ++store->next_lease;
+
+    lease->ttl_ms = ttl_ms;
+    lease->ends_ms = clock_now_ms() + ttl_ms;
+    g_hash_table_insert(store->leases, g_memdup2(&number, sizeof(number)),
+                        lease);
+    return number;
+}
+
+static int
+post_lease(const struct _u_request *request, struct _u_response *response,
+           void *user_data)
+{
+    struct soak_store *store = user_data;
+    struct err err = {0};
+    struct json_object *input = http_body_json(request, &err);
+    struct json_object *body = json_object_new_object();
+    int64_t ttl_ms = json_number(input, "ttl_ms", 0);
+
+    json_object_put(input);
+    if (!begin(store, response)) {
+        json_object_put(body);
+        return U_CALLBACK_COMPLETE;
+    }
+    json_object_object_add(body, "lease",
+                           json_object_new_int64(new_lease(store, ttl_ms)));
+    json_object_object_add(body, "ttl_ms", json_object_new_int64(ttl_ms));
+    finish(store, response, 200, body);
+    return U_CALLBACK_COMPLETE;
+}
+
+static int
+lease_call(const struct _u_request *request, struct _u_response *response,
+           void *user_data)
+{
+    struct soak_store *store = user_data;
+    int64_t number =
+        g_ascii_strtoll(u_map_get(request->map_url, "id"), NULL, 10);
+    struct store_lease *lease;
+    unsigned status = 200;
+
+    if (!begin(store, response)) {
+        return U_CALLBACK_COMPLETE;
+    }
+    lease = g_hash_table_lookup(store->leases, &number);
+    if (lease == NULL) {
+        status = 404;
+    }
+    else if (strcmp(request->http_verb, "DELETE") == 0) {
+        end_lease(store, number);
+    }
+    else {
+        lease->ends_ms = clock_now_ms() + lease->ttl_ms;
+    }
+    finish(store, response, status, json_object_new_object());
+    return U_CALLBACK_COMPLETE;
+}
+
+struct soak_store *
+soak_store_new(const char *address)
+{
+    struct soak_store *store = g_new0(struct soak_store, 1);
+    struct http_limits limits = {.body_max_bytes = 1 << 20,
+                                 .connections_max = 256};
+    struct err err = {0};
+    struct _u_instance *instance;
+
+    pthread_mutex_init(&store->lock, NULL);
+    store->entries = g_ptr_array_new_with_free_func(entry_free);
+    store->events = g_ptr_array_new_with_free_func(entry_free);
+    store->leases =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    store->revision = 1;
+    store->server = http_server_new(address, &limits, &err);
+    g_assert_nonnull(store->server);
+    instance = &store->server->instance;
+    ulfius_add_endpoint_by_val(instance, "GET", "/v1", "/kv-range", 0,
+                               get_range, store);
+    ulfius_add_endpoint_by_val(instance, "GET", "/v1", "/kv-watch", 0,
+                               get_watch, store);
+    ulfius_add_endpoint_by_val(instance, "POST", "/v1", "/kv-txn", 0, post_txn,
+                               store);
+    ulfius_add_endpoint_by_val(instance, "POST", "/v1", "/kv-lease", 0,
+                               post_lease, store);
+    ulfius_add_endpoint_by_val(instance, "POST", "/v1", "/kv-keep/:id", 0,
+                               lease_call, store);
+    ulfius_add_endpoint_by_val(instance, "DELETE", "/v1", "/kv-lease-end/:id",
+                               0, lease_call, store);
+    g_assert_true(http_server_start(store->server, &err));
+    return store;
+}
+
+void
+soak_store_free(struct soak_store *store)
+{
+    atomic_store(&store->stopping, true);
+    http_server_stop(store->server);
+    http_server_free(store->server);
+    g_ptr_array_free(store->entries, TRUE);
+    g_ptr_array_free(store->events, TRUE);
+    g_hash_table_destroy(store->leases);
+    pthread_mutex_destroy(&store->lock);
+    g_free(store);
+}
+
+int
+soak_store_port(const struct soak_store *store)
+{
+    return http_server_port(store->server);
+}
+
+int64_t
+soak_store_lease(struct soak_store *store, int64_t ttl_ms)
+{
+    int64_t lease;
+
+    pthread_mutex_lock(&store->lock);
+    lease = new_lease(store, ttl_ms);
+    pthread_mutex_unlock(&store->lock);
+    return lease;
+}
+
+/* Returns false when the lease has ended; true while the store is away. */
+bool
+soak_store_keep(struct soak_store *store, int64_t number)
+{
+    struct store_lease *lease;
+    bool kept = true;
+
+    pthread_mutex_lock(&store->lock);
+    end_leases(store);
+    lease = g_hash_table_lookup(store->leases, &number);
+    if (lease != NULL && !store->away) {
+        lease->ends_ms = clock_now_ms() + lease->ttl_ms;
+    }
+    kept = lease != NULL || store->away;
+    pthread_mutex_unlock(&store->lock);
+    return kept;
+}
+
+/* Returns false while the store is away. */
+bool
+soak_store_put(struct soak_store *store, const char *key, const char *value,
+               int64_t lease)
+{
+    char *base64 = g_base64_encode((const guchar *)value, strlen(value));
+    bool done;
+
+    pthread_mutex_lock(&store->lock);
+    done = !store->away;
+    if (done) {
+        put(store, key, base64, lease);
+    }
+    pthread_mutex_unlock(&store->lock);
+    g_free(base64);
+    return done;
+}
+
+void
+soak_store_delete(struct soak_store *store, const char *key)
+{
+    pthread_mutex_lock(&store->lock);
+    removed(store, key);
+    pthread_mutex_unlock(&store->lock);
+}
+
+void
+soak_store_away(struct soak_store *store, bool away)
+{
+    pthread_mutex_lock(&store->lock);
+    store->away = away;
+    pthread_mutex_unlock(&store->lock);
+}
+
+void
+soak_store_slow(struct soak_store *store, int64_t wait_ms)
+{
+    pthread_mutex_lock(&store->lock);
+    store->slow_ms = wait_ms;
+    pthread_mutex_unlock(&store->lock);
+}
+
+void
+soak_store_lose(struct soak_store *store, int answers)
+{
+    pthread_mutex_lock(&store->lock);
+    store->lose = answers;
+    pthread_mutex_unlock(&store->lock);
+}
+
+void
+soak_store_forget(struct soak_store *store)
+{
+    pthread_mutex_lock(&store->lock);
+    store->forgotten = store->revision;
+    g_ptr_array_set_size(store->events, 0);
+    pthread_mutex_unlock(&store->lock);
+}
