Don't wait for a copy on an engine that is silent

An engine in doubt that has not answered for 1.5 s is neither waited for nor forecast. Tests: plan_test silent_engine_is_not_waited_for (seen to fail before), engine_without_a_report_is_not_waited_for, on_the_disk_of_a_silent_engine.

--- a/src/gate/place/choice.c
+++ b/src/gate/place/choice.c
@@ -23,6 +23,8 @@
     SHORT_WAIT_MS = 600,
     /* An unload that waits for runs, or room that is made for another item. */
     LONG_WAIT_MS = 3000,
+    /* An engine in doubt that has not answered for as long may be gone. */
+    SILENCE_MS = 1500,
 };
 
 /* A swap on an engine with a copy beats one from the store by far, and a busy
@@ -148,6 +150,18 @@
                                                     : SHORT_WAIT_MS;
 }
 
+/**
+ * choice_is_silent() - whether an engine in doubt has not answered lately
+ * @engine: the engine
+ * @now_ms: present time
+ */
+bool
+choice_is_silent(const struct plan_engine *engine, int64_t now_ms)
+{
+    return (engine->unsure || engine->info.sequence < 0) &&
+           now_ms - engine->heard_ms > SILENCE_MS;
+}
+
 /* Whether an engine that has a copy, but is not free now, will have the item
  * sooner than the weight store can bring it. */
 static bool
@@ -163,6 +177,7 @@
 
         if (may_get(plan, choice.engine, item) &&
             !choice_suits(plan, choice.engine, item, now_ms) &&
+            !choice_is_silent(choice.engine, now_ms) &&
             weigh(plan, &choice, item, idle_ms, now_ms) &&
             !choice.from_store &&
             choice.cost + (double)free_in_ms(choice.engine, item, now_ms) <
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -28,6 +28,7 @@
  * @report_ms: when its report is to be read; 0 for never
  * @reporting: its report is being read
  * @unsure: an order may be carried out late; its report decides
+ * @heard_ms: when it last answered a call, or since when it is known
  * @running: requests there, of all instances
  */
 struct plan_engine {
@@ -49,6 +50,7 @@
     int64_t report_ms;
     bool reporting;
     bool unsure;
+    int64_t heard_ms;
     int running;
 };
 
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -191,6 +191,9 @@
     if (!work->sent) {
         return NULL;
     }
+    if (work->result != ORDER_UNKNOWN) {
+        engine->heard_ms = now_ms;
+    }
     switch (work->result) {
     case ORDER_ACCEPTED:
         changed = accepted(plan, engine, step, now_ms);
@@ -248,6 +251,7 @@
         engine->report_ms = now_ms + CONFLICT_MS;
         return NULL;
     }
+    engine->heard_ms = now_ms;
     if (info->sequence < engine->info.sequence) {
         /* The report is older than the last answer. */
         engine->report_ms = now_ms + REPORT_LAG_MS;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -43,6 +43,7 @@
 int choice_store_loads(const struct plan *plan);
 bool choice_suits(struct plan *plan, const struct plan_engine *engine,
                   uint32_t item, int64_t now_ms);
+bool choice_is_silent(const struct plan_engine *engine, int64_t now_ms);
 struct choice choice_make(struct plan *plan, uint32_t item,
                           enum choice_source source, int64_t idle_ms,
                           int64_t now_ms);
--- a/src/gate/place/outlook.c
+++ b/src/gate/place/outlook.c
@@ -46,12 +46,13 @@
  * others may come first. -1 when the engine does not have it near. */
 static int64_t
 near_ms(const struct plan *plan, const struct plan_engine *engine,
-        uint32_t model)
+        uint32_t model, int64_t now_ms)
 {
     bool from_store;
     int64_t load_ms = room_load_ms(plan, engine, model, &from_store);
 
-    if (engine->info.leaving || engine->missing) {
+    if (engine->info.leaving || engine->missing ||
+        choice_is_silent(engine, now_ms)) {
         return -1;
     }
     if (items_have(&engine->info.held, model)) {
@@ -73,7 +74,7 @@
         int64_t ready = ready_ms(plan, engine, forecast->item, now_ms);
 
         if (ready < 0) {
-            ready = near_ms(plan, engine, model);
+            ready = near_ms(plan, engine, model, now_ms);
         }
         if (ready >= 0 && (!forecast->coming || ready < forecast->ready_ms)) {
             forecast->coming = true;
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -114,6 +114,7 @@
 start_engine(struct plan_engine *engine, const struct target_info *info,
              int64_t now_ms)
 {
+    engine->heard_ms = now_ms;
     engine->info = *info;
     engine->unsure = true;
     engine->report_ms = now_ms;
@@ -236,5 +237,6 @@
         engine->reporting = false;
         engine->report_ms = now_ms;
         engine->unsure = true;
+        engine->heard_ms = now_ms;
     }
 }
