A new holder hears the demand before it asks the weight store

The new holder had no notes yet (they went to the former one to be summed up), started four loads of little use within 0.1 s beside those of the former holder, and did not know that the store carries two at a time, so each took over 20 s.

Change: no load from the weight store in the first 500 ms of a term; an engine that is busy with an order of another counts as loading from the store; the number of loads that the store carries is told with the holdings.

--- a/src/gate/news/wire.c
+++ b/src/gate/news/wire.c
@@ -134,6 +134,7 @@
     body.target = (char *)holdings->target;
     body.born_ms = holdings->born_ms;
     body.sequence = holdings->sequence;
+    body.store_loads = (uint32_t)holdings->store_loads;
     body.n_held = (size_t)holdings->held.count;
     body.held = names;
     envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_HOLDINGS;
@@ -225,6 +226,7 @@
     g_strlcpy(holdings->target, body->target, sizeof(holdings->target));
     holdings->born_ms = body->born_ms;
     holdings->sequence = body->sequence;
+    holdings->store_loads = (int)body->store_loads;
     for (size_t i = 0; i < body->n_held; i++) {
         uint32_t item = g_quark_try_string(body->held[i]);
 
--- a/src/gate/place/choice.c
+++ b/src/gate/place/choice.c
@@ -23,6 +23,8 @@
     SHORT_WAIT_MS = 600,
     /* An unload that waits for runs, or room that is made for another item. */
     LONG_WAIT_MS = 3000,
+    /* Notes on what is asked for reach a new holder within it. */
+    LEARN_MS = 500,
     /* An engine in doubt that has not answered for as long may be gone. */
     SILENCE_MS = 1500,
 };
@@ -58,7 +60,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct plan_engine *engine = value;
 
-        bool from_store = engine->loading != 0 && engine->loading_store;
+        bool from_store = engine->busy_other ||
+                          (engine->loading != 0 && engine->loading_store);
 
         if (engine->ordered != 0) {
             room_load_ms(plan, engine, engine->ordered, &from_store);
@@ -80,7 +83,8 @@
          i++) {
         recent += now_ms - plan->load_start_ms[i] < LOADS_WINDOW_MS ? 1 : 0;
     }
-    return choice_store_loads(plan) < plan->settings.store_loads_max &&
+    return now_ms - plan->begin_ms >= LEARN_MS &&
+           choice_store_loads(plan) < plan->settings.store_loads_max &&
            recent + 1 <= service->loads_per_s;
 }
 
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -28,6 +28,7 @@
  * @report_ms: when its report is to be read; 0 for never
  * @reporting: its report is being read
  * @unsure: an order may be carried out late; its report decides
+ * @busy_other: it carries out an order that this instance did not give
  * @heard_ms: when it last answered a call, or since when it is known
  * @running: requests there, of all instances
  */
@@ -50,6 +51,7 @@
     int64_t report_ms;
     bool reporting;
     bool unsure;
+    bool busy_other;
     int64_t heard_ms;
     int running;
 };
@@ -75,6 +77,7 @@
  * @engines: id -> struct plan_engine
  * @items: quark -> struct plan_item
  * @notes: instance -> struct activity
+ * @begin_ms: when this instance became the holder
  */
 struct plan {
     struct plan_settings settings;
@@ -82,6 +85,7 @@
     GHashTable *engines;
     GHashTable *items;
     GHashTable *notes;
+    int64_t begin_ms;
     int64_t load_start_ms[64];
     int load_starts;
 };
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -60,7 +60,7 @@
 }
 
 static struct holdings *
-holdings_of(const struct plan_engine *engine)
+holdings_of(const struct plan *plan, const struct plan_engine *engine)
 {
     struct holdings *holdings = g_new0(struct holdings, 1);
 
@@ -68,6 +68,7 @@
     holdings->born_ms = engine->info.born_ms;
     holdings->sequence = engine->info.sequence;
     holdings->held = engine->info.held;
+    holdings->store_loads = plan->settings.store_loads_max;
     items_remove(&holdings->held, engine->unloading);
     return holdings;
 }
@@ -115,7 +116,7 @@
         struct plan_engine *engine = value;
 
         if (engine->assume_ms != 0 && now_ms >= engine->assume_ms) {
-            struct holdings *holdings = holdings_of(engine);
+            struct holdings *holdings = holdings_of(plan, engine);
 
             engine->assume_ms = 0;
             if (engine->loading != 0) {
@@ -225,7 +226,7 @@
         engine->reserved = 0;
         break;
     }
-    return changed ? holdings_of(engine) : NULL;
+    return changed ? holdings_of(plan, engine) : NULL;
 }
 
 /* A load that has failed tells nothing. */
@@ -264,9 +265,11 @@
         engine->info.in_memory = info->in_memory;
         engine->info.on_disk = info->on_disk;
     }
+    engine->busy_other =
+        info->busy && engine->loading == 0 && engine->unloading == 0;
     if (info->busy) {
         engine->report_ms = now_ms + REPORT_LAG_MS;
-        engine->unsure = engine->loading == 0 && engine->unloading == 0;
+        engine->unsure = engine->busy_other;
     }
     else {
         if (engine->loading != 0 && engine->loading_store) {
@@ -283,7 +286,7 @@
     else {
         engine->unloading = 0;
     }
-    return holdings_of(engine);
+    return holdings_of(plan, engine);
 }
 
 /**
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -30,6 +30,7 @@
 plan_init(struct plan *plan)
 {
     memset(plan, 0, sizeof(*plan));
+    plan->begin_ms = G_MININT32; /* long before the clock's start */
     loads_init(plan);
     plan->engines =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -108,6 +109,7 @@
     engine->unloading = 0;
     engine->reserved = 0;
     engine->unsure = false;
+    engine->busy_other = false;
 }
 
 static void
@@ -206,6 +208,9 @@
     struct plan_engine *engine =
         g_hash_table_lookup(plan->engines, holdings->target);
 
+    if (holdings->store_loads > 0) {
+        plan->settings.store_loads_max = holdings->store_loads;
+    }
     if (engine != NULL && engine->info.born_ms == holdings->born_ms &&
         holdings->sequence >= engine->info.sequence) {
         engine->info.held = holdings->held;
@@ -227,6 +232,7 @@
     GHashTableIter iter;
     void *value;
 
+    plan->begin_ms = now_ms;
     g_hash_table_iter_init(&iter, plan->engines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct plan_engine *engine = value;
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -155,12 +155,15 @@
  * struct holdings - what a target holds by now
  * @target: its id
  * @sequence: orders that it has accepted by then
+ * @store_loads: loads at a time that the weight store carries, as far as the
+ *               holder of orders knows; 0 when it does not say
  */
 struct holdings {
     char target[NAME_MAX_BYTES];
     int64_t born_ms;
     int64_t sequence;
     struct target_items held;
+    int store_loads;
 };
 
 /**
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -3620,7 +3620,7 @@
   (ProtobufCMessageInit) turmeric__gate_activity__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor turmeric__gate_holdings__field_descriptors[4] =
+static const ProtobufCFieldDescriptor turmeric__gate_holdings__field_descriptors[5] =
 {
   {
     "target",
@@ -3670,17 +3670,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_loads",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateHoldings, store_loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__gate_holdings__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   3,   /* field[3] = held */
   2,   /* field[2] = sequence */
+  4,   /* field[4] = store_loads */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange turmeric__gate_holdings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor turmeric__gate_holdings__descriptor =
 {
@@ -3690,7 +3703,7 @@
   "Turmeric__GateHoldings",
   "turmeric",
   sizeof(Turmeric__GateHoldings),
-  4,
+  5,
   turmeric__gate_holdings__field_descriptors,
   turmeric__gate_holdings__field_indices_by_name,
   1,  turmeric__gate_holdings__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -506,10 +506,14 @@
   int64_t sequence;
   size_t n_held;
   char **held;
+  /*
+   * that the weight store carries, as was seen
+   */
+  uint32_t store_loads;
 };
 #define TURMERIC__GATE_HOLDINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_holdings__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 /*
