--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -423,4 +423,6 @@
     state->random =
         g_rand_new_with_seed((guint32)soak->seed * 31u + (guint32)number);
     g_assert_cmpint(pthread_create(thread, NULL, run, state), ==, 0);
+    /* The thread frees its state. */
+    /* cppcheck-suppress memleak */
 }
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -90,6 +90,7 @@
 /**
  * struct soak_gate - an instance of the gate
  * @pid: 0 while it does not run
+ * @asked_to_end: a signal was sent that ends it
  * @starts: times that it was started
  * @trouble_ms: until when a fault touches it
  */
@@ -99,8 +100,8 @@
     char settings[PATH_MAX_BYTES];
     char log[PATH_MAX_BYTES];
     pid_t pid;
+    bool asked_to_end;
     int starts;
-    bool paused;
     int64_t trouble_ms;
     struct link *front;
     struct link *store;
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -95,7 +95,7 @@
 {
     struct soak_gate *gate = gate_of(soak, fault);
 
-    if (!soak_gate_ended(gate)) {
+    if (!soak_gate_ended(soak, gate)) {
         return false;
     }
     soak_gate_start(soak, gate);
@@ -387,6 +387,9 @@
         end_faults(soak, active,
                    now_ms >= until_ms ? now_ms + FOREVER_MS : now_ms);
         tick_engines(soak, &engines_ms, now_ms);
+        for (int i = 0; i < GATES; i++) {
+            soak_gate_ended(soak, &soak->gates[i]);
+        }
         if (now_ms < until_ms && now_ms >= next_ms) {
             begin_fault(soak, active);
             next_ms = now_ms + g_rand_int_range(soak->random, 50, GAP_MAX_MS);
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -33,7 +33,7 @@
 void soak_gate_init(struct soak *soak, int number, int store_port);
 void soak_gate_start(struct soak *soak, struct soak_gate *gate);
 void soak_gate_signal(struct soak_gate *gate, int signal_number);
-bool soak_gate_ended(struct soak_gate *gate);
+bool soak_gate_ended(struct soak *soak, struct soak_gate *gate);
 void soak_gate_stop(struct soak_gate *gate);
 
 /* caller.c */
--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -81,6 +81,7 @@
     }
     pthread_mutex_lock(&soak->lock);
     gate->pid = pid;
+    gate->asked_to_end = false;
     gate->starts++;
     pthread_mutex_unlock(&soak->lock);
 }
@@ -88,19 +89,34 @@
 void
 soak_gate_signal(struct soak_gate *gate, int signal_number)
 {
+    if (signal_number == SIGKILL || signal_number == SIGTERM) {
+        gate->asked_to_end = true;
+    }
     if (gate->pid != 0) {
         kill(gate->pid, signal_number);
     }
 }
 
-/* Returns whether the process has ended. */
+/* Returns whether the process has ended. It ends when it is asked to only, and
+ * without an error; a sanitizer's finding is one. */
 bool
-soak_gate_ended(struct soak_gate *gate)
+soak_gate_ended(struct soak *soak, struct soak_gate *gate)
 {
-    if (gate->pid != 0 && waitpid(gate->pid, NULL, WNOHANG) == gate->pid) {
-        gate->pid = 0;
+    int status = 0;
+
+    if (gate->pid == 0 || waitpid(gate->pid, &status, WNOHANG) != gate->pid) {
+        return gate->pid == 0;
+    }
+    gate->pid = 0;
+    if (!gate->asked_to_end) {
+        soak_fail(soak, "gate %d ends by itself with %x", gate->number,
+                  (unsigned)status);
+    }
+    else if (!WIFSIGNALED(status) && WEXITSTATUS(status) != 0) {
+        soak_fail(soak, "gate %d ends with %d", gate->number,
+                  WEXITSTATUS(status));
     }
-    return gate->pid == 0;
+    return true;
 }
 
 void
--- a/test/soak_test.c
+++ b/test/soak_test.c
@@ -145,6 +145,7 @@
         g_usleep(POLL_US);
     }
     for (int g = 0; g < GATES; g++) {
+        soak_gate_ended(soak, &soak->gates[g]);
         for (int k = 0; k < KINDS; k++) {
             if (!soak->recovered[g][k]) {
                 soak_fail(soak, "RECOVER: gate %d does not serve kind %d", g,
