--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -400,8 +400,7 @@
     }
     while (!atomic_load(&state->soak->stopping)) {
         ask(state);
-        g_usleep((gulong)g_rand_int_range(state->random, 1, PAUSE_MAX_MS) *
-                 1000);
+        soak_pause(g_rand_int_range(state->random, 1, PAUSE_MAX_MS));
     }
     for (int i = 0; i < GATES; i++) {
         if (state->fds[i] >= 0) {
--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -318,7 +318,7 @@
         if (stream->next >= STREAM_EVENTS) {
             return U_STREAM_END;
         }
-        g_usleep(EVENT_MS * 1000);
+        soak_pause(EVENT_MS);
         if (!runs_still(stream)) {
             return U_STREAM_ERROR;
         }
@@ -419,7 +419,7 @@
         start_stream(engine, request, attempt, response);
         return U_CALLBACK_COMPLETE;
     }
-    g_usleep(RUN_MS * 1000);
+    soak_pause(RUN_MS);
     {
         char *body = g_strdup_printf("%s by %s", attempt, engine->service);
 
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -15,7 +15,7 @@
     GAP_MAX_MS = 1200,
     SHORT_MS = 400,
     LONG_MS = 4000,
-    TICK_US = 20000,
+    TICK_MS = 20,
     ENGINE_TICK_MS = 400,
     SLOW_MS = 400,
     LEAVE_MS = 5000,
@@ -394,7 +394,7 @@
             begin_fault(soak, active);
             next_ms = now_ms + g_rand_int_range(soak->random, 50, GAP_MAX_MS);
         }
-        g_usleep(TICK_US);
+        soak_pause(TICK_MS);
     }
     g_array_free(active, TRUE);
 }
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -42,6 +42,11 @@
 /* fault.c */
 void soak_faults(struct soak *soak, int64_t until_ms);
 
+/* run.c */
+void soak_pause(int pause_ms);
+int64_t soak_setting(const char *name, int64_t usual);
+void soak_run(uint64_t seed, const char *program);
+
 /* check.c */
 void soak_fail(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
 void soak_note_run(struct soak *soak, const char *attempt, bool once);
--- /dev/null
+++ b/test/soak/run.c
@@ -0,0 +1,171 @@
+/* One run from its seed: start, faults, recovery, verdict. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "test/soak/dat.h"
+#include "test/soak/fns.h"
+
+enum { FAULTS_S = 8, START_MS = 1500, POLL_MS = 50, ENGINES_MS = 400 };
+
+/* Work and time that pass are a part of what is played; nothing is waited for
+ * that could be told otherwise. */
+void
+soak_pause(int pause_ms)
+{
+    poll(NULL, 0, pause_ms);
+}
+
+/* A number from the environment. */
+int64_t
+soak_setting(const char *name, int64_t usual)
+{
+    const char *text = g_getenv(name);
+
+    return text != NULL ? g_ascii_strtoll(text, NULL, 10) : usual;
+}
+
+static void
+start(struct soak *soak, uint64_t seed, const char *program)
+{
+    char *directory = g_dir_make_tmp("soak-XXXXXX", NULL);
+
+    memset(soak, 0, sizeof(*soak));
+    pthread_mutex_init(&soak->lock, NULL);
+    soak->seed = seed;
+    soak->random = g_rand_new_with_seed((guint32)seed);
+    soak->start_ms = clock_now_ms();
+    soak->failure = g_string_new(NULL);
+    soak->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    soak->refused =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_strlcpy(soak->directory, directory, sizeof(soak->directory));
+    g_strlcpy(soak->program, program, sizeof(soak->program));
+    g_free(directory);
+    soak->proxy = proxy_new();
+    soak->store = soak_store_new("127.0.0.1:0");
+    soak_write_config(soak);
+    for (int i = 0; i < ENGINES; i++) {
+        soak_engine_init(soak, i);
+        soak_engine_start(&soak->engines[i]);
+        soak_engine_tick(&soak->engines[i], clock_now_ms());
+    }
+    for (int i = 0; i < GATES; i++) {
+        soak_gate_init(soak, i, soak_store_port(soak->store));
+        soak_gate_start(soak, &soak->gates[i]);
+        soak->gates[i].trouble_ms = clock_now_ms();
+    }
+}
+
+static void
+remove_logs(const struct soak *soak)
+{
+    if (g_getenv("SOAK_KEEP") != NULL) {
+        g_test_message("logs in %s", soak->directory);
+        return;
+    }
+    for (int i = 0; i < GATES; i++) {
+        g_unlink(soak->gates[i].log);
+        g_unlink(soak->gates[i].settings);
+    }
+    g_rmdir(soak->directory);
+}
+
+static void
+finish(struct soak *soak)
+{
+    for (int i = 0; i < GATES; i++) {
+        soak_gate_stop(&soak->gates[i]);
+    }
+    proxy_free(soak->proxy);
+    for (int i = 0; i < ENGINES; i++) {
+        soak_engine_free(&soak->engines[i]);
+    }
+    soak_store_free(soak->store);
+    remove_logs(soak);
+    g_hash_table_destroy(soak->runs);
+    g_hash_table_destroy(soak->refused);
+    g_string_free(soak->failure, TRUE);
+    g_rand_free(soak->random);
+    pthread_mutex_destroy(&soak->lock);
+}
+
+static bool
+all_recovered(struct soak *soak)
+{
+    bool all = true;
+
+    pthread_mutex_lock(&soak->lock);
+    for (int g = 0; g < GATES; g++) {
+        for (int k = 0; k < KINDS; k++) {
+            all = all && soak->recovered[g][k];
+        }
+    }
+    pthread_mutex_unlock(&soak->lock);
+    return all;
+}
+
+/* Each gate serves each kind of request again soon after the last fault. */
+static void
+await_recovery(struct soak *soak)
+{
+    int64_t end_ms;
+    int64_t ticked_ms = 0;
+
+    pthread_mutex_lock(&soak->lock);
+    soak->calm_ms = clock_now_ms();
+    end_ms = soak->calm_ms + RECOVER_MS;
+    pthread_mutex_unlock(&soak->lock);
+    while (!all_recovered(soak) && clock_now_ms() < end_ms) {
+        if (clock_now_ms() - ticked_ms >= ENGINES_MS) {
+            ticked_ms = clock_now_ms();
+            for (int i = 0; i < ENGINES; i++) {
+                soak_engine_tick(&soak->engines[i], ticked_ms);
+            }
+        }
+        soak_pause(POLL_MS);
+    }
+    for (int g = 0; g < GATES; g++) {
+        soak_gate_ended(soak, &soak->gates[g]);
+        for (int k = 0; k < KINDS; k++) {
+            if (!soak->recovered[g][k]) {
+                soak_fail(soak, "RECOVER: gate %d does not serve kind %d", g,
+                          k);
+            }
+        }
+    }
+}
+
+/* Fails the test when a promise is broken. */
+void
+soak_run(uint64_t seed, const char *program)
+{
+    pthread_t callers[CALLERS];
+    struct soak soak;
+
+    start(&soak, seed, program);
+    soak_pause(START_MS);
+    for (int i = 0; i < CALLERS; i++) {
+        soak_caller_start(&soak, i, &callers[i]);
+    }
+    soak_faults(&soak, clock_now_ms() +
+                           soak_setting("SOAK_SECONDS", FAULTS_S) * 1000);
+    await_recovery(&soak);
+    atomic_store(&soak.stopping, true);
+    for (int i = 0; i < CALLERS; i++) {
+        pthread_join(callers[i], NULL);
+    }
+    g_test_message("seed %d: %d faults, %d requests, %d served, %s", (int)seed,
+                   soak.faults, (int)soak.asked, (int)soak.served,
+                   soak.failure->len > 0 ? soak.failure->str : "kept");
+    if (soak.failure->len > 0) {
+        g_test_fail();
+    }
+    finish(&soak);
+}
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -14,7 +14,7 @@
 #include "test/soak/dat.h"
 #include "test/soak/fns.h"
 
-enum { PAUSE_US = 5000, EVENTS_KEPT = 4000 };
+enum { WATCH_PAUSE_MS = 5, EVENTS_KEPT = 4000 };
 
 struct entry {
     char *key;
@@ -176,7 +176,7 @@
     slow_ms = store->slow_ms;
     if (slow_ms > 0) {
         pthread_mutex_unlock(&store->lock);
-        g_usleep((gulong)slow_ms * 1000);
+        soak_pause((int)slow_ms);
         pthread_mutex_lock(&store->lock);
     }
     if (store->away || atomic_load(&store->stopping)) {
@@ -257,7 +257,7 @@
     while (store->revision <= after && clock_now_ms() < end_ms &&
            !store->away && !atomic_load(&store->stopping)) {
         pthread_mutex_unlock(&store->lock);
-        g_usleep(PAUSE_US);
+        soak_pause(WATCH_PAUSE_MS);
         pthread_mutex_lock(&store->lock);
         end_leases(store);
     }
