--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -203,11 +203,20 @@
 got_sum(struct gate *gate, const Turmeric__Envelope *envelope)
 {
     bool current;
+    bool changed;
 
     pthread_mutex_lock(&gate->peers_lock);
+    changed = gate->circle.from != envelope->from;
     current = circle_heard(&gate->circle, envelope->from,
                            envelope->gate_activity->sum_fence, clock_now_ms());
     pthread_mutex_unlock(&gate->peers_lock);
+    if (current && changed) {
+        log_line(LOG_PRI_INFO, "gate",
+                 "event=sums_from member=%016" G_GINT64_MODIFIER
+                 "x fence=%" G_GINT64_FORMAT " instances=%u",
+                 envelope->from, (gint64)envelope->gate_activity->sum_fence,
+                 envelope->gate_activity->instances);
+    }
     if (current) {
         relay_post_sum(gate->relay, news_read_sum(envelope));
     }
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -309,12 +309,14 @@
     exchange->progress_ms = now_ms;
     log_line(LOG_PRI_INFO, "relay",
              "event=sent id=%s target=%s service=%s item=%s send=%d "
-             "running=%d elsewhere=%d failures=%.2f urgency=%d new=%d "
+             "running=%d elsewhere=%d pace_ms=%.0f failures=%.2f urgency=%d "
+             "new=%d "
              "waited_ms=%" G_GINT64_FORMAT " version=%" G_GINT64_FORMAT
              " last_event=%" G_GINT64_FORMAT,
              exchange->facts.attempt, target->choose.info.id,
              exchange->service->name, exchange->facts.item, exchange->sends,
              target->choose.running, target->choose.elsewhere,
+             pace_ms(&target->choose.pace, now_ms),
              target->choose.health.failures, exchange_urgency(exchange),
              upstream->used == 0, (gint64)(now_ms - exchange->arrived_ms),
              (gint64)exchange->config->version, (gint64)exchange->events.last);
