--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -613,6 +613,48 @@
     bench_stop(&bench);
 }
 
+/* Guards against requests to a target that other instances have filled, as the
+ * holder of orders tells. */
+struct sum_case {
+    const char *name;
+    int running[2]; /* at the targets, of all instances */
+    const char *goes_to;
+};
+
+static const struct sum_case sum_cases[] = {
+    {"first_is_full", {8, 0}, "Expect-Instance: i-1"},
+    {"second_is_full", {0, 8}, "Expect-Instance: i-0"},
+};
+
+static void
+test_sum(gconstpointer data)
+{
+    const struct sum_case *c = data;
+    static const char *const answers[] = {OK, NULL};
+    struct activity *sum = activity_new(2);
+    struct bench bench;
+    int fd;
+
+    bench_start(&bench, answers, 2);
+    sum->sums = g_new0(struct target_activity, 2);
+    sum->sum_count = 2;
+    for (int i = 0; i < 2; i++) {
+        char *id = g_strdup_printf("i-%d", i);
+
+        sum->sums[i].target = hash_text(id);
+        sum->sums[i].running = c->running[i];
+        g_free(id);
+    }
+    relay_post_sum(bench.relay, sum);
+    fd = dial(relay_front_port(bench.relay));
+    send_text(fd,
+              "GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\n\r\n");
+    expect_answer(fd, "done");
+    g_assert_nonnull(strstr(script_arrival(&bench.script, 0), c->goes_to));
+    close(fd);
+    bench_stop(&bench);
+}
+
 /* Guards against work for a caller that has left. */
 static void
 test_caller_leaves(void)
@@ -752,6 +794,7 @@
         CASES("/relay/passed", passed_cases, test_passed),
         CASES("/relay/reuse", reuse_cases, test_reuse),
         CASES("/relay/second", second_cases, test_second),
+        CASES("/relay/sum", sum_cases, test_sum),
         CASES("/relay/leave", leave_cases, test_leave),
         CASES("/relay/local", local_cases, test_local),
     };
