--- a/src/turmericctl/fns.h
+++ b/src/turmericctl/fns.h
@@ -25,6 +25,9 @@
 enum exit_code command_unset(struct ctl *ctl);
 enum exit_code command_apply(struct ctl *ctl);
 
+/* why.c */
+enum exit_code command_why(struct ctl *ctl);
+
 /* wait.c */
 void wait_init(void);
 bool wait_ms(int64_t duration_ms);
--- a/src/turmericctl/main.c
+++ b/src/turmericctl/main.c
@@ -39,7 +39,9 @@
     "  show [--effective] NODE   values with the node that each comes from\n"
     "  history                   accepted edits\n"
     "  status                    state of the instance and the members\n"
-    "  counters                  counters of the instance\n\n"
+    "  counters                  counters of the instance\n"
+    "  why WORD [FILE...]        the log lines that explain a request, item or "
+    "target\n\n"
     "Exit status: 0 done, 1 refused, 2 usage, 3 unreachable or unknown, "
     "4 accepted but not yet in force everywhere.";
 
@@ -67,24 +69,27 @@
  * @name: first argument
  * @min: fewest arguments after the name
  * @max: most arguments after the name
+ * @offline: no instance is asked
  * @run: does the work
  */
 struct command {
     const char *name;
     int min;
     int max;
+    bool offline;
     enum exit_code (*run)(struct ctl *ctl);
 };
 
 static const struct command commands[] = {
-    {"get", 1, 2, command_get},
-    {"set", 2, ARGUMENTS_MAX, command_set},
-    {"unset", 2, ARGUMENTS_MAX, command_unset},
-    {"apply", 1, 1, command_apply},
-    {"show", 1, 1, command_show},
-    {"history", 0, 0, command_history},
-    {"status", 0, 0, command_status},
-    {"counters", 0, 0, command_counters},
+    {"get", 1, 2, false, command_get},
+    {"set", 2, ARGUMENTS_MAX, false, command_set},
+    {"unset", 2, ARGUMENTS_MAX, false, command_unset},
+    {"apply", 1, 1, false, command_apply},
+    {"show", 1, 1, false, command_show},
+    {"history", 0, 0, false, command_history},
+    {"status", 0, 0, false, command_status},
+    {"counters", 0, 0, false, command_counters},
+    {"why", 1, ARGUMENTS_MAX, true, command_why},
 };
 
 static int64_t
@@ -182,6 +187,9 @@
     if (count < command->min || count > command->max) {
         return usage_error("wrong number of arguments");
     }
+    if (command->offline) {
+        return command->run(ctl);
+    }
     if (ctl->address == NULL) {
         return usage_error("give --address or set TURMERIC_ADDRESS");
     }
