Placement forgets what a silent instance told

One that was removed while requests waited for a model there kept the model wanted, and its running requests kept models from making way; where the holder sums up, an instance that becomes the holder had notes from before.

Notes older than 4 s are taken back. Test: plan_test note_of_a_silent_instance_is_forgotten (seen to fail before).

--- a/src/gate/place/demand.c
+++ b/src/gate/place/demand.c
@@ -17,6 +17,10 @@
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
 
+/* Notes come several times a second; an instance that is silent for as long
+ * has stopped, or its requests have ended. */
+enum { NOTE_OLD_MS = 4000 };
+
 /* Demand moves within seconds, and a busy model is asked for several times a
  * second. */
 static const double RATE_MS = 4000.0;
@@ -140,6 +144,46 @@
     g_hash_table_destroy(sums);
 }
 
+static void
+take_back(struct plan *plan, const struct activity *activity)
+{
+    for (int i = 0; i < activity->item_count; i++) {
+        count(plan, &activity->items[i], -1);
+    }
+}
+
+/**
+ * plan_forget_notes() - forget what silent instances told
+ * @plan: the plan
+ * @now_ms: present time
+ */
+void
+plan_forget_notes(struct plan *plan, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    bool forgotten = false;
+
+    g_hash_table_iter_init(&iter, plan->notes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct activity *activity = value;
+
+        if (now_ms - activity->heard_ms > NOTE_OLD_MS) {
+            log_line(LOG_PRI_INFO, "place",
+                     "event=note_forgotten instance=%016" G_GINT64_MODIFIER
+                     "x items=%d",
+                     activity->instance, activity->item_count);
+            take_back(plan, activity);
+            g_hash_table_iter_remove(&iter);
+            forgotten = true;
+        }
+    }
+    if (forgotten) {
+        end_wants(plan);
+        sum_running(plan);
+    }
+}
+
 /**
  * plan_activity() - an instance tells of its requests
  * @plan: the plan
@@ -152,8 +196,9 @@
     struct activity *before =
         g_hash_table_lookup(plan->notes, &activity->instance);
 
-    for (int i = 0; before != NULL && i < before->item_count; i++) {
-        count(plan, &before->items[i], -1);
+    activity->heard_ms = now_ms;
+    if (before != NULL) {
+        take_back(plan, before);
     }
     for (int i = 0; i < activity->item_count; i++) {
         count(plan, &activity->items[i], 1);
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -18,6 +18,7 @@
 /* demand.c */
 void plan_activity(struct plan *plan, struct activity *activity,
                    int64_t now_ms);
+void plan_forget_notes(struct plan *plan, int64_t now_ms);
 struct plan_item *plan_item(struct plan *plan, uint32_t item);
 double plan_rate(const struct plan_item *item, int64_t now_ms);
 
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -436,6 +436,7 @@
     if (plan->config == NULL) {
         return false;
     }
+    plan_forget_notes(plan, now_ms);
     look_at_late(plan, now_ms);
     return next_report(plan, now_ms, step) ||
            next_reserved(plan, now_ms, step) ||
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -135,12 +135,14 @@
 /**
  * struct activity - what an instance has to do
  * @instance: id of the instance
+ * @heard_ms: when the receiver got it, set by it
  * @regular: it comes at the usual time, with the pauses since the last such
  * @sums: the same as @targets for all instances that were heard
  * @instances: that @sums covers
  */
 struct activity {
     uint64_t instance;
+    int64_t heard_ms;
     struct item_activity *items;
     int item_count;
     struct target_activity *targets;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -137,6 +137,8 @@
      "report5 report2 report4 report1 report3 load5:m1@0 load2:m2@0 "
      "load4:m3@0 load1:m4@0 report5 report2 report4 report1 "
      "load5:m5@1 load2:m6@1 -"},
+    {"note_of_a_silent_instance_is_forgotten", "e1: n r1:0: w:m1=1 t=6000 n",
+     "report1 -"},
     {"most_wanted_first", "e1: n r1:0: w:m1=1 w:m2=5 n", "report1 load1:m2@0"},
     {"crowded_model_gets_a_replica",
      "e1:m1 e2: n n r1:0:m1 r2:0: w:m1:run=9 n", "report2 report1 load2:m1@0"},
