--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -134,6 +134,7 @@
 static void
 bench_start(struct bench *bench, const char *const *answers, int targets)
 {
+    struct gate_config *config;
     struct err err = {0};
 
     memset(bench, 0, sizeof(*bench));
@@ -145,7 +146,9 @@
     bench->relay =
         relay_new(&bench->settings, &platform_dialect, &bench->port, &err);
     g_assert_nonnull(bench->relay);
-    relay_post_config(bench->relay, parse_config());
+    config = parse_config();
+    g_assert_true(relay_post_config(bench->relay, config));
+    gate_config_unref(config);
     for (int i = 0; i < targets; i++) {
         post_target(bench, i);
     }
--- a/test/soak/run.c
+++ b/test/soak/run.c
@@ -96,18 +96,27 @@
     pthread_mutex_destroy(&soak->lock);
 }
 
+static bool
+has_recovered(struct soak *soak, int gate, int kind)
+{
+    bool recovered;
+
+    pthread_mutex_lock(&soak->lock);
+    recovered = soak->recovered[gate][kind];
+    pthread_mutex_unlock(&soak->lock);
+    return recovered;
+}
+
 static bool
 all_recovered(struct soak *soak)
 {
     bool all = true;
 
-    pthread_mutex_lock(&soak->lock);
     for (int g = 0; g < GATES; g++) {
         for (int k = 0; k < KINDS; k++) {
-            all = all && soak->recovered[g][k];
+            all = all && has_recovered(soak, g, k);
         }
     }
-    pthread_mutex_unlock(&soak->lock);
     return all;
 }
 
@@ -134,7 +143,7 @@
     for (int g = 0; g < GATES; g++) {
         soak_gate_ended(soak, &soak->gates[g]);
         for (int k = 0; k < KINDS; k++) {
-            if (!soak->recovered[g][k]) {
+            if (!has_recovered(soak, g, k)) {
                 soak_fail(soak, "RECOVER: gate %d does not serve kind %d", g,
                           k);
             }
