Don't count on engines and instances that have gone silent

The notes of instances that are gone were kept in the relay for good, so each cut the share of the repeats' constant further. A target that lapsed before a change of it was taken by a full ring lost that change.

Change: an engine is silent when its calls have failed for 1.5 s, in place of the time of its last answer, which is old during any long load; it is not waited for, takes no place at the store, and what comes there is not counted on unless requests run there. Instances that are not heard for 10 s are forgotten. A missing target is told with what is known of it.

Ruled out: to leave out silent engines as holders of what they hold while requests run there; a holder of orders that is cut from some engines would load their models again.

Tests: plan_test load_on_a_silent_engine_is_ordered_again (seen to fail before), silent_engines_hold_no_places_at_the_store; engine_without_a_report_is_not_waited_for now lets the report fail, as it does with a silent engine, instead of leaving it open.

--- a/src/gate/place/choice.c
+++ b/src/gate/place/choice.c
@@ -25,8 +25,7 @@
     LONG_WAIT_MS = 3000,
     /* Notes on what is asked for reach a new holder within it. */
     LEARN_MS = 500,
-    /* An engine in doubt that has not answered for as long may be gone. */
-    SILENCE_MS = 1500,
+    SILENCE_MS = 1500, /* several reports are asked for within it */
 };
 
 /* A swap on an engine with a copy beats one from the store by far, and a busy
@@ -45,12 +44,26 @@
            now_ms >= engine->retry_ms && engine->info.sequence >= 0;
 }
 
+/**
+ * choice_is_silent() - whether an engine has not answered calls for a while
+ * @engine: the engine
+ * @now_ms: present time
+ *
+ * It may be gone, and what it was ordered may never be done.
+ */
+bool
+choice_is_silent(const struct plan_engine *engine, int64_t now_ms)
+{
+    return engine->mute_ms != 0 && now_ms - engine->mute_ms > SILENCE_MS;
+}
+
 /**
  * choice_store_loads() - loads from the weight store that run or were ordered
  * @plan: the plan
+ * @now_ms: present time
  */
 int
-choice_store_loads(const struct plan *plan)
+choice_store_loads(const struct plan *plan, int64_t now_ms)
 {
     GHashTableIter iter;
     void *value;
@@ -66,7 +79,7 @@
         if (engine->ordered != 0) {
             room_load_ms(plan, engine, engine->ordered, &from_store);
         }
-        count += from_store ? 1 : 0;
+        count += from_store && !choice_is_silent(engine, now_ms) ? 1 : 0;
     }
     return count;
 }
@@ -84,7 +97,7 @@
         recent += now_ms - plan->load_start_ms[i] < LOADS_WINDOW_MS ? 1 : 0;
     }
     return now_ms - plan->begin_ms >= LEARN_MS &&
-           choice_store_loads(plan) < plan->settings.store_loads_max &&
+           choice_store_loads(plan, now_ms) < plan->settings.store_loads_max &&
            recent + 1 <= service->loads_per_s;
 }
 
@@ -154,18 +167,6 @@
                                                     : SHORT_WAIT_MS;
 }
 
-/**
- * choice_is_silent() - whether an engine in doubt has not answered lately
- * @engine: the engine
- * @now_ms: present time
- */
-bool
-choice_is_silent(const struct plan_engine *engine, int64_t now_ms)
-{
-    return (engine->unsure || engine->info.sequence < 0) &&
-           now_ms - engine->heard_ms > SILENCE_MS;
-}
-
 /* Whether an engine that has a copy, but is not free now, will have the item
  * sooner than the weight store can bring it. */
 static bool
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -29,7 +29,7 @@
  * @reporting: its report is being read
  * @unsure: an order may be carried out late; its report decides
  * @busy_other: it carries out an order that this instance did not give
- * @heard_ms: when it last answered a call, or since when it is known
+ * @mute_ms: first call without an answer since its last answer; 0 for none
  * @running: requests there, of all instances
  */
 struct plan_engine {
@@ -52,7 +52,7 @@
     bool reporting;
     bool unsure;
     bool busy_other;
-    int64_t heard_ms;
+    int64_t mute_ms;
     int running;
 };
 
--- a/src/gate/place/done.c
+++ b/src/gate/place/done.c
@@ -180,6 +180,17 @@
     engine->unsure = true;
 }
 
+static void
+note_answer(struct plan_engine *engine, bool answered, int64_t now_ms)
+{
+    if (answered) {
+        engine->mute_ms = 0;
+    }
+    else if (engine->mute_ms == 0) {
+        engine->mute_ms = now_ms;
+    }
+}
+
 static struct holdings *
 ordered(struct plan *plan, struct plan_engine *engine, const struct work *work,
         int64_t now_ms)
@@ -192,9 +203,7 @@
     if (!work->sent) {
         return NULL;
     }
-    if (work->result != ORDER_UNKNOWN) {
-        engine->heard_ms = now_ms;
-    }
+    note_answer(engine, work->result != ORDER_UNKNOWN, now_ms);
     switch (work->result) {
     case ORDER_ACCEPTED:
         changed = accepted(plan, engine, step, now_ms);
@@ -248,11 +257,11 @@
     const struct target_info *info = &work->info;
 
     engine->reporting = false;
+    note_answer(engine, work->reported, now_ms);
     if (!work->reported) {
         engine->report_ms = now_ms + CONFLICT_MS;
         return NULL;
     }
-    engine->heard_ms = now_ms;
     if (info->sequence < engine->info.sequence) {
         /* The report is older than the last answer. */
         engine->report_ms = now_ms + REPORT_LAG_MS;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -41,7 +41,7 @@
                  int64_t load_ms, int64_t now_ms);
 
 /* choice.c */
-int choice_store_loads(const struct plan *plan);
+int choice_store_loads(const struct plan *plan, int64_t now_ms);
 bool choice_suits(struct plan *plan, const struct plan_engine *engine,
                   uint32_t item, int64_t now_ms);
 bool choice_is_silent(const struct plan_engine *engine, int64_t now_ms);
--- a/src/gate/place/loads.c
+++ b/src/gate/place/loads.c
@@ -50,7 +50,7 @@
 loads_began(struct plan *plan, struct plan_engine *engine, int64_t now_ms)
 {
     int place = plan->load_starts % (int)G_N_ELEMENTS(plan->load_start_ms);
-    int count = choice_store_loads(plan);
+    int count = choice_store_loads(plan, now_ms);
     GHashTableIter iter;
     void *value;
 
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -116,7 +116,7 @@
 start_engine(struct plan_engine *engine, const struct target_info *info,
              int64_t now_ms)
 {
-    engine->heard_ms = now_ms;
+    engine->mute_ms = 0;
     engine->info = *info;
     engine->unsure = true;
     engine->report_ms = now_ms;
@@ -187,9 +187,9 @@
         update(plan, &change->info, now_ms);
         break;
     case TARGET_MISSING:
-        if (engine != NULL) {
-            engine->missing = true;
-        }
+        update(plan, &change->info, now_ms);
+        engine = g_hash_table_lookup(plan->engines, change->info.id);
+        engine->missing = true;
         break;
     case TARGET_GONE:
         g_hash_table_remove(plan->engines, change->info.id);
@@ -243,6 +243,6 @@
         engine->reporting = false;
         engine->report_ms = now_ms;
         engine->unsure = true;
-        engine->heard_ms = now_ms;
+        engine->mute_ms = 0;
     }
 }
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -73,9 +73,10 @@
 enum coming { COMING_NOT, COMING_FROM_STORE, COMING_SOON };
 
 /* Engines that hold an item, and whether one is loading it or makes room for
- * it. */
+ * it. One that is silent only to this instance still runs requests. */
 static int
-holders(struct plan *plan, uint32_t item, enum coming *coming, int *busy)
+holders(struct plan *plan, uint32_t item, int64_t now_ms, enum coming *coming,
+        int *busy)
 {
     GHashTableIter iter;
     void *value;
@@ -88,7 +89,8 @@
         const struct plan_engine *engine = value;
         int slots = MAX(engine->info.slots, 1);
 
-        if (engine->info.leaving || engine->missing) {
+        if (engine->info.leaving || engine->missing ||
+            (choice_is_silent(engine, now_ms) && engine->running == 0)) {
             continue;
         }
         if (engine->loading == item && engine->loading_store) {
@@ -293,7 +295,7 @@
     uint32_t model = item_model(item);
     enum coming coming;
     int busy;
-    int count = holders(plan, item, &coming, &busy);
+    int count = holders(plan, item, now_ms, &coming, &busy);
 
     if (coming == COMING_SOON) {
         return false;
@@ -310,7 +312,7 @@
                   VICTIM_IDLE_MS, "wanted", now_ms, step)) {
         return true;
     }
-    if (model == item || holders(plan, model, &coming, &busy) > 0 ||
+    if (model == item || holders(plan, model, now_ms, &coming, &busy) > 0 ||
         coming != COMING_NOT) {
         return false;
     }
@@ -360,7 +362,7 @@
             now_ms - item->used_ms > PRELOAD_IDLE_MS) {
             continue;
         }
-        count = holders(plan, item->item, &coming, &busy);
+        count = holders(plan, item->item, now_ms, &coming, &busy);
         for (int s = 0; s < plan->config->service_count; s++) {
             const struct gate_service *service = &plan->config->services[s];
 
@@ -379,7 +381,7 @@
 static bool
 next_preload(struct plan *plan, int64_t now_ms, struct plan_step *step)
 {
-    if (choice_store_loads(plan) >= plan->settings.store_loads_max) {
+    if (choice_store_loads(plan, now_ms) >= plan->settings.store_loads_max) {
         return false;
     }
     for (int s = 0; s < plan->config->service_count; s++) {
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -443,6 +443,7 @@
                      int64_t now_ms);
 void target_activity(struct relay *relay, struct activity *activity,
                      int64_t now_ms);
+void target_forget_loads(struct relay *relay, int64_t now_ms);
 void target_sum(struct relay *relay, struct activity *activity,
                 int64_t now_ms);
 
--- a/src/gate/relay/note.c
+++ b/src/gate/relay/note.c
@@ -187,6 +187,7 @@
     activity->regular = now_ms - relay->regular_note_ms >= usual_ms;
     if (activity->regular) {
         relay->regular_note_ms = now_ms;
+        target_forget_loads(relay, now_ms);
     }
     fill_items(relay, activity, now_ms);
     fill_targets(relay, activity, now_ms);
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -20,6 +20,9 @@
  * been heard for this long has stopped, or can't reach us. */
 enum {
     LOAD_OLD_MS = 3000,
+    /* Beyond it, an instance is none of those that share a budget; the largest
+     * number of them counts for a window more. */
+    LOAD_FORGET_MS = 10000,
     /* Sums come several times a second; notes that are heard beside them are
      * those of instances that the holder does not reach. */
     SUM_OLD_MS = 1200,
@@ -210,6 +213,8 @@
         update(relay, &change->info, now_ms);
         break;
     case TARGET_MISSING:
+        update(relay, &change->info, now_ms);
+        target = target_find(relay, change->info.id);
         if (target != NULL) {
             target->choose.missing = true;
         }
@@ -292,6 +297,28 @@
     g_hash_table_destroy(sums);
 }
 
+static gboolean
+is_forgotten(void *key, void *value, void *now_ms)
+{
+    (void)key;
+    return *(const int64_t *)now_ms - ((struct peer_load *)value)->heard_ms >
+           LOAD_FORGET_MS;
+}
+
+/**
+ * target_forget_loads() - forget what instances told that are gone
+ * @relay: the relay
+ * @now_ms: present time
+ */
+void
+target_forget_loads(struct relay *relay, int64_t now_ms)
+{
+    g_hash_table_foreach_remove(relay->loads, is_forgotten, &now_ms);
+    if (now_ms - relay->sum_ms > LOAD_FORGET_MS) {
+        relay->sum_instances = 0;
+    }
+}
+
 static void
 learn_paces(struct relay *relay, const struct activity *activity,
             int64_t now_ms)
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -30,6 +30,7 @@
  *   e1:ITEMS:born   the same of a new start
  *   g1              engine 1 is gone
  *   r1:SEQ:ITEMS    a report of engine 1; with ":busy" or ":disk=ITEMS" added
+ *   f1              the report of engine 1 can't be read
  *   w:ITEM=N        N requests wait for ITEM; w:ITEM:run=N run
  *   n               the next step is taken and written down
  *   a h c u x       the last order is accepted, holds already, is refused as a
@@ -121,8 +122,17 @@
      "e1: e2: n n r1:0::disk=m1 r2:0: w:m1=1 n u n t=2000 n n",
      "report2 report1 load1:m1@0 - report1 load2:m1@0"},
     {"engine_without_a_report_is_not_waited_for",
-     "e1: e2: n n r1:0::disk=m1 r2:0: begin n n r2:0: w:m1=1 n t=2000 n",
-     "report2 report1 report2 report1 - load2:m1@0"},
+     "e1: e2: n n r1:0::disk=m1 r2:0: begin n n f1 r2:0: w:m1=1 n t=2000 n n",
+     "report2 report1 report2 report1 - report1 load2:m1@0"},
+    {"load_on_a_silent_engine_is_ordered_again",
+     "e1: e2: n n r1:0: r2:0: w:m1=1 n a t=7000 n f2 t=9000 n f2 w:m1=1 n",
+     "report2 report1 load2:m1@0 report2 report2 load1:m1@0"},
+    {"silent_engines_hold_no_places_at_the_store",
+     "e1: e2: e3: e4: e5: n n n n n r1:0::busy r2:0::busy r3:0::busy "
+     "r4:0::busy r5:0: t=200 n n n n f1 f2 f3 f4 t=2000 n n n n f1 f2 f3 f4 "
+     "w:m1=1 n",
+     "report5 report2 report4 report1 report3 report2 report4 report1 report3 "
+     "report2 report4 report1 report3 load5:m1@0"},
     {"copy_beats_a_load_under_way",
      "e1: e2: n n r1:0: r2:0: w:m1=1 n a r1:0::disk=m1 n n",
      "report2 report1 load2:m1@0 load1:m1@0 -"},
@@ -242,6 +252,18 @@
     g_free(plan_done(&bench->plan, &work, bench->now_ms));
 }
 
+static void
+fail_report(struct plan_bench *bench, char number)
+{
+    struct work work = {.reported = false};
+
+    fill_info(&work.info, number);
+    work.step.report = true;
+    work.step.born_ms = work.info.born_ms;
+    g_strlcpy(work.step.target, work.info.id, sizeof(work.step.target));
+    g_free(plan_done(&bench->plan, &work, bench->now_ms));
+}
+
 static struct item_activity *
 activity_of(struct plan_bench *bench, const char *name)
 {
@@ -353,6 +375,9 @@
     else if (word[0] == 'r') {
         put_report(bench, word[1], parts);
     }
+    else if (word[0] == 'f') {
+        fail_report(bench, word[1]);
+    }
     else if (word[0] == 'w') {
         put_activity(bench, word);
     }
