Soak: checks that find their faults

Change: eight models for six places, ten callers that wait less, a fault of its own for lost answers, more and longer faults, and an order of a former holder after one of the next is a fault, but for the time after a pause that the contract allows. The configuration is written from a table of routes.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -21,7 +21,7 @@
 enum {
     DEADLINE_MS = 3000,
     LATE_MS = 1000, /* an answer that comes later than this is missing */
-    PAUSE_MAX_MS = 60,
+    PAUSE_MAX_MS = 30,
     BYTES = 4096,
     FRESH_PERCENT = 25,
 };
@@ -42,8 +42,6 @@
     [KIND_CONFIG] = {"/config/", false, false, false},
 };
 
-static const char *const models[] = {"m1", "m2", "m3", "m1/a1", "m2/a2"};
-
 /* One request and what was known when it was sent. */
 struct
 try {
@@ -316,16 +314,25 @@
     }
 }
 
+static char *
+model_fields(GRand *random)
+{
+    int model = g_rand_int_range(random, 1, MODELS + 1);
+    int adapter = g_rand_int_range(random, 0, 3);
+    char *suffix =
+        adapter > 0 ? g_strdup_printf("/a%d", adapter) : g_strdup("");
+    char *text = g_strdup_printf("Model: m%d%s\r\nToken-Count: 100,40\r\n",
+                                 model, suffix);
+
+    g_free(suffix);
+    return text;
+}
+
 static char *
 request_text(struct caller_state *state, const struct try *try)
 {
     const struct kind_case *kind = &kind_cases[try->kind];
-    char *model =
-        kind->model
-            ? g_strdup_printf("Model: %s\r\nToken-Count: 100,40\r\n",
-                              models[g_rand_int_range(state->random, 0,
-                                                      G_N_ELEMENTS(models))])
-            : g_strdup("");
+    char *model = kind->model ? model_fields(state->random) : g_strdup("");
     char *text = g_strdup_printf("GET %s1 HTTP/1.1\r\nHost: h\r\n"
                                  "Attempt-Id: %s\r\nDeadline-Ms: %d\r\n"
                                  "%s\r\n",
--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -63,10 +63,58 @@
     }
 }
 
-#define ROUTE(name, kind, more)                                               \
-    "{\"name\":\"" name "\",\"host\":\"h\",\"path_prefix\":\"/" name          \
-    "/\",\"kind\":\"" kind "\",\"timeout_ms\":8000,"                          \
-    "\"latency_goal_ms\":500,\"max_attempts\":3," more "}"
+static char *
+models_text(void)
+{
+    GString *text = g_string_new(NULL);
+
+    for (int i = 1; i <= MODELS; i++) {
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"m%d\",\"weights_mb\":60,\"load_s\":0.6,"
+            "\"warm_s\":0.1,\"disk_s\":0.2,\"adapters\":2,"
+            "\"adapter_mb\":1}",
+            i > 1 ? "," : "", i);
+    }
+    return g_string_free(text, FALSE);
+}
+
+struct route_case {
+    const char *name;
+    const char *kind;
+    const char *service; /* NULL for the one that changes */
+    bool resumable;
+};
+
+static const struct route_case routes[] = {
+    {"once", "non_idempotent", "p0", false},
+    {"safe", "idempotent", "p1", false},
+    {"stream", "stream", "p1", true},
+    {"chat", "stream", "chat", false},
+    {"config", "idempotent", NULL, false},
+};
+
+static char *
+routes_text(int64_t version)
+{
+    GString *text = g_string_new(NULL);
+    const char *changing = version % 2 == 0 ? "p0" : "p1";
+
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        const struct route_case *route = &routes[i];
+
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"%s\",\"host\":\"h\",\"path_prefix\":\"/%s/\","
+            "\"kind\":\"%s\",\"service\":\"%s\",\"resumable\":%s,"
+            "\"gap_aim_ms\":300,\"timeout_ms\":8000,"
+            "\"latency_goal_ms\":500,\"max_attempts\":3}",
+            i > 0 ? "," : "", route->name, route->name, route->kind,
+            route->service != NULL ? route->service : changing,
+            route->resumable ? "true" : "false");
+    }
+    return g_string_free(text, FALSE);
+}
 
 /* Versions send the route "config" to one plain service and the other in
  * turn. */
@@ -74,24 +122,16 @@
 soak_write_config(struct soak *soak)
 {
     int64_t version = soak->config_version + 1;
+    char *models = models_text();
+    char *route_list = routes_text(version);
     char *text = g_strdup_printf(
-        "{\"version\":%d,\"routes\":[" ROUTE("once", "non_idempotent", "\"service\":\"p0\"") "," ROUTE("safe", "idempotent", "\"service\":\"p1\"") "," ROUTE("stream", "stream", "\"gap_aim_ms\":300,\"resumable\":true,\"service\":\"p1\"") "," ROUTE(
-            "chat", "stream",
-            "\"gap_aim_ms\":300,\"service\":\"chat\"") "," ROUTE("config",
-                                                                 "idempotent",
-                                                                 "\"service\":\"p%d\"") "],"
-                                                                                        "\"services\":[{\"name\":\"p0\"},{\"name\":\"p1\"},"
-                                                                                        "{\"name\":\"chat\",\"engine\":{\"slots\":8,\"weights_mb\":130,"
-                                                                                        "\"adapter_slots\":2,\"loads_per_s\":20,\"models\":["
-                                                                                        "{\"name\":\"m1\",\"weights_mb\":60,\"load_s\":0.6,\"warm_s\":0.1,"
-                                                                                        "\"disk_s\":0.2,\"adapters\":2,\"adapter_mb\":1},"
-                                                                                        "{\"name\":\"m2\",\"weights_mb\":60,\"load_s\":0.6,\"warm_s\":0.1,"
-                                                                                        "\"disk_s\":0.2,\"adapters\":2,\"adapter_mb\":1},"
-                                                                                        "{\"name\":\"m3\",\"weights_mb\":60,\"load_s\":0.6,\"warm_s\":0.1,"
-                                                                                        "\"disk_s\":0.2,\"adapters\":2,\"adapter_mb\":1}]}}],"
-                                                                                        "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":10000,"
-                                                                                        "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}",
-        (int)version, (int)(version % 2));
+        "{\"version\":%d,\"routes\":[%s],"
+        "\"services\":[{\"name\":\"p0\"},{\"name\":\"p1\"},"
+        "{\"name\":\"chat\",\"engine\":{\"slots\":8,\"weights_mb\":130,"
+        "\"adapter_slots\":2,\"loads_per_s\":20,\"models\":[%s]}}],"
+        "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":10000,"
+        "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}",
+        (int)version, route_list, models);
 
     if (soak_store_put(soak->store, "op/config", text, 0)) {
         pthread_mutex_lock(&soak->lock);
@@ -100,4 +140,6 @@
         pthread_mutex_unlock(&soak->lock);
     }
     g_free(text);
+    g_free(route_list);
+    g_free(models);
 }
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -7,7 +7,8 @@
     GATES = 3,
     ENGINES = 7, /* the first three hold models, the others are plain */
     MODEL_ENGINES = 3,
-    CALLERS = 6,
+    MODELS = 8, /* more than the engines have places for */
+    CALLERS = 10,
     LINKS_MAX = 2 * GATES + ENGINES,
     FRONT_PORT = 8000,
     READY_PORT = 8001,
@@ -20,6 +21,7 @@
     RECOVER_MS = 12000,
     CONTACT_MS = 4000, /* a fault's effects end this long after it */
     LEASE_TURN_MS = 3000,
+    THAW_MS = 300, /* what a process sent as it was paused may come so late */
 };
 
 enum kind { KIND_ONCE, KIND_SAFE, KIND_STREAM, KIND_CHAT, KIND_CONFIG, KINDS };
@@ -64,7 +66,9 @@
  * @sequence: orders accepted since its start
  * @busy_until_ms: an order is being carried out
  * @leaving_ms: since when its entry says so; 0 for not
- * @holders: who ordered lately, with the time
+ * @holder: who ordered last
+ * @holder_before: who did before, until @holder_before_ms
+ * @fence: highest that was seen
  */
 struct soak_engine {
     struct soak *soak;
@@ -85,6 +89,7 @@
     char holder[NAME_MAX_BYTES];
     char holder_before[NAME_MAX_BYTES];
     int64_t holder_before_ms;
+    int64_t fence;
 };
 
 /**
@@ -92,6 +97,7 @@
  * @pid: 0 while it does not run
  * @asked_to_end: a signal was sent that ends it
  * @starts: times that it was started
+ * @thawed_ms: when it last woke from a pause
  * @trouble_ms: until when a fault touches it
  */
 struct soak_gate {
@@ -102,6 +108,7 @@
     pid_t pid;
     bool asked_to_end;
     int starts;
+    int64_t thawed_ms;
     int64_t trouble_ms;
     struct link *front;
     struct link *store;
--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -178,6 +178,31 @@
     return found;
 }
 
+/* An order of a former holder after one of the next. Called with the lock
+ * held. */
+static bool
+goes_back(struct soak_engine *engine, const char *holder, int64_t fence,
+          int64_t now_ms)
+{
+    const struct soak *soak = engine->soak;
+
+    if (fence >= engine->fence) {
+        engine->fence = fence;
+        return false;
+    }
+    for (int i = 0; i < GATES; i++) {
+        char *name = g_strdup_printf("gate-%d", i);
+        bool woke = strcmp(name, holder) == 0 &&
+                    now_ms - soak->gates[i].thawed_ms <= THAW_MS;
+
+        g_free(name);
+        if (woke) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 fits(const struct soak_engine *engine, const char *item)
 {
@@ -264,17 +289,25 @@
     int64_t now_ms = clock_now_ms();
     bool overfull = false;
     bool taken_turns = false;
+    bool gone_back = false;
     unsigned status = 421;
 
     pthread_mutex_lock(&engine->soak->lock);
     if (!is_other(engine, request)) {
-        taken_turns = turns(engine, json_text(order, "holder", ""), now_ms);
+        const char *holder = json_text(order, "holder", "");
+
+        taken_turns = turns(engine, holder, now_ms);
+        gone_back = goes_back(engine, holder,
+                              json_number(order, "fence_token", 0), now_ms);
         status = take_order(engine, order, item, now_ms, &overfull);
     }
     pthread_mutex_unlock(&engine->soak->lock);
     if (taken_turns) {
         soak_fail(engine->soak, "ONE: holders take turns at %s", engine->id);
     }
+    if (gone_back) {
+        soak_fail(engine->soak, "ONE: a former holder orders %s", engine->id);
+    }
     if (overfull) {
         soak_fail(engine->soak, "LIMIT: %s is ordered to load %s", engine->id,
                   item);
@@ -479,6 +512,7 @@
     engine->leaving_ms = 0;
     engine->holder[0] = '\0';
     engine->holder_before[0] = '\0';
+    engine->fence = 0;
     engine->lease = 0;
     engine->down = false;
     pthread_mutex_unlock(&soak->lock);
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -11,10 +11,10 @@
 #include "test/soak/fns.h"
 
 enum {
-    ACTIVE_MAX = 4,
-    GAP_MAX_MS = 1200,
+    ACTIVE_MAX = 5,
+    GAP_MAX_MS = 700,
     SHORT_MS = 400,
-    LONG_MS = 4000,
+    LONG_MS = 6000, /* twice the leases of the holder and the engines */
     TICK_MS = 20,
     ENGINE_TICK_MS = 400,
     SLOW_MS = 400,
@@ -114,6 +114,9 @@
 end_pause(struct soak *soak, struct fault *fault)
 {
     soak_gate_signal(gate_of(soak, fault), SIGCONT);
+    pthread_mutex_lock(&soak->lock);
+    gate_of(soak, fault)->thawed_ms = clock_now_ms();
+    pthread_mutex_unlock(&soak->lock);
     trouble(soak, gate_of(soak, fault), clock_now_ms());
     return true;
 }
@@ -185,6 +188,13 @@
     return true;
 }
 
+static void
+begin_answers_lost(struct soak *soak, struct fault *fault)
+{
+    fault->mode = LINK_NO_ANSWER;
+    proxy_mode(soak->proxy, engine_of(soak, fault)->link, fault->mode);
+}
+
 static void
 begin_crash(struct soak *soak, struct fault *fault)
 {
@@ -297,6 +307,7 @@
     {"front_link", false, GATES, begin_front_link, end_front_link},
     {"store_link", false, GATES, begin_store_link, end_store_link},
     {"engine_link", true, ENGINES, begin_engine_link, end_engine_link},
+    {"answers_lost", true, ENGINES, begin_answers_lost, end_engine_link},
     {"engine_crash", true, ENGINES, begin_crash, end_crash},
     {"engine_leave", true, ENGINES, begin_leave, end_leave},
     {"store_away", false, 1, begin_away, end_away},
