Soak: turns are counted from a holder's last order

Traced from the gates' logs: gate-1 ordered the engine until it was paused at 4 s and then killed; gate-2 held the right from 8.9 s on and gave it up at 11.1 s on SIGTERM; gate-1, started again, ordered at 11.8 s. Ten seconds lay between gate-1's orders; the check had counted from gate-2's first one. The rule speaks of turns within a lease, so this is allowed.

Change: the time counts from the last order of the holder before.

--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -66,8 +66,8 @@
  * @sequence: orders accepted since its start
  * @busy_until_ms: an order is being carried out
  * @leaving_ms: since when its entry says so; 0 for not
- * @holder: who ordered last
- * @holder_before: who did before, until @holder_before_ms
+ * @holder: who ordered last, at @holder_ms
+ * @holder_before: who did before, last at @holder_before_ms
  * @fence: highest that was seen
  */
 struct soak_engine {
@@ -87,6 +87,7 @@
     int64_t leaving_ms;
     bool down;
     char holder[NAME_MAX_BYTES];
+    int64_t holder_ms;
     char holder_before[NAME_MAX_BYTES];
     int64_t holder_before_ms;
     int64_t fence;
--- a/test/soak_test.c
+++ b/test/soak_test.c
@@ -27,6 +27,9 @@
     {"seed_2", 2},
     /* The proxy dropped the middle of a stream and passed on its end. */
     {"dropped_middle", 110},
+    /* Turns were counted from the second holder's first order, though the
+     * first holder's last one was ten seconds before its next. */
+    {"turns_far_apart", 3022},
 };
 
 static char program[PATH_MAX_BYTES];
