--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -351,7 +351,7 @@
         LOG_PRI_INFO, "relay",
         "event=sent id=%s target=%s service=%s item=%s send=%d "
         "running=%d elsewhere=%d pace_ms=%.0f failures=%.2f urgency=%d "
-        "new=%d "
+        "connection=%u.%u use=%d "
         "waited_ms=%" G_GINT64_FORMAT " version=%" G_GINT64_FORMAT
         " last_event=%" G_GINT64_FORMAT,
         exchange->meta.attempt_id, target->record.info.id,
@@ -359,7 +359,8 @@
         target->record.running, target->record.running_elsewhere,
         event_intervals_mean_ms(&target->record.intervals, now_ms),
         target->record.health.failure_rate, exchange_urgency(exchange),
-        upstream->request_count == 0, (gint64)(now_ms - exchange->arrived_ms),
+        upstream->self.index, upstream->self.generation,
+        upstream->request_count + 1, (gint64)(now_ms - exchange->arrived_ms),
         (gint64)exchange->config->version, (gint64)exchange->events.last_id);
     upstream_send(relay, upstream, exchange, now_ms);
     exchange_set_timer(relay, exchange);
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -132,11 +132,16 @@
     bool too_long;
 };
 
+/* How the end of a body is marked. */
+enum body_framing { FRAMED_BY_LENGTH, FRAMED_IN_CHUNKS, FRAMED_BY_CLOSE };
+
 /**
  * struct answer - response that is forwarded or buffered
  * @head: status line and header fields for the caller, without framing
  * @body: buffered until the response is complete, except for event streams
  * @content_length: length that the target announced; -1 for none
+ * @framing: of the target's response
+ * @encoded: the body has a content encoding
  * @head_sent: the head was sent to the caller
  * @chunked: the body is sent to the caller in chunks
  */
@@ -145,6 +150,8 @@
     GString *head;
     GByteArray *body;
     int64_t content_length;
+    enum body_framing framing;
+    bool encoded;
     bool head_sent;
     bool chunked;
 };
@@ -205,6 +212,7 @@
  * @paused: reading is stopped while the caller's output is full
  * @body: part of the body that was parsed but not yet forwarded
  * @request_count: requests that were sent on it
+ * @framing: of the current response
  * @no_body: the current response has no body, whatever its length says
  * @head_handled: the head of the current response was acted on
  * @discarding: the current response belongs to another request, or its request
@@ -226,6 +234,7 @@
     size_t output_start;
     struct handle exchange;
     int request_count;
+    enum body_framing framing;
     bool no_body;
     bool head_complete;
     bool head_handled;
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -237,6 +237,18 @@
     return exchange->route->stream && exchange->answer.status < 300;
 }
 
+static const char *
+framing_name(enum body_framing framing)
+{
+    static const char *const names[] = {
+        [FRAMED_BY_LENGTH] = "length",
+        [FRAMED_IN_CHUNKS] = "chunks",
+        [FRAMED_BY_CLOSE] = "close",
+    };
+
+    return names[framing];
+}
+
 static void
 set_first_byte_time(struct exchange *exchange, int64_t now_ms)
 {
@@ -367,7 +379,7 @@
              "event=answered id=%s status=%d sends=%d resumes=%d "
              "waited_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
              " gap_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
-             " goal_ms=%" G_GINT64_FORMAT " item=%s",
+             " goal_ms=%" G_GINT64_FORMAT " item=%s framing=%s encoded=%d",
              exchange->meta.attempt_id, answer->status, exchange->sends,
              exchange->resumes,
              (gint64)(exchange->sent_ms - exchange->arrived_ms),
@@ -376,7 +388,8 @@
                  : (gint64)-1,
              (gint64)exchange->longest_interval_ms,
              (gint64)(now_ms - exchange->arrived_ms),
-             (gint64)exchange->route->latency_goal_ms, exchange->meta.item);
+             (gint64)exchange->route->latency_goal_ms, exchange->meta.item,
+             framing_name(answer->framing), answer->encoded);
     exchange_finish(relay, exchange, now_ms);
 }
 
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -125,15 +125,35 @@
     }
 }
 
+/* Bytes that no request is waiting for: a target that answers twice, or one
+ * that is out of step with its requests. */
+static void
+log_extra_bytes(struct relay *relay, const struct upstream *upstream,
+                const char *place)
+{
+    const struct relay_target *target =
+        table_get(&relay->targets, upstream->target);
+
+    counter_add(CTR_ANSWER_EXTRA, 1);
+    log_line(LOG_PRI_WARNING, "relay",
+             "event=extra_bytes target=%s connection=%u.%u use=%d place=%s",
+             target != NULL ? target->record.info.id : "-",
+             upstream->self.index, upstream->self.generation,
+             upstream->request_count, place);
+}
+
 /* A connection that the target has closed, or on which bytes arrived that
  * belong to no request, can't be used. */
 static bool
-is_reusable(const struct upstream *upstream)
+is_reusable(struct relay *relay, const struct upstream *upstream)
 {
     char byte;
+    ssize_t count = recv(upstream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
-    return recv(upstream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (count > 0) {
+        log_extra_bytes(relay, upstream, "idle");
+    }
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 /**
@@ -160,7 +180,7 @@
             break;
         }
         g_array_set_size(target->idle, target->idle->len - 1);
-        if (upstream != NULL && is_reusable(upstream)) {
+        if (upstream != NULL && is_reusable(relay, upstream)) {
             heap_remove(&relay->timers, &upstream->timer);
             return upstream;
         }
@@ -396,6 +416,9 @@
 {
     struct relay_target *target = table_get(&relay->targets, upstream->target);
 
+    if (upstream->has_extra_bytes) {
+        log_extra_bytes(relay, upstream, "behind_response");
+    }
     if (target == NULL || !upstream->keep_alive || upstream->has_extra_bytes ||
         upstream->keep_alive_ms <= 0 || target->record.info.draining ||
         upstream->output->len > upstream->output_start) {
@@ -427,6 +450,7 @@
                        errno == ETIMEDOUT ? "unreachable" : "reset", now_ms);
     }
     else if (upstream->exchange.generation == 0 && !upstream->discarding) {
+        log_extra_bytes(relay, upstream, "idle");
         upstream_close(relay, upstream);
     }
     else {
--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -44,6 +44,17 @@
     return head_add_value(&upstream->head, bytes, count) ? 0 : -1;
 }
 
+static enum body_framing
+read_framing(const http_parser *parser, bool no_body)
+{
+    if (no_body || parser->status_code / 100 == 1 ||
+        parser->status_code == 204 || parser->status_code == 304 ||
+        (parser->flags & F_CONTENTLENGTH)) {
+        return FRAMED_BY_LENGTH;
+    }
+    return parser->flags & F_CHUNKED ? FRAMED_IN_CHUNKS : FRAMED_BY_CLOSE;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -51,6 +62,7 @@
 
     head_finish(&upstream->head);
     upstream->head_complete = true;
+    upstream->framing = read_framing(parser, upstream->no_body);
     return upstream->no_body ? 1 : 0;
 }
 
