Relay tests: encoded bodies, interim responses, second copies of a response

Seen: - a signed 200 with Content-Encoding: gzip, or Transfer-Encoding: gzip, chunked, reaches the caller as it is, on a route that runs once, on one that may run again, and on a stream; so does a signed 500; - a 1xx with the attempt id reaches the caller as the final response; - a request that was refused or failed and comes again over the same connection: a second copy of the first response ends the run in progress with 503 not_run or with that failure. The script of targets can repeat what a connection has carried (%COPY%).

--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -35,6 +35,8 @@
 #define TEXT3 "id: 3\ndata: c\n\n"
 #define EVENT3 "f\r\n" TEXT3 "\r\n"
 #define END "0\r\n\r\n"
+#define ENCODED                                                               \
+    OK_HEAD "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\ngzip"
 #define BUSY                                                                  \
     "HTTP/1.1 503 Busy\r\nAttempt-Id: %ID%\r\nNot-Executed: 1\r\n"            \
     "Content-Length: 0\r\n\r\n"
@@ -372,6 +374,48 @@
      "HTTP/1.1 200",
      "done",
      1},
+    {"interim_answer_with_id",
+     "/once/1",
+     "",
+     {"HTTP/1.1 103 Hints\r\nAttempt-Id: %ID%\r\n\r\n" OK},
+     "HTTP/1.1 200",
+     "done",
+     1},
+    {"encoded_once", "/once/1", "", {ENCODED}, "HTTP/1.1 502", "}\n", 1},
+    {"encoded_safe", "/safe/1", "", {ENCODED, OK}, "HTTP/1.1 200", "done", 2},
+    {"encoded_failure",
+     "/once/1",
+     "",
+     {"HTTP/1.1 500 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+      "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"},
+     "HTTP/1.1 502",
+     "}\n",
+     1},
+    {"encoded_in_transfer_once",
+     "/once/1",
+     "",
+     {OK_HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\ndone\r\n" END},
+     "HTTP/1.1 502",
+     "}\n",
+     1},
+    {"encoded_stream",
+     "/stream/1",
+     "",
+     {OK_HEAD "Content-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "4\r\ngzip\r\n" END,
+      CHUNKED EVENT1 END},
+     "HTTP/1.1 200",
+     TEXT1 "<end>",
+     2},
+    {"encoded_refusal",
+     "/once/1",
+     "",
+     {"HTTP/1.1 503 Busy\r\nAttempt-Id: %ID%\r\nNot-Executed: 1\r\n"
+      "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\ngzip",
+      OK},
+     "HTTP/1.1 200",
+     "done",
+     2},
     {"two_lengths",
      "/once/1",
      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
@@ -674,6 +718,53 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a second copy of a response being taken for the response to
+ * the same request, which came again to the target that had not served it. */
+struct copy_case {
+    const char *name;
+    const char *path;
+    const char *answers[SCRIPT_RESPONSES_MAX];
+    int targets;
+    int arrivals;
+};
+
+static const struct copy_case copy_cases[] = {
+    {"refusal_once", "/once/1", {BUSY, "%COPY%" OK}, 1, 2},
+    {"refusal_safe", "/safe/1", {BUSY, "%COPY%" OK}, 1, 2},
+    {"failure_safe",
+     "/safe/1",
+     {"HTTP/1.1 500 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+      "Content-Length: 1\r\n\r\nx",
+      BUSY, "%COPY%" OK},
+     2,
+     3},
+};
+
+static void
+test_copy(gconstpointer data)
+{
+    const struct copy_case *c = data;
+    struct fixture fixture;
+    char *request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n"
+                                    "Attempt-Id: a-1\r\n"
+                                    "Connection: close\r\n\r\n",
+                                    c->path);
+    char *answer;
+    int fd;
+
+    fixture_start(&fixture, c->answers, c->targets);
+    fd = connect_to(relay_front_port(fixture.relay));
+    send_text(fd, request);
+    answer = read_all(fd);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+    g_assert_true(g_str_has_suffix(answer, "\r\n\r\ndone"));
+    g_assert_cmpint(script_request_count(&fixture.script), ==, c->arrivals);
+    close(fd);
+    g_free(answer);
+    g_free(request);
+    fixture_stop(&fixture);
+}
+
 /* Guards against requests to a target that other instances have filled,
  * according to the holder's total. */
 struct total_case {
@@ -857,6 +948,7 @@
         CASES("/relay/forwarded", forwarded_cases, test_forwarded),
         CASES("/relay/reuse", reuse_cases, test_reuse),
         CASES("/relay/late_refusal", late_refusal_cases, test_late_refusal),
+        CASES("/relay/copy", copy_cases, test_copy),
         CASES("/relay/total", total_cases, test_total),
         CASES("/relay/drain", drain_cases, test_drain),
         CASES("/relay/local", local_cases, test_local),
--- a/test/script.c
+++ b/test/script.c
@@ -16,6 +16,7 @@
 struct connection {
     struct scripted_target *script;
     int fd;
+    char *written; /* the last response */
 };
 
 /* Reads one request with its body; NULL at the end of the connection. */
@@ -94,13 +95,26 @@
     pthread_mutex_unlock(&script->lock);
 }
 
+static char *
+replace(const char *text, const char *mark, const char *by)
+{
+    char **parts = g_strsplit(text, mark, -1);
+    char *result = g_strjoinv(by, parts);
+
+    g_strfreev(parts);
+    return result;
+}
+
 /* Returns whether the connection stays open. */
 static bool
-send_answer(struct scripted_target *script, int fd, const char *answer,
+send_answer(struct connection *connection, const char *answer,
             const char *attempt)
 {
-    char **parts = g_strsplit(answer, "%ID%", -1);
-    char *text = g_strjoinv(attempt, parts);
+    struct scripted_target *script = connection->script;
+    int fd = connection->fd;
+    char *own = replace(answer, "%ID%", attempt);
+    char *text = replace(
+        own, "%COPY%", connection->written != NULL ? connection->written : "");
     char *mark = strstr(text, "<");
     size_t bytes = mark != NULL ? (size_t)(mark - text) : strlen(text);
     bool goes_on = mark == NULL;
@@ -114,8 +128,9 @@
     if (mark != NULL && strcmp(mark, "<hold>") == 0) {
         wait_for_close(script, fd);
     }
-    g_strfreev(parts);
-    g_free(text);
+    g_free(own);
+    g_free(connection->written);
+    connection->written = text;
     return goes_on;
 }
 
@@ -131,8 +146,7 @@
         char *attempt = request_attempt_id(request);
         const char *answer = next_answer(script, request);
 
-        goes_on = answer != NULL &&
-                  send_answer(script, connection->fd, answer, attempt);
+        goes_on = answer != NULL && send_answer(connection, answer, attempt);
         g_free(attempt);
     }
     pthread_mutex_lock(&script->lock);
@@ -144,6 +158,7 @@
     }
     close(connection->fd);
     pthread_mutex_unlock(&script->lock);
+    g_free(connection->written);
     g_free(connection);
     return NULL;
 }
