Relay: a body with an encoding is not the target's

Callers saw a success whose body wasn't the server's (MIXED), and streams with bytes that are no events (ORDER). Cause: a response was taken for the target's own by its status and signature alone. Callers ask for no encoding, so a body with Content-Encoding, or with a transfer encoding besides chunks, is not what the target made; it was passed on as it was. In a stream such bytes hold no event, stayed in the reader as a partial one and were appended at the end. Change: response_verdict() knows the encoding. Such a success or failure is retried where the request may run again, else answered 502; a refusal that states that it has not run still counts, as its body says nothing. The connection of a success is closed, since its rest may be a whole stream.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -153,6 +153,7 @@
     X(CTR_ANSWERS, "answers_total")                                           \
     X(CTR_ANSWER_STALE, "answer_stale_total")                                 \
     X(CTR_ANSWER_EXTRA, "answer_extra_total")                                 \
+    X(CTR_ANSWER_ENCODED, "answer_encoded_total")                             \
     X(CTR_TARGET_UNCHANGED, "target_unchanged_total")                         \
     X(CTR_HOLDINGS_UNCHANGED, "holdings_unchanged_total")                     \
     X(CTR_RETRY_CONNECT, "retry_connect_total")                               \
--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -85,12 +85,14 @@
  * @not_run: the target states that it has not run the request
  * @signed_by_target: the response carries the target's signature
  * @retryable: the request may run more than once
+ * @encoded: the body has an encoding, which no caller asks for
  */
 struct response_facts {
     int status;
     bool not_run;
     bool signed_by_target;
     bool retryable;
+    bool encoded;
 };
 
 /**
--- a/src/gate/choose/verdict.c
+++ b/src/gate/choose/verdict.c
@@ -30,11 +30,12 @@
 response_verdict(const struct response_facts *facts)
 {
     bool success = facts->status >= 200 && facts->status < 300;
+    bool own_body = facts->signed_by_target && !facts->encoded;
 
     if (facts->not_run || facts->status == STATUS_MISDIRECTED) {
         return VERDICT_NOT_RUN;
     }
-    if (success && facts->signed_by_target) {
+    if (success && own_body) {
         return VERDICT_PASS;
     }
     if (facts->retryable && (success || facts->status >= 500)) {
@@ -42,7 +43,7 @@
     }
     /* A target that refuses a request without stating that it has not run it
      * must not make the caller believe so. */
-    if (success || implies_not_run(facts->status)) {
+    if (success || facts->encoded || implies_not_run(facts->status)) {
         return VERDICT_FAILED;
     }
     return VERDICT_PASS;
--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -182,3 +182,22 @@
     }
     return connection_names(head, name);
 }
+
+/**
+ * head_is_encoded() - whether the body has an encoding besides chunked framing
+ * @head: the head
+ */
+bool
+head_is_encoded(const struct head *head)
+{
+    for (int i = 0; i < head_field_count(head); i++) {
+        const char *name = head_field_name(head, i);
+
+        if (strcasecmp(name, "Content-Encoding") == 0 ||
+            (strcasecmp(name, "Transfer-Encoding") == 0 &&
+             strcasecmp(head_field_value(head, i), "chunked") != 0)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -141,7 +141,6 @@
  * @body: buffered until the response is complete, except for event streams
  * @content_length: length that the target announced; -1 for none
  * @framing: of the target's response
- * @encoded: the body has a content encoding
  * @head_sent: the head was sent to the caller
  * @chunked: the body is sent to the caller in chunks
  */
@@ -151,7 +150,6 @@
     GByteArray *body;
     int64_t content_length;
     enum body_framing framing;
-    bool encoded;
     bool head_sent;
     bool chunked;
 };
@@ -392,6 +390,7 @@
 const char *head_field_name(const struct head *head, int index);
 const char *head_field_value(const struct head *head, int index);
 const char *head_find_value(const struct head *head, const char *name);
+bool head_is_encoded(const struct head *head);
 bool head_is_hop_by_hop(const struct head *head, const char *name);
 
 /* client.c */
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -135,18 +135,25 @@
     retry(relay, exchange, now_ms);
 }
 
+static const char *
+failure_event(const struct response_facts *facts)
+{
+    return facts->encoded ? "encoded" : "failed";
+}
+
+/* The rest of a failure is short; that of a success can be a whole stream. */
 static void
-handle_run_failed(struct relay *relay, struct exchange *exchange, int status,
-                  int64_t now_ms)
+handle_run_failed(struct relay *relay, struct exchange *exchange,
+                  const struct response_facts *facts, int64_t now_ms)
 {
     struct relay_target *target = target_of(relay, exchange);
 
-    log_result(exchange, "failed", target, status, now_ms);
+    log_result(exchange, failure_event(facts), target, facts->status, now_ms);
     if (target != NULL) {
         health_request_failed(&target->record.health);
     }
     counter_add(CTR_RETRY_BROKEN, 1);
-    detach_upstream(relay, exchange, false);
+    detach_upstream(relay, exchange, facts->status < 300);
     retry(relay, exchange, now_ms);
 }
 
@@ -200,10 +207,14 @@
         .not_run = upstream->meta.not_run,
         .signed_by_target = upstream->meta.signed_by_target,
         .retryable = exchange->route->retryable,
+        .encoded = head_is_encoded(&upstream->head),
     };
     enum verdict verdict = response_verdict(&facts);
 
-    if (verdict == VERDICT_RETRY && facts.signed_by_target &&
+    if (facts.encoded) {
+        counter_add(CTR_ANSWER_ENCODED, 1);
+    }
+    if (verdict == VERDICT_RETRY && facts.signed_by_target && !facts.encoded &&
         facts.status >= 500 && facts.status != 503 &&
         !exchange->answer.head_sent && !can_retry(relay, exchange)) {
         verdict = VERDICT_PASS;
@@ -220,13 +231,13 @@
         handle_not_run(relay, exchange, upstream, now_ms);
         return false;
     case VERDICT_RETRY:
-        handle_run_failed(relay, exchange, facts.status, now_ms);
+        handle_run_failed(relay, exchange, &facts, now_ms);
         return false;
     case VERDICT_FAILED:
         break;
     }
-    log_result(exchange, "failed", target_of(relay, exchange), facts.status,
-               now_ms);
+    log_result(exchange, failure_event(&facts), target_of(relay, exchange),
+               facts.status, now_ms);
     refuse(relay, exchange, ERR_TARGET_FAILED, 0, now_ms);
     return false;
 }
@@ -379,7 +390,7 @@
              "event=answered id=%s status=%d sends=%d resumes=%d "
              "waited_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
              " gap_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
-             " goal_ms=%" G_GINT64_FORMAT " item=%s framing=%s encoded=%d",
+             " goal_ms=%" G_GINT64_FORMAT " item=%s framing=%s",
              exchange->meta.attempt_id, answer->status, exchange->sends,
              exchange->resumes,
              (gint64)(exchange->sent_ms - exchange->arrived_ms),
@@ -389,7 +400,7 @@
              (gint64)exchange->longest_interval_ms,
              (gint64)(now_ms - exchange->arrived_ms),
              (gint64)exchange->route->latency_goal_ms, exchange->meta.item,
-             framing_name(answer->framing), answer->encoded);
+             framing_name(answer->framing));
     exchange_finish(relay, exchange, now_ms);
 }
 
