Relay: an interim response is never the final one

Callers would see a 1xx without a body as the final response, and the target's own response would be lost with the connection. Cause: 1xx heads were discarded only because they carried no attempt id; engines echo the id in their responses. Evidence: relay_test answer/interim_answer_with_id red before (HTTP/1.1 103). Change: a status below 200 is skipped, and the response behind it is read.

--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -140,6 +140,13 @@
     }
 }
 
+/* The final response follows (RFC 9110, 15.2). */
+static bool
+is_interim(const struct upstream *upstream)
+{
+    return upstream->parser.status_code < 200;
+}
+
 /* A refusal that proves that the request has not run may lack the attempt id,
  * when the target could not read it. */
 static bool
@@ -175,6 +182,10 @@
     if (upstream->discarding || exchange == NULL) {
         return true;
     }
+    if (is_interim(upstream)) {
+        upstream->discarding = true;
+        return true;
+    }
     read_metadata(relay, upstream);
     read_keep_alive(upstream);
     if (!answers_exchange(upstream, exchange)) {
