Relay: a connection carries an attempt id once only

Callers were told 'not run' for a request that was being run (REFUSED), or the request was given to a second target (TWICE), or a run ended with the failure of the run before it (MIXED). Cause: a response is matched by the caller's attempt id, which is the same in all sends of one request. After a refusal or a failure the connection is kept, and the request may come again over it: a second copy of the first response then carried the right id. Change: a request remembers the connections that it was sent on, by handle, and never takes one of them again; another idle connection or a new one serves it. So whatever carries its id on a connection answers its one send there, or comes after that answer and closes the connection. Ruled out: closing each connection after a refusal, which under load would open one for each rejected request.

--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -335,7 +335,7 @@
         struct relay_target *target, int64_t now_ms)
 {
     struct upstream *upstream =
-        upstream_acquire(relay, target, exchange->route->retryable, now_ms);
+        upstream_acquire(relay, target, exchange, now_ms);
 
     if (upstream == NULL) {
         result_unreachable(relay, exchange, now_ms);
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -13,6 +13,7 @@
     PENDING_MAX_BYTES = 64 * 1024,
     RELAY_RING_MESSAGES = 8192,
     EXCHANGES_MAX = 8192,
+    SENT_ON_MAX = 16, /* a request that was sent more often gets new ones */
     /* A longer event is no event of a target: reading it would take memory
      * without end. */
     EVENT_MAX_BYTES = 256 * 1024,
@@ -156,6 +157,7 @@
 
 /**
  * struct exchange - a caller's request until its final response
+ * @sent_on: connections that it was sent on
  * @sends: times that it was sent to a target
  * @runs: of these, times that it may have run
  * @resumes: runs that resumed a stream
@@ -184,6 +186,8 @@
     GString *header_fields;
     GByteArray *body;
     enum exchange_stage stage;
+    struct handle sent_on[SENT_ON_MAX];
+    int sent_on_count;
     int sends;
     int runs;
     int resumes;
@@ -492,7 +496,8 @@
 
 /* upstream.c */
 struct upstream *upstream_acquire(struct relay *relay,
-                                  struct relay_target *target, bool retryable,
+                                  struct relay_target *target,
+                                  const struct exchange *exchange,
                                   int64_t now_ms);
 void upstream_send(struct relay *relay, struct upstream *upstream,
                    struct exchange *exchange, int64_t now_ms);
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -3,7 +3,7 @@
  *
  * A connection serves one request at a time and is kept for the next one.
  * Responses are matched to requests by their attempt id, as a target may send
- * one late or twice.
+ * one late or twice; so a connection carries an attempt id once only.
  */
 #include <errno.h>
 #include <glib.h>
@@ -156,30 +156,60 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* A request that comes again carries the same attempt id, so a second copy of
+ * its first response would pass as the response to it. */
+static bool
+has_carried(const struct exchange *exchange, struct handle connection)
+{
+    for (int i = 0; i < exchange->sent_on_count; i++) {
+        const struct handle *sent_on = &exchange->sent_on[i];
+
+        if (sent_on->index == connection.index &&
+            sent_on->generation == connection.generation) {
+            return true;
+        }
+    }
+    return exchange->sent_on_count == SENT_ON_MAX;
+}
+
+/* The connection used last that may carry the request; -1 for none. */
+static int
+find_idle(const struct relay_target *target, const struct exchange *exchange)
+{
+    for (int i = (int)target->idle->len - 1; i >= 0; i--) {
+        if (!has_carried(exchange,
+                         g_array_index(target->idle, struct handle, i))) {
+            return i;
+        }
+    }
+    return -1;
+}
+
 /**
  * upstream_acquire() - get an idle or a new connection to a target
  * @relay: the relay
  * @target: the target
- * @retryable: the request may be sent again if the connection turns out to
- * have been dropped without notice
+ * @exchange: the request, which the connection has not carried before
  * @now_ms: current time
  *
  * Return: a connection without a request; NULL when none can be made.
  */
 struct upstream *
 upstream_acquire(struct relay *relay, struct relay_target *target,
-                 bool retryable, int64_t now_ms)
+                 const struct exchange *exchange, int64_t now_ms)
 {
-    while (target->idle->len > 0) {
-        struct handle handle =
-            g_array_index(target->idle, struct handle, target->idle->len - 1);
-        struct upstream *upstream = table_get(&relay->upstreams, handle);
+    int index;
+
+    while ((index = find_idle(target, exchange)) >= 0) {
+        struct upstream *upstream =
+            table_get(&relay->upstreams,
+                      g_array_index(target->idle, struct handle, index));
 
-        if (upstream != NULL && !retryable &&
+        if (upstream != NULL && !exchange->route->retryable &&
             now_ms - upstream->idle_since_ms > FRESH_IDLE_MS) {
             break;
         }
-        g_array_set_size(target->idle, target->idle->len - 1);
+        g_array_remove_index(target->idle, (guint)index);
         if (upstream != NULL && is_reusable(relay, upstream)) {
             heap_remove(&relay->timers, &upstream->timer);
             return upstream;
@@ -324,6 +354,9 @@
     upstream->no_body = exchange->is_head_request;
     upstream->exchange = exchange->self;
     exchange->upstream = upstream->self;
+    if (exchange->sent_on_count < SENT_ON_MAX) {
+        exchange->sent_on[exchange->sent_on_count++] = upstream->self;
+    }
     target->record.running++;
     write_request(relay, upstream, exchange, target->record.info.id, now_ms);
     if (upstream->connected) {
