Relay: close a connection with bytes behind a discarded response

The rest of a second copy could stand before the response to the next request on that connection (MIXED, ORDER). Cause: bytes behind a response were not looked for while the response was being discarded; the beginning of a copy that arrived in the same read was dropped and the connection kept. Evidence: relay_time_test discard/refusal_and_copy and failure_and_copy red before (the connection stays open). Change: bytes behind any response of a detached request close its connection; a response that belongs to another request is still followed by the own one.

--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -111,6 +111,7 @@
     upstream->head_handled = false;
     upstream->discarding = false;
     upstream->answer_complete = false;
+    upstream->has_extra_bytes = false;
 }
 
 static void
@@ -275,8 +276,7 @@
 
         if (complete) {
             http_parser_pause(&upstream->parser, 0);
-            upstream->has_extra_bytes =
-                consumed < count && !upstream->discarding;
+            upstream->has_extra_bytes = consumed < count;
         }
         else if (upstream->parser.upgrade ||
                  HTTP_PARSER_ERRNO(&upstream->parser) != HPE_OK) {
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -805,6 +805,53 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a connection being kept on which the beginning of a second
+ * copy was discarded together with a response: its rest would stand before the
+ * next response. */
+struct discard_case {
+    const char *name;
+    const char *path;
+    const char *head;
+    const char *rest;
+    bool kept;
+};
+
+#define REFUSAL_HEAD                                                          \
+    "HTTP/1.1 503 B\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"                  \
+    "Content-Length: 4\r\n\r\n"
+#define FAILURE_HEAD                                                          \
+    "HTTP/1.1 500 E\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\n"
+
+static const struct discard_case discard_cases[] = {
+    {"refusal", REQUEST("/once/1"), REFUSAL_HEAD, "busy", true},
+    {"refusal_and_copy", REQUEST("/once/1"), REFUSAL_HEAD,
+     "busyHTTP/1.1 503 B\r\n", false},
+    {"failure_and_copy", REQUEST("/twice/1"), FAILURE_HEAD,
+     "failHTTP/1.1 500 E\r\n", false},
+};
+
+static void
+test_discard(gconstpointer data)
+{
+    const struct discard_case *c = data;
+    struct fixture fixture;
+    int listener;
+    int caller;
+
+    fixture_start(&fixture);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, c->path);
+    g_free(read_some(fixture.target));
+    listener = post_target(&fixture, "i-1");
+    step(&fixture, EVENT_WAIT_MS);
+    answer(&fixture, c->head);
+    answer(&fixture, c->rest);
+    g_assert_cmpint(is_readable(fixture.target), ==, !c->kept);
+    close(caller);
+    close(listener);
+    fixture_stop(&fixture);
+}
+
 static const struct cases groups[] = {
     CASES("/relay_time/reading", reading_cases, test_reading),
     CASES("/relay_time/limit", limit_cases, test_limit),
@@ -812,6 +859,7 @@
     CASES("/relay_time/move", move_cases, test_move),
     CASES("/relay_time/endless", endless_cases, test_endless),
     CASES("/relay_time/stop", stop_cases, test_stop),
+    CASES("/relay_time/discard", discard_cases, test_discard),
 };
 
 int
