Relay: a fragment of a broken run does not reach the next one

What callers saw: a stream whose first event is made of the pieces of two runs, with no break and a proper end.

Cause: a run broke off inside its first event, before the caller had the head. retry() cleared the event reader only for streams that had begun, so the next run was read behind the fragment of the first.

Evidence: relay_test stream_fragment_of_a_broken_run, red before: "id: 1\ndaid: 1\ndata: a\n\nid: 2..." in place of "id: 1\ndata: a\n\nid: 2...".

Change: each retry clears the reader; the id of the last event that the caller has stays. A fragment belongs to its run alone, whether or not the head was sent.

Result: the case is green, relay_test and relay_time_test pass.

--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -70,10 +70,10 @@
 {
     bool may_retry = exchange->runs == 0 || exchange->route->retryable;
 
+    events_restart(&exchange->events);
     if (exchange->answer.head_sent) {
         may_retry = exchange->route->retryable && exchange->route->stream;
         exchange->resumes++;
-        events_restart(&exchange->events);
     }
     if (!may_retry) {
         refuse(relay, exchange, ERR_TARGET_FAILED, 0, now_ms);
