Relay: a stream that ends within an event has broken off

What callers saw: a stream that ended as complete with half an event, or with the text of an error behind the last whole event. Before the first whole event it was worse: the head announced Content-Length: 0 and the bytes followed it.

Cause: result_complete() appended what the event reader still held, and sent the last chunk. A target may break off within an event and still end its response properly, or end it with its connection.

Evidence: six new cases of relay_test red before, among them stream_cut_off_at_its_end ("id: 1\ndata: a\n\nid: 2<end>"), stream_cut_off_in_its_first_event (200 with bytes behind an empty body) and stream_of_blank_lines (the same with a blank line); stream_ends_with_comment was green and stays.

Change: a run whose end leaves a part of an event counts as broken off: it is resumed, or the caller is cut off without an end, or gets 502 before the first event. Blank lines and whole comments behind the last event are passed on. The head of a stream always announces chunks. The request keeps the handle of its target, so that the log names the target although the connection was released.

--- a/src/gate/relay/events.c
+++ b/src/gate/relay/events.c
@@ -164,3 +164,26 @@
     reader->too_long = reader->partial->len > EVENT_MAX_BYTES;
     return added;
 }
+
+/**
+ * events_cut_off() - whether a run that has ended did so within an event
+ * @reader: the stream
+ *
+ * Blank lines and comments after the last event belong to none.
+ */
+bool
+events_cut_off(const struct event_reader *reader)
+{
+    const char *line = reader->partial->str;
+
+    while (*line != '\0') {
+        const char *line_end = strchr(line, '\n');
+
+        if (line_end == NULL ||
+            (*line != ':' && *line != '\r' && *line != '\n')) {
+            return true;
+        }
+        line = line_end + 1;
+    }
+    return line != reader->partial->str + reader->partial->len;
+}
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -342,6 +342,7 @@
         return;
     }
     mark_tried(exchange, target);
+    exchange->target = target->self;
     exchange->stage = STAGE_SENT;
     exchange->sends++;
     exchange->runs++;
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -158,6 +158,7 @@
 /**
  * struct exchange - a caller's request until its final response
  * @sent_on: connections that it was sent on
+ * @target: the target that it was last sent to
  * @sends: times that it was sent to a target
  * @runs: of these, times that it may have run
  * @resumes: runs that resumed a stream
@@ -175,6 +176,7 @@
     struct handle self;
     struct handle client;
     struct handle upstream;
+    struct handle target;
     struct gate_config *config;
     const struct gate_route *route;
     const struct gate_service *service;
@@ -464,6 +466,7 @@
 void events_restart(struct event_reader *reader);
 size_t events_read(struct event_reader *reader, const void *bytes,
                    size_t count, GString *whole);
+bool events_cut_off(const struct event_reader *reader);
 
 struct wait_decision;
 struct queue_pace;
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -19,11 +19,7 @@
 static struct relay_target *
 target_of(struct relay *relay, const struct exchange *exchange)
 {
-    struct upstream *upstream =
-        table_get(&relay->upstreams, exchange->upstream);
-
-    return upstream != NULL ? table_get(&relay->targets, upstream->target)
-                            : NULL;
+    return table_get(&relay->targets, exchange->target);
 }
 
 static void
@@ -361,8 +357,12 @@
 /**
  * result_complete() - handle the end of a complete response
  * @relay: the relay
- * @exchange: the request, detached from its connection; invalid afterwards
+ * @exchange: the request, detached from its connection; may be invalid
+ * afterwards
  * @now_ms: current time
+ *
+ * A stream that ends within an event has broken off, however its response
+ * ends.
  */
 void
 result_complete(struct relay *relay, struct exchange *exchange, int64_t now_ms)
@@ -370,14 +370,21 @@
     struct answer *answer = &exchange->answer;
     GString *rest = exchange->events.partial;
 
-    if (!answer->head_sent) {
+    if (is_event_stream(exchange)) {
+        if (events_cut_off(&exchange->events)) {
+            result_aborted(relay, exchange, "cut_off", now_ms);
+            return;
+        }
+        if (!answer->head_sent) {
+            answer_send_head(relay, exchange, -1, now_ms);
+        }
+        answer_send_body(relay, exchange, rest->str, rest->len, now_ms);
+    }
+    else if (!answer->head_sent) {
         answer_send_head(relay, exchange, (int64_t)answer->body->len, now_ms);
         answer_send_body(relay, exchange, answer->body->data,
                          answer->body->len, now_ms);
     }
-    if (is_event_stream(exchange) && rest->len > 0) {
-        answer_send_body(relay, exchange, rest->str, rest->len, now_ms);
-    }
     answer_end(relay, exchange, now_ms);
     counter_add(CTR_ANSWERS, 1);
     if (exchange->first_byte_ms != 0) {
