Relay: only an event stream goes on with a stream that has begun

What callers saw: a stream that had begun and broke off, with the text of the next target's response behind its events, and the end of a complete stream; or just that end, when the response was empty or a 204.

Cause: behind a stream that has begun any signed response below 300 was read as events, whatever its type. Other responses from 300 on cut the caller off, although another target could have gone on. A first response of another type was read as events as well.

Change: stream_continues() says from the status and the Content-Type whether a response goes on with the stream: it has the status that the caller was given and is an event stream, or does not say what it is, in which case its events tell. Anything else but a proof that the request has not run is a failed run: event not_continued, stream_not_continued_total, then another target if the route, its attempts and the budget allow, else a close without an end. A first response that is of another type is passed on as it is. The scripted targets are three, so that a third run can be seen.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -95,6 +95,27 @@
     bool encoded;
 };
 
+/**
+ * enum body_type - what the head of a response says that its body is
+ * @BODY_UNDECLARED: nothing
+ * @BODY_EVENTS: an event stream
+ * @BODY_OTHER: something else
+ */
+enum body_type { BODY_UNDECLARED, BODY_EVENTS, BODY_OTHER };
+
+/**
+ * struct stream_facts - what determines whether a response goes on with a
+ *                       stream
+ * @begun_status: HTTP status that the caller has
+ * @status: HTTP status of the response
+ * @body_type: type of its body
+ */
+struct stream_facts {
+    int begun_status;
+    int status;
+    enum body_type body_type;
+};
+
 /**
  * struct budget_bucket - counts for one interval of the window
  * @start_ms: start of the interval
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -16,6 +16,9 @@
 /* verdict.c */
 enum verdict response_verdict(const struct response_facts *facts);
 
+/* stream.c */
+bool stream_continues(const struct stream_facts *facts);
+
 /* retry_budget.c */
 void retry_budget_count_request(struct retry_budget *budget, int64_t window_ms,
                                 int64_t now_ms);
--- a/src/gate/relay/answer.c
+++ b/src/gate/relay/answer.c
@@ -31,6 +31,25 @@
     g_byte_array_free(answer->body, TRUE);
 }
 
+/**
+ * answer_body_type() - what a response says that its body is
+ * @head: head of the response
+ */
+enum body_type
+answer_body_type(const struct head *head)
+{
+    static const char events[] = "text/event-stream";
+    const char *type = head_find_value(head, "Content-Type");
+
+    if (type == NULL) {
+        return BODY_UNDECLARED;
+    }
+    return strcspn(type, "; \t") == strlen(events) &&
+                   g_ascii_strncasecmp(type, events, strlen(events)) == 0
+               ? BODY_EVENTS
+               : BODY_OTHER;
+}
+
 /* Copies the status line and the end-to-end header fields. */
 void
 answer_copy_head(struct answer *answer, struct relay *relay,
@@ -44,6 +63,7 @@
     answer->content_length =
         length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
     answer->framing = upstream->framing;
+    answer->body_type = answer_body_type(head);
     g_string_printf(answer->head, "HTTP/1.1 %d %s\r\n", answer->status,
                     head_start_text(head));
     for (int i = 0; i < head_field_count(head); i++) {
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -142,6 +142,7 @@
  * @body: buffered until the response is complete, except for event streams
  * @content_length: length that the target announced; -1 for none
  * @framing: of the target's response
+ * @body_type: type of the body
  * @head_sent: the head was sent to the caller
  * @chunked: the body is sent to the caller in chunks
  */
@@ -151,6 +152,7 @@
     GByteArray *body;
     int64_t content_length;
     enum body_framing framing;
+    enum body_type body_type;
     bool head_sent;
     bool chunked;
 };
@@ -451,6 +453,7 @@
 /* answer.c */
 void answer_init(struct answer *answer);
 void answer_clear(struct answer *answer);
+enum body_type answer_body_type(const struct head *head);
 void answer_copy_head(struct answer *answer, struct relay *relay,
                       const struct upstream *upstream);
 void answer_send_head(struct relay *relay, struct exchange *exchange,
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -153,6 +153,24 @@
     retry(relay, exchange, now_ms);
 }
 
+/* The response does not go on with the stream that its caller has begun to
+ * read. */
+static void
+handle_not_continued(struct relay *relay, struct exchange *exchange,
+                     int status, int64_t now_ms)
+{
+    struct relay_target *target = target_of(relay, exchange);
+
+    log_result(exchange, "not_continued", target, status, now_ms);
+    if (target != NULL && (status < 300 || status >= 500)) {
+        health_request_failed(&target->record.health);
+    }
+    counter_add(CTR_STREAM_NOT_CONTINUED, 1);
+    /* The body of a success may be long. */
+    detach_upstream(relay, exchange, status < 300);
+    retry(relay, exchange, now_ms);
+}
+
 static void
 accept_answer(struct relay *relay, struct exchange *exchange,
               struct upstream *upstream, int64_t now_ms)
@@ -185,6 +203,19 @@
            target_exists_for(relay, &exchange->needs);
 }
 
+static bool
+continues_stream(const struct exchange *exchange,
+                 const struct upstream *upstream)
+{
+    struct stream_facts facts = {
+        .begun_status = exchange->answer.status,
+        .status = (int)upstream->parser.status_code,
+        .body_type = answer_body_type(&upstream->head),
+    };
+
+    return stream_continues(&facts);
+}
+
 /**
  * result_head() - handle the head of a response
  * @relay: the relay
@@ -215,9 +246,10 @@
         !exchange->answer.head_sent && !can_retry(relay, exchange)) {
         verdict = VERDICT_PASS;
     }
-    if (exchange->answer.head_sent && verdict == VERDICT_PASS &&
-        facts.status >= 300) {
-        verdict = VERDICT_FAILED;
+    if (exchange->answer.head_sent && verdict != VERDICT_NOT_RUN &&
+        (verdict != VERDICT_PASS || !continues_stream(exchange, upstream))) {
+        handle_not_continued(relay, exchange, facts.status, now_ms);
+        return false;
     }
     switch (verdict) {
     case VERDICT_PASS:
@@ -241,7 +273,8 @@
 static bool
 is_event_stream(const struct exchange *exchange)
 {
-    return exchange->route->stream && exchange->answer.status < 300;
+    return exchange->route->stream && exchange->answer.status < 300 &&
+           exchange->answer.body_type != BODY_OTHER;
 }
 
 static const char *
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -28,6 +28,7 @@
 #define OK_HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
 #define OK OK_HEAD "Content-Length: 4\r\n\r\ndone"
 #define CHUNKED OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define OTHER_TYPE OK_HEAD "Content-Type: application/json\r\n"
 #define TEXT1 "id: 1\ndata: a\n\n"
 #define EVENT1 "f\r\n" TEXT1 "\r\n"
 #define TEXT2 "id: 2\ndata: b\n\n"
@@ -103,6 +104,9 @@
         "{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
         "\"kind\":\"stream\",\"resumable\":true,\"timeout_ms\":60000,"
         "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
+        "{\"name\":\"thrice\",\"host\":\"h\",\"path_prefix\":\"/thrice/\","
+        "\"kind\":\"stream\",\"resumable\":true,\"timeout_ms\":60000,"
+        "\"latency_goal_ms\":60000,\"max_attempts\":3,\"service\":\"s\"},"
         "{\"name\":\"fixed\",\"host\":\"h\",\"path_prefix\":\"/fixed/\","
         "\"kind\":\"stream\",\"timeout_ms\":60000,"
         "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
@@ -528,6 +532,65 @@
      "HTTP/1.1 200",
      "\n<end>",
      1},
+    {"stream_then_error",
+     "/thrice/1",
+     "",
+     {CHUNKED EVENT1 "<close>",
+      "HTTP/1.1 400 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+      "Content-Length: 4\r\n\r\nx: y",
+      CHUNKED EVENT2 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 "<end>",
+     3},
+    {"stream_then_unproven_refusal",
+     "/thrice/1",
+     "",
+     {CHUNKED EVENT1 "<close>",
+      "HTTP/1.1 429 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+      "Content-Length: 0\r\n\r\n",
+      CHUNKED EVENT2 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 "<end>",
+     3},
+    {"stream_then_other_body",
+     "/thrice/1",
+     "",
+     {CHUNKED EVENT1 "<close>",
+      OTHER_TYPE "Content-Length: 7\r\n\r\nerror\n\n", CHUNKED EVENT2 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 "<end>",
+     3},
+    {"stream_then_empty_other_body",
+     "/thrice/1",
+     "",
+     {CHUNKED EVENT1 "<close>", OTHER_TYPE "Content-Length: 0\r\n\r\n",
+      CHUNKED EVENT2 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 "<end>",
+     3},
+    {"stream_then_no_content",
+     "/thrice/1",
+     "",
+     {CHUNKED EVENT1 "<close>",
+      "HTTP/1.1 204 N\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n\r\n",
+      CHUNKED EVENT2 END},
+     "HTTP/1.1 200",
+     TEXT1 TEXT2 "<end>",
+     3},
+    {"stream_then_other_body_at_last",
+     "/stream/1",
+     "",
+     {CHUNKED EVENT1 "<close>", OTHER_TYPE "Content-Length: 3\r\n\r\n:\n\n"},
+     "HTTP/1.1 200",
+     TEXT1,
+     2},
+    {"other_body_on_stream_route",
+     "/stream/1",
+     "",
+     {OTHER_TYPE "Content-Length: 4\r\n\r\ndone"},
+     "HTTP/1.1 200",
+     "done",
+     1},
     {"stream_not_resumable",
      "/fixed/1",
      "",
@@ -557,7 +620,7 @@
     char *events;
     int fd;
 
-    fixture_start(&fixture, c->answers, 2);
+    fixture_start(&fixture, c->answers, 3);
     fd = connect_to(relay_front_port(fixture.relay));
     send_text(fd, request);
     answer = read_all(fd);
--- a/test/script.h
+++ b/test/script.h
@@ -2,7 +2,7 @@
 #ifndef TEST_SCRIPT_H
 #define TEST_SCRIPT_H
 
-enum { SCRIPT_TARGETS_MAX = 2, SCRIPT_RESPONSES_MAX = 6 };
+enum { SCRIPT_TARGETS_MAX = 3, SCRIPT_RESPONSES_MAX = 6 };
 
 /**
  * struct scripted_target - targets on loopback that share a list of responses
