Relay: a body that is no stream is not continued by another run

What callers saw: on a resumable stream route, a long error or other body that broke off, with another response's bytes behind it.

Cause: retry() looked at the kind of the route, not of the response. A body longer than BUFFERED_BODY_MAX_BYTES is passed on before it is complete; when it broke off, the request ran again and that response was appended.

Change: a response that has begun runs again only if it is an event stream; else the caller is cut off without an end. Status, length and head are those of the first response that was passed on, and no second one follows.

--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -60,6 +60,13 @@
     }
 }
 
+static bool
+is_event_stream(const struct exchange *exchange)
+{
+    return exchange->route->stream && exchange->answer.status < 300 &&
+           exchange->answer.body_type != BODY_OTHER;
+}
+
 /* Dispatches the request again, or refuses it when it may not run again. */
 static void
 retry(struct relay *relay, struct exchange *exchange, int64_t now_ms)
@@ -68,7 +75,7 @@
 
     events_restart(&exchange->events);
     if (exchange->answer.head_sent) {
-        may_retry = exchange->route->retryable && exchange->route->stream;
+        may_retry = exchange->route->retryable && is_event_stream(exchange);
         exchange->resumes++;
     }
     if (!may_retry) {
@@ -270,13 +277,6 @@
     return false;
 }
 
-static bool
-is_event_stream(const struct exchange *exchange)
-{
-    return exchange->route->stream && exchange->answer.status < 300 &&
-           exchange->answer.body_type != BODY_OTHER;
-}
-
 static const char *
 framing_name(enum body_framing framing)
 {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
+#include <http_parser.h>
 #include <json-c/json.h>
 #include <netinet/in.h>
 #include <stdlib.h>
@@ -17,8 +18,10 @@
 #include "gate/dat.h"
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
+#include "gate/choose/dat.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
+#include "gate/relay/internal.h"
 #include "platform/dat.h"
 #include "platform/fns.h"
 #include "cases.h"
@@ -640,6 +643,48 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a response, sent in part because it is too long to be kept,
+ * that another run continues. */
+struct long_body_case {
+    const char *name;
+    const char *head;
+    const char *next; /* of the next run, if there is one */
+};
+
+static const struct long_body_case long_body_cases[] = {
+    {"other_type", OTHER_TYPE, CHUNKED EVENT1 END},
+    {"error", "HTTP/1.1 400 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n",
+     "HTTP/1.1 400 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
+     "Content-Length: 4\r\n\r\nnext"},
+};
+
+static void
+test_long_body(gconstpointer data)
+{
+    const struct long_body_case *c = data;
+    char *body = g_strnfill(BUFFERED_BODY_MAX_BYTES + 1000, 'x');
+    char *first =
+        g_strdup_printf("%sContent-Length: %d\r\n\r\n%s<close>", c->head,
+                        BUFFERED_BODY_MAX_BYTES + 2000, body);
+    const char *const answers[] = {first, c->next, NULL};
+    struct fixture fixture;
+    char *answer;
+    int fd;
+
+    fixture_start(&fixture, answers, 2);
+    fd = connect_to(relay_front_port(fixture.relay));
+    send_text(fd, "GET /stream/1 HTTP/1.1\r\nHost: h\r\n"
+                  "Attempt-Id: a-1\r\nConnection: close\r\n\r\n");
+    answer = read_all(fd);
+    g_assert_cmpstr(strstr(answer, "xx") + strlen(body), ==, "");
+    g_assert_cmpint(script_request_count(&fixture.script), ==, 1);
+    close(fd);
+    g_free(answer);
+    g_free(first);
+    g_free(body);
+    fixture_stop(&fixture);
+}
+
 /* Guards against requests that reach a target altered, or with fields that
  * only the relay may set. */
 struct forwarded_case {
@@ -1064,6 +1109,7 @@
 {
     static const struct cases groups[] = {
         CASES("/relay/answer", relay_cases, test_relay),
+        CASES("/relay/long_body", long_body_cases, test_long_body),
         CASES("/relay/forwarded", forwarded_cases, test_forwarded),
         CASES("/relay/reuse", reuse_cases, test_reuse),
         CASES("/relay/late_refusal", late_refusal_cases, test_late_refusal),
