--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -12,6 +12,8 @@
 #include "gate/dat.h"
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
 #include "gate/relay/dat.h"
 #include "platform/dat.h"
 #include "platform/fns.h"
@@ -244,6 +246,182 @@
     script_stop(&script);
 }
 
+/**
+ * struct client_fixture - clients of one scripted server
+ * @script: the server, as store and as engine
+ * @address: its address
+ */
+struct client_fixture {
+    struct scripted_target script;
+    char address[ADDRESS_MAX_BYTES];
+    struct platform_store store;
+    struct platform_engine engine;
+};
+
+static void
+client_fixture_open(struct client_fixture *fixture, const char *const *answers)
+{
+    struct err err = {0};
+
+    memset(fixture, 0, sizeof(*fixture));
+    script_start(&fixture->script, answers, 1);
+    g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
+               fixture->script.ports[0]);
+    g_assert_true(
+        platform_store_init(&fixture->store, fixture->address, &err));
+    g_assert_true(platform_engine_init(&fixture->engine, &err));
+}
+
+static void
+client_fixture_close(struct client_fixture *fixture)
+{
+    platform_client_clear(&fixture->store.client);
+    platform_client_clear(&fixture->engine.client);
+    script_stop(&fixture->script);
+}
+
+/* Each call returns what its caller learns as a number: the kind of error, the
+ * number of items, the result of the order, or the engine's sequence. */
+static int
+call_write(struct client_fixture *fixture)
+{
+    struct store_write write = {.key = "k", .value = "v"};
+    struct err err = {0};
+    int64_t revision;
+
+    fixture->store.base.ops->write(&fixture->store.base, &write, &revision,
+                                   &err);
+    return (int)err.kind;
+}
+
+static int
+call_renew(struct client_fixture *fixture)
+{
+    struct err err = {0};
+
+    fixture->store.base.ops->lease_renew(&fixture->store.base, 3, &err);
+    return (int)err.kind;
+}
+
+static int
+call_list(struct client_fixture *fixture)
+{
+    struct store_items items = {0};
+    struct err err = {0};
+    int count;
+
+    fixture->store.base.ops->list(&fixture->store.base, "p", "", &items, &err);
+    count = items.count;
+    store_items_clear(&items);
+    return count;
+}
+
+static int
+call_order(struct client_fixture *fixture)
+{
+    struct engine_order order = {.action = ORDER_LOAD, .holder = "h"};
+    struct err err = {0};
+
+    order.item = g_quark_from_string("m");
+    g_strlcpy(order.target, "i-1", sizeof(order.target));
+    g_strlcpy(order.address, fixture->address, sizeof(order.address));
+    return (int)fixture->engine.base.ops->order(&fixture->engine.base, &order,
+                                                &err);
+}
+
+static int
+call_report(struct client_fixture *fixture)
+{
+    struct target_info info;
+    struct err err = {0};
+
+    memset(&info, 0, sizeof(info));
+    fixture->engine.base.ops->report(&fixture->engine.base, fixture->address,
+                                     &info, &err);
+    return (int)info.sequence;
+}
+
+#define EMPTY_RESPONSE(status)                                                \
+    "HTTP/1.1 " status " X\r\nContent-Length: 2\r\n\r\n{}"
+#define REPORT RESPONSE("14", "{\"sequence\":1}")
+#define ONE_ITEM RESPONSE("23", "{\"items\":[{\"key\":\"p\"}]}")
+
+/* Guards against a late second copy of a response that is taken as the
+ * response to the next call, and against a call that is sent twice because its
+ * connection is closed. */
+struct kept_case {
+    const char *name;
+    int (*first)(struct client_fixture *fixture);
+    int (*second)(struct client_fixture *fixture);
+    const char *answers[4];
+    int first_result;
+    int second_result;
+};
+
+static const struct kept_case kept_cases[] = {
+    {"write_after_write",
+     call_write,
+     call_write,
+     {RESPONSE("14", "{\"revision\":7}"), "%LATE%" EMPTY_RESPONSE("412")},
+     ERR_NONE,
+     ERR_KV_CONFLICT},
+    {"renewal_after_renewal",
+     call_renew,
+     call_renew,
+     {EMPTY_RESPONSE("200"), "%LATE%" EMPTY_RESPONSE("404")},
+     ERR_NONE,
+     ERR_NOT_FOUND},
+    {"list_after_list",
+     call_list,
+     call_list,
+     {RESPONSE("12", "{\"items\":[]}"), "%LATE%" ONE_ITEM},
+     0,
+     1},
+    {"order_after_order",
+     call_order,
+     call_order,
+     {EMPTY_RESPONSE("202"), "%LATE%" EMPTY_RESPONSE("409")},
+     ORDER_ACCEPTED,
+     ORDER_CONFLICT},
+    {"order_after_report",
+     call_report,
+     call_order,
+     {REPORT, "%LATE%" EMPTY_RESPONSE("202")},
+     1,
+     ORDER_ACCEPTED},
+    {"report_after_report",
+     call_report,
+     call_report,
+     {REPORT, "%LATE%" RESPONSE("14", "{\"sequence\":2}")},
+     1,
+     2},
+    {"write_without_response",
+     call_write,
+     call_write,
+     {RESPONSE("14", "{\"revision\":7}"), "<close>", EMPTY_RESPONSE("412")},
+     ERR_NONE,
+     ERR_KV_DOWN},
+    {"order_without_response",
+     call_order,
+     call_order,
+     {EMPTY_RESPONSE("202"), "<close>", EMPTY_RESPONSE("409")},
+     ORDER_ACCEPTED,
+     ORDER_IN_DOUBT},
+};
+
+static void
+test_kept(gconstpointer data)
+{
+    const struct kept_case *c = data;
+    static struct client_fixture fixture;
+
+    client_fixture_open(&fixture, c->answers);
+    g_assert_cmpint(c->first(&fixture), ==, c->first_result);
+    g_assert_cmpint(c->second(&fixture), ==, c->second_result);
+    g_assert_cmpint(script_request_count(&fixture.script), ==, 2);
+    client_fixture_close(&fixture);
+}
+
 /* Guards against documents of other writers that crash the decoders, or leave
  * values that the rest of the program does not expect. Bytes are replaced,
  * removed or repeated at random. */
@@ -350,6 +528,7 @@
         CASES("/platform/target", target_cases, test_target),
         CASES("/platform/config", config_cases, test_config),
         CASES("/platform/store", store_cases, test_store),
+        CASES("/platform/kept", kept_cases, test_kept),
         CASES("/platform/mutation", mutation_cases, test_mutation),
         CASES("/platform/field", field_cases, test_field),
         CASES("/platform/settings", settings_cases, test_settings),
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -893,13 +893,13 @@
 };
 
 static const struct copy_case copy_cases[] = {
-    {"refusal_once", "/once/1", {BUSY, "%COPY%" OK}, 1, 2},
-    {"refusal_safe", "/safe/1", {BUSY, "%COPY%" OK}, 1, 2},
+    {"refusal_once", "/once/1", {BUSY, "%LATE%" OK}, 1, 2},
+    {"refusal_safe", "/safe/1", {BUSY, "%LATE%" OK}, 1, 2},
     {"failure_safe",
      "/safe/1",
      {"HTTP/1.1 500 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"
       "Content-Length: 1\r\n\r\nx",
-      BUSY, "%COPY%" OK},
+      BUSY, "%LATE%" OK},
      2,
      3},
 };
--- a/test/script.c
+++ b/test/script.c
@@ -16,7 +16,7 @@
 struct connection {
     struct scripted_target *script;
     int fd;
-    char *written; /* the last response */
+    char *last_response;
 };
 
 /* Reads one request with its body; NULL at the end of the connection. */
@@ -96,13 +96,13 @@
 }
 
 static char *
-replace(const char *text, const char *mark, const char *by)
+replace(const char *text, const char *name, const char *value)
 {
-    char **parts = g_strsplit(text, mark, -1);
-    char *result = g_strjoinv(by, parts);
+    char **parts = g_strsplit(text, name, -1);
+    char *replaced = g_strjoinv(value, parts);
 
     g_strfreev(parts);
-    return result;
+    return replaced;
 }
 
 /* Returns whether the connection stays open. */
@@ -112,9 +112,10 @@
 {
     struct scripted_target *script = connection->script;
     int fd = connection->fd;
-    char *own = replace(answer, "%ID%", attempt);
+    char *with_id = replace(answer, "%ID%", attempt);
     char *text = replace(
-        own, "%COPY%", connection->written != NULL ? connection->written : "");
+        with_id, "%LATE%",
+        connection->last_response != NULL ? connection->last_response : "");
     char *mark = strstr(text, "<");
     size_t bytes = mark != NULL ? (size_t)(mark - text) : strlen(text);
     bool goes_on = mark == NULL;
@@ -128,9 +129,10 @@
     if (mark != NULL && strcmp(mark, "<hold>") == 0) {
         wait_for_close(script, fd);
     }
-    g_free(own);
-    g_free(connection->written);
-    connection->written = text;
+    g_free(connection->last_response);
+    connection->last_response = replace(with_id, "%LATE%", "");
+    g_free(with_id);
+    g_free(text);
     return goes_on;
 }
 
@@ -158,7 +160,7 @@
     }
     close(connection->fd);
     pthread_mutex_unlock(&script->lock);
-    g_free(connection->written);
+    g_free(connection->last_response);
     g_free(connection);
     return NULL;
 }
--- a/test/script.h
+++ b/test/script.h
@@ -7,8 +7,8 @@
 /**
  * struct scripted_target - targets on loopback that share a list of responses
  * @answers: response to each request in order of arrival, ended by NULL.
- *           "%ID%" stands for the request's Attempt-Id, "%COPY%" for the
- *           response written before on the same connection. A final "<close>"
+ *           "%ID%" stands for the request's Attempt-Id, "%LATE%" for the
+ *           connection's response before this one, if any. A final "<close>"
  *           closes the connection, "<reset>" resets it, "<hold>" waits until
  *           the peer closes it.
  * @changed: signalled when @requests or @closed_by_peer grows
