Forward: refuse encoded, partial and ambiguous bodies

What callers would see: bytes that aren't the target's body as a whole answer: a body with Content-Encoding as if it were plain, a 206 as the whole, the bytes behind a 101, or the first bytes of a body with two lengths. A refusal with Content-Encoding counted as proof of "not run".

Cause: libcurl passes all of these on. It decodes no Content-Encoding unless it was asked to, takes the last of two Content-Length fields, reads "2, 4" as 2, and ends a response at a 101.

Evidence: forward_test /forward/raw, on the code before: encoded, encoded_stream, partial_content, switched_protocol, two_lengths and length_list 0 == 4 (complete instead of broken), encoded_refusal 3 == 4 (busy instead of broken).

Change: http_head_add() checks each line of a head; a response that can't be used ends the transfer as broken before any byte of its body is passed on, with the reason in the refusal's text. It is a function of its own, for the other users of libcurl.

Found sound, with cases that keep it: bytes behind an answer, interim responses, a body shorter than its length, a reset without a length, no HTTP, redirects (not followed), a resume answered with another type, an error or a cut stream, and heads without end (libcurl limits them).

Result: forward_test, 61 cases pass.

--- a/src/http/dat.h
+++ b/src/http/dat.h
@@ -35,6 +35,16 @@
     bool running;
 };
 
+/**
+ * struct http_head - what is known of the head of a response
+ * @length: value of Content-Length; empty for none
+ * @fault: why the response can't be used; NULL when it can
+ */
+struct http_head {
+    char length[24];
+    const char *fault;
+};
+
 /**
  * struct http_response - response to a call
  * @status: HTTP status code
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -27,6 +27,12 @@
                        double fallback);
 bool json_get_bool(struct json_object *object, const char *key, bool fallback);
 
+/* head.c */
+const char *http_field_value(const char *line, size_t bytes, const char *name,
+                             size_t *value_bytes);
+bool http_starts_head(const char *line, size_t bytes);
+bool http_head_add(struct http_head *head, const char *line, size_t bytes);
+
 /* client.c */
 bool http_call_text(const char *method, const char *url,
                     const char *const headers[][2], const char *body,
--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -11,6 +11,7 @@
  */
 #include <curl/curl.h>
 #include <glib.h>
+#include <json-c/json.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +21,8 @@
 
 #include "base/dat.h"
 #include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
 #include "proto/peer.pb-c.h"
 #include "tree/dat.h"
 #include "turmericd/state/config/dat.h"
@@ -41,6 +44,7 @@
  * struct transfer - an exchange in progress
  * @easy: libcurl handle
  * @answer: receives the answer
+ * @head: head of the answer
  * @body: body rewritten for an engine, or NULL; owned
  * @headers: header fields of the request; owned
  * @idle_timeout_ms: longest pause between two parts of the answer's body
@@ -50,6 +54,7 @@
 struct transfer {
     CURL *easy;
     struct answer *answer;
+    struct http_head head;
     char *body;
     struct curl_slist *headers;
     int64_t idle_timeout_ms;
@@ -95,7 +100,7 @@
         strncasecmp(data, not_run, sizeof(not_run) - 1) == 0) {
         transfer->answer->not_run = true;
     }
-    return bytes;
+    return http_head_add(&transfer->head, data, bytes) ? bytes : 0;
 }
 
 static void add_header(struct transfer *transfer, const char *format, ...)
@@ -213,7 +218,9 @@
         record_head(transfer);
         return TRANSFER_COMPLETE;
     }
-    snprintf(detail, detail_bytes, "%s", curl_easy_strerror(code));
+    snprintf(detail, detail_bytes, "%s",
+             transfer->head.fault != NULL ? transfer->head.fault
+                                          : curl_easy_strerror(code));
     return was_connected(transfer->easy) ? TRANSFER_BROKEN
                                          : TRANSFER_NOT_CONNECTED;
 }
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -25,6 +25,7 @@
 #include "turmericd/serve/forward/dat.h"
 #include "turmericd/serve/forward/fns.h"
 #include "turmericd/serve/forward/internal.h"
+#include "script.h"
 #include "serve.h"
 #include "target.h"
 #include "cases.h"
@@ -283,6 +284,98 @@
     fixture_close(&fixture);
 }
 
+/* Guards against bytes that are not the target's whole body and reach the
+ * caller as an answer. */
+struct raw_case {
+    const char *name;
+    enum request_kind request_kind;
+    uint32_t resume_from;
+    const char *response;
+    enum attempt_result_kind kind;
+    const char *output;
+};
+
+#define HEAD(status, fields) "HTTP/1.1 " status " X\r\n" fields "\r\n"
+#define LENGTH(bytes) "Content-Length: " bytes "\r\n"
+#define ENCODED "Content-Encoding: gzip\r\n"
+#define TYPE(type) "Content-Type: " type "\r\n"
+#define OUTCOME(value) "X-Outcome:" value "\r\n"
+
+static const struct raw_case raw_cases[] = {
+    {"encoded", PLAIN, 0, HEAD("200", ENCODED LENGTH("2")) "ok",
+     ATTEMPT_BROKEN, ""},
+    {"encoded_stream", CHAT_STREAM, 0,
+     HEAD("200", TYPE(SSE) ENCODED) EVENT("a") "data: [DONE]\n\n<close>",
+     ATTEMPT_BROKEN, ""},
+    {"encoded_refusal", PLAIN, 0,
+     HEAD("503", OUTCOME(" not_run") ENCODED LENGTH("2")) "no", ATTEMPT_BROKEN,
+     ""},
+    {"partial_content", PLAIN, 0, HEAD("206", LENGTH("2")) "ok",
+     ATTEMPT_BROKEN, ""},
+    {"switched_protocol", PLAIN, 0, HEAD("101", "") "ok<close>",
+     ATTEMPT_BROKEN, ""},
+    {"two_lengths", PLAIN, 0, HEAD("200", LENGTH("4") LENGTH("2")) "okay",
+     ATTEMPT_BROKEN, ""},
+    {"same_length_twice", PLAIN, 0, HEAD("200", LENGTH("2") LENGTH("2")) "ok",
+     ATTEMPT_OK, "200 ok"},
+    {"length_list", PLAIN, 0, HEAD("200", LENGTH("2, 4")) "okay",
+     ATTEMPT_BROKEN, ""},
+    {"interim_responses", PLAIN, 0,
+     HEAD("100", "") HEAD("103", "") HEAD("200", LENGTH("2")) "ok", ATTEMPT_OK,
+     "200 ok"},
+    {"bytes_behind", PLAIN, 0,
+     HEAD("200", LENGTH("2")) "ok" HEAD("200", LENGTH("2")) "no", ATTEMPT_OK,
+     "200 ok"},
+    {"shorter_than_length", PLAIN, 0, HEAD("200", LENGTH("4")) "ok<close>",
+     ATTEMPT_BROKEN, ""},
+    {"no_length", PLAIN, 0, HEAD("200", "") "ok<close>", ATTEMPT_OK, "200 ok"},
+    {"no_length_reset", PLAIN, 0, HEAD("200", "") "ok<reset>", ATTEMPT_BROKEN,
+     ""},
+    {"not_http", PLAIN, 0, "ok ok ok ok ok ok\r\n\r\n<close>", ATTEMPT_BROKEN,
+     ""},
+    {"redirect", PLAIN, 0, HEAD("302", "Location: /x\r\n" LENGTH("2")) "ok",
+     ATTEMPT_OK, "302 ok"},
+    {"resume_with_other_type", CHAT_STREAM, 3,
+     HEAD("200", TYPE(JSON) LENGTH("2")) "{}", ATTEMPT_BROKEN, "200 "},
+    {"resume_with_error", CHAT_STREAM, 3,
+     HEAD("500", TYPE(SSE) LENGTH("9")) "data: a\n\n", ATTEMPT_BROKEN, "200 "},
+    {"resume_cut", CHAT_STREAM, 3,
+     HEAD("200", TYPE(SSE)) EVENT("a") "data: [DO<close>", ATTEMPT_BROKEN,
+     "200 " EVENT("a")},
+};
+
+static void
+test_raw(gconstpointer data)
+{
+    const struct raw_case *c = data;
+    const char *answers[] = {c->response, NULL};
+    struct call_request request = make_request(c->request_kind);
+    struct call_answer_head head = {200, SSE};
+    struct err err = {.kind = ERR_TARGET_FAILED};
+    struct scripted_target script;
+    static struct fixture fixture;
+
+    script_start(&script, answers, 1);
+    fixture_open(&fixture, &request);
+    snprintf(fixture.attempt.address, sizeof(fixture.attempt.address),
+             "127.0.0.1:%d", script.ports[0]);
+    if (c->resume_from > 0) {
+        g_assert_true(call_start_answer(fixture.calls, fixture.call, &head));
+    }
+    fixture.attempt.resume_from = c->resume_from;
+    fixture.attempt.resume_same_engine = true;
+    pthread_create(&fixture.reader_thread, NULL, read_answer, &fixture);
+    post(&fixture);
+    g_assert_cmpint(wait_for_result(&fixture).kind, ==, c->kind);
+    call_fail(fixture.calls, fixture.call, &err, OUTCOME_UNKNOWN);
+    pthread_join(fixture.reader_thread, NULL);
+    g_assert_cmpint(fixture.read_result, ==, c->kind == ATTEMPT_OK ? 0 : -1);
+    g_assert_cmpstr(fixture.output->str, ==, c->output);
+    g_assert_cmpint(script_request_count(&script), ==, 1);
+    fixture_close(&fixture);
+    script_stop(&script);
+}
+
 /* Guards against a request that lacks a header field or member which its
  * target needs, or has one which this target must not get. */
 struct request_case {
@@ -474,6 +567,44 @@
     fixture_close(&fixture);
 }
 
+/* Guards against a target whose head never ends, until the deadline and into
+ * memory. */
+struct endless_case {
+    const char *name;
+    const char *first;
+    const char *next;
+};
+
+static const struct endless_case endless_cases[] = {
+    {"lines", "HTTP/1.1 200 OK\r\n", "X-A: 0123456789\r\n"},
+    {"interim_responses", "", "HTTP/1.1 103 X\r\nX-A: 0123456789\r\n\r\n"},
+};
+
+static void
+test_endless(gconstpointer data)
+{
+    const struct endless_case *c = data;
+    struct call_request request = make_request(PLAIN);
+    static struct fixture fixture;
+    int port;
+    int fd = listen_on_free_port(&port);
+    int connection;
+
+    fixture_open(&fixture, &request);
+    snprintf(fixture.attempt.address, sizeof(fixture.attempt.address),
+             "127.0.0.1:%d", port);
+    fixture.attempt.deadline_ms = clock_now_ms() + SHORT_DEADLINE_MS;
+    post(&fixture);
+    connection = accept(fd, NULL, NULL);
+    send(connection, c->first, strlen(c->first), MSG_NOSIGNAL);
+    while (send(connection, c->next, strlen(c->next), MSG_NOSIGNAL) > 0) {
+    }
+    g_assert_cmpint(wait_for_result(&fixture).kind, ==, ATTEMPT_BROKEN);
+    close(connection);
+    close(fd);
+    fixture_close(&fixture);
+}
+
 /* Guards against a call that waits past its deadline for a target that sends
  * no byte of the body, and against a stream that is not cancelled then. */
 static void
@@ -655,6 +786,8 @@
 
 static const struct cases groups[] = {
     CASES("/forward/answer", answer_cases, test_answer),
+    CASES("/forward/raw", raw_cases, test_raw),
+    CASES("/forward/endless", endless_cases, test_endless),
     CASES("/forward/request", request_cases, test_request),
     CASES("/forward/sse", sse_cases, test_sse),
 };
