Forward: only X-Outcome: not_run proves that a request did not run

What callers would see: a request that may not be repeated runs twice, or its caller is told "not run" for one that ran.

"X-Outcome:not_run" without a space didn't count.

Evidence: forward_test /forward/raw, on the code before: outcome_unknown, outcome_in_interim_response, outcomes_differ and outcome_of_head_and_body_differ 3 == 0 (busy, so sent again, instead of passed on), outcome_without_space 0 == 3.

Change: the whole value is compared, each head starts anew, fields that differ prove nothing, and the body is asked only without the field.

Result: forward_test, 66 cases pass.

--- a/src/turmericd/serve/forward/answer.c
+++ b/src/turmericd/serve/forward/answer.c
@@ -87,6 +87,29 @@
     }
 }
 
+/**
+ * answer_add_outcome() - store the value of an X-Outcome field
+ * @answer: the answer
+ * @value: the value, not terminated
+ * @bytes: its length
+ *
+ * Only "not_run" in all such fields proves that the request did not run.
+ */
+void
+answer_add_outcome(struct answer *answer, const char *value, size_t bytes)
+{
+    static const char not_run[] = "not_run";
+    bool is_not_run = bytes == sizeof(not_run) - 1 &&
+                      g_ascii_strncasecmp(value, not_run, bytes) == 0;
+
+    if (!is_not_run) {
+        answer->outcome = ANSWER_OUTCOME_OTHER;
+    }
+    else if (answer->outcome == ANSWER_OUTCOME_NONE) {
+        answer->outcome = ANSWER_OUTCOME_NOT_RUN;
+    }
+}
+
 static bool
 start_answer(struct answer *answer)
 {
@@ -206,9 +229,10 @@
 {
     return (answer->status == STATUS_UNAVAILABLE ||
             answer->status == STATUS_TOO_MANY) &&
-           (answer->not_run ||
-            body_has_member(answer->buffered->str, answer->buffered->len,
-                            "outcome", "not_run"));
+           (answer->outcome == ANSWER_OUTCOME_NOT_RUN ||
+            (answer->outcome == ANSWER_OUTCOME_NONE &&
+             body_has_member(answer->buffered->str, answer->buffered->len,
+                             "outcome", "not_run")));
 }
 
 static enum attempt_result_kind
--- a/src/turmericd/serve/forward/internal.h
+++ b/src/turmericd/serve/forward/internal.h
@@ -40,6 +40,18 @@
  */
 enum answer_mode { ANSWER_BUFFER, ANSWER_EVENTS, ANSWER_PASS_THROUGH };
 
+/**
+ * enum answer_outcome - what X-Outcome says of the request
+ * @ANSWER_OUTCOME_NONE: no such field
+ * @ANSWER_OUTCOME_NOT_RUN: the target did not run it
+ * @ANSWER_OUTCOME_OTHER: any other value, or values that differ
+ */
+enum answer_outcome {
+    ANSWER_OUTCOME_NONE,
+    ANSWER_OUTCOME_NOT_RUN,
+    ANSWER_OUTCOME_OTHER,
+};
+
 /**
  * struct answer - HTTP response of a target, forwarded to a call
  * @calls: table of calls
@@ -52,7 +64,7 @@
  * @head_known: @status and @content_type are set
  * @status: HTTP status from the target
  * @content_type: content type from the target; empty when it sent none
- * @not_run: a header field says that the target did not run the request
+ * @outcome: what the head says of the request
  * @mode: how the body is forwarded
  * @buffered: body received so far in mode ANSWER_BUFFER
  * @parser: parser of the body in mode ANSWER_EVENTS
@@ -72,7 +84,7 @@
     bool head_known;
     int status;
     char content_type[CALL_CONTENT_TYPE_MAX_BYTES];
-    bool not_run;
+    enum answer_outcome outcome;
     enum answer_mode mode;
     GString *buffered;
     struct sse_parser parser;
@@ -119,6 +131,8 @@
 void answer_clear(struct answer *answer);
 void answer_set_head(struct answer *answer, int status,
                      const char *content_type);
+void answer_add_outcome(struct answer *answer, const char *value,
+                        size_t bytes);
 bool answer_receive(struct answer *answer, const char *data, size_t bytes);
 void answer_end(struct answer *answer, enum transfer_end end,
                 struct attempt_result *result);
--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -92,13 +92,17 @@
 static size_t
 on_header(char *data, size_t size, size_t count, void *argument)
 {
-    static const char not_run[] = "x-outcome: not_run";
     struct transfer *transfer = argument;
     size_t bytes = size * count;
+    size_t value_bytes;
+    const char *outcome =
+        http_field_value(data, bytes, "X-Outcome", &value_bytes);
 
-    if (bytes >= sizeof(not_run) - 1 &&
-        strncasecmp(data, not_run, sizeof(not_run) - 1) == 0) {
-        transfer->answer->not_run = true;
+    if (http_starts_head(data, bytes)) {
+        transfer->answer->outcome = ANSWER_OUTCOME_NONE;
+    }
+    else if (outcome != NULL) {
+        answer_add_outcome(transfer->answer, outcome, value_bytes);
     }
     return http_head_add(&transfer->head, data, bytes) ? bytes : 0;
 }
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -285,7 +285,8 @@
 }
 
 /* Guards against bytes that are not the target's whole body and reach the
- * caller as an answer. */
+ * caller as an answer, and against a refusal that is taken as not run without
+ * its proof. */
 struct raw_case {
     const char *name;
     enum request_kind request_kind;
@@ -335,6 +336,20 @@
      ""},
     {"redirect", PLAIN, 0, HEAD("302", "Location: /x\r\n" LENGTH("2")) "ok",
      ATTEMPT_OK, "302 ok"},
+    {"outcome_without_space", PLAIN, 0,
+     HEAD("503", OUTCOME("not_run") LENGTH("2")) "no", ATTEMPT_BUSY, ""},
+    {"outcome_unknown", PLAIN, 0,
+     HEAD("503", OUTCOME(" not_running") LENGTH("2")) "no", ATTEMPT_OK,
+     "503 no"},
+    {"outcome_in_interim_response", PLAIN, 0,
+     HEAD("103", OUTCOME(" not_run")) HEAD("503", LENGTH("2")) "no",
+     ATTEMPT_OK, "503 no"},
+    {"outcomes_differ", PLAIN, 0,
+     HEAD("503", OUTCOME(" not_run") OUTCOME(" unknown") LENGTH("2")) "no",
+     ATTEMPT_OK, "503 no"},
+    {"outcome_of_head_and_body_differ", PLAIN, 0,
+     HEAD("503", OUTCOME(" ran") LENGTH("21")) "{\"outcome\":\"not_run\"}",
+     ATTEMPT_OK, "503 {\"outcome\":\"not_run\"}"},
     {"resume_with_other_type", CHAT_STREAM, 3,
      HEAD("200", TYPE(JSON) LENGTH("2")) "{}", ATTEMPT_BROKEN, "200 "},
     {"resume_with_error", CHAT_STREAM, 3,
