Forward: a stream is one whatever its 2xx status or case of its type

What callers would see: a stream cut after an event that ends as if it were whole.

Cause: only status 200 with "text/event-stream" in lower case was read as events. Any other was buffered, and a body without a length is complete when its connection ends, with or without [DONE]. Media types have no case.

Evidence: forward_test /forward/raw/stream_type_in_capitals and stream_with_other_status, on the code before: 0 == 4 (complete instead of broken).

Result: forward_test, 68 cases pass.

--- a/src/turmericd/serve/forward/answer.c
+++ b/src/turmericd/serve/forward/answer.c
@@ -27,6 +27,7 @@
 
 enum {
     STATUS_OK = 200,
+    STATUS_MULTIPLE_CHOICES = 300,
     STATUS_NOT_FOUND = 404,
     STATUS_TOO_MANY = 429,
     STATUS_UNAVAILABLE = 503
@@ -68,6 +69,17 @@
     sse_parser_clear(&answer->parser);
 }
 
+static bool
+is_event_stream(const struct answer *answer)
+{
+    static const char type[] = "text/event-stream";
+
+    return answer->status >= STATUS_OK &&
+           answer->status < STATUS_MULTIPLE_CHOICES &&
+           g_ascii_strncasecmp(answer->content_type, type, sizeof(type) - 1) ==
+               0;
+}
+
 /**
  * answer_set_head() - store the head of the answer and choose its mode
  * @answer: the answer
@@ -81,8 +93,7 @@
     answer->status = status;
     snprintf(answer->content_type, sizeof(answer->content_type), "%s",
              content_type != NULL ? content_type : "");
-    if (answer->stream && status == STATUS_OK &&
-        g_str_has_prefix(answer->content_type, "text/event-stream")) {
+    if (answer->stream && is_event_stream(answer)) {
         answer->mode = ANSWER_EVENTS;
     }
 }
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -285,8 +285,8 @@
 }
 
 /* Guards against bytes that are not the target's whole body and reach the
- * caller as an answer, and against a refusal that is taken as not run without
- * its proof. */
+ * caller as an answer, a cut stream that ends as whole, and a refusal that is
+ * taken as not run without its proof. */
 struct raw_case {
     const char *name;
     enum request_kind request_kind;
@@ -357,6 +357,12 @@
     {"resume_cut", CHAT_STREAM, 3,
      HEAD("200", TYPE(SSE)) EVENT("a") "data: [DO<close>", ATTEMPT_BROKEN,
      "200 " EVENT("a")},
+    {"stream_type_in_capitals", CHAT_STREAM, 0,
+     HEAD("200", TYPE("Text/Event-Stream")) EVENT("a") "<close>",
+     ATTEMPT_BROKEN, "200 " EVENT("a")},
+    {"stream_with_other_status", CHAT_STREAM, 0,
+     HEAD("201", TYPE(SSE)) EVENT("a") "<close>", ATTEMPT_BROKEN,
+     "201 " EVENT("a")},
 };
 
 static void
