Platform client: refuse encoded, partial and ambiguous responses

What callers would see: a lease that counts as renewed, or an order as accepted, by a response whose body isn't the one that was asked for.

Cause: renewals and orders look at the status alone, and libcurl passes on encoded bodies and takes the last of two lengths.

A response that can't be used is a failed call: the outcome is unknown.

Found sound, with cases that keep it: a 101, a 206, a redirect (not followed), interim responses, a response cut within its length or its JSON.

--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -32,6 +32,7 @@
                              size_t *value_bytes);
 bool http_starts_head(const char *line, size_t bytes);
 bool http_head_add(struct http_head *head, const char *line, size_t bytes);
+size_t http_head_receive(char *line, size_t size, size_t count, void *data);
 
 /* client.c */
 bool http_call_text(const char *method, const char *url,
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -140,3 +140,19 @@
     }
     return head->fault == NULL;
 }
+
+/**
+ * http_head_receive() - CURLOPT_HEADERFUNCTION that checks the head
+ * @line: the line, not terminated
+ * @size: 1
+ * @count: its length
+ * @data: struct http_head, all zero before the call
+ *
+ * Return: less than @count, which ends the transfer, when the response can't
+ * be used.
+ */
+size_t
+http_head_receive(char *line, size_t size, size_t count, void *data)
+{
+    return http_head_add(data, line, size * count) ? size * count : 0;
+}
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -422,6 +422,50 @@
     client_fixture_close(&fixture);
 }
 
+/* Guards against the body of a response that isn't the one asked for. */
+struct spoilt_case {
+    const char *name;
+    int (*call)(struct client_fixture *fixture);
+    const char *response;
+    int result;
+};
+
+static const struct spoilt_case spoilt_cases[] = {
+    {"encoded_renewal", call_renew,
+     "HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\n{}",
+     ERR_KV_DOWN},
+    {"two_lengths", call_renew,
+     "HTTP/1.1 200 X\r\nContent-Length: 9\r\nContent-Length: 2\r\n\r\n{}",
+     ERR_KV_DOWN},
+    {"switched_protocol", call_order, "HTTP/1.1 101 X\r\n\r\n<close>",
+     ORDER_IN_DOUBT},
+    {"encoded_order", call_order,
+     "HTTP/1.1 202 X\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\n{}",
+     ORDER_IN_DOUBT},
+    {"order_in_part", call_order, EMPTY_RESPONSE("206"), ORDER_IN_DOUBT},
+    {"redirected_order", call_order,
+     "HTTP/1.1 307 X\r\nLocation: /x\r\nContent-Length: 2\r\n\r\n{}",
+     ORDER_IN_DOUBT},
+    {"interim_response", call_renew,
+     "HTTP/1.1 103 X\r\n\r\n" EMPTY_RESPONSE("200"), ERR_NONE},
+    {"cut_renewal", call_renew,
+     "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n{}<close>", ERR_KV_DOWN},
+    {"cut_list", call_list, "HTTP/1.1 200 X\r\n\r\n{\"items\":[<close>", 0},
+};
+
+static void
+test_spoilt(gconstpointer data)
+{
+    const struct spoilt_case *c = data;
+    const char *answers[] = {c->response, NULL};
+    static struct client_fixture fixture;
+
+    client_fixture_open(&fixture, answers);
+    g_assert_cmpint(c->call(&fixture), ==, c->result);
+    g_assert_cmpint(script_request_count(&fixture.script), ==, 1);
+    client_fixture_close(&fixture);
+}
+
 /* Guards against documents of other writers that crash the decoders, or leave
  * values that the rest of the program does not expect. Bytes are replaced,
  * removed or repeated at random. */
@@ -529,6 +573,7 @@
         CASES("/platform/config", config_cases, test_config),
         CASES("/platform/store", store_cases, test_store),
         CASES("/platform/kept", kept_cases, test_kept),
+        CASES("/platform/spoilt", spoilt_cases, test_spoilt),
         CASES("/platform/mutation", mutation_cases, test_mutation),
         CASES("/platform/field", field_cases, test_field),
         CASES("/platform/settings", settings_cases, test_settings),
