Forward: refuse a resumed stream that starts from its beginning

What callers would see: events of a stream twice, behind the ones that they have, in a stream that ends as whole.

Cause: a response to X-Resume-From was taken as the rest of the stream without evidence: events have no ids, and an engine that no longer keeps the stream, or ignores the field, starts anew.

Change: a stream starts with a role event, so one at the start of a resumed stream ends the attempt as broken before it is passed on; the call goes on at another engine with the text so far.

--- a/src/turmericd/serve/forward/answer.c
+++ b/src/turmericd/serve/forward/answer.c
@@ -163,6 +163,10 @@
         /* The caller already has the role event of the first engine. */
         forwarded = true;
     }
+    else if (role_only && answer->resumed && answer->event_count == 0) {
+        answer->restarted = true;
+        forwarded = false;
+    }
     else {
         forwarded = forward_bytes(answer, event->raw, event->raw_bytes);
     }
@@ -317,6 +321,10 @@
     else {
         result->kind = ATTEMPT_BROKEN;
     }
+    if (answer->restarted) {
+        snprintf(result->text, sizeof(result->text),
+                 "the engine sent the stream from its start");
+    }
     result->events += answer->event_count;
     if (answer->mode == ANSWER_PASS_THROUGH &&
         result->kind == ATTEMPT_BROKEN) {
--- a/src/turmericd/serve/forward/internal.h
+++ b/src/turmericd/serve/forward/internal.h
@@ -61,6 +61,8 @@
  * @resumed: the answer continues the one of an earlier attempt
  * @resumed_other_engine: another engine continues, in a stream with its own
  *                        role event
+ * @restarted: the engine was to resume its stream and sent the role event,
+ *             with which a stream starts
  * @head_known: @status and @content_type are set
  * @status: HTTP status from the target
  * @content_type: content type from the target; empty when it sent none
@@ -81,6 +83,7 @@
     bool keep_text;
     bool resumed;
     bool resumed_other_engine;
+    bool restarted;
     bool head_known;
     int status;
     char content_type[CALL_CONTENT_TYPE_MAX_BYTES];
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -158,6 +158,9 @@
 #define CHAT "{\"model\":\"m\",\"messages\":[{\"role\":\"user\"}]}"
 #define EVENT(text)                                                           \
     "data: {\"choices\":[{\"delta\":{\"content\":\"" text "\"}}]}\n\n"
+#define ROLE_EVENT                                                            \
+    "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":"     \
+    "\"\"}}]}\n\n"
 #define SSE "text/event-stream"
 #define JSON "application/json"
 
@@ -285,8 +288,8 @@
 }
 
 /* Guards against bytes that are not the target's whole body and reach the
- * caller as an answer, a cut stream that ends as whole, and a refusal that is
- * taken as not run without its proof. */
+ * caller as an answer, a cut stream that ends as whole, events that come
+ * twice, and a refusal that is taken as not run without its proof. */
 struct raw_case {
     const char *name;
     enum request_kind request_kind;
@@ -354,6 +357,9 @@
      HEAD("200", TYPE(JSON) LENGTH("2")) "{}", ATTEMPT_BROKEN, "200 "},
     {"resume_with_error", CHAT_STREAM, 3,
      HEAD("500", TYPE(SSE) LENGTH("9")) "data: a\n\n", ATTEMPT_BROKEN, "200 "},
+    {"resume_from_the_start", CHAT_STREAM, 3,
+     HEAD("200", TYPE(SSE)) ROLE_EVENT EVENT("a") "data: [DONE]\n\n<close>",
+     ATTEMPT_BROKEN, "200 "},
     {"resume_cut", CHAT_STREAM, 3,
      HEAD("200", TYPE(SSE)) EVENT("a") "data: [DO<close>", ATTEMPT_BROKEN,
      "200 " EVENT("a")},
@@ -468,10 +474,8 @@
 
     fixture_open(&fixture, &request);
     fixture.server.responses[0] = (struct canned_response)RESPONSE(
-        200, SSE, NULL,
-        "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":"
-        "\"\"}}]}\n\n" EVENT("b") "data: [DONE]\n\n",
-        END_OK, 0, 0);
+        200, SSE, NULL, ROLE_EVENT EVENT("b") "data: [DONE]\n\n", END_OK, 0,
+        0);
     g_assert_true(call_start_answer(fixture.calls, fixture.call, &head));
     pthread_create(&fixture.reader_thread, NULL, read_answer, &fixture);
     fixture.attempt.resume_from = 3;
