Store client: an item without a readable value is no deletion

An item whose value is missing, null or of another type was read like a deletion: the entry of a target that another writer spoilt counted as expired, and was passed on to the other instances as deleted. Base64 with spaces, or with text behind its padding, was decoded by leaving out what is no base64.

--- /dev/null
+++ b/test/entries_test.c
@@ -0,0 +1,171 @@
+/* Tests of what another writer's item in the store does to the others. */
+#include <curl/curl.h>
+#include <glib.h>
+#include <json-c/json.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/view/dat.h"
+#include "gate/view/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
+#include "platform/dat.h"
+#include "platform/fns.h"
+#include "cases.h"
+#include "script.h"
+
+/*
+ * Guards against an odd item that fails the response it stands in, hides or
+ * replaces another item, or is read as a deletion.
+ *
+ * The item stands between servers/a and servers/z. What is read: KEY=VALUE, or
+ * "KEY gone" for a deletion; an unreadable value is empty.
+ */
+struct item_case {
+    const char *name;
+    const char *item;
+    const char *read; /* of the item */
+};
+
+#define ITEM(value) "{\"key\":\"servers/m\",\"revision\":6" value "}"
+
+static const struct item_case item_cases[] = {
+    {"sound", ITEM(",\"value\":\"bQ==\""), "servers/m=m "},
+    {"deleted", ITEM(",\"deleted\":true"), "servers/m gone "},
+    {"empty", ITEM(",\"value\":\"\""), "servers/m= "},
+    {"no_value", ITEM(""), "servers/m= "},
+    {"null_value", ITEM(",\"value\":null"), "servers/m= "},
+    {"number_value", ITEM(",\"value\":7"), "servers/m= "},
+    {"object_value", ITEM(",\"value\":{\"value\":\"bQ==\"}"), "servers/m= "},
+    {"deleted_as_number", ITEM(",\"deleted\":1"), "servers/m gone "},
+    {"not_deleted", ITEM(",\"deleted\":false,\"value\":\"bQ==\""),
+     "servers/m=m "},
+    {"value_without_padding", ITEM(",\"value\":\"bQ\""), "servers/m= "},
+    {"value_with_spaces", ITEM(",\"value\":\"b Q==\""), "servers/m= "},
+    {"value_with_bytes_of_no_code", ITEM(",\"value\":\"b\xff==\""),
+     "servers/m= "},
+    {"value_behind_padding", ITEM(",\"value\":\"bQ==bQ==\""), "servers/m= "},
+    {"null", "null", ""},
+    {"array", "[\"key\",\"servers/m\"]", ""},
+    {"no_key", "{\"value\":\"bQ==\",\"revision\":6}", ""},
+    {"number_key", "{\"key\":1,\"value\":\"bQ==\",\"revision\":6}", ""},
+};
+
+static char *
+http_response(const char *body)
+{
+    return g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                           strlen(body), body);
+}
+
+static char *
+page_with(const char *item)
+{
+    char *items = g_strdup_printf(
+        "[{\"key\":\"servers/a\",\"value\":\"YQ==\",\"revision\":5},%s,"
+        "{\"key\":\"servers/z\",\"value\":\"eg==\",\"revision\":7}]",
+        item);
+    char *page = g_strdup_printf(
+        "{\"items\":%s,\"events\":%s,\"store_revision\":9}", items, items);
+
+    g_free(items);
+    return page;
+}
+
+static char *
+items_text(const struct store_items *items)
+{
+    GString *text = g_string_new(NULL);
+
+    for (int i = 0; i < items->count; i++) {
+        const struct store_item *item = &items->items[i];
+
+        if (item->value == NULL) {
+            g_string_append_printf(text, "%s gone ", item->key);
+        }
+        else {
+            g_string_append_printf(text, "%s=%s ", item->key, item->value);
+        }
+    }
+    return g_string_free(text, FALSE);
+}
+
+static void
+check_items(struct store_items *items, const char *read)
+{
+    char *text = items_text(items);
+    char *wanted = g_strdup_printf("servers/a=a %sservers/z=z ", read);
+
+    g_assert_cmpstr(text, ==, wanted);
+    g_assert_cmpint(items->revision, ==, 9);
+    store_items_clear(items);
+    g_free(wanted);
+    g_free(text);
+}
+
+static void
+start_store(struct platform_store *store, struct scripted_target *script,
+            const char *const *answers)
+{
+    struct err err = {0};
+    char address[ADDRESS_MAX_BYTES];
+
+    script_start(script, answers, 1);
+    g_snprintf(address, sizeof(address), "127.0.0.1:%d", script->ports[0]);
+    memset(store, 0, sizeof(*store));
+    g_assert_true(platform_store_init(store, address, &err));
+}
+
+static void
+stop_store(struct platform_store *store, struct scripted_target *script)
+{
+    platform_client_clear(&store->client);
+    script_stop(script);
+}
+
+static void
+check_page(const char *item, const char *read)
+{
+    char *page = page_with(item);
+    char *response = http_response(page);
+    const char *answers[] = {response, response, NULL};
+    struct scripted_target script;
+    struct platform_store store;
+    struct store_items list = {0};
+    struct store_items changes = {0};
+    struct err err = {0};
+
+    start_store(&store, &script, answers);
+    g_assert_true(store.base.ops->list(&store.base, "", "", &list, &err));
+    check_items(&list, read);
+    g_assert_true(
+        store.base.ops->watch(&store.base, "", 1, 10, &changes, &err));
+    check_items(&changes, read);
+    stop_store(&store, &script);
+    g_free(response);
+    g_free(page);
+}
+
+static void
+test_item(gconstpointer data)
+{
+    const struct item_case *c = data;
+
+    check_page(c->item, c->read);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct cases groups[] = {
+        CASES("/entries/item", item_cases, test_item),
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    cases_add(groups, G_N_ELEMENTS(groups));
+    return g_test_run();
+}
