JSON: a string with a NUL byte is none

JSON strings may hold \\u0000, at which C ends them: the key "servers/a\\u0000b" of another writer replaced servers/a, and a field such as "ready\\u0000" was read as "ready".

json_get_string() now returns the fallback for them.

Before: entries_test item/nul_in_key read servers/a twice, nul_in_value a value, platform_test target/nul_in_state a usable target; all pass now.

--- a/src/http/json.c
+++ b/src/http/json.c
@@ -2,6 +2,7 @@
  * DOC: Parsing of JSON from other processes and from files.
  */
 #include <json-c/json.h>
+#include <string.h>
 #include <ulfius.h>
 
 #include "base/dat.h"
@@ -63,7 +64,8 @@
  * json_get_string() - get a string member of an object
  * @object: the object; any other value has no members
  * @key: name of the member
- * @fallback: returned when the member is missing or isn't a string
+ * @fallback: returned when the member is missing, isn't a string, or has a NUL
+ *            byte, at which C would end it
  *
  * Return: text that is valid as long as @object, or @fallback.
  */
@@ -75,7 +77,9 @@
 
     if (json_object_is_type(object, json_type_object) &&
         json_object_object_get_ex(object, key, &member) &&
-        json_object_is_type(member, json_type_string)) {
+        json_object_is_type(member, json_type_string) &&
+        strlen(json_object_get_string(member)) ==
+            (size_t)json_object_get_string_len(member)) {
         return json_object_get_string(member);
     }
     return fallback;
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -52,6 +52,9 @@
     {"null", "null", ""},
     {"array", "[\"key\",\"servers/m\"]", ""},
     {"no_key", "{\"value\":\"bQ==\",\"revision\":6}", ""},
+    {"nul_in_key",
+     "{\"key\":\"servers/a\\u0000b\",\"value\":\"bQ==\",\"revision\":6}", ""},
+    {"nul_in_value", ITEM(",\"value\":\"bQ==\\u0000\""), "servers/m= "},
     {"number_key", "{\"key\":1,\"value\":\"bQ==\",\"revision\":6}", ""},
 };
 
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -44,6 +44,7 @@
      "{\"address\":\"a\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\"}",
      false},
     {"array", "[1,2]", false},
+    {"nul_in_state", ENTRY("\"slots\":4,\"state\":\"ready\\u0000\""), false},
     {"invalid_json", "\xff\xfe{", false},
     {"empty", "", false},
     {"models_as_text",
