Store client: a deeply nested item doesn't fail its page

json-c refuses a text at 32 levels. An item of another writer whose value, or another member, is nested deeper failed the list or watch it stood in, for every instance, on every call: a list never ended, and a watch was tried again with growing delays and never moved on.

json_parse_pruned() reads such a value as null, so it costs its item alone. The bound stays, as json_object_put() calls itself for each level. Documents of one writer (values, reports, settings) are refused as before.

--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -19,6 +19,8 @@
 /* json.c */
 struct json_object *json_parse(const char *text, size_t bytes,
                                struct err *err);
+struct json_object *json_parse_pruned(const char *text, size_t bytes,
+                                      struct err *err);
 const char *json_get_string(struct json_object *object, const char *key,
                             const char *fallback);
 int64_t json_get_int64(struct json_object *object, const char *key,
--- a/src/http/json.c
+++ b/src/http/json.c
@@ -1,6 +1,7 @@
 /**
  * DOC: Parsing of JSON from other processes and from files.
  */
+#include <glib.h>
 #include <json-c/json.h>
 #include <string.h>
 #include <ulfius.h>
@@ -12,23 +13,15 @@
 
 enum { JSON_DEPTH_MAX = 32 };
 
-/**
- * json_parse() - parse one complete JSON value; comments are allowed
- * @text: text to parse
- * @bytes: length of @text
- * @err: filled in on failure; its text has the offset of the syntax error
- *
- * Return: a value that the caller releases with json_object_put(), or NULL
- * with ERR_BAD_JSON or ERR_NO_MEMORY.
- */
-struct json_object *
-json_parse(const char *text, size_t bytes, struct err *err)
+static struct json_object *
+parse(const char *text, size_t bytes, enum json_tokener_error *result,
+      struct err *err)
 {
     struct json_tokener *tokener;
     struct json_object *object;
-    enum json_tokener_error result;
     size_t end;
 
+    *result = json_tokener_error_parse_unexpected;
     /* The parser takes the length as an int. */
     if (bytes > INT32_MAX) {
         err_set(err, ERR_BAD_JSON, "%zu bytes are too many", bytes);
@@ -40,19 +33,19 @@
         return NULL;
     }
     object = json_tokener_parse_ex(tokener, text, (int)bytes);
-    result = json_tokener_get_error(tokener);
+    *result = json_tokener_get_error(tokener);
     end = json_tokener_get_parse_end(tokener);
     json_tokener_free(tokener);
-    while (result == json_tokener_success && end < bytes &&
+    while (*result == json_tokener_success && end < bytes &&
            (text[end] == ' ' || text[end] == '\n' || text[end] == '\r' ||
             text[end] == '\t' || text[end] == '\0')) {
         end++;
     }
-    if (result != json_tokener_success || end < bytes) {
+    if (*result != json_tokener_success || end < bytes) {
         err_set(err, ERR_BAD_JSON, "%s at byte %zu",
-                result == json_tokener_success
+                *result == json_tokener_success
                     ? "text after the value"
-                    : json_tokener_error_desc(result),
+                    : json_tokener_error_desc(*result),
                 end);
         json_object_put(object);
         return NULL;
@@ -60,6 +53,107 @@
     return object;
 }
 
+/**
+ * json_parse() - parse one complete JSON value; comments are allowed
+ * @text: text to parse
+ * @bytes: length of @text
+ * @err: filled in on failure; its text has the offset of the syntax error
+ *
+ * Fails for values nested JSON_DEPTH_MAX levels deep or more, as
+ * json_object_put() needs stack for each level.
+ *
+ * Return: a value that the caller releases with json_object_put(), or NULL
+ * with ERR_BAD_JSON or ERR_NO_MEMORY.
+ */
+struct json_object *
+json_parse(const char *text, size_t bytes, struct err *err)
+{
+    enum json_tokener_error result;
+
+    return parse(text, bytes, &result, err);
+}
+
+/* Returns the end of the string or comment that begins at @at, or of the
+ * single character there. */
+static size_t
+token_end(const char *text, size_t bytes, size_t at)
+{
+    const char *close;
+    char quote = text[at];
+
+    if (quote == '"' || quote == '\'') {
+        for (at++; at < bytes && text[at] != quote; at++) {
+            at += text[at] == '\\' ? 1 : 0;
+        }
+        return MIN(at + 1, bytes);
+    }
+    if (quote != '/' || at + 1 == bytes) {
+        return at + 1;
+    }
+    close = text[at + 1] == '*' ? "*/" : "\n";
+    close = memmem(text + at + 2, bytes - at - 2, close, strlen(close));
+    if (text[at + 1] != '*') {
+        return close != NULL ? (size_t)(close - text) : bytes;
+    }
+    return close != NULL ? (size_t)(close - text) + 2 : bytes;
+}
+
+/* Copies JSON with null for each value that is nested too deeply. */
+static GString *
+prune(const char *text, size_t bytes)
+{
+    GString *pruned = g_string_sized_new(bytes);
+    size_t depth = 0;
+    size_t end;
+
+    for (size_t at = 0; at < bytes; at = end) {
+        char c = text[at];
+
+        end = token_end(text, bytes, at);
+        if ((c == '[' || c == '{') && ++depth == JSON_DEPTH_MAX) {
+            g_string_append(pruned, "null");
+        }
+        if (depth < JSON_DEPTH_MAX) {
+            g_string_append_len(pruned, text + at, (gssize)(end - at));
+        }
+        if ((c == ']' || c == '}') && depth > 0) {
+            depth--;
+        }
+    }
+    return pruned;
+}
+
+/**
+ * json_parse_pruned() - parse like json_parse(), with null for each value that
+ * is nested JSON_DEPTH_MAX levels deep or more
+ * @text: text to parse
+ * @bytes: length of @text
+ * @err: filled in on failure
+ *
+ * For lists whose items come from several writers: one that nests too deeply
+ * must not cost the others.
+ *
+ * Return: as json_parse().
+ */
+struct json_object *
+json_parse_pruned(const char *text, size_t bytes, struct err *err)
+{
+    enum json_tokener_error result;
+    struct json_object *object = parse(text, bytes, &result, err);
+    GString *pruned;
+
+    if (result != json_tokener_error_depth) {
+        return object;
+    }
+    if (err != NULL) {
+        err_clear(err);
+    }
+    pruned = prune(text, bytes);
+    object = parse(pruned->str, pruned->len, &result, err);
+    g_string_free(pruned, TRUE);
+    return object;
+}
+
 /**
  * json_get_string() - get a string member of an object
  * @object: the object; any other value has no members
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -161,11 +161,79 @@
     check_page(c->item, c->read);
 }
 
+/*
+ * Guards against an item nested so deeply that the parser refuses the response
+ * it stands in, or that the stack overflows.
+ *
+ * @depth arrays or objects stand at the "%s" of the item.
+ */
+struct deep_case {
+    const char *name;
+    const char *item;
+    const char *open;
+    const char *middle;
+    const char *close;
+    int depth;
+    const char *read; /* of the item */
+};
+
+#define VALUE ITEM(",\"value\":%s")
+#define OTHER ITEM(",\"value\":\"bQ==\",\"x\":%s")
+
+static const struct deep_case deep_cases[] = {
+    {"value_2", VALUE, "[", "1", "]", 2, "servers/m= "},
+    {"value_28", VALUE, "[", "1", "]", 28, "servers/m= "},
+    {"value_29", VALUE, "[", "1", "]", 29, "servers/m= "},
+    {"value_40", VALUE, "[", "1", "]", 40, "servers/m= "},
+    {"value_100000", VALUE, "[", "1", "]", 100000, "servers/m= "},
+    {"empty_100000", VALUE, "[", "", "]", 100000, "servers/m= "},
+    {"object_100000", VALUE, "{\"a\":", "1", "}", 100000, "servers/m= "},
+    {"spaced_100000", VALUE, "[ ", "1", ", 2 ]", 100000, "servers/m= "},
+    {"string_40", VALUE, "[", "\"]]\\\"]]{\"", "]", 40, "servers/m= "},
+    {"single_quotes_40", VALUE, "[", "']]\\']]{\"'", "]", 40, "servers/m= "},
+    {"comment_40", VALUE, "[", "/*]]\"*/1", "]", 40, "servers/m= "},
+    {"line_comment_40", VALUE, "[", "//]]\"\n1", "]", 40, "servers/m= "},
+    {"other_member_100000", OTHER, "[", "1", "]", 100000, "servers/m=m "},
+    {"brackets_in_string", OTHER, "", "\"[[[[[[{{{\\\"[\"", "", 0,
+     "servers/m=m "},
+};
+
+static char *
+deep_item(const struct deep_case *c)
+{
+    GString *nested = g_string_new(NULL);
+    char **parts = g_strsplit(c->item, "%s", 2);
+    char *item;
+
+    for (int i = 0; i < c->depth; i++) {
+        g_string_append(nested, c->open);
+    }
+    g_string_append(nested, c->middle);
+    for (int i = 0; i < c->depth; i++) {
+        g_string_append(nested, c->close);
+    }
+    item = g_strconcat(parts[0], nested->str, parts[1], NULL);
+    g_string_free(nested, TRUE);
+    g_strfreev(parts);
+    return item;
+}
+
+static void
+test_deep(gconstpointer data)
+{
+    const struct deep_case *c = data;
+    char *item = deep_item(c);
+
+    check_page(item, c->read);
+    g_free(item);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/entries/item", item_cases, test_item),
+        CASES("/entries/deep", deep_cases, test_deep),
     };
 
     g_test_init(&argc, &argv, NULL);
