Store client: check the revisions of a response

A response without a readable store_revision was taken: a list then left the feed at revision 0, so it listed all keys at each poll, and a watch with a number too large moved on to a revision that never comes, so that the instance followed the store no more. An item without a revision was skipped in a watch and taken in a list.

--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -49,6 +49,13 @@
     {"value_with_bytes_of_no_code", ITEM(",\"value\":\"b\xff==\""),
      "servers/m= "},
     {"value_behind_padding", ITEM(",\"value\":\"bQ==bQ==\""), "servers/m= "},
+    {"no_revision", "{\"key\":\"servers/m\",\"value\":\"bQ==\"}", ""},
+    {"revision_0", ITEM(",\"revision\":0,\"value\":\"bQ==\""), ""},
+    {"revision_negative", ITEM(",\"revision\":-6,\"value\":\"bQ==\""), ""},
+    {"revision_as_text", ITEM(",\"revision\":\"x\",\"value\":\"bQ==\""), ""},
+    {"revision_2_63",
+     ITEM(",\"revision\":9223372036854775808,\"value\":\"bQ==\""), ""},
+    {"revision_1e400", ITEM(",\"revision\":1e400,\"value\":\"bQ==\""), ""},
     {"null", "null", ""},
     {"array", "[\"key\",\"servers/m\"]", ""},
     {"no_key", "{\"value\":\"bQ==\",\"revision\":6}", ""},
@@ -228,12 +235,79 @@
     g_free(item);
 }
 
+/*
+ * Guards against a response whose revision ends the watch for good, or makes
+ * the feed list all keys at each poll.
+ */
+struct revision_case {
+    const char *name;
+    const char *response;
+    int64_t revision; /* 0 for a failed call */
+};
+
+#define PAGE(rest) "{\"items\":[],\"events\":[]" rest "}"
+
+static const struct revision_case revision_cases[] = {
+    {"sound", PAGE(",\"store_revision\":9"), 9},
+    {"missing", PAGE(""), 0},
+    {"null", PAGE(",\"store_revision\":null"), 0},
+    {"zero", PAGE(",\"store_revision\":0"), 0},
+    {"negative", PAGE(",\"store_revision\":-9"), 0},
+    {"fraction", PAGE(",\"store_revision\":9.5"), 0},
+    {"array", PAGE(",\"store_revision\":[9]"), 0},
+    {"2_63", PAGE(",\"store_revision\":9223372036854775807"), 0},
+    {"2_64", PAGE(",\"store_revision\":18446744073709551616"), 0},
+    {"1e400", PAGE(",\"store_revision\":1e400"), 0},
+    {"no_lists", "{\"store_revision\":9}", 0},
+    {"lists_as_text", "{\"items\":\"\",\"events\":\"\",\"store_revision\":9}",
+     0},
+    {"no_object", "[]", 0},
+};
+
+static void
+check_revision(bool succeeded, struct store_items *items,
+               const struct err *err, int64_t revision)
+{
+    g_assert_cmpint(succeeded, ==, revision != 0);
+    g_assert_cmpint(err->kind, ==, succeeded ? ERR_NONE : ERR_BAD_JSON);
+    if (succeeded) {
+        g_assert_cmpint(items->revision, ==, revision);
+    }
+    store_items_clear(items);
+}
+
+static void
+test_revision(gconstpointer data)
+{
+    const struct revision_case *c = data;
+    char *response = http_response(c->response);
+    const char *answers[] = {response, response, NULL};
+    struct scripted_target script;
+    struct platform_store store;
+    struct store_items list = {0};
+    struct store_items changes = {0};
+    struct err list_err = {0};
+    struct err watch_err = {0};
+    bool listed;
+    bool watched;
+
+    start_store(&store, &script, answers);
+    listed = store.base.ops->list(&store.base, "", "", &list, &list_err);
+    watched =
+        store.base.ops->watch(&store.base, "", 1, 10, &changes, &watch_err);
+    check_revision(listed, &list, &list_err, c->revision);
+    check_revision(watched, &changes, &watch_err, c->revision);
+    stop_store(&store, &script);
+    g_free(response);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/entries/item", item_cases, test_item),
         CASES("/entries/deep", deep_cases, test_deep),
+        CASES("/entries/revision", revision_cases, test_revision),
     };
 
     g_test_init(&argc, &argv, NULL);
