Targets: an entry without an address to connect to is none

An entry with port 0, a port above 65535, a host name or text around the address was taken for a target. Requests were sent to it and failed at once, each a retry that draws on the budget; orders and reports went to libcurl, which asks the resolver for a host name and reads a path or a line break in it as part of the URL.

--- a/src/base/fns.h
+++ b/src/base/fns.h
@@ -75,6 +75,7 @@
 /* socket.c */
 bool socket_parse_address(const char *text, struct sockaddr_storage *address,
                           socklen_t *address_bytes, struct err *err);
+bool socket_check_address(const char *text, struct err *err);
 int socket_listen(const char *text, int *port, struct err *err);
 int socket_connect(const char *text, struct err *err);
 void socket_set_options(int fd);
--- a/src/base/socket.c
+++ b/src/base/socket.c
@@ -106,6 +106,34 @@
                    "\"%.80s\" is not an IP address with a port", text);
 }
 
+static int
+port_of(const struct sockaddr_storage *address)
+{
+    return address->ss_family == AF_INET6
+               ? ntohs(((const struct sockaddr_in6 *)address)->sin6_port)
+               : ntohs(((const struct sockaddr_in *)address)->sin_port);
+}
+
+/**
+ * socket_check_address() - check that an address can be connected to
+ * @text: as for socket_parse_address(), with a port other than 0
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_SETTINGS when @text is no such address.
+ */
+bool
+socket_check_address(const char *text, struct err *err)
+{
+    struct sockaddr_storage address;
+    socklen_t bytes;
+
+    if (!socket_parse_address(text, &address, &bytes, err)) {
+        return false;
+    }
+    return port_of(&address) != 0 ||
+           err_set(err, ERR_SETTINGS, "\"%.80s\" has port 0", text);
+}
+
 static int
 bound_port(int fd)
 {
@@ -115,9 +143,7 @@
     if (getsockname(fd, (struct sockaddr *)&address, &bytes) != 0) {
         return 0;
     }
-    return address.ss_family == AF_INET6
-               ? ntohs(((struct sockaddr_in6 *)&address)->sin6_port)
-               : ntohs(((struct sockaddr_in *)&address)->sin_port);
+    return port_of(&address);
 }
 
 /**
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -31,6 +31,10 @@
 #define ENTRY(rest)                                                           \
     "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\"," rest "}"
 
+#define AT(address)                                                           \
+    "{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\","          \
+    "\"slots\":4,\"state\":\"ready\"}"
+
 static const struct target_case target_cases[] = {
     {"ready", ENTRY("\"slots\":4,\"state\":\"ready\""), true},
     {"draining", ENTRY("\"slots\":4,\"state\":\"draining\""), true},
@@ -47,6 +51,38 @@
     {"nul_in_state", ENTRY("\"slots\":4,\"state\":\"ready\\u0000\""), false},
     {"invalid_json", "\xff\xfe{", false},
     {"empty", "", false},
+    {"port_0", AT("10.0.0.1:0"), false},
+    {"port_65535", AT("10.0.0.1:65535"), true},
+    {"port_65536", AT("10.0.0.1:65536"), false},
+    {"port_99999", AT("10.0.0.1:99999"), false},
+    {"port_of_ten_digits", AT("10.0.0.1:4294967297"), false},
+    {"port_negative", AT("10.0.0.1:-1"), false},
+    {"port_signed", AT("10.0.0.1:+80"), false},
+    {"port_as_text", AT("10.0.0.1:http"), false},
+    {"port_empty", AT("10.0.0.1:"), false},
+    {"port_missing", AT("10.0.0.1"), false},
+    {"port_behind_space", AT("10.0.0.1: 80"), false},
+    {"address_with_newline", AT("10.0.0.1:80\\n"), false},
+    {"address_with_path", AT("10.0.0.1:80/x"), false},
+    {"address_with_spaces", AT(" 10.0.0.1:80"), false},
+    {"address_empty", AT(""), false},
+    {"address_too_long",
+     AT("10.0.0.1:000000000000000000000000000000000000000000000000000000000"
+        "00000000000000000000000000000000000000000000000000000000000000000080"),
+     false},
+    {"host_name", AT("engine.example:80"), false},
+    {"host_out_of_range", AT("10.0.0.256:80"), false},
+    {"ipv6", AT("[::1]:80"), true},
+    {"ipv6_without_brackets", AT("::1:80"), false},
+    {"ipv6_unclosed", AT("[::1:80"), false},
+    {"address_as_number",
+     "{\"service\":\"s\",\"address\":80,\"zone\":\"z\",\"slots\":4,"
+     "\"state\":\"ready\"}",
+     false},
+    {"address_as_object",
+     "{\"service\":\"s\",\"address\":{\"port\":80},\"zone\":\"z\",\"slots\":4,"
+     "\"state\":\"ready\"}",
+     false},
     {"models_as_text",
      ENTRY("\"slots\":4,\"state\":\"ready\",\"models\":\"m\""), true},
     {"models_of_numbers",
