Targets: an entry with a number out of range names no target

Numbers of an entry were clamped or replaced: slots of 0, -1 or 2^63 became 1 or 100,000, so an entry of another writer could draw most requests of its service; born as text, negative or beyond 64 bits was used as the start of a target, and a sequence or remaining time of another type was passed over.

Slots must be an integer from 1 to 100,000, born and sequence integers up to 2^53 if present, and the remaining times finite numbers.

--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -35,6 +35,9 @@
     "{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\","          \
     "\"slots\":4,\"state\":\"ready\"}"
 
+#define SLOTS(slots) ENTRY("\"state\":\"ready\",\"slots\":" slots)
+#define BORN(born) SLOTS("4,\"born\":" born)
+
 static const struct target_case target_cases[] = {
     {"ready", ENTRY("\"slots\":4,\"state\":\"ready\""), true},
     {"draining", ENTRY("\"slots\":4,\"state\":\"draining\""), true},
@@ -92,9 +95,39 @@
      true},
     {"at_hand_as_text",
      ENTRY("\"slots\":4,\"state\":\"ready\",\"at_hand\":\"m\""), true},
-    {"huge_slots", ENTRY("\"slots\":9223372036854775807,\"state\":\"ready\""),
-     true},
-    {"negative_slots", ENTRY("\"slots\":-1,\"state\":\"ready\""), true},
+    {"slots_0", SLOTS("0"), false},
+    {"slots_1", SLOTS("1"), true},
+    {"slots_negative", SLOTS("-1"), false},
+    {"slots_minus_0", SLOTS("-0"), false},
+    {"slots_100001", SLOTS("100001"), false},
+    {"slots_2_31", SLOTS("2147483648"), false},
+    {"slots_2_32_and_4", SLOTS("4294967300"), false},
+    {"slots_2_63", SLOTS("9223372036854775808"), false},
+    {"slots_of_many_digits", SLOTS("9999999999999999999999999999999999"),
+     false},
+    {"slots_1e400", SLOTS("1e400"), false},
+    {"slots_fraction", SLOTS("4.5"), false},
+    {"slots_nan", SLOTS("NaN"), false},
+    {"slots_null", SLOTS("null"), false},
+    {"slots_array", SLOTS("[4]"), false},
+    {"slots_object", SLOTS("{\"slots\":4}"), false},
+    {"slots_bool", SLOTS("true"), false},
+    {"born", BORN("1764892800000"), true},
+    {"born_null", BORN("null"), true},
+    {"born_negative", BORN("-1"), false},
+    {"born_2_63", BORN("9223372036854775808"), false},
+    {"born_1e400", BORN("1e400"), false},
+    {"born_fraction", BORN("1764892800000.5"), false},
+    {"born_as_text", BORN("\"1764892800000\""), false},
+    {"born_array", BORN("[]"), false},
+    {"sequence", SLOTS("4,\"sequence\":7"), true},
+    {"sequence_as_text", SLOTS("4,\"sequence\":\"7\""), false},
+    {"sequence_2_64", SLOTS("4,\"sequence\":18446744073709551616"), false},
+    {"sequence_negative", SLOTS("4,\"sequence\":-1"), false},
+    {"cold_fraction", SLOTS("4,\"cold_remaining_ms\":0.5"), true},
+    {"cold_1e400", SLOTS("4,\"cold_remaining_ms\":1e400"), false},
+    {"cold_as_text", SLOTS("4,\"cold_remaining_ms\":\"soon\""), false},
+    {"remaining_nan", SLOTS("4,\"remaining_ms\":NaN"), false},
 };
 
 static void
