Targets: an id must fit in a header field

The id of a target is its key's end, and any bytes may stand there. It is sent as Expect-Instance with requests and orders: one with a line break added header fields, or ended the head, and one with a space or other bytes made a target refuse the request. Names with control characters ended log lines.

An id must be printable ASCII without spaces; the other names must be UTF-8 without control characters.

--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -144,6 +144,53 @@
     g_assert_cmpint(err.kind == ERR_NONE, ==, c->usable);
 }
 
+/* Guards against an id that ends a header field of the requests sent to its
+ * target, and against names that other programs take for several lines. */
+struct text_case {
+    const char *name;
+    const char *id;
+    const char *service;
+    bool usable;
+};
+
+static const struct text_case text_cases[] = {
+    {"sound", "i-7f3a91c2", "s", true},
+    {"id_with_slash", "a/b", "s", true},
+    {"id_empty", "", "s", false},
+    {"id_with_line_break", "i-1\r\nKv-Fetch: x", "s", false},
+    {"id_with_space", "i 1", "s", false},
+    {"id_with_tab", "i-1\t", "s", false},
+    {"id_with_delete", "i-1\x7f", "s", false},
+    {"id_not_ascii", "i-1\xff", "s", false},
+    {"id_too_long",
+     "1234567890123456789012345678901234567890123456789012345678901234567890"
+     "1234567890123456789012345678901234567890123456789012345678901234567890",
+     "s", false},
+    {"service_utf8", "i-1", "\xc3\xa9", true},
+    {"service_not_utf8", "i-1", "\xff\xfe", false},
+    {"service_with_line_break", "i-1", "s\\nevent=config", false},
+    {"service_with_escape", "i-1", "\\u001b[2J", false},
+    {"service_empty", "i-1", "", false},
+};
+
+static void
+test_text(gconstpointer data)
+{
+    const struct text_case *c = data;
+    char *entry = g_strdup_printf(
+        "{\"service\":\"%s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+        "\"slots\":4,\"state\":\"ready\"}",
+        c->service);
+    struct target_info info;
+    struct err err = {0};
+
+    memset(&info, 0, sizeof(info));
+    g_assert_cmpint(
+        platform_decode.target(c->id, entry, strlen(entry), &info, &err), ==,
+        c->usable);
+    g_free(entry);
+}
+
 /* Guards against an invalid configuration that is applied in part. */
 struct config_case {
     const char *name;
@@ -640,6 +687,7 @@
 {
     static const struct cases groups[] = {
         CASES("/platform/target", target_cases, test_target),
+        CASES("/platform/text", text_cases, test_text),
         CASES("/platform/config", config_cases, test_config),
         CASES("/platform/store", store_cases, test_store),
         CASES("/platform/kept", kept_cases, test_kept),
