Registry: a target whose entry turns odd is gone

An entry that another writer spoilt after it was good left its target in use for as long as the entry stayed, with what it said before: a target that was missing after an outage, or had left meanwhile, kept getting requests. A list of all keys dropped the same target at once, or kept it as missing for the 2.5 s after an outage, so instances differed.

Rejected entries are counted (entries_rejected_total).

follow_test feed/unreadable_keeps_target asked for the target to be kept. It is now unreadable_drops_target and asks for the opposite. It and 8 of 11 new cases failed before ("c1 C l " instead of "c1 C l G "); all pass now.

--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -73,6 +73,8 @@
         registry_put(&feed->registry, &info);
         return;
     }
+    registry_reject(&feed->registry, id);
+    counter_add(CTR_ENTRIES_REJECTED, 1);
     log_line(LOG_PRI_WARNING, "feed",
              "event=target_unreadable target=%s revision=%" G_GINT64_FORMAT
              " reason=\"%s\"",
--- a/src/gate/view/fns.h
+++ b/src/gate/view/fns.h
@@ -31,6 +31,7 @@
 void registry_list_begin(struct registry *registry);
 void registry_list_end(struct registry *registry, int64_t now_ms);
 void registry_put(struct registry *registry, const struct target_info *info);
+void registry_reject(struct registry *registry, const char *id);
 void registry_delete(struct registry *registry, const char *id,
                      int64_t now_ms);
 int64_t registry_drop_missing(struct registry *registry, int64_t now_ms);
--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -118,6 +118,31 @@
     notify(registry, TARGET_CHANGED, info);
 }
 
+static void
+remove_entry(struct registry *registry, struct registry_entry *entry)
+{
+    notify(registry, TARGET_GONE, &entry->info);
+    g_hash_table_remove(registry->entries, entry->info.id);
+}
+
+/**
+ * registry_reject() - record that a target's entry names no usable target
+ * @registry: the registry
+ * @id: id of the target
+ *
+ * The entry exists, so it has not expired by an outage of the store: a known
+ * target of this id is gone at once.
+ */
+void
+registry_reject(struct registry *registry, const char *id)
+{
+    struct registry_entry *entry = g_hash_table_lookup(registry->entries, id);
+
+    if (entry != NULL) {
+        remove_entry(registry, entry);
+    }
+}
+
 static void
 handle_vanished(struct registry *registry, struct registry_entry *entry,
                 int64_t now_ms)
@@ -129,8 +154,7 @@
         }
         return;
     }
-    notify(registry, TARGET_GONE, &entry->info);
-    g_hash_table_remove(registry->entries, entry->info.id);
+    remove_entry(registry, entry);
 }
 
 /**
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -22,9 +22,9 @@
 
 /*
  * Guards against an older configuration that replaces a newer one, other
- * programs' entries that stop the feed, changes missed while the store is down
- * or after it has dropped its history, and changes lost because a receiver's
- * ring was full.
+ * programs' entries that stop the feed or leave their target in use, changes
+ * missed while the store is down or after it has dropped its history, and
+ * changes lost because a receiver's ring was full.
  *
  * Steps: CN write configuration version N, X write an invalid configuration,
  * T write a target, L mark it as draining, S write it with an unknown state,
@@ -48,7 +48,16 @@
     {"older_config", "C2rC1r", "c2 l "},
     {"unreadable_config", "C1rXrC2r", "c1 l c2 "},
     {"unreadable_target", "C1rSrTr", "c1 l C "},
-    {"unreadable_keeps_target", "C1TrSr", "c1 C l "},
+    {"unreadable_drops_target", "C1TrSr", "c1 C l G "},
+    {"unreadable_twice", "C1TrSrSr", "c1 C l G "},
+    {"unreadable_then_back", "C1TrSrTr", "c1 C l G C "},
+    {"unreadable_after_draining", "C1TrLrSr", "c1 C l C G "},
+    {"unreadable_after_missing", "C1Tr1Ar3DBrSr", "c1 C l M G "},
+    {"unreadable_while_down", "C1Tr1Ar3SBr", "c1 C l G "},
+    {"unreadable_in_list", "C1TrSFrr", "c1 C l G "},
+    {"unreadable_in_list_after_outage", "C1Tr1Ar3SFBrr", "c1 C l G "},
+    {"unreadable_then_deleted", "C1TrSrDr", "c1 C l G "},
+    {"full_then_unreadable", "C1TrWSrwr", "c1 C l G "},
     {"draining", "C1TrLr", "c1 C l C "},
     {"gone", "C1TrDr", "c1 C l G "},
     {"history_lost", "C1TrFrDrr", "c1 C l G "},
@@ -340,8 +349,9 @@
  * makes needless.
  *
  * Two instances of one data centre with nine: a is the first, b hears from it.
- * Steps: C, T, L, D and 0-9 as for the feed; "a" and "b" poll once; ">" what a
- * read last is passed on to b, "x" it is lost; "V" the store turns b away.
+ * Steps: C, T, L, S, D and 0-9 as for the feed; "a" and "b" poll once; ">"
+ * what a read last is passed on to b, "x" it is lost; "V" the store turns b
+ * away.
  */
 struct shared_case {
     const char *name;
@@ -365,6 +375,8 @@
     {"before_the_first_list", "C1aTa>b", "c1 C l ", 1},
     {"store_turns_away", "C1abVTa>b", "c1 l C ", 1},
     {"store_turns_away_from_the_start", "C1aVbTa>b", "", 2},
+    {"unreadable_passed_on", "C1TabSa>b", "c1 C l G ", 1},
+    {"passed_on_after_unreadable", "C1abSa>Ta>b", "c1 l C ", 1},
     {"hears_again",
      "C1ab5TaxLb"
      "Da>b",
@@ -439,6 +451,9 @@
     case 'L':
         memstore_put(&fixture->store, key, TARGET("draining"), 0);
         break;
+    case 'S':
+        memstore_put(&fixture->store, key, TARGET("asleep"), 0);
+        break;
     case 'D':
         memstore_delete(&fixture->store, key);
         break;
