Platform tests: lists of the kept cases have revisions

Change: its responses carry the revisions that each list of the store has; what it checks is the same.

--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -461,7 +461,10 @@
 #define EMPTY_RESPONSE(status)                                                \
     "HTTP/1.1 " status " X\r\nContent-Length: 2\r\n\r\n{}"
 #define REPORT RESPONSE("14", "{\"sequence\":1}")
-#define ONE_ITEM RESPONSE("23", "{\"items\":[{\"key\":\"p\"}]}")
+#define ONE_ITEM                                                              \
+    RESPONSE(                                                                 \
+        "55",                                                                 \
+        "{\"items\":[{\"key\":\"p\",\"revision\":4}],\"store_revision\":5}")
 
 /* Guards against a late second copy of a response that is taken as the
  * response to the next call, and against a call that is sent twice because its
@@ -491,7 +494,8 @@
     {"list_after_list",
      call_list,
      call_list,
-     {RESPONSE("12", "{\"items\":[]}"), "%LATE%" ONE_ITEM},
+     {RESPONSE("31", "{\"items\":[],\"store_revision\":5}"),
+      "%LATE%" ONE_ITEM},
      0,
      1},
     {"order_after_order",
