Relay: a second response behind a body without a length is no part of it

Callers would get the target's body with the head and body of its second response behind it (MIXED). Cause: a body that ends with its connection was taken as whole, whatever stood in it; a target that answers twice before it closes leaves no mark between the two. Change: such a body in which the head of a response to the same request stands has failed: the request is retried where it may run again, else answered 502. A text about HTTP without the request's id is passed on.

--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -19,6 +19,10 @@
 /* stream.c */
 bool stream_continues(const struct stream_facts *facts);
 
+/* whole.c */
+bool body_holds_response(const void *body, size_t bytes,
+                         const char *attempt_id);
+
 /* retry_budget.c */
 void retry_budget_count_request(struct retry_budget *budget, int64_t window_ms,
                                 int64_t now_ms);
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -413,6 +413,12 @@
         }
         answer_send_body(relay, exchange, rest->str, rest->len, now_ms);
     }
+    else if (answer->framing == FRAMED_BY_CLOSE &&
+             body_holds_response(answer->body->data, answer->body->len,
+                                 exchange->meta.attempt_id)) {
+        result_aborted(relay, exchange, "second_response", now_ms);
+        return;
+    }
     else if (!answer->head_sent) {
         answer_send_head(relay, exchange, (int64_t)answer->body->len, now_ms);
         answer_send_body(relay, exchange, answer->body->data,
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -52,6 +52,35 @@
     g_assert_cmpint(response_verdict(&c->facts), ==, c->verdict);
 }
 
+/* Guards against a body that ends with its connection being passed on together
+ * with the response behind it, and against refusing a text about HTTP. */
+struct body_case {
+    const char *name;
+    const char *body;
+    bool holds_response;
+};
+
+static const struct body_case body_cases[] = {
+    {"empty", "", false},
+    {"text", "all", false},
+    {"id_alone", "request a-1 is done\r\n\r\n", false},
+    {"other_response", "all HTTP/1.1 200 OK\r\nId: a-2\r\n\r\n", false},
+    {"id_behind_head", "HTTP/1.1 200 OK\r\n\r\na-1", false},
+    {"second_response", "allHTTP/1.1 200 OK\r\nId: a-1\r\n\r\nall", true},
+    {"cut_in_its_head", "allHTTP/1.1 200 OK\r\nId: a-1\r\n", true},
+    {"behind_another", "HTTP/1.1 1\r\n\r\nHTTP/1.1 200\r\nId: a-1\r\n\r\n",
+     true},
+};
+
+static void
+test_body(gconstpointer data)
+{
+    const struct body_case *c = data;
+
+    g_assert_cmpint(body_holds_response(c->body, strlen(c->body), "a-1"), ==,
+                    c->holds_response);
+}
+
 /* Guards against instances whose retries together exceed the deployment's
  * limit for a window. */
 struct budget_case {
@@ -272,6 +301,7 @@
 {
     static const struct cases groups[] = {
         CASES("/choose/verdict", verdict_cases, test_verdict),
+        CASES("/choose/body", body_cases, test_body),
         CASES("/choose/budget", budget_cases, test_budget),
         CASES("/choose/instance_counts", instance_counts_cases,
               test_instance_counts),
