Relay: what is no event of a stream is not passed on

What callers saw: the text of an error in the middle of a stream, at times its whole head; events without an id passed on, and passed on once more by the run that resumed the stream.

Cause: the event reader passed on all that ended with a blank line, and took an id from any text that strtoll() reads. A target that breaks off and then writes an error, in an unframed body or inside a chunk, has it taken for an event, also when the head follows the first bytes of one. Nothing without an id can be told from the same event of another run.

Change: a block is parsed into a struct stream_event: fields of the event-stream format, one id at most, which is a plain decimal number of up to 18 digits; other fields ("weight-versions") before these and only with an id. stream_event_verdict() decides on it: what has data has an id. Comments, blank lines and blocks with only "event" or "retry" are passed on as before, and an id without data counts as before. Anything else breaks the run off there: event_invalid, stream_bad_event_total. A byte order mark is invalid, as no target sends one and it must not stand in the middle of a resumed stream. Not recognised: a bare text with a blank line that goes on with the data line of an event that was cut off.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -161,6 +161,8 @@
     X(CTR_RETRY_BROKEN, "retry_broken_total")                                 \
     X(CTR_RETRY_BUSY, "retry_busy_total")                                     \
     X(CTR_RETRY_RESUME, "retry_resume_total")                                 \
+    X(CTR_STREAM_CUT_OFF, "stream_cut_off_total")                             \
+    X(CTR_STREAM_BAD_EVENT, "stream_bad_event_total")                         \
     X(CTR_STREAM_NOT_CONTINUED, "stream_not_continued_total")                 \
     X(CTR_RETRY_KV_CONFLICT, "retry_kv_conflict_total")                       \
     X(CTR_RETRY_KV_DOWN, "retry_kv_down_total")                               \
--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -116,6 +116,36 @@
     enum body_type body_type;
 };
 
+/**
+ * struct stream_event - what stands before a blank line of an event stream
+ * @valid: it consists of an event's fields and comments
+ * @id: id of the event; -1 for none
+ * @has_data: it brings the caller something
+ */
+struct stream_event {
+    bool valid;
+    int64_t id;
+    bool has_data;
+};
+
+/**
+ * enum event_verdict - what to do with an event
+ * @EVENT_PASS: it is passed on to the caller
+ * @EVENT_SKIP: the caller has it
+ * @EVENT_INVALID: it is no event, or can't be told from another
+ * @EVENT_GAP: an event before it is missing
+ * @EVENT_TOO_LONG: it does not end
+ *
+ * From EVENT_INVALID on, the run counts as broken off before the event.
+ */
+enum event_verdict {
+    EVENT_PASS,
+    EVENT_SKIP,
+    EVENT_INVALID,
+    EVENT_GAP,
+    EVENT_TOO_LONG,
+};
+
 /**
  * struct budget_bucket - counts for one interval of the window
  * @start_ms: start of the interval
--- a/src/gate/choose/stream.c
+++ b/src/gate/choose/stream.c
@@ -20,3 +20,29 @@
     return facts->status == facts->begun_status &&
            facts->body_type != BODY_OTHER;
 }
+
+/**
+ * stream_event_verdict() - what to do with an event of a run
+ * @event: the event
+ * @last_id: id of the last event that the caller has; -1 for none
+ *
+ * Each event with data has the id that follows the one before it: nothing else
+ * tells whether it belongs to the stream. Comments need none.
+ */
+enum event_verdict
+stream_event_verdict(const struct stream_event *event, int64_t last_id)
+{
+    if (!event->valid || (event->id < 0 && event->has_data)) {
+        return EVENT_INVALID;
+    }
+    if (event->id < 0) {
+        return EVENT_PASS;
+    }
+    if (event->id <= last_id) {
+        return EVENT_SKIP;
+    }
+    if (last_id >= 0 && event->id != last_id + 1) {
+        return EVENT_GAP;
+    }
+    return EVENT_PASS;
+}
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -122,15 +122,13 @@
  * @partial: bytes of the incomplete event
  * @scanned: bytes of @partial known not to contain its end
  * @last_id: id of the last event forwarded; -1 before the first
- * @has_gap: an event id did not follow the previous one
- * @too_long: an event is longer than EVENT_MAX_BYTES
+ * @verdict: on the last event of the run
  */
 struct event_reader {
     GString *partial;
     size_t scanned;
     int64_t last_id;
-    bool has_gap;
-    bool too_long;
+    enum event_verdict verdict;
 };
 
 /* How the end of a body is marked. */
@@ -469,6 +467,7 @@
 void events_restart(struct event_reader *reader);
 size_t events_read(struct event_reader *reader, const void *bytes,
                    size_t count, GString *whole);
+bool events_broken(const struct event_reader *reader);
 bool events_cut_off(const struct event_reader *reader);
 
 struct wait_decision;
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -342,7 +342,19 @@
         answer_send_body(relay, exchange, whole->str, whole->len, now_ms);
     }
     g_string_free(whole, TRUE);
-    return !exchange->events.has_gap && !exchange->events.too_long;
+    return !events_broken(&exchange->events);
+}
+
+static const char *
+verdict_name(enum event_verdict verdict)
+{
+    static const char *const names[] = {
+        [EVENT_INVALID] = "event_invalid",
+        [EVENT_GAP] = "event_gap",
+        [EVENT_TOO_LONG] = "event_too_long",
+    };
+
+    return names[verdict];
 }
 
 /**
@@ -363,10 +375,9 @@
 
     if (is_event_stream(exchange)) {
         if (!forward_events(relay, exchange, bytes, count, now_ms)) {
+            counter_add(CTR_STREAM_BAD_EVENT, 1);
             result_aborted(relay, exchange,
-                           exchange->events.too_long ? "event_too_long"
-                                                     : "event_gap",
-                           now_ms);
+                           verdict_name(exchange->events.verdict), now_ms);
             return false;
         }
         return true;
@@ -405,6 +416,7 @@
 
     if (is_event_stream(exchange)) {
         if (events_cut_off(&exchange->events)) {
+            counter_add(CTR_STREAM_CUT_OFF, 1);
             result_aborted(relay, exchange, "cut_off", now_ms);
             return;
         }
--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -39,11 +39,92 @@
     g_assert_cmpint(stream_continues(&c->facts), ==, c->continues);
 }
 
+/* Guards against bytes that are no event in a stream, and against events that
+ * can't be told from those of another run. */
+struct reader_case {
+    const char *name;
+    const char *text;
+    const char *passed;
+    bool sound;
+};
+
+#define EVENT(id) "id: " #id "\ndata: x\n\n"
+#define CUT_EVENT "id: 2\ndata: x"
+
+static const struct reader_case reader_cases[] = {
+    {"events", EVENT(1) EVENT(2), EVENT(1) EVENT(2), true},
+    {"crlf", "id: 1\r\ndata: x\r\n\r\n", "id: 1\r\ndata: x\r\n\r\n", true},
+    {"no_space", "id:1\ndata:x\n\n", "id:1\ndata:x\n\n", true},
+    {"id_after_data", "data: x\nid: 1\n\n", "data: x\nid: 1\n\n", true},
+    {"all_fields", "id: 1\nevent: e\nretry: 9\ndata: x\ndata: y\n: c\n\n",
+     "id: 1\nevent: e\nretry: 9\ndata: x\ndata: y\n: c\n\n", true},
+    {"field_before_id", "weight-versions: 2\n" EVENT(1),
+     "weight-versions: 2\n" EVENT(1), true},
+    {"comments", ":\n\n: c\n\n" EVENT(1), ":\n\n: c\n\n" EVENT(1), true},
+    {"blank_lines", "\n\n\n" EVENT(1) "\r\n\r\n", "\n\n\n" EVENT(1) "\r\n\r\n",
+     true},
+    {"id_only", "id: 1\n\n" EVENT(2), "id: 1\n\n" EVENT(2), true},
+    {"leading_zeros", EVENT(00) EVENT(01), EVENT(00) EVENT(01), true},
+    {"largest_id", EVENT(999999999999999998) EVENT(999999999999999999),
+     EVENT(999999999999999998) EVENT(999999999999999999), true},
+    {"no_id", EVENT(1) "data: x\n\n" EVENT(2), EVENT(1), false},
+    {"id_without_number", EVENT(1) EVENT(x), EVENT(1), false},
+    {"id_empty", EVENT(1) "id:\ndata: x\n\n", EVENT(1), false},
+    {"id_without_colon", EVENT(1) "id\ndata: x\n\n", EVENT(1), false},
+    {"id_with_text", EVENT(1) EVENT(2 x), EVENT(1), false},
+    {"id_with_two_spaces", EVENT(1) "id:  2\ndata: x\n\n", EVENT(1), false},
+    {"id_with_sign", EVENT(1) EVENT(+2), EVENT(1), false},
+    {"id_negative", EVENT(1) EVENT(-2), EVENT(1), false},
+    {"id_hexadecimal", EVENT(1) EVENT(0x2), EVENT(1), false},
+    {"id_too_large", EVENT(1) EVENT(18446744073709551618), EVENT(1), false},
+    {"two_ids", EVENT(1) "id: 2\nid: 2\ndata: x\n\n", EVENT(1), false},
+    {"carriage_return_in_id", EVENT(1) "id: 2\rdata: x\n\n", EVENT(1), false},
+    {"byte_order_mark", EVENT(1) "\xef\xbb\xbf" EVENT(2), EVENT(1), false},
+    {"head", EVENT(1) "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n" EVENT(2),
+     EVENT(1), false},
+    {"fields_of_a_head", EVENT(1) "Content-Length: 0\r\n\r\n", EVENT(1),
+     false},
+    {"text", EVENT(1) "Internal error: x\n\n", EVENT(1), false},
+    {"word", EVENT(1) "error\n\n", EVENT(1), false},
+    {"json", EVENT(1) "{\"error\": \"x\"}\n\n", EVENT(1), false},
+    {"text_before_id", EVENT(1) "Internal error\n" EVENT(2), EVENT(1), false},
+    {"head_behind_cut_event",
+     EVENT(1) CUT_EVENT "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n",
+     EVENT(1), false},
+    {"text_behind_cut_event", EVENT(1) CUT_EVENT "\nInternal error\n\n",
+     EVENT(1), false},
+    {"word_behind_cut_event", EVENT(1) CUT_EVENT "\nerror\n\n", EVENT(1),
+     false},
+};
+
+/* Each text is read in pieces of each size. */
+static void
+test_reader(gconstpointer data)
+{
+    const struct reader_case *c = data;
+    size_t bytes = strlen(c->text);
+
+    for (size_t piece = 1; piece <= bytes; piece++) {
+        struct event_reader reader;
+        GString *passed = g_string_new(NULL);
+
+        events_init(&reader, -1);
+        for (size_t i = 0; i < bytes && !events_broken(&reader); i += piece) {
+            events_read(&reader, c->text + i, MIN(piece, bytes - i), passed);
+        }
+        g_assert_cmpstr(passed->str, ==, c->passed);
+        g_assert_cmpint(events_broken(&reader), ==, !c->sound);
+        g_string_free(passed, TRUE);
+        events_clear(&reader);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/stream/continues", continues_cases, test_continues),
+        CASES("/stream/reader", reader_cases, test_reader),
     };
 
     g_test_init(&argc, &argv, NULL);
