HTTP client: limit the length of a response

What operators would see: an instance whose memory grows until the call's timeout, while the key-value service, or what stands in its place, sends a body without an end.

Cause: ulfius's client keeps the whole body, of any length.

Change: the body is received in pieces, and the call fails behind 96 MiB, which is more than a page of 64 values of 1 MiB takes in base64.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -11,6 +11,25 @@
 #include "http/dat.h"
 #include "http/fns.h"
 
+enum {
+    /* A page of 64 values of 1 MiB, in base64, and its keys. */
+    RESPONSE_MAX_BYTES = 96 * 1024 * 1024,
+};
+
+/* Returns less than it was given, which ends the call, when the response is
+ * longer than any can be. */
+static size_t
+append_response(void *bytes, size_t size, size_t count, void *data)
+{
+    GString *body = data;
+
+    if (body->len + size * count > RESPONSE_MAX_BYTES) {
+        return 0;
+    }
+    g_string_append_len(body, bytes, (gssize)(size * count));
+    return size * count;
+}
+
 /**
  * http_call_text() - make a call and return the response as text
  * @method: HTTP method
@@ -30,6 +49,7 @@
 {
     struct _u_request ulfius_request;
     struct _u_response ulfius_response;
+    GString *text = g_string_new(NULL);
     bool done;
 
     ulfius_init_request(&ulfius_request);
@@ -44,18 +64,17 @@
     if (body != NULL) {
         ulfius_set_string_body_request(&ulfius_request, body);
     }
-    done = ulfius_send_http_request(&ulfius_request, &ulfius_response) == U_OK;
+    done =
+        ulfius_send_http_streaming_request(&ulfius_request, &ulfius_response,
+                                           append_response, text) == U_OK;
     if (done) {
         response->status = (int)ulfius_response.status;
-        response->bytes = ulfius_response.binary_body_length;
-        response->text = g_malloc0(response->bytes + 1);
-        if (response->bytes > 0) {
-            memcpy(response->text, ulfius_response.binary_body,
-                   response->bytes);
-        }
+        response->bytes = text->len;
+        response->text = g_string_free(text, FALSE);
     }
     else {
         err_set(err, ERR_IO, "no complete response from %s", url);
+        g_string_free(text, TRUE);
     }
     ulfius_clean_response(&ulfius_response);
     ulfius_clean_request(&ulfius_request);
--- a/test/kv_test.c
+++ b/test/kv_test.c
@@ -433,6 +433,62 @@
     close(server.listener);
 }
 
+enum {
+    /* More than the longest response and the buffers of the sockets. */
+    ENDLESS_MAX_BYTES = 160 * 1024 * 1024,
+};
+
+/**
+ * struct endless_server - HTTP server whose response goes on
+ * @sent_bytes: bytes written until the client closed the connection
+ */
+struct endless_server {
+    struct canned_server base;
+    size_t sent_bytes;
+};
+
+static void *
+serve_endless(void *argument)
+{
+    static const char head[] = "HTTP/1.1 200 X\r\n\r\n{\"header\":\"";
+    static char block[64 * 1024];
+    struct endless_server *server = argument;
+    int connection = accept(server->base.listener, NULL, NULL);
+    ssize_t count = 1;
+
+    memset(block, 'x', sizeof(block));
+    read_request(connection);
+    send(connection, head, strlen(head), MSG_NOSIGNAL);
+    while (server->sent_bytes < ENDLESS_MAX_BYTES && count > 0) {
+        count = send(connection, block, sizeof(block), MSG_NOSIGNAL);
+        server->sent_bytes += count > 0 ? (size_t)count : 0;
+    }
+    close(connection);
+    return NULL;
+}
+
+/* Guards against a response that goes on until it has taken all memory. */
+static void
+test_endless(void)
+{
+    struct endless_server server = {.sent_bytes = 0};
+    struct kv_etcd etcd;
+    struct kv_entry entry = {0};
+    struct err err = {0};
+    char url[ADDRESS_MAX_BYTES];
+    pthread_t thread;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d",
+             listen_on_free_port(&server.base));
+    pthread_create(&thread, NULL, serve_endless, &server);
+    kv_etcd_init(&etcd, url, 30000);
+    g_assert_false(kv_get(&etcd.kv, "k", &entry, &err));
+    g_assert_cmpint(err.kind, ==, ERR_KV_DOWN);
+    pthread_join(thread, NULL);
+    g_assert_cmpuint(server.sent_bytes, <, ENDLESS_MAX_BYTES);
+    close(server.base.listener);
+}
+
 static const struct cases groups[] = {
     CASES("/kv/cas", cas_cases, test_cas),
     CASES("/kv/append", append_cases, test_append),
@@ -448,5 +504,6 @@
     g_test_add_func("/kv/lengths", test_lengths);
     g_test_add_func("/kv/range", test_range);
     g_test_add_func("/kv/counters", test_counters);
+    g_test_add_func("/kv/endless", test_endless);
     return g_test_run();
 }
