Engines: a report with a field of another type is no report

A report whose models, coming or at_hand was no list or object was read as one of an engine that holds nothing, and one whose busy was no boolean as one of an idle engine: the holder would have ordered all its items again. A sequence beyond 64 bits was read as the largest one. Entries with such fields were taken for targets.

Null and missing members stay allowed, and names that are unknown or odd are left out as before.

--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -87,14 +87,31 @@
      "\"state\":\"ready\"}",
      false},
     {"models_as_text",
-     ENTRY("\"slots\":4,\"state\":\"ready\",\"models\":\"m\""), true},
+     ENTRY("\"slots\":4,\"state\":\"ready\",\"models\":\"m\""), false},
     {"models_of_numbers",
      ENTRY("\"slots\":4,\"state\":\"ready\",\"models\":[1,null,{}]"), true},
     {"coming_of_nulls",
      ENTRY("\"slots\":4,\"state\":\"ready\",\"coming\":[null,1,{},\"a\"]"),
      true},
     {"at_hand_as_text",
-     ENTRY("\"slots\":4,\"state\":\"ready\",\"at_hand\":\"m\""), true},
+     ENTRY("\"slots\":4,\"state\":\"ready\",\"at_hand\":\"m\""), false},
+    {"models_null", SLOTS("4,\"models\":null"), true},
+    {"models_object", SLOTS("4,\"models\":{\"name\":\"m\"}"), false},
+    {"adapters_as_text",
+     SLOTS("4,\"models\":[{\"name\":\"m\",\"adapters\":\"a1\"}]"), false},
+    {"adapters_null",
+     SLOTS("4,\"models\":[{\"name\":\"m\",\"adapters\":null}]"), true},
+    {"coming_as_number", SLOTS("4,\"coming\":1"), false},
+    {"coming_null", SLOTS("4,\"coming\":null"), true},
+    {"at_hand_null", SLOTS("4,\"at_hand\":null"), true},
+    {"at_hand_array", SLOTS("4,\"at_hand\":[]"), false},
+    {"in_memory_as_text", SLOTS("4,\"at_hand\":{\"in_memory\":\"m\"}"), false},
+    {"on_disk_object", SLOTS("4,\"at_hand\":{\"on_disk\":{}}"), false},
+    {"on_disk_null", SLOTS("4,\"at_hand\":{\"on_disk\":null}"), true},
+    {"names_odd",
+     SLOTS(
+         "4,\"models\":[{\"name\":\"\"},{\"name\":\"/\"},{\"name\":\"a/b/c\"},{\"name\":\"a\\nb\"},{\"name\":[\"m\"]}]"),
+     true},
     {"slots_0", SLOTS("0"), false},
     {"slots_1", SLOTS("1"), true},
     {"slots_negative", SLOTS("-1"), false},
@@ -587,6 +604,72 @@
     client_fixture_close(&fixture);
 }
 
+/*
+ * Guards against a report that is read as one of an idle engine that holds
+ * nothing, which would be given orders for all that it has.
+ */
+struct report_case {
+    const char *name;
+    const char *report;
+    bool succeeds;
+};
+
+#define REPORT_WITH(rest) "{\"stage\":\"both\",\"models\":[]" rest "}"
+
+static const struct report_case report_cases[] = {
+    {"sound", REPORT_WITH(",\"sequence\":2,\"busy\":true"), true},
+    {"sequence_0", REPORT_WITH(",\"sequence\":0"), true},
+    {"models_as_text", "{\"models\":\"m\",\"sequence\":2}", false},
+    {"models_as_object", "{\"models\":{},\"sequence\":2}", false},
+    {"models_null", "{\"models\":null,\"sequence\":2}", true},
+    {"coming_as_text", REPORT_WITH(",\"sequence\":2,\"coming\":\"m/a1@1\""),
+     false},
+    {"at_hand_as_array", REPORT_WITH(",\"sequence\":2,\"at_hand\":[]"), false},
+    {"busy_as_text", REPORT_WITH(",\"sequence\":2,\"busy\":\"true\""), false},
+    {"busy_as_number", REPORT_WITH(",\"sequence\":2,\"busy\":1"), false},
+    {"sequence_missing", REPORT_WITH(""), false},
+    {"sequence_null", REPORT_WITH(",\"sequence\":null"), false},
+    {"sequence_as_text", REPORT_WITH(",\"sequence\":\"x\""), false},
+    {"sequence_negative", REPORT_WITH(",\"sequence\":-1"), false},
+    {"sequence_fraction", REPORT_WITH(",\"sequence\":2.5"), false},
+    {"sequence_2_63", REPORT_WITH(",\"sequence\":9223372036854775808"), false},
+    {"sequence_1e400", REPORT_WITH(",\"sequence\":1e400"), false},
+    {"array", "[]", false},
+    {"null", "null", false},
+    {"text", "\"models\"", false},
+    {"empty", "", false},
+    {"cut_off", "{\"models\":[", false},
+    {"not_utf8", "\xff\xfe", false},
+    {"too_deep", "{\"models\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
+     false},
+};
+
+static void
+test_report(gconstpointer data)
+{
+    const struct report_case *c = data;
+    char *response =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        strlen(c->report), c->report);
+    const char *answers[] = {response, NULL};
+    struct target_info info = {.sequence = -1};
+    struct scripted_target script;
+    struct platform_engine engine = {0};
+    struct err err = {0};
+    char address[ADDRESS_MAX_BYTES];
+
+    script_start(&script, answers, 1);
+    g_snprintf(address, sizeof(address), "127.0.0.1:%d", script.ports[0]);
+    g_assert_true(platform_engine_init(&engine, &err));
+    g_assert_cmpint(
+        engine.base.ops->report(&engine.base, address, &info, &err), ==,
+        c->succeeds);
+    g_assert_cmpint(err.kind == ERR_NONE, ==, c->succeeds);
+    platform_client_clear(&engine.client);
+    script_stop(&script);
+    g_free(response);
+}
+
 /* Guards against documents of other writers that crash the decoders, or leave
  * values that the rest of the program does not expect. Bytes are replaced,
  * removed or repeated at random. */
@@ -696,6 +779,7 @@
         CASES("/platform/store", store_cases, test_store),
         CASES("/platform/kept", kept_cases, test_kept),
         CASES("/platform/spoilt", spoilt_cases, test_spoilt),
+        CASES("/platform/report", report_cases, test_report),
         CASES("/platform/mutation", mutation_cases, test_mutation),
         CASES("/platform/field", field_cases, test_field),
         CASES("/platform/settings", settings_cases, test_settings),
