Members: an odd entry in the list of instances is no instance

An entry with a port out of range, a host name, a name or address that was cut, or no address for other instances was taken: callers got its front address from the lookup, and it counted when instances share retries and reads of the store. One that turned odd stayed in the list as it was.

member_parse() asks for a name, a data centre and two addresses that can be connected to, each whole; an entry that turns odd leaves the list.

The instances of the fixture have a peer address now, as each real one has.

--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -91,7 +91,9 @@
         log_line(LOG_PRI_WARNING, "feed",
                  "event=member_unreadable key=%s reason=\"%s\"", item->key,
                  err.text);
+        counter_add(CTR_ENTRIES_REJECTED, 1);
         g_free(member);
+        feed->members_changed |= g_hash_table_remove(feed->members, item->key);
         return;
     }
     log_line(LOG_PRI_INFO, "feed",
--- a/src/gate/follow/member.c
+++ b/src/gate/follow/member.c
@@ -47,6 +47,30 @@
     return entry;
 }
 
+static bool
+copy_text(struct json_object *object, const char *key, char *out, size_t bytes,
+          struct err *err)
+{
+    const char *text = json_get_string(object, key, "");
+
+    return (text[0] != '\0' && g_strlcpy(out, text, bytes) < bytes) ||
+           err_set(err, ERR_BAD_JSON, "%s is missing or too long", key);
+}
+
+static bool
+copy_address(struct json_object *object, const char *key, char *out,
+             struct err *err)
+{
+    if (!copy_text(object, key, out, ADDRESS_MAX_BYTES, err)) {
+        return false;
+    }
+    if (!socket_check_address(out, err)) {
+        err->kind = ERR_BAD_JSON;
+        return false;
+    }
+    return true;
+}
+
 /**
  * member_parse() - decode an instance's entry
  * @bytes: the entry
@@ -54,32 +78,27 @@
  * @member: filled in
  * @err: filled in on failure
  *
- * Return: false with ERR_BAD_JSON if it isn't JSON or lacks the name or the
- * front address.
+ * Return: false with ERR_BAD_JSON if it isn't JSON, or lacks a name, a data
+ * centre or an address to connect to.
  */
 bool
 member_parse(const char *bytes, size_t count, struct gate_member *member,
              struct err *err)
 {
     struct json_object *object = json_parse(bytes, count, err);
+    bool complete;
 
     if (object == NULL) {
         return false;
     }
     memset(member, 0, sizeof(*member));
-    g_strlcpy(member->name, json_get_string(object, "name", ""),
-              sizeof(member->name));
-    g_strlcpy(member->zone, json_get_string(object, "zone", ""),
-              sizeof(member->zone));
-    g_strlcpy(member->front_address, json_get_string(object, "front", ""),
-              sizeof(member->front_address));
-    g_strlcpy(member->peer_address, json_get_string(object, "peer", ""),
-              sizeof(member->peer_address));
+    complete =
+        copy_text(object, "name", member->name, sizeof(member->name), err) &&
+        copy_text(object, "zone", member->zone, sizeof(member->zone), err) &&
+        copy_address(object, "front", member->front_address, err) &&
+        copy_address(object, "peer", member->peer_address, err);
     member->started_ms = json_get_int64(object, "start", 0);
     member->id = hash_text(member->name);
     json_object_put(object);
-    if (member->name[0] == '\0' || member->front_address[0] == '\0') {
-        return err_set(err, ERR_BAD_JSON, "name or front is missing");
-    }
-    return true;
+    return complete;
 }
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -16,6 +16,7 @@
 #include "platform/dat.h"
 #include "platform/fns.h"
 #include "cases.h"
+#include "memstore.h"
 #include "script.h"
 
 /*
@@ -301,6 +302,154 @@
     g_free(response);
 }
 
+/*
+ * Guards against an entry that stays in use after it turned odd, and against
+ * one that costs the entries next to it.
+ *
+ * Steps: T write target a, O write it odd, D delete it, U write target b odd,
+ * M write an instance, N write it odd, C write a configuration, X write it
+ * odd, F the store drops its history, r poll once.
+ */
+struct feed_case {
+    const char *name;
+    const char *steps;
+    int targets;
+    int members;
+    int version;
+};
+
+static const struct feed_case feed_cases[] = {
+    {"sound", "TMCr", 1, 1, 1},
+    {"odd_from_the_start", "ONXr", 0, 0, 0},
+    {"odd_beside_sound", "UTUMXr", 1, 1, 0},
+    {"target_turns_odd", "TMCrOr", 0, 1, 1},
+    {"member_turns_odd", "TMCrNr", 1, 0, 1},
+    {"config_turns_odd", "TMCrXr", 1, 1, 1},
+    {"member_is_back", "TMCrNrMr", 1, 1, 1},
+    {"listed_again", "TMCrNFrr", 1, 0, 1},
+};
+
+struct feed_fixture {
+    struct feed_port port;
+    struct memstore store;
+    struct feed feed;
+    int members;
+    int version;
+};
+
+static struct feed_fixture *
+fixture_of(struct feed_port *port)
+{
+    return (struct feed_fixture *)port;
+}
+
+static bool
+on_config(struct feed_port *port, struct gate_config *config)
+{
+    fixture_of(port)->version = (int)config->version;
+    return true;
+}
+
+static bool
+on_target_change(struct feed_port *port, const struct target_change *change)
+{
+    (void)port;
+    (void)change;
+    return true;
+}
+
+static bool
+on_targets_listed(struct feed_port *port)
+{
+    (void)port;
+    return true;
+}
+
+static bool
+on_members(struct feed_port *port, const GArray *members)
+{
+    fixture_of(port)->members = (int)members->len;
+    return true;
+}
+
+static bool
+on_holder(struct feed_port *port, const struct holder *holder)
+{
+    (void)port;
+    (void)holder;
+    return true;
+}
+
+static const struct feed_port_ops port_ops = {
+    on_config,  on_target_change, on_targets_listed,
+    on_members, on_holder,        NULL,
+};
+
+struct feed_step {
+    char step;
+    const char *key;
+    const char *value;
+};
+
+#define TARGET(port)                                                          \
+    "{\"service\":\"s\",\"address\":\"127.0.0.1:" port "\",\"zone\":\"z\","   \
+    "\"slots\":4,\"state\":\"ready\"}"
+#define MEMBER(port)                                                          \
+    "{\"name\":\"n\",\"zone\":\"z\",\"front\":\"127.0.0.1:" port              \
+    "\",\"peer\":\"127.0.0.1:2\"}"
+
+static const struct feed_step feed_steps[] = {
+    {'T', "servers/a", TARGET("1")},
+    {'O', "servers/a", TARGET("65536")},
+    {'U', "servers/b", "[[["},
+    {'M', "turmeric/members/n", MEMBER("1")},
+    {'N', "turmeric/members/n", MEMBER("65536")},
+    {'C', "op/config", "{\"version\":1}"},
+    {'X', "op/config", "{\"version\":1,\"routes\":1}"},
+};
+
+static void
+apply_step(struct feed_fixture *fixture, char step)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(feed_steps); i++) {
+        if (feed_steps[i].step == step) {
+            memstore_put(&fixture->store, feed_steps[i].key,
+                         feed_steps[i].value, 0);
+        }
+    }
+    if (step == 'D') {
+        memstore_delete(&fixture->store, "servers/a");
+    }
+    if (step == 'F') {
+        fixture->store.compacted_revision = fixture->store.revision;
+    }
+    if (step == 'r') {
+        feed_poll(&fixture->feed, 1);
+    }
+}
+
+static void
+test_feed(gconstpointer data)
+{
+    const struct feed_case *c = data;
+    static const struct gate_settings settings = {.name = "m0", .zone = "z"};
+    struct feed_fixture fixture = {.port = {&port_ops}};
+    struct err err = {0};
+
+    memstore_init(&fixture.store);
+    g_assert_true(feed_init(&fixture.feed, &settings, &fixture.store.store,
+                            &platform_decode, &fixture.port, &err));
+    for (const char *step = c->steps; *step != '\0'; step++) {
+        apply_step(&fixture, *step);
+    }
+    g_assert_cmpint(g_hash_table_size(fixture.feed.registry.entries), ==,
+                    c->targets);
+    g_assert_cmpint(fixture.members, ==, c->members);
+    g_assert_cmpint(fixture.version, ==, c->version);
+    feed_clear(&fixture.feed);
+    memstore_clear(&fixture.store);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -308,6 +457,7 @@
         CASES("/entries/item", item_cases, test_item),
         CASES("/entries/deep", deep_cases, test_deep),
         CASES("/entries/revision", revision_cases, test_revision),
+        CASES("/entries/feed", feed_cases, test_feed),
     };
 
     g_test_init(&argc, &argv, NULL);
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -266,6 +266,7 @@
     g_snprintf(member->name, sizeof(member->name), "m%d", number);
     g_snprintf(member->zone, sizeof(member->zone), "z%d", number % zones);
     g_strlcpy(member->front_address, "127.0.0.1:1", ADDRESS_MAX_BYTES);
+    g_strlcpy(member->peer_address, "127.0.0.1:2", ADDRESS_MAX_BYTES);
     member->id = hash_text(member->name);
     member->started_ms = 1;
     return member;
@@ -546,6 +547,65 @@
     memstore_clear(&fixture.store);
 }
 
+/* Guards against an odd entry in the member list whose address is given to
+ * callers and to other instances, or that counts as an instance. */
+struct member_case {
+    const char *name;
+    const char *entry;
+    bool usable;
+};
+
+#define MEMBER(front, peer)                                                   \
+    "{\"name\":\"n\",\"zone\":\"z\",\"front\":" front ",\"peer\":" peer       \
+    ",\"start\":5}"
+#define FRONT(front) MEMBER(front, "\"127.0.0.1:2\"")
+#define PEER(peer) MEMBER("\"127.0.0.1:1\"", peer)
+#define NAMED(name)                                                           \
+    "{\"name\":" name ",\"zone\":\"z\",\"front\":\"127.0.0.1:1\","            \
+    "\"peer\":\"127.0.0.1:2\",\"start\":5}"
+#define TEXT_64                                                               \
+    "1234567890123456789012345678901234567890123456789012345678901234"
+
+static const struct member_case member_cases[] = {
+    {"sound", FRONT("\"127.0.0.1:1\""), true},
+    {"new_fields",
+     "{\"name\":\"n\",\"zone\":\"z\",\"front\":\"127.0.0.1:1\",\"peer\":\"127.0.0.1:2\",\"x\":[]}",
+     true},
+    {"front_missing", FRONT("null"), false},
+    {"front_as_number", FRONT("80"), false},
+    {"front_port_0", FRONT("\"127.0.0.1:0\""), false},
+    {"front_port_65536", FRONT("\"127.0.0.1:65536\""), false},
+    {"front_host_name", FRONT("\"front.example:80\""), false},
+    {"front_too_long", FRONT("\"127.0.0.1:" TEXT_64 "\""), false},
+    {"peer_missing", PEER("null"), false},
+    {"peer_empty", PEER("\"\""), false},
+    {"peer_port_99999", PEER("\"127.0.0.1:99999\""), false},
+    {"name_missing", NAMED("null"), false},
+    {"name_empty", NAMED("\"\""), false},
+    {"name_as_list", NAMED("[\"n\"]"), false},
+    {"name_too_long", NAMED("\"" TEXT_64 "\""), false},
+    {"zone_too_long",
+     "{\"name\":\"n\",\"zone\":\"" TEXT_64
+     "\",\"front\":\"127.0.0.1:1\",\"peer\":\"127.0.0.1:2\"}",
+     false},
+    {"array", "[]", false},
+    {"text", "\"n\"", false},
+    {"empty", "", false},
+    {"cut_off", "{\"name\":", false},
+};
+
+static void
+test_member(gconstpointer data)
+{
+    const struct member_case *c = data;
+    struct gate_member member;
+    struct err err = {0};
+
+    g_assert_cmpint(member_parse(c->entry, strlen(c->entry), &member, &err),
+                    ==, c->usable);
+    g_assert_cmpint(err.kind, ==, c->usable ? ERR_NONE : ERR_BAD_JSON);
+}
+
 /*
  * Guards against two holders at the same time, against no holder for long, and
  * against a term that leaves less of the lease than an order's call may take.
@@ -728,6 +788,7 @@
         CASES("/follow/feed", feed_cases, test_feed),
         CASES("/follow/coalesce", coalesce_cases, test_coalesce),
         CASES("/follow/shared", shared_cases, test_shared),
+        CASES("/follow/member", member_cases, test_member),
         CASES("/follow/lease_keeper", lease_keeper_cases, test_lease_keeper),
     };
 
