Feed: one log line for each odd entry, not for each write of it

An entry that can't be read was logged each time it was written, so a writer that repeats it fills the log: a line each 400 ms for each entry and instance, and 2,400 lines a second with many.

The feed keeps the keys of rejected entries and writes a line for the first rejection, until the entry can be read, is deleted, or all keys are listed; for 1,024 entries at most. entries_rejected_total counts each one.

--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -98,6 +98,7 @@
  * @inbox: pointers to struct store_changes from other instances; closing it
  *         ends the duty
  * @members: store key -> struct gate_member
+ * @rejected: set of keys whose entries can't be read
  * @share: how the calls to the store are shared
  * @known_revision: revision from which the next watch continues; 0 to list all
  *                  keys first
@@ -115,6 +116,7 @@
     const char *zone;
     struct ring inbox;
     GHashTable *members;
+    GHashTable *rejected;
     struct share share;
     struct outbox outbox;
     int64_t config_version;
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -24,6 +24,7 @@
     BACKOFF_MAX_MS = 800, /* recovery of the store is noticed within 1 s */
     LIST_PAGES_MAX = 64,
     INBOX_MESSAGES_MAX = 32,
+    REJECTED_MAX = 1024, /* entries with a log line of their own */
 };
 
 static void
@@ -38,6 +39,26 @@
 
 static const struct registry_port_ops registry_ops = {queue_target_change};
 
+/* Returns whether a log line is due: one for each entry until it can be read
+ * again, as it may be written each few hundred ms. */
+static bool
+add_rejected(struct feed *feed, const struct store_item *item)
+{
+    counter_add(CTR_ENTRIES_REJECTED, 1);
+    return g_hash_table_size(feed->rejected) < REJECTED_MAX &&
+           g_hash_table_add(feed->rejected, g_strdup(item->key));
+}
+
+static void
+log_config_unreadable(const struct feed *feed, const struct store_item *item,
+                      const struct err *err)
+{
+    log_line(LOG_PRI_ERR, "feed",
+             "event=config_unreadable revision=%" G_GINT64_FORMAT
+             " kept_version=%" G_GINT64_FORMAT " reason=\"%s\"",
+             (gint64)item->revision, (gint64)feed->config_version, err->text);
+}
+
 static void
 apply_config(struct feed *feed, const struct store_item *item)
 {
@@ -46,13 +67,12 @@
         feed->decode->config(item->value, item->value_bytes, &err);
 
     if (config == NULL) {
-        log_line(LOG_PRI_ERR, "feed",
-                 "event=config_unreadable revision=%" G_GINT64_FORMAT
-                 " kept_version=%" G_GINT64_FORMAT " reason=\"%s\"",
-                 (gint64)item->revision, (gint64)feed->config_version,
-                 err.text);
+        if (add_rejected(feed, item)) {
+            log_config_unreadable(feed, item, &err);
+        }
         return;
     }
+    g_hash_table_remove(feed->rejected, item->key);
     if (config->version <= feed->config_version) {
         gate_config_unref(config);
         return;
@@ -70,15 +90,31 @@
     memset(&info, 0, sizeof(info));
     if (feed->decode->target(id, item->value, item->value_bytes, &info,
                              &err)) {
+        g_hash_table_remove(feed->rejected, item->key);
         registry_put(&feed->registry, &info);
         return;
     }
     registry_reject(&feed->registry, id);
-    counter_add(CTR_ENTRIES_REJECTED, 1);
-    log_line(LOG_PRI_WARNING, "feed",
-             "event=target_unreadable target=%s revision=%" G_GINT64_FORMAT
-             " reason=\"%s\"",
-             id, (gint64)item->revision, err.text);
+    if (add_rejected(feed, item)) {
+        log_line(LOG_PRI_WARNING, "feed",
+                 "event=target_unreadable target=%s revision=%" G_GINT64_FORMAT
+                 " reason=\"%s\"",
+                 id, (gint64)item->revision, err.text);
+    }
+}
+
+static void
+reject_member(struct feed *feed, const struct store_item *item,
+              const struct err *err)
+{
+    if (g_hash_table_remove(feed->members, item->key)) {
+        feed->members_changed = true;
+    }
+    if (add_rejected(feed, item)) {
+        log_line(LOG_PRI_WARNING, "feed",
+                 "event=member_unreadable key=%s reason=\"%s\"", item->key,
+                 err->text);
+    }
 }
 
 static void
@@ -88,14 +124,11 @@
     struct err err = {0};
 
     if (!member_parse(item->value, item->value_bytes, member, &err)) {
-        log_line(LOG_PRI_WARNING, "feed",
-                 "event=member_unreadable key=%s reason=\"%s\"", item->key,
-                 err.text);
-        counter_add(CTR_ENTRIES_REJECTED, 1);
+        reject_member(feed, item, &err);
         g_free(member);
-        feed->members_changed |= g_hash_table_remove(feed->members, item->key);
         return;
     }
+    g_hash_table_remove(feed->rejected, item->key);
     log_line(LOG_PRI_INFO, "feed",
              "event=member name=%s front=%s revision=%" G_GINT64_FORMAT,
              member->name, member->front_address, (gint64)item->revision);
@@ -144,6 +177,7 @@
 {
     const char *id = NULL;
 
+    g_hash_table_remove(feed->rejected, item->key);
     if (feed->decode->key(item->key, &id) == KEY_TARGET) {
         registry_delete(&feed->registry, id, now_ms);
     }
@@ -224,6 +258,7 @@
 
     registry_list_begin(&feed->registry);
     g_hash_table_remove_all(feed->members);
+    g_hash_table_remove_all(feed->rejected);
     outbox_set_holder(&feed->outbox, &nobody);
     feed->members_changed = true;
     for (guint p = 0; p < pages->len; p++) {
@@ -473,6 +508,8 @@
     outbox_init(&feed->outbox);
     feed->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    feed->rejected =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return ring_init(&feed->inbox, INBOX_MESSAGES_MAX,
                      sizeof(struct store_changes *), err);
 }
@@ -492,5 +529,6 @@
     registry_clear(&feed->registry);
     outbox_clear(&feed->outbox);
     g_hash_table_destroy(feed->members);
+    g_hash_table_destroy(feed->rejected);
     ring_free(&feed->inbox);
 }
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -4,7 +4,9 @@
 #include <json-c/json.h>
 #include <pthread.h>
 #include <stdatomic.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
@@ -303,8 +305,9 @@
 }
 
 /*
- * Guards against an entry that stays in use after it turned odd, and against
- * one that costs the entries next to it.
+ * Guards against an entry that stays in use after it turned odd, one that
+ * costs the entries next to it, and one that fills the log each time it is
+ * written.
  *
  * Steps: T write target a, O write it odd, D delete it, U write target b odd,
  * M write an instance, N write it odd, C write a configuration, X write it
@@ -316,17 +319,24 @@
     int targets;
     int members;
     int version;
+    int lines; /* about entries that can't be read */
 };
 
 static const struct feed_case feed_cases[] = {
-    {"sound", "TMCr", 1, 1, 1},
-    {"odd_from_the_start", "ONXr", 0, 0, 0},
-    {"odd_beside_sound", "UTUMXr", 1, 1, 0},
-    {"target_turns_odd", "TMCrOr", 0, 1, 1},
-    {"member_turns_odd", "TMCrNr", 1, 0, 1},
-    {"config_turns_odd", "TMCrXr", 1, 1, 1},
-    {"member_is_back", "TMCrNrMr", 1, 1, 1},
-    {"listed_again", "TMCrNFrr", 1, 0, 1},
+    {"sound", "TMCr", 1, 1, 1, 0},
+    {"odd_from_the_start", "ONXr", 0, 0, 0, 3},
+    {"odd_beside_sound", "UTUMXr", 1, 1, 0, 2},
+    {"target_turns_odd", "TMCrOr", 0, 1, 1, 1},
+    {"member_turns_odd", "TMCrNr", 1, 0, 1, 1},
+    {"config_turns_odd", "TMCrXr", 1, 1, 1, 1},
+    {"member_is_back", "TMCrNrMr", 1, 1, 1, 1},
+    {"listed_again", "TMCrNFrr", 1, 0, 1, 1},
+    {"written_odd_again", "TMCrOrOrONXrONXr", 0, 0, 1, 3},
+    {"two_odd", "OUrOUr", 0, 0, 0, 2},
+    {"odd_after_sound", "OrTrOr", 0, 0, 0, 2},
+    {"odd_after_deletion", "OrDrOr", 0, 0, 0, 2},
+    {"odd_member_after_sound", "NrMrNr", 0, 0, 0, 2},
+    {"odd_config_after_sound", "XrCrXr", 0, 0, 1, 2},
 };
 
 struct feed_fixture {
@@ -428,6 +438,30 @@
     }
 }
 
+/* Returns the number of log lines that the steps write. */
+static int
+run_steps(struct feed_fixture *fixture, const char *steps)
+{
+    FILE *log = tmpfile();
+    int standard_output = dup(STDOUT_FILENO);
+    char line[1024];
+    int lines = 0;
+
+    fflush(stdout);
+    g_assert_cmpint(dup2(fileno(log), STDOUT_FILENO), >=, 0);
+    for (const char *step = steps; *step != '\0'; step++) {
+        apply_step(fixture, *step);
+    }
+    g_assert_cmpint(dup2(standard_output, STDOUT_FILENO), >=, 0);
+    close(standard_output);
+    rewind(log);
+    while (fgets(line, sizeof(line), log) != NULL) {
+        lines += strstr(line, "_unreadable ") != NULL ? 1 : 0;
+    }
+    fclose(log);
+    return lines;
+}
+
 static void
 test_feed(gconstpointer data)
 {
@@ -439,9 +473,7 @@
     memstore_init(&fixture.store);
     g_assert_true(feed_init(&fixture.feed, &settings, &fixture.store.store,
                             &platform_decode, &fixture.port, &err));
-    for (const char *step = c->steps; *step != '\0'; step++) {
-        apply_step(&fixture, *step);
-    }
+    g_assert_cmpint(run_steps(&fixture, c->steps), ==, c->lines);
     g_assert_cmpint(g_hash_table_size(fixture.feed.registry.entries), ==,
                     c->targets);
     g_assert_cmpint(fixture.members, ==, c->members);
