Log: control characters of names don't end a line

The key of an entry, a reason with parts of it, and other names of other processes are logged as they are. One with a line break wrote a second line of its own making, which `turmericctl why` and the operators' scripts take for an event.

log_line() writes '?' for control characters.

entries_test feed/line_break_in_id found 2 lines about entries instead of 1; it passes now.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -53,6 +53,17 @@
            write(STDOUT_FILENO, line, bytes) == (ssize_t)bytes;
 }
 
+/* Names of other processes are logged, and may hold any bytes. */
+static void
+replace_control_characters(char *line, size_t bytes)
+{
+    for (size_t i = 0; i < bytes; i++) {
+        if ((unsigned char)line[i] < ' ' || line[i] == '\x7f') {
+            line[i] = '?';
+        }
+    }
+}
+
 static size_t
 format_line(char *line, int64_t wall_ms, enum log_priority priority,
             const char *component, const char *format, va_list arguments)
@@ -66,6 +77,7 @@
     if (bytes > LINE_MAX_BYTES - 2) {
         bytes = LINE_MAX_BYTES - 2;
     }
+    replace_control_characters(line, bytes);
     line[bytes] = '\n';
     return bytes + 1;
 }
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -310,8 +310,9 @@
  * written.
  *
  * Steps: T write target a, O write it odd, D delete it, U write target b odd,
- * M write an instance, N write it odd, C write a configuration, X write it
- * odd, F the store drops its history, r poll once.
+ * L one whose id has a line break, M write an instance, N write it odd, C
+ * write a configuration, X write it odd, F the store drops its history, r poll
+ * once.
  */
 struct feed_case {
     const char *name;
@@ -336,6 +337,7 @@
     {"odd_after_sound", "OrTrOr", 0, 0, 0, 2},
     {"odd_after_deletion", "OrDrOr", 0, 0, 0, 2},
     {"odd_member_after_sound", "NrMrNr", 0, 0, 0, 2},
+    {"line_break_in_id", "Lr", 0, 0, 0, 1},
     {"odd_config_after_sound", "XrCrXr", 0, 0, 1, 2},
 };
 
@@ -412,6 +414,7 @@
     {'T', "servers/a", TARGET("1")},
     {'O', "servers/a", TARGET("65536")},
     {'U', "servers/b", "[[["},
+    {'L', "servers/b\nms=1 event=x_unreadable y", "[[["},
     {'M', "turmeric/members/n", MEMBER("1")},
     {'N', "turmeric/members/n", MEMBER("65536")},
     {'C', "op/config", "{\"version\":1}"},
