--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -310,9 +310,9 @@
  * written.
  *
  * Steps: T write target a, O write it odd, D delete it, U write target b odd,
- * L one whose id has a line break, M write an instance, N write it odd, C
- * write a configuration, X write it odd, F the store drops its history, r poll
- * once.
+ * G write a with more items than are kept, L one whose id has a line break, M
+ * write an instance, N write it odd, C write a configuration, X write it odd,
+ * F the store drops its history, r poll once.
  */
 struct feed_case {
     const char *name;
@@ -320,7 +320,7 @@
     int targets;
     int members;
     int version;
-    int lines; /* about entries that can't be read */
+    int lines; /* about entries that can't be read, or not in full */
 };
 
 static const struct feed_case feed_cases[] = {
@@ -338,6 +338,7 @@
     {"odd_after_deletion", "OrDrOr", 0, 0, 0, 2},
     {"odd_member_after_sound", "NrMrNr", 0, 0, 0, 2},
     {"line_break_in_id", "Lr", 0, 0, 0, 1},
+    {"more_items_than_kept", "GrGr", 1, 0, 0, 0},
     {"odd_config_after_sound", "XrCrXr", 0, 0, 1, 2},
 };
 
@@ -421,6 +422,27 @@
     {'X', "op/config", "{\"version\":1,\"routes\":1}"},
 };
 
+/* All names are known, as those of a configuration are. */
+static void
+put_full_target(struct memstore *store)
+{
+    GString *entry = g_string_new(TARGET("1"));
+
+    g_string_truncate(entry, entry->len - 1);
+    g_string_append(entry, ",\"models\":[");
+    for (int i = 0; i < 2 * TARGET_ITEMS_MAX; i++) {
+        char *name = g_strdup_printf("model-%d", i);
+
+        g_quark_from_string(name);
+        g_string_append_printf(entry, "%s{\"name\":\"%s\"}", i > 0 ? "," : "",
+                               name);
+        g_free(name);
+    }
+    g_string_append(entry, "]}");
+    memstore_put(store, "servers/a", entry->str, 0);
+    g_string_free(entry, TRUE);
+}
+
 static void
 apply_step(struct feed_fixture *fixture, char step)
 {
@@ -430,6 +452,9 @@
                          feed_steps[i].value, 0);
         }
     }
+    if (step == 'G') {
+        put_full_target(&fixture->store);
+    }
     if (step == 'D') {
         memstore_delete(&fixture->store, "servers/a");
     }
@@ -459,7 +484,8 @@
     close(standard_output);
     rewind(log);
     while (fgets(line, sizeof(line), log) != NULL) {
-        lines += strstr(line, "_unreadable ") != NULL ? 1 : 0;
+        lines += strstr(line, "_unreadable ") != NULL ||
+                 strstr(line, "_cut ") != NULL;
     }
     fclose(log);
     return lines;
