Relay: the ids of a run never fall back

What callers would see: the pieces of two runs as one stream, where a target begins anew, or writes a second copy, within one response.

Cause: an id that the caller had was skipped wherever it came. That is right at the start of a run that resumes the stream; within a run it hid that the events from there on are those of another run.

Change: the reader keeps the last id of the run beside that of the stream. Within a run each id is one more than the one before; event_repeated or event_gap breaks the run off, and it is resumed behind the last event passed on. A run that resumes may begin with events that the caller has, also with the first one, and these are skipped as before. Skipping a repeat within a run was the alternative: it keeps the numbers in order but not the text.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -134,6 +134,7 @@
  * @EVENT_SKIP: the caller has it
  * @EVENT_INVALID: it is no event, or can't be told from another
  * @EVENT_GAP: an event before it is missing
+ * @EVENT_REPEATED: its run has sent an event with this id, or a later one
  * @EVENT_TOO_LONG: it does not end
  *
  * From EVENT_INVALID on, the run counts as broken off before the event.
@@ -143,6 +144,7 @@
     EVENT_SKIP,
     EVENT_INVALID,
     EVENT_GAP,
+    EVENT_REPEATED,
     EVENT_TOO_LONG,
 };
 
--- a/src/gate/choose/stream.c
+++ b/src/gate/choose/stream.c
@@ -25,12 +25,16 @@
  * stream_event_verdict() - what to do with an event of a run
  * @event: the event
  * @last_id: id of the last event that the caller has; -1 for none
+ * @run_id: id of the last event of the run; -1 for none
  *
  * Each event with data has the id that follows the one before it: nothing else
- * tells whether it belongs to the stream. Comments need none.
+ * tells whether it belongs to the stream. Comments need none. A run may begin
+ * with events that the caller has, but its own ids never fall back: where they
+ * do, the pieces of two runs are in one response.
  */
 enum event_verdict
-stream_event_verdict(const struct stream_event *event, int64_t last_id)
+stream_event_verdict(const struct stream_event *event, int64_t last_id,
+                     int64_t run_id)
 {
     if (!event->valid || (event->id < 0 && event->has_data)) {
         return EVENT_INVALID;
@@ -38,11 +42,15 @@
     if (event->id < 0) {
         return EVENT_PASS;
     }
-    if (event->id <= last_id) {
-        return EVENT_SKIP;
+    if (event->id <= run_id) {
+        return EVENT_REPEATED;
     }
-    if (last_id >= 0 && event->id != last_id + 1) {
+    if ((run_id >= 0 && event->id != run_id + 1) ||
+        (last_id >= 0 && event->id > last_id + 1)) {
         return EVENT_GAP;
     }
+    if (event->id <= last_id) {
+        return EVENT_SKIP;
+    }
     return EVENT_PASS;
 }
--- a/src/gate/relay/events.c
+++ b/src/gate/relay/events.c
@@ -26,6 +26,7 @@
     reader->partial = g_string_new(NULL);
     reader->scanned = 0;
     reader->last_id = last_id;
+    reader->run_id = -1;
     reader->verdict = EVENT_PASS;
 }
 
@@ -44,6 +45,7 @@
 {
     g_string_truncate(reader->partial, 0);
     reader->scanned = 0;
+    reader->run_id = -1;
     reader->verdict = EVENT_PASS;
 }
 
@@ -197,13 +199,16 @@
 {
     struct stream_event event = parse_event(text, bytes);
 
-    reader->verdict = stream_event_verdict(&event, reader->last_id);
-    if (reader->verdict != EVENT_PASS) {
+    reader->verdict =
+        stream_event_verdict(&event, reader->last_id, reader->run_id);
+    if (events_broken(reader)) {
         return 0;
     }
-    if (event.id >= 0) {
-        reader->last_id = event.id;
+    reader->run_id = MAX(reader->run_id, event.id);
+    if (reader->verdict == EVENT_SKIP) {
+        return 0;
     }
+    reader->last_id = MAX(reader->last_id, event.id);
     g_string_append_len(whole, text, (gssize)bytes);
     return event.has_data ? 1 : 0;
 }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -122,12 +122,14 @@
  * @partial: bytes of the incomplete event
  * @scanned: bytes of @partial known not to contain its end
  * @last_id: id of the last event forwarded; -1 before the first
+ * @run_id: id of the last event of the run; -1 before the first
  * @verdict: on the last event of the run
  */
 struct event_reader {
     GString *partial;
     size_t scanned;
     int64_t last_id;
+    int64_t run_id;
     enum event_verdict verdict;
 };
 
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -351,6 +351,7 @@
     static const char *const names[] = {
         [EVENT_INVALID] = "event_invalid",
         [EVENT_GAP] = "event_gap",
+        [EVENT_REPEATED] = "event_repeated",
         [EVENT_TOO_LONG] = "event_too_long",
     };
 
--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -119,12 +119,81 @@
     }
 }
 
+/* Guards against events that are missing, come twice or belong to two runs in
+ * one response, and against a run that is not allowed to repeat what the
+ * caller has. */
+struct run_case {
+    const char *name;
+    int64_t last_id;     /* that the caller has at the start */
+    const char *runs[3]; /* ended by NULL */
+    const char *passed;
+    bool sound; /* the last run */
+};
+
+static const struct run_case run_cases[] = {
+    {"first", -1, {EVENT(1) EVENT(2)}, EVENT(1) EVENT(2), true},
+    {"caller_resumes", 2, {EVENT(3) EVENT(4)}, EVENT(3) EVENT(4), true},
+    {"caller_resumes_with_gap", 2, {EVENT(4)}, "", false},
+    {"resumed", -1, {EVENT(1) "id: 2\n", EVENT(2)}, EVENT(1) EVENT(2), true},
+    {"resumed_with_gap", -1, {EVENT(1), EVENT(3)}, EVENT(1), false},
+    {"repeats_all",
+     -1,
+     {EVENT(1) EVENT(2), EVENT(1) EVENT(2) EVENT(3)},
+     EVENT(1) EVENT(2) EVENT(3),
+     true},
+    {"repeats_some",
+     -1,
+     {EVENT(1) EVENT(2) EVENT(3), EVENT(3) EVENT(4)},
+     EVENT(1) EVENT(2) EVENT(3) EVENT(4),
+     true},
+    {"repeats_with_gap",
+     -1,
+     {EVENT(1) EVENT(2) EVENT(3), EVENT(1) EVENT(3) EVENT(4)},
+     EVENT(1) EVENT(2) EVENT(3),
+     false},
+    {"twice_in_a_run", -1, {EVENT(1) EVENT(1) EVENT(2)}, EVENT(1), false},
+    {"falls_back_in_a_run",
+     -1,
+     {EVENT(1) EVENT(2) EVENT(1) EVENT(2) EVENT(3)},
+     EVENT(1) EVENT(2),
+     false},
+    {"falls_back_in_a_repeat",
+     -1,
+     {EVENT(1) EVENT(2), EVENT(2) EVENT(1) EVENT(2) EVENT(3)},
+     EVENT(1) EVENT(2),
+     false},
+    {"broken_then_resumed",
+     -1,
+     {EVENT(1) EVENT(1), EVENT(2)},
+     EVENT(1) EVENT(2),
+     true},
+};
+
+static void
+test_runs(gconstpointer data)
+{
+    const struct run_case *c = data;
+    struct event_reader reader;
+    GString *passed = g_string_new(NULL);
+
+    events_init(&reader, c->last_id);
+    for (int i = 0; c->runs[i] != NULL; i++) {
+        events_restart(&reader);
+        events_read(&reader, c->runs[i], strlen(c->runs[i]), passed);
+    }
+    g_assert_cmpstr(passed->str, ==, c->passed);
+    g_assert_cmpint(events_broken(&reader), ==, !c->sound);
+    g_string_free(passed, TRUE);
+    events_clear(&reader);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/stream/continues", continues_cases, test_continues),
         CASES("/stream/reader", reader_cases, test_reader),
+        CASES("/stream/runs", run_cases, test_runs),
     };
 
     g_test_init(&argc, &argv, NULL);
