Relay: an end ends a stream only if the target has marked it

What callers saw: a stream that ended as complete before its last event.

Cause: any complete response ended the stream: one that sent nothing, whether its end was marked or its connection just ended, and one that repeated fewer events than the caller has.

Change: stream_is_whole() decides on the end of a run. - A run with events must have come to the last event that the caller has. - A run without an event was asked for what follows the last event. Either nothing does, as the first run had sent all and broke off before its last chunk, or the run broke off. A target that stops work closes the connection without the last chunk, so an end that is marked, by a length or a last chunk, is its statement that nothing follows, and the caller gets its end; an end of the connection is not. Doubt costs another run, a false end costs the caller events that it never learns of. To end a stream that has begun the response must also declare an event stream, as nothing else shows it. - The same for a run without an event on a first attempt: with a marked end it is the whole response of the target and is passed on as it is; by the end of its connection it counts as broken off. A run with events that ends with its connection, at the end of an event, is still complete: the platform allows such responses, and nothing tells one that broke off there. Framing and type of an answer are those of the last run.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -148,6 +148,24 @@
     EVENT_TOO_LONG,
 };
 
+/**
+ * struct stream_end - the end of a run of a stream
+ * @cut_off: it is within an event
+ * @marked: by a length or a last chunk, not by the end of the connection
+ * @declared: the response says that it is an event stream
+ * @begun: the caller has the head of the stream
+ * @last_id: id of the last event that the caller has; -1 for none
+ * @run_id: id of the last event of the run; -1 for none
+ */
+struct stream_end {
+    bool cut_off;
+    bool marked;
+    bool declared;
+    bool begun;
+    int64_t last_id;
+    int64_t run_id;
+};
+
 /**
  * struct budget_bucket - counts for one interval of the window
  * @start_ms: start of the interval
--- a/src/gate/choose/stream.c
+++ b/src/gate/choose/stream.c
@@ -54,3 +54,25 @@
     }
     return EVENT_PASS;
 }
+
+/**
+ * stream_is_whole() - whether the end of a run is the end of its stream
+ * @end: the end
+ *
+ * A run that sends events ends the stream when it has come to the last one
+ * that the caller has. A run without an event was asked for what follows that
+ * one, and only an end that the target has marked says that nothing does: a
+ * connection that ends there may as well have been broken off. To end a stream
+ * that has begun, the response must also say that it is one.
+ */
+bool
+stream_is_whole(const struct stream_end *end)
+{
+    if (end->cut_off) {
+        return false;
+    }
+    if (end->run_id >= 0) {
+        return end->run_id == end->last_id;
+    }
+    return end->marked && (end->declared || !end->begun);
+}
--- a/src/gate/relay/answer.c
+++ b/src/gate/relay/answer.c
@@ -62,8 +62,6 @@
     answer->status = (int)upstream->parser.status_code;
     answer->content_length =
         length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
-    answer->framing = upstream->framing;
-    answer->body_type = answer_body_type(head);
     g_string_printf(answer->head, "HTTP/1.1 %d %s\r\n", answer->status,
                     head_start_text(head));
     for (int i = 0; i < head_field_count(head); i++) {
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -141,8 +141,8 @@
  * @head: status line and header fields for the caller, without framing
  * @body: buffered until the response is complete, except for event streams
  * @content_length: length that the target announced; -1 for none
- * @framing: of the target's response
- * @body_type: type of the body
+ * @framing: of the last response to it
+ * @body_type: type of the last response to it
  * @head_sent: the head was sent to the caller
  * @chunked: the body is sent to the caller in chunks
  */
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -193,6 +193,8 @@
     }
     exchange->stage = STAGE_FORWARDING;
     exchange->last_progress_ms = now_ms;
+    exchange->answer.framing = upstream->framing;
+    exchange->answer.body_type = answer_body_type(&upstream->head);
     if (exchange->answer.head->len == 0) {
         answer_copy_head(&exchange->answer, relay, upstream);
     }
@@ -399,6 +401,22 @@
     return true;
 }
 
+static bool
+ends_stream(const struct exchange *exchange)
+{
+    const struct answer *answer = &exchange->answer;
+    struct stream_end end = {
+        .cut_off = events_cut_off(&exchange->events),
+        .marked = answer->framing != FRAMED_BY_CLOSE,
+        .declared = answer->body_type == BODY_EVENTS,
+        .begun = answer->head_sent,
+        .last_id = exchange->events.last_id,
+        .run_id = exchange->events.run_id,
+    };
+
+    return stream_is_whole(&end);
+}
+
 /**
  * result_complete() - handle the end of a complete response
  * @relay: the relay
@@ -406,8 +424,7 @@
  * afterwards
  * @now_ms: current time
  *
- * A stream that ends within an event has broken off, however its response
- * ends.
+ * A stream may have broken off although its response is complete.
  */
 void
 result_complete(struct relay *relay, struct exchange *exchange, int64_t now_ms)
@@ -416,9 +433,12 @@
     GString *rest = exchange->events.partial;
 
     if (is_event_stream(exchange)) {
-        if (events_cut_off(&exchange->events)) {
+        if (!ends_stream(exchange)) {
             counter_add(CTR_STREAM_CUT_OFF, 1);
-            result_aborted(relay, exchange, "cut_off", now_ms);
+            result_aborted(relay, exchange,
+                           events_cut_off(&exchange->events) ? "cut_off"
+                                                             : "ended_early",
+                           now_ms);
             return;
         }
         if (!answer->head_sent) {
--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -187,6 +187,53 @@
     events_clear(&reader);
 }
 
+/* Guards against a stream that ends as complete before its last event. */
+struct end_case {
+    const char *name;
+    struct stream_end end;
+    bool whole;
+};
+
+static const struct end_case end_cases[] = {
+    {"after_events", {.marked = true, .last_id = 4, .run_id = 4}, true},
+    {"after_events_by_close",
+     {.begun = true, .last_id = 4, .run_id = 4},
+     true},
+    {"cut_off",
+     {.cut_off = true, .marked = true, .last_id = 4, .run_id = 4},
+     false},
+    {"before_what_the_caller_has",
+     {.marked = true,
+      .declared = true,
+      .begun = true,
+      .last_id = 4,
+      .run_id = 3},
+     false},
+    {"nothing_follows",
+     {.marked = true,
+      .declared = true,
+      .begun = true,
+      .last_id = 4,
+      .run_id = -1},
+     true},
+    {"nothing_by_close",
+     {.declared = true, .begun = true, .last_id = 4, .run_id = -1},
+     false},
+    {"nothing_undeclared",
+     {.marked = true, .begun = true, .last_id = 4, .run_id = -1},
+     false},
+    {"empty", {.marked = true, .last_id = -1, .run_id = -1}, true},
+    {"empty_by_close", {.declared = true, .last_id = -1, .run_id = -1}, false},
+};
+
+static void
+test_end(gconstpointer data)
+{
+    const struct end_case *c = data;
+
+    g_assert_cmpint(stream_is_whole(&c->end), ==, c->whole);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -194,6 +241,7 @@
         CASES("/stream/continues", continues_cases, test_continues),
         CASES("/stream/reader", reader_cases, test_reader),
         CASES("/stream/runs", run_cases, test_runs),
+        CASES("/stream/end", end_cases, test_end),
     };
 
     g_test_init(&argc, &argv, NULL);
