Relay: two heads joined within a line are no response

What callers saw: status 200 with the body of a signed failure, or a signed 500 with the body of a success or of a stream; a request of a route that runs once was sent to a second target while the first ran it.

Cause: bytes behind a response that arrive once the next request is sent can end within a line of a head. The parser then reads the next response's status line as the rest of that line, and makes one head of two: the status and the Not-Executed field of the first, the attempt id, the seal and the body of the second. Matching by attempt id can't tell.

Change: a head that holds a status line within a reason phrase, name or value is treated as bytes that are no HTTP. A fragment that ends within a name or at a line's end fails in the parser already. A field may still name a version of HTTP (field_names_http).

--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -61,6 +61,9 @@
     struct upstream *upstream = parser->data;
 
     head_finish(&upstream->head);
+    if (head_is_joined(&upstream->head)) {
+        return -1;
+    }
     upstream->head_complete = true;
     upstream->framing = read_framing(parser, upstream->no_body);
     return upstream->no_body ? 1 : 0;
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -927,6 +927,10 @@
     "HTTP/1.1 500 E\r\nAttempt-Id: a-1\r\nServer-Seal: s\r\n"                 \
     "Content-Length: 4\r\n\r\ncopy"
 
+#define FAILED_LATE                                                           \
+    "HTTP/1.1 500 E\r\nAttempt-Id: %ID%\r\nServer-Seal: s\r\n"                \
+    "Content-Length: 1\r\n\r\nx"
+
 static const struct late_refusal_case late_refusal_cases[] = {
     {"busy_once",
      "/once/2",
@@ -955,6 +959,38 @@
      {OK, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 P\r\n\r\n" OK},
      "HTTP/1.1 200",
      2},
+    /* The first answer's head breaks off within a line. */
+    {"value_then_failure",
+     "/once/2",
+     {OK, "HTTP/1.1 200 OK\r\nDate: Sat, 05" FAILED_LATE},
+     "HTTP/1.1 502",
+     2},
+    {"value_then_failure_safe",
+     "/safe/2",
+     {OK, "HTTP/1.1 200 OK\r\nDate: Sat, 05" FAILED_LATE, OK},
+     "HTTP/1.1 200",
+     3},
+    {"reason_then_failure",
+     "/once/2",
+     {OK, "HTTP/1.1 200 O" FAILED_LATE},
+     "HTTP/1.1 502",
+     2},
+    {"failure_then_success",
+     "/once/2",
+     {OK, "HTTP/1.1 500 E\r\nDate: " OK},
+     "HTTP/1.1 502",
+     2},
+    {"refusal_then_success",
+     "/once/2",
+     {OK, "HTTP/1.1 503 B\r\nNot-Executed: 1\r\nDate: " OK},
+     "HTTP/1.1 502",
+     2},
+    {"field_names_http",
+     "/once/2",
+     {OK, "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 a\r\nAttempt-Id: a-2\r\n"
+          "Server-Seal: s\r\nContent-Length: 0\r\n\r\n"},
+     "HTTP/1.1 200",
+     2},
     {"copy_after_the_body", "/once/2", {OK COPY, OK}, "HTTP/1.1 200", 2},
     {"bytes_after_the_last_chunk",
      "/once/2",
