Observe: a deeply nested record doesn't fail the list of instances

turmericd refused a list of instances in which one record was nested 16 levels deep. The list then counted as unreadable, and targets that came or left later were not noticed.

json_prune() is the copying part of json_parse_pruned(); the list is parsed again with null for such values, which costs the record alone.

observe_test list: deep_15, deep_30 and deep_100 failed at the parse before; they pass now.

--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -19,6 +19,8 @@
 /* json.c */
 struct json_object *json_parse(const char *text, size_t bytes,
                                struct err *err);
+char *json_prune(const char *text, size_t bytes, size_t depth_max,
+                 size_t *pruned_bytes);
 struct json_object *json_parse_pruned(const char *text, size_t bytes,
                                       struct err *err);
 const char *json_get_string(struct json_object *object, const char *key,
--- a/src/http/json.c
+++ b/src/http/json.c
@@ -98,9 +98,18 @@
     return close != NULL ? (size_t)(close - text) + 2 : bytes;
 }
 
-/* Copies JSON with null for each value that is nested too deeply. */
-static GString *
-prune(const char *text, size_t bytes)
+/**
+ * json_prune() - copy JSON with null for each value that is nested too deeply
+ * @text: the JSON text
+ * @bytes: length of @text
+ * @depth_max: depth at which a parser refuses the text
+ * @pruned_bytes: set to the length of the copy
+ *
+ * Return: the copy, to be freed with g_free().
+ */
+char *
+json_prune(const char *text, size_t bytes, size_t depth_max,
+           size_t *pruned_bytes)
 {
     GString *pruned = g_string_sized_new(bytes);
     size_t depth = 0;
@@ -110,17 +119,18 @@
         char c = text[at];
 
         end = token_end(text, bytes, at);
-        if ((c == '[' || c == '{') && ++depth == JSON_DEPTH_MAX) {
+        if ((c == '[' || c == '{') && ++depth == depth_max) {
             g_string_append(pruned, "null");
         }
-        if (depth < JSON_DEPTH_MAX) {
+        if (depth < depth_max) {
             g_string_append_len(pruned, text + at, (gssize)(end - at));
         }
         if ((c == ']' || c == '}') && depth > 0) {
             depth--;
         }
     }
-    return pruned;
+    *pruned_bytes = pruned->len;
+    return g_string_free(pruned, FALSE);
 }
 
 /**
@@ -140,7 +150,8 @@
 {
     enum json_tokener_error result;
     struct json_object *object = parse(text, bytes, &result, err);
-    GString *pruned;
+    size_t pruned_bytes;
+    char *pruned;
 
     if (result != json_tokener_error_depth) {
         return object;
@@ -148,9 +159,9 @@
     if (err != NULL) {
         err_clear(err);
     }
-    pruned = prune(text, bytes);
-    object = parse(pruned->str, pruned->len, &result, err);
-    g_string_free(pruned, TRUE);
+    pruned = json_prune(text, bytes, JSON_DEPTH_MAX, &pruned_bytes);
+    object = parse(pruned, pruned_bytes, &result, err);
+    g_free(pruned);
     return object;
 }
 
--- a/src/turmericd/fleet/observe/status.c
+++ b/src/turmericd/fleet/observe/status.c
@@ -5,13 +5,17 @@
  * checked, and an invalid record is skipped and counted, so that one target
  * can't hide the others.
  */
+#include <glib.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <ulfius.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
 #include "proto/peer.pb-c.h"
 #include "tree/dat.h"
 #include "turmericd/fleet/member/dat.h"
@@ -356,6 +360,26 @@
     }
 }
 
+/* A record that is nested too deeply must not cost the others. */
+static struct json_object *
+parse_list(const char *text, size_t bytes, struct err *err)
+{
+    struct json_object *root = parse_json(text, bytes, json_type_array, err);
+    size_t pruned_bytes;
+    char *pruned;
+
+    if (root != NULL || bytes > INT32_MAX) {
+        return root;
+    }
+    pruned = json_prune(text, bytes, JSON_DEPTH_MAX, &pruned_bytes);
+    root = parse_json(pruned, pruned_bytes, json_type_array, err);
+    g_free(pruned);
+    if (root != NULL) {
+        err_clear(err);
+    }
+    return root;
+}
+
 /**
  * instance_list_parse() - parse the platform's list of instances
  * @text: JSON array
@@ -370,7 +394,7 @@
 instance_list_parse(const char *text, size_t bytes, struct instance_list *list,
                     struct err *err)
 {
-    struct json_object *root = parse_json(text, bytes, json_type_array, err);
+    struct json_object *root = parse_list(text, bytes, err);
     size_t count;
 
     memset(list, 0, sizeof(*list));
--- a/test/observe_test.c
+++ b/test/observe_test.c
@@ -185,6 +185,14 @@
 #define TEXT_OF_70                                                            \
     "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 
+#define NEST_14(value) "[[[[[[[[[[[[[[" value "]]]]]]]]]]]]]]"
+#define OPEN_100                                                              \
+    "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["                      \
+    "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["
+#define CLOSE_100                                                             \
+    "]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]"                      \
+    "]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]"
+
 static const struct list_case list_cases[] = {
     {"empty", "[]", ERR_NONE, 0, 0},
     {"both", "[" ENGINE ", " ENTRY "]", ERR_NONE, 2, 0},
@@ -232,6 +240,11 @@
     {"entry_without_peer_address",
      "[" RECORD("\"a\"", "\"entry\"", "\"\"", "\"1.1.1.1:1\"", "\"live\"") "]",
      ERR_NONE, 0, 1},
+    {"deep_15", "[{\"name\":" NEST_14("1") "}, " ENGINE "]", ERR_NONE, 1, 1},
+    {"deep_30", "[{\"name\":" NEST_14(NEST_14("1")) "}, " ENGINE "]", ERR_NONE,
+     1, 1},
+    {"deep_100", "[{\"x\":" OPEN_100 "1" CLOSE_100 "}, " ENGINE "]", ERR_NONE,
+     1, 1},
     {"object", "{}", ERR_BAD_JSON, 0, 0},
     {"truncated", "[" ENGINE, ERR_BAD_JSON, 0, 0},
     {"text", "instances", ERR_BAD_JSON, 0, 0},
