Observe: a listed instance needs an address to connect to

A record of the list of instances with port 0, a port above 65535 or none was taken for an engine: it was polled and given requests, which failed.

Its address, and the peer address of an entry instance, are checked like a target's; other records are skipped and counted as before.

--- a/src/turmericd/fleet/observe/status.c
+++ b/src/turmericd/fleet/observe/status.c
@@ -303,6 +303,14 @@
     return -1;
 }
 
+static bool
+read_json_address(struct json_object *object, const char *key, char *out,
+                  size_t max_bytes)
+{
+    return read_json_text(object, key, out, max_bytes, address_characters) &&
+           socket_check_address(out, NULL);
+}
+
 static bool
 read_identity(struct json_object *object, struct listed_instance *listed)
 {
@@ -312,14 +320,14 @@
                           name_characters) &&
            read_json_text(object, "data_centre", listed->data_centre,
                           sizeof(listed->data_centre), name_characters) &&
-           read_json_text(object, "address", listed->address,
-                          sizeof(listed->address), address_characters) &&
+           read_json_address(object, "address", listed->address,
+                             sizeof(listed->address)) &&
            (entry ||
             read_json_text(object, "service", listed->service,
                            sizeof(listed->service), name_characters)) &&
            (!entry ||
-            read_json_text(object, "peer_address", listed->peer_address,
-                           sizeof(listed->peer_address), address_characters));
+            read_json_address(object, "peer_address", listed->peer_address,
+                              sizeof(listed->peer_address)));
 }
 
 static bool
