--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -239,8 +239,8 @@
 }
 
 /*
- * Guards against a response whose revision ends the watch for good, or makes
- * the feed list all keys at each poll.
+ * Guards against a response that ends the watch for good, makes the feed list
+ * all keys at each poll, or ends a list before its last page.
  */
 struct revision_case {
     const char *name;
@@ -261,6 +261,10 @@
     {"2_63", PAGE(",\"store_revision\":9223372036854775807"), 0},
     {"2_64", PAGE(",\"store_revision\":18446744073709551616"), 0},
     {"1e400", PAGE(",\"store_revision\":1e400"), 0},
+    {"last_page", PAGE(",\"store_revision\":9,\"truncated\":false"), 9},
+    {"truncated_without_keys",
+     "{\"items\":[{}],\"events\":[{}],\"store_revision\":9,\"truncated\":true}",
+     0},
     {"no_lists", "{\"store_revision\":9}", 0},
     {"lists_as_text", "{\"items\":\"\",\"events\":\"\",\"store_revision\":9}",
      0},
