Stream tests: the runs check the verdict on their last event

With the check for a repeat taken out of stream_event_verdict(), the cases of stream_test runs stayed green, as the run was broken off as a gap instead. They checked only that it was broken off.

--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -127,46 +127,59 @@
     int64_t last_id;     /* that the caller has at the start */
     const char *runs[3]; /* ended by NULL */
     const char *passed;
-    bool sound; /* the last run */
+    enum event_verdict verdict; /* on the last event */
 };
 
 static const struct run_case run_cases[] = {
-    {"first", -1, {EVENT(1) EVENT(2)}, EVENT(1) EVENT(2), true},
-    {"caller_resumes", 2, {EVENT(3) EVENT(4)}, EVENT(3) EVENT(4), true},
-    {"caller_resumes_with_gap", 2, {EVENT(4)}, "", false},
-    {"resumed", -1, {EVENT(1) "id: 2\n", EVENT(2)}, EVENT(1) EVENT(2), true},
-    {"resumed_with_gap", -1, {EVENT(1), EVENT(3)}, EVENT(1), false},
+    {"first", -1, {EVENT(1) EVENT(2)}, EVENT(1) EVENT(2), EVENT_PASS},
+    {"caller_resumes", 2, {EVENT(3) EVENT(4)}, EVENT(3) EVENT(4), EVENT_PASS},
+    {"caller_resumes_with_gap", 2, {EVENT(4)}, "", EVENT_GAP},
+    {"resumed",
+     -1,
+     {EVENT(1) "id: 2\n", EVENT(2)},
+     EVENT(1) EVENT(2),
+     EVENT_PASS},
+    {"resumed_with_gap", -1, {EVENT(1), EVENT(3)}, EVENT(1), EVENT_GAP},
     {"repeats_all",
      -1,
      {EVENT(1) EVENT(2), EVENT(1) EVENT(2) EVENT(3)},
      EVENT(1) EVENT(2) EVENT(3),
-     true},
+     EVENT_PASS},
     {"repeats_some",
      -1,
      {EVENT(1) EVENT(2) EVENT(3), EVENT(3) EVENT(4)},
      EVENT(1) EVENT(2) EVENT(3) EVENT(4),
-     true},
+     EVENT_PASS},
     {"repeats_with_gap",
      -1,
      {EVENT(1) EVENT(2) EVENT(3), EVENT(1) EVENT(3) EVENT(4)},
      EVENT(1) EVENT(2) EVENT(3),
-     false},
-    {"twice_in_a_run", -1, {EVENT(1) EVENT(1) EVENT(2)}, EVENT(1), false},
+     EVENT_GAP},
+    {"twice_in_a_run",
+     -1,
+     {EVENT(1) EVENT(1) EVENT(2)},
+     EVENT(1),
+     EVENT_REPEATED},
     {"falls_back_in_a_run",
      -1,
      {EVENT(1) EVENT(2) EVENT(1) EVENT(2) EVENT(3)},
      EVENT(1) EVENT(2),
-     false},
+     EVENT_REPEATED},
     {"falls_back_in_a_repeat",
      -1,
      {EVENT(1) EVENT(2), EVENT(2) EVENT(1) EVENT(2) EVENT(3)},
      EVENT(1) EVENT(2),
-     false},
+     EVENT_REPEATED},
+    {"repeats_only",
+     -1,
+     {EVENT(1) EVENT(2), EVENT(1)},
+     EVENT(1) EVENT(2),
+     EVENT_SKIP},
     {"broken_then_resumed",
      -1,
      {EVENT(1) EVENT(1), EVENT(2)},
      EVENT(1) EVENT(2),
-     true},
+     EVENT_PASS},
 };
 
 static void
@@ -182,7 +195,7 @@
         events_read(&reader, c->runs[i], strlen(c->runs[i]), passed);
     }
     g_assert_cmpstr(passed->str, ==, c->passed);
-    g_assert_cmpint(events_broken(&reader), ==, !c->sound);
+    g_assert_cmpint(reader.verdict, ==, c->verdict);
     g_string_free(passed, TRUE);
     events_clear(&reader);
 }
