Engine orders: a load is confirmed by a JSON object only

What callers would see: a leaf that counts as loaded where it isn't.

Cause: status 200 alone confirmed an order, whatever the body, while an error needed a JSON body. An address may by then belong to a plain service that answers 200 to anything; and libcurl passes on encoded bodies.

Evidence: place_test /place/http/loaded_by_something_else, loaded_without_body and encoded, on the code before: 0 == 3 (loaded instead of unknown).

Change: a 200 without a JSON object, and a head that http_head_add() refuses, leave the order in doubt. Redirects and 206 did so already; cases keep it.

--- a/src/turmericd/place/enginehttp.c
+++ b/src/turmericd/place/enginehttp.c
@@ -1,8 +1,9 @@
 /**
  * DOC: Orders to engines over HTTP.
  *
- * Only an error status with a JSON body is a definite refusal. After any other
- * failure it is unknown whether the engine executes the order.
+ * Only a JSON body is an engine's response: with status 200 a success, with an
+ * error status a definite refusal. After anything else it is unknown whether
+ * the engine executes the order. Each order has a connection of its own.
  */
 #include <curl/curl.h>
 #include <glib.h>
@@ -10,9 +11,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <ulfius.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
 #include "kv/dat.h"
 #include "kv/fns.h"
 #include "tree/dat.h"
@@ -87,13 +91,14 @@
 {
     char error[ERROR_TEXT_MAX];
 
-    if (status == HTTP_OK) {
-        return true;
-    }
-    if (status < 400 || !copy_error(body, error, sizeof(error))) {
+    if ((status != HTTP_OK && status < 400) ||
+        !copy_error(body, error, sizeof(error))) {
         return err_set(err, ERR_IO, "%s: unexpected status %ld or body", url,
                        status);
     }
+    if (status == HTTP_OK) {
+        return true;
+    }
     if (status == HTTP_NOT_FOUND && not_found_is_success) {
         return true;
     }
@@ -121,7 +126,7 @@
 
 static CURLcode
 perform_post(const char *url, const char *order, int timeout_ms, GString *body,
-             long *status)
+             struct http_head *head, long *status)
 {
     CURL *curl = curl_easy_init();
     struct curl_slist *headers =
@@ -134,6 +139,8 @@
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(curl, CURLOPT_POSTFIELDS, order);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, http_head_receive);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, head);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
     code = curl_easy_perform(curl);
@@ -148,8 +155,10 @@
            bool not_found_is_success, struct err *err)
 {
     GString *body = g_string_new(NULL);
+    struct http_head head = {.fault = NULL};
     long status = 0;
-    CURLcode code = perform_post(url, order, http->timeout_ms, body, &status);
+    CURLcode code =
+        perform_post(url, order, http->timeout_ms, body, &head, &status);
     bool ok;
 
     if (code == CURLE_OK) {
@@ -160,8 +169,9 @@
                      http->timeout_ms);
     }
     else {
-        ok = err_set(err, ERR_IO, "%s: no complete response: %s", url,
-                     curl_easy_strerror(code));
+        ok = err_set(err, ERR_IO, "%s: no usable response: %s", url,
+                     head.fault != NULL ? head.fault
+                                        : curl_easy_strerror(code));
     }
     g_string_free(body, TRUE);
     return ok;
--- a/test/place_test.c
+++ b/test/place_test.c
@@ -1065,6 +1065,17 @@
 
 static const struct http_case http_cases[] = {
     {"loaded", ANSWER("200", "2", "{}"), false, ERR_NONE},
+    {"loaded_by_something_else", ANSWER("200", "2", "ok"), false, ERR_IO},
+    {"loaded_without_body", ANSWER("200", "0", ""), false, ERR_IO},
+    {"encoded",
+     "HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\n"
+     "Content-Length: 2\r\n\r\n{}",
+     false, ERR_IO},
+    {"redirected",
+     "HTTP/1.1 307 X\r\nLocation: /v1/load\r\n"
+     "Content-Length: 2\r\n\r\n{}",
+     false, ERR_IO},
+    {"part", ANSWER("206", "2", "{}"), false, ERR_IO},
     {"old_fence", ANSWER("409", "21", "{\"error\":\"fence_old\"}"), false,
      ERR_FENCE_OLD},
     {"other_conflict", ANSWER("409", "16", "{\"error\":\"busy\"}"), false,
