Fault soak: engines' responses are spoilt, refused and failed

The soak's engines answered each request once and whole, so that MIXED and ORDER could not be broken by what a target writes, and nothing was refused or failed, so that hardly a request was sent twice.

A second source of faults, drawn from the seed beside the first, strikes a share of the responses of all engines. In the proxy: written twice, in a row or again in front of later responses; followed by extra bytes, at once or late; with Content-Encoding and other bytes; unsigned; preceded by a 1xx response; replaced by bytes that are no HTTP; broken off, closed or reset; without a length, whole or reset. In the engines: refused as not run, signed status 500, and a body that is no event stream. One body in eight is longer than a gate buffers.

Callers check besides: status and seal against what an engine gave to that attempt, any Content-Encoding, the body of a signed failure, the beginning of an incomplete body, statuses that are no answer, bytes on a connection without a request. All violations are printed.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -69,6 +69,9 @@
 {
     struct reply *reply = parser->data;
 
+    reply->encoded =
+        reply->encoded || (count == strlen("Content-Encoding") &&
+                           strncasecmp(bytes, "Content-Encoding", count) == 0);
     /* '?' marks the attempt id as pending: its value follows its name. */
     reply->signed_by_target = reply->signed_by_target ||
                               (count == strlen("Server-Seal") &&
@@ -159,6 +162,15 @@
     return true;
 }
 
+/* Whether bytes have arrived while no request waited for a response. */
+static bool
+has_unsolicited_bytes(int fd)
+{
+    char byte;
+
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static int
 connect_to_port(int port)
 {
@@ -193,30 +205,61 @@
 static char *
 expected_body(const struct soak_request *request, int service)
 {
-    GString *text = g_string_new(NULL);
+    GString *text;
 
     if (!request_kinds[request->kind].stream) {
-        g_string_printf(text, "%s by p%d", request->attempt_id, service);
+        return soak_body(request->attempt_id, service == 0 ? "p0" : "p1");
     }
-    for (int i = 0; request_kinds[request->kind].stream && i < STREAM_EVENTS;
-         i++) {
+    text = g_string_new(NULL);
+    for (int i = 0; i < STREAM_EVENTS; i++) {
         g_string_append_printf(text, "id: %d\ndata: %s:%d\n\n", i,
                                request->attempt_id, i);
     }
     return g_string_free(text, FALSE);
 }
 
+/* Whether a complete body is the expected one, and an incomplete one its
+ * beginning. */
+static bool
+body_is(const struct reply *reply, const char *expected)
+{
+    size_t count = strlen(expected);
+    const GString *body = reply->body;
+
+    return (reply->complete ? body->len == count : body->len <= count) &&
+           memcmp(expected, body->str, body->len) == 0;
+}
+
 static bool
 body_matches(const struct soak_request *request, const struct reply *reply,
              int service)
 {
     char *text = expected_body(request, service);
-    bool same = strcmp(text, reply->body->str) == 0;
+    bool same = body_is(reply, text);
 
     g_free(text);
     return same;
 }
 
+static bool
+is_failure_body(const struct soak_request *request, const struct reply *reply)
+{
+    char *text = g_strdup_printf("%s failed", request->attempt_id);
+    bool same = body_is(reply, text);
+
+    g_free(text);
+    return same;
+}
+
+/* Whether the body is the one that an engine gave in place of a stream. */
+static bool
+is_body_without_events(struct soak *soak, const struct soak_request *request,
+                       const struct reply *reply)
+{
+    return is_failure_body(request, reply) &&
+           soak_was_answered(soak, request->attempt_id, STATUS_NO_EVENTS);
+}
+
 /* Checks that gates without faults apply a config version within
  * CONFIG_BOUND_MS, and that no process reverts to an older version. */
 static void
@@ -261,15 +304,12 @@
     }
 }
 
+/* Checks that an engine gave a signed response to this request with the same
+ * status. */
 static void
-check_success(struct caller_state *state, const struct soak_request *request,
-              const struct reply *reply)
+check_origin(struct soak *soak, const struct soak_request *request,
+             const struct reply *reply)
 {
-    struct soak *soak = state->soak;
-
-    if (!reply->complete) {
-        return;
-    }
     if (!reply->signed_by_target ||
         strcmp(reply->attempt_id, request->attempt_id) != 0) {
         soak_record_failure(soak,
@@ -277,16 +317,41 @@
                             request->attempt_id, reply->attempt_id,
                             reply->signed_by_target ? "" : ", unsigned");
     }
-    if (request->kind == KIND_CONFIG) {
+    if (reply->encoded) {
+        soak_record_failure(soak, "MIXED: %s received an encoded body",
+                            request->attempt_id);
+    }
+    if (!soak_was_answered(soak, request->attempt_id, reply->status) &&
+        !is_body_without_events(soak, request, reply)) {
+        soak_record_failure(soak,
+                            "MIXED: %s received status %d, which no engine "
+                            "gave",
+                            request->attempt_id, reply->status);
+    }
+}
+
+static void
+check_success(struct caller_state *state, const struct soak_request *request,
+              const struct reply *reply)
+{
+    struct soak *soak = state->soak;
+
+    check_origin(soak, request, reply);
+    if (request->kind == KIND_CONFIG && reply->complete) {
         check_version(state, request, reply);
     }
-    else if (!body_matches(request, reply,
-                           request->kind == KIND_AT_MOST_ONCE ? 0 : 1)) {
+    else if (request->kind != KIND_CONFIG &&
+             !body_matches(request, reply,
+                           request->kind == KIND_AT_MOST_ONCE ? 0 : 1) &&
+             !is_body_without_events(soak, request, reply)) {
         soak_record_failure(soak, "%s: %s received \"%.60s\"",
                             request_kinds[request->kind].stream ? "ORDER"
                                                                 : "MIXED",
                             request->attempt_id, reply->body->str);
     }
+    if (!reply->complete) {
+        return;
+    }
     pthread_mutex_lock(&soak->lock);
     soak->served_count++;
     if (soak->faults_ended_ms != 0 &&
@@ -296,11 +361,28 @@
     pthread_mutex_unlock(&soak->lock);
 }
 
+/* A failure with the seal is an engine's, any other is the gate's. */
+static void
+check_failure(struct soak *soak, const struct soak_request *request,
+              const struct reply *reply)
+{
+    if (!reply->signed_by_target) {
+        return;
+    }
+    check_origin(soak, request, reply);
+    if (!is_failure_body(request, reply)) {
+        soak_record_failure(soak, "MIXED: %s received \"%.60s\"",
+                            request->attempt_id, reply->body->str);
+    }
+}
+
 static void
 check_reply(struct caller_state *state, const struct soak_request *request,
             const struct reply *reply)
 {
     switch (reply->status) {
+    case 0:
+        break;
     case -1:
         soak_record_failure(state->soak, "MIXED: %s received invalid HTTP",
                             request->attempt_id);
@@ -323,7 +405,14 @@
         soak_record_failure(state->soak, "DENIED: %s received status %d",
                             request->attempt_id, reply->status);
         break;
+    case 500:
+    case 502:
+    case 504:
+        check_failure(state->soak, request, reply);
+        break;
     default:
+        soak_record_failure(state->soak, "MIXED: %s received status %d",
+                            request->attempt_id, reply->status);
         break;
     }
 }
@@ -387,6 +476,11 @@
 
     prepare_request(state, &request);
     fd = &state->fds[request.gate->number];
+    if (*fd >= 0 && has_unsolicited_bytes(*fd)) {
+        soak_record_failure(state->soak,
+                            "MIXED: gate %d sent bytes before %s was sent",
+                            request.gate->number, request.attempt_id);
+    }
     if (*fd >= 0 &&
         g_rand_int_range(state->random, 0, 100) < RECONNECT_PERCENT) {
         close(*fd);
--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -11,22 +11,28 @@
 #include "test/soak/dat.h"
 #include "test/soak/fns.h"
 
-/* Records a violated guarantee; only the first one is kept. Must be called
- * without the lock. */
+enum { LARGE_BODY_STEP = 8, LARGE_BODY_BYTES = 300000 };
+
+/* Records a violated guarantee. All are printed, as the first one need not be
+ * the one that is sought; the result names the first. Must be called without
+ * the lock. */
 void
 soak_record_failure(struct soak *soak, const char *format, ...)
 {
     va_list arguments;
+    char *text;
 
+    va_start(arguments, format);
+    text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
     pthread_mutex_lock(&soak->lock);
+    g_test_message("%d ms: violated: %s",
+                   (int)(clock_now_ms() - soak->start_ms), text);
     if (soak->failure->len == 0) {
-        g_string_printf(soak->failure,
-                        "at %d ms: ", (int)(clock_now_ms() - soak->start_ms));
-        va_start(arguments, format);
-        g_string_append_vprintf(soak->failure, format, arguments);
-        va_end(arguments);
+        g_string_assign(soak->failure, text);
     }
     pthread_mutex_unlock(&soak->lock);
+    g_free(text);
 }
 
 /* Records that an engine starts a request, and checks that an at-most-once
@@ -69,6 +75,48 @@
     }
 }
 
+static char *
+answer_key(const char *attempt, int status)
+{
+    return g_strdup_printf("%s %d", attempt, status);
+}
+
+/* Records that an engine answers a request with a signed response. */
+void
+soak_record_answer(struct soak *soak, const char *attempt, int status)
+{
+    pthread_mutex_lock(&soak->lock);
+    g_hash_table_add(soak->answered, answer_key(attempt, status));
+    pthread_mutex_unlock(&soak->lock);
+}
+
+bool
+soak_was_answered(struct soak *soak, const char *attempt, int status)
+{
+    char *key = answer_key(attempt, status);
+    bool answered;
+
+    pthread_mutex_lock(&soak->lock);
+    answered = g_hash_table_contains(soak->answered, key);
+    pthread_mutex_unlock(&soak->lock);
+    g_free(key);
+    return answered;
+}
+
+/* The body with which an engine answers a request. Some are longer than a gate
+ * buffers. */
+char *
+soak_body(const char *attempt, const char *service)
+{
+    GString *body = g_string_new(NULL);
+
+    do {
+        g_string_append_printf(body, "%s by %s", attempt, service);
+    } while (g_str_hash(attempt) % LARGE_BODY_STEP == 0 &&
+             body->len < LARGE_BODY_BYTES);
+    return g_string_free(body, FALSE);
+}
+
 static char *
 models_text(void)
 {
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -26,6 +26,9 @@
     RESUME_GRACE_MS = 300,
 };
 
+/* Stands for status 200 with a body that is no event stream. */
+enum { STATUS_NO_EVENTS = 1200 };
+
 enum request_kind {
     KIND_AT_MOST_ONCE,
     KIND_IDEMPOTENT,
@@ -54,19 +57,69 @@
     LINK_MODE_COUNT,
 };
 
+/**
+ * enum spoil_kind - how a response of an engine is spoilt
+ * @SPOIL_REPEATED: written twice in a row
+ * @SPOIL_REPEATED_LATE: written again in front of later responses
+ * @SPOIL_EXTRA_BYTES: followed by bytes that belong to no request
+ * @SPOIL_EXTRA_BYTES_LATE: such bytes are written in front of the next
+ * response
+ * @SPOIL_ENCODED: with Content-Encoding and a body of other bytes
+ * @SPOIL_UNSIGNED: without the engine's signature
+ * @SPOIL_INTERIM: preceded by a 1xx response
+ * @SPOIL_NOT_HTTP: replaced by bytes that are no response
+ * @SPOIL_BROKEN_FIN: breaks off, and the connection is closed
+ * @SPOIL_BROKEN_RESET: breaks off, and the connection is reset
+ * @SPOIL_UNFRAMED: whole, without a length, ended by the close
+ * @SPOIL_UNFRAMED_RESET: the same, and reset on the way
+ */
+enum spoil_kind {
+    SPOIL_REPEATED,
+    SPOIL_REPEATED_LATE,
+    SPOIL_EXTRA_BYTES,
+    SPOIL_EXTRA_BYTES_LATE,
+    SPOIL_ENCODED,
+    SPOIL_UNSIGNED,
+    SPOIL_INTERIM,
+    SPOIL_NOT_HTTP,
+    SPOIL_BROKEN_FIN,
+    SPOIL_BROKEN_RESET,
+    SPOIL_UNFRAMED,
+    SPOIL_UNFRAMED_RESET,
+    SPOIL_COUNT,
+};
+
+enum spoil_close { SPOIL_CLOSE_NONE, SPOIL_CLOSE_FIN, SPOIL_CLOSE_RESET };
+
+/**
+ * enum engine_fault - what engines do with a share of the requests
+ * @ENGINE_FULL: refuse them as not run
+ * @ENGINE_FAILING: run them and answer with a signed failure
+ * @ENGINE_NO_EVENTS: answer streams with a body that is no event stream
+ */
+enum engine_fault {
+    ENGINE_FULL,
+    ENGINE_FAILING,
+    ENGINE_NO_EVENTS,
+    ENGINE_FAULT_COUNT,
+};
+
 /**
  * struct link - listening socket of the proxy and the server behind it
  * @server: address of the server; empty while none runs
+ * @spoils: its responses may be spoilt
  */
 struct link {
     int fd;
     int port;
     char server[ADDRESS_MAX_BYTES];
     enum link_mode mode;
+    bool spoils;
 };
 
 struct proxy;
 struct soak_store;
+struct spoiler;
 
 /**
  * struct soak_engine - simulated model engine or plain target
@@ -127,9 +180,12 @@
 
 /**
  * struct soak - state of one run
+ * @random: for the draws of the engines
  * @lock: guards all fields that several threads use
  * @failure: first violated guarantee; empty if there is none
  * @run_counts: attempt id -> number of times that an engine ran it
+ * @answered: "ATTEMPT_ID STATUS" of each response that an engine signed
+ * @engine_percents: share of the requests that each engine fault strikes
  * @refused: attempt ids of at-most-once requests that were refused as not run
  * @config_version: last configuration version that the store acknowledged
  * @config_acked_ms: when the store acknowledged it
@@ -147,6 +203,8 @@
     GString *failure;
     GHashTable *run_counts;
     GHashTable *refused;
+    GHashTable *answered;
+    int engine_percents[ENGINE_FAULT_COUNT];
     int64_t config_version;
     int64_t config_acked_ms;
     int64_t store_fault_until_ms;
@@ -167,11 +225,13 @@
  * struct reply - response that a caller received
  * @status: 0 without a complete response head, -1 for invalid HTTP
  * @complete: the HTTP message was complete
+ * @encoded: it has a Content-Encoding
  */
 struct reply {
     int status;
     bool complete;
     bool signed_by_target;
+    bool encoded;
     bool keep_alive;
     char attempt_id[NAME_MAX_BYTES];
     GString *body;
--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -388,6 +388,7 @@
     struct stream *stream = g_new0(struct stream, 1);
     const char *last = u_map_get_case(request->map_header, "Last-Event-Id");
 
+    soak_record_answer(engine->soak, attempt, 200);
     stream->engine = engine;
     g_strlcpy(stream->engine_id, engine->id, sizeof(stream->engine_id));
     g_strlcpy(stream->attempt_id, attempt, sizeof(stream->attempt_id));
@@ -420,6 +421,14 @@
     return true;
 }
 
+/* Called with the lock held. */
+static bool
+strikes(const struct soak_engine *engine, enum engine_fault fault)
+{
+    return g_rand_int_range(engine->soak->random, 0, 100) <
+           engine->soak->engine_percents[fault];
+}
+
 /* Returns the HTTP status of a refusal, 0 when the request may run. Called
  * with the lock held. */
 static unsigned
@@ -434,7 +443,33 @@
     if (model != NULL && !names_contain(engine->loaded, model)) {
         return 421;
     }
-    return engine->down ? 503 : 0;
+    return engine->down || strikes(engine, ENGINE_FULL) ? 503 : 0;
+}
+
+/* Answers with a signed failure, or, if @status is 200, with the same body in
+ * place of the stream that was asked for. */
+static void
+respond_with_text(struct soak_engine *engine, const char *attempt,
+                  unsigned status, struct _u_response *response)
+{
+    char *body = g_strdup_printf("%s failed", attempt);
+
+    soak_record_answer(engine->soak, attempt,
+                       status == 200 ? STATUS_NO_EVENTS : (int)status);
+    ulfius_set_string_body_response(response, status, body);
+    g_free(body);
+}
+
+static void
+respond(struct soak_engine *engine, const char *attempt,
+        struct _u_response *response)
+{
+    char *body = soak_body(attempt, engine->service);
+
+    soak_delay(RUN_MS);
+    soak_record_answer(engine->soak, attempt, 200);
+    ulfius_set_string_body_response(response, 200, body);
+    g_free(body);
 }
 
 static int
@@ -447,11 +482,18 @@
     bool stream = strstr(path, "stream/") != NULL || strstr(path, "chat/");
     bool once = strstr(path, "once/") != NULL || strstr(path, "chat/");
     bool drained;
+    unsigned failure = 0;
     unsigned status;
 
     pthread_mutex_lock(&engine->soak->lock);
     finish_load(engine, clock_now_ms());
     status = refusal_status(engine, request);
+    if (strikes(engine, ENGINE_FAILING)) {
+        failure = 500;
+    }
+    else if (stream && strikes(engine, ENGINE_NO_EVENTS)) {
+        failure = 200;
+    }
     drained = status == 0 && drain_is_known(engine, clock_now_ms());
     pthread_mutex_unlock(&engine->soak->lock);
     attempt = attempt != NULL ? attempt : "";
@@ -462,21 +504,19 @@
     }
     if (status != 0) {
         ulfius_add_header_to_response(response, "Not-Executed", "1");
-        ulfius_set_string_body_response(response, status, "");
+        ulfius_set_string_body_response(response, status, "not run");
         return U_CALLBACK_COMPLETE;
     }
     soak_record_run(engine->soak, attempt, once);
     ulfius_add_header_to_response(response, "Server-Seal", "s");
-    if (stream) {
+    if (failure != 0) {
+        respond_with_text(engine, attempt, failure, response);
+    }
+    else if (stream) {
         start_stream(engine, request, attempt, response);
-        return U_CALLBACK_COMPLETE;
     }
-    soak_delay(RUN_MS);
-    {
-        char *body = g_strdup_printf("%s by %s", attempt, engine->service);
-
-        ulfius_set_string_body_response(response, 200, body);
-        g_free(body);
+    else {
+        respond(engine, attempt, response);
     }
     return U_CALLBACK_COMPLETE;
 }
@@ -493,7 +533,7 @@
     engine->number = number;
     engine->loaded = g_ptr_array_new_with_free_func(g_free);
     engine->local_copies = g_ptr_array_new_with_free_func(g_free);
-    engine->link = proxy_add_link(soak->proxy);
+    engine->link = proxy_add_link(soak->proxy, true);
     if (number < MODEL_ENGINES) {
         g_strlcpy(engine->service, "chat", sizeof(engine->service));
     }
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -12,6 +12,9 @@
 
 enum {
     ACTIVE_MAX = 5,
+    RESPONSE_FAULTS_MAX = 5,
+    SHARE_MIN_PERCENT = 5,
+    SHARE_MAX_PERCENT = 60,
     INTERVAL_MAX_MS = 700,
     DURATION_MIN_MS = 400,
     DURATION_MAX_MS = 6000, /* twice the lease of the holder and the engines */
@@ -32,6 +35,7 @@
  *                    checks that require this stay in force
  * @target_count: number of possible targets
  * @end: undoes the fault; false when it must be called again later
+ * @kind: the enum spoil_kind or enum engine_fault that it begins and ends
  */
 struct fault_ops {
     const char *name;
@@ -39,15 +43,39 @@
     int target_count;
     void (*begin)(struct soak *soak, struct fault *fault);
     bool (*end)(struct soak *soak, struct fault *fault);
+    int kind;
 };
 
+/**
+ * struct fault - a fault in progress
+ * @random: of its source
+ * @percent: share of the responses or requests that it strikes
+ */
 struct fault {
     const struct fault_ops *ops;
+    GRand *random;
     int target;
     enum link_mode mode;
+    int percent;
     int64_t end_ms;
 };
 
+/**
+ * struct fault_source - faults that are drawn independently of other sources
+ * @kinds: what it draws from
+ * @active_max: how many of its faults are in progress at most
+ * @active: struct fault of those in progress
+ * @next_ms: when it draws the next one
+ */
+struct fault_source {
+    const struct fault_ops *kinds;
+    int kind_count;
+    guint active_max;
+    GRand *random;
+    GArray *active;
+    int64_t next_ms;
+};
+
 static void
 set_gate_fault_until(struct soak *soak, struct soak_gate *gate,
                      int64_t until_ms)
@@ -138,16 +166,16 @@
 }
 
 static void
-pick_link_mode(struct soak *soak, struct fault *fault)
+pick_link_mode(struct fault *fault)
 {
-    fault->mode = (enum link_mode)g_rand_int_range(soak->random, LINK_DELAY,
+    fault->mode = (enum link_mode)g_rand_int_range(fault->random, LINK_DELAY,
                                                    LINK_MODE_COUNT);
 }
 
 static void
 begin_frontend_link(struct soak *soak, struct fault *fault)
 {
-    pick_link_mode(soak, fault);
+    pick_link_mode(fault);
     set_gate_fault_until(soak, fault_gate(soak, fault), INT64_MAX);
     proxy_set_mode(soak->proxy, fault_gate(soak, fault)->frontend_link,
                    fault->mode);
@@ -165,7 +193,7 @@
 static void
 begin_store_link(struct soak *soak, struct fault *fault)
 {
-    pick_link_mode(soak, fault);
+    pick_link_mode(fault);
     set_gate_fault_until(soak, fault_gate(soak, fault), INT64_MAX);
     proxy_set_mode(soak->proxy, fault_gate(soak, fault)->store_link,
                    fault->mode);
@@ -183,7 +211,7 @@
 static void
 begin_engine_link(struct soak *soak, struct fault *fault)
 {
-    pick_link_mode(soak, fault);
+    pick_link_mode(fault);
     proxy_set_mode(soak->proxy, fault_engine(soak, fault)->link, fault->mode);
 }
 
@@ -277,10 +305,9 @@
 static void
 begin_store_responses_lost(struct soak *soak, struct fault *fault)
 {
-    (void)fault;
     set_store_fault_until(soak, INT64_MAX);
     soak_store_lose_responses(soak->store,
-                              g_rand_int_range(soak->random, 1, 10));
+                              g_rand_int_range(fault->random, 1, 10));
 }
 
 static bool
@@ -306,23 +333,87 @@
     soak_write_config(soak);
 }
 
+static void
+begin_spoiling(struct soak *soak, struct fault *fault)
+{
+    fault->percent =
+        g_rand_int_range(fault->random, SHARE_MIN_PERCENT, SHARE_MAX_PERCENT);
+    proxy_set_spoiling(soak->proxy, (enum spoil_kind)fault->ops->kind,
+                       fault->percent);
+}
+
+static bool
+end_spoiling(struct soak *soak, struct fault *fault)
+{
+    proxy_set_spoiling(soak->proxy, (enum spoil_kind)fault->ops->kind, 0);
+    return true;
+}
+
+static void
+set_engine_percent(struct soak *soak, const struct fault *fault)
+{
+    pthread_mutex_lock(&soak->lock);
+    soak->engine_percents[fault->ops->kind] = fault->percent;
+    pthread_mutex_unlock(&soak->lock);
+}
+
+static void
+begin_engine_fault(struct soak *soak, struct fault *fault)
+{
+    fault->percent =
+        g_rand_int_range(fault->random, SHARE_MIN_PERCENT, SHARE_MAX_PERCENT);
+    set_engine_percent(soak, fault);
+}
+
+static bool
+end_engine_fault(struct soak *soak, struct fault *fault)
+{
+    fault->percent = 0;
+    set_engine_percent(soak, fault);
+    return true;
+}
+
 static const struct fault_ops fault_kinds[] = {
-    {"gate_kill", false, GATES, begin_kill, end_restart},
-    {"gate_term", false, GATES, begin_terminate, end_restart},
-    {"gate_pause", false, GATES, begin_pause, end_pause},
-    {"gate_reload", true, GATES, begin_reload, end_nothing},
-    {"front_link", false, GATES, begin_frontend_link, end_frontend_link},
-    {"store_link", false, GATES, begin_store_link, end_store_link},
-    {"engine_link", true, ENGINES, begin_engine_link, end_engine_link},
-    {"answers_lost", true, ENGINES, begin_responses_lost, end_engine_link},
-    {"engine_crash", true, ENGINES, begin_crash, end_crash},
-    {"engine_leave", true, ENGINES, begin_drain, end_drain},
-    {"store_away", false, 1, begin_store_down, end_store_down},
-    {"store_slow", false, 1, begin_store_slow, end_store_slow},
+    {"gate_kill", false, GATES, begin_kill, end_restart, 0},
+    {"gate_term", false, GATES, begin_terminate, end_restart, 0},
+    {"gate_pause", false, GATES, begin_pause, end_pause, 0},
+    {"gate_reload", true, GATES, begin_reload, end_nothing, 0},
+    {"front_link", false, GATES, begin_frontend_link, end_frontend_link, 0},
+    {"store_link", false, GATES, begin_store_link, end_store_link, 0},
+    {"engine_link", true, ENGINES, begin_engine_link, end_engine_link, 0},
+    {"answers_lost", true, ENGINES, begin_responses_lost, end_engine_link, 0},
+    {"engine_crash", true, ENGINES, begin_crash, end_crash, 0},
+    {"engine_leave", true, ENGINES, begin_drain, end_drain, 0},
+    {"store_away", false, 1, begin_store_down, end_store_down, 0},
+    {"store_slow", false, 1, begin_store_slow, end_store_slow, 0},
     {"store_lose", false, 1, begin_store_responses_lost,
-     end_store_responses_lost},
-    {"store_forget", true, 1, begin_store_compaction, end_nothing},
-    {"config", true, 1, begin_config, end_nothing},
+     end_store_responses_lost, 0},
+    {"store_forget", true, 1, begin_store_compaction, end_nothing, 0},
+    {"config", true, 1, begin_config, end_nothing, 0},
+};
+
+/* These strike all engines. */
+static const struct fault_ops response_fault_kinds[] = {
+    {"repeated", true, 1, begin_spoiling, end_spoiling, SPOIL_REPEATED},
+    {"repeated_late", true, 1, begin_spoiling, end_spoiling,
+     SPOIL_REPEATED_LATE},
+    {"extra_bytes", true, 1, begin_spoiling, end_spoiling, SPOIL_EXTRA_BYTES},
+    {"extra_bytes_late", true, 1, begin_spoiling, end_spoiling,
+     SPOIL_EXTRA_BYTES_LATE},
+    {"encoded", true, 1, begin_spoiling, end_spoiling, SPOIL_ENCODED},
+    {"unsigned", true, 1, begin_spoiling, end_spoiling, SPOIL_UNSIGNED},
+    {"interim", true, 1, begin_spoiling, end_spoiling, SPOIL_INTERIM},
+    {"not_http", true, 1, begin_spoiling, end_spoiling, SPOIL_NOT_HTTP},
+    {"broken_fin", true, 1, begin_spoiling, end_spoiling, SPOIL_BROKEN_FIN},
+    {"broken_reset", true, 1, begin_spoiling, end_spoiling,
+     SPOIL_BROKEN_RESET},
+    {"unframed", true, 1, begin_spoiling, end_spoiling, SPOIL_UNFRAMED},
+    {"unframed_reset", true, 1, begin_spoiling, end_spoiling,
+     SPOIL_UNFRAMED_RESET},
+    {"full", true, 1, begin_engine_fault, end_engine_fault, ENGINE_FULL},
+    {"failing", true, 1, begin_engine_fault, end_engine_fault, ENGINE_FAILING},
+    {"no_events", true, 1, begin_engine_fault, end_engine_fault,
+     ENGINE_NO_EVENTS},
 };
 
 /* Whether an active fault of the same target excludes @fault: one with the
@@ -333,7 +424,8 @@
 {
     for (guint i = 0; i < active->len; i++) {
         const struct fault *other = &g_array_index(active, struct fault, i);
-        bool same_end = other->ops->end == fault->ops->end ||
+        bool same_end = (other->ops->end == fault->ops->end &&
+                         other->ops->kind == fault->ops->kind) ||
                         (other->ops->begin == begin_drain &&
                          fault->ops->begin == begin_crash) ||
                         (other->ops->begin == begin_crash &&
@@ -349,27 +441,30 @@
 }
 
 static void
-begin_fault(struct soak *soak, GArray *active)
-{
-    struct fault fault = {.ops = &fault_kinds[g_rand_int_range(
-                              soak->random, 0, G_N_ELEMENTS(fault_kinds))]};
-
-    fault.target = g_rand_int_range(soak->random, 0, fault.ops->target_count);
-    fault.end_ms =
-        clock_now_ms() +
-        g_rand_int_range(soak->random, DURATION_MIN_MS, DURATION_MAX_MS);
-    if (active->len >= ACTIVE_MAX || conflicts_with_active(active, &fault) ||
+begin_fault(struct soak *soak, struct fault_source *source)
+{
+    GRand *random = source->random;
+    struct fault fault = {
+        .ops = &source->kinds[g_rand_int_range(random, 0, source->kind_count)],
+        .random = random,
+    };
+
+    fault.target = g_rand_int_range(random, 0, fault.ops->target_count);
+    fault.end_ms = clock_now_ms() +
+                   g_rand_int_range(random, DURATION_MIN_MS, DURATION_MAX_MS);
+    if (source->active->len >= source->active_max ||
+        conflicts_with_active(source->active, &fault) ||
         (soak->seed % GATES_UNAFFECTED_SEED_STEP == 0 &&
          !fault.ops->gates_unaffected)) {
         return;
     }
     fault.ops->begin(soak, &fault);
     soak->fault_count++;
-    g_test_message("%d ms: %s %d mode %d for %d ms",
+    g_test_message("%d ms: %s %d mode %d share %d for %d ms",
                    (int)(clock_now_ms() - soak->start_ms), fault.ops->name,
-                   fault.target, (int)fault.mode,
+                   fault.target, (int)fault.mode, fault.percent,
                    (int)(fault.end_ms - clock_now_ms()));
-    g_array_append_val(active, fault);
+    g_array_append_val(source->active, fault);
 }
 
 static void
@@ -396,28 +491,56 @@
     }
 }
 
+/* Draws and begins a fault when it is time. */
+static void
+tick_source(struct soak *soak, struct fault_source *source, int64_t now_ms)
+{
+    if (now_ms >= source->next_ms) {
+        begin_fault(soak, source);
+        source->next_ms =
+            now_ms + g_rand_int_range(source->random, 50, INTERVAL_MAX_MS);
+    }
+}
+
 /* Injects faults until @until_ms, then ends all of them. */
 void
 soak_inject_faults(struct soak *soak, int64_t until_ms)
 {
-    GArray *active = g_array_new(FALSE, FALSE, sizeof(struct fault));
-    int64_t next_ms = clock_now_ms();
+    struct fault_source sources[] = {
+        {.kinds = fault_kinds,
+         .kind_count = G_N_ELEMENTS(fault_kinds),
+         .active_max = ACTIVE_MAX,
+         .random = g_rand_new_with_seed((guint32)soak->seed)},
+        {.kinds = response_fault_kinds,
+         .kind_count = G_N_ELEMENTS(response_fault_kinds),
+         .active_max = RESPONSE_FAULTS_MAX,
+         .random = g_rand_new_with_seed(~(guint32)soak->seed)},
+    };
     int64_t engines_ms = 0;
     int64_t now_ms;
+    guint active = 0;
 
-    while ((now_ms = clock_now_ms()) < until_ms || active->len > 0) {
-        end_faults(soak, active,
-                   now_ms >= until_ms ? now_ms + END_ALL_MS : now_ms);
+    for (size_t i = 0; i < G_N_ELEMENTS(sources); i++) {
+        sources[i].active = g_array_new(FALSE, FALSE, sizeof(struct fault));
+    }
+    while ((now_ms = clock_now_ms()) < until_ms || active > 0) {
+        active = 0;
         tick_engines(soak, &engines_ms, now_ms);
         for (int i = 0; i < GATES; i++) {
             soak_gate_reap(soak, &soak->gates[i]);
         }
-        if (now_ms < until_ms && now_ms >= next_ms) {
-            begin_fault(soak, active);
-            next_ms =
-                now_ms + g_rand_int_range(soak->random, 50, INTERVAL_MAX_MS);
+        for (size_t i = 0; i < G_N_ELEMENTS(sources); i++) {
+            end_faults(soak, sources[i].active,
+                       now_ms >= until_ms ? now_ms + END_ALL_MS : now_ms);
+            if (now_ms < until_ms) {
+                tick_source(soak, &sources[i], now_ms);
+            }
+            active += sources[i].active->len;
         }
         soak_delay(TICK_MS);
     }
-    g_array_free(active, TRUE);
+    for (size_t i = 0; i < G_N_ELEMENTS(sources); i++) {
+        g_array_free(sources[i].active, TRUE);
+        g_rand_free(sources[i].random);
+    }
 }
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -2,14 +2,25 @@
 #define SOAK_FNS_H
 
 /* proxy.c */
-struct proxy *proxy_new(void);
+struct proxy *proxy_new(uint64_t seed);
 void proxy_free(struct proxy *proxy);
-struct link *proxy_add_link(struct proxy *proxy);
+struct link *proxy_add_link(struct proxy *proxy, bool spoils);
 void proxy_set_server(struct proxy *proxy, struct link *link,
                       const char *server);
 void proxy_set_mode(struct proxy *proxy, struct link *link,
                     enum link_mode mode);
 
+void proxy_set_spoiling(struct proxy *proxy, enum spoil_kind kind,
+                        int percent);
+
+/* spoil.c */
+struct spoiler *spoiler_new(const int *percents, GRand *random);
+void spoiler_free(struct spoiler *spoiler);
+enum spoil_close spoiler_forward(struct spoiler *spoiler, guint8 *bytes,
+                                 size_t count, GByteArray *out);
+void spoiler_request_arrived(struct spoiler *spoiler, GByteArray *out);
+bool spoiler_in_unframed_body(const struct spoiler *spoiler);
+
 /* store.c */
 struct soak_store *soak_store_new(const char *address);
 void soak_store_free(struct soak_store *store);
@@ -54,6 +65,9 @@
     G_GNUC_PRINTF(2, 3);
 void soak_record_run(struct soak *soak, const char *attempt, bool once);
 void soak_record_refusal(struct soak *soak, const char *attempt);
+void soak_record_answer(struct soak *soak, const char *attempt, int status);
+bool soak_was_answered(struct soak *soak, const char *attempt, int status);
+char *soak_body(const char *attempt, const char *service);
 void soak_write_config(struct soak *soak);
 
 #endif
--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -29,8 +29,8 @@
     gate->number = number;
     g_snprintf(gate->ip, sizeof(gate->ip), "127.%d.%d.%d", 1 + pid / 250 % 250,
                1 + pid % 250, number + 1);
-    gate->frontend_link = proxy_add_link(soak->proxy);
-    gate->store_link = proxy_add_link(soak->proxy);
+    gate->frontend_link = proxy_add_link(soak->proxy, false);
+    gate->store_link = proxy_add_link(soak->proxy, false);
     front = g_strdup_printf("%s:%d", gate->ip, FRONTEND_PORT);
     server = g_strdup_printf("127.0.0.1:%d", store_port);
     proxy_set_server(soak->proxy, gate->frontend_link, front);
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -28,13 +28,15 @@
     GByteArray *buffered;
     int64_t due_ms;
     bool ended;
+    bool reset; /* ends with a reset */
 };
 
 /* Index 0 is the client's socket, 1 the server's. */
 struct pair {
     struct link *link;
     int fds[2];
-    struct flow flows[2]; /* by the socket that is read */
+    struct flow flows[2];    /* by the socket that is read */
+    struct spoiler *spoiler; /* of the server's bytes; may be NULL */
     bool dead;
 };
 
@@ -45,6 +47,8 @@
     struct link links[LINKS_MAX];
     int link_count;
     GPtrArray *pairs;
+    int spoil_percents[SPOIL_COUNT];
+    GRand *random;
 };
 
 static void
@@ -67,6 +71,9 @@
         close(pair->fds[i]);
         g_byte_array_free(pair->flows[i].buffered, TRUE);
     }
+    if (pair->spoiler != NULL) {
+        spoiler_free(pair->spoiler);
+    }
     g_free(pair);
 }
 
@@ -85,6 +92,25 @@
     }
 }
 
+/* Buffers bytes read from @end, spoilt if they are the server's. */
+static void
+buffer_bytes(struct pair *pair, int end, guint8 *bytes, size_t count)
+{
+    struct flow *flow = &pair->flows[end];
+    enum spoil_close close;
+
+    if (pair->spoiler == NULL || end == 0) {
+        g_byte_array_append(flow->buffered, bytes, (guint)count);
+        if (pair->spoiler != NULL) {
+            spoiler_request_arrived(pair->spoiler, pair->flows[1].buffered);
+        }
+        return;
+    }
+    close = spoiler_forward(pair->spoiler, bytes, count, flow->buffered);
+    flow->ended = close != SPOIL_CLOSE_NONE;
+    flow->reset = close == SPOIL_CLOSE_RESET;
+}
+
 static void
 read_end(struct pair *pair, int end, int64_t now_ms)
 {
@@ -107,12 +133,14 @@
     }
     else if (count == 0) {
         flow->ended = true;
+        flow->reset = end == 1 && pair->spoiler != NULL &&
+                      spoiler_in_unframed_body(pair->spoiler);
     }
     else if (pair->link->mode == LINK_RESET_ON_RESPONSE && end == 1) {
         pair->dead = true;
     }
     else {
-        g_byte_array_append(flow->buffered, bytes, (guint)count);
+        buffer_bytes(pair, end, bytes, (size_t)count);
         flow->due_ms =
             pair->link->mode == LINK_DELAY ? now_ms + DELAY_MS : now_ms;
     }
@@ -137,7 +165,12 @@
     }
     if (flow->ended && flow->buffered->len == 0 &&
         forwards_from(pair->link, end)) {
-        shutdown(to, SHUT_WR);
+        if (flow->reset) {
+            pair->dead = true;
+        }
+        else {
+            shutdown(to, SHUT_WR);
+        }
     }
 }
 
@@ -181,6 +214,9 @@
     pair->fds[1] = server;
     pair->flows[0].buffered = g_byte_array_new();
     pair->flows[1].buffered = g_byte_array_new();
+    if (link->spoils) {
+        pair->spoiler = spoiler_new(proxy->spoil_percents, proxy->random);
+    }
     g_ptr_array_add(proxy->pairs, pair);
 }
 
@@ -261,11 +297,12 @@
 }
 
 struct proxy *
-proxy_new(void)
+proxy_new(uint64_t seed)
 {
     struct proxy *proxy = g_new0(struct proxy, 1);
 
     pthread_mutex_init(&proxy->lock, NULL);
+    proxy->random = g_rand_new_with_seed((guint32)seed * 31u + CALLERS);
     proxy->pairs = g_ptr_array_new_with_free_func(pair_free);
     g_assert_cmpint(pthread_create(&proxy->thread, NULL, run, proxy), ==, 0);
     return proxy;
@@ -280,12 +317,13 @@
     for (int i = 0; i < proxy->link_count; i++) {
         close(proxy->links[i].fd);
     }
+    g_rand_free(proxy->random);
     pthread_mutex_destroy(&proxy->lock);
     g_free(proxy);
 }
 
 struct link *
-proxy_add_link(struct proxy *proxy)
+proxy_add_link(struct proxy *proxy, bool spoils)
 {
     struct err err = {0};
     struct link *link;
@@ -295,6 +333,7 @@
     link = &proxy->links[proxy->link_count];
     link->fd = socket_listen("127.0.0.1:0", &link->port, &err);
     g_assert_cmpint(link->fd, >=, 0);
+    link->spoils = spoils;
     proxy->link_count++;
     pthread_mutex_unlock(&proxy->lock);
     return link;
@@ -319,3 +358,12 @@
     link->mode = mode;
     pthread_mutex_unlock(&proxy->lock);
 }
+
+/* Sets the share of the engines' responses that are spoilt so. */
+void
+proxy_set_spoiling(struct proxy *proxy, enum spoil_kind kind, int percent)
+{
+    pthread_mutex_lock(&proxy->lock);
+    proxy->spoil_percents[kind] = percent;
+    pthread_mutex_unlock(&proxy->lock);
+}
--- a/test/soak/run.c
+++ b/test/soak/run.c
@@ -51,10 +51,12 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     soak->refused =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    soak->answered =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_strlcpy(soak->directory, directory, sizeof(soak->directory));
     g_strlcpy(soak->program, program, sizeof(soak->program));
     g_free(directory);
-    soak->proxy = proxy_new();
+    soak->proxy = proxy_new(seed);
     soak->store = soak_store_new("127.0.0.1:0");
     soak_write_config(soak);
     for (int i = 0; i < ENGINES; i++) {
@@ -97,6 +99,7 @@
     remove_logs(soak);
     g_hash_table_destroy(soak->run_counts);
     g_hash_table_destroy(soak->refused);
+    g_hash_table_destroy(soak->answered);
     g_string_free(soak->failure, TRUE);
     g_rand_free(soak->random);
     pthread_mutex_destroy(&soak->lock);
