--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -12,7 +12,8 @@
 
 enum {
     ACTIVE_MAX = 5,
-    RESPONSE_FAULTS_MAX = 5,
+    RESPONSE_FAULTS_MAX = 6,
+    RESPONSE_FAULT_MAX_MS = 2500, /* short, so that a run has all of them */
     SHARE_MIN_PERCENT = 5,
     SHARE_MAX_PERCENT = 60,
     INTERVAL_MAX_MS = 700,
@@ -64,6 +65,7 @@
  * struct fault_source - faults that are drawn independently of other sources
  * @kinds: what it draws from
  * @active_max: how many of its faults are in progress at most
+ * @duration_max_ms: longest fault
  * @active: struct fault of those in progress
  * @next_ms: when it draws the next one
  */
@@ -71,6 +73,7 @@
     const struct fault_ops *kinds;
     int kind_count;
     guint active_max;
+    int duration_max_ms;
     GRand *random;
     GArray *active;
     int64_t next_ms;
@@ -450,8 +453,8 @@
     };
 
     fault.target = g_rand_int_range(random, 0, fault.ops->target_count);
-    fault.end_ms = clock_now_ms() +
-                   g_rand_int_range(random, DURATION_MIN_MS, DURATION_MAX_MS);
+    fault.end_ms = clock_now_ms() + g_rand_int_range(random, DURATION_MIN_MS,
+                                                     source->duration_max_ms);
     if (source->active->len >= source->active_max ||
         conflicts_with_active(source->active, &fault) ||
         (soak->seed % GATES_UNAFFECTED_SEED_STEP == 0 &&
@@ -510,10 +513,12 @@
         {.kinds = fault_kinds,
          .kind_count = G_N_ELEMENTS(fault_kinds),
          .active_max = ACTIVE_MAX,
+         .duration_max_ms = DURATION_MAX_MS,
          .random = g_rand_new_with_seed((guint32)soak->seed)},
         {.kinds = response_fault_kinds,
          .kind_count = G_N_ELEMENTS(response_fault_kinds),
          .active_max = RESPONSE_FAULTS_MAX,
+         .duration_max_ms = RESPONSE_FAULT_MAX_MS,
          .random = g_rand_new_with_seed(~(guint32)soak->seed)},
     };
     int64_t engines_ms = 0;
