--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -25,6 +25,7 @@
 #include "platform/dat.h"
 #include "platform/fns.h"
 #include "cases.h"
+#include "relay_fixture.h"
 #include "script.h"
 #include "support.h"
 
@@ -78,70 +79,6 @@
 
 static const struct relay_port_ops port_ops = {on_activity, on_drained};
 
-static void
-fill_settings(struct gate_settings *settings)
-{
-    g_strlcpy(settings->name, "test", sizeof(settings->name));
-    g_strlcpy(settings->zone, "z", sizeof(settings->zone));
-    g_strlcpy(settings->front_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
-    g_strlcpy(settings->readiness_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
-    g_strlcpy(settings->lookup_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
-    settings->descriptors_max = 1024;
-    settings->limits.retry_ratio = 0.2;
-    settings->limits.retry_allowance = 50;
-    settings->limits.retry_window_ms = 10000;
-    settings->limits.address_ttl_max_s = 5;
-    settings->limits.stop_grace_ms = 8000;
-}
-
-static struct gate_config *
-parse_config(void)
-{
-    static const char text[] =
-        "{\"version\":1,\"routes\":["
-        "{\"name\":\"once\",\"host\":\"h\",\"path_prefix\":\"/once/\","
-        "\"kind\":\"non_idempotent\",\"timeout_ms\":60000,"
-        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
-        "{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\","
-        "\"kind\":\"idempotent\",\"timeout_ms\":60000,"
-        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
-        "{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
-        "\"kind\":\"stream\",\"resumable\":true,\"timeout_ms\":60000,"
-        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
-        "{\"name\":\"thrice\",\"host\":\"h\",\"path_prefix\":\"/thrice/\","
-        "\"kind\":\"stream\",\"resumable\":true,\"timeout_ms\":60000,"
-        "\"latency_goal_ms\":60000,\"max_attempts\":3,\"service\":\"s\"},"
-        "{\"name\":\"fixed\",\"host\":\"h\",\"path_prefix\":\"/fixed/\","
-        "\"kind\":\"stream\",\"timeout_ms\":60000,"
-        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"s\"},"
-        "{\"name\":\"empty\",\"host\":\"h\",\"path_prefix\":\"/empty/\","
-        "\"kind\":\"idempotent\",\"timeout_ms\":60000,"
-        "\"latency_goal_ms\":60000,\"max_attempts\":2,\"service\":\"none\"}],"
-        "\"services\":[{\"name\":\"s\"},{\"name\":\"none\"}],"
-        "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000,"
-        "\"header_timeout_ms\":60000,\"idle_timeout_ms\":60000}}";
-    struct err err = {0};
-    struct gate_config *config =
-        platform_decode_config(text, strlen(text), &err);
-
-    g_assert_cmpstr(err.text, ==, "");
-    return config;
-}
-
-static void
-post_target(struct fixture *fixture, int index)
-{
-    struct target_change change = {.kind = TARGET_CHANGED};
-
-    g_snprintf(change.info.id, sizeof(change.info.id), "i-%d", index);
-    g_strlcpy(change.info.service, "s", sizeof(change.info.service));
-    g_strlcpy(change.info.zone, "z", sizeof(change.info.zone));
-    g_snprintf(change.info.address, ADDRESS_MAX_BYTES, "127.0.0.1:%d",
-               fixture->script.ports[index]);
-    change.info.slots = 8;
-    relay_post_target_change(fixture->relay, &change);
-}
-
 static void
 fixture_init(struct fixture *fixture, const char *const *answers, int targets)
 {
@@ -161,7 +98,7 @@
     g_assert_true(relay_post_config(fixture->relay, config));
     gate_config_unref(config);
     for (int i = 0; i < targets; i++) {
-        post_target(fixture, i);
+        post_target(fixture->relay, i, fixture->script.ports[i]);
     }
     relay_post_targets_listed(fixture->relay);
 }
@@ -189,28 +126,6 @@
     pthread_cond_destroy(&fixture->drained_changed);
 }
 
-static int
-connect_to(int port)
-{
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)port),
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    };
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
-                    ==, 0);
-    return fd;
-}
-
-static void
-send_text(int fd, const char *text)
-{
-    g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
-                    (gssize)strlen(text));
-}
-
 /* Reads until the peer closes the connection. */
 static char *
 read_all(int fd)
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -30,6 +30,7 @@
 #include "platform/dat.h"
 #include "platform/fns.h"
 #include "cases.h"
+#include "relay_fixture.h"
 
 enum {
     EVENTS_MAX = 64,
@@ -70,21 +71,6 @@
 
 static const struct relay_port_ops port_ops = {count_activity, ignore_drained};
 
-static void
-fill_settings(struct gate_settings *settings)
-{
-    g_strlcpy(settings->name, "test", sizeof(settings->name));
-    g_strlcpy(settings->zone, "z", sizeof(settings->zone));
-    g_strlcpy(settings->front_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
-    g_strlcpy(settings->readiness_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
-    g_strlcpy(settings->lookup_address, "127.0.0.1:0", ADDRESS_MAX_BYTES);
-    settings->descriptors_max = 1024;
-    settings->limits.retry_ratio = 0.2;
-    settings->limits.retry_allowance = 50;
-    settings->limits.retry_window_ms = 10000;
-    settings->limits.stop_grace_ms = GRACE_MS;
-}
-
 static void
 post_config(struct relay *relay)
 {
@@ -130,18 +116,12 @@
 
 /* Returns the listener of the target. */
 static int
-post_target(struct fixture *fixture, const char *id)
+add_target(struct fixture *fixture, int index)
 {
-    struct target_change change = {.kind = TARGET_CHANGED};
     int port;
     int listener = listen_any(&port);
 
-    g_strlcpy(change.info.id, id, sizeof(change.info.id));
-    g_strlcpy(change.info.service, "s", sizeof(change.info.service));
-    g_strlcpy(change.info.zone, "z", sizeof(change.info.zone));
-    g_snprintf(change.info.address, ADDRESS_MAX_BYTES, "127.0.0.1:%d", port);
-    change.info.slots = 8;
-    relay_post_target_change(fixture->relay, &change);
+    post_target(fixture->relay, index, port);
     relay_post_targets_listed(fixture->relay);
     return listener;
 }
@@ -159,7 +139,7 @@
     fixture->relay =
         relay_new(&fixture->settings, &platform_dialect, &fixture->port, &err);
     g_assert_nonnull(fixture->relay);
-    fixture->target_listener = post_target(fixture, "i-0");
+    fixture->target_listener = add_target(fixture, 0);
 }
 
 static void
@@ -212,23 +192,7 @@
 static int
 connect_caller(struct fixture *fixture)
 {
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)relay_front_port(fixture->relay)),
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    };
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
-                    ==, 0);
-    return fd;
-}
-
-static void
-send_text(int fd, const char *text)
-{
-    g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
-                    (gssize)strlen(text));
+    return connect_to(relay_front_port(fixture->relay));
 }
 
 static bool
@@ -602,7 +566,7 @@
     caller = connect_caller(&fixture);
     send_request(&fixture, caller, REQUEST("/twice/1"));
     if (c->has_other) {
-        other = post_target(&fixture, "i-1");
+        other = add_target(&fixture, 1);
         fcntl(other, F_SETFL, O_NONBLOCK);
         step(&fixture, EVENT_WAIT_MS);
     }
@@ -840,7 +804,7 @@
     caller = connect_caller(&fixture);
     send_request(&fixture, caller, c->path);
     g_free(read_some(fixture.target));
-    listener = post_target(&fixture, "i-1");
+    listener = add_target(&fixture, 1);
     step(&fixture, EVENT_WAIT_MS);
     answer(&fixture, c->head);
     answer(&fixture, c->rest);
