--- a/test/wire_play.c
+++ b/test/wire_play.c
@@ -72,7 +72,6 @@
     int connection_count;
     struct output *output; /* the one that is being written; NULL for none */
     struct output *next;   /* written then */
-    struct output *last;   /* of the request that arrived before */
     int unread_fd;
     char *unread; /* written before the caller's next request */
     int arrivals;
@@ -429,7 +428,7 @@
     static const char mark[] = "<then>";
     struct upstream *upstream;
     struct output *output;
-    struct output *last;
+    struct output *first = &play->connections[0];
     char *answer;
     char *own;
     char *id;
@@ -443,22 +442,20 @@
     id = receive_request(output->fd);
     answer = next_answer(play, id);
     own = strstr(answer, mark);
-    last = play->last;
-    play->last = output;
     play->output = output;
     play->sends++;
     if (own == NULL) {
         set_output(play, output, answer);
     }
-    else if (last == output) {
+    else if (output == first) {
         memmove(own, own + strlen(mark), strlen(own + strlen(mark)) + 1);
         set_output(play, output, answer);
     }
     else {
         set_output(play, output, own + strlen(mark));
         *own = '\0';
-        set_output(play, last, answer);
-        play->output = last;
+        set_output(play, first, answer);
+        play->output = first;
         play->next = output;
     }
     g_free(answer);
@@ -558,10 +555,13 @@
 /**
  * struct reply - what a caller reads, by a parser of its own
  * @body: without framing
+ * @empty: nothing was received
+ * @no_body: there is no body, whatever its length says
  * @complete: it has ended as its framing says
  */
 struct reply {
     GString *body;
+    bool empty;
     bool no_body;
     bool head_complete;
     bool complete;
@@ -614,7 +614,7 @@
     char *id = g_strdup_printf("\r\nAttempt-Id: a-%d\r\n", index + 1);
 
     if (!reply->head_complete) {
-        g_string_append(text, head[0] == '\0' ? "<closed>" : "<no answer>");
+        g_string_append(text, reply->empty ? "<closed>" : "<no answer>");
     }
     else if (has_field(head, "application/problem+json")) {
         g_string_append_printf(
@@ -655,6 +655,7 @@
     } while (!reply.complete && HTTP_PARSER_ERRNO(&parser) == HPE_OK &&
              receive_more(play));
     head = g_strndup(play->received->str, parsed);
+    reply.empty = play->received->len == 0;
     text = render(&reply, head, (int)parser.status_code, index);
     g_string_erase(play->received, 0,
                    (gssize)(reply.complete ? parsed : play->received->len));
--- a/test/wire_play.h
+++ b/test/wire_play.h
@@ -16,7 +16,7 @@
  * order of arrival. "%ID%" stands for the request's id. Each may end with
  * "<close>" or "<reset>" of the connection; what follows "<unread>" is still
  * unread when the caller's next request arrives. What precedes "<then>" is
- * written on the connection of the request that arrived before.
+ * written on the connection of the first request.
  * @expected: what the caller gets for each request, as wire_play() returns
  * it. Where the protocol allows several results, they are separated by " or ".
  * @targets: number of targets; 0 for two
