--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -219,7 +219,7 @@
  * @body: part of the body that was parsed but not yet forwarded
  * @request_count: requests that were sent on it
  * @framing: of the current response
- * @no_body: the current response has no body, whatever its length says
+ * @no_body: the request's response has no body, whatever its length says
  * @head_handled: the head of the current response was acted on
  * @discarding: the current response belongs to another request, or its request
  * was detached
--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -44,12 +44,17 @@
     return head_add_value(&upstream->head, bytes, count) ? 0 : -1;
 }
 
+/* Whatever its head says (RFC 9112, 6.3). */
+static bool
+has_no_body(unsigned status)
+{
+    return status < 200 || status == 204 || status == 304;
+}
+
 static enum body_framing
 read_framing(const http_parser *parser, bool no_body)
 {
-    if (no_body || parser->status_code / 100 == 1 ||
-        parser->status_code == 204 || parser->status_code == 304 ||
-        (parser->flags & F_CONTENTLENGTH)) {
+    if (no_body || (parser->flags & F_CONTENTLENGTH)) {
         return FRAMED_BY_LENGTH;
     }
     return parser->flags & F_CHUNKED ? FRAMED_IN_CHUNKS : FRAMED_BY_CLOSE;
@@ -59,14 +64,15 @@
 on_headers_complete(http_parser *parser)
 {
     struct upstream *upstream = parser->data;
+    bool no_body = upstream->no_body || has_no_body(parser->status_code);
 
     head_finish(&upstream->head);
     if (head_is_joined(&upstream->head)) {
         return -1;
     }
     upstream->head_complete = true;
-    upstream->framing = read_framing(parser, upstream->no_body);
-    return upstream->no_body ? 1 : 0;
+    upstream->framing = read_framing(parser, no_body);
+    return no_body ? 1 : 0;
 }
 
 static int
