Relay: a carriage return does not make text at the end of a stream blank

What callers would see: text behind the last event of a stream that ends as complete, if its line begins with a carriage return.

Cause: events_cut_off() took a line that begins with one for a blank line.

Evidence: stream_test rest/text_behind_carriage_return red before ("\rerror\n" was no cut-off event), found by reading; the other nine cases of what may stand behind the last event were green.

Change: a blank line is a line end and nothing else.

--- a/src/gate/relay/events.c
+++ b/src/gate/relay/events.c
@@ -264,9 +264,9 @@
 
     while (*line != '\0') {
         const char *line_end = strchr(line, '\n');
+        bool is_blank = *line == '\n' || strncmp(line, "\r\n", 2) == 0;
 
-        if (line_end == NULL ||
-            (*line != ':' && *line != '\r' && *line != '\n')) {
+        if (line_end == NULL || (*line != ':' && !is_blank)) {
             return true;
         }
         line = line_end + 1;
--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -200,6 +200,43 @@
     events_clear(&reader);
 }
 
+/* Guards against the beginning of an event, or other text, at the end of a
+ * stream. */
+struct rest_case {
+    const char *name;
+    const char *text; /* behind the last event */
+    bool cut_off;
+};
+
+static const struct rest_case rest_cases[] = {
+    {"nothing", "", false},
+    {"blank_line", "\n", false},
+    {"blank_line_crlf", "\r\n", false},
+    {"comments", ": c\n:\r\n", false},
+    {"event_line", "id: 2\n", true},
+    {"half_line", "id", true},
+    {"half_comment", ": c", true},
+    {"comment_then_event", ":\ndata: x\n", true},
+    {"carriage_return", "\r", true},
+    {"text_behind_carriage_return", "\rerror\n", true},
+};
+
+static void
+test_rest(gconstpointer data)
+{
+    const struct rest_case *c = data;
+    struct event_reader reader;
+    GString *passed = g_string_new(NULL);
+
+    events_init(&reader, -1);
+    events_read(&reader, EVENT(1), strlen(EVENT(1)), passed);
+    events_read(&reader, c->text, strlen(c->text), passed);
+    g_assert_cmpstr(passed->str, ==, EVENT(1));
+    g_assert_cmpint(events_cut_off(&reader), ==, c->cut_off);
+    g_string_free(passed, TRUE);
+    events_clear(&reader);
+}
+
 /* Guards against a stream that ends as complete before its last event. */
 struct end_case {
     const char *name;
@@ -254,6 +291,7 @@
         CASES("/stream/continues", continues_cases, test_continues),
         CASES("/stream/reader", reader_cases, test_reader),
         CASES("/stream/runs", run_cases, test_runs),
+        CASES("/stream/rest", rest_cases, test_rest),
         CASES("/stream/end", end_cases, test_end),
     };
 
