Streams: no overflow behind the largest Last-Event-Id

What callers would see: a stream resumed with Last-Event-Id 2^63 - 1 had its events taken for a gap and was broken off; the sum overflowed, which C leaves undefined.

Change: one is taken from the id of the event instead, which is never negative there.

--- a/src/gate/choose/stream.c
+++ b/src/gate/choose/stream.c
@@ -46,7 +46,7 @@
         return EVENT_REPEATED;
     }
     if ((run_id >= 0 && event->id != run_id + 1) ||
-        (last_id >= 0 && event->id > last_id + 1)) {
+        (last_id >= 0 && event->id - 1 > last_id)) {
         return EVENT_GAP;
     }
     if (event->id <= last_id) {
--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -133,6 +133,11 @@
 static const struct run_case run_cases[] = {
     {"first", -1, {EVENT(1) EVENT(2)}, EVENT(1) EVENT(2), EVENT_PASS},
     {"caller_resumes", 2, {EVENT(3) EVENT(4)}, EVENT(3) EVENT(4), EVENT_PASS},
+    {"caller_resumes_behind_largest_id",
+     G_MAXINT64,
+     {EVENT(1)},
+     "",
+     EVENT_SKIP},
     {"caller_resumes_with_gap", 2, {EVENT(4)}, "", EVENT_GAP},
     {"resumed",
      -1,
