Observe: a status without an incarnation is no engine's

What callers would see: cold starts. A leaf that an engine holds counts as missing there, and is unloaded and loaded anew.

Cause: any JSON object was taken as an engine's status, with absent fields as 0 or empty. Another server at the address, such as a plain service that answers "{}", made an engine that holds nothing of it.

Change: for an engine such a status is a failed poll (polls_failed_total); after two of them the engine counts as down.

--- a/src/turmericd/fleet/observe/observe.c
+++ b/src/turmericd/fleet/observe/observe.c
@@ -279,6 +279,16 @@
         observe->port, observed->report->id, observed->report->data_centre);
 }
 
+/* Each status of an engine has an incarnation; any JSON object would do as
+ * that of a plain service. */
+static bool
+is_status_of(const struct observed_target *observed,
+             const struct target_report *status)
+{
+    return status != NULL && (observed->report->kind != TARGET_ENGINE ||
+                              status->incarnation != 0);
+}
+
 static void
 handle_poll_result(struct observe *observe,
                    const struct observe_message *message, int64_t now_ms)
@@ -293,7 +303,7 @@
     }
     observed->polling = false;
     before = observed->report->state;
-    if (message->status != NULL) {
+    if (is_status_of(observed, message->status)) {
         changed = merge_poll_status(observed, message->status, now_ms);
     }
     else {
--- a/test/observe_test.c
+++ b/test/observe_test.c
@@ -912,8 +912,9 @@
     recorder_free(&recorder);
 }
 
-/* Guards against an unreadable list that removes targets, and against a target
- * that stays after the list dropped it. */
+/* Guards against an unreadable list that removes targets, against a target
+ * that stays after the list dropped it, and against another server's response
+ * that is taken as the status of an engine that holds nothing. */
 static void
 test_list_unreadable(void)
 {
@@ -930,9 +931,11 @@
     char *readable;
     char *malformed = g_strdup("[{\"name\": ");
     char *empty = g_strdup("[]");
+    char *status = g_strdup("{\"incarnation\": 77}");
+    char *other = g_strdup("{}");
 
     recorder_init(&recorder);
-    http_stub_start(&good, g_strdup("{\"incarnation\": 77}"));
+    http_stub_start(&good, status);
     readable = g_strdup_printf(
         "[{\"name\": \"good\", \"kind\": \"engine\", \"service\": \"s\", "
         "\"data_centre\": \"d\", \"address\": \"127.0.0.1:%d\", "
@@ -944,6 +947,14 @@
     observe = observe_new(&settings, &recorder.port, NULL);
     pthread_create(&thread, NULL, observe_main, observe_duty(observe));
     wait_for_report(&recorder, "good", TARGET_LIVE, 77);
+    g_atomic_pointer_set(&good.body, other);
+    do {
+        g_assert_cmpint(ring_pop(&recorder.reports, &report, WATCHDOG_MS), ==,
+                        RING_OK);
+        g_assert_cmpuint(report.incarnation, ==, 77);
+    } while (report.state != TARGET_DOWN);
+    g_atomic_pointer_set(&good.body, status);
+    wait_for_report(&recorder, "good", TARGET_LIVE, 77);
     failed = counter_read(CTR_POLLS_FAILED);
     g_atomic_pointer_set(&list.body, malformed);
     while (counter_read(CTR_POLLS_FAILED) < failed + 6) {
@@ -961,6 +972,7 @@
     recorder_free(&recorder);
     g_free(readable);
     g_free(malformed);
+    g_free(other);
 }
 
 static void
