Place: log an engine that can't be reached once, not each 200 ms

The holder asks an engine for its report each 200 ms until it answers. An entry whose address nobody listens at, left by another writer, wrote five lines no_report a second for as long as it stayed.

A report step says whether the engine failed to answer the last call, which was logged; the worker writes the first failure only and counts each (engine_reports_failed_total).

plan_test silence: after_failure and after_failures were steps like the first before; all 5 cases pass now.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -126,12 +126,14 @@
 /**
  * struct plan_step - the next call to an engine
  * @is_report: read the engine's report instead of sending an order
+ * @silent: the engine didn't answer the last call, which was logged
  * @started_ms: wall time of the engine's start
  * @expected_sequence: orders that the engine must have accepted so far
  * @reason: static text for the log
  */
 struct plan_step {
     bool is_report;
+    bool silent;
     enum order_action action;
     char target[NAME_MAX_BYTES];
     char address[ADDRESS_MAX_BYTES];
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -65,6 +65,7 @@
             engine->next_report_ms != 0 && now_ms >= engine->next_report_ms) {
             fill_step(step, engine, ORDER_LOAD, 0, "report");
             step->is_report = true;
+            step->silent = engine->unanswered_since_ms != 0;
             return true;
         }
     }
--- a/src/gate/place/worker.c
+++ b/src/gate/place/worker.c
@@ -31,6 +31,9 @@
     call->reported = worker->engine->ops->report(
         worker->engine, call->step.address, &call->info, &err);
     if (!call->reported) {
+        counter_add(CTR_REPORTS_FAILED, 1);
+    }
+    if (!call->reported && !call->step.silent) {
         log_line(LOG_PRI_WARNING, "order",
                  "event=no_report target=%s reason=\"%s\"", call->step.target,
                  err.text);
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -507,12 +507,49 @@
     plan_clear(&fixture.plan);
 }
 
+/* Guards against a log line for each failed report of an engine that can't be
+ * reached, which is asked again each 200 ms. */
+struct silence_case {
+    const char *name;
+    const char *script;
+    bool silent; /* in the last step */
+};
+
+static const struct silence_case silence_cases[] = {
+    {"first", "e1: n", false},
+    {"after_failure", "e1: n f1 t=300 n", true},
+    {"after_failures", "e1: n f1 t=300 n f1 t=600 n", true},
+    {"after_answer", "e1: n f1 t=300 n r1:0: e1:m1 n", false},
+    {"other_engine", "e1: n f1 e2: n", false},
+};
+
+static void
+test_silence(gconstpointer data)
+{
+    const struct silence_case *c = data;
+    struct plan_fixture fixture = {.now_ms = 1};
+    char **commands = g_strsplit(c->script, " ", -1);
+
+    plan_init(&fixture.plan);
+    plan_set_config(&fixture.plan, make_config());
+    fixture.steps = g_string_new(NULL);
+    for (int i = 0; commands[i] != NULL; i++) {
+        run_command(&fixture, commands[i]);
+    }
+    g_assert_true(fixture.last.is_report);
+    g_assert_cmpint(fixture.last.silent, ==, c->silent);
+    g_strfreev(commands);
+    g_string_free(fixture.steps, TRUE);
+    plan_clear(&fixture.plan);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/plan/step", step_cases, test_steps),
         CASES("/plan/forecast", forecast_cases, test_forecast),
+        CASES("/plan/silence", silence_cases, test_silence),
     };
 
     g_test_init(&argc, &argv, NULL);
