Share: changes passed on need sound revisions

share_connects() looked only at the revision after which the changes were read. A message without one, or with one below 0, counted as heard and kept an instance from calling the store; one with a revision beyond any the store reaches moved it on for good.

Changes connect if they begin after a revision that is known and end at it or later, up to STORE_REVISION_MAX, the bound that the store client uses.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -237,6 +237,9 @@
     char peer_address[ADDRESS_MAX_BYTES];
 };
 
+/* The largest integer that all JSON encoders keep exactly. */
+#define STORE_REVISION_MAX (INT64_C(1) << 53)
+
 /**
  * struct store_item - a key of the platform's store with its value
  * @key: owned
--- a/src/gate/follow/share.c
+++ b/src/gate/follow/share.c
@@ -75,7 +75,10 @@
 bool
 share_connects(const struct store_changes *changes, int64_t known)
 {
-    return known != 0 && changes->after <= known;
+    int64_t revision = changes->items.revision;
+
+    return known != 0 && changes->after > 0 && changes->after <= known &&
+           revision >= changes->after && revision <= STORE_REVISION_MAX;
 }
 
 /**
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -384,6 +384,40 @@
      "c1 l C G ", 2},
 };
 
+/* Guards against changes without sound revisions that count as heard, or that
+ * move an instance past changes that it does not know. */
+struct connects_case {
+    const char *name;
+    int64_t after;
+    int64_t revision;
+    int64_t known;
+    bool connects;
+};
+
+static const struct connects_case connects_cases[] = {
+    {"next", 5, 7, 5, true},
+    {"overlapping", 4, 7, 5, true},
+    {"nothing_new", 5, 5, 5, true},
+    {"gap", 6, 7, 5, false},
+    {"nothing_known", 5, 7, 0, false},
+    {"after_missing", 0, 7, 5, false},
+    {"after_negative", -1, 7, 5, false},
+    {"revision_missing", 5, 0, 5, false},
+    {"revision_before_after", 4, 3, 5, false},
+    {"revision_negative", 5, INT64_MIN, 5, false},
+    {"revision_too_large", 5, INT64_MAX, 5, false},
+};
+
+static void
+test_connects(gconstpointer data)
+{
+    const struct connects_case *c = data;
+    const struct store_changes changes = {.after = c->after,
+                                          .items = {.revision = c->revision}};
+
+    g_assert_cmpint(share_connects(&changes, c->known), ==, c->connects);
+}
+
 struct shared_fixture {
     struct feed_fixture feeds[2];
     struct gate_settings settings[2];
@@ -788,6 +822,7 @@
         CASES("/follow/feed", feed_cases, test_feed),
         CASES("/follow/coalesce", coalesce_cases, test_coalesce),
         CASES("/follow/shared", shared_cases, test_shared),
+        CASES("/follow/connects", connects_cases, test_connects),
         CASES("/follow/member", member_cases, test_member),
         CASES("/follow/lease_keeper", lease_keeper_cases, test_lease_keeper),
     };
