--- a/src/turmericd/serve/forward/answer.c
+++ b/src/turmericd/serve/forward/answer.c
@@ -34,15 +34,16 @@
 };
 
 /**
- * answer_init() - set up the answer to an attempt
- * @answer: the answer, released with answer_clear()
+ * forward_answer_init() - set up the answer to an attempt
+ * @answer: the answer, released with forward_answer_clear()
  * @calls: table of calls
  * @attempt: the attempt
  * @request: the request of the call
  */
 void
-answer_init(struct answer *answer, struct calls *calls,
-            const struct attempt *attempt, const struct call_request *request)
+forward_answer_init(struct answer *answer, struct calls *calls,
+                    const struct attempt *attempt,
+                    const struct call_request *request)
 {
     memset(answer, 0, sizeof(*answer));
     answer->calls = calls;
@@ -59,11 +60,11 @@
 }
 
 /**
- * answer_clear() - release the buffers of an answer
+ * forward_answer_clear() - release the buffers of an answer
  * @answer: the answer
  */
 void
-answer_clear(struct answer *answer)
+forward_answer_clear(struct answer *answer)
 {
     g_string_free(answer->buffered, TRUE);
     sse_parser_clear(&answer->parser);
@@ -293,15 +294,15 @@
 }
 
 /**
- * answer_end() - classify an answer after its transfer
+ * forward_answer_end() - classify an answer after its transfer
  * @answer: the answer
  * @end: how the transfer ended
  * @result: kind is set, @answer's events are added to events, and text is set
  *          for some kinds
  */
 void
-answer_end(struct answer *answer, enum transfer_end end,
-           struct attempt_result *result)
+forward_answer_end(struct answer *answer, enum transfer_end end,
+                   struct attempt_result *result)
 {
     if (answer->caller_gone) {
         result->kind = ATTEMPT_CALLER_GONE;
--- a/src/turmericd/serve/forward/internal.h
+++ b/src/turmericd/serve/forward/internal.h
@@ -128,17 +128,17 @@
                      const char *value);
 
 /* answer.c */
-void answer_init(struct answer *answer, struct calls *calls,
-                 const struct attempt *attempt,
-                 const struct call_request *request);
-void answer_clear(struct answer *answer);
+void forward_answer_init(struct answer *answer, struct calls *calls,
+                         const struct attempt *attempt,
+                         const struct call_request *request);
+void forward_answer_clear(struct answer *answer);
 void answer_set_head(struct answer *answer, int status,
                      const char *content_type);
 void answer_add_outcome(struct answer *answer, const char *value,
                         size_t bytes);
 bool answer_receive(struct answer *answer, const char *data, size_t bytes);
-void answer_end(struct answer *answer, enum transfer_end end,
-                struct attempt_result *result);
+void forward_answer_end(struct answer *answer, enum transfer_end end,
+                        struct attempt_result *result);
 
 /* transfer.c */
 enum transfer_end transfer_run(CURLM *multi, const struct attempt *attempt,
