Relay: a field name with a space is no field

Cause: the packaged parser takes 'Content-Encoding : gzip' and frames by 'Transfer-Encoding : chunked', while no comparison of names matches. Evidence: found by the review of the fixes; relay_test answer/encoded_, length_ and request_with_space_in_name red before (200, 200, 200 with the field sent on). Change: such a head is no HTTP (RFC 9112, 5.1): 502 or a retry for a response, 400 for a request. Result: relay_test 122 ok.

--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -62,9 +62,14 @@
     g_string_append_len(head->text, bytes, (gssize)count);
 }
 
+/* The parser accepts a space between name and colon, which RFC 9112, 5.1
+ * forbids: such a field would pass each comparison of names. */
 bool
 head_add_name(struct head *head, const char *bytes, size_t count)
 {
+    if (memchr(bytes, ' ', count) != NULL) {
+        return false;
+    }
     if (head->value_started || head->fields->len == 0) {
         struct head_field field;
 
