HTTP client: a response with a space in a field name can't be used

Callers of turmericd would get an encoded body as the target's: no comparison of names matches 'Content-Encoding : gzip'. Evidence: forward_test raw/encoded_with_space_in_name is red without has_space_in_name().

--- a/src/http/head.c
+++ b/src/http/head.c
@@ -111,6 +111,15 @@
     }
 }
 
+/* No comparison matches "Name :", which libcurl may still act on. */
+static bool
+has_space_in_name(const char *line, size_t bytes)
+{
+    const char *colon = memchr(line, ':', bytes);
+
+    return colon != NULL && memchr(line, ' ', (size_t)(colon - line)) != NULL;
+}
+
 /**
  * http_head_add() - check the next line of a response's head
  * @head: all zero before the first line
@@ -130,6 +139,9 @@
         head->length[0] = '\0';
         check_status(head, read_status(line, bytes));
     }
+    else if (has_space_in_name(line, bytes)) {
+        head->fault = "the response has a space in a field name";
+    }
     else if (http_field_value(line, bytes, "Content-Encoding", &value_bytes) !=
              NULL) {
         head->fault = "the response's body is encoded";
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -308,6 +308,9 @@
 static const struct raw_case raw_cases[] = {
     {"encoded", PLAIN, 0, HEAD("200", ENCODED LENGTH("2")) "ok",
      ATTEMPT_BROKEN, ""},
+    {"encoded_with_space_in_name", PLAIN, 0,
+     HEAD("200", "Content-Encoding : gzip\r\n" LENGTH("2")) "ok",
+     ATTEMPT_BROKEN, ""},
     {"encoded_stream", CHAT_STREAM, 0,
      HEAD("200", TYPE(SSE) ENCODED) EVENT("a") "data: [DONE]\n\n<close>",
      ATTEMPT_BROKEN, ""},
