Relay: a connection that was paused is read again when it is idle

A request that was sent on such a connection was not answered before its deadline, and its target was not blamed. Cause: reading stops while the caller has much to read. When the same read held the end of the response, the connection went to the idle ones with the pause. Evidence: found by the review; relay_time_test idle_after_pause red without the change (bytes on the idle connection are not read). Change: detaching the request ends the pause.

--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -241,6 +241,7 @@
         queue_mark_target(relay, target);
     }
     upstream->exchange = (struct handle){0};
+    upstream->paused = false;
 }
 
 /**
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -814,6 +814,50 @@
     fixture_stop(&fixture);
 }
 
+/* Sends events to a caller that doesn't read, and the end of the stream with
+ * the one that fills its output. */
+static void
+fill_and_end(struct fixture *fixture, const struct client *client)
+{
+    char *data = g_strnfill(8000, 'x');
+    bool is_last = false;
+
+    for (int id = 1; !is_last; id++) {
+        char *event = g_strdup_printf("id: %d\ndata: %s\n\n", id, data);
+        char *chunk;
+
+        is_last = client->output->len - client->output_start >
+                  OUTPUT_PAUSE_BYTES - strlen(event);
+        chunk = g_strdup_printf("%zx\r\n%s\r\n%s", strlen(event), event,
+                                is_last ? "0\r\n\r\n" : "");
+        answer(fixture, chunk);
+        g_free(chunk);
+        g_free(event);
+    }
+    g_free(data);
+}
+
+/* Guards against an idle connection on which nothing is read any more, because
+ * its last response filled the output of a caller that reads slowly. */
+static void
+test_idle_after_pause(void)
+{
+    struct fixture fixture;
+    uint32_t cursor = 0;
+    int caller;
+
+    fixture_start(&fixture);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/stream/1"));
+    g_free(read_some(fixture.target));
+    answer(&fixture, ANSWER_HEAD "Transfer-Encoding: chunked\r\n\r\n");
+    fill_and_end(&fixture, table_next(&fixture.relay->clients, &cursor, NULL));
+    answer(&fixture, "bytes that no request waits for");
+    g_assert_true(is_readable(fixture.target));
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 static const struct cases groups[] = {
     CASES("/relay_time/reading", reading_cases, test_reading),
     CASES("/relay_time/limit", limit_cases, test_limit),
@@ -835,5 +879,6 @@
     g_test_add_func("/relay_time/start", test_start);
     g_test_add_func("/relay_time/no_listener", test_no_listener);
     g_test_add_func("/relay_time/slow_reader", test_slow_reader);
+    g_test_add_func("/relay_time/idle_after_pause", test_idle_after_pause);
     return g_test_run();
 }
