Relay: a body that is one response's, also within its length

Callers got half of a body with the head and body of the target's next response behind it, where the target broke off and began anew within the length that it had announced (MIXED); and 502 for a body without a length that repeats its request. Cause: only bodies that end with the connection were looked at, and 'HTTP/1.' was taken for the beginning of a response. Change: result_fault() decides for every framing before the connection is given back, so that one with a fault is closed. A response begins with a whole status line, which joined heads are looked for by the same function. Still open: a second response whose head is cut before the id, or that is another request's; bodies above 256 KB.

--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -23,6 +23,7 @@
 bool stream_is_whole(const struct stream_end *end);
 
 /* whole.c */
+const char *find_status_line(const char *text, size_t bytes);
 bool body_holds_response(const void *body, size_t bytes,
                          const char *attempt_id);
 
--- a/src/gate/choose/whole.c
+++ b/src/gate/choose/whole.c
@@ -1,5 +1,5 @@
 /**
- * DOC: Whether a body that ends with its connection is one response's.
+ * DOC: Whether what was received is of one response.
  */
 #include <glib.h>
 #include <string.h>
@@ -10,9 +10,34 @@
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
 
-static const char status_line[] = "HTTP/1.";
 static const char head_end[] = "\r\n\r\n";
 
+/**
+ * find_status_line() - where the first status line of HTTP begins
+ * @text: the text
+ * @bytes: its length
+ *
+ * Return: NULL when there is none.
+ */
+const char *
+find_status_line(const char *text, size_t bytes)
+{
+    enum { STATUS_LINE_BYTES = 12 }; /* "HTTP/1.1 200" */
+
+    for (const char *end = text + bytes;
+         end - text >= STATUS_LINE_BYTES &&
+         (text = memmem(text, (size_t)(end - text), "HTTP/", 5)) != NULL;
+         text++) {
+        if (end - text >= STATUS_LINE_BYTES && g_ascii_isdigit(text[5]) &&
+            text[6] == '.' && g_ascii_isdigit(text[7]) && text[8] == ' ' &&
+            g_ascii_isdigit(text[9]) && g_ascii_isdigit(text[10]) &&
+            g_ascii_isdigit(text[11])) {
+            return text;
+        }
+    }
+    return NULL;
+}
+
 /* Whether @text begins with the head of a response to the request. */
 static bool
 is_head_of(const char *text, size_t bytes, const char *attempt_id)
@@ -25,13 +50,14 @@
 
 /**
  * body_holds_response() - whether another response to the same request stands
- * in a body without a length
+ * in a body
  * @body: the body
  * @bytes: its length
  * @attempt_id: id of the request
  *
  * A target that answers twice and marks the end of a body by closing the
- * connection leaves open where its body ends.
+ * connection leaves open where its body ends; one that breaks off and begins
+ * anew fills the length that it has announced with its next response.
  */
 bool
 body_holds_response(const void *body, size_t bytes, const char *attempt_id)
@@ -42,12 +68,11 @@
     if (bytes == 0) {
         return false;
     }
-    while ((text = memmem(text, (size_t)(end - text), status_line,
-                          strlen(status_line))) != NULL) {
+    while ((text = find_status_line(text, (size_t)(end - text))) != NULL) {
         if (is_head_of(text, (size_t)(end - text), attempt_id)) {
             return true;
         }
-        text += strlen(status_line);
+        text++;
     }
     return false;
 }
--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -11,6 +11,7 @@
 #include "gate/dat.h"
 #include "gate/view/dat.h"
 #include "gate/choose/dat.h"
+#include "gate/choose/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/internal.h"
 
@@ -157,31 +158,12 @@
     return NULL;
 }
 
-/* @text: what follows "HTTP/" */
-static bool
-is_status_line(const char *text)
-{
-    return g_ascii_isdigit(text[0]) && text[1] == '.' &&
-           g_ascii_isdigit(text[2]) && text[3] == ' ' &&
-           g_ascii_isdigit(text[4]) && g_ascii_isdigit(text[5]) &&
-           g_ascii_isdigit(text[6]);
-}
-
 /* Whether a line goes over into a status line: a target that breaks off within
  * a line and goes on with its next response makes one head of two. */
 bool
 head_is_joined(const struct head *head)
 {
-    const char *end = head->text->str + head->text->len;
-    const char *at = head->text->str;
-
-    while ((at = memmem(at, (size_t)(end - at), "HTTP/", 5)) != NULL) {
-        at += 5;
-        if (is_status_line(at)) {
-            return true;
-        }
-    }
-    return false;
+    return find_status_line(head->text->str, head->text->len) != NULL;
 }
 
 /* Whether the Connection field lists a field as hop-by-hop. */
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -417,6 +417,30 @@
     return stream_is_whole(&end);
 }
 
+/**
+ * result_fault() - why a response that has ended is not whole
+ * @exchange: the request
+ *
+ * Return: name of the event for the log; NULL when the response is whole.
+ */
+const char *
+result_fault(const struct exchange *exchange)
+{
+    const GByteArray *body = exchange->answer.body;
+
+    if (is_event_stream(exchange)) {
+        if (ends_stream(exchange)) {
+            return NULL;
+        }
+        counter_add(CTR_STREAM_CUT_OFF, 1);
+        return events_cut_off(&exchange->events) ? "cut_off" : "ended_early";
+    }
+    return body_holds_response(body->data, body->len,
+                               exchange->meta.attempt_id)
+               ? "second_response"
+               : NULL;
+}
+
 /**
  * result_complete() - handle the end of a complete response
  * @relay: the relay
@@ -433,25 +457,11 @@
     GString *rest = exchange->events.partial;
 
     if (is_event_stream(exchange)) {
-        if (!ends_stream(exchange)) {
-            counter_add(CTR_STREAM_CUT_OFF, 1);
-            result_aborted(relay, exchange,
-                           events_cut_off(&exchange->events) ? "cut_off"
-                                                             : "ended_early",
-                           now_ms);
-            return;
-        }
         if (!answer->head_sent) {
             answer_send_head(relay, exchange, -1, now_ms);
         }
         answer_send_body(relay, exchange, rest->str, rest->len, now_ms);
     }
-    else if (answer->framing == FRAMED_BY_CLOSE &&
-             body_holds_response(answer->body->data, answer->body->len,
-                                 exchange->meta.attempt_id)) {
-        result_aborted(relay, exchange, "second_response", now_ms);
-        return;
-    }
     else if (!answer->head_sent) {
         answer_send_head(relay, exchange, (int64_t)answer->body->len, now_ms);
         answer_send_body(relay, exchange, answer->body->data,
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -66,9 +66,10 @@
     {"id_alone", "request a-1 is done\r\n\r\n", false},
     {"other_response", "all HTTP/1.1 200 OK\r\nId: a-2\r\n\r\n", false},
     {"id_behind_head", "HTTP/1.1 200 OK\r\n\r\na-1", false},
+    {"request", "GET /a HTTP/1.1\r\nId: a-1\r\n\r\n", false},
     {"second_response", "allHTTP/1.1 200 OK\r\nId: a-1\r\n\r\nall", true},
     {"cut_in_its_head", "allHTTP/1.1 200 OK\r\nId: a-1\r\n", true},
-    {"behind_another", "HTTP/1.1 1\r\n\r\nHTTP/1.1 200\r\nId: a-1\r\n\r\n",
+    {"behind_another", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200\r\nId: a-1\r\n\r\n",
      true},
 };
 
