Fault soak: engines are full together, resumed streams meet other bodies

A refused request seldom came again to an engine that had refused it, and a broken stream seldom met a response that can't go on with it. Engines are now full at the same times; while one of these faults lasts, every refusal is repeated late, and every resumed stream gets a body without events.

--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -27,6 +27,7 @@
     MEMORY_MB = 130,
     ADAPTERS_MAX = 2,
     EVENT_BYTES = 160,
+    FULL_PERIOD_MS = 400,
 };
 
 static bool
@@ -429,11 +430,31 @@
            engine->soak->engine_percents[fault];
 }
 
+/* All engines are full at the same times, so that a refused request comes
+ * again to an engine that refused it. Called with the lock held. */
+static bool
+is_full(const struct soak_engine *engine, int64_t now_ms)
+{
+    return now_ms % FULL_PERIOD_MS * 100 / FULL_PERIOD_MS <
+           engine->soak->engine_percents[ENGINE_FULL];
+}
+
+/* Whether a stream gets a body that is no event stream: each one that is
+ * resumed, and a share of the others. Called with the lock held. */
+static bool
+loses_events(const struct soak_engine *engine,
+             const struct _u_request *request)
+{
+    return strikes(engine, ENGINE_NO_EVENTS) ||
+           (engine->soak->engine_percents[ENGINE_NO_EVENTS] > 0 &&
+            u_map_get_case(request->map_header, "Last-Event-Id") != NULL);
+}
+
 /* Returns the HTTP status of a refusal, 0 when the request may run. Called
  * with the lock held. */
 static unsigned
 refusal_status(const struct soak_engine *engine,
-               const struct _u_request *request)
+               const struct _u_request *request, int64_t now_ms)
 {
     const char *model = u_map_get_case(request->map_header, "Model");
 
@@ -443,7 +464,7 @@
     if (model != NULL && !names_contain(engine->loaded, model)) {
         return 421;
     }
-    return engine->down || strikes(engine, ENGINE_FULL) ? 503 : 0;
+    return engine->down || is_full(engine, now_ms) ? 503 : 0;
 }
 
 /* Answers with a signed failure, or, if @status is 200, with the same body in
@@ -491,12 +512,12 @@
 
     pthread_mutex_lock(&engine->soak->lock);
     finish_load(engine, clock_now_ms());
-    status = refusal_status(engine, request);
+    status = refusal_status(engine, request, clock_now_ms());
     typed = g_rand_boolean(engine->soak->random);
     if (strikes(engine, ENGINE_FAILING)) {
         failure = 500;
     }
-    else if (stream && strikes(engine, ENGINE_NO_EVENTS)) {
+    else if (stream && loses_events(engine, request)) {
         failure = 200;
     }
     drained = status == 0 && drain_is_known(engine, clock_now_ms());
--- a/test/soak/spoil.c
+++ b/test/soak/spoil.c
@@ -268,11 +268,17 @@
     [SPOIL_UNFRAMED_RESET] = {remove_length_and_break_off, NULL, false, true},
 };
 
+/* While responses are repeated late, all refusals are: only few requests come
+ * again over the connection on which they were refused. */
 static const struct spoil_ops *
 draw_kind(const struct spoiler *spoiler)
 {
     int first = g_rand_int_range(spoiler->random, 0, SPOIL_COUNT);
 
+    if (spoiler->percents[SPOIL_REPEATED_LATE] > 0 &&
+        strstr(spoiler->head->str, "\r\nNot-Executed:") != NULL) {
+        return &spoil_kinds[SPOIL_REPEATED_LATE];
+    }
     for (int i = 0; i < SPOIL_COUNT; i++) {
         int kind = (first + i) % SPOIL_COUNT;
 
