Answer wire tests: long bodies, and half a copy behind an answer

Bodies longer than what the relay holds back break off after the caller has got their beginning: the reply must not look complete or go on with another response. The beginning of a copy behind an answer that was passed on must cost the connection.

--- a/test/answer_wire_test.c
+++ b/test/answer_wire_test.c
@@ -730,6 +730,13 @@
      {"200 done"},
      2,
      2},
+    {"behind_the_answer",
+     {"GET /once/1", "GET /once/2"},
+     {OK "HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n",
+      "Content-Length: 4\r\n\r\ncopy<then>" NEXT},
+     {"200 done", "200 next"},
+     1,
+     0},
     {"behind_another_answer",
      {"GET /once/1", "GET /once/2", "GET /once/3"},
      {OK, COPY_LENGTH NEXT "HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n",
@@ -1103,6 +1110,58 @@
      0},
 };
 
+/* Guards against a long body that breaks off, after the caller has got the
+ * beginning, and looks complete or goes on with another response. */
+static const struct wire_case long_cases[] = {
+    {"length",
+     {"GET /once/1", "GET /once/2"},
+     {FRAMED("Content-Length: 300000", "%LONG%"), NEXT},
+     {"200 300000 bytes", "200 next"},
+     1,
+     0},
+    {"no_length",
+     {"GET /once/1"},
+     {OK_HEAD "\r\n%LONG%<close>"},
+     {"200 300000 bytes"},
+     0,
+     0},
+    {"closed",
+     {"GET /safe/1"},
+     {FRAMED("Content-Length: 300004", "%LONG%<close>"), OK},
+     {"200 300000 bytes<cut>"},
+     0,
+     0},
+    {"closed_in_chunks",
+     {"GET /safe/1"},
+     {FRAMED("Transfer-Encoding: chunked", "493e0\r\n%LONG%\r\n<close>"), OK},
+     {"200 300000 bytes<cut>"},
+     0,
+     0},
+    {"no_length_reset",
+     {"GET /safe/1"},
+     {OK_HEAD "\r\n%LONG%<reset>", OK},
+     {"200 300000 bytes<cut>"},
+     0,
+     0},
+    {"extra_bytes",
+     {"GET /once/1", "GET /once/2"},
+     {FRAMED("Content-Length: 300000", "%LONG%" COPY_LENGTH), NEXT},
+     {"200 300000 bytes", "200 next"},
+     1,
+     0},
+};
+
+static void
+test_long(gconstpointer data)
+{
+    struct wire_bench *bench = wire_bench_new();
+    char *last = g_strdup("");
+
+    check(bench, data, 0, &last);
+    wire_bench_free(bench);
+    g_free(last);
+}
+
 /* Guards against events whose ids don't tell where they belong. A whole stream
  * of one target is its body, whatever its ids are. */
 #define EVENT_WITH_ID(size, id) size "\r\nid: " id "\ndata: b\n\n\r\n"
@@ -1214,6 +1273,7 @@
     CASES("/answer_wire/copy", copy_cases, test_case),
     CASES("/answer_wire/half", half_cases, test_case),
     CASES("/answer_wire/framing", framing_cases, test_case),
+    CASES("/answer_wire/long", long_cases, test_long),
     CASES("/answer_wire/refusal", refusal_cases, test_case),
     CASES("/answer_wire/event_id", event_id_cases, test_case),
 };
--- a/test/wire_play.c
+++ b/test/wire_play.c
@@ -38,6 +38,8 @@
     EVENT_WAIT_MS = 5000,  /* real time, for events that must come */
     RETRIES_MAX = 1000000, /* of all plays of a bench */
     ROUNDS_MAX = 100000,
+    SEGMENT_MAX_BYTES = 8192,
+    RENDER_MAX_BYTES = 1000, /* of longer bodies, only the length is told */
     CONNECTIONS_MAX = 8,
 };
 
@@ -258,9 +260,10 @@
     if (play->split == WIRE_SPLIT_ALL) {
         return 1;
     }
-    return play->split > play->written && play->split < play->written + left
-               ? play->split - play->written
-               : left;
+    if (play->split > play->written && play->split < play->written + left) {
+        left = play->split - play->written;
+    }
+    return MIN(left, SEGMENT_MAX_BYTES);
 }
 
 /* Resets a connection, which leaves no port in use. */
@@ -394,12 +397,14 @@
     const char *answer = play->arrivals < WIRE_ANSWERS_MAX
                              ? play->c->answers[play->arrivals]
                              : NULL;
-    char **parts = g_strsplit(answer != NULL ? answer : "", "%ID%", -1);
-    char *text = g_strjoinv(id, parts);
+    GString *text = g_string_new(answer);
+    char *filler = g_strnfill(WIRE_LONG_BYTES, 'x');
 
     play->arrivals++;
-    g_strfreev(parts);
-    return text;
+    g_string_replace(text, "%ID%", id, 0);
+    g_string_replace(text, "%LONG%", filler, 0);
+    g_free(filler);
+    return g_string_free(text, FALSE);
 }
 
 /* Sets what is written on a connection, up to a mark. */
@@ -472,27 +477,6 @@
     step(play->bench, 0);
 }
 
-/* Until the request has its final response and all is written. */
-static void
-run(struct play *play)
-{
-    struct exchange *exchange = current_exchange(play);
-
-    for (int rounds = 0; exchange != NULL || play->output != NULL; rounds++) {
-        g_assert_cmpint(rounds, <, ROUNDS_MAX);
-        if (play->output != NULL) {
-            write_segment(play);
-        }
-        else if (exchange->sends > play->sends) {
-            take_request(play, exchange);
-        }
-        else {
-            advance(play);
-        }
-        exchange = current_exchange(play);
-    }
-}
-
 static bool
 is_readable(int fd)
 {
@@ -535,14 +519,27 @@
     g_free(text);
 }
 
+static bool
+has_caller_output(struct play *play)
+{
+    uint32_t cursor = 0;
+    struct client *client =
+        table_next(&play->bench->relay->clients, &cursor, NULL);
+
+    return client != NULL && client->output->len > client->output_start;
+}
+
 /* Whether the caller has received more before the end of its connection. */
 static bool
 receive_more(struct play *play)
 {
     struct pollfd entry = {.fd = play->caller, .events = POLLIN};
-    char bytes[1024];
+    char bytes[16 * 1024];
     ssize_t count = -1;
 
+    while (!is_readable(play->caller) && has_caller_output(play)) {
+        step(play->bench, EVENT_WAIT_MS);
+    }
     if (poll(&entry, 1, EVENT_WAIT_MS) == 1) {
         count = recv(play->caller, bytes, sizeof(bytes), 0);
     }
@@ -552,6 +549,36 @@
     return count > 0;
 }
 
+/* Without it, the relay would stop reading from the target. */
+static void
+receive_available(struct play *play)
+{
+    while (is_readable(play->caller) && receive_more(play)) {
+    }
+}
+
+/* Until the request has its final response and all is written. */
+static void
+run(struct play *play)
+{
+    struct exchange *exchange = current_exchange(play);
+
+    for (int rounds = 0; exchange != NULL || play->output != NULL; rounds++) {
+        g_assert_cmpint(rounds, <, ROUNDS_MAX);
+        if (play->output != NULL) {
+            write_segment(play);
+        }
+        else if (exchange->sends > play->sends) {
+            take_request(play, exchange);
+        }
+        else {
+            advance(play);
+        }
+        receive_available(play);
+        exchange = current_exchange(play);
+    }
+}
+
 /**
  * struct reply - what a caller reads, by a parser of its own
  * @body: without framing
@@ -612,6 +639,9 @@
 {
     GString *text = g_string_new(NULL);
     char *id = g_strdup_printf("\r\nAttempt-Id: a-%d\r\n", index + 1);
+    char *body = reply->body->len > RENDER_MAX_BYTES
+                     ? g_strdup_printf("%zu bytes", reply->body->len)
+                     : g_strdup(reply->body->str);
 
     if (!reply->head_complete) {
         g_string_append(text, reply->empty ? "<closed>" : "<no answer>");
@@ -628,9 +658,10 @@
             text, "%d %s%s%s%s", status,
             status < 300 && !has_field(head, "\r\nServer-Seal:") ? "<unsealed>"
                                                                  : "",
-            has_field(head, id) ? "" : "<other's>", reply->body->str,
+            has_field(head, id) ? "" : "<other's>", body,
             reply->complete ? "" : "<cut>");
     }
+    g_free(body);
     g_free(id);
     return g_string_free(text, FALSE);
 }
--- a/test/wire_play.h
+++ b/test/wire_play.h
@@ -6,6 +6,7 @@
     WIRE_REQUESTS_MAX = 3,
     WIRE_ANSWERS_MAX = 5,
     WIRE_TARGETS_MAX = 2,
+    WIRE_LONG_BYTES = 300000, /* more than the relay holds back */
 };
 
 /**
@@ -13,7 +14,8 @@
  * @requests: method and path, sent one after the other on one connection,
  * with the ids a-1, a-2, a-3
  * @answers: what is written after each request that arrives at a target, in
- * order of arrival. "%ID%" stands for the request's id. Each may end with
+ * order of arrival. "%ID%" stands for the request's id, "%LONG%" for
+ * WIRE_LONG_BYTES. Each may end with
  * "<close>" or "<reset>" of the connection; what follows "<unread>" is still
  * unread when the caller's next request arrives. What precedes "<then>" is
  * written on the connection of the first request.
@@ -38,9 +40,10 @@
 
 /**
  * struct wire_result - what a caller and the targets saw
- * @replies: for each request: the status and the body. A body that is not
- * whole ends with "<cut>". A failure of the relay's own has its outcome in
- * place of the body. What breaks the protocol is named in angle brackets.
+ * @replies: for each request: the status and the body, or the length of a long
+ * one. A body that is not whole ends with "<cut>". A failure of the relay's
+ * own has its outcome in place of the body. What breaks the protocol is named
+ * in angle brackets.
  * @arrivals: requests that arrived at targets
  */
 struct wire_result {
