Relay: a success that says that it has not run proves neither

A request that runs once would be sent to a second target after a signed 200 with Not-Executed (TWICE, if it ran). Cause: the field counted as proof with any status. Change: with a success it is no proof, and the response isn't passed on: 502, or a retry where the request may run again.

--- a/src/gate/choose/verdict.c
+++ b/src/gate/choose/verdict.c
@@ -32,10 +32,11 @@
     bool success = facts->status >= 200 && facts->status < 300;
     bool own_body = facts->signed_by_target && !facts->encoded;
 
-    if (facts->not_run || facts->status == STATUS_MISDIRECTED) {
+    if (!success && (facts->not_run || facts->status == STATUS_MISDIRECTED)) {
         return VERDICT_NOT_RUN;
     }
-    if (success && own_body) {
+    /* A success that says that it has not run proves neither. */
+    if (success && own_body && !facts->not_run) {
         return VERDICT_PASS;
     }
     if (facts->retryable && (success || facts->status >= 500)) {
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -42,6 +42,10 @@
     {"encoded_error_once", {500, false, true, false, true}, VERDICT_FAILED},
     {"encoded_caller_fault", {400, false, true, true, true}, VERDICT_FAILED},
     {"encoded_refusal", {503, true, true, false, true}, VERDICT_NOT_RUN},
+    {"success_not_run_once", {200, true, true, false, false}, VERDICT_FAILED},
+    {"success_not_run_repeatable",
+     {200, true, true, true, false},
+     VERDICT_RETRY},
 };
 
 static void
