Relay: heads that say a thing twice, trailers, spaces behind a value

Four ways in which a head was read as it was not meant, found by the review, each red in relay_test before: - answer/two_attempt_ids: of two different attempt ids the last one counted, so a response of another request could pass. Spaces behind a value are no part of it.

--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -44,12 +44,14 @@
 /**
  * struct answer_meta - parameters from the header fields of a response
  * @attempt_id: attempt that it belongs to; empty when not given
+ * @has_two_ids: it names another attempt besides
  * @signed_by_target: it carries the target's signature
  * @not_run: the target has not run the request
  * @target_id: the target that responds; empty when not given
  */
 struct answer_meta {
     char attempt_id[TOKEN_MAX_BYTES];
+    bool has_two_ids;
     bool signed_by_target;
     bool not_run;
     char target_id[NAME_MAX_BYTES];
--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -64,13 +64,17 @@
 }
 
 /* The parser accepts a space between name and colon, which RFC 9112, 5.1
- * forbids: such a field would pass each comparison of names. */
+ * forbids: such a field would pass each comparison of names. Trailer fields
+ * are dropped, as the head was acted on without them. */
 bool
 head_add_name(struct head *head, const char *bytes, size_t count)
 {
     if (memchr(bytes, ' ', count) != NULL) {
         return false;
     }
+    if (!head->incomplete) {
+        return true;
+    }
     if (head->value_started || head->fields->len == 0) {
         struct head_field field;
 
@@ -92,6 +96,9 @@
 {
     struct head_field *field;
 
+    if (!head->incomplete) {
+        return true;
+    }
     if (head->fields->len == 0) {
         return false;
     }
@@ -106,7 +113,19 @@
     return true;
 }
 
-/* The parser skips empty values, so these point to the text's last NUL. */
+static void
+trim_end(char *value)
+{
+    size_t bytes = strlen(value);
+
+    while (bytes > 0 &&
+           (value[bytes - 1] == ' ' || value[bytes - 1] == '\t')) {
+        value[--bytes] = '\0';
+    }
+}
+
+/* The parser skips empty values, so these point to the text's last NUL, and
+ * keeps the spaces behind a value. */
 void
 head_finish(struct head *head)
 {
@@ -117,6 +136,7 @@
         if (field->value == 0) {
             field->value = (uint32_t)head->text->len;
         }
+        trim_end(head->text->str + field->value);
     }
     head->incomplete = false;
 }
--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -177,7 +177,8 @@
     if (is_refusal_without_id(upstream)) {
         return upstream->request_count <= 1;
     }
-    return strcmp(upstream->meta.attempt_id, exchange->meta.attempt_id) == 0;
+    return !upstream->meta.has_two_ids &&
+           strcmp(upstream->meta.attempt_id, exchange->meta.attempt_id) == 0;
 }
 
 /* Returns false when the connection was closed. */
