Soak: an order delayed by a pause is not a holder's turn

Cause: in the check. gate-1 holds the term and is paused at 1.5 s between its check of the term and the send; gate-0 takes over; at 7.06 s gate-1 resumes and the order leaves.

Change: an order that the first check accepts is not passed to the second. All others are, as before. Failures name the holders.

--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -183,30 +183,43 @@
     return found;
 }
 
-/* Whether an order has an older fencing token than an earlier one. An order
- * that a gate sent just before it was paused is accepted for RESUME_GRACE_MS
- * after it resumes. Called with the lock held. */
+/* Whether a gate was paused until less than RESUME_GRACE_MS ago. Called with
+ * the lock held. */
 static bool
-is_stale_holder(struct soak_engine *engine, const char *holder, int64_t fence,
-                int64_t now_ms)
+has_just_resumed(const struct soak *soak, const char *holder, int64_t now_ms)
 {
-    const struct soak *soak = engine->soak;
-
-    if (fence >= engine->highest_fence) {
-        engine->highest_fence = fence;
-        return false;
-    }
     for (int i = 0; i < GATES; i++) {
         char *name = g_strdup_printf("gate-%d", i);
-        bool woke = strcmp(name, holder) == 0 &&
-                    now_ms - soak->gates[i].resumed_ms <= RESUME_GRACE_MS;
+        bool same = strcmp(name, holder) == 0;
 
         g_free(name);
-        if (woke) {
-            return false;
+        if (same) {
+            return now_ms - soak->gates[i].resumed_ms <= RESUME_GRACE_MS;
         }
     }
-    return true;
+    return false;
+}
+
+/* Checks the sender of an order, and returns the violated guarantee, to be
+ * freed with g_free(), or NULL. An order with an older fencing token is not
+ * counted if its sender was paused after sending it. Called with the lock
+ * held. */
+static char *
+check_holder(struct soak_engine *engine, const char *holder, int64_t fence,
+             int64_t now_ms)
+{
+    if (fence < engine->highest_fence) {
+        return has_just_resumed(engine->soak, holder, now_ms)
+                   ? NULL
+                   : g_strdup_printf(
+                         "ONE: %s, a former holder, sent an order to %s",
+                         holder, engine->id);
+    }
+    engine->highest_fence = fence;
+    return holders_alternate(engine, holder, now_ms)
+               ? g_strdup_printf("ONE: %s and %s send orders to %s in turn",
+                                 engine->previous_holder, holder, engine->id)
+               : NULL;
 }
 
 static bool
@@ -298,29 +311,19 @@
             : g_strdup(json_get_string(order, "model", ""));
     int64_t now_ms = clock_now_ms();
     bool exceeds_memory = false;
-    bool alternated = false;
-    bool stale_holder = false;
+    char *violation = NULL;
     unsigned status = 421;
 
     pthread_mutex_lock(&engine->soak->lock);
     if (!is_wrong_instance(engine, request)) {
-        const char *holder = json_get_string(order, "holder", "");
-
-        alternated = holders_alternate(engine, holder, now_ms);
-        stale_holder = is_stale_holder(
-            engine, holder, json_get_int64(order, "fence_token", 0), now_ms);
+        violation =
+            check_holder(engine, json_get_string(order, "holder", ""),
+                         json_get_int64(order, "fence_token", 0), now_ms);
         status = apply_order(engine, order, item, now_ms, &exceeds_memory);
     }
     pthread_mutex_unlock(&engine->soak->lock);
-    if (alternated) {
-        soak_record_failure(engine->soak,
-                            "ONE: two holders send orders to %s in turn",
-                            engine->id);
-    }
-    if (stale_holder) {
-        soak_record_failure(engine->soak,
-                            "ONE: a former holder sent an order to %s",
-                            engine->id);
+    if (violation != NULL) {
+        soak_record_failure(engine->soak, "%s", violation);
     }
     if (exceeds_memory) {
         soak_record_failure(
@@ -329,6 +332,7 @@
     }
     ulfius_set_string_body_response(response, status, "");
     json_object_put(order);
+    g_free(violation);
     g_free(item);
     return U_CALLBACK_COMPLETE;
 }
