--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -146,10 +146,11 @@
 static bool
 end_pause(struct soak *soak, struct fault *fault)
 {
-    soak_gate_signal(fault_gate(soak, fault), SIGCONT);
+    /* The gate may send before soak_gate_signal() returns. */
     pthread_mutex_lock(&soak->lock);
     fault_gate(soak, fault)->resumed_ms = clock_now_ms();
     pthread_mutex_unlock(&soak->lock);
+    soak_gate_signal(fault_gate(soak, fault), SIGCONT);
     set_gate_fault_until(soak, fault_gate(soak, fault), clock_now_ms());
     return true;
 }
