Lease keeper: a short term is not given back within a lease

An instance that shuts down, or is cut off from the store, is followed by a second one; when that one shuts down, dies or loses the store at once, the first one claims the term again, 1.2 s after its last order in the test.

Cause: a term's end freed the key at once (revoke on shutdown), or as late as the lease's last renewal allowed, which may lie 0.9 s before the claim. Nothing kept the time between the two terms of the first instance above lease_ms.

Change: the lease is renewed before a claim, and not revoked until a whole lease after it; a process that ends sooner leaves it to expire. The holder before has then been silent for a lease, also when it has started anew and knows nothing of its former term. Its entry in the member list stays as long, as after a kill.

The harness of the lease keeper's cases tells a holder only when it has changed, and runs the duty then, as the feed does.

--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -155,8 +155,10 @@
  * @term: written by this duty, read by those that order engines
  * @ring: struct lease_keeper_message
  * @holder: the current holder, valid if @holder_known
- * @shut_down: the term and the lease were given up; no new lease is requested
+ * @shut_down: the term was given up; no new lease is requested
  * @lease_id: 0 for none
+ * @claimed_lease_id: lease of the last claim of the term; 0 for none
+ * @claimed_ms: when that claim was sent, by clock_boot_ms()
  * @ttl_ms: the lease's time to live as the store granted it
  * @renewal_sent_ms: when the last successful grant or renewal was sent, by
  *                   clock_boot_ms()
@@ -177,6 +179,8 @@
     bool holder_known;
     bool shut_down;
     int64_t lease_id;
+    int64_t claimed_lease_id;
+    int64_t claimed_ms;
     int64_t ttl_ms;
     int64_t renewal_sent_ms;
     int64_t vacant_since_ms;
--- a/src/gate/follow/lease_keeper.c
+++ b/src/gate/follow/lease_keeper.c
@@ -6,6 +6,11 @@
  * check the fencing token. The holder's term ends by its own clock before the
  * store ends the lease, because it is counted from before the renewal was
  * sent. That clock also runs while the machine is suspended.
+ *
+ * Engines also mustn't get orders from two instances in turn within a lease.
+ * The lease is therefore renewed before a claim and not revoked until a full
+ * lease after it: the holder before has then been silent for that long when
+ * the term is free again, even if it starts anew in between.
  */
 #include <glib.h>
 #include <string.h>
@@ -118,9 +123,6 @@
 static bool
 renew_lease(struct lease_keeper *keeper, int64_t boot_ms, struct err *err)
 {
-    if (boot_ms - keeper->renewal_sent_ms < RENEW_INTERVAL_MS) {
-        return true;
-    }
     if (keeper->store->ops->lease_renew(keeper->store, keeper->lease_id,
                                         err)) {
         keeper->renewal_sent_ms = boot_ms;
@@ -133,6 +135,12 @@
     return false;
 }
 
+static bool
+renewal_is_due(const struct lease_keeper *keeper, int64_t boot_ms)
+{
+    return boot_ms - keeper->renewal_sent_ms >= RENEW_INTERVAL_MS;
+}
+
 /* A conflict counts as registered: the key includes this instance's start
  * time, so only an earlier write of this process can have created it. */
 static bool
@@ -182,6 +190,15 @@
     struct err err = {0};
     int64_t revision;
 
+    if (boot_ms > keeper->renewal_sent_ms &&
+        !renew_lease(keeper, boot_ms, &err)) {
+        keeper->vacant_since_ms = boot_ms;
+        log_line(LOG_PRI_INFO, "tenure", "event=not_holder reason=\"%s\"",
+                 err.text);
+        return;
+    }
+    keeper->claimed_ms = boot_ms;
+    keeper->claimed_lease_id = keeper->lease_id;
     format_holder_name(keeper, name);
     if (keeper->store->ops->write(keeper->store, &write, &revision, &err)) {
         g_strlcpy(keeper->holder.name, name, sizeof(keeper->holder.name));
@@ -236,12 +253,37 @@
     }
 }
 
+/* Revokes the lease, unless it was claimed a term too recently. Returns
+ * milliseconds until the next try, -1 for none. */
+static int64_t
+revoke_lease(struct lease_keeper *keeper, int64_t boot_ms)
+{
+    struct err err = {0};
+
+    if (keeper->lease_id == 0) {
+        return -1;
+    }
+    if (keeper->claimed_lease_id == keeper->lease_id &&
+        boot_ms - keeper->claimed_ms < LEASE_TTL_MS) {
+        return LEASE_TTL_MS - (boot_ms - keeper->claimed_ms);
+    }
+    if (!keeper->store->ops->lease_revoke(keeper->store, keeper->lease_id,
+                                          &err)) {
+        log_line(LOG_PRI_WARNING, "tenure",
+                 "event=lease_not_ended reason=\"%s\"", err.text);
+    }
+    keeper->lease_id = 0;
+    return -1;
+}
+
 /**
  * lease_keeper_tick() - renew the lease, register, and claim a free term
  * @keeper: the duty
  * @boot_ms: current time by clock_boot_ms()
  *
- * Return: milliseconds until the next tick; -1 for none after the shutdown.
+ * After the shutdown, it revokes the lease when that is due.
+ *
+ * Return: milliseconds until the next tick; -1 for none.
  */
 int64_t
 lease_keeper_tick(struct lease_keeper *keeper, int64_t boot_ms)
@@ -249,9 +291,10 @@
     struct err err = {0};
 
     if (keeper->shut_down) {
-        return -1;
+        return revoke_lease(keeper, boot_ms);
     }
-    if (keeper->lease_id != 0 && !renew_lease(keeper, boot_ms, &err)) {
+    if (keeper->lease_id != 0 && renewal_is_due(keeper, boot_ms) &&
+        !renew_lease(keeper, boot_ms, &err)) {
         log_line(LOG_PRI_WARNING, "tenure", "event=not_renewed reason=\"%s\"",
                  err.text);
         return RETRY_DELAY_MS;
@@ -272,22 +315,16 @@
 }
 
 /**
- * lease_keeper_shut_down() - end the term and the lease
+ * lease_keeper_shut_down() - end the term, and the lease as soon as it may end
  * @keeper: the duty
+ * @boot_ms: current time by clock_boot_ms()
  */
 void
-lease_keeper_shut_down(struct lease_keeper *keeper)
+lease_keeper_shut_down(struct lease_keeper *keeper, int64_t boot_ms)
 {
-    struct err err = {0};
-
     keeper->shut_down = true;
     end_term(keeper, "leaving");
-    if (keeper->lease_id != 0 && !keeper->store->ops->lease_revoke(
-                                     keeper->store, keeper->lease_id, &err)) {
-        log_line(LOG_PRI_WARNING, "tenure",
-                 "event=lease_not_ended reason=\"%s\"", err.text);
-    }
-    keeper->lease_id = 0;
+    revoke_lease(keeper, boot_ms);
 }
 
 static bool
@@ -302,7 +339,7 @@
     while ((result = ring_pop(&keeper->ring, &message, wait_ms)) !=
            RING_CLOSED) {
         if (result == RING_OK && message.shut_down) {
-            lease_keeper_shut_down(keeper);
+            lease_keeper_shut_down(keeper, clock_boot_ms());
         }
         else if (result == RING_OK) {
             lease_keeper_set_holder(keeper, &message.holder, clock_boot_ms());
@@ -310,7 +347,7 @@
         wait_ms = lease_keeper_tick(keeper, clock_boot_ms());
     }
     if (!keeper->shut_down) {
-        lease_keeper_shut_down(keeper);
+        lease_keeper_shut_down(keeper, clock_boot_ms());
     }
     return true;
 }
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -682,6 +682,7 @@
     struct gate_settings settings;
     bool unreachable;
     bool paused;
+    bool ended;
     int64_t next_ms;
 };
 
@@ -696,7 +697,7 @@
     struct err err = {0};
     bool down = store->down;
 
-    if (instance->paused) {
+    if (instance->paused || instance->ended) {
         return;
     }
     store->down = down || instance->unreachable;
@@ -709,7 +710,11 @@
                 holder.fence = items.items[i].create_revision;
             }
         }
-        lease_keeper_set_holder(&instance->keeper, &holder, now_ms);
+        if (!instance->keeper.holder_known ||
+            instance->keeper.holder.fence != holder.fence) {
+            lease_keeper_set_holder(&instance->keeper, &holder, now_ms);
+            instance->next_ms = now_ms;
+        }
         store_items_clear(&items);
     }
     if (now_ms >= instance->next_ms) {
@@ -722,7 +727,7 @@
 
 static void
 apply_step(struct memstore *store, struct instance *a, struct instance *b,
-           char step)
+           char step, int64_t now_ms)
 {
     switch (step) {
     case 'A':
@@ -744,7 +749,8 @@
         a->paused = false;
         break;
     case 'L':
-        lease_keeper_shut_down(&a->keeper);
+        lease_keeper_shut_down(&a->keeper, now_ms);
+        a->next_ms = now_ms;
         break;
     case 'x':
         store->lose_responses++;
@@ -793,7 +799,7 @@
     start_instance(&store, &a, "a");
     start_instance(&store, &b, "b");
     for (const char *step = c->steps; *step != '\0'; step++) {
-        apply_step(&store, &a, &b, *step);
+        apply_step(&store, &a, &b, *step, now_ms);
         now_ms += 100;
         memstore_set_time(&store, now_ms);
         tick_instance(&store, &a, now_ms);
@@ -815,6 +821,136 @@
     memstore_clear(&store);
 }
 
+/*
+ * Guards against holders that take turns within a lease: an instance that
+ * orders, another one that orders, and the first one again.
+ *
+ * Two instances, a and b, share a store. Each step takes 100 ms; whoever has
+ * the term orders. a has it first. Each case runs at several times after b has
+ * renewed its lease. Steps: "." nothing else, "A" or "a" instance a loses or
+ * reaches the store, "B" or "b" the same for b, "F" or "f" a is paused or runs
+ * again, "L" or "M" a or b shuts down and goes on to run, "K" or "J" a or b is
+ * killed, "l" or "m" a or b starts anew.
+ */
+struct turns_case {
+    const char *name;
+    const char *steps;
+    const char *orders; /* holders in their order */
+};
+
+enum { ORDERS_TURN_MS = 3000 }; /* lease_ms of deployments */
+
+#define ONLY_A "B" LEASE "b" SECOND
+#define LEASE SECOND SECOND SECOND SECOND
+
+static const struct turns_case turns_cases[] = {
+    {"next_shuts_down", "L.l..M" LEASE, "aba"},
+    {"next_shuts_down_late", "L.l" LEASE "M" SECOND, "aba"},
+    {"next_shuts_down_and_ends", "L.l..M..J" LEASE, "aba"},
+    {"next_is_killed", "L.l..J" LEASE, "aba"},
+    {"next_loses_store", "L.l..B" LEASE "b", "aba"},
+    {"was_cut_off", "A" SECOND SECOND SECOND "a.....M" LEASE, "aba"},
+    {"was_paused", "F" SECOND SECOND SECOND "f.....M" LEASE, "aba"},
+    {"was_killed", "K" SECOND SECOND SECOND "l.....M" LEASE, "aba"},
+    {"no_other_between", "BL....l" SECOND, "a"},
+};
+
+/**
+ * struct turns - orders so far
+ * @orders: the holders, without repetitions
+ * @last_ms: when each instance last ordered
+ */
+struct turns {
+    GString *orders;
+    int64_t last_ms[2];
+};
+
+static void
+record_order(struct turns *turns, int instance, int64_t now_ms)
+{
+    const char name = "ab"[instance];
+    GString *orders = turns->orders;
+
+    if (orders->len > 0 && orders->str[orders->len - 1] == name) {
+        turns->last_ms[instance] = now_ms;
+        return;
+    }
+    if (orders->len >= 2) {
+        g_assert_cmpint(now_ms - turns->last_ms[instance], >=, ORDERS_TURN_MS);
+    }
+    g_string_append_c(orders, name);
+    turns->last_ms[instance] = now_ms;
+}
+
+static void
+apply_process_step(struct memstore *store, struct instance *a,
+                   struct instance *b, char step, int64_t now_ms)
+{
+    struct instance *instance = strchr("LKl", step) != NULL ? a : b;
+
+    if (strchr("LM", step) != NULL) {
+        lease_keeper_shut_down(&instance->keeper, now_ms);
+        instance->next_ms = now_ms;
+    }
+    else if (strchr("KJ", step) != NULL) {
+        instance->ended = true;
+    }
+    else if (strchr("lm", step) != NULL) {
+        lease_keeper_clear(&instance->keeper);
+        start_instance(store, instance, instance == a ? "a" : "b");
+        instance->next_ms = now_ms;
+    }
+    else {
+        apply_step(store, a, b, step, now_ms);
+    }
+}
+
+static void
+play_turns(struct memstore *store, struct instance instances[2],
+           struct turns *turns, const char *steps, int64_t *now_ms)
+{
+    for (const char *step = steps; *step != '\0'; step++) {
+        apply_process_step(store, &instances[0], &instances[1], *step,
+                           *now_ms);
+        *now_ms += 100;
+        memstore_set_time(store, *now_ms);
+        for (int i = 0; i < 2; i++) {
+            tick_instance(store, &instances[i], *now_ms);
+        }
+        for (int i = 0; i < 2; i++) {
+            if (!instances[i].ended && !instances[i].paused &&
+                term_is_valid(&instances[i].term, *now_ms, NULL)) {
+                record_order(turns, i, *now_ms);
+            }
+        }
+    }
+}
+
+static void
+test_turns(gconstpointer data)
+{
+    const struct turns_case *c = data;
+
+    for (int offset = 0; offset < 10; offset++) {
+        struct turns turns = {.orders = g_string_new(NULL)};
+        struct memstore store;
+        struct instance instances[2];
+        int64_t now_ms = 0;
+
+        memstore_init(&store);
+        start_instance(&store, &instances[0], "a");
+        start_instance(&store, &instances[1], "b");
+        play_turns(&store, instances, &turns, ONLY_A, &now_ms);
+        play_turns(&store, instances, &turns, &SECOND[offset], &now_ms);
+        play_turns(&store, instances, &turns, c->steps, &now_ms);
+        g_assert_cmpstr(turns.orders->str, ==, c->orders);
+        g_string_free(turns.orders, TRUE);
+        lease_keeper_clear(&instances[0].keeper);
+        lease_keeper_clear(&instances[1].keeper);
+        memstore_clear(&store);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -825,6 +961,7 @@
         CASES("/follow/connects", connects_cases, test_connects),
         CASES("/follow/member", member_cases, test_member),
         CASES("/follow/lease_keeper", lease_keeper_cases, test_lease_keeper),
+        CASES("/follow/turns", turns_cases, test_turns),
     };
 
     g_test_init(&argc, &argv, NULL);
