Place: the lease holder ignores the views of other instances

Cause: each instance takes over what the lease holder says an engine holds, if its sequence isn't lower than the known one; so did the holder itself. A view with the same sequence may be older: while a model loads, the sequence counts the order already and the held items lack the model. The view of a former holder that was paused or cut off arrives late and takes the model out of the new holder's plan, which then loads another one into the same memory. The expected sequence doesn't help, as it is the right one. Change: the holder trusts the engines' reports only; plan_end_term() ends that.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -107,6 +107,7 @@
  * @engines: target id -> struct plan_engine
  * @items: quark -> struct item_demand
  * @activities: instance id -> struct activity_report, its last one
+ * @is_holder: this instance held the lease at the last check
  * @holder_since_ms: when this instance became the lease holder
  * @store_load_start_ms: start times of the last loads from the weight store,
  *                       a ring indexed by @store_load_count
@@ -118,6 +119,7 @@
     GHashTable *engines;
     GHashTable *items;
     GHashTable *activities;
+    bool is_holder;
     int64_t holder_since_ms;
     int64_t store_load_start_ms[64];
     int store_load_count;
@@ -235,7 +237,6 @@
  * @messages: input from all threads, see enum place_message_kind
  * @calls: pointers to struct engine_call for the workers
  * @pending_calls: calls queued or in progress
- * @was_holder: this instance held the lease at the last check
  * @forecast_sent_ms: when the last load forecast was made
  */
 struct place_gate {
@@ -249,7 +250,6 @@
     struct plan plan;
     struct order_worker workers[ORDER_WORKERS];
     int pending_calls;
-    bool was_holder;
     int64_t forecast_sent_ms;
 };
 
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -91,10 +91,12 @@
     struct holdings *holdings;
     bool is_holder = term_is_valid(place->term, clock_boot_ms(), NULL);
 
-    if (is_holder && !place->was_holder) {
+    if (is_holder && !place->plan.is_holder) {
         plan_become_holder(&place->plan, now_ms);
     }
-    place->was_holder = is_holder;
+    if (!is_holder) {
+        plan_end_term(&place->plan);
+    }
     while (is_holder && place->pending_calls < ORDER_WORKERS * 2 &&
            plan_next_step(&place->plan, now_ms, &step) &&
            queue_call(place, &step)) {
@@ -125,9 +127,9 @@
     enum ring_result result;
 
     (void)err;
-    while ((result =
-                ring_pop(&place->messages, &message,
-                         place->was_holder ? HOLDER_TICK_MS : IDLE_TICK_MS)) !=
+    while ((result = ring_pop(&place->messages, &message,
+                              place->plan.is_holder ? HOLDER_TICK_MS
+                                                    : IDLE_TICK_MS)) !=
            RING_CLOSED) {
         while (result == RING_OK) {
             handle_message(place, &message, clock_now_ms());
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -209,6 +209,11 @@
  * plan_apply_holdings() - apply held items as the lease holder reports them
  * @plan: the plan
  * @holdings: held items of an engine; ignored if older than the known ones
+ *
+ * A view with the same sequence may still be older: it lacks items that were
+ * being loaded. The holder therefore trusts the engine's reports only. A view
+ * that arrives during its term is a former holder's, delayed by a cut link or
+ * a pause.
  */
 void
 plan_apply_holdings(struct plan *plan, const struct holdings *holdings)
@@ -216,6 +221,9 @@
     struct plan_engine *engine =
         g_hash_table_lookup(plan->engines, holdings->target);
 
+    if (plan->is_holder) {
+        return;
+    }
     if (holdings->store_loads_max > 0) {
         plan->settings.store_loads_max = holdings->store_loads_max;
     }
@@ -240,6 +248,7 @@
     GHashTableIter iter;
     void *value;
 
+    plan->is_holder = true;
     plan->holder_since_ms = now_ms;
     g_hash_table_iter_init(&iter, plan->engines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -251,3 +260,13 @@
         engine->unanswered_since_ms = 0;
     }
 }
+
+/**
+ * plan_end_term() - end this instance's term as lease holder
+ * @plan: the plan
+ */
+void
+plan_end_term(struct plan *plan)
+{
+    plan->is_holder = false;
+}
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -39,6 +39,7 @@
  *   a h c u x       the last order is accepted, answered as held already,
  *                   refused with a conflict, not answered, not sent
  *   begin           this instance becomes the lease holder
+ *   v1:SEQ:ITEMS    another instance's view of engine 1 arrives
  */
 struct step_case {
     const char *name;
@@ -119,6 +120,15 @@
     {"loads_of_the_previous_holder_count",
      "e1: e2: e3: n n n r1:0::busy r2:0: r3:0: w:m1=1 w:m2=1 n a n",
      "report2 report1 report3 load2:m1@0 -"},
+    {"late_view_of_the_former_holder",
+     "e1: begin n r1:1:m1,m2 v1:1:m1 w:m1:run=1 w:m2:run=1 w:m3=1 t=900 n",
+     "report1 -"},
+    {"late_view_after_an_order_of_the_former_holder",
+     "e1: begin n r1:1:m1 v1:2: w:m1:run=1 w:m2=1 t=900 n",
+     "report1 load1:m2@1"},
+    {"view_of_the_holder_outdates_a_report",
+     "e1: v1:2:m1 begin n r1:1: t=900 w:m2=1 n r1:2:m1 n",
+     "report1 report1 load1:m2@2"},
     {"new_holder_learns_demand_before_store_loads",
      "e1: n r1:0: t=2000 begin n r1:0: w:m1=1 n t=2600 n",
      "report1 report1 - load1:m1@0"},
@@ -286,6 +296,20 @@
     g_free(plan_step_done(&fixture->plan, &call, fixture->now_ms));
 }
 
+static void
+apply_view(struct plan_fixture *fixture, char number, char **parts)
+{
+    struct target_info info;
+    struct holdings holdings = {.started_ms = 1};
+    bool has_unknown_items = false;
+
+    fill_info(&info, number);
+    g_strlcpy(holdings.target, info.id, sizeof(holdings.target));
+    holdings.sequence = g_ascii_strtoll(parts[1], NULL, 10);
+    parse_items(parts[2], &holdings.held, &has_unknown_items);
+    plan_apply_holdings(&fixture->plan, &holdings);
+}
+
 static void
 apply_failed_report(struct plan_fixture *fixture, char number)
 {
@@ -417,6 +441,9 @@
     else if (command[0] == 'r') {
         apply_report(fixture, command[1], parts);
     }
+    else if (command[0] == 'v') {
+        apply_view(fixture, command[1], parts);
+    }
     else if (command[0] == 'f') {
         apply_failed_report(fixture, command[1]);
     }
