Place: an item that the configuration lacks has no known size

Callers could see: an engine that holds a model which a new configuration dropped is ordered to load beyond its memory (LIMIT), and crashes. Cause: a report's items count as of unknown size only if their name was never seen in this process. The name of a dropped model was, and its size was taken as 0 MB. Besides, items were evicted in vain beside one of unknown size, as room can never be shown there. Change: an engine has room, and an eviction makes room, only if the configuration gives the size of all that stays. A dropped item is evicted like others, by its last request.

--- a/src/gate/place/capacity.c
+++ b/src/gate/place/capacity.c
@@ -77,6 +77,26 @@
     return count;
 }
 
+/* Whether the size of all held items is known, apart from one that is or will
+ * be unloaded, 0 for none. A model may be held that the configuration no
+ * longer has. */
+static bool
+are_sizes_known(const struct plan *plan, const struct plan_engine *engine,
+                uint32_t unloaded)
+{
+    struct item_set held = engine->info.held;
+
+    if (unloaded != 0) {
+        item_set_remove(&held, unloaded);
+    }
+    for (int i = 0; i < held.count; i++) {
+        if (plan_engine_model(plan, engine, held.ids[i]) == NULL) {
+            return false;
+        }
+    }
+    return !engine->info.has_unknown_items;
+}
+
 /**
  * engine_has_room() - whether an engine can load an item without an eviction
  * @plan: the plan
@@ -92,7 +112,9 @@
 {
     const struct gate_service *service = plan_engine_service(plan, engine);
 
-    if (service == NULL || engine->info.has_unknown_items ||
+    if (service == NULL ||
+        !are_sizes_known(plan, engine,
+                         item_is_adapter(item) ? 0 : engine->unloading) ||
         engine_used_mb(plan, engine, item) + item_mb(plan, engine, item) >
             service->memory_mb) {
         return false;
@@ -120,18 +142,20 @@
     return demand->running == 0 && now_ms - demand->last_request_ms >= idle_ms;
 }
 
-/* A model that is smaller than what is missing would be unloaded in vain. */
+/* A model that is smaller than what is missing would be unloaded in vain, as
+ * would any item beside one of unknown size. */
 static bool
 makes_room(const struct plan *plan, const struct plan_engine *engine,
            uint32_t candidate, uint32_t item)
 {
     const struct gate_service *service = plan_engine_service(plan, engine);
 
-    return item_is_adapter(item) ||
-           (service != NULL && engine_used_mb(plan, engine, item) -
-                                       item_mb(plan, engine, candidate) +
-                                       item_mb(plan, engine, item) <=
-                                   service->memory_mb);
+    return are_sizes_known(plan, engine, candidate) &&
+           (item_is_adapter(item) ||
+            (service != NULL && engine_used_mb(plan, engine, item) -
+                                        item_mb(plan, engine, candidate) +
+                                        item_mb(plan, engine, item) <=
+                                    service->memory_mb));
 }
 
 /**
