Relay: fields of the protocol stay end-to-end when Connection lists them

A response with "Connection: Server-Seal" reached its caller without the signature, a 2xx that breaks MIXED; one with "Connection: Content-Type" lost the type of its stream. A request with "Connection: Deadline-Ms" ran with the route's whole timeout, one with Model, Token-Count or Prompt-Prefix listed ran without them, and one with Attempt-Id listed was refused with 400.

Cause: any field that Connection lists was dropped as hop-by-hop. RFC 9110, 7.6.1, forbids to list a field that is for all recipients.

Change: the dialect says which fields the protocol defines (defines_field); head.c has the few of HTTP itself. Both are forwarded or dropped as without Connection. turmericd's forward copies status and Content-Type only and reads the fields it needs by name, so it doesn't have this fault.

--- a/src/gate/relay/answer.c
+++ b/src/gate/relay/answer.c
@@ -68,7 +68,7 @@
         const char *name = head_field_name(head, i);
         const char *value = head_field_value(head, i);
 
-        if (!head_is_hop_by_hop(head, name) &&
+        if (!head_is_hop_by_hop(head, relay->dialect, name) &&
             relay->dialect->ops->read_answer_field(relay->dialect, name, value,
                                                    &meta) == FIELD_PASS) {
             g_string_append_printf(answer->head, "%s: %s\r\n", name, value);
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -85,6 +85,7 @@
 
 /**
  * struct dialect_ops - the platform's header fields and local endpoints
+ * @defines_field: whether the protocol defines a field, case-insensitively
  * @read_request_field: reads one field of a request; @value ends with a NUL
  * byte
  * @read_answer_field: reads one field of a response
@@ -93,6 +94,7 @@
  * @format_addresses: body of a lookup response; freed with g_free()
  */
 struct dialect_ops {
+    bool (*defines_field)(struct dialect *dialect, const char *name);
     enum field_action (*read_request_field)(struct dialect *dialect,
                                             const char *name,
                                             const char *value,
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -85,7 +85,7 @@
         const char *value = head_field_value(head, i);
         enum field_action action;
 
-        if (head_is_hop_by_hop(head, name)) {
+        if (head_is_hop_by_hop(head, relay->dialect, name)) {
             continue;
         }
         action = relay->dialect->ops->read_request_field(
--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -32,6 +32,20 @@
     "HTTP2-Settings",
 };
 
+/* Fields for all recipients, which a Connection field must not list (RFC 9110,
+ * 7.6.1). */
+static const char *const end_to_end_fields[] = {
+    "Cache-Control",
+    "Content-Encoding",
+    "Content-Language",
+    "Content-Location",
+    "Content-Range",
+    "Content-Type",
+    "Host",
+    "Location",
+    "Retry-After",
+};
+
 void
 head_init(struct head *head)
 {
@@ -206,15 +220,34 @@
     return false;
 }
 
-bool
-head_is_hop_by_hop(const struct head *head, const char *name)
+static bool
+lists_field(const char *const *fields, size_t count, const char *name)
 {
-    for (size_t i = 0; i < G_N_ELEMENTS(hop_fields); i++) {
-        if (strcasecmp(name, hop_fields[i]) == 0) {
+    for (size_t i = 0; i < count; i++) {
+        if (strcasecmp(name, fields[i]) == 0) {
             return true;
         }
     }
-    return connection_names(head, name);
+    return false;
+}
+
+/**
+ * head_is_hop_by_hop() - whether a field concerns one connection only
+ * @head: head with the field
+ * @dialect: its fields are for the other end, whatever Connection lists
+ * @name: name of the field
+ */
+bool
+head_is_hop_by_hop(const struct head *head, struct dialect *dialect,
+                   const char *name)
+{
+    if (lists_field(hop_fields, G_N_ELEMENTS(hop_fields), name)) {
+        return true;
+    }
+    return connection_names(head, name) &&
+           !lists_field(end_to_end_fields, G_N_ELEMENTS(end_to_end_fields),
+                        name) &&
+           !dialect->ops->defines_field(dialect, name);
 }
 
 /**
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -399,7 +399,8 @@
 const char *head_field_value(const struct head *head, int index);
 const char *head_find_value(const struct head *head, const char *name);
 bool head_is_encoded(const struct head *head);
-bool head_is_hop_by_hop(const struct head *head, const char *name);
+bool head_is_hop_by_hop(const struct head *head, struct dialect *dialect,
+                        const char *name);
 bool head_is_joined(const struct head *head);
 
 /* client.c */
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -409,6 +409,20 @@
      "HTTP/1.1 400",
      "}\n",
      0},
+    {"listed_attempt_id",
+     "/once/1",
+     "Connection: Attempt-Id\r\n",
+     {OK},
+     "HTTP/1.1 200",
+     "done",
+     1},
+    {"listed_deadline",
+     "/once/1",
+     "Connection: Deadline-Ms\r\nDeadline-Ms: 0\r\n",
+     {OK},
+     "HTTP/1.1 503",
+     "}\n",
+     0},
     {"value_with_trailing_space",
      "/once/1",
      "",
@@ -824,6 +838,20 @@
     {"trailer",
      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Late: 1\r\n",
      "Content-Length: 3\r\n\r\nabc", "X-Late"},
+    /* The caller's Connection field names what is for the target. */
+    {"model_listed", "Connection: Model\r\nModel: m", "Model: m\r\n", NULL},
+    {"tokens_listed", "Connection: close, token-count\r\nToken-Count: 1,2",
+     "Token-Count: 1,2\r\n", NULL},
+    {"parts_listed", "Connection: Prompt-Prefix\r\nPrompt-Prefix: a:1",
+     "Prompt-Prefix: a:1\r\n", NULL},
+    {"last_event_listed", "Connection: Last-Event-Id\r\nLast-Event-Id: 12",
+     "Last-Event-Id: 12", NULL},
+    {"hint_listed", "Connection: Length-Hint\r\nLength-Hint: 9",
+     "Length-Hint: 9\r\n", NULL},
+    {"host_listed", "Connection: Host", "Host: h\r\n", NULL},
+    {"type_listed", "Connection: Content-Type\r\nContent-Type: a/b",
+     "Content-Type: a/b\r\n", NULL},
+    {"reserved_listed", "Connection: Hold\r\nHold: x", NULL, "Hold"},
 };
 
 static void
@@ -857,6 +885,61 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against header fields of a response that don't reach the caller, and
+ * against those of the target's connection that do. */
+struct returned_case {
+    const char *name;
+    const char *head_lines; /* sent by the target */
+    const char *expected;   /* at the caller */
+    const char *forbidden;  /* at the caller; NULL for no check */
+};
+
+static const struct returned_case returned_cases[] = {
+    {"other_field", "X-Any: v\r\n", "\r\nX-Any: v\r\n", NULL},
+    {"hop_by_hop", "Connection: X-Hop\r\nX-Hop: v\r\n", "\r\n\r\ndone",
+     "X-Hop"},
+    {"keep_alive", "Keep-Alive: timeout=9\r\n", "\r\n\r\ndone", "Keep-Alive"},
+    /* The Connection field names what is for the caller. */
+    {"seal_listed", "Connection: Server-Seal\r\n", "\r\nServer-Seal: s\r\n",
+     NULL},
+    {"id_listed", "Connection: keep-alive, attempt-id\r\n",
+     "\r\nAttempt-Id: a-1\r\n", NULL},
+    {"type_listed", "Connection: Content-Type\r\nContent-Type: a/b\r\n",
+     "\r\nContent-Type: a/b\r\n", NULL},
+    {"versions_listed",
+     "Connection: Weight-Versions\r\nWeight-Versions: 3\r\n",
+     "\r\nWeight-Versions: 3\r\n", NULL},
+    {"retry_listed", "Connection: Retry-After\r\nRetry-After: 1\r\n",
+     "\r\nRetry-After: 1\r\n", NULL},
+};
+
+static void
+test_returned(gconstpointer data)
+{
+    const struct returned_case *c = data;
+    char *first = g_strconcat(OK_HEAD, c->head_lines,
+                              "Content-Length: 4\r\n\r\ndone", NULL);
+    const char *const answers[] = {first, NULL};
+    struct fixture fixture;
+    char *answer;
+    int fd;
+
+    fixture_start(&fixture, answers, 1);
+    fd = connect_to(relay_front_port(fixture.relay));
+    send_text(fd, "GET /once/1 HTTP/1.1\r\nHost: h\r\n"
+                  "Attempt-Id: a-1\r\nConnection: close\r\n\r\n");
+    answer = read_all(fd);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+    g_assert_nonnull(strstr(answer, c->expected));
+    if (c->forbidden != NULL) {
+        g_assert_null(strstr(answer, c->forbidden));
+    }
+    close(fd);
+    g_free(answer);
+    g_free(first);
+    fixture_stop(&fixture);
+}
+
 static void
 read_until(int fd, const char *end)
 {
@@ -1264,6 +1347,7 @@
         CASES("/relay/answer", relay_cases, test_relay),
         CASES("/relay/long_body", long_body_cases, test_long_body),
         CASES("/relay/forwarded", forwarded_cases, test_forwarded),
+        CASES("/relay/returned", returned_cases, test_returned),
         CASES("/relay/reuse", reuse_cases, test_reuse),
         CASES("/relay/late_refusal", late_refusal_cases, test_late_refusal),
         CASES("/relay/copy", copy_cases, test_copy),
