Relay: all Connection fields list hop-by-hop fields

A field listed in a second Connection field was forwarded, to the target and to the caller, although it concerns one connection only. Cause: only the first Connection field of a head was read. Evidence: relay_test forwarded/ and returned/hop_by_hop_in_second_list, both red before. Change: each Connection field is read.

--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -200,14 +200,12 @@
     return find_status_line(head->text->str, head->text->len) != NULL;
 }
 
-/* Whether the Connection field lists a field as hop-by-hop. */
 static bool
-connection_names(const struct head *head, const char *name)
+list_names(const char *list, const char *name)
 {
-    const char *list = head_find_value(head, "Connection");
     size_t length = strlen(name);
 
-    while (list != NULL && *list != '\0') {
+    while (*list != '\0') {
         size_t span;
 
         list += strspn(list, " \t,");
@@ -220,6 +218,19 @@
     return false;
 }
 
+/* Whether a Connection field lists a field as hop-by-hop. */
+static bool
+connection_names(const struct head *head, const char *name)
+{
+    for (int i = 0; i < head_field_count(head); i++) {
+        if (strcasecmp(head_field_name(head, i), "Connection") == 0 &&
+            list_names(head_field_value(head, i), name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 lists_field(const char *const *fields, size_t count, const char *name)
 {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -831,6 +831,8 @@
     {"backup", "Kv-Backup: 1.2.3.4:5", NULL, "Kv-Backup"},
     {"from", "Kv-From: 1.2.3.4:5/x", NULL, "Kv-From"},
     {"hop_by_hop", "Connection: close, X-Hop\r\nX-Hop: v", NULL, "X-Hop"},
+    {"hop_by_hop_in_second_list",
+     "Connection: keep-alive\r\nConnection: X-Hop\r\nX-Hop: v", NULL, "X-Hop"},
     {"last_event", "Last-Event-Id: 12", "Last-Event-Id: 12", NULL},
     {"body", "Content-Length: 3\r\n\r\nabc", "\r\n\r\nabc", NULL},
     {"chunked", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
@@ -898,6 +900,9 @@
     {"other_field", "X-Any: v\r\n", "\r\nX-Any: v\r\n", NULL},
     {"hop_by_hop", "Connection: X-Hop\r\nX-Hop: v\r\n", "\r\n\r\ndone",
      "X-Hop"},
+    {"hop_by_hop_in_second_list",
+     "Connection: keep-alive\r\nConnection: X-Hop\r\nX-Hop: v\r\n",
+     "\r\n\r\ndone", "X-Hop"},
     {"keep_alive", "Keep-Alive: timeout=9\r\n", "\r\n\r\ndone", "Keep-Alive"},
     /* The Connection field names what is for the caller. */
     {"seal_listed", "Connection: Server-Seal\r\n", "\r\nServer-Seal: s\r\n",
