Relay: a request that offers another protocol is served as HTTP/1.1

A proper request with "Upgrade: h2c" (or any other protocol) was refused with 400, which is final for its caller (DENIED). A server may ignore Upgrade (RFC 9110, 7.8). Cause: the parser's mark for Upgrade, which it shares with CONNECT, counted as unreadable. Change: only CONNECT is refused. The request ends as its length says, with or without the mark: the table has a body, a chunked body and the next request behind it, and the preface of HTTP/2, which is refused by itself. Upgrade, HTTP2-Settings and Connection are not forwarded, as before. In responses, the parser marks 101 only, which stays refused.

--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -357,7 +357,9 @@
     }
 }
 
-/* Refuses what can't be read or exceeds a limit. Returns whether it did. */
+/* Refuses what can't be read or exceeds a limit. Returns whether it did. A
+ * request to change the protocol may be ignored (RFC 9110, 7.8), and ends as
+ * its length says; what follows a CONNECT is not for this server. */
 static bool
 refuse_unreadable(struct relay *relay, struct client *client, int64_t now_ms)
 {
@@ -369,8 +371,10 @@
     else if (client->body->len > body_max(relay)) {
         refuse_client(relay, client, 413, "body_too_large", now_ms);
     }
-    else if (client->parser.upgrade ||
-             (parser_error != HPE_OK && !client->request_complete)) {
+    else if (client->head_complete && client->parser.method == HTTP_CONNECT) {
+        refuse_client(relay, client, 400, "no_tunnel", now_ms);
+    }
+    else if (parser_error != HPE_OK && !client->request_complete) {
         refuse_client(relay, client, 400, http_errno_name(parser_error),
                       now_ms);
     }
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -1252,6 +1252,109 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a request that is refused because its caller could also speak
+ * another protocol, and against bytes behind its head that are taken for a
+ * request, or for none, against its framing. */
+struct upgrade_case {
+    const char *name;
+    const char *text;     /* what the caller sends */
+    const char *statuses; /* of the responses */
+    const char *seen;     /* end of the first request at the target */
+    int arrivals;
+};
+
+#define H2C                                                                   \
+    "Host: h\r\nAttempt-Id: a-1\r\nUpgrade: h2c\r\n"                          \
+    "HTTP2-Settings: AAMAAABk\r\nConnection: Upgrade, HTTP2-Settings"
+#define H2C_LAST H2C ", close\r\n"
+#define LAST_REQUEST                                                          \
+    "GET /once/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-2\r\n"                  \
+    "Connection: close\r\n\r\n"
+#define CONNECT "CONNECT h:80 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\n"
+
+static const struct upgrade_case upgrade_cases[] = {
+    {"get", "GET /once/1 HTTP/1.1\r\n" H2C_LAST "\r\n", "200", "\r\n\r\n", 1},
+    {"websocket",
+     "GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\n"
+     "Upgrade: websocket\r\nConnection: close, upgrade\r\n\r\n",
+     "200", "\r\n\r\n", 1},
+    {"body",
+     "POST /once/1 HTTP/1.1\r\n" H2C_LAST "Content-Length: 3\r\n\r\nabc",
+     "200", "\r\n\r\nabc", 1},
+    {"chunks",
+     "POST /once/1 HTTP/1.1\r\n" H2C_LAST
+     "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     "200", "\r\n\r\nabc", 1},
+    {"next_request", "GET /once/1 HTTP/1.1\r\n" H2C "\r\n\r\n" LAST_REQUEST,
+     "200 200", "\r\n\r\n", 2},
+    {"body_then_request",
+     "POST /once/1 HTTP/1.1\r\n" H2C "\r\nContent-Length: 3\r\n\r\n"
+     "abc" LAST_REQUEST,
+     "200 200", "\r\n\r\nabc", 2},
+    {"chunks_then_request",
+     "POST /once/1 HTTP/1.1\r\n" H2C
+     "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" LAST_REQUEST,
+     "200 200", "\r\n\r\nabc", 2},
+    {"other_protocol",
+     "GET /once/1 HTTP/1.1\r\n" H2C "\r\n\r\n"
+     "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" LAST_REQUEST,
+     "200 400", "\r\n\r\n", 1},
+    {"two_lengths",
+     "POST /once/1 HTTP/1.1\r\n" H2C "\r\nContent-Length: 3\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" LAST_REQUEST,
+     "400", NULL, 0},
+    {"connect", CONNECT "\r\n" LAST_REQUEST, "400", NULL, 0},
+    {"connect_body", CONNECT "Content-Length: 3\r\n\r\nabc" LAST_REQUEST,
+     "400", NULL, 0},
+    {"connect_upgrade",
+     "CONNECT h:80 HTTP/1.1\r\n" H2C "\r\n\r\n" LAST_REQUEST, "400", NULL, 0},
+};
+
+/* The statuses of all responses in what a caller has received. */
+static char *
+read_statuses(const char *text)
+{
+    static const char start[] = "HTTP/1.1 ";
+    GString *statuses = g_string_new(NULL);
+
+    while ((text = strstr(text, start)) != NULL) {
+        text += strlen(start);
+        g_string_append_printf(statuses, "%s%.3s",
+                               statuses->len > 0 ? " " : "", text);
+    }
+    return g_string_free(statuses, FALSE);
+}
+
+static void
+test_upgrade(gconstpointer data)
+{
+    const struct upgrade_case *c = data;
+    static const char *const answers[] = {OK, OK, NULL};
+    struct fixture fixture;
+    char *answer;
+    char *statuses;
+    int fd;
+
+    fixture_start(&fixture, answers, 1);
+    fd = connect_to(relay_front_port(fixture.relay));
+    send_text(fd, c->text);
+    answer = read_all(fd);
+    statuses = read_statuses(answer);
+    g_assert_cmpstr(statuses, ==, c->statuses);
+    g_assert_cmpint(script_request_count(&fixture.script), ==, c->arrivals);
+    if (c->seen != NULL) {
+        const char *seen = script_get_request(&fixture.script, 0);
+
+        g_assert_true(g_str_has_suffix(seen, c->seen));
+        g_assert_null(strcasestr(seen, "upgrade"));
+        g_assert_null(strcasestr(seen, "http2-settings"));
+    }
+    close(fd);
+    g_free(statuses);
+    g_free(answer);
+    fixture_stop(&fixture);
+}
+
 /* Guards against requests that are cut off without a response when the process
  * stops: one that waits for a target, and one that a target still runs. */
 struct drain_case {
@@ -1353,6 +1456,7 @@
         CASES("/relay/long_body", long_body_cases, test_long_body),
         CASES("/relay/forwarded", forwarded_cases, test_forwarded),
         CASES("/relay/returned", returned_cases, test_returned),
+        CASES("/relay/upgrade", upgrade_cases, test_upgrade),
         CASES("/relay/reuse", reuse_cases, test_reuse),
         CASES("/relay/late_refusal", late_refusal_cases, test_late_refusal),
         CASES("/relay/copy", copy_cases, test_copy),
