Relay: the time is an argument where a response is discarded and a caller closed

upstream_discard_rest() and client_close() read the clock, so that in virtual time a response that is discarded and never ends held its connection for ever, and no test could cover the limit. Callers saw nothing of it. Evidence: relay_time_test, table "discard_time": the 2 cases at the limit of 1 s failed before, the 2 one ms earlier passed before and after. Change: both get now_ms; so do detach_upstream() and close_or_update(). The clock is read in the duty's loop and at the start of relay_free() only. In client_close() the time goes to the log line of the caller that left, which no test reads.

--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -240,9 +240,10 @@
  * client_close() - close a connection and cancel its request
  * @relay: the relay
  * @client: the connection; invalid afterwards
+ * @now_ms: current time
  */
 void
-client_close(struct relay *relay, struct client *client)
+client_close(struct relay *relay, struct client *client, int64_t now_ms)
 {
     struct exchange *exchange = table_get(&relay->exchanges, client->exchange);
 
@@ -256,7 +257,7 @@
     table_free(&relay->clients, client->self);
     if (exchange != NULL) {
         exchange->client = (struct handle){0};
-        exchange_cancel(relay, exchange, clock_now_ms());
+        exchange_cancel(relay, exchange, now_ms);
     }
 }
 
@@ -305,12 +306,12 @@
  * writing end first, so that the response isn't lost to a reset when the
  * caller is still sending. Returns whether the client still exists. */
 static bool
-close_or_update(struct relay *relay, struct client *client)
+close_or_update(struct relay *relay, struct client *client, int64_t now_ms)
 {
     if (client->closing && client->output->len == 0 &&
         client->exchange.generation == 0) {
         shutdown(client->fd, SHUT_WR);
-        client_close(relay, client);
+        client_close(relay, client, now_ms);
         return false;
     }
     update_pause(relay, client);
@@ -456,7 +457,7 @@
         return true;
     }
     if (count <= 0) {
-        client_close(relay, client);
+        client_close(relay, client, now_ms);
         return false;
     }
     if (client->exchange.generation != 0) {
@@ -478,21 +479,21 @@
                     uint32_t events, int64_t now_ms)
 {
     if (events & (EPOLLERR | EPOLLHUP)) {
-        client_close(relay, client);
+        client_close(relay, client, now_ms);
         return;
     }
     if ((events & EPOLLOUT) && !flush(client)) {
-        client_close(relay, client);
+        client_close(relay, client, now_ms);
         return;
     }
     if ((events & EPOLLRDHUP) && client->exchange.generation != 0) {
-        client_close(relay, client);
+        client_close(relay, client, now_ms);
         return;
     }
     if ((events & (EPOLLIN | EPOLLRDHUP)) && !receive(relay, client, now_ms)) {
         return;
     }
-    if (close_or_update(relay, client)) {
+    if (close_or_update(relay, client, now_ms)) {
         set_timer(relay, client, now_ms);
     }
 }
@@ -509,12 +510,12 @@
 {
     if (client->request_started && !client->closing) {
         refuse_client(relay, client, 408, "head_timeout", now_ms);
-        if (close_or_update(relay, client)) {
+        if (close_or_update(relay, client, now_ms)) {
             set_timer(relay, client, now_ms);
         }
         return;
     }
-    client_close(relay, client);
+    client_close(relay, client, now_ms);
 }
 
 /**
@@ -544,7 +545,7 @@
             return;
         }
     }
-    if (close_or_update(relay, client)) {
+    if (close_or_update(relay, client, now_ms)) {
         set_timer(relay, client, now_ms);
     }
 }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -410,7 +410,7 @@
                          uint32_t events, int64_t now_ms);
 void client_handle_timer(struct relay *relay, struct client *client,
                          int64_t now_ms);
-void client_close(struct relay *relay, struct client *client);
+void client_close(struct relay *relay, struct client *client, int64_t now_ms);
 void client_write(struct relay *relay, struct client *client,
                   const void *bytes, size_t count, int64_t now_ms);
 void client_exchange_done(struct relay *relay, struct client *client,
@@ -516,7 +516,8 @@
 void upstream_handle_timer(struct relay *relay, struct upstream *upstream,
                            int64_t now_ms);
 void upstream_close(struct relay *relay, struct upstream *upstream);
-void upstream_discard_rest(struct relay *relay, struct upstream *upstream);
+void upstream_discard_rest(struct relay *relay, struct upstream *upstream,
+                           int64_t now_ms);
 void upstream_detach(struct relay *relay, struct upstream *upstream);
 void upstream_abort(struct relay *relay, struct upstream *upstream,
                     const char *reason, int64_t now_ms);
--- a/src/gate/relay/refuse.c
+++ b/src/gate/relay/refuse.c
@@ -98,7 +98,7 @@
     if (client != NULL && exchange->answer.head_sent) {
         exchange->client = (struct handle){0};
         client->exchange = (struct handle){0};
-        client_close(relay, client);
+        client_close(relay, client, now_ms);
     }
     else if (client != NULL) {
         write_refusal(relay, client, status, err_info(kind)->name,
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -496,7 +496,7 @@
 }
 
 static void
-free_connections(struct relay *relay)
+free_connections(struct relay *relay, int64_t now_ms)
 {
     struct client *client;
     struct upstream *upstream;
@@ -504,7 +504,7 @@
     uint32_t cursor = 0;
 
     while ((client = table_next(&relay->clients, &cursor, NULL)) != NULL) {
-        client_close(relay, client);
+        client_close(relay, client, now_ms);
     }
     cursor = 0;
     while ((upstream = table_next(&relay->upstreams, &cursor, NULL)) != NULL) {
@@ -531,13 +531,15 @@
 void
 relay_free(struct relay *relay)
 {
+    int64_t now_ms = clock_now_ms();
+
     if (relay == NULL) {
         return;
     }
     if (relay->wake_fd >= 0) {
-        handle_messages(relay, clock_now_ms());
+        handle_messages(relay, now_ms);
     }
-    free_connections(relay);
+    free_connections(relay, now_ms);
     for (int i = 0; i < LISTENER_COUNT; i++) {
         relay_stop_listening(relay, (enum listener_kind)i);
     }
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -42,7 +42,7 @@
  * of the response is discarded and the connection used again. */
 static void
 detach_upstream(struct relay *relay, struct exchange *exchange,
-                bool close_connection)
+                bool close_connection, int64_t now_ms)
 {
     struct upstream *upstream =
         table_get(&relay->upstreams, exchange->upstream);
@@ -56,7 +56,7 @@
         upstream_close(relay, upstream);
     }
     else {
-        upstream_discard_rest(relay, upstream);
+        upstream_discard_rest(relay, upstream, now_ms);
     }
 }
 
@@ -98,7 +98,7 @@
 {
     exchange->connect_failures++;
     counter_add(CTR_RETRY_CONNECT, 1);
-    detach_upstream(relay, exchange, true);
+    detach_upstream(relay, exchange, true, now_ms);
     retry(relay, exchange, now_ms);
 }
 
@@ -134,7 +134,7 @@
     counter_add(CTR_RETRY_BUSY, 1);
     exchange->runs--;
     exchange->rejects++;
-    detach_upstream(relay, exchange, false);
+    detach_upstream(relay, exchange, false, now_ms);
     retry(relay, exchange, now_ms);
 }
 
@@ -156,7 +156,7 @@
         health_request_failed(&target->record.health);
     }
     counter_add(CTR_RETRY_BROKEN, 1);
-    detach_upstream(relay, exchange, facts->status < 300);
+    detach_upstream(relay, exchange, facts->status < 300, now_ms);
     retry(relay, exchange, now_ms);
 }
 
@@ -174,7 +174,7 @@
     }
     counter_add(CTR_STREAM_NOT_CONTINUED, 1);
     /* The body of a success may be long. */
-    detach_upstream(relay, exchange, status < 300);
+    detach_upstream(relay, exchange, status < 300, now_ms);
     retry(relay, exchange, now_ms);
 }
 
@@ -516,6 +516,6 @@
         g_byte_array_set_size(exchange->answer.body, 0);
         g_string_truncate(exchange->answer.head, 0);
     }
-    detach_upstream(relay, exchange, true);
+    detach_upstream(relay, exchange, true, now_ms);
     retry(relay, exchange, now_ms);
 }
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -273,16 +273,17 @@
  * response
  * @relay: the relay
  * @upstream: the connection, in the middle of a response
+ * @now_ms: current time
  *
  * Only for responses that end soon, as the rest is still received.
  */
 void
-upstream_discard_rest(struct relay *relay, struct upstream *upstream)
+upstream_discard_rest(struct relay *relay, struct upstream *upstream,
+                      int64_t now_ms)
 {
     upstream_detach(relay, upstream);
     upstream->discarding = true;
-    heap_set(&relay->timers, &upstream->timer,
-             clock_now_ms() + CONNECT_TIMEOUT_MS);
+    heap_set(&relay->timers, &upstream->timer, now_ms + CONNECT_TIMEOUT_MS);
 }
 
 static bool
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -37,6 +37,7 @@
     EVENT_WAIT_MS = 5000, /* real time, for events that must come */
     HEAD_TIMEOUT_MS = 3000,
     GRACE_MS = 8000,
+    DISCARD_MS = 1000, /* for the rest of a response that is discarded */
 };
 
 #define REQUEST(path)                                                         \
@@ -814,6 +815,43 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a connection that is kept for ever for the rest of a response
+ * that is discarded, and against one that is closed before the rest came. */
+struct discard_time_case {
+    const char *name;
+    const char *path;
+    const char *head;
+    int64_t wait_ms; /* without a byte of the rest */
+    bool closed;
+};
+
+static const struct discard_time_case discard_time_cases[] = {
+    {"refusal_in_time", REQUEST("/once/1"), REFUSAL_HEAD, DISCARD_MS - 1,
+     false},
+    {"refusal_too_late", REQUEST("/once/1"), REFUSAL_HEAD, DISCARD_MS, true},
+    {"failure_in_time", REQUEST("/twice/1"), FAILURE_HEAD, DISCARD_MS - 1,
+     false},
+    {"failure_too_late", REQUEST("/twice/1"), FAILURE_HEAD, DISCARD_MS, true},
+};
+
+static void
+test_discard_time(gconstpointer data)
+{
+    const struct discard_time_case *c = data;
+    struct fixture fixture;
+    int caller;
+
+    fixture_start(&fixture);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, c->path);
+    g_free(read_some(fixture.target));
+    answer(&fixture, c->head);
+    advance(&fixture, c->wait_ms);
+    g_assert_cmpint(is_readable(fixture.target), ==, c->closed);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Sends events to a caller that doesn't read, and the end of the stream with
  * the one that fills its output. */
 static void
@@ -866,6 +904,7 @@
     CASES("/relay_time/endless", endless_cases, test_endless),
     CASES("/relay_time/stop", stop_cases, test_stop),
     CASES("/relay_time/discard", discard_cases, test_discard),
+    CASES("/relay_time/discard_time", discard_time_cases, test_discard_time),
 };
 
 int
