Place: trust "already unloaded" only when no order is in doubt

Callers could see: an engine is ordered to load an adapter beyond its slots (LIMIT), and crashes. Cause: a 200 to an unload was taken as an unload that advanced the sequence. It may also mean that the adapter had gone before, as after an unload that waited for its runs; the sequence then stays. An order without a response that was carried out meanwhile, "seconds later", makes it the guessed number all the same, and the next load goes through with a plan that lacks what that order loaded. Change: an unload that already holds is trusted from the sequence on at which no earlier order can still be carried out: after an accepted order, not after one in doubt, nor in a new term or process. Else a report decides first, and the load waits for it.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -34,6 +34,8 @@
  * @in_doubt: an order may still take effect; the next report decides
  * @busy_with_unknown_order: it executes an order that this instance did not
  *                           send
+ * @settled_sequence: from this sequence on, no earlier order with an unknown
+ *                    outcome can still be carried out
  * @unanswered_since_ms: first call that failed since the last answer; 0 for
  *                       none
  * @running: requests running there, sent by all instances
@@ -58,6 +60,7 @@
     bool report_pending;
     bool in_doubt;
     bool busy_with_unknown_order;
+    int64_t settled_sequence;
     int64_t unanswered_since_ms;
     int running;
 };
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -103,7 +103,9 @@
 }
 
 /* Calls in progress are forgotten, too: their outcomes are about an earlier
- * process of the engine or an earlier term, and the next report is newer. */
+ * process of the engine or an earlier term, and the next report is newer.
+ * Their orders may still be carried out, until one of this term is accepted.
+ */
 static void
 clear_orders(struct plan_engine *engine)
 {
@@ -116,6 +118,7 @@
     engine->order_pending = false;
     engine->pending_load = 0;
     engine->report_pending = false;
+    engine->settled_sequence = G_MAXINT64;
 }
 
 static void
--- a/src/gate/place/results.c
+++ b/src/gate/place/results.c
@@ -156,6 +156,7 @@
                const struct plan_step *step, int64_t now_ms)
 {
     engine->info.sequence = step->expected_sequence + 1;
+    engine->settled_sequence = engine->info.sequence;
     if (step->action == ORDER_UNLOAD) {
         start_unload(plan, engine, step->item, now_ms);
         return true;
@@ -170,6 +171,24 @@
     return false;
 }
 
+/* An adapter is unloaded at once, and this counts as an order. It may also
+ * have been gone before; then an order with an unknown outcome may have
+ * advanced the sequence to the same number, and only a report shows what it
+ * did. Returns whether the engine's held items have changed. */
+static bool
+unload_holds(struct plan_engine *engine, const struct plan_step *step,
+             int64_t now_ms)
+{
+    engine->next_report_ms = now_ms + REPORT_LAG_MS;
+    if (step->expected_sequence < engine->settled_sequence) {
+        engine->in_doubt = true;
+        return false;
+    }
+    item_set_remove(&engine->info.held, step->item);
+    engine->info.sequence = step->expected_sequence + 1;
+    return true;
+}
+
 /* During an accepted unload the cause of the conflict is known, so no report
  * is needed. */
 static void
@@ -213,21 +232,20 @@
         changed = order_accepted(plan, engine, step, now_ms);
         break;
     case ORDER_NOOP:
-        changed = true;
-        if (step->action == ORDER_LOAD) {
-            item_set_add(&engine->info.held, step->item);
-        }
-        else {
-            /* Adapters are unloaded at once, and this counts as an order. */
-            item_set_remove(&engine->info.held, step->item);
-            engine->info.sequence = step->expected_sequence + 1;
+        if (step->action == ORDER_UNLOAD) {
+            changed = unload_holds(engine, step, now_ms);
+            break;
         }
+        changed = true;
+        item_set_add(&engine->info.held, step->item);
         engine->next_report_ms = now_ms + REPORT_LAG_MS;
         break;
     case ORDER_CONFLICT:
         order_conflicted(engine, now_ms);
         break;
     case ORDER_IN_DOUBT:
+        engine->settled_sequence =
+            MAX(engine->settled_sequence, step->expected_sequence + 1);
         engine->next_order_ms = now_ms + NO_ANSWER_RETRY_MS;
         engine->next_report_ms = now_ms + NO_ANSWER_RETRY_MS;
         engine->in_doubt = true;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -102,6 +102,20 @@
     {"missing_answer_needs_a_report",
      "e1: n r1:0: w:m1=1 n u n t=400 n r1:1:m1 n",
      "report1 load1:m1@0 - report1 -"},
+    {"lost_order_carried_out_before_an_unload_that_holds",
+     "e1: n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n a t=9100 n u t=9500 n "
+     "r1:1:m1,m1/a1,m1/a2 t=12050 n t=12100 n h t=12120 n t=12250 n "
+     "r1:2:m1,m1/a2,m1/a3 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 report1 - unload1:m1/a1@1 - "
+     "report1 -"},
+    {"unload_that_holds_is_trusted_after_an_accepted_order",
+     "e1: begin n r1:0:m1,m1/a1 t=9000 w:m1/a2=1 n a w:m1/a2=0 t=9700 "
+     "w:m1/a3=1 n h t=9720 n",
+     "report1 load1:m1/a2@0 unload1:m1/a1@1 load1:m1/a3@2"},
+    {"unload_that_holds_is_not_trusted_in_a_new_term",
+     "e1: begin n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9020 n t=9150 n "
+     "r1:1:m1,m1/a2 n",
+     "report1 unload1:m1/a1@0 - report1 load1:m1/a3@1"},
     {"busy_engine_waits", "e1: n r1:3::busy w:m1=1 n t=400 n r1:3: n",
      "report1 - report1 load1:m1@3"},
     {"unsent_order_is_planned_again", "e1: n r1:0: w:m1=1 n x n",
