Plan: an unload that was already done doesn't count as an order

What callers would see: an engine that gets no order any more until it restarts; requests for models that it could load wait or are refused.

Cause: an engine answers 200 to the unload of an adapter, which it carries out at once and counts, and to the unload of what it doesn't hold, which it doesn't count. The plan added one to the engine's sequence in both cases. After the second each order had an `expected` that was too high (409), and each report was taken as older than the last order and read again each 100 ms. The number was passed on to the other instances, so a new holder had it, too.

Such an unload follows a report that still shows what is gone: reports are some hundred ms old, and one isn't always newer than the one before.

Change: the 200 to an unload of a model leaves the sequence. That of an adapter is assumed to count, and so is the sequence that a new holder knows from the former one; if no report says so for 2 s, the report's number holds. Until then `expected` keeps orders with a wrong number from being carried out.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -36,6 +36,9 @@
  *                           send
  * @settled_sequence: from this sequence on, no earlier order with an unknown
  *                    outcome can still be carried out
+ * @certain_sequence: sequence after the last order that certainly counts
+ * @assumed_order_ms: when info.sequence was last set to a number that is only
+ *                    assumed; 0 when it is certain
  * @unanswered_since_ms: first call that failed since the last answer; 0 for
  *                       none
  * @running: requests running there, sent by all instances
@@ -61,6 +64,8 @@
     bool in_doubt;
     bool busy_with_unknown_order;
     int64_t settled_sequence;
+    int64_t certain_sequence;
+    int64_t assumed_order_ms;
     int64_t unanswered_since_ms;
     int running;
 };
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -126,6 +126,7 @@
              int64_t now_ms)
 {
     engine->unanswered_since_ms = 0;
+    engine->assumed_order_ms = 0;
     engine->info = *info;
     engine->in_doubt = true;
     engine->next_report_ms = now_ms;
@@ -243,7 +244,8 @@
  * @now_ms: current time
  *
  * Orders of the previous holder may still be in progress, so each engine's
- * report is read before the engine gets an order.
+ * report is read before the engine gets an order. What is known of its
+ * sequence may have been an assumption of that holder.
  */
 void
 plan_become_holder(struct plan *plan, int64_t now_ms)
@@ -261,6 +263,8 @@
         engine->next_report_ms = now_ms;
         engine->in_doubt = true;
         engine->unanswered_since_ms = 0;
+        engine->certain_sequence = 0;
+        engine->assumed_order_ms = now_ms;
     }
 }
 
--- a/src/gate/place/results.c
+++ b/src/gate/place/results.c
@@ -24,6 +24,9 @@
     CONFLICT_RETRY_MS = 200, /* until the report shows the conflicting order */
     REFUSED_RETRY_MS = 5000, /* the engine can't execute the order */
     NO_ANSWER_RETRY_MS = 300, /* until a report shows what happened */
+    /* A report that was asked for before an order has ended by then, and what
+     * it says is some hundred ms older. */
+    REPORT_AGE_MAX_MS = 2000,
 };
 
 static struct plan_engine *
@@ -150,12 +153,20 @@
     engine->next_report_ms = engine->order_done_ms + REPORT_LAG_MS;
 }
 
+static void
+sequence_is(struct plan_engine *engine, int64_t sequence)
+{
+    engine->info.sequence = sequence;
+    engine->certain_sequence = sequence;
+    engine->assumed_order_ms = 0;
+}
+
 /* Returns whether the engine's held items have changed. */
 static bool
 order_accepted(struct plan *plan, struct plan_engine *engine,
                const struct plan_step *step, int64_t now_ms)
 {
-    engine->info.sequence = step->expected_sequence + 1;
+    sequence_is(engine, step->expected_sequence + 1);
     engine->settled_sequence = engine->info.sequence;
     if (step->action == ORDER_UNLOAD) {
         start_unload(plan, engine, step->item, now_ms);
@@ -171,21 +182,24 @@
     return false;
 }
 
-/* An adapter is unloaded at once, and this counts as an order. It may also
- * have been gone before; then an order with an unknown outcome may have
- * advanced the sequence to the same number, and only a report shows what it
- * did. Returns whether the engine's held items have changed. */
+/* Only an adapter is unloaded at once, which counts as an order. The unload of
+ * what was gone before gets the same response and doesn't count. Then an order
+ * with an unknown outcome may have advanced the sequence to the same number,
+ * and only a report shows what it did. Returns whether the engine's held items
+ * have changed. */
 static bool
-unload_holds(struct plan_engine *engine, const struct plan_step *step,
-             int64_t now_ms)
+unload_already_done(struct plan_engine *engine, const struct plan_step *step,
+                    int64_t now_ms)
 {
-    engine->next_report_ms = now_ms + REPORT_LAG_MS;
     if (step->expected_sequence < engine->settled_sequence) {
         engine->in_doubt = true;
         return false;
     }
     item_set_remove(&engine->info.held, step->item);
-    engine->info.sequence = step->expected_sequence + 1;
+    if (item_is_adapter(step->item)) {
+        engine->info.sequence = step->expected_sequence + 1;
+        engine->assumed_order_ms = now_ms;
+    }
     return true;
 }
 
@@ -232,13 +246,14 @@
         changed = order_accepted(plan, engine, step, now_ms);
         break;
     case ORDER_NOOP:
+        engine->next_report_ms = now_ms + REPORT_LAG_MS;
+        changed = true;
         if (step->action == ORDER_UNLOAD) {
-            changed = unload_holds(engine, step, now_ms);
-            break;
+            changed = unload_already_done(engine, step, now_ms);
+        }
+        else {
+            item_set_add(&engine->info.held, step->item);
         }
-        changed = true;
-        item_set_add(&engine->info.held, step->item);
-        engine->next_report_ms = now_ms + REPORT_LAG_MS;
         break;
     case ORDER_CONFLICT:
         order_conflicted(engine, now_ms);
@@ -273,6 +288,19 @@
     }
 }
 
+/* Whether a report is from before the last order that counts. An order that
+ * was only assumed to count is taken back once no report can be that old. */
+static bool
+is_outdated(const struct plan_engine *engine, const struct target_info *info,
+            int64_t now_ms)
+{
+    bool assumed = engine->assumed_order_ms != 0 &&
+                   now_ms - engine->assumed_order_ms >= REPORT_AGE_MAX_MS;
+
+    return info->sequence <
+           (assumed ? engine->certain_sequence : engine->info.sequence);
+}
+
 static struct holdings *
 report_done(struct plan *plan, struct plan_engine *engine,
             const struct engine_call *call, int64_t now_ms)
@@ -285,14 +313,13 @@
         engine->next_report_ms = now_ms + CONFLICT_RETRY_MS;
         return NULL;
     }
-    if (info->sequence < engine->info.sequence) {
-        /* The report predates the last accepted order. */
+    if (is_outdated(engine, info, now_ms)) {
         engine->next_report_ms = now_ms + REPORT_LAG_MS;
         return NULL;
     }
     engine->info.held = info->held;
     engine->info.has_unknown_items = info->has_unknown_items;
-    engine->info.sequence = info->sequence;
+    sequence_is(engine, info->sequence);
     if (info->in_memory.count > 0 || info->on_disk.count > 0) {
         engine->info.in_memory = info->in_memory;
         engine->info.on_disk = info->on_disk;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -85,6 +85,28 @@
     {"idle_adapter_is_evicted",
      "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9050 n",
      "report1 unload1:m1/a1@0 load1:m1/a3@1"},
+    {"unload_of_a_model_that_is_gone_is_no_order",
+     "e1:m1,m2 n r1:0:m1,m2 t=9000 w:m3=1 n h n",
+     "report1 unload1:m1@0 load1:m3@0"},
+    {"unload_of_an_adapter_that_is_gone_is_no_order",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9050 n c "
+     "t=9300 n r1:0:m1,m1/a2 n t=11100 n r1:0:m1,m1/a2 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 report1 - report1 "
+     "load1:m1/a3@0"},
+    {"old_report_does_not_take_back_an_adapter_unload",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9050 n a "
+     "w:m1/a3=0 t=12000 n r1:1:m1,m1/a2 w:m1=1 w:m1=0 t=12100 n r1:2:m1 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 report1 report1 -"},
+    {"old_report_with_the_same_sequence",
+     "e1:m1,m2 n r1:0:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:1:m1,m2 "
+     "t=9400 n r1:1:m2 w:m3=0 t=13000 e1:m1,m2 n r1:1:m1,m2 w:m4=1 n h n",
+     "report1 unload1:m1@0 report1 report1 report1 unload1:m1@1 "
+     "load1:m4@1"},
+    {"assumed_sequence_of_the_former_holder",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h "
+     "t=9050 begin n r1:0:m1,m1/a2 t=9150 n r1:0:m1,m1/a2 t=11100 n "
+     "r1:0:m1,m1/a2 w:m1/a3=1 n",
+     "report1 unload1:m1/a1@0 report1 report1 report1 load1:m1/a3@0"},
     {"adapters_of_an_unloading_model_count",
      "e1:m1,m2,m2/a1,m2/a2 n r1:0:m1,m2,m2/a1,m2/a2 t=9000 w:m1:run=1 "
      "w:m1:run=0 w:m3=1 n a w:m3=0 w:m1/a1=1 t=12100 n n r1:1:m1 n",
