Relay tests: a response that offers another protocol

Shows that the parser marks no response but 101 as a change of protocol: a 200 with Upgrade is passed on, without the field.

--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -904,6 +904,8 @@
      "Connection: keep-alive\r\nConnection: X-Hop\r\nX-Hop: v\r\n",
      "\r\n\r\ndone", "X-Hop"},
     {"keep_alive", "Keep-Alive: timeout=9\r\n", "\r\n\r\ndone", "Keep-Alive"},
+    {"other_protocol_offered", "Upgrade: h2c\r\nConnection: Upgrade\r\n",
+     "\r\n\r\ndone", "pgrade"},
     /* The Connection field names what is for the caller. */
     {"seal_listed", "Connection: Server-Seal\r\n", "\r\nServer-Seal: s\r\n",
      NULL},
