Relay: whether a response is whole is decided apart from counting

result_fault() counted stream_cut_off_total while it decided, so that asking twice counted twice. Callers saw nothing of it. Change: stream_end_fault() (choose/stream.c) and result_fault() are pure and return enum answer_fault; result_not_whole() counts and gives up the response. Names in the log and the counter stay as they were. Evidence: relay_time_test, table "fault" (5 cases): with the counting put back into result_fault(), cut_off and ended_early fail. stream_test, table "end": its column tells the fault, where it told whole or not, and has one case more; with a cut event called an early end, cut_off and cut_off_early fail.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -148,6 +148,20 @@
     EVENT_TOO_LONG,
 };
 
+/**
+ * enum answer_fault - why a response that has ended is not whole
+ * @FAULT_NONE: it is whole
+ * @FAULT_CUT_OFF: its stream ends within an event
+ * @FAULT_ENDED_EARLY: its stream ends before the last event
+ * @FAULT_SECOND_RESPONSE: another response stands in its body
+ */
+enum answer_fault {
+    FAULT_NONE,
+    FAULT_CUT_OFF,
+    FAULT_ENDED_EARLY,
+    FAULT_SECOND_RESPONSE,
+};
+
 /**
  * struct stream_end - the end of a run of a stream
  * @cut_off: it is within an event
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -20,7 +20,7 @@
 bool stream_continues(const struct stream_facts *facts);
 enum event_verdict stream_event_verdict(const struct stream_event *event,
                                         int64_t last_id, int64_t run_id);
-bool stream_is_whole(const struct stream_end *end);
+enum answer_fault stream_end_fault(const struct stream_end *end);
 
 /* whole.c */
 const char *find_status_line(const char *text, size_t bytes);
--- a/src/gate/choose/stream.c
+++ b/src/gate/choose/stream.c
@@ -56,7 +56,7 @@
 }
 
 /**
- * stream_is_whole() - whether the end of a run is the end of its stream
+ * stream_end_fault() - why the end of a run is not the end of its stream
  * @end: the end
  *
  * A run that sends events ends the stream when it has come to the last one
@@ -65,14 +65,15 @@
  * connection that ends there may as well have been broken off. To end a stream
  * that has begun, the response must also say that it is one.
  */
-bool
-stream_is_whole(const struct stream_end *end)
+enum answer_fault
+stream_end_fault(const struct stream_end *end)
 {
+    bool whole = end->run_id >= 0
+                     ? end->run_id == end->last_id
+                     : end->marked && (end->declared || !end->begun);
+
     if (end->cut_off) {
-        return false;
-    }
-    if (end->run_id >= 0) {
-        return end->run_id == end->last_id;
+        return FAULT_CUT_OFF;
     }
-    return end->marked && (end->declared || !end->begun);
+    return whole ? FAULT_NONE : FAULT_ENDED_EARLY;
 }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -441,7 +441,9 @@
                  struct upstream *upstream, int64_t now_ms);
 bool result_body(struct relay *relay, struct exchange *exchange,
                  const unsigned char *bytes, size_t count, int64_t now_ms);
-const char *result_fault(const struct exchange *exchange);
+enum answer_fault result_fault(const struct exchange *exchange);
+void result_not_whole(struct relay *relay, struct exchange *exchange,
+                      enum answer_fault fault, int64_t now_ms);
 void result_complete(struct relay *relay, struct exchange *exchange,
                      int64_t now_ms);
 void result_aborted(struct relay *relay, struct exchange *exchange,
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -401,8 +401,8 @@
     return true;
 }
 
-static bool
-ends_stream(const struct exchange *exchange)
+static enum answer_fault
+stream_fault(const struct exchange *exchange)
 {
     const struct answer *answer = &exchange->answer;
     struct stream_end end = {
@@ -414,31 +414,54 @@
         .run_id = exchange->events.run_id,
     };
 
-    return stream_is_whole(&end);
+    return stream_end_fault(&end);
 }
 
 /**
  * result_fault() - why a response that has ended is not whole
  * @exchange: the request
- *
- * Return: name of the event for the log; NULL when the response is whole.
  */
-const char *
+enum answer_fault
 result_fault(const struct exchange *exchange)
 {
     const GByteArray *body = exchange->answer.body;
 
     if (is_event_stream(exchange)) {
-        if (ends_stream(exchange)) {
-            return NULL;
-        }
-        counter_add(CTR_STREAM_CUT_OFF, 1);
-        return events_cut_off(&exchange->events) ? "cut_off" : "ended_early";
+        return stream_fault(exchange);
     }
     return body_holds_response(body->data, body->len,
                                exchange->meta.attempt_id)
-               ? "second_response"
-               : NULL;
+               ? FAULT_SECOND_RESPONSE
+               : FAULT_NONE;
+}
+
+static const char *
+fault_name(enum answer_fault fault)
+{
+    static const char *const names[] = {
+        [FAULT_CUT_OFF] = "cut_off",
+        [FAULT_ENDED_EARLY] = "ended_early",
+        [FAULT_SECOND_RESPONSE] = "second_response",
+    };
+
+    return names[fault];
+}
+
+/**
+ * result_not_whole() - handle a response that has ended and is not whole
+ * @relay: the relay
+ * @exchange: the request; may be invalid afterwards
+ * @fault: why not
+ * @now_ms: current time
+ */
+void
+result_not_whole(struct relay *relay, struct exchange *exchange,
+                 enum answer_fault fault, int64_t now_ms)
+{
+    if (fault != FAULT_SECOND_RESPONSE) {
+        counter_add(CTR_STREAM_CUT_OFF, 1);
+    }
+    result_aborted(relay, exchange, fault_name(fault), now_ms);
 }
 
 /**
--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -223,7 +223,7 @@
 {
     struct exchange *exchange =
         table_get(&relay->exchanges, upstream->exchange);
-    const char *fault;
+    enum answer_fault fault;
 
     if (upstream->discarding && exchange != NULL) {
         /* The response to this request follows, unless the target closes. */
@@ -234,8 +234,8 @@
         upstream_parser_reset(upstream);
         return true;
     }
-    if (exchange != NULL && (fault = result_fault(exchange)) != NULL) {
-        upstream_abort(relay, upstream, fault, now_ms);
+    if (exchange != NULL && (fault = result_fault(exchange)) != FAULT_NONE) {
+        result_not_whole(relay, exchange, fault, now_ms);
         return false;
     }
     upstream_detach(relay, upstream);
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -852,6 +852,55 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a response that is counted as broken by the question whether
+ * it is whole, asked here before its end. */
+struct fault_case {
+    const char *name;
+    const char *path;
+    const char *text; /* what the target has written */
+    enum answer_fault fault;
+};
+
+#define CHUNKED_STREAM ANSWER_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+
+static const struct fault_case fault_cases[] = {
+    {"whole", REQUEST("/stream/1"),
+     CHUNKED_STREAM "f\r\nid: 1\ndata: a\n\n\r\n", FAULT_NONE},
+    {"cut_off", REQUEST("/stream/1"),
+     CHUNKED_STREAM "e\r\nid: 1\ndata: a\n\r\n", FAULT_CUT_OFF},
+    {"ended_early", REQUEST("/stream/1"), ANSWER_HEAD "\r\n",
+     FAULT_ENDED_EARLY},
+    {"body", REQUEST("/once/1"), ANSWER_HEAD "Content-Length: 99\r\n\r\npart",
+     FAULT_NONE},
+    {"second_response", REQUEST("/once/1"),
+     ANSWER_HEAD "Content-Length: 99\r\n\r\npart" ANSWER_HEAD,
+     FAULT_SECOND_RESPONSE},
+};
+
+static void
+test_fault(gconstpointer data)
+{
+    const struct fault_case *c = data;
+    struct fixture fixture;
+    uint32_t cursor = 0;
+    const struct exchange *exchange;
+    uint64_t count;
+    int caller;
+
+    fixture_start(&fixture);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, c->path);
+    g_free(read_some(fixture.target));
+    answer(&fixture, c->text);
+    count = counter_read(CTR_STREAM_CUT_OFF);
+    exchange = table_next(&fixture.relay->exchanges, &cursor, NULL);
+    g_assert_nonnull(exchange);
+    g_assert_cmpint(result_fault(exchange), ==, c->fault);
+    g_assert_cmpuint(counter_read(CTR_STREAM_CUT_OFF), ==, count);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Sends events to a caller that doesn't read, and the end of the stream with
  * the one that fills its output. */
 static void
@@ -904,6 +953,7 @@
     CASES("/relay_time/endless", endless_cases, test_endless),
     CASES("/relay_time/stop", stop_cases, test_stop),
     CASES("/relay_time/discard", discard_cases, test_discard),
+    CASES("/relay_time/fault", fault_cases, test_fault),
     CASES("/relay_time/discard_time", discard_time_cases, test_discard_time),
 };
 
--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -246,39 +246,44 @@
 struct end_case {
     const char *name;
     struct stream_end end;
-    bool whole;
+    enum answer_fault fault;
 };
 
 static const struct end_case end_cases[] = {
-    {"after_events", {.marked = true, .last_id = 4, .run_id = 4}, true},
+    {"after_events", {.marked = true, .last_id = 4, .run_id = 4}, FAULT_NONE},
     {"after_events_by_close",
      {.begun = true, .last_id = 4, .run_id = 4},
-     true},
+     FAULT_NONE},
     {"cut_off",
      {.cut_off = true, .marked = true, .last_id = 4, .run_id = 4},
-     false},
+     FAULT_CUT_OFF},
+    {"cut_off_early",
+     {.cut_off = true, .begun = true, .last_id = 4, .run_id = -1},
+     FAULT_CUT_OFF},
     {"before_what_the_caller_has",
      {.marked = true,
       .declared = true,
       .begun = true,
       .last_id = 4,
       .run_id = 3},
-     false},
+     FAULT_ENDED_EARLY},
     {"nothing_follows",
      {.marked = true,
       .declared = true,
       .begun = true,
       .last_id = 4,
       .run_id = -1},
-     true},
+     FAULT_NONE},
     {"nothing_by_close",
      {.declared = true, .begun = true, .last_id = 4, .run_id = -1},
-     false},
+     FAULT_ENDED_EARLY},
     {"nothing_undeclared",
      {.marked = true, .begun = true, .last_id = 4, .run_id = -1},
-     false},
-    {"empty", {.marked = true, .last_id = -1, .run_id = -1}, true},
-    {"empty_by_close", {.declared = true, .last_id = -1, .run_id = -1}, false},
+     FAULT_ENDED_EARLY},
+    {"empty", {.marked = true, .last_id = -1, .run_id = -1}, FAULT_NONE},
+    {"empty_by_close",
+     {.declared = true, .last_id = -1, .run_id = -1},
+     FAULT_ENDED_EARLY},
 };
 
 static void
@@ -286,7 +291,7 @@
 {
     const struct end_case *c = data;
 
-    g_assert_cmpint(stream_is_whole(&c->end), ==, c->whole);
+    g_assert_cmpint(stream_end_fault(&c->end), ==, c->fault);
 }
 
 int
