Lease keeper: an instance that has shut down doesn't take its term up again

What engines saw: orders of an instance that leaves.

Cause: since the revocation waits for a whole lease after the claim, the lease is still there when the feed's news of the claim comes after the shutdown, and the news is taken as a claim whose response was lost.

Test: follow_test turns next_shuts_down_before_the_news_of_its_claim failed before and passes now. The harness hid it: it compared the store's holder with the keeper's own knowledge, while the feed compares with what it told last. All cases check now that an instance doesn't order after its shutdown.

--- a/src/gate/follow/lease_keeper.c
+++ b/src/gate/follow/lease_keeper.c
@@ -241,7 +241,7 @@
     if (holder->name[0] == '\0') {
         keeper->vacant_since_ms = boot_ms;
     }
-    if (own && fence == 0 && keeper->lease_id != 0) {
+    if (own && fence == 0 && !keeper->shut_down) {
         atomic_store(&keeper->term->fence, holder->fence);
         extend_term(keeper);
         log_line(LOG_PRI_INFO, "tenure",
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -683,6 +683,7 @@
     bool unreachable;
     bool paused;
     bool ended;
+    int64_t told_fence; /* of the last holder read from the store */
     int64_t next_ms;
 };
 
@@ -711,7 +712,8 @@
             }
         }
         if (!instance->keeper.holder_known ||
-            instance->keeper.holder.fence != holder.fence) {
+            instance->told_fence != holder.fence) {
+            instance->told_fence = holder.fence;
             lease_keeper_set_holder(&instance->keeper, &holder, now_ms);
             instance->next_ms = now_ms;
         }
@@ -723,6 +725,8 @@
         instance->next_ms = now_ms + (wait_ms > 0 ? wait_ms : 100000);
     }
     store->down = down;
+    g_assert_false(instance->keeper.shut_down &&
+                   term_is_valid(&instance->term, now_ms, NULL));
 }
 
 static void
@@ -853,6 +857,7 @@
     {"was_paused", "F" SECOND SECOND SECOND "f.....M" LEASE, "aba"},
     {"was_killed", "K" SECOND SECOND SECOND "l.....M" LEASE, "aba"},
     {"no_other_between", "BL....l" SECOND, "a"},
+    {"next_shuts_down_before_the_news_of_its_claim", "LM" LEASE, "ab"},
 };
 
 /**
