Lease keeper: a claim that is carried out late begins a term of full length

A write to the store may be carried out seconds after its response was lost. The instance then finds itself the holder, but its lease was last renewed, and its claim noted, long before, so the rule that a term lasts a lease didn't hold: on a shutdown it revoked the lease at once.

Change: the lease is renewed before a found term begins, and the term counts from then. An instance whose claim met a conflict doesn't keep its lease, and with it its entry in the member list, on a shutdown; it had no term.

--- a/src/gate/follow/lease_keeper.c
+++ b/src/gate/follow/lease_keeper.c
@@ -179,6 +179,25 @@
     return boot_ms - keeper->vacant_since_ms >= stagger_step * STAGGER_MS;
 }
 
+/* Begins a term whose claim was carried out, but whose response was lost. It
+ * may have been carried out late, so the lease is renewed first. */
+static void
+begin_found_term(struct lease_keeper *keeper, int64_t boot_ms)
+{
+    struct err err = {0};
+
+    if (!renew_lease(keeper, boot_ms, &err)) {
+        return;
+    }
+    keeper->claimed_ms = boot_ms;
+    keeper->claimed_lease_id = keeper->lease_id;
+    atomic_store(&keeper->term->fence, keeper->holder.fence);
+    extend_term(keeper);
+    log_line(LOG_PRI_INFO, "tenure",
+             "event=term_found fence=%" G_GINT64_FORMAT,
+             (gint64)keeper->holder.fence);
+}
+
 static void
 claim_term(struct lease_keeper *keeper, int64_t boot_ms)
 {
@@ -215,7 +234,10 @@
     /* On a conflict the feed reports the holder. After a lost response the
      * write may not have been applied; then no change would be reported, so
      * the claim is retried. */
-    keeper->holder_known = err.kind != ERR_KV_CONFLICT;
+    if (err.kind == ERR_KV_CONFLICT) {
+        keeper->holder_known = false;
+        keeper->claimed_lease_id = 0;
+    }
     keeper->vacant_since_ms = boot_ms;
     log_line(LOG_PRI_INFO, "tenure", "event=not_holder reason=\"%s\"",
              err.text);
@@ -227,7 +249,8 @@
  * @holder: the current holder
  * @boot_ms: current time by clock_boot_ms()
  *
- * May come before or after the response to this instance's own claim.
+ * May come before or after the response to this instance's own claim. The next
+ * tick begins a term of this instance that is found.
  */
 void
 lease_keeper_set_holder(struct lease_keeper *keeper,
@@ -241,13 +264,6 @@
     if (holder->name[0] == '\0') {
         keeper->vacant_since_ms = boot_ms;
     }
-    if (own && fence == 0 && !keeper->shut_down) {
-        atomic_store(&keeper->term->fence, holder->fence);
-        extend_term(keeper);
-        log_line(LOG_PRI_INFO, "tenure",
-                 "event=term_found fence=%" G_GINT64_FORMAT,
-                 (gint64)holder->fence);
-    }
     if (!own && fence != 0 && holder->fence > fence) {
         end_term(keeper, "other_holder");
     }
@@ -305,7 +321,11 @@
     if (!keeper->registered && !register_member(keeper, &err)) {
         return RETRY_DELAY_MS;
     }
-    if (should_claim_term(keeper, boot_ms)) {
+    if (keeper->holder_known && is_own_term(keeper, &keeper->holder) &&
+        atomic_load(&keeper->term->fence) == 0) {
+        begin_found_term(keeper, boot_ms);
+    }
+    else if (should_claim_term(keeper, boot_ms)) {
         claim_term(keeper, boot_ms);
     }
     else if (keeper->holder_known && keeper->holder.name[0] == '\0') {
