Lease keeper: the term isn't passed on while an order is on its way

What engines could see: an order with a lower fencing token after one of the next holder, and turns of two holders within a lease (ONE). On a shutdown the lease was revoked at once, while a worker might be in a call to an engine, for 1 s at most. The margin for such calls covers a term that ends by the clock, not one that is given up.

Change: orders in progress are counted in the term, before the term is checked; on a shutdown the lease is revoked once there are none, after 1 s at the latest. Without an order on its way it is revoked at once, as before.

--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -130,10 +130,12 @@
  * struct term - period in which this instance may order engines
  * @fence: fencing token of the term; 0 while this instance isn't the holder
  * @until_ms: end by clock_boot_ms(); no order is sent after it
+ * @orders: orders in progress
  */
 struct term {
     atomic_int_fast64_t fence;
     atomic_int_fast64_t until_ms;
+    atomic_int orders;
 };
 
 enum { LEASE_KEEPER_MESSAGES_MAX = 64, STORE_KEY_MAX_BYTES = 200 };
@@ -158,7 +160,8 @@
  * @shut_down: the term was given up; no new lease is requested
  * @lease_id: 0 for none
  * @claimed_lease_id: lease of the last claim of the term; 0 for none
- * @claimed_ms: when that claim was sent, by clock_boot_ms()
+ * @claimed_ms: when the lease was renewed for that claim, by clock_boot_ms()
+ * @shut_down_ms: when the term was given up, by clock_boot_ms()
  * @ttl_ms: the lease's time to live as the store granted it
  * @renewal_sent_ms: when the last successful grant or renewal was sent, by
  *                   clock_boot_ms()
@@ -181,6 +184,7 @@
     int64_t lease_id;
     int64_t claimed_lease_id;
     int64_t claimed_ms;
+    int64_t shut_down_ms;
     int64_t ttl_ms;
     int64_t renewal_sent_ms;
     int64_t vacant_since_ms;
--- a/src/gate/follow/fns.h
+++ b/src/gate/follow/fns.h
@@ -51,6 +51,8 @@
                              const struct holder *holder, int64_t boot_ms);
 void lease_keeper_shut_down(struct lease_keeper *keeper, int64_t boot_ms);
 int64_t lease_keeper_tick(struct lease_keeper *keeper, int64_t boot_ms);
+bool term_begin_order(struct term *term, int64_t boot_ms, int64_t *fence);
+void term_end_order(struct term *term);
 bool term_is_valid(struct term *term, int64_t boot_ms, int64_t *fence);
 
 #endif
--- a/src/gate/follow/lease_keeper.c
+++ b/src/gate/follow/lease_keeper.c
@@ -10,7 +10,8 @@
  * Engines also mustn't get orders from two instances in turn within a lease.
  * The lease is therefore renewed before a claim and not revoked until a full
  * lease after it: the holder before has then been silent for that long when
- * the term is free again, even if it starts anew in between.
+ * the term is free again, even if it starts anew in between. Nor is it revoked
+ * while an order of this instance may still be on its way.
  */
 #include <glib.h>
 #include <string.h>
@@ -34,6 +35,7 @@
      * already taken. */
     STAGGER_MS = 120,
     STAGGER_STEPS = 5,
+    ORDERS_CHECK_INTERVAL_MS = 50,
 };
 
 static void
@@ -76,6 +78,38 @@
     return current_fence != 0 && boot_ms < atomic_load(&term->until_ms);
 }
 
+/**
+ * term_begin_order() - check the term for an order that is about to be sent
+ * @term: the term
+ * @boot_ms: current time by clock_boot_ms()
+ * @fence: set to the fencing token
+ *
+ * Return: whether the order may be sent; then term_end_order() must follow
+ *         when its call has ended.
+ */
+bool
+term_begin_order(struct term *term, int64_t boot_ms, int64_t *fence)
+{
+    /* Counted before the check: the lease keeper ends the term before it looks
+     * at the count. */
+    atomic_fetch_add(&term->orders, 1);
+    if (term_is_valid(term, boot_ms, fence)) {
+        return true;
+    }
+    term_end_order(term);
+    return false;
+}
+
+/**
+ * term_end_order() - note the end of an order's call
+ * @term: the term
+ */
+void
+term_end_order(struct term *term)
+{
+    atomic_fetch_sub(&term->orders, 1);
+}
+
 /* The name includes the lease, so that a holder key left from an earlier lease
  * of this instance isn't taken for the current term. */
 static void
@@ -269,19 +303,36 @@
     }
 }
 
-/* Revokes the lease, unless it was claimed a term too recently. Returns
- * milliseconds until the next try, -1 for none. */
+/* Milliseconds until the lease may be revoked. */
+static int64_t
+revocation_delay_ms(const struct lease_keeper *keeper, int64_t boot_ms)
+{
+    int64_t claimed_for_ms = boot_ms - keeper->claimed_ms;
+
+    if (keeper->claimed_lease_id == keeper->lease_id &&
+        claimed_for_ms < LEASE_TTL_MS) {
+        return LEASE_TTL_MS - claimed_for_ms;
+    }
+    return atomic_load(&keeper->term->orders) > 0 &&
+                   boot_ms - keeper->shut_down_ms < ORDER_TIMEOUT_MS
+               ? ORDERS_CHECK_INTERVAL_MS
+               : 0;
+}
+
+/* Revokes the lease if it may be. Returns milliseconds until the next try, -1
+ * for none. */
 static int64_t
 revoke_lease(struct lease_keeper *keeper, int64_t boot_ms)
 {
     struct err err = {0};
+    int64_t delay_ms;
 
     if (keeper->lease_id == 0) {
         return -1;
     }
-    if (keeper->claimed_lease_id == keeper->lease_id &&
-        boot_ms - keeper->claimed_ms < LEASE_TTL_MS) {
-        return LEASE_TTL_MS - (boot_ms - keeper->claimed_ms);
+    delay_ms = revocation_delay_ms(keeper, boot_ms);
+    if (delay_ms > 0) {
+        return delay_ms;
     }
     if (!keeper->store->ops->lease_revoke(keeper->store, keeper->lease_id,
                                           &err)) {
@@ -343,6 +394,7 @@
 lease_keeper_shut_down(struct lease_keeper *keeper, int64_t boot_ms)
 {
     keeper->shut_down = true;
+    keeper->shut_down_ms = boot_ms;
     end_term(keeper, "leaving");
     revoke_lease(keeper, boot_ms);
 }
--- a/src/gate/place/worker.c
+++ b/src/gate/place/worker.c
@@ -57,7 +57,8 @@
 
     g_strlcpy(order.target, step->target, sizeof(order.target));
     g_strlcpy(order.address, step->address, sizeof(order.address));
-    if (!term_is_valid(worker->place->term, clock_boot_ms(), &order.fence)) {
+    if (!term_begin_order(worker->place->term, clock_boot_ms(),
+                          &order.fence)) {
         log_line(LOG_PRI_INFO, "order", "event=not_sent target=%s item=%s",
                  step->target, g_quark_to_string(step->item));
         return;
@@ -66,6 +67,7 @@
     call->fence = order.fence;
     start_ms = clock_now_ms();
     call->result = worker->engine->ops->order(worker->engine, &order, &err);
+    term_end_order(worker->place->term);
     histogram_add(HIST_ORDER, clock_now_ms() - start_ms);
     counter_add(CTR_ORDERS, 1);
     if (call->result > ORDER_NOOP) {
--- a/src/gate/root.c
+++ b/src/gate/root.c
@@ -122,9 +122,9 @@
  * gate_drain() - finish the requests in progress, then stop
  * @gate: the instance
  *
- * The term and the entry in the member list are given up at once, so that
- * callers and other instances turn to another instance while requests are
- * still served.
+ * The term is given up at once, and the entry in the member list as soon as
+ * the lease keeper may revoke the lease, so that callers and other instances
+ * turn to another instance while requests are still served.
  */
 void
 gate_drain(struct gate *gate)
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -834,7 +834,8 @@
  * renewed its lease. Steps: "." nothing else, "A" or "a" instance a loses or
  * reaches the store, "B" or "b" the same for b, "F" or "f" a is paused or runs
  * again, "L" or "M" a or b shuts down and goes on to run, "K" or "J" a or b is
- * killed, "l" or "m" a or b starts anew.
+ * killed, "l" or "m" a or b starts anew, "o" a begins an order, "p" it arrives
+ * and is answered.
  */
 struct turns_case {
     const char *name;
@@ -857,6 +858,8 @@
     {"was_paused", "F" SECOND SECOND SECOND "f.....M" LEASE, "aba"},
     {"was_killed", "K" SECOND SECOND SECOND "l.....M" LEASE, "aba"},
     {"no_other_between", "BL....l" SECOND, "a"},
+    {"order_on_its_way", "oL...p" SECOND, "ab"},
+    {"order_without_response", "oL" SECOND SECOND, "ab"},
     {"next_shuts_down_before_the_news_of_its_claim", "LM" LEASE, "ab"},
 };
 
@@ -914,9 +917,21 @@
 play_turns(struct memstore *store, struct instance instances[2],
            struct turns *turns, const char *steps, int64_t *now_ms)
 {
+    int64_t fence;
+
     for (const char *step = steps; *step != '\0'; step++) {
-        apply_process_step(store, &instances[0], &instances[1], *step,
-                           *now_ms);
+        if (*step == 'o') {
+            g_assert_true(
+                term_begin_order(&instances[0].term, *now_ms, &fence));
+        }
+        else if (*step == 'p') {
+            term_end_order(&instances[0].term);
+            record_order(turns, 0, *now_ms);
+        }
+        else {
+            apply_process_step(store, &instances[0], &instances[1], *step,
+                               *now_ms);
+        }
         *now_ms += 100;
         memstore_set_time(store, *now_ms);
         for (int i = 0; i < 2; i++) {
