Relay: requests that end before their answer begins, with their parts

A line ended_unanswered names the target's start, the parts, and a hash that is the same when a caller repeats the request; a counter goes with it.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -151,6 +151,7 @@
 #define COUNTERS(X)                                                           \
     X(CTR_CALLS, "calls_total")                                               \
     X(CTR_ANSWERS, "answers_total")                                           \
+    X(CTR_ENDED_UNANSWERED, "target_ended_unanswered_total")                  \
     X(CTR_ANSWER_STALE, "answer_stale_total")                                 \
     X(CTR_ANSWER_EXTRA, "answer_extra_total")                                 \
     X(CTR_ANSWER_ENCODED, "answer_encoded_total")                             \
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -28,6 +28,8 @@
  * @prompt_tokens: length of the prompt in tokens
  * @max_output_tokens: longest response in tokens
  * @parts: the prompt; the last part belongs to the request or its session
+ * @parts_cut: parts that could not be read, or for which there is no room,
+ * follow those in @parts
  * @last_event_id: the caller has the events up to this one; -1 for none
  */
 struct request_meta {
@@ -38,6 +40,7 @@
     int max_output_tokens;
     struct prompt_part parts[PROMPT_PARTS_MAX];
     int part_count;
+    bool parts_cut;
     int64_t last_event_id;
 };
 
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -214,6 +214,7 @@
     }
     set_deadline(exchange);
     set_needs(relay, exchange);
+    exchange->fingerprint = crash_fingerprint(exchange);
     if (relay->draining && now_ms - relay->drain_started_ms > DRAIN_ADMIT_MS) {
         refuse(relay, exchange, ERR_STOPPED, DRAIN_RETRY_MS, now_ms);
         return;
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -172,6 +172,7 @@
  * @last_event_ms: when the last event was forwarded
  * @longest_interval_ms: longest interval between events so far
  * @queued: it waits in the queue with the key @queue_key
+ * @fingerprint: hash of the request, the same when a caller repeats it
  */
 struct exchange {
     struct timer timer;
@@ -209,6 +210,7 @@
     struct event_reader events;
     bool queued;
     uint64_t queue_key;
+    uint64_t fingerprint;
 };
 
 /**
@@ -552,6 +554,11 @@
 void target_apply_total(struct relay *relay, struct activity_report *total,
                         int64_t now_ms);
 
+/* crash.c */
+uint64_t crash_fingerprint(const struct exchange *exchange);
+void crash_connection_ended(struct relay *relay,
+                            const struct upstream *upstream, int64_t now_ms);
+
 /* report.c */
 void report_arrival(struct relay *relay, const struct exchange *exchange);
 void report_send(struct relay *relay, int64_t now_ms);
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -480,9 +480,12 @@
     if (count == 0) {
         upstream_parser_eof(relay, upstream, now_ms);
     }
+    else if (count < 0 && errno == ETIMEDOUT) {
+        upstream_abort(relay, upstream, "unreachable", now_ms);
+    }
     else if (count < 0) {
-        upstream_abort(relay, upstream,
-                       errno == ETIMEDOUT ? "unreachable" : "reset", now_ms);
+        crash_connection_ended(relay, upstream, now_ms);
+        upstream_abort(relay, upstream, "reset", now_ms);
     }
     else if (upstream->exchange.generation == 0 && !upstream->discarding) {
         log_extra_bytes(relay, upstream, "idle");
@@ -519,6 +522,7 @@
         return;
     }
     if (!flush(upstream)) {
+        crash_connection_ended(relay, upstream, now_ms);
         upstream_abort(relay, upstream, "reset", now_ms);
         return;
     }
--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -318,6 +318,7 @@
 upstream_parser_eof(struct relay *relay, struct upstream *upstream,
                     int64_t now_ms)
 {
+    crash_connection_ended(relay, upstream, now_ms);
     if (upstream->head_complete) {
         http_parser_execute(&upstream->parser, &parser_settings, NULL, 0);
         if (upstream->answer_complete) {
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -302,6 +302,52 @@
                     ==, c->use);
 }
 
+/* Guards against a request whose own part passes as one that others share, and
+ * against two parts that pass as one. */
+struct parts_case {
+    const char *name;
+    const char *value;
+    const char *ids; /* in hexadecimal */
+    bool cut;
+};
+
+#define PART8 "1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1"
+#define ID8 "1 2 3 4 5 6 7 8 "
+
+static const struct parts_case parts_cases[] = {
+    {"one", "a1:5", "a1 ", false},
+    {"three", "a1:5,B2:6,c3:7", "a1 b2 c3 ", false},
+    {"spaces", "a1:5, b2:6", "a1 b2 ", false},
+    {"no_number", "a1:5,b2:", "a1 ", true},
+    {"no_colon", "a1:5,b2", "a1 ", true},
+    {"no_id", "a1:5,:3", "a1 ", true},
+    {"sign", "a1:5,-1:3", "a1 ", true},
+    {"ends_with_comma", "a1:5,", "a1 ", true},
+    {"text_behind", "a1:5;b2:6", "a1 ", true},
+    {"as_many_as_fit", PART8 "," PART8 "," PART8 "," PART8, ID8 ID8 ID8 ID8,
+     false},
+    {"one_too_many", PART8 "," PART8 "," PART8 "," PART8 ",9:1",
+     ID8 ID8 ID8 ID8, true},
+};
+
+static void
+test_parts(gconstpointer data)
+{
+    const struct parts_case *c = data;
+    struct request_meta facts = {.deadline_ms = -1, .last_event_id = -1};
+    GString *ids = g_string_new(NULL);
+
+    platform_dialect.ops->read_request_field(
+        &platform_dialect, "Prompt-Prefix", c->value, &facts);
+    for (int i = 0; i < facts.part_count; i++) {
+        g_string_append_printf(ids, "%" G_GINT64_MODIFIER "x ",
+                               facts.parts[i].id);
+    }
+    g_assert_cmpstr(ids->str, ==, c->ids);
+    g_assert_cmpint(facts.parts_cut, ==, c->cut);
+    g_string_free(ids, TRUE);
+}
+
 /* Guards against a start without required settings. */
 struct settings_case {
     const char *name;
@@ -803,6 +849,7 @@
         CASES("/platform/report", report_cases, test_report),
         CASES("/platform/mutation", mutation_cases, test_mutation),
         CASES("/platform/field", field_cases, test_field),
+        CASES("/platform/parts", parts_cases, test_parts),
         CASES("/platform/settings", settings_cases, test_settings),
     };
 
