--- /dev/null
+++ b/test/crash_test.c
@@ -0,0 +1,361 @@
+/*
+ * Tests of requests that crash targets, in virtual time: the test's thread
+ * runs the relay's event loop over real connections, and is caller and
+ * targets.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <http_parser.h>
+#include <json-c/json.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/view/dat.h"
+#include "gate/view/fns.h"
+#include "gate/choose/dat.h"
+#include "gate/relay/dat.h"
+#include "gate/relay/fns.h"
+#include "gate/relay/internal.h"
+#include "platform/dat.h"
+#include "platform/fns.h"
+#include "cases.h"
+#include "relay_fixture.h"
+
+enum {
+    TARGETS = 12,
+    CONNECTIONS_MAX = 32,
+    EVENTS_MAX = 64,
+    EVENT_WAIT_MS = 10,
+    ROUNDS_MAX = 2000, /* real time, for an answer that must come */
+    PAUSE_MS = 400,    /* between requests */
+};
+
+#define HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\n"
+#define STREAM                                                                \
+    HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: "             \
+         "chunked\r\n\r\n"                                                    \
+         "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
+
+/* How a target ends the connection of a request that it doesn't answer. */
+enum ending { ENDS_ALL, ENDS_AFTER_HEAD, ENDS_CONNECTION };
+
+struct target {
+    int listener; /* -1 after a crash */
+    int connections[CONNECTIONS_MAX];
+    int count;
+};
+
+struct world {
+    struct gate_settings settings;
+    struct relay_port port;
+    struct relay *relay;
+    struct target targets[TARGETS];
+    const char *deadly; /* in the header field that lists the parts */
+    enum ending ending;
+    int requests_deadly; /* that reached targets */
+    int64_t now_ms;
+};
+
+static void
+drop_activity(struct relay_port *port, struct activity_report *report)
+{
+    (void)port;
+    activity_report_free(report);
+}
+
+static void
+ignore_drained(struct relay_port *port)
+{
+    (void)port;
+}
+
+static const struct relay_port_ops port_ops = {drop_activity, ignore_drained};
+
+static int
+listen_any(int *port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t bytes = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&address, sizeof(address)), ==,
+                    0);
+    g_assert_cmpint(listen(fd, 64), ==, 0);
+    getsockname(fd, (struct sockaddr *)&address, &bytes);
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+static void
+world_start(struct world *world)
+{
+    struct gate_config *config = parse_config();
+    struct err err = {0};
+    int port;
+
+    world->now_ms = 100000;
+    fill_settings(&world->settings);
+    world->port.ops = &port_ops;
+    world->relay =
+        relay_new(&world->settings, &platform_dialect, &world->port, &err);
+    g_assert_nonnull(world->relay);
+    g_assert_true(relay_post_config(world->relay, config));
+    gate_config_unref(config);
+    for (int i = 0; i < TARGETS; i++) {
+        world->targets[i].listener = listen_any(&port);
+        post_target(world->relay, i, port);
+    }
+    relay_post_targets_listed(world->relay);
+}
+
+static void
+end_connections(struct target *target)
+{
+    for (int i = 0; i < target->count; i++) {
+        close(target->connections[i]);
+    }
+    target->count = 0;
+}
+
+static void
+crash(struct target *target)
+{
+    end_connections(target);
+    close(target->listener);
+    target->listener = -1;
+}
+
+static void
+world_stop(struct world *world)
+{
+    relay_free(world->relay);
+    for (int i = 0; i < TARGETS; i++) {
+        end_connections(&world->targets[i]);
+        if (world->targets[i].listener >= 0) {
+            close(world->targets[i].listener);
+        }
+    }
+}
+
+static int
+crash_count(const struct world *world)
+{
+    int count = 0;
+
+    for (int i = 0; i < TARGETS; i++) {
+        count += world->targets[i].listener < 0;
+    }
+    return count;
+}
+
+static void
+accept_all(struct target *target)
+{
+    int fd;
+
+    while (target->listener >= 0 && target->count < CONNECTIONS_MAX &&
+           (fd = accept(target->listener, NULL, NULL)) >= 0) {
+        target->connections[target->count++] = fd;
+    }
+}
+
+static bool
+is_deadly(const struct world *world, const char *request)
+{
+    const char *field = strstr(request, "Prompt-Prefix: ");
+
+    return field != NULL && strstr(field, world->deadly) != NULL;
+}
+
+static void
+end_under_request(struct world *world, struct target *target, int index)
+{
+    world->requests_deadly++;
+    switch (world->ending) {
+    case ENDS_CONNECTION:
+        close(target->connections[index]);
+        target->connections[index] = target->connections[--target->count];
+        break;
+    case ENDS_AFTER_HEAD:
+        send_text(target->connections[index], HEAD "\r\n");
+        crash(target);
+        break;
+    case ENDS_ALL:
+        crash(target);
+        break;
+    }
+}
+
+/* A request of these tests comes in one piece. */
+static void
+serve(struct world *world, struct target *target)
+{
+    char bytes[4096];
+
+    accept_all(target);
+    for (int i = 0; i < target->count; i++) {
+        ssize_t count = recv(target->connections[i], bytes, sizeof(bytes) - 1,
+                             MSG_DONTWAIT);
+
+        if (count == 0) {
+            close(target->connections[i]);
+            target->connections[i--] = target->connections[--target->count];
+        }
+        if (count <= 0) {
+            continue;
+        }
+        bytes[count] = '\0';
+        if (is_deadly(world, bytes)) {
+            end_under_request(world, target, i);
+            return;
+        }
+        send_text(target->connections[i], STREAM);
+    }
+}
+
+static void
+step(struct world *world, int wait_ms)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int count =
+        epoll_wait(world->relay->epoll_fd, events, EVENTS_MAX, wait_ms);
+
+    relay_handle_events(world->relay, events, count, world->now_ms);
+    for (int i = 0; i < TARGETS; i++) {
+        serve(world, &world->targets[i]);
+    }
+}
+
+static void
+pass_time(struct world *world, int64_t duration_ms)
+{
+    int64_t end_ms = world->now_ms + duration_ms;
+
+    while (world->now_ms < end_ms) {
+        world->now_ms += 10;
+        step(world, 0);
+    }
+}
+
+/* "f.a.1" lists the parts f, a and 1. Returns the status that the caller got;
+ * 0 for a closed connection. */
+static int
+request(struct world *world, const char *parts)
+{
+    char **ids = g_strsplit(parts, ".", -1);
+    char *list = g_strjoinv(":10,", ids);
+    char *text = g_strdup_printf("GET /stream/1 HTTP/1.1\r\nHost: h\r\n"
+                                 "Connection: close\r\nAttempt-Id: a\r\n"
+                                 "Prompt-Prefix: %s:10\r\n\r\n",
+                                 list);
+    int caller = connect_to(relay_front_port(world->relay));
+    char answer[4096] = {0};
+    size_t bytes = 0;
+    ssize_t count = -1;
+
+    send_text(caller, text);
+    for (int round = 0; count != 0; round++) {
+        g_assert_cmpint(round, <, ROUNDS_MAX);
+        step(world, EVENT_WAIT_MS);
+        count = recv(caller, answer + bytes, sizeof(answer) - 1 - bytes,
+                     MSG_DONTWAIT);
+        bytes += count > 0 ? (size_t)count : 0;
+    }
+    close(caller);
+    g_free(text);
+    g_free(list);
+    g_strfreev(ids);
+    return bytes > 0 ? atoi(answer + strlen("HTTP/1.1 ")) : 0;
+}
+
+/*
+ * Guards against requests that crash one target after the other because each
+ * is taken for the first of its kind, and against sound requests that are
+ * refused because they share parts with them.
+ *
+ * Steps: parts of a request, ":" and the status that its caller must get, "-"
+ * for any.
+ */
+struct crash_case {
+    const char *name;
+    const char *deadly; /* in the list of parts */
+    enum ending ending;
+    const char *steps;
+    int crashes_max;
+    int reached_max; /* deadly requests that targets received */
+};
+
+static const struct crash_case crash_cases[] = {
+    {"part_in_many_requests", "dead:", ENDS_ALL,
+     "f.a.1:200 f.dead.2:- f.a.3:200 f.dead.4:- f.a.5:200 f.dead.6:503 "
+     "f.dead.7:503 f.b.8:200 f.a.dead.9:503 f.a.10:200",
+     4, 4},
+    {"part_behind_shared_ones", "dead:", ENDS_ALL,
+     "f.a.1:200 f.a.dead.2:- f.a.dead.3:- f.a.4:200 f.a.dead.5:503 f.a.6:200",
+     4, 4},
+    {"part_of_other_callers", "dead:", ENDS_ALL,
+     "f.dead.1:- g.dead.2:- f.a.3:200 g.a.4:200 h.dead.5:503 h.a.6:200", 4, 4},
+    {"first_part", "dead:", ENDS_ALL,
+     "dead.a.1:- dead.b.2:- dead.c.3:503 f.a.4:200", 4, 4},
+    {"after_the_head", "dead:", ENDS_AFTER_HEAD,
+     "f.a.1:200 f.dead.2:- f.dead.3:- f.dead.4:503 f.a.5:200", 4, 4},
+    {"one_request_again", ",1:", ENDS_ALL,
+     "f.a.2:200 f.a.1:- f.a.1:- f.a.1:503 f.a.1:503 f.a.3:200", 4, 4},
+    {"connections_only", "dead:", ENDS_CONNECTION,
+     "f.a.1:200 f.dead.2:502 f.dead.3:502 f.dead.4:502 f.dead.5:502 "
+     "f.a.6:200",
+     0, 8},
+};
+
+static void
+play(struct world *world, const char *step_text)
+{
+    char **step_parts = g_strsplit(step_text, ":", 2);
+    int status = request(world, step_parts[0]);
+
+    if (strcmp(step_parts[1], "-") != 0 && atoi(step_parts[1]) != status) {
+        g_test_message("request %s got %d", step_text, status);
+        g_test_fail();
+    }
+    g_strfreev(step_parts);
+    pass_time(world, PAUSE_MS);
+}
+
+static void
+test_crash(gconstpointer data)
+{
+    const struct crash_case *c = data;
+    struct world world = {.deadly = c->deadly, .ending = c->ending};
+    char **steps = g_strsplit(c->steps, " ", -1);
+
+    world_start(&world);
+    for (int i = 0; steps[i] != NULL; i++) {
+        play(&world, steps[i]);
+    }
+    g_assert_cmpint(crash_count(&world), <=, c->crashes_max);
+    g_assert_cmpint(world.requests_deadly, <=, c->reached_max);
+    g_strfreev(steps);
+    world_stop(&world);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct cases groups[] = {
+        CASES("/crash/relay", crash_cases, test_crash),
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    cases_add(groups, G_N_ELEMENTS(groups));
+    return g_test_run();
+}
