Crash: which part of the requests explains crashes of targets

A part is blamed when requests that differ had it at crashes at two different times, no answer to any request with it began since, and no deeper part was at the same crashes. A whole request is blamed for three crashes. Kills of many targets at once are one moment; one request's repeats prove nothing of its parts; what was sound before needs more.

--- /dev/null
+++ b/src/gate/crash/watch.c
@@ -0,0 +1,368 @@
+/**
+ * DOC: What an instance knows of requests that crash targets, and tells
+ * others.
+ *
+ * Every instance collects the same evidence and comes to its own verdict, so
+ * that none has to be there. Verdicts are repeated to some instances at a
+ * time: one that has just started, or has lost messages, learns them soon.
+ */
+#include <glib.h>
+
+#include "base/dat.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
+
+enum {
+    /* A closed connection is no crash unless the target proves to be gone. */
+    UNCONFIRMED_MAX_MS = 10 * 1000,
+    REPEAT_PERIOD_MS = 500,
+    /* Evidence is repeated until a verdict is likely. */
+    REPEAT_CRASH_MS = 10 * 1000,
+    /* Another instance that has just started may blame a trait whose answers
+     * it hasn't seen. */
+    KNOWN_SOUND_MS = 10 * 1000,
+};
+
+/**
+ * watch_new() - create a watch that knows nothing
+ *
+ * Return: to be released with watch_free().
+ */
+struct crash_watch *
+watch_new(void)
+{
+    struct crash_watch *watch = g_new0(struct crash_watch, 1);
+
+    sound_init(&watch->sound);
+    crash_report_init(&watch->news);
+    return watch;
+}
+
+/**
+ * watch_free() - release a watch
+ * @watch: the watch
+ */
+void
+watch_free(struct crash_watch *watch)
+{
+    ledger_clear(&watch->crashes);
+    ledger_clear(&watch->unconfirmed);
+    sound_clear(&watch->sound);
+    crash_report_clear(&watch->news);
+    g_free(watch);
+}
+
+static void
+extend_quarantine(struct crash_watch *watch, const struct crash *crash,
+                  int64_t now_ms)
+{
+    for (int i = 0; i < crash->suspect_count; i++) {
+        const struct suspect *suspect = &crash->suspects[i];
+
+        for (int j = 0; j < suspect->trait_count; j++) {
+            uint64_t key = suspect->traits[j].key;
+
+            if (quarantine_probe_crashed(&watch->quarantine, key, crash->at_ms,
+                                         now_ms)) {
+                g_array_append_val(watch->news.verdicts,
+                                   *quarantine_find(&watch->quarantine, key));
+            }
+        }
+    }
+}
+
+/* Adds what is new of a crash to the ledger. Returns the crash there, or NULL
+ * when nothing was new. */
+static const struct crash *
+add_crash(struct crash_watch *watch, const struct crash *crash, int64_t now_ms)
+{
+    struct crash *known;
+
+    ledger_expire(&watch->crashes, now_ms);
+    known = ledger_add(&watch->crashes, crash->target, crash->started_ms,
+                       crash->at_ms);
+    if (crash_add_suspects(known, crash) == 0) {
+        return NULL;
+    }
+    extend_quarantine(watch, crash, now_ms);
+    return known;
+}
+
+/**
+ * watch_ended() - a target ended a connection before it began to answer
+ * @watch: the watch
+ * @end: target and time; without suspects
+ * @traits: traits of the request
+ * @now_ms: current time
+ *
+ * Return: whether it is unknown so far if the target has crashed.
+ */
+bool
+watch_ended(struct crash_watch *watch, const struct crash *end,
+            const struct trait_list *traits, int64_t now_ms)
+{
+    struct crash *known =
+        ledger_find(&watch->crashes, end->target, end->started_ms);
+    struct crash single = *end;
+
+    ledger_expire_after(&watch->unconfirmed, UNCONFIRMED_MAX_MS, now_ms);
+    if (known == NULL) {
+        known = ledger_add(&watch->unconfirmed, end->target, end->started_ms,
+                           end->at_ms);
+        crash_add_suspect(known, traits->request, traits->traits,
+                          traits->count);
+        return true;
+    }
+    crash_add_suspect(&single, traits->request, traits->traits, traits->count);
+    if (add_crash(watch, &single, now_ms) != NULL) {
+        crash_report_add_crash(&watch->news, &single);
+    }
+    crash_clear(&single);
+    return false;
+}
+
+/**
+ * watch_confirm() - a target has proved to be gone, or to be another start
+ * @watch: the watch
+ * @target: hash of the target's id
+ * @started_ms: wall time of the start that is gone
+ * @now_ms: current time
+ *
+ * Return: the crash with this instance's requests, valid until the next call;
+ * NULL when no request was cut off before its answer.
+ */
+const struct crash *
+watch_confirm(struct crash_watch *watch, uint64_t target, int64_t started_ms,
+              int64_t now_ms)
+{
+    struct crash *crash;
+    const struct crash *added;
+
+    ledger_expire_after(&watch->unconfirmed, UNCONFIRMED_MAX_MS, now_ms);
+    crash = ledger_find(&watch->unconfirmed, target, started_ms);
+    if (crash == NULL) {
+        return NULL;
+    }
+    added = add_crash(watch, crash, now_ms);
+    crash_report_add_crash(&watch->news, crash);
+    ledger_remove(&watch->unconfirmed, crash);
+    return added;
+}
+
+static bool
+acquit(struct crash_watch *watch, uint64_t key, int64_t now_ms)
+{
+    sound_record(&watch->sound, key, now_ms);
+    return quarantine_lift(&watch->quarantine, key, now_ms);
+}
+
+/**
+ * watch_survived() - a target goes on after it began to answer a request
+ * @watch: the watch
+ * @traits: traits of the request
+ * @now_ms: current time
+ *
+ * Return: number of verdicts that this ends.
+ */
+int
+watch_survived(struct crash_watch *watch, const struct trait_list *traits,
+               int64_t now_ms)
+{
+    int lifted = 0;
+
+    for (int i = 0; i < traits->count; i++) {
+        const struct trait *trait = &traits->traits[i];
+        bool matters =
+            quarantine_contains(&watch->quarantine, trait->key) ||
+            ledger_suspects(&watch->crashes, &watch->sound, trait->key);
+
+        if (matters) {
+            g_array_append_val(watch->news.sound, trait->key);
+        }
+        if (matters || trait->depth != WHOLE_REQUEST) {
+            lifted += acquit(watch, trait->key, now_ms);
+        }
+    }
+    return lifted;
+}
+
+/* An instance that has missed an acquittal still sends its verdict. For a
+ * trait that was sound here a moment before the verdict, the evidence that is
+ * known here decides. */
+static bool
+add_verdict(struct crash_watch *watch, const struct trait_verdict *verdict)
+{
+    int64_t sound_ms = sound_at_ms(&watch->sound, verdict->trait.key);
+
+    if (sound_ms > verdict->since_ms) {
+        g_array_append_val(watch->news.sound, verdict->trait.key);
+    }
+    if (sound_ms != 0 && sound_ms > verdict->since_ms - KNOWN_SOUND_MS) {
+        return false;
+    }
+    return quarantine_add(&watch->quarantine, verdict);
+}
+
+/**
+ * watch_apply() - apply the report of another instance
+ * @watch: the watch
+ * @report: the report
+ * @now_ms: current time
+ *
+ * Return: number of verdicts that are new here.
+ */
+int
+watch_apply(struct crash_watch *watch, const struct crash_report *report,
+            int64_t now_ms)
+{
+    int added = 0;
+
+    for (guint i = 0; i < report->crashes->len; i++) {
+        add_crash(watch, &g_array_index(report->crashes, struct crash, i),
+                  now_ms);
+    }
+    for (guint i = 0; i < report->sound->len; i++) {
+        acquit(watch, g_array_index(report->sound, uint64_t, i), now_ms);
+    }
+    for (guint i = 0; i < report->verdicts->len; i++) {
+        added += add_verdict(
+            watch, &g_array_index(report->verdicts, struct trait_verdict, i));
+    }
+    return added;
+}
+
+/**
+ * watch_judge() - come to a verdict, if the evidence suffices
+ * @watch: the watch
+ * @evidence: set when there is a verdict
+ * @now_ms: current time
+ *
+ * Return: whether there is a new verdict; another one may follow.
+ */
+bool
+watch_judge(struct crash_watch *watch, struct evidence *evidence,
+            int64_t now_ms)
+{
+    ledger_expire(&watch->crashes, now_ms);
+    if (!blame_find(&watch->crashes, &watch->sound, &watch->quarantine,
+                    evidence)) {
+        return false;
+    }
+    quarantine_begin(&watch->quarantine, &evidence->trait, now_ms);
+    g_array_append_val(
+        watch->news.verdicts,
+        *quarantine_find(&watch->quarantine, evidence->trait.key));
+    return true;
+}
+
+/**
+ * watch_decide() - whether a request may be sent to a target
+ * @watch: the watch
+ * @traits: traits of the request
+ * @may_probe: this instance is the one that lets a request through
+ * @now_ms: current time
+ * @trait: unless the request passes, set to the trait that decided
+ * @retry_ms: when refused, set to the time after which to try again
+ */
+enum quarantine_action
+watch_decide(struct crash_watch *watch, const struct trait_list *traits,
+             bool may_probe, int64_t now_ms, struct trait *trait,
+             int64_t *retry_ms)
+{
+    struct trait_verdict *verdict =
+        quarantine_match(&watch->quarantine, traits);
+
+    if (verdict == NULL) {
+        return QUARANTINE_PASS;
+    }
+    *trait = verdict->trait;
+    return quarantine_decide(verdict, may_probe, now_ms, retry_ms);
+}
+
+static bool
+has_recent_crash(const struct crash_watch *watch, int64_t now_ms)
+{
+    const struct crash_ledger *ledger = &watch->crashes;
+
+    return ledger->count > 0 &&
+           now_ms - ledger->crashes[ledger->count - 1].at_ms <=
+               REPEAT_CRASH_MS;
+}
+
+/**
+ * watch_due_ms() - when watch_repeat() is due
+ * @watch: the watch
+ * @now_ms: current time
+ *
+ * Return: the time; INT64_MAX while there is nothing to repeat.
+ */
+int64_t
+watch_due_ms(const struct crash_watch *watch, int64_t now_ms)
+{
+    return watch->quarantine.count > 0 || has_recent_crash(watch, now_ms)
+               ? watch->repeat_ms
+               : INT64_MAX;
+}
+
+/* Adds a crash without what is acquitted of it, which the receiver may not
+ * know. */
+static void
+add_open_suspects(const struct crash_watch *watch, struct crash_report *report,
+                  const struct crash *crash)
+{
+    struct crash open = {
+        .target = crash->target,
+        .started_ms = crash->started_ms,
+        .at_ms = crash->at_ms,
+    };
+
+    for (int i = 0; i < crash->suspect_count; i++) {
+        const struct suspect *suspect = &crash->suspects[i];
+        struct trait_list traits = {0};
+
+        for (int j = 0; j < suspect->trait_count; j++) {
+            if (sound_at_ms(&watch->sound, suspect->traits[j].key) <
+                crash->at_ms) {
+                trait_list_add(&traits, suspect->traits[j].key,
+                               suspect->traits[j].depth);
+            }
+        }
+        if (traits.count > 0) {
+            crash_add_suspect(&open, suspect->request, traits.traits,
+                              traits.count);
+        }
+    }
+    if (open.suspect_count > 0) {
+        crash_report_add_crash(report, &open);
+    }
+    crash_clear(&open);
+}
+
+/**
+ * watch_repeat() - what others may have missed
+ * @watch: the watch
+ * @report: filled in; empty before
+ * @now_ms: current time
+ *
+ * Return: whether the report is due.
+ */
+bool
+watch_repeat(struct crash_watch *watch, struct crash_report *report,
+             int64_t now_ms)
+{
+    if (now_ms < watch_due_ms(watch, now_ms)) {
+        return false;
+    }
+    watch->repeat_ms = now_ms + REPEAT_PERIOD_MS;
+    for (int i = 0; i < watch->crashes.count; i++) {
+        const struct crash *crash = &watch->crashes.crashes[i];
+
+        if (now_ms - crash->at_ms <= REPEAT_CRASH_MS &&
+            !crash_is_explained(crash, &watch->quarantine)) {
+            add_open_suspects(watch, report, crash);
+        }
+    }
+    g_array_append_vals(report->verdicts, watch->quarantine.verdicts,
+                        (guint)watch->quarantine.count);
+    return true;
+}
