Peers: reports on crashes of targets

Suspects of one crash are at several instances, and crashes are seen by different ones; so evidence and verdicts have to reach all, also one that has just started, while the store is away.

--- a/src/gate/peers/fns.h
+++ b/src/gate/peers/fns.h
@@ -34,4 +34,14 @@
 peers_decode_activity(const Turmeric__Envelope *envelope);
 struct holdings *peers_decode_holdings(const Turmeric__Envelope *envelope);
 
+/* crashes.c */
+struct crash_report;
+Turmeric__GateCrashes *peers_encode_crashes(const struct crash_report *report,
+                                            int64_t now_ms);
+void peers_free_crashes(Turmeric__GateCrashes *body);
+bool peers_send_crashes(struct peer *peer, uint64_t member,
+                        Turmeric__GateCrashes *body, struct err *err);
+struct crash_report *peers_decode_crashes(const Turmeric__Envelope *envelope,
+                                          int64_t now_ms);
+
 #endif
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1402,7 +1402,232 @@
   assert(message->base.descriptor == &turmeric__gate_changes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[26] =
+void   turmeric__gate_trait__init
+                     (Turmeric__GateTrait         *message)
+{
+  static const Turmeric__GateTrait init_value = TURMERIC__GATE_TRAIT__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_trait__get_packed_size
+                     (const Turmeric__GateTrait *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_trait__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_trait__pack
+                     (const Turmeric__GateTrait *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_trait__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_trait__pack_to_buffer
+                     (const Turmeric__GateTrait *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_trait__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateTrait *
+       turmeric__gate_trait__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateTrait *)
+     protobuf_c_message_unpack (&turmeric__gate_trait__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_trait__free_unpacked
+                     (Turmeric__GateTrait *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_trait__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_suspect__init
+                     (Turmeric__GateSuspect         *message)
+{
+  static const Turmeric__GateSuspect init_value = TURMERIC__GATE_SUSPECT__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_suspect__get_packed_size
+                     (const Turmeric__GateSuspect *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_suspect__pack
+                     (const Turmeric__GateSuspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_suspect__pack_to_buffer
+                     (const Turmeric__GateSuspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateSuspect *
+       turmeric__gate_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateSuspect *)
+     protobuf_c_message_unpack (&turmeric__gate_suspect__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_suspect__free_unpacked
+                     (Turmeric__GateSuspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_crash__init
+                     (Turmeric__GateCrash         *message)
+{
+  static const Turmeric__GateCrash init_value = TURMERIC__GATE_CRASH__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_crash__get_packed_size
+                     (const Turmeric__GateCrash *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_crash__pack
+                     (const Turmeric__GateCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_crash__pack_to_buffer
+                     (const Turmeric__GateCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateCrash *
+       turmeric__gate_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateCrash *)
+     protobuf_c_message_unpack (&turmeric__gate_crash__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_crash__free_unpacked
+                     (Turmeric__GateCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_verdict__init
+                     (Turmeric__GateVerdict         *message)
+{
+  static const Turmeric__GateVerdict init_value = TURMERIC__GATE_VERDICT__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_verdict__get_packed_size
+                     (const Turmeric__GateVerdict *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_verdict__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_verdict__pack
+                     (const Turmeric__GateVerdict *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_verdict__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_verdict__pack_to_buffer
+                     (const Turmeric__GateVerdict *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_verdict__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateVerdict *
+       turmeric__gate_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateVerdict *)
+     protobuf_c_message_unpack (&turmeric__gate_verdict__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_verdict__free_unpacked
+                     (Turmeric__GateVerdict *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_verdict__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_crashes__init
+                     (Turmeric__GateCrashes         *message)
+{
+  static const Turmeric__GateCrashes init_value = TURMERIC__GATE_CRASHES__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_crashes__get_packed_size
+                     (const Turmeric__GateCrashes *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_crashes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_crashes__pack
+                     (const Turmeric__GateCrashes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_crashes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_crashes__pack_to_buffer
+                     (const Turmeric__GateCrashes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_crashes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateCrashes *
+       turmeric__gate_crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateCrashes *)
+     protobuf_c_message_unpack (&turmeric__gate_crashes__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_crashes__free_unpacked
+                     (Turmeric__GateCrashes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_crashes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[27] =
 {
   {
     "version",
@@ -1716,6 +1941,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gate_crashes",
+    74,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__Envelope, body_case),
+    offsetof(Turmeric__Envelope, gate_crashes),
+    &turmeric__gate_crashes__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
@@ -1729,6 +1966,7 @@
   1,   /* field[1] = from */
   22,   /* field[22] = gate_activity */
   25,   /* field[25] = gate_changes */
+  26,   /* field[26] = gate_crashes */
   23,   /* field[23] = gate_holdings */
   24,   /* field[24] = gate_outlook */
   2,   /* field[2] = hello */
@@ -1755,7 +1993,7 @@
   { 50, 19 },
   { 60, 21 },
   { 70, 22 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor turmeric__envelope__descriptor =
 {
@@ -1765,7 +2003,7 @@
   "Turmeric__Envelope",
   "turmeric",
   sizeof(Turmeric__Envelope),
-  26,
+  27,
   turmeric__envelope__field_descriptors,
   turmeric__envelope__field_indices_by_name,
   8,  turmeric__envelope__number_ranges,
@@ -4069,3 +4307,323 @@
   (ProtobufCMessageInit) turmeric__gate_changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor turmeric__gate_trait__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateTrait, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "depth",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateTrait, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_trait__field_indices_by_name[] = {
+  1,   /* field[1] = depth */
+  0,   /* field[0] = key */
+};
+static const ProtobufCIntRange turmeric__gate_trait__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_trait__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateTrait",
+  "GateTrait",
+  "Turmeric__GateTrait",
+  "turmeric",
+  sizeof(Turmeric__GateTrait),
+  2,
+  turmeric__gate_trait__field_descriptors,
+  turmeric__gate_trait__field_indices_by_name,
+  1,  turmeric__gate_trait__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_trait__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_suspect__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateSuspect, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "traits",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateSuspect, n_traits),
+    offsetof(Turmeric__GateSuspect, traits),
+    &turmeric__gate_trait__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_suspect__field_indices_by_name[] = {
+  0,   /* field[0] = request */
+  1,   /* field[1] = traits */
+};
+static const ProtobufCIntRange turmeric__gate_suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateSuspect",
+  "GateSuspect",
+  "Turmeric__GateSuspect",
+  "turmeric",
+  sizeof(Turmeric__GateSuspect),
+  2,
+  turmeric__gate_suspect__field_descriptors,
+  turmeric__gate_suspect__field_indices_by_name,
+  1,  turmeric__gate_suspect__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_crash__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateCrash, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateCrash, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateCrash, n_suspects),
+    offsetof(Turmeric__GateCrash, suspects),
+    &turmeric__gate_suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_crash__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = born_ms */
+  3,   /* field[3] = suspects */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange turmeric__gate_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateCrash",
+  "GateCrash",
+  "Turmeric__GateCrash",
+  "turmeric",
+  sizeof(Turmeric__GateCrash),
+  4,
+  turmeric__gate_crash__field_descriptors,
+  turmeric__gate_crash__field_indices_by_name,
+  1,  turmeric__gate_crash__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_verdict__field_descriptors[4] =
+{
+  {
+    "trait",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateVerdict, trait),
+    &turmeric__gate_trait__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateVerdict, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "probe_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateVerdict, probe_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateVerdict, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_verdict__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  3,   /* field[3] = level */
+  2,   /* field[2] = probe_ms */
+  0,   /* field[0] = trait */
+};
+static const ProtobufCIntRange turmeric__gate_verdict__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_verdict__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateVerdict",
+  "GateVerdict",
+  "Turmeric__GateVerdict",
+  "turmeric",
+  sizeof(Turmeric__GateVerdict),
+  4,
+  turmeric__gate_verdict__field_descriptors,
+  turmeric__gate_verdict__field_indices_by_name,
+  1,  turmeric__gate_verdict__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_verdict__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_crashes__field_descriptors[3] =
+{
+  {
+    "crashes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateCrashes, n_crashes),
+    offsetof(Turmeric__GateCrashes, crashes),
+    &turmeric__gate_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sound",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Turmeric__GateCrashes, n_sound),
+    offsetof(Turmeric__GateCrashes, sound),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdicts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateCrashes, n_verdicts),
+    offsetof(Turmeric__GateCrashes, verdicts),
+    &turmeric__gate_verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_crashes__field_indices_by_name[] = {
+  0,   /* field[0] = crashes */
+  1,   /* field[1] = sound */
+  2,   /* field[2] = verdicts */
+};
+static const ProtobufCIntRange turmeric__gate_crashes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_crashes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateCrashes",
+  "GateCrashes",
+  "Turmeric__GateCrashes",
+  "turmeric",
+  sizeof(Turmeric__GateCrashes),
+  3,
+  turmeric__gate_crashes__field_descriptors,
+  turmeric__gate_crashes__field_indices_by_name,
+  1,  turmeric__gate_crashes__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_crashes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -46,6 +46,11 @@
 typedef struct Turmeric__GateOutlook Turmeric__GateOutlook;
 typedef struct Turmeric__GateChange Turmeric__GateChange;
 typedef struct Turmeric__GateChanges Turmeric__GateChanges;
+typedef struct Turmeric__GateTrait Turmeric__GateTrait;
+typedef struct Turmeric__GateSuspect Turmeric__GateSuspect;
+typedef struct Turmeric__GateCrash Turmeric__GateCrash;
+typedef struct Turmeric__GateVerdict Turmeric__GateVerdict;
+typedef struct Turmeric__GateCrashes Turmeric__GateCrashes;
 
 
 /* --- enums --- */
@@ -78,7 +83,8 @@
   TURMERIC__ENVELOPE__BODY_GATE_ACTIVITY = 70,
   TURMERIC__ENVELOPE__BODY_GATE_HOLDINGS = 71,
   TURMERIC__ENVELOPE__BODY_GATE_OUTLOOK = 72,
-  TURMERIC__ENVELOPE__BODY_GATE_CHANGES = 73
+  TURMERIC__ENVELOPE__BODY_GATE_CHANGES = 73,
+  TURMERIC__ENVELOPE__BODY_GATE_CRASHES = 74
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TURMERIC__ENVELOPE__BODY__CASE)
 } Turmeric__Envelope__BodyCase;
 
@@ -116,6 +122,7 @@
     Turmeric__GateHoldings *gate_holdings;
     Turmeric__GateOutlook *gate_outlook;
     Turmeric__GateChanges *gate_changes;
+    Turmeric__GateCrashes *gate_crashes;
   };
 };
 #define TURMERIC__ENVELOPE__INIT \
@@ -587,6 +594,91 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * Targets that crashed, the requests that had not begun there, and verdicts on
+ * what these have in common. Sent to all instances when it is news, and
+ * repeated to some.
+ */
+struct  Turmeric__GateTrait
+{
+  ProtobufCMessage base;
+  /*
+   * part of a prompt, or hash of a whole request
+   */
+  uint64_t key;
+  /*
+   * place of the part in the prompt; -1: whole request
+   */
+  int32_t depth;
+};
+#define TURMERIC__GATE_TRAIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_trait__descriptor) \
+    , 0, 0 }
+
+
+struct  Turmeric__GateSuspect
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  size_t n_traits;
+  Turmeric__GateTrait **traits;
+};
+#define TURMERIC__GATE_SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_suspect__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Turmeric__GateCrash
+{
+  ProtobufCMessage base;
+  uint64_t target;
+  int64_t born_ms;
+  uint32_t age_ms;
+  size_t n_suspects;
+  Turmeric__GateSuspect **suspects;
+};
+#define TURMERIC__GATE_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_crash__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Turmeric__GateVerdict
+{
+  ProtobufCMessage base;
+  Turmeric__GateTrait *trait;
+  uint32_t age_ms;
+  /*
+   * from now on, until a request is let through
+   */
+  uint32_t probe_ms;
+  /*
+   * such requests that crashed a target
+   */
+  uint32_t level;
+};
+#define TURMERIC__GATE_VERDICT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_verdict__descriptor) \
+    , NULL, 0, 0, 0 }
+
+
+struct  Turmeric__GateCrashes
+{
+  ProtobufCMessage base;
+  size_t n_crashes;
+  Turmeric__GateCrash **crashes;
+  /*
+   * traits that a target has survived since
+   */
+  size_t n_sound;
+  uint64_t *sound;
+  size_t n_verdicts;
+  Turmeric__GateVerdict **verdicts;
+};
+#define TURMERIC__GATE_CRASHES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_crashes__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /* Turmeric__Envelope methods */
 void   turmeric__envelope__init
                      (Turmeric__Envelope         *message);
@@ -1176,6 +1268,101 @@
 void   turmeric__gate_changes__free_unpacked
                      (Turmeric__GateChanges *message,
                       ProtobufCAllocator *allocator);
+/* Turmeric__GateTrait methods */
+void   turmeric__gate_trait__init
+                     (Turmeric__GateTrait         *message);
+size_t turmeric__gate_trait__get_packed_size
+                     (const Turmeric__GateTrait   *message);
+size_t turmeric__gate_trait__pack
+                     (const Turmeric__GateTrait   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_trait__pack_to_buffer
+                     (const Turmeric__GateTrait   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateTrait *
+       turmeric__gate_trait__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_trait__free_unpacked
+                     (Turmeric__GateTrait *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateSuspect methods */
+void   turmeric__gate_suspect__init
+                     (Turmeric__GateSuspect         *message);
+size_t turmeric__gate_suspect__get_packed_size
+                     (const Turmeric__GateSuspect   *message);
+size_t turmeric__gate_suspect__pack
+                     (const Turmeric__GateSuspect   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_suspect__pack_to_buffer
+                     (const Turmeric__GateSuspect   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateSuspect *
+       turmeric__gate_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_suspect__free_unpacked
+                     (Turmeric__GateSuspect *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateCrash methods */
+void   turmeric__gate_crash__init
+                     (Turmeric__GateCrash         *message);
+size_t turmeric__gate_crash__get_packed_size
+                     (const Turmeric__GateCrash   *message);
+size_t turmeric__gate_crash__pack
+                     (const Turmeric__GateCrash   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_crash__pack_to_buffer
+                     (const Turmeric__GateCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateCrash *
+       turmeric__gate_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_crash__free_unpacked
+                     (Turmeric__GateCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateVerdict methods */
+void   turmeric__gate_verdict__init
+                     (Turmeric__GateVerdict         *message);
+size_t turmeric__gate_verdict__get_packed_size
+                     (const Turmeric__GateVerdict   *message);
+size_t turmeric__gate_verdict__pack
+                     (const Turmeric__GateVerdict   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_verdict__pack_to_buffer
+                     (const Turmeric__GateVerdict   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateVerdict *
+       turmeric__gate_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_verdict__free_unpacked
+                     (Turmeric__GateVerdict *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateCrashes methods */
+void   turmeric__gate_crashes__init
+                     (Turmeric__GateCrashes         *message);
+size_t turmeric__gate_crashes__get_packed_size
+                     (const Turmeric__GateCrashes   *message);
+size_t turmeric__gate_crashes__pack
+                     (const Turmeric__GateCrashes   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_crashes__pack_to_buffer
+                     (const Turmeric__GateCrashes   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateCrashes *
+       turmeric__gate_crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_crashes__free_unpacked
+                     (Turmeric__GateCrashes *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Turmeric__Envelope_Closure)
@@ -1271,6 +1458,21 @@
 typedef void (*Turmeric__GateChanges_Closure)
                  (const Turmeric__GateChanges *message,
                   void *closure_data);
+typedef void (*Turmeric__GateTrait_Closure)
+                 (const Turmeric__GateTrait *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateSuspect_Closure)
+                 (const Turmeric__GateSuspect *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateCrash_Closure)
+                 (const Turmeric__GateCrash *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateVerdict_Closure)
+                 (const Turmeric__GateVerdict *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateCrashes_Closure)
+                 (const Turmeric__GateCrashes *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1308,6 +1510,11 @@
 extern const ProtobufCMessageDescriptor turmeric__gate_outlook__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_change__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_changes__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_trait__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_suspect__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_crash__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_verdict__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_crashes__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/test/gate_peers_test.c
+++ b/test/gate_peers_test.c
@@ -9,6 +9,8 @@
 #include "gate/dat.h"
 #include "gate/view/dat.h"
 #include "gate/follow/dat.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/peers/dat.h"
 #include "gate/peers/fns.h"
@@ -134,12 +136,114 @@
     g_strfreev(steps);
 }
 
+/* Guards against evidence that changes on its way: a request without its
+ * parts, a crash at another time, or a verdict that begins anew. */
+struct crashes_case {
+    const char *name;
+    int suspects;
+    int traits;
+    int64_t age_ms;
+    int64_t probe_in_ms; /* below 0: due */
+};
+
+static const struct crashes_case crashes_cases[] = {
+    {"one", 1, 1, 20, 1000},
+    {"most", CRASH_SUSPECTS_MAX, TRAITS_MAX, 9000, 100000},
+    {"without_traits", 1, 0, 0, 0},
+    {"probe_due", 2, 3, 100, -5},
+};
+
+enum { SENT_MS = 500000, RECEIVED_MS = 900000 };
+
+static void
+fill_report(const struct crashes_case *c, struct crash_report *report)
+{
+    struct crash crash = {
+        .target = 7, .started_ms = 8, .at_ms = SENT_MS - c->age_ms};
+    struct trait_verdict verdict = {
+        .trait = {9, WHOLE_REQUEST},
+        .since_ms = SENT_MS - c->age_ms,
+        .probe_ms = SENT_MS + c->probe_in_ms,
+        .level = 2,
+    };
+    uint64_t key = 11;
+
+    for (int i = 0; i < c->suspects; i++) {
+        struct trait_list traits = {0};
+
+        for (int j = 0; j < c->traits; j++) {
+            trait_list_add(&traits, (uint64_t)(100 + j), j);
+        }
+        crash_add_suspect(&crash, (uint64_t)(1000 + i), traits.traits,
+                          traits.count);
+    }
+    crash_report_add_crash(report, &crash);
+    crash_clear(&crash);
+    g_array_append_val(report->verdicts, verdict);
+    g_array_append_val(report->sound, key);
+}
+
+static void
+check_report(const struct crashes_case *c, const struct crash_report *report)
+{
+    const struct crash *crash =
+        &g_array_index(report->crashes, struct crash, 0);
+    const struct trait_verdict *verdict =
+        &g_array_index(report->verdicts, struct trait_verdict, 0);
+
+    g_assert_true(crash_is_same(crash, 7, 8));
+    g_assert_cmpint(crash->at_ms, ==, RECEIVED_MS - c->age_ms);
+    g_assert_cmpint(crash->suspect_count, ==, c->suspects);
+    for (int i = 0; i < c->suspects; i++) {
+        g_assert_cmpint(crash->suspects[i].trait_count, ==, c->traits);
+        for (int j = 0; j < c->traits; j++) {
+            g_assert_cmpint(crash->suspects[i].traits[j].depth, ==, j);
+        }
+    }
+    g_assert_cmpuint(verdict->trait.key, ==, 9);
+    g_assert_cmpint(verdict->trait.depth, ==, WHOLE_REQUEST);
+    g_assert_cmpint(verdict->since_ms, ==, RECEIVED_MS - c->age_ms);
+    g_assert_cmpint(verdict->probe_ms, ==,
+                    RECEIVED_MS + MAX(c->probe_in_ms, 0));
+    g_assert_cmpint(verdict->level, ==, 2);
+    g_assert_cmpuint(g_array_index(report->sound, uint64_t, 0), ==, 11);
+}
+
+static void
+test_crashes(gconstpointer data)
+{
+    const struct crashes_case *c = data;
+    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
+    Turmeric__Envelope *received;
+    struct crash_report sent;
+    struct crash_report *decoded;
+    uint8_t *bytes;
+    size_t count;
+
+    crash_report_init(&sent);
+    fill_report(c, &sent);
+    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_CRASHES;
+    envelope.gate_crashes = peers_encode_crashes(&sent, SENT_MS);
+    count = turmeric__envelope__get_packed_size(&envelope);
+    bytes = g_malloc(count);
+    turmeric__envelope__pack(&envelope, bytes);
+    peers_free_crashes(envelope.gate_crashes);
+    received = turmeric__envelope__unpack(NULL, count, bytes);
+    decoded = peers_decode_crashes(received, RECEIVED_MS);
+    check_report(c, decoded);
+    crash_report_free(decoded);
+    crash_report_clear(&sent);
+    turmeric__envelope__free_unpacked(received, NULL);
+    g_free(bytes);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/gate_peers/peer_list", peer_list_cases, test_peer_list),
         CASES("/gate_peers/aggregator", aggregator_cases, test_aggregator),
+        CASES("/gate_peers/crashes", crashes_cases, test_crashes),
     };
 
     g_test_init(&argc, &argv, NULL);
