Relay: refuse requests with a part that crashes targets

Cause: each request was taken for the first of its kind. A connection that ended counted against the target alone, the request went to the next one, and the next request with the part did the same at another instance.

Change: a connection that ends before the answer begins raises a doubt; if the target has no other connection left, one is made to see if it is there. If it is refused, or the target comes back as another start, it has crashed, and the requests that had not begun are evidence, sent to all instances. Requests with a trait that is blamed are refused at once, also those that wait or whose target has not begun; 503 when not sent, 502 after a send, Retry-After until the next probe. An answer that begins and goes on acquits its parts.

With the fault put back (no evidence from a connection's end; a full target taken for a crashed one; no verdict) crash_test fails. The scripted targets of wire_play.c take connections that carry no request.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -71,6 +71,9 @@
       "too many attempts fail at present; retry after Retry-After")           \
     X(ERR_CRASHES_TARGETS, "request_crashes_targets", 422, OUTCOME_UNKNOWN,   \
       "change the request; the same body broke several targets")              \
+    X(ERR_QUARANTINED, "quarantined", 503, OUTCOME_NOT_RUN,                   \
+      "change the prompt, a part of which crashes targets; or retry after "   \
+      "Retry-After")                                                          \
     X(ERR_KEY_MISSING, "key_missing", 400, OUTCOME_NOT_RUN,                   \
       "send an Idempotency-Key header with this method")                      \
     X(ERR_KEY_BAD, "key_bad", 400, OUTCOME_NOT_RUN,                           \
@@ -152,6 +155,9 @@
     X(CTR_CALLS, "calls_total")                                               \
     X(CTR_ANSWERS, "answers_total")                                           \
     X(CTR_ENDED_UNANSWERED, "target_ended_unanswered_total")                  \
+    X(CTR_TARGET_CRASHES, "target_crashes_total")                             \
+    X(CTR_QUARANTINED, "quarantine_begun_total")                              \
+    X(CTR_QUARANTINE_ENDED, "quarantine_ended_total")                         \
     X(CTR_ANSWER_STALE, "answer_stale_total")                                 \
     X(CTR_ANSWER_EXTRA, "answer_extra_total")                                 \
     X(CTR_ANSWER_ENCODED, "answer_encoded_total")                             \
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -24,6 +24,10 @@
 #include "gate/fns.h"
 #include "gate/internal.h"
 
+/* Instances that a repeated report on crashes goes to: after some repetitions
+ * all have it. */
+enum { REPEATED_TO = 3 };
+
 static uint64_t
 peer_id_at(const struct gate *gate, guint index)
 {
@@ -185,14 +189,43 @@
     place_gate_post_activity(&gate->place, activity);
 }
 
+/* Whether a report that is repeated to a few goes to the peer at @index; the
+ * others get the next ones. */
+static bool
+is_picked(const struct gate *gate, uint64_t spread, guint index)
+{
+    guint first = (guint)(spread % gate->peers->len);
+
+    return (index + gate->peers->len - first) % gate->peers->len < REPEATED_TO;
+}
+
+static void
+relay_port_crashes(struct relay_port *port, const struct crash_report *report,
+                   uint64_t spread)
+{
+    struct gate *gate = ((struct gate_relay_port *)port)->gate;
+    Turmeric__GateCrashes *body = peers_encode_crashes(report, clock_now_ms());
+    struct err err = {0};
+
+    pthread_mutex_lock(&gate->peers_lock);
+    for (guint i = 0; i < gate->peers->len; i++) {
+        if ((spread == 0 || is_picked(gate, spread, i)) &&
+            !peers_send_crashes(gate->peer, peer_id_at(gate, i), body, &err)) {
+            counter_add(CTR_PEER_DROPPED, 1);
+        }
+    }
+    pthread_mutex_unlock(&gate->peers_lock);
+    peers_free_crashes(body);
+}
+
 static void
 relay_port_drained(struct relay_port *port)
 {
     gate_stop(((struct gate_relay_port *)port)->gate);
 }
 
-static const struct relay_port_ops relay_ops = {relay_port_activity,
-                                                relay_port_drained};
+static const struct relay_port_ops relay_ops = {
+    relay_port_activity, relay_port_crashes, relay_port_drained};
 
 static void
 place_port_holdings(struct place_gate_port *port, struct holdings *holdings)
@@ -291,6 +324,10 @@
     else if (envelope->body_case == TURMERIC__ENVELOPE__BODY_GATE_CHANGES) {
         feed_post_changes(&gate->feed, peers_decode_changes(envelope));
     }
+    else if (envelope->body_case == TURMERIC__ENVELOPE__BODY_GATE_CRASHES) {
+        relay_post_crashes(gate->relay,
+                           peers_decode_crashes(envelope, clock_now_ms()));
+    }
     turmeric__envelope__free_unpacked(envelope, NULL);
 }
 
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -1,5 +1,9 @@
 /**
- * DOC: Requests whose target ends the connection before it begins to answer.
+ * DOC: Requests that crash targets: evidence, verdicts and refusals.
+ *
+ * A request whose connection ends before its answer begins is suspected once
+ * its target proves to be gone. What the suspects of several crashes have in
+ * common is decided in src/gate/crash.
  */
 #include <glib.h>
 #include <http_parser.h>
@@ -11,10 +15,19 @@
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
 
+enum {
+    /* When a target crashes, all its connections end within some ms. */
+    ENDS_TOGETHER_MS = 20,
+    /* A target that ends connections but goes on is not asked each time. */
+    ASK_INTERVAL_MS = 1000,
+};
+
 /**
  * crash_fingerprint() - identify a request that a caller may repeat
  * @exchange: the request; its header fields were read
@@ -34,6 +47,28 @@
     return hash;
 }
 
+/* The last part belongs to the request or its session. */
+static int
+shared_part_count(const struct request_meta *meta)
+{
+    return meta->parts_cut ? meta->part_count : MAX(meta->part_count - 1, 0);
+}
+
+static void
+collect_traits(const struct exchange *exchange, struct trait_list *list)
+{
+    const struct request_meta *meta = &exchange->meta;
+    int shared = shared_part_count(meta);
+
+    list->count = 0;
+    list->request = shared < meta->part_count ? meta->parts[shared].id
+                                              : exchange->fingerprint;
+    for (int i = 0; i < shared; i++) {
+        trait_list_add(list, meta->parts[i].id, i);
+    }
+    trait_list_add(list, exchange->fingerprint, WHOLE_REQUEST);
+}
+
 static char *
 format_parts(const struct request_meta *meta)
 {
@@ -72,6 +107,21 @@
     return exchange->events.run_id >= 0 || exchange->answer.body->len > 0;
 }
 
+static void
+schedule_check(struct relay *relay, int64_t at_ms)
+{
+    if (relay->crash_check_ms == 0 || at_ms < relay->crash_check_ms) {
+        relay->crash_check_ms = at_ms;
+    }
+}
+
+/* A target that leaves ends its connections, too. */
+static bool
+is_expected_to_stay(const struct relay_target *target)
+{
+    return !target->record.info.draining && !target->record.missing;
+}
+
 /**
  * crash_connection_ended() - handle a connection that a target has ended
  * @relay: the relay
@@ -84,10 +134,351 @@
 {
     const struct exchange *exchange =
         table_get(&relay->exchanges, upstream->exchange);
-    const struct relay_target *target =
-        table_get(&relay->targets, upstream->target);
+    struct relay_target *target = table_get(&relay->targets, upstream->target);
+    struct crash end = {.at_ms = now_ms};
+    struct trait_list traits;
 
-    if (exchange != NULL && target != NULL && !run_has_begun(exchange)) {
-        log_ended(exchange, target, now_ms);
+    if (exchange == NULL || target == NULL || run_has_begun(exchange)) {
+        return;
+    }
+    log_ended(exchange, target, now_ms);
+    if (!is_expected_to_stay(target)) {
+        return;
     }
+    end.target = target->id_hash;
+    end.started_ms = target->record.info.started_ms;
+    collect_traits(exchange, &traits);
+    if (watch_ended(relay->crashes, &end, &traits, now_ms)) {
+        target->doubt_ms = now_ms;
+        schedule_check(relay, now_ms);
+    }
+    relay->crash_news = true;
+}
+
+static void
+confirm(struct relay *relay, struct relay_target *target, const char *evidence,
+        int64_t now_ms)
+{
+    const struct target_info *info = &target->record.info;
+    const struct crash *crash = watch_confirm(relay->crashes, target->id_hash,
+                                              info->started_ms, now_ms);
+
+    target->doubt_ms = 0;
+    if (crash == NULL) {
+        return;
+    }
+    counter_add(CTR_TARGET_CRASHES, 1);
+    relay->crash_news = true;
+    log_line(LOG_PRI_WARNING, "relay",
+             "event=target_crashed target=%s born_ms=%" G_GINT64_FORMAT
+             " evidence=%s age_ms=%" G_GINT64_FORMAT " suspects=%d",
+             info->id, (gint64)info->started_ms, evidence,
+             (gint64)(now_ms - crash->at_ms), crash->suspect_count);
+}
+
+/**
+ * crash_connection_refused() - handle a target that refuses a connection
+ * @relay: the relay
+ * @target: the target; may be NULL
+ * @now_ms: current time
+ *
+ * It has no listener, or more connections than it takes.
+ */
+void
+crash_connection_refused(struct relay *relay, struct relay_target *target,
+                         int64_t now_ms)
+{
+    if (target != NULL && !upstream_exists_to(relay, target)) {
+        confirm(relay, target, "refused", now_ms);
+    }
+}
+
+/**
+ * crash_connection_made() - handle a target that takes a connection
+ * @target: the target; may be NULL
+ */
+void
+crash_connection_made(struct relay_target *target)
+{
+    if (target != NULL) {
+        target->doubt_ms = 0;
+    }
+}
+
+/**
+ * crash_target_restarted() - handle a target that has started again
+ * @relay: the relay
+ * @target: the target, still with what is known of its last start
+ * @now_ms: current time
+ */
+void
+crash_target_restarted(struct relay *relay, struct relay_target *target,
+                       int64_t now_ms)
+{
+    if (is_expected_to_stay(target)) {
+        confirm(relay, target, "restarted", now_ms);
+    }
+}
+
+/**
+ * crash_survived() - handle a target that goes on after it began to answer
+ * @relay: the relay
+ * @exchange: the request
+ * @now_ms: current time
+ */
+void
+crash_survived(struct relay *relay, const struct exchange *exchange,
+               int64_t now_ms)
+{
+    struct trait_list traits;
+    int ended;
+
+    collect_traits(exchange, &traits);
+    ended = watch_survived(relay->crashes, &traits, now_ms);
+    relay->crash_news = true;
+    if (ended > 0) {
+        counter_add(CTR_QUARANTINE_ENDED, (uint64_t)ended);
+        log_line(LOG_PRI_WARNING, "relay",
+                 "event=quarantine_ended id=%s count=%d",
+                 exchange->meta.attempt_id, ended);
+    }
+}
+
+/* The instance that lets a request through to see whether a trait still
+ * crashes targets; others wait for what it finds. */
+static bool
+is_prober(const struct relay *relay, uint64_t key)
+{
+    uint64_t ids[MEMBERS_MAX];
+    int count = 0;
+
+    for (guint i = 0; i < relay->members->len && count < MEMBERS_MAX; i++) {
+        ids[count++] = g_array_index(relay->members, struct gate_member, i).id;
+    }
+    return count == 0 ||
+           ids[rendezvous_pick(key, ids, count)] == relay->self_id;
+}
+
+static bool
+has_verdicts(const struct relay *relay)
+{
+    return relay->crashes->quarantine.count > 0;
+}
+
+/* Returns the verdict that is known by now. */
+static enum quarantine_action
+decide(struct relay *relay, struct exchange *exchange, int64_t now_ms,
+       struct trait *trait, int64_t *retry_ms)
+{
+    struct trait_list traits;
+    const struct trait_verdict *verdict;
+    enum quarantine_action action;
+
+    collect_traits(exchange, &traits);
+    verdict = quarantine_match(&relay->crashes->quarantine, &traits);
+    if (verdict == NULL || verdict->trait.key == exchange->probe_key) {
+        return QUARANTINE_PASS;
+    }
+    action = watch_decide(relay->crashes, &traits,
+                          is_prober(relay, verdict->trait.key), now_ms, trait,
+                          retry_ms);
+    if (action == QUARANTINE_PROBE) {
+        exchange->probe_key = trait->key;
+    }
+    return action;
+}
+
+/**
+ * crash_refuses() - refuse a request that would crash its target
+ * @relay: the relay
+ * @exchange: the request; invalid afterwards when it is refused
+ * @now_ms: current time
+ *
+ * Return: whether it was refused.
+ */
+bool
+crash_refuses(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    enum quarantine_action action;
+    struct trait trait;
+    int64_t retry_ms = 0;
+
+    if (!has_verdicts(relay)) {
+        return false;
+    }
+    action = decide(relay, exchange, now_ms, &trait, &retry_ms);
+    if (action == QUARANTINE_PASS) {
+        return false;
+    }
+    log_line(LOG_PRI_INFO, "relay",
+             "event=%s id=%s trait=%" G_GINT64_MODIFIER "x depth=%d",
+             action == QUARANTINE_PROBE ? "quarantine_probe" : "has_trait",
+             exchange->meta.attempt_id, trait.key, trait.depth);
+    if (action == QUARANTINE_REFUSE) {
+        refuse(relay, exchange, ERR_QUARANTINED, retry_ms, now_ms);
+        return true;
+    }
+    return false;
+}
+
+/* Requests that wait, and those whose target has not begun to answer: it would
+ * crash when it does. */
+static void
+refuse_pending(struct relay *relay, int64_t now_ms)
+{
+    struct exchange *exchange;
+    uint32_t cursor = 0;
+
+    while ((exchange = table_next(&relay->exchanges, &cursor, NULL)) != NULL) {
+        if (exchange->route != NULL && exchange->fingerprint != 0 &&
+            !run_has_begun(exchange)) {
+            crash_refuses(relay, exchange, now_ms);
+        }
+    }
+}
+
+static void
+log_verdict(const struct evidence *evidence)
+{
+    counter_add(CTR_QUARANTINED, 1);
+    log_line(LOG_PRI_WARNING, "relay",
+             "event=quarantined trait=%" G_GINT64_MODIFIER
+             "x depth=%d crashes=%d moments=%d requests=%d",
+             evidence->trait.key, evidence->trait.depth, evidence->crashes,
+             evidence->moments, evidence->requests);
+}
+
+static bool
+judge(struct relay *relay, int64_t now_ms)
+{
+    struct evidence evidence;
+    bool found = false;
+
+    while (watch_judge(relay->crashes, &evidence, now_ms)) {
+        log_verdict(&evidence);
+        found = true;
+    }
+    return found;
+}
+
+/**
+ * crash_apply_report() - apply another instance's report on crashes
+ * @relay: the relay
+ * @report: takes ownership
+ * @now_ms: current time
+ */
+void
+crash_apply_report(struct relay *relay, struct crash_report *report,
+                   int64_t now_ms)
+{
+    int added = watch_apply(relay->crashes, report, now_ms);
+
+    if (added > 0) {
+        counter_add(CTR_QUARANTINED, (uint64_t)added);
+        log_line(LOG_PRI_WARNING, "relay",
+                 "event=quarantine_learnt count=%d all=%d", added,
+                 relay->crashes->quarantine.count);
+        refuse_pending(relay, now_ms);
+    }
+    relay->crash_news = true;
+    crash_report_free(report);
+}
+
+static void
+send_news(struct relay *relay)
+{
+    struct crash_report *news = &relay->crashes->news;
+
+    if (!crash_report_is_empty(news)) {
+        relay->port->ops->crashes(relay->port, news, 0);
+        crash_report_clear(news);
+        crash_report_init(news);
+    }
+}
+
+static void
+repeat(struct relay *relay, int64_t now_ms)
+{
+    struct crash_report report;
+
+    crash_report_init(&report);
+    if (watch_repeat(relay->crashes, &report, now_ms)) {
+        relay->port->ops->crashes(relay->port, &report,
+                                  relay_random(relay) | 1);
+    }
+    crash_report_clear(&report);
+}
+
+/* A target with another connection may have ended only one, or its other ends
+ * are still on their way. */
+static void
+look_at(struct relay *relay, struct relay_target *target, int64_t now_ms)
+{
+    int64_t wait_until_ms = target->doubt_ms + ENDS_TOGETHER_MS;
+
+    if (upstream_exists_to(relay, target)) {
+        if (now_ms < wait_until_ms) {
+            schedule_check(relay, wait_until_ms);
+        }
+        else {
+            target->doubt_ms = 0;
+        }
+        return;
+    }
+    target->doubt_ms = 0;
+    if (target->asked_ms == 0 ||
+        now_ms - target->asked_ms >= ASK_INTERVAL_MS) {
+        target->asked_ms = now_ms;
+        upstream_ask(relay, target, now_ms);
+    }
+}
+
+static void
+look_at_targets(struct relay *relay, int64_t now_ms)
+{
+    struct relay_target *target;
+    uint32_t cursor = 0;
+
+    if (relay->crash_check_ms == 0 || now_ms < relay->crash_check_ms) {
+        return;
+    }
+    relay->crash_check_ms = 0;
+    while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
+        if (target->doubt_ms != 0) {
+            look_at(relay, target, now_ms);
+        }
+    }
+}
+
+/**
+ * crash_work() - look at doubts, come to verdicts, and tell other instances
+ * @relay: the relay
+ * @now_ms: current time
+ */
+void
+crash_work(struct relay *relay, int64_t now_ms)
+{
+    look_at_targets(relay, now_ms);
+    if (relay->crash_news) {
+        relay->crash_news = false;
+        if (judge(relay, now_ms)) {
+            refuse_pending(relay, now_ms);
+        }
+        send_news(relay);
+    }
+    repeat(relay, now_ms);
+}
+
+/**
+ * crash_due_ms() - when crash_work() is due
+ * @relay: the relay
+ * @now_ms: current time
+ */
+int64_t
+crash_due_ms(const struct relay *relay, int64_t now_ms)
+{
+    int64_t due_ms = watch_due_ms(relay->crashes, now_ms);
+
+    return relay->crash_check_ms != 0 ? MIN(due_ms, relay->crash_check_ms)
+                                      : due_ms;
 }
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -209,15 +209,20 @@
 };
 
 struct relay_port;
+struct crash_report;
 
 /**
  * struct relay_port_ops - callbacks of the relay
  * @activity: sends an activity report; takes ownership, must not block
+ * @crashes: sends a report on crashes, which is valid during the call, to all
+ * instances, or to a few that @spread picks unless it is 0; must not block
  * @drained: after relay_post_drain(), all requests are finished or the grace
  * period ends
  */
 struct relay_port_ops {
     void (*activity)(struct relay_port *port, struct activity_report *report);
+    void (*crashes)(struct relay_port *port, const struct crash_report *report,
+                    uint64_t spread);
     void (*drained)(struct relay_port *port);
 };
 
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -347,6 +347,7 @@
     exchange->stage = STAGE_SENT;
     exchange->sends++;
     exchange->runs++;
+    exchange->run_events = 0;
     exchange->sent_ms = now_ms;
     exchange->last_progress_ms = now_ms;
     log_line(
@@ -403,6 +404,9 @@
         refuse(relay, exchange, ERR_DEADLINE, 0, now_ms);
         return;
     }
+    if (crash_refuses(relay, exchange, now_ms)) {
+        return;
+    }
     if (attempts_are_used_up(exchange)) {
         refuse(relay, exchange,
                exchange->runs > 0 ? ERR_TARGET_FAILED : ERR_NO_TARGET,
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -173,6 +173,9 @@
  * @longest_interval_ms: longest interval between events so far
  * @queued: it waits in the queue with the key @queue_key
  * @fingerprint: hash of the request, the same when a caller repeats it
+ * @run_events: events of the present run
+ * @probe_key: trait that the request has and may have, to see whether it still
+ * crashes targets; 0 for none
  */
 struct exchange {
     struct timer timer;
@@ -211,6 +214,8 @@
     bool queued;
     uint64_t queue_key;
     uint64_t fingerprint;
+    int run_events;
+    uint64_t probe_key;
 };
 
 /**
@@ -267,6 +272,9 @@
  * @reported_running: requests there in the last report
  * @order_sequence: orders that it had accepted at the last holdings message
  * @holdings_received_ms: when that message arrived; 0 for never
+ * @doubt_ms: when it ended a connection before its answer, which may be a
+ * crash; 0 for never
+ * @asked_ms: when a connection was last made to see if it is there
  */
 struct relay_target {
     struct target_record record;
@@ -281,6 +289,8 @@
     int reported_running;
     int64_t order_sequence;
     int64_t holdings_received_ms;
+    int64_t doubt_ms;
+    int64_t asked_ms;
 };
 
 enum relay_message_kind {
@@ -292,6 +302,7 @@
     RELAY_ACTIVITY_TOTAL,
     RELAY_FORECAST,
     RELAY_MEMBERS,
+    RELAY_CRASHES,
 };
 
 /* The receiver owns @data. */
@@ -355,6 +366,9 @@
     int64_t last_report_ms;
     int64_t last_periodic_report_ms;
     bool report_soon;
+    struct crash_watch *crashes; /* owned */
+    int64_t crash_check_ms;      /* when a doubt is to be looked at */
+    bool crash_news;             /* evidence or verdicts have changed */
     uint64_t random_state;
     unsigned char buffer[READ_BUFFER_BYTES];
 };
@@ -515,6 +529,10 @@
                                   int64_t now_ms);
 void upstream_send(struct relay *relay, struct upstream *upstream,
                    struct exchange *exchange, int64_t now_ms);
+bool upstream_exists_to(const struct relay *relay,
+                        const struct relay_target *target);
+void upstream_ask(struct relay *relay, struct relay_target *target,
+                  int64_t now_ms);
 void upstream_handle_event(struct relay *relay, struct upstream *upstream,
                            uint32_t events, int64_t now_ms);
 void upstream_handle_timer(struct relay *relay, struct upstream *upstream,
@@ -558,6 +576,19 @@
 uint64_t crash_fingerprint(const struct exchange *exchange);
 void crash_connection_ended(struct relay *relay,
                             const struct upstream *upstream, int64_t now_ms);
+void crash_connection_refused(struct relay *relay, struct relay_target *target,
+                              int64_t now_ms);
+void crash_connection_made(struct relay_target *target);
+void crash_target_restarted(struct relay *relay, struct relay_target *target,
+                            int64_t now_ms);
+void crash_survived(struct relay *relay, const struct exchange *exchange,
+                    int64_t now_ms);
+bool crash_refuses(struct relay *relay, struct exchange *exchange,
+                   int64_t now_ms);
+void crash_apply_report(struct relay *relay, struct crash_report *report,
+                        int64_t now_ms);
+void crash_work(struct relay *relay, int64_t now_ms);
+int64_t crash_due_ms(const struct relay *relay, int64_t now_ms);
 
 /* report.c */
 void report_arrival(struct relay *relay, const struct exchange *exchange);
--- a/src/gate/relay/post.c
+++ b/src/gate/relay/post.c
@@ -11,6 +11,8 @@
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
@@ -134,6 +136,19 @@
     }
 }
 
+/**
+ * relay_post_crashes() - post another instance's report on crashes
+ * @relay: the relay
+ * @report: takes ownership
+ */
+void
+relay_post_crashes(struct relay *relay, struct crash_report *report)
+{
+    if (!post(relay, RELAY_CRASHES, report)) {
+        crash_report_free(report);
+    }
+}
+
 /**
  * relay_post_members() - post the list of instances that serve callers
  * @relay: the relay
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -20,6 +20,8 @@
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
@@ -157,6 +159,9 @@
     case RELAY_MEMBERS:
         apply_members(relay, message->data, now_ms);
         break;
+    case RELAY_CRASHES:
+        crash_apply_report(relay, message->data, now_ms);
+        break;
     }
 }
 
@@ -330,6 +335,7 @@
     open_front(relay, now_ms);
     resume_accepting(relay, now_ms);
     queue_dispatch_marked(relay, now_ms);
+    crash_work(relay, now_ms);
     report_send(relay, now_ms);
     return !drain_continue(relay, now_ms);
 }
@@ -448,6 +454,7 @@
                                                 g_free, free_peer_report);
     relay->arrivals = g_hash_table_new(NULL, NULL);
     relay->forecasts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    relay->crashes = watch_new();
     return table_init(&relay->clients, connections_max, sizeof(struct client),
                       err) &&
            table_init(&relay->upstreams, connections_max,
@@ -555,6 +562,7 @@
     g_hash_table_destroy(relay->peer_reports);
     g_hash_table_destroy(relay->arrivals);
     g_hash_table_destroy(relay->forecasts);
+    watch_free(relay->crashes);
     table_destroy(&relay->clients);
     table_destroy(&relay->upstreams);
     table_destroy(&relay->exchanges);
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -16,6 +16,10 @@
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
 
+/* A target that sends a second event goes on after the beginning of its
+ * answer. */
+enum { SURVIVED_EVENTS = 2 };
+
 static struct relay_target *
 target_of(struct relay *relay, const struct exchange *exchange)
 {
@@ -322,6 +326,9 @@
             MAX(exchange->longest_interval_ms, interval_ms);
         count_interval(relay, exchange, interval_ms);
     }
+    if (++exchange->run_events == SURVIVED_EVENTS) {
+        crash_survived(relay, exchange, now_ms);
+    }
     exchange->last_event_ms = now_ms;
     set_first_byte_time(exchange, now_ms);
     exchange->last_progress_ms = now_ms;
@@ -491,6 +498,9 @@
                          answer->body->len, now_ms);
     }
     answer_end(relay, exchange, now_ms);
+    if (answer->status < 300 && exchange->run_events < SURVIVED_EVENTS) {
+        crash_survived(relay, exchange, now_ms);
+    }
     counter_add(CTR_ANSWERS, 1);
     if (exchange->first_byte_ms != 0) {
         histogram_add(HIST_FIRST_BYTE,
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -149,6 +149,7 @@
     close_idle(relay, target);
     target->order_sequence = 0;
     target->holdings_received_ms = 0;
+    target->doubt_ms = 0;
     memset(&target->record.health, 0, sizeof(target->record.health));
     memset(&target->record.intervals, 0, sizeof(target->record.intervals));
 }
@@ -165,6 +166,7 @@
     }
     else if (target->record.info.started_ms != info->started_ms ||
              strcmp(target->record.info.address, info->address) != 0) {
+        crash_target_restarted(relay, target, now_ms);
         reset_target(relay, target);
     }
     else if (target->holdings_received_ms != 0 &&
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -372,6 +372,46 @@
     update_epoll_events(relay, upstream);
 }
 
+/**
+ * upstream_exists_to() - whether any connection to a target is established
+ * @relay: the relay
+ * @target: the target
+ */
+bool
+upstream_exists_to(const struct relay *relay,
+                   const struct relay_target *target)
+{
+    const struct upstream *upstream;
+    uint32_t cursor = 0;
+
+    while ((upstream = table_next(&relay->upstreams, &cursor, NULL)) != NULL) {
+        if (upstream->connected &&
+            table_get(&relay->targets, upstream->target) == target) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * upstream_ask() - make a connection to see whether a target is there
+ * @relay: the relay
+ * @target: the target
+ * @now_ms: current time
+ *
+ * The connection is kept for the next request.
+ */
+void
+upstream_ask(struct relay *relay, struct relay_target *target, int64_t now_ms)
+{
+    struct upstream *upstream = connect_to(relay, target, now_ms);
+
+    if (upstream != NULL) {
+        upstream_parser_reset(upstream);
+        upstream->keep_alive = true;
+    }
+}
+
 /* No byte of the request was sent. */
 static void
 connect_failed(struct relay *relay, struct upstream *upstream,
@@ -420,24 +460,6 @@
     }
 }
 
-/* Returns false when the connection was closed. */
-static bool
-finish_connect(struct relay *relay, struct upstream *upstream, int64_t now_ms)
-{
-    int error = 0;
-    socklen_t bytes = sizeof(error);
-
-    getsockopt(upstream->fd, SOL_SOCKET, SO_ERROR, &error, &bytes);
-    if (error != 0) {
-        connect_failed(relay, upstream, strerror(error), now_ms);
-        return false;
-    }
-    upstream->connected = true;
-    upstream->request_count++;
-    heap_remove(&relay->timers, &upstream->timer);
-    return true;
-}
-
 /**
  * upstream_keep_idle() - keep a connection for the next request, or close it
  * @relay: the relay
@@ -468,6 +490,35 @@
     update_epoll_events(relay, upstream);
 }
 
+/* Returns false when the connection was closed or has no request. */
+static bool
+finish_connect(struct relay *relay, struct upstream *upstream, int64_t now_ms)
+{
+    int error = 0;
+    socklen_t bytes = sizeof(error);
+
+    getsockopt(upstream->fd, SOL_SOCKET, SO_ERROR, &error, &bytes);
+    if (error != 0) {
+        struct handle target = upstream->target;
+
+        connect_failed(relay, upstream, strerror(error), now_ms);
+        if (error == ECONNREFUSED) {
+            crash_connection_refused(relay, table_get(&relay->targets, target),
+                                     now_ms);
+        }
+        return false;
+    }
+    upstream->connected = true;
+    crash_connection_made(table_get(&relay->targets, upstream->target));
+    heap_remove(&relay->timers, &upstream->timer);
+    if (upstream->exchange.generation == 0) {
+        upstream_keep_idle(relay, upstream, now_ms);
+        return false;
+    }
+    upstream->request_count++;
+    return true;
+}
+
 static void
 receive(struct relay *relay, struct upstream *upstream, int64_t now_ms)
 {
--- a/test/crash_test.c
+++ b/test/crash_test.c
@@ -22,6 +22,8 @@
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
@@ -45,8 +47,16 @@
          "chunked\r\n\r\n"                                                    \
          "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
 
+/* A part whose requests targets leave without an answer. */
+#define HELD "bad:"
+
 /* How a target ends the connection of a request that it doesn't answer. */
-enum ending { ENDS_ALL, ENDS_AFTER_HEAD, ENDS_CONNECTION };
+enum ending {
+    ENDS_ALL,
+    ENDS_AFTER_HEAD,
+    ENDS_CONNECTION,
+    ENDS_AND_REFUSES, /* new connections */
+};
 
 struct target {
     int listener; /* -1 after a crash */
@@ -61,7 +71,9 @@
     struct target targets[TARGETS];
     const char *deadly; /* in the header field that lists the parts */
     enum ending ending;
+    int target_count;
     int requests_deadly; /* that reached targets */
+    int held;            /* requests that targets leave without an answer */
     int64_t now_ms;
 };
 
@@ -78,7 +90,17 @@
     (void)port;
 }
 
-static const struct relay_port_ops port_ops = {drop_activity, ignore_drained};
+static void
+drop_crashes(struct relay_port *port, const struct crash_report *report,
+             uint64_t spread)
+{
+    (void)port;
+    (void)report;
+    (void)spread;
+}
+
+static const struct relay_port_ops port_ops = {drop_activity, drop_crashes,
+                                               ignore_drained};
 
 static int
 listen_any(int *port)
@@ -97,13 +119,14 @@
 }
 
 static void
-world_start(struct world *world)
+world_start(struct world *world, int target_count)
 {
     struct gate_config *config = parse_config();
     struct err err = {0};
     int port;
 
     world->now_ms = 100000;
+    world->target_count = target_count;
     fill_settings(&world->settings);
     world->port.ops = &port_ops;
     world->relay =
@@ -111,7 +134,7 @@
     g_assert_nonnull(world->relay);
     g_assert_true(relay_post_config(world->relay, config));
     gate_config_unref(config);
-    for (int i = 0; i < TARGETS; i++) {
+    for (int i = 0; i < world->target_count; i++) {
         world->targets[i].listener = listen_any(&port);
         post_target(world->relay, i, port);
     }
@@ -139,7 +162,7 @@
 world_stop(struct world *world)
 {
     relay_free(world->relay);
-    for (int i = 0; i < TARGETS; i++) {
+    for (int i = 0; i < world->target_count; i++) {
         end_connections(&world->targets[i]);
         if (world->targets[i].listener >= 0) {
             close(world->targets[i].listener);
@@ -152,7 +175,7 @@
 {
     int count = 0;
 
-    for (int i = 0; i < TARGETS; i++) {
+    for (int i = 0; i < world->target_count; i++) {
         count += world->targets[i].listener < 0;
     }
     return count;
@@ -186,6 +209,12 @@
         close(target->connections[index]);
         target->connections[index] = target->connections[--target->count];
         break;
+    case ENDS_AND_REFUSES:
+        close(target->connections[index]);
+        target->connections[index] = target->connections[--target->count];
+        close(target->listener);
+        target->listener = -1;
+        break;
     case ENDS_AFTER_HEAD:
         send_text(target->connections[index], HEAD "\r\n");
         crash(target);
@@ -219,6 +248,10 @@
             end_under_request(world, target, i);
             return;
         }
+        if (strstr(bytes, HELD) != NULL) {
+            world->held++;
+            continue;
+        }
         send_text(target->connections[i], STREAM);
     }
 }
@@ -231,7 +264,7 @@
         epoll_wait(world->relay->epoll_fd, events, EVENTS_MAX, wait_ms);
 
     relay_handle_events(world->relay, events, count, world->now_ms);
-    for (int i = 0; i < TARGETS; i++) {
+    for (int i = 0; i < world->target_count; i++) {
         serve(world, &world->targets[i]);
     }
 }
@@ -247,10 +280,9 @@
     }
 }
 
-/* "f.a.1" lists the parts f, a and 1. Returns the status that the caller got;
- * 0 for a closed connection. */
+/* "f.a.1" lists the parts f, a and 1. Returns the caller's connection. */
 static int
-request(struct world *world, const char *parts)
+send_request(struct world *world, const char *parts)
 {
     char **ids = g_strsplit(parts, ".", -1);
     char *list = g_strjoinv(":10,", ids);
@@ -259,11 +291,23 @@
                                  "Prompt-Prefix: %s:10\r\n\r\n",
                                  list);
     int caller = connect_to(relay_front_port(world->relay));
+
+    send_text(caller, text);
+    g_free(text);
+    g_free(list);
+    g_strfreev(ids);
+    return caller;
+}
+
+/* Returns the status that the caller got; 0 for a closed connection. */
+static int
+request(struct world *world, const char *parts)
+{
+    int caller = send_request(world, parts);
     char answer[4096] = {0};
     size_t bytes = 0;
     ssize_t count = -1;
 
-    send_text(caller, text);
     for (int round = 0; count != 0; round++) {
         g_assert_cmpint(round, <, ROUNDS_MAX);
         step(world, EVENT_WAIT_MS);
@@ -272,9 +316,6 @@
         bytes += count > 0 ? (size_t)count : 0;
     }
     close(caller);
-    g_free(text);
-    g_free(list);
-    g_strfreev(ids);
     return bytes > 0 ? atoi(answer + strlen("HTTP/1.1 ")) : 0;
 }
 
@@ -304,7 +345,7 @@
      "f.a.1:200 f.a.dead.2:- f.a.dead.3:- f.a.4:200 f.a.dead.5:503 f.a.6:200",
      4, 4},
     {"part_of_other_callers", "dead:", ENDS_ALL,
-     "f.dead.1:- g.dead.2:- f.a.3:200 g.a.4:200 h.dead.5:503 h.a.6:200", 4, 4},
+     "f.dead.1:- e.dead.2:- f.a.3:200 e.a.4:200 c.dead.5:503 c.a.6:200", 4, 4},
     {"first_part", "dead:", ENDS_ALL,
      "dead.a.1:- dead.b.2:- dead.c.3:503 f.a.4:200", 4, 4},
     {"after_the_head", "dead:", ENDS_AFTER_HEAD,
@@ -338,7 +379,7 @@
     struct world world = {.deadly = c->deadly, .ending = c->ending};
     char **steps = g_strsplit(c->steps, " ", -1);
 
-    world_start(&world);
+    world_start(&world, TARGETS);
     for (int i = 0; steps[i] != NULL; i++) {
         play(&world, steps[i]);
     }
@@ -348,6 +389,31 @@
     world_stop(&world);
 }
 
+/* Guards against a target at its limit of connections, which refuses new ones,
+ * that counts as crashed while it serves others. */
+static void
+test_full_target(void)
+{
+    struct world world = {.deadly = "dead:", .ending = ENDS_AND_REFUSES};
+    int caller;
+    int held;
+
+    world_start(&world, 1);
+    held = send_request(&world, "f.bad.1");
+    while (world.held == 0) {
+        step(&world, EVENT_WAIT_MS);
+    }
+    caller = send_request(&world, "f.dead.2");
+    while (world.requests_deadly == 0) {
+        step(&world, EVENT_WAIT_MS);
+    }
+    pass_time(&world, PAUSE_MS);
+    g_assert_cmpint(world.relay->crashes->crashes.count, ==, 0);
+    close(held);
+    close(caller);
+    world_stop(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -357,5 +423,6 @@
 
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
+    g_test_add_func("/crash/full_target", test_full_target);
     return g_test_run();
 }
--- a/test/wire_play.c
+++ b/test/wire_play.c
@@ -40,7 +40,8 @@
     ROUNDS_MAX = 100000,
     SEGMENT_MAX_BYTES = 8192,
     RENDER_MAX_BYTES = 1000, /* of longer bodies, only the length is told */
-    CONNECTIONS_MAX = 8,
+    CONNECTIONS_MAX = 16,
+    STOP_WAIT_MS = 10,
 };
 
 /* What a target still has to write on a connection, from @offset. */
@@ -95,7 +96,17 @@
     (void)port;
 }
 
-static const struct relay_port_ops port_ops = {drop_activity, ignore_drained};
+static void
+drop_crashes(struct relay_port *port, const struct crash_report *report,
+             uint64_t spread)
+{
+    (void)port;
+    (void)report;
+    (void)spread;
+}
+
+static const struct relay_port_ops port_ops = {drop_activity, drop_crashes,
+                                               ignore_drained};
 
 static void
 step(struct wire_bench *bench, int wait_ms)
@@ -210,6 +221,14 @@
     g_assert_cmpint(poll(&entry, 1, EVENT_WAIT_MS), ==, 1);
 }
 
+static bool
+is_readable(int fd)
+{
+    struct pollfd entry = {.fd = fd, .events = POLLIN};
+
+    return poll(&entry, 1, 0) == 1;
+}
+
 /* 0 when the socket isn't connected. */
 static int
 socket_port(int fd, int (*get_name)(int fd, struct sockaddr *address,
@@ -293,6 +312,17 @@
     }
 }
 
+/* Connections that the relay has made without a request. */
+static void
+reset_unaccepted(struct wire_bench *bench)
+{
+    for (int i = 0; i < WIRE_TARGETS_MAX; i++) {
+        while (is_readable(bench->listeners[i])) {
+            reset_connection(accept(bench->listeners[i], NULL, NULL));
+        }
+    }
+}
+
 static void
 stop(struct play *play)
 {
@@ -307,7 +337,8 @@
     }
     reset_connection(play->caller);
     while (table_count(&relay->clients) + table_count(&relay->upstreams) > 0) {
-        step(play->bench, EVENT_WAIT_MS);
+        reset_unaccepted(play->bench);
+        step(play->bench, STOP_WAIT_MS);
     }
     g_string_free(play->received, TRUE);
     g_free(play->unread);
@@ -343,29 +374,41 @@
     step(play->bench, 0);
 }
 
-/* The target's end of a connection, accepted if it is new. */
+static struct output *
+accept_connection(struct play *play, int target)
+{
+    struct output *output = &play->connections[play->connection_count++];
+    int on = 1;
+
+    g_assert_cmpint(play->connection_count, <=, CONNECTIONS_MAX);
+    wait_readable(play->bench->listeners[target]);
+    output->fd = accept(play->bench->listeners[target], NULL, NULL);
+    output->relay_port = socket_port(output->fd, getpeername);
+    output->target_port = play->bench->target_ports[target];
+    setsockopt(output->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    return output;
+}
+
+/* The target's end of a connection, accepted if it is new. The relay may have
+ * made others before it that carry no request. */
 static struct output *
 find_connection(struct play *play, const struct upstream *upstream)
 {
+    int port = socket_port(upstream->fd, getpeername);
     struct output *output;
-    int on = 1;
+    int target = 0;
 
     for (int i = 0; i < play->connection_count; i++) {
         if (is_end_of(upstream, &play->connections[i])) {
             return &play->connections[i];
         }
     }
-    g_assert_cmpint(play->connection_count, <, CONNECTIONS_MAX);
-    output = &play->connections[play->connection_count++];
-    output->relay_port = socket_port(upstream->fd, getsockname);
-    output->target_port = socket_port(upstream->fd, getpeername);
-    for (int i = 0; i < WIRE_TARGETS_MAX; i++) {
-        if (play->bench->target_ports[i] == output->target_port) {
-            wait_readable(play->bench->listeners[i]);
-            output->fd = accept(play->bench->listeners[i], NULL, NULL);
-        }
+    while (play->bench->target_ports[target] != port) {
+        g_assert_cmpint(++target, <, WIRE_TARGETS_MAX);
     }
-    setsockopt(output->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    do {
+        output = accept_connection(play, target);
+    } while (!is_end_of(upstream, output));
     return output;
 }
 
@@ -480,14 +523,6 @@
     step(play->bench, 0);
 }
 
-static bool
-is_readable(int fd)
-{
-    struct pollfd entry = {.fd = fd, .events = POLLIN};
-
-    return poll(&entry, 1, 0) == 1;
-}
-
 static bool
 is_closed(int fd)
 {
