Relay: the steps of a planned stop fit the grace period

Report of another operator: requests that came late in a planned stop were passed on and cut off at its end. With a grace period of 2 s it could: requests were sent until 3 s, past the end, and all of them refused as failed after 0.9 s although there was time left (short_slow, short_just_admitted and short_too_late fail on the code before), and connections were accepted until after the exit.

drain_schedule() shortens all steps in proportion when the grace period is below 8 s; above, nothing changes.

--- a/src/gate/relay/drain.c
+++ b/src/gate/relay/drain.c
@@ -20,17 +20,65 @@
 #include "gate/relay/internal.h"
 
 enum {
+    /* A grace period for which the times below are meant; in a shorter one
+     * they are shorter in proportion. */
+    FULL_GRACE_MS = 8000,
+    /* Later requests may not finish before the process is killed. */
+    ADMIT_MS = 3000,
+    /* The platform and the callers have noticed the drain by then: readiness
+     * is polled once a second, and addresses are cached for 2 s. */
+    ACCEPT_MS = 3500,
     /* Times before the end of the grace period: queued requests are refused
      * while another instance still has time to serve them, then all others,
      * then the process stops by itself before it is killed. */
-    GRACE_REFUSE_QUEUED_MS = 3000,
-    GRACE_REFUSE_ALL_MS = 1100,
-    GRACE_EXIT_MS = 900,
-    /* The platform and the callers have noticed the drain by then: readiness
-     * is polled once a second, and addresses are cached for 2 s. */
-    DRAIN_ACCEPT_MS = 3500,
+    REFUSE_QUEUED_MS = 3000,
+    REFUSE_ALL_MS = 1100,
+    EXIT_MS = 900,
 };
 
+static int64_t
+in_proportion(int64_t time_ms, int64_t grace_ms)
+{
+    return MIN(time_ms, time_ms * grace_ms / FULL_GRACE_MS);
+}
+
+/**
+ * drain_schedule() - steps of a planned stop
+ * @grace_ms: time from the request to stop to the kill
+ */
+struct drain_schedule
+drain_schedule(int64_t grace_ms)
+{
+    struct drain_schedule schedule = {
+        .admit_ms = in_proportion(ADMIT_MS, grace_ms),
+        .accept_ms = in_proportion(ACCEPT_MS, grace_ms),
+        .refuse_queued_ms =
+            grace_ms - in_proportion(REFUSE_QUEUED_MS, grace_ms),
+        .refuse_all_ms = grace_ms - in_proportion(REFUSE_ALL_MS, grace_ms),
+        .exit_ms = grace_ms - in_proportion(EXIT_MS, grace_ms),
+    };
+
+    return schedule;
+}
+
+static struct drain_schedule
+schedule_of(const struct relay *relay)
+{
+    return drain_schedule(relay->settings->limits.stop_grace_ms);
+}
+
+/**
+ * drain_admits() - whether a request may still be sent to a target
+ * @relay: the relay
+ * @now_ms: current time
+ */
+bool
+drain_admits(const struct relay *relay, int64_t now_ms)
+{
+    return !relay->draining ||
+           now_ms - relay->drain_started_ms <= schedule_of(relay).admit_ms;
+}
+
 /**
  * drain_start() - start to stop, unless the relay is stopping already
  * @relay: the relay
@@ -90,13 +138,11 @@
 int64_t
 drain_due_ms(const struct relay *relay, int64_t now_ms)
 {
-    int64_t grace_ms = relay->settings->limits.stop_grace_ms;
+    struct drain_schedule schedule = schedule_of(relay);
     const int64_t steps_ms[] = {
-        DRAIN_ACCEPT_MS,
-        DRAIN_ACCEPT_MS + DRAIN_READ_MS,
-        grace_ms - GRACE_REFUSE_QUEUED_MS,
-        grace_ms - GRACE_REFUSE_ALL_MS,
-        grace_ms - GRACE_EXIT_MS,
+        schedule.accept_ms,        schedule.accept_ms + DRAIN_READ_MS,
+        schedule.refuse_queued_ms, schedule.refuse_all_ms,
+        schedule.exit_ms,
     };
     int64_t elapsed_ms = now_ms - relay->drain_started_ms;
     int64_t next_ms = INT64_MAX;
@@ -123,22 +169,22 @@
 drain_continue(struct relay *relay, int64_t now_ms)
 {
     int64_t elapsed_ms = now_ms - relay->drain_started_ms;
-    int64_t grace_ms = relay->settings->limits.stop_grace_ms;
+    struct drain_schedule schedule = schedule_of(relay);
 
     if (!relay->draining) {
         return false;
     }
-    if (elapsed_ms >= DRAIN_ACCEPT_MS) {
+    if (elapsed_ms >= schedule.accept_ms) {
         accept_last(relay, now_ms);
     }
-    if (elapsed_ms >= grace_ms - GRACE_REFUSE_ALL_MS) {
+    if (elapsed_ms >= schedule.refuse_all_ms) {
         exchange_refuse_all(relay, false, now_ms);
     }
-    else if (elapsed_ms >= grace_ms - GRACE_REFUSE_QUEUED_MS) {
+    else if (elapsed_ms >= schedule.refuse_queued_ms) {
         exchange_refuse_all(relay, true, now_ms);
     }
     return (relay->listeners[LISTEN_FRONT] < 0 &&
             now_ms - relay->last_accept_ms >= DRAIN_READ_MS &&
             !has_unanswered_clients(relay)) ||
-           elapsed_ms >= grace_ms - GRACE_EXIT_MS;
+           elapsed_ms >= schedule.exit_ms;
 }
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -33,8 +33,6 @@
     URGENCY_MAX = 9,
     DRAIN_RETRY_MS = 50,      /* at another instance */
     NOT_READY_RETRY_MS = 300, /* the store answers by then, if it does */
-    /* Later requests may not finish before the process is killed. */
-    DRAIN_ADMIT_MS = 3000,
 };
 
 /* Callers of routes with a longer goal accept delays of an order of magnitude
@@ -215,7 +213,7 @@
     set_deadline(exchange);
     set_needs(relay, exchange);
     exchange->fingerprint = crash_fingerprint(exchange);
-    if (relay->draining && now_ms - relay->drain_started_ms > DRAIN_ADMIT_MS) {
+    if (!drain_admits(relay, now_ms)) {
         refuse(relay, exchange, ERR_STOPPED, DRAIN_RETRY_MS, now_ms);
         return;
     }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -392,7 +392,25 @@
 int64_t report_due_ms(const struct relay *relay);
 int64_t relay_next_due_ms(const struct relay *relay, int64_t now_ms);
 
+/**
+ * struct drain_schedule - steps of a planned stop, from its start
+ * @admit_ms: requests are sent to targets until then
+ * @accept_ms: connections are accepted until then
+ * @refuse_queued_ms: then requests that wait are refused
+ * @refuse_all_ms: then all requests are refused
+ * @exit_ms: then the process ends, whatever is left
+ */
+struct drain_schedule {
+    int64_t admit_ms;
+    int64_t accept_ms;
+    int64_t refuse_queued_ms;
+    int64_t refuse_all_ms;
+    int64_t exit_ms;
+};
+
 /* drain.c */
+struct drain_schedule drain_schedule(int64_t grace_ms);
+bool drain_admits(const struct relay *relay, int64_t now_ms);
 void drain_start(struct relay *relay, int64_t now_ms);
 bool drain_continue(struct relay *relay, int64_t now_ms);
 int64_t drain_due_ms(const struct relay *relay, int64_t now_ms);
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -778,6 +778,79 @@
     fixture_stop(&fixture);
 }
 
+/*
+ * Guards against requests that come late in a planned stop, are sent to a
+ * target and then cut off without an answer, or are cut off while there is
+ * time left, whatever the grace period is.
+ */
+struct late_case {
+    const char *name;
+    int64_t grace_ms;
+    int64_t at_ms;     /* from the start of the stop */
+    int64_t answer_ms; /* from the request on; -1 for never */
+    const char *prefix;
+};
+
+static const struct late_case late_cases[] = {
+    {"early", 8000, 100, 50, "HTTP/1.1 200"},
+    {"just_admitted", 8000, 2960, 50, "HTTP/1.1 200"},
+    {"just_admitted_slow", 8000, 2960, 3600, "HTTP/1.1 200"},
+    {"just_admitted_silent", 8000, 2960, -1, "HTTP/1.1 502"},
+    {"too_late", 8000, 3100, 50, "HTTP/1.1 503"},
+    {"short_early", 2000, 100, 50, "HTTP/1.1 200"},
+    {"short_slow", 2000, 100, 1550, "HTTP/1.1 200"},
+    {"short_just_admitted", 2000, 710, 900, "HTTP/1.1 200"},
+    {"short_silent", 2000, 710, -1, "HTTP/1.1 502"},
+    {"short_too_late", 2000, 800, 50, "HTTP/1.1 503"},
+    {"long_early", 30000, 100, 20000, "HTTP/1.1 200"},
+    {"long_too_late", 30000, 3100, 50, "HTTP/1.1 503"},
+};
+
+static void
+test_late(gconstpointer data)
+{
+    const struct late_case *c = data;
+    struct fixture fixture;
+    bool answered = false;
+    bool running = true;
+    int64_t sent_ms;
+    char *text;
+    int caller;
+
+    fixture_start(&fixture);
+    fixture.settings.limits.stop_grace_ms = c->grace_ms;
+    step(&fixture, EVENT_WAIT_MS);
+    relay_post_drain(fixture.relay);
+    step(&fixture, EVENT_WAIT_MS);
+    advance(&fixture, c->at_ms);
+    caller = connect_caller(&fixture);
+    send_text(caller, REQUEST("/once/1"));
+    sent_ms = fixture.now_ms;
+    while (running) {
+        fixture.now_ms += 10;
+        running = step(&fixture, 0);
+        if (fixture.target < 0 && table_count(&fixture.relay->upstreams) > 0) {
+            fixture.target = accept(fixture.target_listener, NULL, NULL);
+        }
+        if (!answered && c->answer_ms >= 0 && fixture.target >= 0 &&
+            fixture.now_ms - sent_ms >= c->answer_ms) {
+            answered = true;
+            send_text(fixture.target,
+                      ANSWER_HEAD "Content-Length: 2\r\n\r\nok");
+        }
+    }
+    g_assert_cmpint(fixture.now_ms - fixture.relay->drain_started_ms, <,
+                    c->grace_ms);
+    text = read_some(caller);
+    if (!g_str_has_prefix(text, c->prefix)) {
+        g_test_message("got %s", text);
+        g_test_fail();
+    }
+    g_free(text);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a connection being kept on which the beginning of a second
  * copy was discarded together with a response: its rest would stand before the
  * next response. */
@@ -962,6 +1035,7 @@
     CASES("/relay_time/move", move_cases, test_move),
     CASES("/relay_time/endless", endless_cases, test_endless),
     CASES("/relay_time/stop", stop_cases, test_stop),
+    CASES("/relay_time/late", late_cases, test_late),
     CASES("/relay_time/discard", discard_cases, test_discard),
     CASES("/relay_time/fault", fault_cases, test_fault),
     CASES("/relay_time/discard_time", discard_time_cases, test_discard_time),
