HTTP client: a response that ends within its head is no response

Report of another operator: an engine stopped in the middle of its answer's head, and clients got a 200 with an empty body, framed as whole. In the gate's relay it can't happen (relay_test head_cut_*, controls). libcurl takes a connection that is closed within a head for a whole response without a body, and whoever took CURLE_OK for whole was exposed: - turmericd's forward passed on an empty 200, and took a cut 503 with X-Outcome for proof that the request has not run; - the platform's client took a renewal as done and an order as accepted.

http_head notes the blank line behind the final head; without it the response can't be used. Calls through ulfius show no head: there a success without a body, which no interface of ours sends, is none. An order's answer to turmericd and a store's needed a JSON body before, and stay as they were.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -40,7 +40,9 @@
  * @response: filled in on success; the caller frees its text with g_free()
  * @err: filled in on failure
  *
- * Return: false with ERR_IO when no complete response was received.
+ * Return: false with ERR_IO when no complete response was received. A success
+ * without a body is none: a connection that is closed within the head of a
+ * response looks like one.
  */
 bool
 http_call_text(const char *method, const char *url,
@@ -67,7 +69,12 @@
     done =
         ulfius_send_http_streaming_request(&ulfius_request, &ulfius_response,
                                            append_response, text) == U_OK;
-    if (done) {
+    if (done && text->len == 0 && ulfius_response.status < 300) {
+        err_set(err, ERR_IO, "a response without a body from %s", url);
+        g_string_free(text, TRUE);
+        done = false;
+    }
+    else if (done) {
         response->status = (int)ulfius_response.status;
         response->bytes = text->len;
         response->text = g_string_free(text, FALSE);
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -36,6 +36,7 @@
                              size_t *value_bytes);
 bool http_starts_head(const char *line, size_t bytes);
 bool http_head_add(struct http_head *head, const char *line, size_t bytes);
+bool http_head_check_end(struct http_head *head);
 size_t http_head_receive(char *line, size_t size, size_t count, void *data);
 
 /* client.c */
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -17,6 +17,7 @@
 
 enum {
     STATUS_SWITCHING_PROTOCOLS = 101,
+    STATUS_OK = 200,
     STATUS_PARTIAL_CONTENT = 206,
 };
 
@@ -78,9 +79,17 @@
     return status;
 }
 
+static bool
+is_blank(const char *line, size_t bytes)
+{
+    return bytes > 0 && (line[0] == '\r' || line[0] == '\n');
+}
+
 static void
 check_status(struct http_head *head, int status)
 {
+    head->status = status;
+    head->is_whole = false;
     if (status == STATUS_SWITCHING_PROTOCOLS) {
         head->fault = "the response switches the protocol";
     }
@@ -139,6 +148,9 @@
         head->length[0] = '\0';
         check_status(head, read_status(line, bytes));
     }
+    else if (is_blank(line, bytes)) {
+        head->is_whole = head->status >= STATUS_OK;
+    }
     else if (has_space_in_name(line, bytes)) {
         head->fault = "the response has a space in a field name";
     }
@@ -153,6 +165,25 @@
     return head->fault == NULL;
 }
 
+/**
+ * http_head_check_end() - check the head of a response that has ended
+ * @head: the head
+ *
+ * libcurl takes a connection that is closed within a head for the end of a
+ * response without a body.
+ *
+ * Return: false when the response can't be used; the reason is in
+ * @head->fault.
+ */
+bool
+http_head_check_end(struct http_head *head)
+{
+    if (head->fault == NULL && !head->is_whole) {
+        head->fault = "the response ends within its head";
+    }
+    return head->fault == NULL;
+}
+
 /**
  * http_head_receive() - CURLOPT_HEADERFUNCTION that checks the head
  * @line: the line, not terminated
--- a/src/turmericd/place/enginehttp.c
+++ b/src/turmericd/place/enginehttp.c
@@ -161,7 +161,7 @@
         perform_post(url, order, http->timeout_ms, body, &head, &status);
     bool ok;
 
-    if (code == CURLE_OK) {
+    if (code == CURLE_OK && http_head_check_end(&head)) {
         ok = check_response(status, body->str, url, not_found_is_success, err);
     }
     else if (code == CURLE_OPERATION_TIMEDOUT) {
--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -218,7 +218,7 @@
 classify_end(struct transfer *transfer, CURLcode code, char *detail,
              size_t detail_bytes)
 {
-    if (code == CURLE_OK) {
+    if (code == CURLE_OK && http_head_check_end(&transfer->head)) {
         record_head(transfer);
         return TRANSFER_COMPLETE;
     }
--- a/test/place_test.c
+++ b/test/place_test.c
@@ -1084,6 +1084,7 @@
      ERR_LOAD_FAILED},
     {"refused_without_body", ANSWER("503", "0", ""), false, ERR_IO},
     {"refused_by_something_else", ANSWER("502", "5", "<html"), false, ERR_IO},
+    {"cut_in_head", "HTTP/1.1 404 X\r\nContent-Type: a\r\n", true, ERR_IO},
     {"broken", "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n{}", false, ERR_IO},
     {"nothing", "", false, ERR_IO},
     {"no_answer", NULL, false, ERR_TIMEOUT},
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -655,6 +655,18 @@
      "HTTP/1.1 103 X\r\n\r\n" EMPTY_RESPONSE("200"), ERR_NONE},
     {"cut_renewal", call_renew,
      "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n{}<close>", ERR_KV_DOWN},
+    {"renewal_cut_before_length", call_renew, "HTTP/1.1 200 X\r\n<close>",
+     ERR_KV_DOWN},
+    {"renewal_cut_in_name", call_renew, "HTTP/1.1 200 X\r\nConten<close>",
+     ERR_KV_DOWN},
+    {"renewal_cut_before_blank_line", call_renew,
+     "HTTP/1.1 200 X\r\nContent-Length: 0\r\n<close>", ERR_KV_DOWN},
+    {"renewal_cut_behind_interim_response", call_renew,
+     "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X\r\n<close>", ERR_KV_DOWN},
+    {"write_cut_in_head", call_write, "HTTP/1.1 200 X\r\nA: b\r\n<close>",
+     ERR_KV_DOWN},
+    {"order_cut_in_head", call_order,
+     "HTTP/1.1 202 X\r\nContent-Length: 0\r\n<close>", ORDER_IN_DOUBT},
     {"cut_list", call_list, "HTTP/1.1 200 X\r\n\r\n{\"items\":[<close>", 0},
 };
 
