Crash: verdicts wait for the reports of other instances, and can be refuted

A crash counts 100 ms after it was heard of. A verdict is withdrawn, and not taken over, when a deeper part was at all crashes of the blamed one. Repeated evidence leaves out what is acquitted (in already).

--- a/src/gate/crash/blame.c
+++ b/src/gate/crash/blame.c
@@ -114,9 +114,10 @@
     }
 }
 
+/* Without @quarantine, explained crashes count, too. */
 static GHashTable *
 count_all(const struct crash_ledger *ledger, const struct sound_memory *sound,
-          const struct quarantine *quarantine)
+          const struct quarantine *quarantine, int64_t until_ms)
 {
     GHashTable *tallies =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_tally);
@@ -130,7 +131,8 @@
             moment_start_ms = crash->at_ms;
             moment++;
         }
-        if (crash_is_explained(crash, quarantine)) {
+        if (crash->at_ms > until_ms ||
+            (quarantine != NULL && crash_is_explained(crash, quarantine))) {
             continue;
         }
         for (int j = 0; j < crash->suspect_count; j++) {
@@ -194,6 +196,7 @@
  * @ledger: the crashes
  * @sound: what targets have survived
  * @quarantine: traits that are known already
+ * @until_ms: later crashes don't count yet
  * @evidence: set to the trait and what counts against it
  *
  * Return: whether one was found; once it is in @quarantine, another one may
@@ -201,9 +204,10 @@
  */
 bool
 blame_find(const struct crash_ledger *ledger, const struct sound_memory *sound,
-           const struct quarantine *quarantine, struct evidence *evidence)
+           const struct quarantine *quarantine, int64_t until_ms,
+           struct evidence *evidence)
 {
-    GHashTable *tallies = count_all(ledger, sound, quarantine);
+    GHashTable *tallies = count_all(ledger, sound, quarantine, until_ms);
     GHashTableIter iter;
     void *value;
     bool found = false;
@@ -223,3 +227,24 @@
     g_hash_table_destroy(tallies);
     return found;
 }
+
+/**
+ * blame_is_refuted() - whether a part was blamed for what another one did
+ * @ledger: the crashes
+ * @sound: what targets have survived
+ * @trait: the part
+ *
+ * Return: true when a deeper part was at all crashes under requests with this
+ * one. An instance that had not yet heard of all suspects may have blamed it.
+ */
+bool
+blame_is_refuted(const struct crash_ledger *ledger,
+                 const struct sound_memory *sound, const struct trait *trait)
+{
+    GHashTable *tallies = count_all(ledger, sound, NULL, INT64_MAX);
+    const struct tally *tally = g_hash_table_lookup(tallies, &trait->key);
+    bool refuted = tally != NULL && is_dominated(tallies, tally);
+
+    g_hash_table_destroy(tallies);
+    return refuted;
+}
--- a/src/gate/crash/dat.h
+++ b/src/gate/crash/dat.h
@@ -149,6 +149,8 @@
  * @quarantine: traits whose requests are refused
  * @news: not yet sent to the other instances
  * @repeat_ms: when the report to some of them is due
+ * @judge_ms: when the evidence on the last crash is likely to be complete; 0
+ * when it was judged
  */
 struct crash_watch {
     struct crash_ledger crashes;
@@ -157,6 +159,7 @@
     struct quarantine quarantine;
     struct crash_report news;
     int64_t repeat_ms;
+    int64_t judge_ms;
 };
 
 #endif
--- a/src/gate/crash/fns.h
+++ b/src/gate/crash/fns.h
@@ -35,8 +35,11 @@
                         const struct quarantine *quarantine);
 bool blame_find(const struct crash_ledger *ledger,
                 const struct sound_memory *sound,
-                const struct quarantine *quarantine,
+                const struct quarantine *quarantine, int64_t until_ms,
                 struct evidence *evidence);
+bool blame_is_refuted(const struct crash_ledger *ledger,
+                      const struct sound_memory *sound,
+                      const struct trait *trait);
 
 /* quarantine.c */
 struct trait_verdict *quarantine_find(struct quarantine *quarantine,
@@ -50,6 +53,8 @@
                       int64_t now_ms);
 bool quarantine_probe_crashed(struct quarantine *quarantine, uint64_t key,
                               int64_t at_ms, int64_t now_ms);
+void quarantine_remove(struct quarantine *quarantine,
+                       struct trait_verdict *verdict);
 bool quarantine_lift(struct quarantine *quarantine, uint64_t key,
                      int64_t sound_ms);
 enum quarantine_action quarantine_decide(struct trait_verdict *verdict,
@@ -78,6 +83,7 @@
                 int64_t now_ms);
 bool watch_judge(struct crash_watch *watch, struct evidence *evidence,
                  int64_t now_ms);
+int watch_withdraw(struct crash_watch *watch);
 enum quarantine_action watch_decide(struct crash_watch *watch,
                                     const struct trait_list *traits,
                                     bool may_probe, int64_t now_ms,
--- a/src/gate/crash/ledger.c
+++ b/src/gate/crash/ledger.c
@@ -225,6 +225,17 @@
     return false;
 }
 
+static bool
+has_suspect(const struct crash *crash, uint64_t key)
+{
+    for (int i = 0; i < crash->suspect_count; i++) {
+        if (suspect_has(&crash->suspects[i], key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * ledger_suspects() - whether a trait is under suspicion
  * @ledger: the ledger
@@ -246,10 +257,8 @@
         if (crash->at_ms <= acquitted_ms) {
             break;
         }
-        for (int j = 0; j < crash->suspect_count; j++) {
-            if (suspect_has(&crash->suspects[j], key)) {
-                return true;
-            }
+        if (has_suspect(crash, key)) {
+            return true;
         }
     }
     return false;
--- a/src/gate/crash/quarantine.c
+++ b/src/gate/crash/quarantine.c
@@ -165,6 +165,17 @@
     return true;
 }
 
+/**
+ * quarantine_remove() - drop a verdict
+ * @quarantine: the quarantine
+ * @verdict: a verdict of the quarantine
+ */
+void
+quarantine_remove(struct quarantine *quarantine, struct trait_verdict *verdict)
+{
+    *verdict = quarantine->verdicts[--quarantine->count];
+}
+
 /**
  * quarantine_lift() - end a verdict on a trait that a target has survived
  * @quarantine: the quarantine
@@ -181,7 +192,7 @@
     if (verdict == NULL || verdict->since_ms > sound_ms) {
         return false;
     }
-    *verdict = quarantine->verdicts[--quarantine->count];
+    quarantine_remove(quarantine, verdict);
     return true;
 }
 
--- a/src/gate/crash/watch.c
+++ b/src/gate/crash/watch.c
@@ -16,6 +16,9 @@
     /* A closed connection is no crash unless the target proves to be gone. */
     UNCONFIRMED_MAX_MS = 10 * 1000,
     REPEAT_PERIOD_MS = 500,
+    /* Reports of other instances on a crash arrive within some ms, and most
+     * of its sound requests begin elsewhere within this time. */
+    SETTLE_MS = 100,
     /* Evidence is repeated until a verdict is likely. */
     REPEAT_CRASH_MS = 10 * 1000,
     /* Another instance that has just started may blame a trait whose answers
@@ -85,6 +88,7 @@
         return NULL;
     }
     extend_quarantine(watch, crash, now_ms);
+    watch->judge_ms = now_ms + SETTLE_MS;
     return known;
 }
 
@@ -200,7 +204,9 @@
     if (sound_ms != 0 && sound_ms > verdict->since_ms - KNOWN_SOUND_MS) {
         return false;
     }
-    return quarantine_add(&watch->quarantine, verdict);
+    return !blame_is_refuted(&watch->crashes, &watch->sound,
+                             &verdict->trait) &&
+           quarantine_add(&watch->quarantine, verdict);
 }
 
 /**
@@ -244,8 +250,11 @@
             int64_t now_ms)
 {
     ledger_expire(&watch->crashes, now_ms);
+    if (watch->judge_ms != 0 && now_ms >= watch->judge_ms) {
+        watch->judge_ms = 0;
+    }
     if (!blame_find(&watch->crashes, &watch->sound, &watch->quarantine,
-                    evidence)) {
+                    now_ms - SETTLE_MS, evidence)) {
         return false;
     }
     quarantine_begin(&watch->quarantine, &evidence->trait, now_ms);
@@ -255,6 +264,30 @@
     return true;
 }
 
+/**
+ * watch_withdraw() - end verdicts that later reports have refuted
+ * @watch: the watch
+ *
+ * Return: number of verdicts that this ends; then there may be others.
+ */
+int
+watch_withdraw(struct crash_watch *watch)
+{
+    struct quarantine *quarantine = &watch->quarantine;
+    int count = 0;
+
+    for (int i = quarantine->count - 1; i >= 0; i--) {
+        struct trait_verdict *verdict = &quarantine->verdicts[i];
+
+        if (blame_is_refuted(&watch->crashes, &watch->sound,
+                             &verdict->trait)) {
+            quarantine_remove(quarantine, verdict);
+            count++;
+        }
+    }
+    return count;
+}
+
 /**
  * watch_decide() - whether a request may be sent to a target
  * @watch: the watch
@@ -289,19 +322,27 @@
                REPEAT_CRASH_MS;
 }
 
+static int64_t
+repeat_due_ms(const struct crash_watch *watch, int64_t now_ms)
+{
+    return watch->quarantine.count > 0 || has_recent_crash(watch, now_ms)
+               ? watch->repeat_ms
+               : INT64_MAX;
+}
+
 /**
- * watch_due_ms() - when watch_repeat() is due
+ * watch_due_ms() - when watch_judge() or watch_repeat() is due
  * @watch: the watch
  * @now_ms: current time
  *
- * Return: the time; INT64_MAX while there is nothing to repeat.
+ * Return: the time; INT64_MAX while there is nothing to do.
  */
 int64_t
 watch_due_ms(const struct crash_watch *watch, int64_t now_ms)
 {
-    return watch->quarantine.count > 0 || has_recent_crash(watch, now_ms)
-               ? watch->repeat_ms
-               : INT64_MAX;
+    int64_t due_ms = repeat_due_ms(watch, now_ms);
+
+    return watch->judge_ms != 0 ? MIN(due_ms, watch->judge_ms) : due_ms;
 }
 
 /* Adds a crash without what is acquitted of it, which the receiver may not
@@ -350,7 +391,7 @@
 watch_repeat(struct crash_watch *watch, struct crash_report *report,
              int64_t now_ms)
 {
-    if (now_ms < watch_due_ms(watch, now_ms)) {
+    if (now_ms < repeat_due_ms(watch, now_ms)) {
         return false;
     }
     watch->repeat_ms = now_ms + REPEAT_PERIOD_MS;
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -26,6 +26,8 @@
     ENDS_TOGETHER_MS = 20,
     /* A target that ends connections but goes on is not asked each time. */
     ASK_INTERVAL_MS = 1000,
+    /* A verdict that is withdrawn makes room for a better one. */
+    JUDGE_ROUNDS_MAX = 4,
 };
 
 /**
@@ -220,6 +222,18 @@
     }
 }
 
+/* @id is the request that a target has survived; "-" when other verdicts
+ * explain the crashes. */
+static void
+log_ended_verdicts(const char *id, int count)
+{
+    if (count > 0) {
+        counter_add(CTR_QUARANTINE_ENDED, (uint64_t)count);
+        log_line(LOG_PRI_WARNING, "relay",
+                 "event=quarantine_ended id=%s count=%d", id, count);
+    }
+}
+
 /**
  * crash_survived() - handle a target that goes on after it began to answer
  * @relay: the relay
@@ -235,13 +249,8 @@
 
     collect_traits(exchange, &traits);
     ended = watch_survived(relay->crashes, &traits, now_ms);
-    relay->crash_news = true;
-    if (ended > 0) {
-        counter_add(CTR_QUARANTINE_ENDED, (uint64_t)ended);
-        log_line(LOG_PRI_WARNING, "relay",
-                 "event=quarantine_ended id=%s count=%d",
-                 exchange->meta.attempt_id, ended);
-    }
+    log_ended_verdicts(exchange->meta.attempt_id, ended);
+    relay->crash_news |= !crash_report_is_empty(&relay->crashes->news);
 }
 
 /* The instance that lets a request through to see whether a trait still
@@ -353,10 +362,15 @@
 {
     struct evidence evidence;
     bool found = false;
+    int withdrawn = 1;
 
-    while (watch_judge(relay->crashes, &evidence, now_ms)) {
-        log_verdict(&evidence);
-        found = true;
+    for (int round = 0; round < JUDGE_ROUNDS_MAX && withdrawn > 0; round++) {
+        while (watch_judge(relay->crashes, &evidence, now_ms)) {
+            log_verdict(&evidence);
+            found = true;
+        }
+        withdrawn = watch_withdraw(relay->crashes);
+        log_ended_verdicts("-", withdrawn);
     }
     return found;
 }
@@ -450,6 +464,14 @@
     }
 }
 
+static bool
+is_judge_due(const struct relay *relay, int64_t now_ms)
+{
+    int64_t due_ms = relay->crashes->judge_ms;
+
+    return due_ms != 0 && now_ms >= due_ms;
+}
+
 /**
  * crash_work() - look at doubts, come to verdicts, and tell other instances
  * @relay: the relay
@@ -459,7 +481,7 @@
 crash_work(struct relay *relay, int64_t now_ms)
 {
     look_at_targets(relay, now_ms);
-    if (relay->crash_news) {
+    if (relay->crash_news || is_judge_due(relay, now_ms)) {
         relay->crash_news = false;
         if (judge(relay, now_ms)) {
             refuse_pending(relay, now_ms);
