Place: read the records again when a report disagrees with them

State read with gdb: the second instance had read the records 5 ms before the first one wrote its slot (view_count 0), and the engine's report, which came before that, listed the leaf as loaded. So it wanted to load the leaf, found the memory taken by that same leaf, and replied "memory full" every 2 s without end: nothing reads records again that show no slot. Callers could meet it outside the test, for up to 4 s, until a later report is taken for a stray replica.

Class: a decision repeated on a cached read that nothing refreshes. When there is no room and an engine's report lists the leaf without a slot, the records are read again, at most each 500 ms. src/gate/place has no such cache: it decides on the engines' own reports, which it reads again each time.

The wait in request_until_room now fails after 8 such replies and says so.

--- a/src/turmericd/place/load.c
+++ b/src/turmericd/place/load.c
@@ -24,6 +24,8 @@
     /* Callers get the reason for a wait only after this time, as right after
        a start no engine has been reported and an eviction may free memory. */
     NO_ROOM_REPORT_MS = 2000,
+    /* Records that disagree with a report are read again after this time. */
+    RECORDS_DOUBT_MS = 500,
 };
 
 static bool
@@ -87,6 +89,31 @@
     return !any;
 }
 
+static bool
+is_loaded_without_slot(const struct place *place, const struct leaf *leaf)
+{
+    for (int i = 0; i < place->engine_view_count; i++) {
+        const struct target_report *report = &place->engine_views[i]->report;
+
+        if (report_has(report->loaded, report->loaded_count, leaf->id) &&
+            !leaf_has_slot(leaf, report->id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Another member may have loaded the leaf since the records were read: then
+ * the memory that is missing is the leaf's own. */
+static void
+doubt_records(const struct place *place, struct leaf *leaf)
+{
+    if (place->now_ms - leaf->records_read_ms >= RECORDS_DOUBT_MS &&
+        is_loaded_without_slot(place, leaf)) {
+        leaf->views_valid = false;
+    }
+}
+
 static void
 handle_no_engine(struct place *place, struct leaf *leaf,
                  const struct node *node,
@@ -104,6 +131,7 @@
     }
     if (err->kind == ERR_MEMORY_FULL) {
         evict_for_leaf(place, leaf, required);
+        doubt_records(place, leaf);
     }
     if (leaf->requester_count > 0 &&
         (never_fits ||
--- a/test/order_test.c
+++ b/test/order_test.c
@@ -23,6 +23,8 @@
     INSTANCES_MAX = 3,
     DELAYED_ORDERS_MAX = 16,
     REQUEST_REPEAT_MS = 500,
+    /* Each comes after a wait of 2 s. */
+    NO_ROOM_REPLIES_MAX = 8,
     FORMER_OWNER = 77,
 };
 
@@ -680,9 +682,14 @@
 request_until_room(struct instance *instance, const char *path)
 {
     struct placement placement;
+    int replies = 0;
 
     do {
         placement = request_leaf(instance, path);
+        if (++replies > NO_ROOM_REPLIES_MAX) {
+            g_error("instance %d: %d replies \"memory full\" for %s",
+                    (int)instance->self, replies, path);
+        }
     } while (placement.kind == ERR_MEMORY_FULL);
     return placement;
 }
@@ -1098,6 +1105,66 @@
     fixture_free(&fixture);
 }
 
+/* Writes the records of a leaf that another owner has loaded. */
+static void
+write_loaded_replica(struct fixture *fixture, int engine, const char *path)
+{
+    struct engine_record *record = g_new0(struct engine_record, 1);
+    struct replica_record *replica = g_new0(struct replica_record, 1);
+    struct sender owner = {FORMER_OWNER, 1, 1};
+    struct reservation_request request = {hash_text(path), path, 60, 0,
+                                          FORMER_OWNER,    1};
+    struct target_report report;
+    char key[KV_KEY_MAX_BYTES];
+    int64_t revision;
+    char *text;
+
+    replica->leaf = request.leaf;
+    g_strlcpy(replica->path, path, sizeof(replica->path));
+    g_assert_true(slot_add(replica, fixture->engines[engine].id, &owner, 1, 1,
+                           replica, NULL));
+    record->engine = fixture->engines[engine].id;
+    fill_report(&fixture->engines[engine], &report);
+    report.used_mb = 0;
+    g_assert_true(reserve_add(record, &request, &report, record, NULL));
+    g_assert_true(
+        reserve_loaded(record, request.leaf, &owner, false, record, NULL));
+    text = engine_encode(record);
+    record_key(key, sizeof(key), "engines", record->engine);
+    kv_cas(&fixture->memory_kv.kv, key, 0, text, strlen(text), &revision,
+           NULL);
+    g_free(text);
+    text = replica_encode(replica);
+    record_key(key, sizeof(key), "replicas", request.leaf);
+    kv_cas(&fixture->memory_kv.kv, key, 0, text, strlen(text), &revision,
+           NULL);
+    g_free(text);
+    g_free(record);
+    g_free(replica);
+}
+
+/* Guards against an instance that refuses calls for a leaf for lack of memory
+ * while another one has loaded it: the instance had read the records before,
+ * and the engine's report that lists the leaf had come before the records. */
+static void
+test_loaded_by_other(void)
+{
+    struct fixture fixture;
+    struct instance *instance;
+    struct placement placement;
+
+    fixture_init(&fixture, 1, false);
+    g_hash_table_add(fixture.engines[0].loaded, g_strdup(LEAF));
+    instance = start_instance(&fixture);
+    placement = request_leaf(instance, LEAF);
+    g_assert_cmpint(placement.kind, ==, ERR_MEMORY_FULL);
+    write_loaded_replica(&fixture, 0, LEAF);
+    placement = request_until_room(instance, LEAF);
+    g_assert_cmpint(placement.kind, ==, ERR_NONE);
+    g_assert_cmpuint(placement.target, ==, fixture.engines[0].id);
+    fixture_free(&fixture);
+}
+
 /* Writes the records of an owner that failed between its reservation and its
    order, which may still arrive. */
 static void
@@ -1627,6 +1694,7 @@
     g_test_add_func("/order/new_owner_waits", test_new_owner_waits);
     g_test_add_func("/order/remote_request", test_remote_request);
     g_test_add_func("/order/config_stale", test_config_stale);
+    g_test_add_func("/order/loaded_by_other", test_loaded_by_other);
     g_test_add_func("/order/gone", test_gone);
     g_test_add_func("/order/replicas", test_replicas);
     g_test_add_func("/order/evict", test_evict);
