Crash: requests that were given up may crash their target all the same

A request that the relay gives up before it begins (a verdict, a caller that leaves, silence, a deadline) counts as a suspect of a crash of that start of its target within 2 s, also when only another instance saw the crash.

blame_test: given_up_and_begun, given_up_long_before; the first gives "dx" without the change.

--- a/src/gate/crash/dat.h
+++ b/src/gate/crash/dat.h
@@ -7,6 +7,7 @@
     CRASHES_MAX = 64,
     CRASH_SUSPECTS_MAX = 64,
     VERDICTS_MAX = 64,
+    ABANDONED_MAX = 64,
     SOUND_GENERATION_MAX = 2048,
     /* Depth of the trait of a whole request, which no part has. */
     WHOLE_REQUEST = -1,
@@ -141,10 +142,27 @@
     struct _GArray *verdicts;
 };
 
+/**
+ * struct abandoned_request - a request that was given up before it began, and
+ * may begin all the same
+ * @target: hash of the target's id
+ * @started_ms: wall time of the target's start
+ * @at_ms: when it was given up; 0 for an empty entry
+ * @traits: traits of the request
+ */
+struct abandoned_request {
+    uint64_t target;
+    int64_t started_ms;
+    int64_t at_ms;
+    struct trait_list traits;
+};
+
 /**
  * struct crash_watch - what an instance knows of requests that crash targets
  * @crashes: of all instances
  * @unconfirmed: targets that ended connections of this instance's requests
+ * @abandoned: requests that this instance has given up last, as a ring
+ * @abandoned_next: where the next one goes
  * @sound: traits that targets have survived
  * @quarantine: traits whose requests are refused
  * @news: not yet sent to the other instances
@@ -155,6 +173,8 @@
 struct crash_watch {
     struct crash_ledger crashes;
     struct crash_ledger unconfirmed;
+    struct abandoned_request abandoned[ABANDONED_MAX];
+    int abandoned_next;
     struct sound_memory sound;
     struct quarantine quarantine;
     struct crash_report news;
--- a/src/gate/crash/fns.h
+++ b/src/gate/crash/fns.h
@@ -75,6 +75,8 @@
 void watch_free(struct crash_watch *watch);
 bool watch_ended(struct crash_watch *watch, const struct crash *end,
                  const struct trait_list *traits, int64_t now_ms);
+void watch_abandoned(struct crash_watch *watch, const struct crash *end,
+                     const struct trait_list *traits);
 const struct crash *watch_confirm(struct crash_watch *watch, uint64_t target,
                                   int64_t started_ms, int64_t now_ms);
 int watch_survived(struct crash_watch *watch, const struct trait_list *traits,
--- a/src/gate/crash/watch.c
+++ b/src/gate/crash/watch.c
@@ -15,6 +15,9 @@
 enum {
     /* A closed connection is no crash unless the target proves to be gone. */
     UNCONFIRMED_MAX_MS = 10 * 1000,
+    /* Most targets drop a request whose connection closes; the others have
+     * begun it by then. */
+    ABANDONED_MAX_MS = 2000,
     REPEAT_PERIOD_MS = 500,
     /* Reports of other instances on a crash arrive within some ms, and most
      * of its sound requests begin elsewhere within this time. */
@@ -74,17 +77,58 @@
     }
 }
 
+static bool
+may_have_begun(const struct abandoned_request *request,
+               const struct crash *crash)
+{
+    return request->at_ms != 0 && request->target == crash->target &&
+           request->started_ms == crash->started_ms &&
+           crash->at_ms - request->at_ms <= ABANDONED_MAX_MS;
+}
+
+/* Adds requests that this instance has given up at a target shortly before it
+ * crashed. Without them, those beside the cause would be the only suspects. */
+static int
+add_abandoned(struct crash_watch *watch, struct crash *known)
+{
+    struct crash single = {
+        .target = known->target,
+        .started_ms = known->started_ms,
+        .at_ms = known->at_ms,
+    };
+
+    for (int i = 0; i < ABANDONED_MAX; i++) {
+        const struct abandoned_request *request = &watch->abandoned[i];
+        const struct trait_list *traits = &request->traits;
+
+        if (may_have_begun(request, known) &&
+            crash_add_suspect(known, traits->request, traits->traits,
+                              traits->count)) {
+            crash_add_suspect(&single, traits->request, traits->traits,
+                              traits->count);
+        }
+    }
+    if (single.suspect_count > 0) {
+        crash_report_add_crash(&watch->news, &single);
+    }
+    crash_clear(&single);
+    return single.suspect_count;
+}
+
 /* Adds what is new of a crash to the ledger. Returns the crash there, or NULL
  * when nothing was new. */
 static const struct crash *
 add_crash(struct crash_watch *watch, const struct crash *crash, int64_t now_ms)
 {
     struct crash *known;
+    int added;
 
     ledger_expire(&watch->crashes, now_ms);
     known = ledger_add(&watch->crashes, crash->target, crash->started_ms,
                        crash->at_ms);
-    if (crash_add_suspects(known, crash) == 0) {
+    added = crash_add_suspects(known, crash);
+    added += add_abandoned(watch, known);
+    if (added == 0) {
         return NULL;
     }
     extend_quarantine(watch, crash, now_ms);
@@ -125,6 +169,26 @@
     return false;
 }
 
+/**
+ * watch_abandoned() - this instance gave up a request that had not begun
+ * @watch: the watch
+ * @end: target and time; without suspects
+ * @traits: traits of the request
+ */
+void
+watch_abandoned(struct crash_watch *watch, const struct crash *end,
+                const struct trait_list *traits)
+{
+    struct abandoned_request *request =
+        &watch->abandoned[watch->abandoned_next];
+
+    watch->abandoned_next = (watch->abandoned_next + 1) % ABANDONED_MAX;
+    request->target = end->target;
+    request->started_ms = end->started_ms;
+    request->at_ms = end->at_ms;
+    request->traits = *traits;
+}
+
 /**
  * watch_confirm() - a target has proved to be gone, or to be another start
  * @watch: the watch
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -124,6 +124,35 @@
     return !target->record.info.draining && !target->record.missing;
 }
 
+/**
+ * crash_connection_closed() - handle a connection that the relay closes
+ * @relay: the relay
+ * @upstream: the connection
+ *
+ * Its request may still begin at the target.
+ */
+void
+crash_connection_closed(struct relay *relay, const struct upstream *upstream)
+{
+    const struct exchange *exchange =
+        table_get(&relay->exchanges, upstream->exchange);
+    const struct relay_target *target =
+        table_get(&relay->targets, upstream->target);
+    struct trait_list traits;
+
+    if (exchange != NULL && target != NULL && upstream->connected &&
+        !run_has_begun(exchange)) {
+        struct crash end = {
+            .target = target->id_hash,
+            .started_ms = target->record.info.started_ms,
+            .at_ms = relay->event_ms,
+        };
+
+        collect_traits(exchange, &traits);
+        watch_abandoned(relay->crashes, &end, &traits);
+    }
+}
+
 /**
  * crash_connection_ended() - handle a connection that a target has ended
  * @relay: the relay
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -367,6 +367,7 @@
     int64_t last_periodic_report_ms;
     bool report_soon;
     struct crash_watch *crashes; /* owned */
+    int64_t event_ms;            /* time of the events being handled */
     int64_t crash_check_ms;      /* when a doubt is to be looked at */
     bool crash_news;             /* evidence or verdicts have changed */
     uint64_t random_state;
@@ -592,6 +593,8 @@
 
 /* crash.c */
 uint64_t crash_fingerprint(const struct exchange *exchange);
+void crash_connection_closed(struct relay *relay,
+                             const struct upstream *upstream);
 void crash_connection_ended(struct relay *relay,
                             const struct upstream *upstream, int64_t now_ms);
 void crash_connection_refused(struct relay *relay, struct relay_target *target,
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -328,6 +328,7 @@
 relay_handle_events(struct relay *relay, const struct epoll_event *events,
                     int count, int64_t now_ms)
 {
+    relay->event_ms = now_ms;
     for (int i = 0; i < count; i++) {
         handle_epoll_event(relay, &events[i], now_ms);
     }
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -255,6 +255,7 @@
 {
     struct relay_target *target = table_get(&relay->targets, upstream->target);
 
+    crash_connection_closed(relay, upstream);
     upstream_detach(relay, upstream);
     if (target != NULL) {
         remove_idle(target, upstream->self);
--- a/test/blame_test.c
+++ b/test/blame_test.c
@@ -66,6 +66,17 @@
     watch_ended(watch, &end, &traits, now_ms);
 }
 
+static void
+give_up(struct crash_watch *watch, char target, const char *request,
+        int64_t now_ms)
+{
+    struct crash end = {.target = (uint64_t)target, .at_ms = now_ms};
+    struct trait_list traits;
+
+    parse_request(request, &traits);
+    watch_abandoned(watch, &end, &traits);
+}
+
 static void
 crash_target(struct crash_watch *watch, char target, const char *requests,
              int64_t now_ms)
@@ -93,8 +104,9 @@
  * one on what sound requests have in common with those that crash targets.
  *
  * Steps: ms, then "A" and the requests that had not begun when target A
- * crashed, "a" when its connections ended without a crash, or "+" and a
- * request that a target survived. A request is its number, ":" and its parts.
+ * crashed, "a" when its connections ended without a crash, "-A" when the
+ * instance gave up a request there, or "+" and a request that a target
+ * survived. A request is its number, ":" and its parts.
  * Verdicts: parts, or "#" and the number of a request; behind "/" the parts
  * that are still blamed at the end.
  */
@@ -147,6 +159,13 @@
     {"report_on_its_way", "0 A 1:fgd|300 + 9:f|400 B 3:fgx|430 B 5:fgd", "d"},
     {"report_after_the_verdict", "0 A 1:fgd|300 + 9:f|400 B 3:fgx|600 B 5:fgd",
      "gd/d"},
+    {"given_up_and_begun",
+     "0 A 1:fd|200 + 9:f|300 B 2:fd|350 -C 3:fd|400 C 4:fx|700 -D 5:fd|"
+     "800 D 6:fx",
+     "d"},
+    {"given_up_long_before",
+     "0 -A 1:fd|3000 A 2:fx|3100 + 9:f|4000 -B 3:fd|7000 B 4:fy|7100 + 9:f",
+     ""},
     {"both_are_deadly",
      "0 A 1:fg|300 + 9:f|400 B 3:fg|1000 C 5:fgd|1400 D 7:fd|1800 E 9:fd",
      "gd/gd"},
@@ -165,6 +184,9 @@
     if (what == '+') {
         survive(watch, fields[2], now_ms);
     }
+    else if (what == '-') {
+        give_up(watch, fields[1][1], fields[2], now_ms);
+    }
     else if (g_ascii_isupper(what)) {
         crash_target(watch, what, fields[2], now_ms);
     }
