Crash: a repeated request is not taken for the parts beside it

A whole request that was at all crashes of a part explains them better, unless two other requests with the part were there as well. A verdict is refuted within 2 s only, and with two crashes at least: later, older crashes that counted have been dropped, and an instance that has missed reports is to follow the others.

--- a/src/gate/crash/blame.c
+++ b/src/gate/crash/blame.c
@@ -20,6 +20,8 @@
      * the cause is sent again, so one request proves nothing of its parts. */
     PART_REQUESTS_MIN = 2,
     WHOLE_CRASHES_MIN = 3,
+    /* With less, an instance may have missed reports. */
+    REFUTING_CRASHES_MIN = 2,
     /* In addition, for a trait that targets have survived before. */
     SOUND_BEFORE_MOMENTS = 2,
 };
@@ -159,9 +161,37 @@
            evidence->requests >= PART_REQUESTS_MIN;
 }
 
-/* Whether a deeper part was at all crashes that count against a part. Fewer
- * requests have it, so it explains them better; if it is not the cause, a
- * crash without it follows. */
+static int
+other_request_count(const struct tally *tally, const struct tally *whole)
+{
+    GHashTableIter iter;
+    void *request;
+    int shared = 0;
+
+    g_hash_table_iter_init(&iter, whole->requests);
+    while (g_hash_table_iter_next(&iter, &request, NULL)) {
+        shared += g_hash_table_contains(tally->requests, request) ? 1 : 0;
+    }
+    return tally->evidence.requests - shared;
+}
+
+/* Whether another trait that was at all crashes of a part explains them
+ * better: a deeper part, as fewer requests have it, or a whole request without
+ * which too little is left. If it is not the cause, a crash without it
+ * follows. */
+static bool
+dominates(const struct tally *other, const struct tally *tally)
+{
+    if ((tally->crashes & ~other->crashes) != 0 ||
+        tally->evidence.trait.depth == WHOLE_REQUEST) {
+        return false;
+    }
+    if (other->evidence.trait.depth == WHOLE_REQUEST) {
+        return other_request_count(tally, other) < PART_REQUESTS_MIN;
+    }
+    return other->evidence.trait.depth > tally->evidence.trait.depth;
+}
+
 static bool
 is_dominated(GHashTable *tallies, const struct tally *tally)
 {
@@ -170,11 +200,7 @@
 
     g_hash_table_iter_init(&iter, tallies);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct tally *other = value;
-
-        if (tally->evidence.trait.depth != WHOLE_REQUEST &&
-            other->evidence.trait.depth > tally->evidence.trait.depth &&
-            (tally->crashes & ~other->crashes) == 0) {
+        if (dominates(value, tally)) {
             return true;
         }
     }
@@ -234,8 +260,9 @@
  * @sound: what targets have survived
  * @trait: the part
  *
- * Return: true when a deeper part was at all crashes under requests with this
- * one. An instance that had not yet heard of all suspects may have blamed it.
+ * Return: true when another trait explains all crashes under requests with
+ * this one. An instance that had not yet heard of all suspects may have blamed
+ * it.
  */
 bool
 blame_is_refuted(const struct crash_ledger *ledger,
@@ -243,7 +270,9 @@
 {
     GHashTable *tallies = count_all(ledger, sound, NULL, INT64_MAX);
     const struct tally *tally = g_hash_table_lookup(tallies, &trait->key);
-    bool refuted = tally != NULL && is_dominated(tallies, tally);
+    bool refuted = tally != NULL &&
+                   tally->evidence.crashes >= REFUTING_CRASHES_MIN &&
+                   is_dominated(tallies, tally);
 
     g_hash_table_destroy(tallies);
     return refuted;
--- a/src/gate/crash/fns.h
+++ b/src/gate/crash/fns.h
@@ -85,7 +85,7 @@
                 int64_t now_ms);
 bool watch_judge(struct crash_watch *watch, struct evidence *evidence,
                  int64_t now_ms);
-int watch_withdraw(struct crash_watch *watch);
+int watch_withdraw(struct crash_watch *watch, int64_t now_ms);
 enum quarantine_action watch_decide(struct crash_watch *watch,
                                     const struct trait_list *traits,
                                     bool may_probe, int64_t now_ms,
--- a/src/gate/crash/watch.c
+++ b/src/gate/crash/watch.c
@@ -22,6 +22,9 @@
     /* Reports of other instances on a crash arrive within some ms, and most
      * of its sound requests begin elsewhere within this time. */
     SETTLE_MS = 100,
+    /* Later, crashes that counted against a trait may have been dropped; and
+     * an instance that has missed some of them is to follow the others. */
+    REFUTABLE_MS = 2000,
     /* Evidence is repeated until a verdict is likely. */
     REPEAT_CRASH_MS = 10 * 1000,
     /* Another instance that has just started may blame a trait whose answers
@@ -254,11 +257,20 @@
     return lifted;
 }
 
+static bool
+is_refuted(const struct crash_watch *watch,
+           const struct trait_verdict *verdict, int64_t now_ms)
+{
+    return verdict->level == 0 && now_ms - verdict->since_ms <= REFUTABLE_MS &&
+           blame_is_refuted(&watch->crashes, &watch->sound, &verdict->trait);
+}
+
 /* An instance that has missed an acquittal still sends its verdict. For a
  * trait that was sound here a moment before the verdict, the evidence that is
  * known here decides. */
 static bool
-add_verdict(struct crash_watch *watch, const struct trait_verdict *verdict)
+add_verdict(struct crash_watch *watch, const struct trait_verdict *verdict,
+            int64_t now_ms)
 {
     int64_t sound_ms = sound_at_ms(&watch->sound, verdict->trait.key);
 
@@ -268,8 +280,7 @@
     if (sound_ms != 0 && sound_ms > verdict->since_ms - KNOWN_SOUND_MS) {
         return false;
     }
-    return !blame_is_refuted(&watch->crashes, &watch->sound,
-                             &verdict->trait) &&
+    return !is_refuted(watch, verdict, now_ms) &&
            quarantine_add(&watch->quarantine, verdict);
 }
 
@@ -296,7 +307,8 @@
     }
     for (guint i = 0; i < report->verdicts->len; i++) {
         added += add_verdict(
-            watch, &g_array_index(report->verdicts, struct trait_verdict, i));
+            watch, &g_array_index(report->verdicts, struct trait_verdict, i),
+            now_ms);
     }
     return added;
 }
@@ -331,11 +343,12 @@
 /**
  * watch_withdraw() - end verdicts that later reports have refuted
  * @watch: the watch
+ * @now_ms: current time
  *
  * Return: number of verdicts that this ends; then there may be others.
  */
 int
-watch_withdraw(struct crash_watch *watch)
+watch_withdraw(struct crash_watch *watch, int64_t now_ms)
 {
     struct quarantine *quarantine = &watch->quarantine;
     int count = 0;
@@ -343,8 +356,7 @@
     for (int i = quarantine->count - 1; i >= 0; i--) {
         struct trait_verdict *verdict = &quarantine->verdicts[i];
 
-        if (blame_is_refuted(&watch->crashes, &watch->sound,
-                             &verdict->trait)) {
+        if (is_refuted(watch, verdict, now_ms)) {
             quarantine_remove(quarantine, verdict);
             count++;
         }
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -398,7 +398,7 @@
             log_verdict(&evidence);
             found = true;
         }
-        withdrawn = watch_withdraw(relay->crashes);
+        withdrawn = watch_withdraw(relay->crashes, now_ms);
         log_ended_verdicts("-", withdrawn);
     }
     return found;
--- a/test/blame_test.c
+++ b/test/blame_test.c
@@ -49,7 +49,7 @@
                 g_string_append_c(found, (char)evidence.trait.key);
             }
         }
-        watch_withdraw(watch);
+        watch_withdraw(watch, now_ms);
     }
     return g_string_free(found, FALSE);
 }
@@ -159,6 +159,12 @@
     {"report_on_its_way", "0 A 1:fgd|300 + 9:f|400 B 3:fgx|430 B 5:fgd", "d"},
     {"report_after_the_verdict", "0 A 1:fgd|300 + 9:f|400 B 3:fgx|600 B 5:fgd",
      "gd/d"},
+    {"beside_a_repeated_request",
+     "0 A 1:fg|300 + 9:f|400 B 1:fg,2:fg|900 C 1:fg", "#1"},
+    {"repeated_request_then_others",
+     "0 A 1:fd|300 + 9:f|400 B 1:fd,2:fd|900 C 2:fd", "d"},
+    {"old_verdict_stays",
+     "0 A 1:fg|300 + 9:f|400 B 3:fg|1000 + 9:f|121000 C 5:fgd", "g/g"},
     {"given_up_and_begun",
      "0 A 1:fd|200 + 9:f|300 B 2:fd|350 -C 3:fd|400 C 4:fx|700 -D 5:fd|"
      "800 D 6:fx",
