Crash: one target for a probe, and verdicts that end are logged

A request that was let through to see whether a part still crashes targets was sent to a second target when it did (crash_test probe: two crashes without the change). Verdicts that end by the word of another instance had no log line, and turmericctl why left out what was blamed when.

--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -251,8 +251,8 @@
     }
 }
 
-/* @id is the request that a target has survived; "-" when other verdicts
- * explain the crashes. */
+/* @id is the request that a target has survived; "-" when another instance
+ * says so, or other verdicts explain the crashes. */
 static void
 log_ended_verdicts(const char *id, int count)
 {
@@ -314,7 +314,8 @@
 
     collect_traits(exchange, &traits);
     verdict = quarantine_match(&relay->crashes->quarantine, &traits);
-    if (verdict == NULL || verdict->trait.key == exchange->probe_key) {
+    if (verdict == NULL ||
+        (verdict->trait.key == exchange->probe_key && exchange->runs == 0)) {
         return QUARANTINE_PASS;
     }
     action = watch_decide(relay->crashes, &traits,
@@ -369,7 +370,7 @@
 
     while ((exchange = table_next(&relay->exchanges, &cursor, NULL)) != NULL) {
         if (exchange->route != NULL && exchange->fingerprint != 0 &&
-            !run_has_begun(exchange)) {
+            exchange->probe_key == 0 && !run_has_begun(exchange)) {
             crash_refuses(relay, exchange, now_ms);
         }
     }
@@ -414,13 +415,16 @@
 crash_apply_report(struct relay *relay, struct crash_report *report,
                    int64_t now_ms)
 {
+    const struct quarantine *quarantine = &relay->crashes->quarantine;
+    int before = quarantine->count;
     int added = watch_apply(relay->crashes, report, now_ms);
 
+    log_ended_verdicts("-", before + added - quarantine->count);
     if (added > 0) {
         counter_add(CTR_QUARANTINED, (uint64_t)added);
         log_line(LOG_PRI_WARNING, "relay",
                  "event=quarantine_learnt count=%d all=%d", added,
-                 relay->crashes->quarantine.count);
+                 quarantine->count);
         refuse_pending(relay, now_ms);
     }
     relay->crash_news = true;
--- a/src/turmericctl/why.c
+++ b/src/turmericctl/why.c
@@ -38,8 +38,17 @@
 
 /* Events that affect requests which they don't name. */
 static const char *const context_events[] = {
-    "order",          "term_begun",  "term_ended", "store_lost",
-    "store_regained", "store_loads", "leaving",
+    "order",
+    "term_begun",
+    "term_ended",
+    "store_lost",
+    "store_regained",
+    "store_loads",
+    "leaving",
+    "target_crashed",
+    "quarantined",
+    "quarantine_learnt",
+    "quarantine_ended",
 };
 
 static void
--- a/test/crash_test.c
+++ b/test/crash_test.c
@@ -39,6 +39,7 @@
     EVENT_WAIT_MS = 10,
     ROUNDS_MAX = 2000, /* real time, for an answer that must come */
     PAUSE_MS = 400,    /* between requests */
+    PROBE_IN_MS = 60000,
 };
 
 #define HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\n"
@@ -410,13 +411,13 @@
 }
 
 static void
-post_verdict(struct world *world, uint64_t key)
+post_verdict(struct world *world, uint64_t key, int64_t probe_in_ms)
 {
     struct crash_report *report = crash_report_new();
     struct trait_verdict verdict = {
         .trait = {key, 1},
         .since_ms = world->now_ms,
-        .probe_ms = world->now_ms + 60000,
+        .probe_ms = world->now_ms + probe_in_ms,
         .seen_ms = world->now_ms,
     };
 
@@ -484,7 +485,7 @@
     }
     text = receive_answer(&world, caller);
     g_free(text);
-    post_verdict(&world, c->key);
+    post_verdict(&world, c->key, PROBE_IN_MS);
     text = receive_answer(&world, caller);
     g_assert_cmpstr(c->answer[0] != '\0' ? "" : text, ==, "");
     g_assert_true(g_str_has_prefix(text, c->answer));
@@ -494,6 +495,25 @@
     world_stop(&world);
 }
 
+/* Guards against a request that is let through to see whether it still crashes
+ * targets, and is then sent to a second one. */
+static void
+test_probe(void)
+{
+    struct world world = {.deadly = "dead:", .ending = ENDS_ALL};
+    int status;
+
+    world_start(&world, TARGETS);
+    post_verdict(&world, 0xdead, 0);
+    status = request(&world, "f.dead.1");
+    g_assert_cmpint(status, ==, 502);
+    pass_time(&world, PAUSE_MS);
+    status = request(&world, "f.dead.2");
+    g_assert_cmpint(status, ==, 503);
+    g_assert_cmpint(crash_count(&world), ==, 1);
+    world_stop(&world);
+}
+
 /* Guards against crashes that are not noticed because a target is back before
  * a connection is refused. */
 static void
@@ -561,6 +581,7 @@
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/crash/full_target", test_full_target);
+    g_test_add_func("/crash/probe", test_probe);
     g_test_add_func("/crash/restarted", test_restarted);
     return g_test_run();
 }
