--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -68,6 +68,16 @@
     relay_post_target_change(relay, &change);
 }
 
+/* For relay_port_ops.crashes. */
+static inline void
+drop_crashes(struct relay_port *port, const struct crash_report *report,
+             uint64_t spread)
+{
+    (void)port;
+    (void)report;
+    (void)spread;
+}
+
 static inline int
 connect_to(int port)
 {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -77,15 +77,6 @@
     pthread_mutex_unlock(&fixture->lock);
 }
 
-static void
-drop_crashes(struct relay_port *port, const struct crash_report *report,
-             uint64_t spread)
-{
-    (void)port;
-    (void)report;
-    (void)spread;
-}
-
 static const struct relay_port_ops port_ops = {on_activity, drop_crashes,
                                                on_drained};
 
--- a/test/wire_play.c
+++ b/test/wire_play.c
@@ -96,15 +96,6 @@
     (void)port;
 }
 
-static void
-drop_crashes(struct relay_port *port, const struct crash_report *report,
-             uint64_t spread)
-{
-    (void)port;
-    (void)report;
-    (void)spread;
-}
-
 static const struct relay_port_ops port_ops = {drop_activity, drop_crashes,
                                                ignore_drained};
 
