--- a/test/wire_play.c
+++ b/test/wire_play.c
@@ -395,7 +395,8 @@
         }
     }
     while (play->bench->target_ports[target] != port) {
-        g_assert_cmpint(++target, <, WIRE_TARGETS_MAX);
+        target++;
+        g_assert_cmpint(target, <, WIRE_TARGETS_MAX);
     }
     do {
         output = accept_connection(play, target);
