--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -155,9 +155,10 @@
 /* ---- sockets ---- */
 
 static int
-listen_on(const char *ip, char *address, size_t bytes)
+listen_at(const char *ip, int port, char *address, size_t bytes)
 {
-    struct sockaddr_in in = {.sin_family = AF_INET};
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port)};
     socklen_t length = sizeof(in);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int on = 1;
@@ -173,6 +174,13 @@
     return fd;
 }
 
+/* The kernel chooses the port. */
+static int
+listen_on(const char *ip, char *address, size_t bytes)
+{
+    return listen_at(ip, 0, address, bytes);
+}
+
 int
 client_connect(const char *address)
 {
@@ -400,6 +408,25 @@
     return server;
 }
 
+/* A server at the address of one that was stopped. */
+struct server *
+server_start_again(const struct server *before)
+{
+    struct server *server = calloc(1, sizeof(*server));
+    char ip[64];
+    char *colon;
+
+    snprintf(ip, sizeof(ip), "%s", before->address);
+    colon = strchr(ip, ':');
+    *colon = '\0';
+    server->handle = before->handle;
+    server->data = before->data;
+    server->fd = listen_at(ip, atoi(colon + 1), server->address,
+                           sizeof(server->address));
+    start_thread(accept_connections, server);
+    return server;
+}
+
 void
 server_stop(struct server *server)
 {
@@ -1096,22 +1123,37 @@
     return found;
 }
 
-/* "models" of an entry and of a report */
+static size_t
+print_names(char *out, size_t bytes, char names[][64], int count,
+            const char *format)
+{
+    size_t used = (size_t)snprintf(out, bytes, "[");
+
+    for (int i = 0; i < count; i++) {
+        used +=
+            (size_t)snprintf(out + used, bytes - used, "%s", i > 0 ? "," : "");
+        used += (size_t)snprintf(out + used, bytes - used, format, names[i]);
+    }
+    return used + (size_t)snprintf(out + used, bytes - used, "]");
+}
+
+/* What an entry and a report say of the engine's models and its start */
 static void
 print_models(struct engine *engine, char *out, size_t bytes)
 {
-    size_t used = 0;
+    size_t used;
 
     pthread_mutex_lock(&engine_lock);
     finish_load(engine);
-    used += (size_t)snprintf(out, bytes, "[");
-    for (int i = 0; i < engine->model_count; i++) {
-        used += (size_t)snprintf(
-            out + used, bytes - used,
-            "%s{\"name\":\"%s\",\"version\":1,\"adapters\":[]}",
-            i > 0 ? "," : "", engine->models[i]);
-    }
-    snprintf(out + used, bytes - used, "]");
+    used = print_names(out, bytes, engine->models, engine->model_count,
+                       "{\"name\":\"%s\",\"version\":1,\"adapters\":[]}");
+    used += (size_t)snprintf(out + used, bytes - used,
+                             ",\"born\":%lld,\"at_hand\":{\"in_memory\":[],"
+                             "\"on_disk\":",
+                             (long long)engine->born_ms);
+    used += print_names(out + used, bytes - used, engine->disk,
+                        engine->disk_count, "\"%s\"");
+    snprintf(out + used, bytes - used, "}");
     pthread_mutex_unlock(&engine_lock);
 }
 
@@ -1128,7 +1170,7 @@
              "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
              "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
              "\"cold_remaining_ms\":0,\"stage\":\"both\",\"models\":%s,"
-             "\"born\":1771376000000,\"sequence\":%ld}",
+             "\"sequence\":%ld}",
              engine->service, engine->server->address, engine->zone,
              engine->slots, engine->state, models,
              atomic_fetch_add(&engine->sequence, 1));
@@ -1150,36 +1192,124 @@
 }
 
 static int
-take_order(struct engine *engine, struct json_object *order)
+find_model(const struct engine *engine, const char *model)
 {
-    const char *model = member_text(order, "model");
-    struct json_object *expected = NULL;
-    int status = 202;
+    for (int i = 0; i < engine->model_count; i++) {
+        if (strcmp(engine->models[i], model) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
 
-    if (holds(engine, model)) {
-        return 200;
+static bool
+is_on_disk(const struct engine *engine, const char *model)
+{
+    for (int i = 0; i < engine->disk_count; i++) {
+        if (strcmp(engine->disk[i], model) == 0) {
+            return true;
+        }
     }
+    return false;
+}
+
+/* Carries an order out. @expected is -1 when the order has none. */
+static int
+carry_out(struct engine *engine, bool is_load, const char *model,
+          int64_t expected)
+{
+    bool overloaded = false;
+    int status = 202;
+    int index;
+
     pthread_mutex_lock(&engine_lock);
-    json_object_object_get_ex(order, "expected", &expected);
-    if (strcmp(member_text(order, "operation"), "load") != 0) {
-        status = 200; /* what it doesn't hold needs no unload */
+    finish_load(engine);
+    index = find_model(engine, model);
+    if (is_load == (index >= 0)) {
+        status = 200;
     }
     else if (engine->loading[0] != '\0' ||
-             (expected != NULL &&
-              json_object_get_int64(expected) != engine->orders)) {
+             (expected >= 0 && expected != engine->orders)) {
         status = 409;
     }
-    else {
+    else if (is_load) {
         engine->orders++;
+        overloaded =
+            engine->model_mb * (engine->model_count + 1) > engine->weights_mb;
         snprintf(engine->loading, sizeof(engine->loading), "%s", model);
-        engine->loaded_at_ms = now_ms() + engine->load_ms;
+        engine->loaded_at_ms =
+            now_ms() + (is_on_disk(engine, model) ? 1200 : engine->load_ms);
+    }
+    else {
+        engine->orders++;
+        memmove(engine->models[index], engine->models[index + 1],
+                (size_t)(engine->model_count - index - 1) *
+                    sizeof(engine->models[0]));
+        engine->model_count--;
     }
     pthread_mutex_unlock(&engine_lock);
-    record("engine %s: order %s %s -> %d", engine->id,
-           member_text(order, "operation"), model, status);
+    record("engine %s: order %s %s expected %lld -> %d, %ld orders%s",
+           engine->id, is_load ? "load" : "unload", model, (long long)expected,
+           status, engine->orders,
+           overloaded ? "  <- more than weights_mb holds: crashes" : "");
+    if (overloaded) {
+        engine->over_memory++;
+        engine_crash(engine);
+    }
     return status;
 }
 
+struct late_order {
+    struct engine *engine;
+    char model[64];
+    int64_t expected;
+};
+
+static void *
+carry_out_late(void *data)
+{
+    struct late_order *order = data;
+
+    pause_ms(order->engine->late_ms);
+    if (!atomic_load(&order->engine->stopped)) {
+        record("engine %s: carries out the order that it left unanswered",
+               order->engine->id);
+        carry_out(order->engine, true, order->model, order->expected);
+    }
+    free(order);
+    return NULL;
+}
+
+/* Returns false when the order is left unanswered. */
+static bool
+take_order(struct engine *engine, struct json_object *order, int *status)
+{
+    const char *model = member_text(order, "model");
+    bool is_load = strcmp(member_text(order, "operation"), "load") == 0;
+    struct json_object *value = NULL;
+    int64_t expected = -1;
+
+    if (json_object_object_get_ex(order, "expected", &value)) {
+        expected = json_object_get_int64(value);
+    }
+    if (is_load && engine->late_model != NULL &&
+        strcmp(model, engine->late_model) == 0) {
+        struct late_order *late = calloc(1, sizeof(*late));
+
+        record("engine %s: order load %s expected %lld is left unanswered",
+               engine->id, model, (long long)expected);
+        engine->late_model = NULL;
+        late->engine = engine;
+        late->expected = expected;
+        snprintf(late->model, sizeof(late->model), "%s", model);
+        start_thread(carry_out_late, late);
+        pause_ms(2000);
+        return false;
+    }
+    *status = carry_out(engine, is_load, model, expected);
+    return true;
+}
+
 /* Events of a stream, in chunks. An engine that exits cuts it off. */
 static void
 send_events(struct engine *engine, struct request *request, const char *fields)
@@ -1267,8 +1397,14 @@
     }
     else if (strcmp(request->path, "/v1/order") == 0) {
         struct json_object *order = json_tokener_parse(request->body);
+        int status;
 
-        reply(request, take_order(engine, order), json_fields, "{}", 2);
+        if (take_order(engine, order, &status)) {
+            reply(request, status, json_fields, "{}", 2);
+        }
+        else {
+            request->fd = -1;
+        }
         json_object_put(order);
     }
     else if (request_field(request, "Attempt-Id", value, sizeof(value)) ==
@@ -1299,6 +1435,7 @@
     snprintf(engine->state, sizeof(engine->state), "ready");
     engine->work_ms = work_ms;
     engine->slots = 6;
+    engine->born_ms = (int64_t)time(NULL) * 1000;
     return engine;
 }
 
@@ -1329,6 +1466,36 @@
     server_stop(engine->server);
 }
 
+/* The engine ends at once and says nothing; its entry stays until it
+ * expires. */
+void
+engine_crash(struct engine *engine)
+{
+    record("engine %s: crashes", engine->id);
+    atomic_store(&engine->listed, false);
+    engine_exit(engine);
+}
+
+/* The engine starts again under its id and at its address: it holds and knows
+ * nothing of before, and its disk is preserved. */
+void
+engine_start_again(struct engine *engine)
+{
+    pthread_mutex_lock(&engine_lock);
+    engine->model_count = 0;
+    engine->loading[0] = '\0';
+    engine->orders = 0;
+    engine->born_ms = (int64_t)time(NULL) * 1000;
+    pthread_mutex_unlock(&engine_lock);
+    atomic_store(&engine->sequence, 0);
+    atomic_store(&engine->stopped, false);
+    engine->server = server_start_again(engine->server);
+    atomic_store(&engine->listed, true);
+    record("engine %s: starts again", engine->id);
+    write_entry(engine);
+    start_thread(beat, engine);
+}
+
 /* ---- gates ---- */
 
 /* Ports that are free now, on an address of the run's own. */
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -43,6 +43,7 @@
 struct server *server_start(const char *ip,
                             void (*handle)(struct request *, void *),
                             void *data);
+struct server *server_start_again(const struct server *before);
 void server_stop(struct server *server);
 const char *request_field(const struct request *request, const char *name,
                           char *out, size_t bytes);
@@ -87,7 +88,15 @@
     char loading[64];
     int64_t loaded_at_ms;
     long orders;
-    int events; /* of a stream; 0 for a whole body */
+    int64_t born_ms;
+    char disk[8][64]; /* copies that a restart preserves */
+    int disk_count;
+    double model_mb; /* size of each model */
+    double weights_mb;
+    const char *late_model; /* its load is left unanswered, carried out late */
+    int late_ms;
+    int over_memory; /* loads that did not fit: the engine crashes */
+    int events;      /* of a stream; 0 for a whole body */
     int event_gap_ms;
     void (*arrived)(struct engine *engine, const char *attempt,
                     const char *path);
@@ -97,6 +106,8 @@
 void engine_start(struct engine *engine, const char *ip);
 void engine_unlist(struct engine *engine);
 void engine_exit(struct engine *engine);
+void engine_crash(struct engine *engine);
+void engine_start_again(struct engine *engine);
 
 /* gates */
 struct gate {
