--- a/review/stand/bodies.c
+++ b/review/stand/bodies.c
@@ -18,8 +18,8 @@
     DEADLINE_MS = 2500,
     WAVES = 3,
     WAVE_EACH_MS = 5000,
-    USUAL_CLIENTS = 12, /* with short requests, all the while */
-    USUAL_PAUSE_MS = 50,
+    USUAL_CLIENTS = 24, /* with short requests, all the while */
+    USUAL_PAUSE_MS = 10,
     RAN_MAX = 20000,
 };
 
@@ -161,7 +161,7 @@
             close(fd);
             fd = -1;
         }
-        pause_ms(USUAL_PAUSE_MS);
+        pause_ms(USUAL_PAUSE_MS + number * 2); /* not all at a time */
     }
     atomic_fetch_sub(&usual_clients, 1);
     return NULL;
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -184,6 +184,16 @@
 int
 client_connect(const char *address)
 {
+    return client_connect_small(address, 0);
+}
+
+/* With a receive buffer of its own size, which bounds the window, and with
+ * segments as on Ethernet instead of the loopback's of 64 KB; 0 for the
+ * system's. */
+int
+client_connect_small(const char *address, int buffer_bytes)
+{
+    const int segment_bytes = 1448;
     struct sockaddr_in in = {.sin_family = AF_INET};
     char ip[64];
     char *colon;
@@ -195,6 +205,12 @@
     *colon = '\0';
     inet_pton(AF_INET, ip, &in.sin_addr);
     in.sin_port = htons((uint16_t)atoi(colon + 1));
+    if (buffer_bytes > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                   sizeof(buffer_bytes));
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+                   sizeof(segment_bytes));
+    }
     if (connect(fd, (struct sockaddr *)&in, sizeof(in)) != 0) {
         close(fd);
         return -1;
@@ -1310,6 +1326,30 @@
     return true;
 }
 
+/* Events without an end, as fast as the other side takes them. */
+static void
+send_endless(struct engine *engine, struct request *request)
+{
+    enum { DATA_BYTES = 240000 };
+    char *event = malloc(DATA_BYTES + 256);
+    long number = 1;
+    bool open = true;
+
+    while (open && !atomic_load(&engine->stopped)) {
+        char head[64];
+        int id = snprintf(event, 64, "id: %ld\ndata: ", number++);
+        int length;
+
+        memset(event + id, 'x', DATA_BYTES);
+        memcpy(event + id + DATA_BYTES, "\n\n\r\n", 4);
+        length = snprintf(head, sizeof(head), "%x\r\n", id + DATA_BYTES + 2);
+        open = send_all(request->fd, head, (size_t)length) &&
+               send_all(request->fd, event, (size_t)(id + DATA_BYTES + 4));
+    }
+    free(event);
+    request->fd = -1;
+}
+
 /* Events of a stream, in chunks. An engine that exits cuts it off. */
 static void
 send_events(struct engine *engine, struct request *request, const char *fields)
@@ -1322,6 +1362,10 @@
                           fields);
     bool open = send_all(request->fd, text, (size_t)length);
 
+    if (open && engine->endless) {
+        send_endless(engine, request);
+        return;
+    }
     for (int i = 1; open && i <= engine->events; i++) {
         char event[64];
         int bytes =
@@ -1728,6 +1772,29 @@
     free(reader.bytes);
 }
 
+/* Reads at a steady rate until the end; returns the bytes read. */
+long
+client_read_slowly(int fd, int timeout_ms, int bytes_per_ms)
+{
+    int64_t start = now_ms();
+    char bytes[65536];
+    long total = 0;
+    ssize_t count = 1;
+
+    while (count > 0 && now_ms() - start < timeout_ms) {
+        if (total > (now_ms() - start + 5) * bytes_per_ms) {
+            pause_ms(2);
+            continue;
+        }
+        count = recv(fd, bytes, sizeof(bytes), 0);
+        total += count > 0 ? count : 0;
+        if (count > 0 && memmem(bytes, (size_t)count, "\r\n0\r\n\r\n", 7)) {
+            break;
+        }
+    }
+    return total;
+}
+
 void
 client_call(const char *address, const char *method, const char *path,
             const char *attempt, int deadline_ms, const char *fields,
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -98,6 +98,7 @@
     int over_memory; /* loads that did not fit: the engine crashes */
     int events;      /* of a stream; 0 for a whole body */
     int event_gap_ms;
+    bool endless; /* a stream goes on until the other side closes */
     void (*arrived)(struct engine *engine, const char *attempt,
                     const char *path);
 };
@@ -139,10 +140,12 @@
 };
 
 int client_connect(const char *address);
+int client_connect_small(const char *address, int buffer_bytes);
 bool client_send(int fd, const char *method, const char *host,
                  const char *path, const char *attempt, int deadline_ms,
                  const char *fields, const char *body, size_t body_bytes);
 void client_read(int fd, int timeout_ms, struct answer *answer);
+long client_read_slowly(int fd, int timeout_ms, int bytes_per_ms);
 void client_call(const char *address, const char *method, const char *path,
                  const char *attempt, int deadline_ms, const char *fields,
                  const char *body, size_t body_bytes, struct answer *answer);
