--- a/review/stand/bodies.c
+++ b/review/stand/bodies.c
@@ -12,7 +12,9 @@
 enum {
     MEMORY_MB = 260, /* the smallest machine of the sheet */
     BODY_MAX_BYTES = 4194304,
-    CLIENTS = 90,
+    /* With the usual ones, the clients of the site: the loss of any number of
+     * machines is to be borne, so one may have them all. */
+    CLIENTS = 68,
     ENGINES = 4,
     WORK_MS = 30,
     DEADLINE_MS = 2500,
--- a/review/stand/endless.c
+++ b/review/stand/endless.c
@@ -12,14 +12,15 @@
 
 enum {
     MEMORY_MB = 260, /* the smallest machine of the sheet */
-    READERS = 32,
-    READ_BYTES_PER_MS = 2000, /* 16 Mbit/s */
+    READERS = 48,
+    READ_BYTES_PER_MS = 2500, /* 20 Mbit/s */
     WINDOW_BYTES = 8 * 1024,
     DEADLINE_MS = 12000,
     USUAL_CLIENTS = 24,
     USUAL_PAUSE_MS = 10,
     USUAL_DEADLINE_MS = 2500,
     END_MS = 14000,
+    MIND_ENGINES = 2,
     DESK_ENGINES = 4,
     RAN_MAX = 20000,
 };
@@ -182,13 +183,18 @@
         engine->arrived = arrived;
         engine_start(engine, stand_ip(4 + i));
     }
-    engine = engine_new("i-cb0ad49367", "oven-mind", 20);
-    engine->slots = 32;
-    engine->events = 49;
-    engine->event_gap_ms = 25;
-    engine->endless = stand_trouble();
-    engine->arrived = arrived;
-    engine_start(engine, stand_ip(3));
+    for (int i = 0; i < MIND_ENGINES; i++) {
+        char id[32];
+
+        snprintf(id, sizeof(id), "i-cb0ad4936%d", i);
+        engine = engine_new(id, "oven-mind", 20);
+        engine->slots = 32;
+        engine->events = 49;
+        engine->event_gap_ms = 25;
+        engine->endless = stand_trouble();
+        engine->arrived = arrived;
+        engine_start(engine, stand_ip(2 + i));
+    }
     gate_configure(&gate, "front-kovalam-1", stand_ip(10), store_address(),
                    MEMORY_MB);
     gate_start(&gate);
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -1548,13 +1548,6 @@
 
 /* ---- gates ---- */
 
-/* Ports that are free now, on an address of the run's own. */
-static void
-free_address(const char *ip, char *address, size_t bytes)
-{
-    close(listen_on(ip, address, bytes));
-}
-
 static int
 port_of(const char *address)
 {
@@ -1568,6 +1561,7 @@
     char directory_address[64];
     char peer[64];
     FILE *file;
+    int fds[4];
 
     memset(gate, 0, sizeof(*gate));
     snprintf(gate->name, sizeof(gate->name), "%s", name);
@@ -1576,10 +1570,14 @@
              name);
     snprintf(gate->log, sizeof(gate->log), "%s/%s.log", directory, name);
     gate->memory_mb = memory_mb;
-    free_address(ip, gate->front, sizeof(gate->front));
-    free_address(ip, gate->ready, sizeof(gate->ready));
-    free_address(ip, directory_address, sizeof(directory_address));
-    free_address(ip, peer, sizeof(peer));
+    /* Ports that are free now, and differ. */
+    fds[0] = listen_on(ip, gate->front, sizeof(gate->front));
+    fds[1] = listen_on(ip, gate->ready, sizeof(gate->ready));
+    fds[2] = listen_on(ip, directory_address, sizeof(directory_address));
+    fds[3] = listen_on(ip, peer, sizeof(peer));
+    for (int i = 0; i < 4; i++) {
+        close(fds[i]);
+    }
     file = fopen(gate->settings, "w");
     if (file == NULL) {
         stand_cannot_run("cannot write settings");
