Registry: entries tell an outage of the store, not failed calls

Cause: any failed call of this instance, by a cut of the machine or of one watch that waited, was taken for an outage of the store. What vanished in the 2.5 s after the next good call was kept as possibly expired; a further failed call began the time anew, also for what was missing already; its end was looked at between two polls only, a watch of up to 2 s late.

Change: an entry that vanishes is kept only if the store was not heard for two heartbeat intervals and more than half of the known entries have vanished, or were created anew, since. All changes of a response are judged together. What its target has written since the return isn't kept; what is missing is due at one time, and the watch ends by then. The time is that of the response. A partial outage (2.4 to 3.0 s) removes some targets that are back within 2 s.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -35,6 +35,7 @@
  * @metrics_address: serves the counters; empty to disable
  * @store_address: address of the platform's store
  * @lease_ttl_min_ms: shortest time to live of a lease that the store grants
+ * @heartbeat_ms: interval at which targets renew their entries in the store
  * @descriptors_max: limit of open file descriptors of the process
  * @limits: limits of the deployment
  */
@@ -48,6 +49,7 @@
     char metrics_address[ADDRESS_MAX_BYTES];
     char store_address[ADDRESS_MAX_BYTES];
     int64_t lease_ttl_min_ms;
+    int64_t heartbeat_ms;
     int descriptors_max;
     struct gate_limits limits;
 };
@@ -262,12 +264,15 @@
  * @items: owned
  * @count: number of @items
  * @revision: the store's revision, after which a watch can continue
+ * @received_ms: when the response was received, by clock_now_ms(); 0 if
+ *               unknown
  * @more: the list continues after the last key
  */
 struct store_items {
     struct store_item *items;
     int count;
     int64_t revision;
+    int64_t received_ms;
     bool more;
 };
 
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -82,7 +82,8 @@
 }
 
 static void
-apply_target(struct feed *feed, const char *id, const struct store_item *item)
+apply_target(struct feed *feed, const char *id, const struct store_item *item,
+             int64_t now_ms)
 {
     struct target_info info;
     struct err err = {0};
@@ -91,7 +92,7 @@
     if (feed->decode->target(id, item->value, item->value_bytes, &info,
                              &err)) {
         g_hash_table_remove(feed->rejected, item->key);
-        registry_put(&feed->registry, &info);
+        registry_put(&feed->registry, &info, item->create_revision, now_ms);
         return;
     }
     registry_reject(&feed->registry, id);
@@ -149,7 +150,7 @@
 }
 
 static void
-apply_item(struct feed *feed, const struct store_item *item)
+apply_item(struct feed *feed, const struct store_item *item, int64_t now_ms)
 {
     const char *id = NULL;
 
@@ -158,7 +159,7 @@
         apply_config(feed, item);
         return;
     case KEY_TARGET:
-        apply_target(feed, id, item);
+        apply_target(feed, id, item, now_ms);
         return;
     case KEY_OTHER:
         break;
@@ -266,7 +267,7 @@
             &g_array_index(pages, struct store_items, p);
 
         for (int i = 0; i < page->count; i++) {
-            apply_item(feed, &page->items[i]);
+            apply_item(feed, &page->items[i], now_ms);
         }
     }
     registry_list_end(&feed->registry, now_ms);
@@ -275,14 +276,17 @@
 }
 
 static bool
-list_all(struct feed *feed, int64_t now_ms, struct err *err)
+list_all(struct feed *feed, int64_t *now_ms, struct err *err)
 {
     GArray *pages = g_array_new(FALSE, FALSE, sizeof(struct store_items));
     bool succeeded = list_pages(feed, pages, err);
 
     if (succeeded) {
-        registry_store_up(&feed->registry, now_ms);
-        apply_pages(feed, pages, now_ms);
+        *now_ms = MAX(*now_ms,
+                      g_array_index(pages, struct store_items, pages->len - 1)
+                          .received_ms);
+        registry_store_up(&feed->registry, *now_ms);
+        apply_pages(feed, pages, *now_ms);
         log_line(LOG_PRI_INFO, "feed",
                  "event=listed revision=%" G_GINT64_FORMAT
                  " version=%" G_GINT64_FORMAT " members=%u",
@@ -311,26 +315,29 @@
             continue;
         }
         if (item->value != NULL) {
-            apply_item(feed, item);
+            apply_item(feed, item, now_ms);
         }
         else {
             apply_deletion(feed, item, now_ms);
         }
     }
+    registry_settle(&feed->registry, now_ms);
     feed->known_revision = MAX(feed->known_revision, items->revision);
 }
 
 static bool
-watch_changes(struct feed *feed, int64_t now_ms, struct err *err)
+watch_changes(struct feed *feed, int64_t *now_ms, int64_t timeout_ms,
+              struct err *err)
 {
     struct store_changes changes = {.after = feed->known_revision};
 
     if (!feed->store->ops->watch(feed->store, "", feed->known_revision,
-                                 WATCH_TIMEOUT_MS, &changes.items, err)) {
+                                 timeout_ms, &changes.items, err)) {
         return false;
     }
-    registry_store_up(&feed->registry, now_ms);
-    apply_changes(feed, &changes.items, now_ms);
+    *now_ms = MAX(*now_ms, changes.items.received_ms);
+    registry_store_up(&feed->registry, *now_ms);
+    apply_changes(feed, &changes.items, *now_ms);
     if (feed->share.sharing) {
         feed->port->ops->changes_read(feed->port, &changes);
     }
@@ -358,21 +365,37 @@
     return feed->backoff_ms;
 }
 
+/* Sets @now_ms to the time of the response. A watch ends at @due_ms, 0 for
+ * none. Returns milliseconds until the next call. */
 static int64_t
-call_store(struct feed *feed, int64_t now_ms)
+call_store(struct feed *feed, int64_t *now_ms, int64_t due_ms)
 {
     struct err err = {0};
+    int64_t timeout_ms = due_ms == 0
+                             ? WATCH_TIMEOUT_MS
+                             : CLAMP(due_ms - *now_ms, 1, WATCH_TIMEOUT_MS);
     bool succeeded = feed->known_revision == 0
                          ? list_all(feed, now_ms, &err)
-                         : watch_changes(feed, now_ms, &err);
+                         : watch_changes(feed, now_ms, timeout_ms, &err);
 
     if (!succeeded) {
-        return handle_failure(feed, &err, now_ms);
+        return handle_failure(feed, &err, *now_ms);
     }
     feed->backoff_ms = 0;
     return share_delay_ms(&feed->share, (int)g_hash_table_size(feed->members));
 }
 
+/* Delivers what has changed. Returns milliseconds until the next poll, which
+ * is not later than the next missing target is due. */
+static int64_t
+deliver_and_wait(struct feed *feed, int64_t now_ms, int64_t wait_ms)
+{
+    int64_t due_ms = registry_drop_missing(&feed->registry, now_ms);
+
+    deliver_changes(feed);
+    return due_ms == 0 ? wait_ms : MIN(wait_ms, due_ms - now_ms);
+}
+
 /**
  * feed_poll() - read the store's changes once, unless another instance passes
  *               them on, and deliver them
@@ -385,13 +408,12 @@
 feed_poll(struct feed *feed, int64_t now_ms)
 {
     int64_t wait_ms = share_call_at_ms(&feed->share) - now_ms;
+    int64_t due_ms = registry_drop_missing(&feed->registry, now_ms);
 
     if (wait_ms <= 0) {
-        wait_ms = call_store(feed, now_ms);
+        wait_ms = call_store(feed, &now_ms, due_ms);
     }
-    registry_drop_missing(&feed->registry, now_ms);
-    deliver_changes(feed);
-    return wait_ms;
+    return deliver_and_wait(feed, now_ms, wait_ms);
 }
 
 /**
@@ -419,9 +441,8 @@
         feed->share.heard_ms = 0;
     }
     store_changes_free(changes);
-    registry_drop_missing(&feed->registry, now_ms);
-    deliver_changes(feed);
-    return MAX(share_call_at_ms(&feed->share) - now_ms, 0);
+    return deliver_and_wait(feed, now_ms,
+                            MAX(share_call_at_ms(&feed->share) - now_ms, 0));
 }
 
 /**
@@ -504,7 +525,8 @@
     feed->decode = decode;
     feed->port = port;
     feed->registry_port.ops = &registry_ops;
-    registry_init(&feed->registry, &feed->registry_port);
+    registry_init(&feed->registry, &feed->registry_port,
+                  settings->heartbeat_ms);
     outbox_init(&feed->outbox);
     feed->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/gate/view/dat.h
+++ b/src/gate/view/dat.h
@@ -4,8 +4,8 @@
 /**
  * enum target_change_kind - kind of change of a target
  * @TARGET_CHANGED: it is new, or its description has changed
- * @TARGET_MISSING: its entry expired while the store was unreachable; the
- *                  target may still run
+ * @TARGET_MISSING: its entry expired while the store was down; the target may
+ *                  still run
  * @TARGET_GONE: it takes no more requests
  */
 enum target_change_kind { TARGET_CHANGED, TARGET_MISSING, TARGET_GONE };
@@ -34,29 +34,45 @@
 /**
  * struct registry_entry - a target in the registry
  * @info: the target's description of itself
+ * @create_revision: revision at which the entry was created; 0 if unknown
  * @missing_until_ms: time at which an expired entry counts as gone; 0 while
  *                    the entry exists
  * @listed: present in the list that is being read
+ * @vanished: to be settled
+ * @lapsed: vanished, or created anew, since the store was back
+ * @written: by its target, since the store was back
  */
 struct registry_entry {
     struct target_info info;
+    int64_t create_revision;
     int64_t missing_until_ms;
     bool listed;
+    bool vanished;
+    bool lapsed;
+    bool written;
 };
 
 /**
  * struct registry - the targets that are registered in the store
  * @entries: id to struct registry_entry; owned
  * @port: receiver of changes; borrowed
- * @store_down: the store does not answer
- * @expiry_grace_until_ms: an entry that vanishes before this time may have
- *                         expired because the store was unreachable
+ * @silence_min_ms: shortest outage of the store in which entries expire
+ * @heard_ms: when the store last answered
+ * @returned_ms: when the store answered after a silence in which entries may
+ *               have expired
+ * @known: entries at @returned_ms, without those of draining targets
+ * @lapsed: how many of @known have vanished, or were created anew, since
+ * @store_down: the last call to the store has failed
  */
 struct registry {
     struct _GHashTable *entries;
     struct registry_port *port;
+    int64_t silence_min_ms;
+    int64_t heard_ms;
+    int64_t returned_ms;
+    int known;
+    int lapsed;
     bool store_down;
-    int64_t expiry_grace_until_ms;
 };
 
 #endif
--- a/src/gate/view/fns.h
+++ b/src/gate/view/fns.h
@@ -24,16 +24,19 @@
 bool item_is_adapter(uint32_t item);
 
 /* registry.c */
-void registry_init(struct registry *registry, struct registry_port *port);
+void registry_init(struct registry *registry, struct registry_port *port,
+                   int64_t heartbeat_ms);
 void registry_clear(struct registry *registry);
 void registry_store_down(struct registry *registry, int64_t now_ms);
 void registry_store_up(struct registry *registry, int64_t now_ms);
 void registry_list_begin(struct registry *registry);
 void registry_list_end(struct registry *registry, int64_t now_ms);
-void registry_put(struct registry *registry, const struct target_info *info);
+void registry_put(struct registry *registry, const struct target_info *info,
+                  int64_t create_revision, int64_t now_ms);
 void registry_reject(struct registry *registry, const char *id);
 void registry_delete(struct registry *registry, const char *id,
                      int64_t now_ms);
+void registry_settle(struct registry *registry, int64_t now_ms);
 int64_t registry_drop_missing(struct registry *registry, int64_t now_ms);
 
 #endif
--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -2,8 +2,14 @@
  * DOC: Registry of targets, built from their entries in the store.
  *
  * An entry also expires when its target can't renew it because the store is
- * unreachable. If the target still runs, the entry is back soon after the
- * store is, so until then the target is kept as missing.
+ * down. If the target still runs, the entry is back soon after the store is,
+ * so until then the target is kept as missing.
+ *
+ * A call of this instance that fails says nothing about the store: its path
+ * may be cut, or the store may have cut one watch. An outage that lets entries
+ * expire silences all targets, so it is told by the entries: most of those
+ * that were known have expired, or were created anew. Otherwise an entry that
+ * vanishes has been removed, and its target takes no more requests.
  */
 #include <glib.h>
 #include <string.h>
@@ -14,9 +20,14 @@
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
 
-/* Targets rewrite their entries within 2 s after the store is back; the rest
- * is the delay of the watch. */
-enum { EXPIRY_GRACE_MS = 2500 };
+enum {
+    /* Targets rewrite their entries within 2 s after the store is back; the
+     * rest is the delay of the watch. */
+    EXPIRY_GRACE_MS = 2500,
+    /* An entry expires after three heartbeat intervals of silence, of which
+     * one may lie before the outage. */
+    SILENT_HEARTBEATS_MIN = 2,
+};
 
 static void
 notify(struct registry *registry, enum target_change_kind kind,
@@ -31,12 +42,15 @@
  * registry_init() - initialize an empty registry
  * @registry: the registry
  * @port: receiver of changes; borrowed
+ * @heartbeat_ms: interval at which targets renew their entries
  */
 void
-registry_init(struct registry *registry, struct registry_port *port)
+registry_init(struct registry *registry, struct registry_port *port,
+              int64_t heartbeat_ms)
 {
     memset(registry, 0, sizeof(*registry));
     registry->port = port;
+    registry->silence_min_ms = SILENT_HEARTBEATS_MIN * heartbeat_ms;
     registry->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 }
@@ -52,7 +66,7 @@
 }
 
 /**
- * registry_store_down() - record that the store does not answer
+ * registry_store_down() - record that a call to the store has failed
  * @registry: the registry
  * @now_ms: current time
  */
@@ -62,26 +76,87 @@
     if (!registry->store_down) {
         registry->store_down = true;
         log_line(LOG_PRI_WARNING, "registry",
-                 "event=store_lost targets=%u now_ms=%" G_GINT64_FORMAT,
-                 g_hash_table_size(registry->entries), (gint64)now_ms);
+                 "event=store_lost targets=%u silent_ms=%" G_GINT64_FORMAT,
+                 g_hash_table_size(registry->entries),
+                 (gint64)(now_ms - registry->heard_ms));
+    }
+}
+
+/* Entries may have expired: begins to count how many of them have. */
+static void
+begin_grace(struct registry *registry, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+
+    registry->known = 0;
+    registry->lapsed = 0;
+    registry->returned_ms = now_ms;
+    g_hash_table_iter_init(&iter, registry->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct registry_entry *entry = value;
+
+        entry->lapsed = false;
+        entry->written = false;
+        if (!entry->info.draining && entry->missing_until_ms == 0) {
+            registry->known++;
+        }
     }
 }
 
 /**
- * registry_store_up() - record that the store answers
+ * registry_store_up() - record that the store has answered
  * @registry: the registry
- * @now_ms: current time
+ * @now_ms: when the response was received; the changes in it follow with the
+ *          same time
  */
 void
 registry_store_up(struct registry *registry, int64_t now_ms)
 {
+    int64_t silent_ms = now_ms - registry->heard_ms;
+    bool may_have_expired = silent_ms >= registry->silence_min_ms;
+
     if (registry->store_down) {
         registry->store_down = false;
-        registry->expiry_grace_until_ms = now_ms + EXPIRY_GRACE_MS;
         log_line(LOG_PRI_INFO, "registry",
-                 "event=store_regained targets=%u lapse_ms=%d",
-                 g_hash_table_size(registry->entries), EXPIRY_GRACE_MS);
+                 "event=store_regained targets=%u silent_ms=%" G_GINT64_FORMAT
+                 " may_have_expired=%d",
+                 g_hash_table_size(registry->entries), (gint64)silent_ms,
+                 may_have_expired);
+        if (may_have_expired) {
+            begin_grace(registry, now_ms);
+        }
     }
+    registry->heard_ms = now_ms;
+}
+
+static bool
+in_grace(const struct registry *registry, int64_t now_ms)
+{
+    return registry->known > 0 &&
+           now_ms < registry->returned_ms + EXPIRY_GRACE_MS;
+}
+
+static void
+count_lapse(struct registry *registry, struct registry_entry *entry,
+            int64_t now_ms)
+{
+    if (in_grace(registry, now_ms) && !entry->lapsed &&
+        !entry->info.draining && entry->missing_until_ms == 0) {
+        entry->lapsed = true;
+        registry->lapsed++;
+    }
+}
+
+/* Whether a vanished entry may have expired by an outage of the store, and not
+ * been removed. Heartbeats spread over an interval, so an outage leaves most
+ * entries only if it has hardly let any expire. */
+static bool
+may_be_back(const struct registry *registry,
+            const struct registry_entry *entry, int64_t now_ms)
+{
+    return in_grace(registry, now_ms) && !entry->info.draining &&
+           !entry->written && registry->lapsed * 2 > registry->known;
 }
 
 static bool
@@ -95,20 +170,33 @@
  * @registry: the registry
  * @info: the entry, copied; unused bytes must be 0, as the copies are compared
  *        bytewise
+ * @create_revision: revision at which the entry was created; 0 if unknown
+ * @now_ms: when the entry was read
  */
 void
-registry_put(struct registry *registry, const struct target_info *info)
+registry_put(struct registry *registry, const struct target_info *info,
+             int64_t create_revision, int64_t now_ms)
 {
     struct registry_entry *entry =
         g_hash_table_lookup(registry->entries, info->id);
     bool known = entry != NULL;
+    bool created_anew;
 
     if (!known) {
         entry = g_new0(struct registry_entry, 1);
         entry->info = *info;
+        entry->create_revision = create_revision;
         g_hash_table_insert(registry->entries, entry->info.id, entry);
     }
+    created_anew = entry->create_revision != 0 && create_revision != 0 &&
+                   entry->create_revision != create_revision;
+    if (created_anew) {
+        count_lapse(registry, entry, now_ms);
+    }
+    entry->written = created_anew || now_ms > registry->returned_ms;
+    entry->create_revision = create_revision;
     entry->listed = true;
+    entry->vanished = false;
     if (known && entry->missing_until_ms == 0 &&
         same_info(&entry->info, info)) {
         return;
@@ -144,24 +232,19 @@
 }
 
 static void
-handle_vanished(struct registry *registry, struct registry_entry *entry,
-                int64_t now_ms)
+vanish(struct registry *registry, struct registry_entry *entry, int64_t now_ms)
 {
-    if (now_ms < registry->expiry_grace_until_ms && !entry->info.draining) {
-        if (entry->missing_until_ms == 0) {
-            entry->missing_until_ms = registry->expiry_grace_until_ms;
-            notify(registry, TARGET_MISSING, &entry->info);
-        }
-        return;
-    }
-    remove_entry(registry, entry);
+    count_lapse(registry, entry, now_ms);
+    entry->vanished = true;
 }
 
 /**
  * registry_delete() - record that a target's entry has vanished
  * @registry: the registry
  * @id: id of the target
- * @now_ms: current time
+ * @now_ms: when this was read
+ *
+ * Takes effect with registry_settle().
  */
 void
 registry_delete(struct registry *registry, const char *id, int64_t now_ms)
@@ -169,23 +252,7 @@
     struct registry_entry *entry = g_hash_table_lookup(registry->entries, id);
 
     if (entry != NULL) {
-        handle_vanished(registry, entry, now_ms);
-    }
-}
-
-/**
- * registry_list_begin() - begin a complete list of registry_put() calls
- * @registry: the registry
- */
-void
-registry_list_begin(struct registry *registry)
-{
-    GHashTableIter iter;
-    void *value;
-
-    g_hash_table_iter_init(&iter, registry->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((struct registry_entry *)value)->listed = false;
+        vanish(registry, entry, now_ms);
     }
 }
 
@@ -207,6 +274,13 @@
     return found;
 }
 
+static bool
+is_vanished(const struct registry_entry *entry, int64_t now_ms)
+{
+    (void)now_ms;
+    return entry->vanished;
+}
+
 static bool
 is_not_listed(const struct registry_entry *entry, int64_t now_ms)
 {
@@ -220,26 +294,82 @@
     return entry->missing_until_ms != 0 && now_ms >= entry->missing_until_ms;
 }
 
-static void
-handle_all_vanished(struct registry *registry, GPtrArray *entries,
-                    int64_t now_ms)
+/* Returns whether the target is kept. */
+static bool
+settle_entry(struct registry *registry, struct registry_entry *entry,
+             int64_t now_ms)
+{
+    entry->vanished = false;
+    if (entry->missing_until_ms != 0) {
+        return true;
+    }
+    if (!may_be_back(registry, entry, now_ms)) {
+        remove_entry(registry, entry);
+        return false;
+    }
+    entry->missing_until_ms = registry->returned_ms + EXPIRY_GRACE_MS;
+    notify(registry, TARGET_MISSING, &entry->info);
+    return true;
+}
+
+/**
+ * registry_settle() - decide about the entries that have vanished
+ * @registry: the registry
+ * @now_ms: when the changes were read
+ *
+ * To be called after all changes of a response, as only together they tell an
+ * outage of the store from the removal of single entries.
+ */
+void
+registry_settle(struct registry *registry, int64_t now_ms)
 {
-    for (guint i = 0; i < entries->len; i++) {
-        handle_vanished(registry, entries->pdata[i], now_ms);
+    GPtrArray *vanished = find_entries(registry, is_vanished, now_ms);
+    guint kept = 0;
+
+    for (guint i = 0; i < vanished->len; i++) {
+        kept += settle_entry(registry, vanished->pdata[i], now_ms) ? 1 : 0;
+    }
+    if (vanished->len > 0 && in_grace(registry, now_ms)) {
+        log_line(LOG_PRI_INFO, "registry",
+                 "event=entries_vanished kept=%u removed=%u lapsed=%d known=%d"
+                 " returned_ago_ms=%" G_GINT64_FORMAT,
+                 kept, vanished->len - kept, registry->lapsed, registry->known,
+                 (gint64)(now_ms - registry->returned_ms));
+    }
+    g_ptr_array_free(vanished, TRUE);
+}
+
+/**
+ * registry_list_begin() - begin a complete list of registry_put() calls
+ * @registry: the registry
+ */
+void
+registry_list_begin(struct registry *registry)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, registry->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((struct registry_entry *)value)->listed = false;
     }
-    g_ptr_array_free(entries, TRUE);
 }
 
 /**
  * registry_list_end() - end the list; all other entries have vanished
  * @registry: the registry
- * @now_ms: current time
+ * @now_ms: when the list was read
  */
 void
 registry_list_end(struct registry *registry, int64_t now_ms)
 {
-    handle_all_vanished(registry,
-                        find_entries(registry, is_not_listed, now_ms), now_ms);
+    GPtrArray *unlisted = find_entries(registry, is_not_listed, now_ms);
+
+    for (guint i = 0; i < unlisted->len; i++) {
+        vanish(registry, unlisted->pdata[i], now_ms);
+    }
+    g_ptr_array_free(unlisted, TRUE);
+    registry_settle(registry, now_ms);
 }
 
 /**
@@ -247,7 +377,8 @@
  * @registry: the registry
  * @now_ms: current time
  *
- * Drops nothing while the store is unreachable, as no entry can return then.
+ * Drops nothing while calls to the store fail, as no return of an entry can be
+ * seen then.
  *
  * Return: time at which the next entry is due; 0 for none.
  */
@@ -255,14 +386,18 @@
 registry_drop_missing(struct registry *registry, int64_t now_ms)
 {
     int64_t next_ms = 0;
+    GPtrArray *overdue;
     GHashTableIter iter;
     void *value;
 
     if (registry->store_down) {
         return 0;
     }
-    handle_all_vanished(registry, find_entries(registry, is_overdue, now_ms),
-                        now_ms);
+    overdue = find_entries(registry, is_overdue, now_ms);
+    for (guint i = 0; i < overdue->len; i++) {
+        remove_entry(registry, overdue->pdata[i]);
+    }
+    g_ptr_array_free(overdue, TRUE);
     g_hash_table_iter_init(&iter, registry->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         int64_t due_ms = ((struct registry_entry *)value)->missing_until_ms;
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -31,6 +31,7 @@
     bool down;
     int lose_responses;
     int drop_writes;
+    int64_t watch_wait_ms; /* of the last watch */
     int write_count;
     int read_count;
 };
