--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -20,6 +20,7 @@
 enum {
     WATCH_TIMEOUT_MS =
         2000, /* bounds how long a lost connection goes unnoticed */
+    WATCH_NO_WAIT_MS = 1,
     BACKOFF_MIN_MS = 100,
     BACKOFF_MAX_MS = 800, /* recovery of the store is noticed within 1 s */
     LIST_PAGES_MAX = 64,
@@ -326,13 +327,13 @@
 }
 
 static bool
-watch_changes(struct feed *feed, int64_t *now_ms, int64_t timeout_ms,
+watch_changes(struct feed *feed, int64_t *now_ms, int64_t wait_ms,
               struct err *err)
 {
     struct store_changes changes = {.after = feed->known_revision};
 
     if (!feed->store->ops->watch(feed->store, "", feed->known_revision,
-                                 timeout_ms, &changes.items, err)) {
+                                 wait_ms, &changes.items, err)) {
         return false;
     }
     *now_ms = MAX(*now_ms, changes.items.received_ms);
@@ -365,18 +366,30 @@
     return feed->backoff_ms;
 }
 
+/* How long a watch waits for changes. While a call waits, the return of the
+ * store may go unnoticed until its timeout, so after a failure it doesn't
+ * wait. */
+static int64_t
+watch_wait_ms(const struct feed *feed, int64_t now_ms, int64_t due_ms)
+{
+    if (feed->registry.store_down) {
+        return WATCH_NO_WAIT_MS;
+    }
+    return due_ms == 0
+               ? WATCH_TIMEOUT_MS
+               : CLAMP(due_ms - now_ms, WATCH_NO_WAIT_MS, WATCH_TIMEOUT_MS);
+}
+
 /* Sets @now_ms to the time of the response. A watch ends at @due_ms, 0 for
  * none. Returns milliseconds until the next call. */
 static int64_t
 call_store(struct feed *feed, int64_t *now_ms, int64_t due_ms)
 {
     struct err err = {0};
-    int64_t timeout_ms = due_ms == 0
-                             ? WATCH_TIMEOUT_MS
-                             : CLAMP(due_ms - *now_ms, 1, WATCH_TIMEOUT_MS);
+    int64_t wait_ms = watch_wait_ms(feed, *now_ms, due_ms);
     bool succeeded = feed->known_revision == 0
                          ? list_all(feed, now_ms, &err)
-                         : watch_changes(feed, now_ms, timeout_ms, &err);
+                         : watch_changes(feed, now_ms, wait_ms, &err);
 
     if (!succeeded) {
         return handle_failure(feed, &err, *now_ms);
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -277,7 +277,8 @@
 }
 
 /* Guards against a call that waits past the time at which a missing target is
- * due. Steps as for the feed. */
+ * due, and against a call after a failure that waits for changes: while it
+ * waits, the return of the store goes unnoticed. Steps as for the feed. */
 struct wait_case {
     const char *name;
     const char *steps;
@@ -287,6 +288,9 @@
 
 static const struct wait_case wait_cases[] = {
     {"quiet", "C1Tr1r", 2000, 400},
+    {"after_failure", "C1Tr1Ar2r", 1, 200},
+    {"store_is_back", "C1Tr1Ar2Br", 1, 400},
+    {"after_return", "C1Tr1Ar2Br3r", 2000, 400},
     {"missing_is_due", "C1Tr1Ar5DBr7r", 500, 400},
     {"missing_was_dropped", "C1Tr1Ar5DBr8r", 2000, 400},
 };
