Feed: a watch that can't succeed is not repeated as it is

Cause: the response to the watch was over 8 MiB. The client gave it up, the feed took that for a store that is down and sent the same watch again, until the store dropped that history.

Change: a watch whose response is too long (told by its length, if it has one) or can't be read is followed by a list of all keys, in pages, at once. The bound of 8 MiB stays. history_lost says why.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -296,7 +296,9 @@
  * struct store_ops - operations of the platform's store
  * @list: reads a page of the keys with a prefix, after the key @after
  * @watch: waits for changes after a revision; fails with ERR_NOT_FOUND when
- *         the store has compacted that revision
+ *         the store has compacted that revision, or when the changes are more
+ *         than a response may have, and with ERR_BAD_JSON when the response
+ *         can't be read
  * @write: writes conditionally; fails with ERR_KV_CONFLICT when the condition
  *         does not hold, with ERR_NOT_FOUND when the lease has expired, and
  *         with ERR_KV_DOWN when it is unknown whether the write took place
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -346,13 +346,22 @@
     return true;
 }
 
+/* Whether the same watch would fail again: its history is gone, or its
+ * response is too long or can't be read. A list of all keys comes in pages. */
+static bool
+watch_cannot_succeed(const struct feed *feed, const struct err *err)
+{
+    return feed->known_revision != 0 &&
+           (err->kind == ERR_NOT_FOUND || err->kind == ERR_BAD_JSON);
+}
+
 static int64_t
 handle_failure(struct feed *feed, const struct err *err, int64_t now_ms)
 {
-    if (err->kind == ERR_NOT_FOUND) {
+    if (watch_cannot_succeed(feed, err)) {
         log_line(LOG_PRI_WARNING, "feed",
-                 "event=history_lost after=%" G_GINT64_FORMAT,
-                 (gint64)feed->known_revision);
+                 "event=history_lost after=%" G_GINT64_FORMAT " reason=\"%s\"",
+                 (gint64)feed->known_revision, err->text);
         feed->known_revision = 0;
         return 0;
     }
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -30,8 +30,9 @@
  * Steps: CN write configuration version N, X write an invalid configuration,
  * T write a target, L mark it as draining, S write it with an unknown state,
  * D delete it, O write three other targets, o delete them, A calls fail, B
- * calls succeed again, F store drops its history, W rings are full, w rings
- * have room, r poll once, 0-9 set the time in seconds.
+ * calls succeed again, F store drops its history, J watches are answered with
+ * what can't be read until all is listed, W rings are full, w rings have room,
+ * r poll once, 0-9 set the time in seconds.
  *
  * Delivered, of the first target only: cN configuration version N, l first
  * list complete, C target changed, M target missing, G target gone.
@@ -63,6 +64,8 @@
     {"gone", "C1TrDr", "c1 C l G "},
     {"history_lost", "C1TrFrDrr", "c1 C l G "},
     {"deleted_before_history_lost", "C1TrDFrr", "c1 C l G "},
+    {"watch_unreadable", "C1TrJLC2rr", "c1 C l c2 C "},
+    {"watch_unreadable_then_down", "C1TrJLrArBr", "c1 C l C "},
     {"down_then_changed", "C1TrArC2Br", "c1 C l c2 "},
     {"expired_and_back", "C1Tr1Ar3DBr5Tr", "c1 C l M C "},
     {"expired_for_good", "C1Tr1Ar3DBr9r", "c1 C l M G "},
@@ -220,6 +223,9 @@
     case 'F':
         store->compacted_revision = store->revision;
         break;
+    case 'J':
+        store->watch_unreadable = true;
+        break;
     case 'W':
         fixture->ring_full = true;
         break;
--- a/test/memstore.c
+++ b/test/memstore.c
@@ -169,6 +169,7 @@
     if (is_down(memstore, err)) {
         return false;
     }
+    memstore->watch_unreadable = false;
     items->items = g_new0(struct store_item, memstore->items->len + 1);
     items->revision = memstore->revision;
     items->received_ms = memstore->now_ms;
@@ -193,6 +194,9 @@
     if (is_down(memstore, err)) {
         return false;
     }
+    if (memstore->watch_unreadable) {
+        return err_set(err, ERR_BAD_JSON, "response is no object");
+    }
     if (after <= memstore->compacted_revision) {
         return err_set(err, ERR_NOT_FOUND, "revision was compacted");
     }
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -29,6 +29,7 @@
     int64_t now_ms;
     int64_t compacted_revision;
     bool down;
+    bool watch_unreadable; /* until the next list */
     int lose_responses;
     int drop_writes;
     int64_t watch_wait_ms; /* of the last watch */
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -517,6 +517,18 @@
     return count;
 }
 
+static int
+call_watch(struct client_fixture *fixture)
+{
+    struct store_items items = {0};
+    struct err err = {0};
+
+    fixture->store.base.ops->watch(&fixture->store.base, "p", 4, 1, &items,
+                                   &err);
+    store_items_clear(&items);
+    return (int)err.kind;
+}
+
 static int
 call_order(struct client_fixture *fixture)
 {
@@ -627,7 +639,9 @@
     client_fixture_close(&fixture);
 }
 
-/* Guards against the body of a response that isn't the one asked for. */
+/* Guards against the body of a response that isn't the one asked for, and
+ * against a watch that is repeated although its response is always too long.
+ */
 struct spoilt_case {
     const char *name;
     int (*call)(struct client_fixture *fixture);
@@ -667,6 +681,12 @@
      ERR_KV_DOWN},
     {"order_cut_in_head", call_order,
      "HTTP/1.1 202 X\r\nContent-Length: 0\r\n<close>", ORDER_IN_DOUBT},
+    {"watch_gone", call_watch, EMPTY_RESPONSE("410"), ERR_NOT_FOUND},
+    {"watch_too_long", call_watch,
+     "HTTP/1.1 200 X\r\nContent-Length: 8400000\r\n\r\n{", ERR_NOT_FOUND},
+    {"watch_cut", call_watch,
+     "HTTP/1.1 200 X\r\nContent-Length: 8000000\r\n\r\n{<close>", ERR_KV_DOWN},
+    {"watch_unreadable", call_watch, RESPONSE("2", "[]"), ERR_BAD_JSON},
     {"cut_list", call_list, "HTTP/1.1 200 X\r\n\r\n{\"items\":[<close>", 0},
 };
 
