Relay: free what a caller has taken as it is written

Other operators' report: a faulty engine sends bytes without end, the machine keeps them, runs out of memory, and the other callers' requests end with it (LOST).

Cause: flush() freed the output of a caller only when all of it was sent. A caller that reads steadily, but always lags behind, never has it all; the bound of 256 KiB counted what waits, not what was kept, so everything passed on stayed in memory, of a sound target's long answers, too.

Looked at on the same path: heads, chunk sizes and trailers end at 80 KB, events at 256 KB, calls to the store and to engines at 8 MiB, a discarded response after 1 s; relay_time_test endless, kv_test and forward_test endless guard these.

Change: output.c keeps what waits in blocks and frees each when it is written, for callers and targets alike (flush() stood twice). A request's body is shared by the sends instead of copied for each, and a connection keeps no room of it.

--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -144,7 +144,7 @@
 {
     uint32_t events = EPOLLRDHUP;
 
-    if (client->output->len > client->output_start) {
+    if (client->output.waiting > 0) {
         events |= EPOLLOUT;
     }
     if (!client->closing && client->pending->len < PENDING_MAX_BYTES) {
@@ -169,7 +169,7 @@
     }
     timeout_ms =
         client->closing ? head_timeout_ms(relay) : idle_timeout_ms(relay);
-    if (relay->draining && client->output->len == 0) {
+    if (relay->draining && client->output.waiting == 0) {
         timeout_ms = DRAIN_IDLE_MS;
     }
     due_ms = now_ms + timeout_ms;
@@ -201,7 +201,6 @@
     head_init(&client->head);
     client->body = g_byte_array_new();
     client->pending = g_byte_array_new();
-    client->output = g_byte_array_new();
     client->epoll_events = EPOLLIN | EPOLLRDHUP;
     reset_request(client);
     relay_epoll_ctl(relay, EPOLL_CTL_ADD, fd, client->epoll_events,
@@ -253,7 +252,7 @@
     head_clear(&client->head);
     g_byte_array_free(client->body, TRUE);
     g_byte_array_free(client->pending, TRUE);
-    g_byte_array_free(client->output, TRUE);
+    output_clear(&client->output);
     table_free(&relay->clients, client->self);
     if (exchange != NULL) {
         exchange->client = (struct handle){0};
@@ -261,29 +260,6 @@
     }
 }
 
-/* Returns false when the connection is broken. */
-static bool
-flush(struct client *client)
-{
-    while (client->output_start < client->output->len) {
-        ssize_t sent =
-            send(client->fd, client->output->data + client->output_start,
-                 client->output->len - client->output_start,
-                 MSG_NOSIGNAL | MSG_DONTWAIT);
-
-        if (sent < 0 && errno == EINTR) {
-            continue;
-        }
-        if (sent < 0) {
-            return errno == EAGAIN || errno == EWOULDBLOCK;
-        }
-        client->output_start += (size_t)sent;
-    }
-    g_byte_array_set_size(client->output, 0);
-    client->output_start = 0;
-    return true;
-}
-
 /* Reading from the target stops while the caller has much to read, also when
  * the caller never reads and its connection has no event. */
 static void
@@ -297,8 +273,7 @@
 
     if (upstream != NULL) {
         upstream_set_paused(relay, upstream,
-                            client->output->len - client->output_start >
-                                OUTPUT_PAUSE_BYTES);
+                            client->output.waiting > OUTPUT_PAUSE_BYTES);
     }
 }
 
@@ -308,7 +283,7 @@
 static bool
 close_or_update(struct relay *relay, struct client *client, int64_t now_ms)
 {
-    if (client->closing && client->output->len == 0 &&
+    if (client->closing && client->output.waiting == 0 &&
         client->exchange.generation == 0) {
         shutdown(client->fd, SHUT_WR);
         client_close(relay, client, now_ms);
@@ -331,14 +306,13 @@
 client_write(struct relay *relay, struct client *client, const void *bytes,
              size_t count, int64_t now_ms)
 {
-    bool empty = client->output->len == client->output_start;
+    bool empty = client->output.waiting == 0;
 
     (void)now_ms;
-    g_byte_array_append(client->output, bytes, (guint)count);
-    if (empty && !flush(client)) {
+    output_append(&client->output, bytes, count);
+    if (empty && !output_flush(&client->output, client->fd)) {
         /* epoll reports the broken connection next, which closes it. */
-        g_byte_array_set_size(client->output, 0);
-        client->output_start = 0;
+        output_clear(&client->output);
     }
     update_pause(relay, client);
     update_epoll_events(relay, client);
@@ -482,7 +456,7 @@
         client_close(relay, client, now_ms);
         return;
     }
-    if ((events & EPOLLOUT) && !flush(client)) {
+    if ((events & EPOLLOUT) && !output_flush(&client->output, client->fd)) {
         client_close(relay, client, now_ms);
         return;
     }
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -38,11 +38,12 @@
 crash_fingerprint(const struct exchange *exchange)
 {
     const struct request_meta *meta = &exchange->meta;
+    gsize body_bytes;
+    const void *body = g_bytes_get_data(exchange->body, &body_bytes);
     uint64_t hash =
         hash_pair(hash_text(exchange->path), hash_text(meta->item));
 
-    hash =
-        hash_pair(hash, hash_bytes(exchange->body->data, exchange->body->len));
+    hash = hash_pair(hash, hash_bytes(body, body_bytes));
     for (int i = 0; i < meta->part_count; i++) {
         hash = hash_pair(hash, meta->parts[i].id);
     }
--- a/src/gate/relay/drain.c
+++ b/src/gate/relay/drain.c
@@ -99,7 +99,7 @@
 is_unanswered(const struct client *client)
 {
     return client->request_started || client->exchange.generation != 0 ||
-           client->output->len > client->output_start;
+           client->output.waiting > 0;
 }
 
 static bool
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -117,7 +117,7 @@
     exchange->is_head_request = client->parser.method == HTTP_HEAD;
     exchange->path = g_strdup(head_start_text(&client->head));
     exchange->header_fields = g_string_new(NULL);
-    exchange->body = client->body;
+    exchange->body = g_byte_array_free_to_bytes(client->body);
     client->body = g_byte_array_new();
     exchange->config = gate_config_ref(relay->config);
     answer_init(&exchange->answer);
@@ -453,7 +453,7 @@
     gate_config_unref(exchange->config);
     g_free(exchange->path);
     g_string_free(exchange->header_fields, TRUE);
-    g_byte_array_free(exchange->body, TRUE);
+    g_bytes_unref(exchange->body);
     answer_clear(&exchange->answer);
     events_clear(&exchange->events);
     table_free(&relay->exchanges, exchange->self);
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -64,6 +64,22 @@
     bool incomplete;
 };
 
+/**
+ * struct output - bytes that wait to be written, in blocks
+ * @first: the block that is written next, from @start; NULL for none
+ * @last: the block that is filled
+ * @start: bytes of @first that are written
+ * @waiting: bytes that are not written
+ * @held: memory of the blocks in bytes, without what is shared
+ */
+struct output {
+    struct output_block *first;
+    struct output_block *last;
+    size_t start;
+    size_t waiting;
+    size_t held;
+};
+
 /**
  * struct reading_progress - a request that is being read
  * @start_ms: when its first byte arrived
@@ -82,7 +98,7 @@
  * @head: of the request that is being read
  * @body: of the request that is being read
  * @pending: bytes received after the request in progress
- * @output: bytes to be written, from @output_start
+ * @output: bytes to be written
  * @exchange: the request in progress; generation 0 for none
  * @request_started: bytes of a request were read that is not answered yet
  * @head_complete: its head was read completely
@@ -99,8 +115,7 @@
     struct head head;
     GByteArray *body;
     GByteArray *pending;
-    GByteArray *output;
-    size_t output_start;
+    struct output output;
     struct handle exchange;
     bool request_started;
     bool head_complete;
@@ -192,7 +207,7 @@
     int method;
     char *path;
     GString *header_fields;
-    GByteArray *body;
+    GBytes *body;
     enum exchange_stage stage;
     struct handle sent_on[SENT_ON_MAX];
     int sent_on_count;
@@ -243,8 +258,7 @@
     struct head head;
     GByteArray *body;
     struct answer_meta meta;
-    GByteArray *output;
-    size_t output_start;
+    struct output output;
     struct handle exchange;
     int request_count;
     enum body_framing framing;
@@ -438,6 +452,12 @@
                         const char *name);
 bool head_is_joined(const struct head *head);
 
+/* output.c */
+void output_clear(struct output *output);
+void output_append(struct output *output, const void *bytes, size_t count);
+void output_append_shared(struct output *output, GBytes *bytes);
+bool output_flush(struct output *output, int fd);
+
 /* client.c */
 void client_accept(struct relay *relay, enum listener_kind kind,
                    int64_t now_ms);
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -44,8 +44,7 @@
 {
     uint32_t events = upstream->paused ? 0 : EPOLLIN;
 
-    if (!upstream->connected ||
-        upstream->output->len > upstream->output_start) {
+    if (!upstream->connected || upstream->output.waiting > 0) {
         events |= EPOLLOUT;
     }
     if (events != upstream->epoll_events) {
@@ -103,7 +102,6 @@
     upstream->keep_alive_ms = DEFAULT_KEEP_ALIVE_MS;
     head_init(&upstream->head);
     upstream->body = g_byte_array_new();
-    upstream->output = g_byte_array_new();
     upstream->epoll_events = EPOLLOUT;
     relay_epoll_ctl(relay, EPOLL_CTL_ADD, fd, upstream->epoll_events,
                     WATCH_UPSTREAM, handle);
@@ -265,7 +263,7 @@
     close(upstream->fd);
     head_clear(&upstream->head);
     g_byte_array_free(upstream->body, TRUE);
-    g_byte_array_free(upstream->output, TRUE);
+    output_clear(&upstream->output);
     table_free(&relay->upstreams, upstream->self);
 }
 
@@ -287,33 +285,12 @@
     heap_set(&relay->timers, &upstream->timer, now_ms + CONNECT_TIMEOUT_MS);
 }
 
-static bool
-flush(struct upstream *upstream)
-{
-    while (upstream->output_start < upstream->output->len) {
-        ssize_t sent =
-            send(upstream->fd, upstream->output->data + upstream->output_start,
-                 upstream->output->len - upstream->output_start,
-                 MSG_NOSIGNAL | MSG_DONTWAIT);
-
-        if (sent < 0 && errno == EINTR) {
-            continue;
-        }
-        if (sent < 0) {
-            return errno == EAGAIN || errno == EWOULDBLOCK;
-        }
-        upstream->output_start += (size_t)sent;
-    }
-    g_byte_array_set_size(upstream->output, 0);
-    upstream->output_start = 0;
-    return true;
-}
-
 static void
 write_request(struct relay *relay, struct upstream *upstream,
               struct exchange *exchange, const char *target_id, int64_t now_ms)
 {
     GString *head = g_string_new(NULL);
+    size_t body_bytes = g_bytes_get_size(exchange->body);
     struct forward_meta meta = {
         .target_id = target_id,
         .left_ms = exchange->deadline_ms - now_ms,
@@ -327,16 +304,13 @@
     g_string_append_len(head, exchange->header_fields->str,
                         (gssize)exchange->header_fields->len);
     relay->dialect->ops->write_request_fields(relay->dialect, &meta, head);
-    if (exchange->body->len > 0 || exchange->method == HTTP_POST ||
+    if (body_bytes > 0 || exchange->method == HTTP_POST ||
         exchange->method == HTTP_PUT || exchange->method == HTTP_PATCH) {
-        g_string_append_printf(head, "Content-Length: %u\r\n",
-                               exchange->body->len);
+        g_string_append_printf(head, "Content-Length: %zu\r\n", body_bytes);
     }
     g_string_append(head, "\r\n");
-    g_byte_array_append(upstream->output, (const guint8 *)head->str,
-                        (guint)head->len);
-    g_byte_array_append(upstream->output, exchange->body->data,
-                        exchange->body->len);
+    output_append(&upstream->output, head->str, head->len);
+    output_append_shared(&upstream->output, exchange->body);
     g_string_free(head, TRUE);
 }
 
@@ -365,9 +339,8 @@
     if (upstream->connected) {
         upstream->request_count++;
         /* epoll reports a broken connection next. */
-        if (!flush(upstream)) {
-            g_byte_array_set_size(upstream->output, 0);
-            upstream->output_start = 0;
+        if (!output_flush(&upstream->output, upstream->fd)) {
+            output_clear(&upstream->output);
         }
     }
     update_epoll_events(relay, upstream);
@@ -479,7 +452,7 @@
     }
     if (target == NULL || !upstream->keep_alive || upstream->has_extra_bytes ||
         upstream->keep_alive_ms <= 0 || target->record.info.draining ||
-        upstream->output->len > upstream->output_start) {
+        upstream->output.waiting > 0) {
         upstream_close(relay, upstream);
         return;
     }
@@ -573,7 +546,7 @@
     if (upstream == NULL) {
         return;
     }
-    if (!flush(upstream)) {
+    if (!output_flush(&upstream->output, upstream->fd)) {
         crash_connection_ended(relay, upstream, now_ms);
         upstream_abort(relay, upstream, "reset", now_ms);
         return;
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -987,8 +987,7 @@
         char *event = g_strdup_printf("id: %d\ndata: %s\n\n", id, data);
         char *chunk;
 
-        is_last = client->output->len - client->output_start >
-                  OUTPUT_PAUSE_BYTES - strlen(event);
+        is_last = client->output.waiting > OUTPUT_PAUSE_BYTES - strlen(event);
         chunk = g_strdup_printf("%zx\r\n%s\r\n%s", strlen(event), event,
                                 is_last ? "0\r\n\r\n" : "");
         answer(fixture, chunk);
@@ -998,6 +997,78 @@
     g_free(data);
 }
 
+/* Guards against an answer without an end of which everything that was passed
+ * on stays in memory, because its caller reads steadily but always lags
+ * behind. */
+struct lag_case {
+    const char *name;
+    const char *path;
+    const char *head;
+    const char *format; /* of a piece, with a number and text */
+};
+
+enum {
+    LAG_TEXT_BYTES = 4000,
+    LAG_TOTAL_BYTES = 4 * 1024 * 1024,
+    LAG_MIN_BYTES = 64 * 1024, /* then the caller reads */
+};
+
+static const struct lag_case lag_cases[] = {
+    {"stream", REQUEST("/stream/1"), ANSWER_HEAD "\r\n",
+     "id: %d\ndata: %s\n\n"},
+    {"body", REQUEST("/once/1"), ANSWER_HEAD "\r\n", "%d %s"},
+};
+
+static void
+read_bytes(int fd, size_t count)
+{
+    char buffer[8192];
+
+    while (count > 0) {
+        ssize_t part =
+            recv(fd, buffer, MIN(count, sizeof(buffer)), MSG_DONTWAIT);
+
+        if (part <= 0) {
+            return;
+        }
+        count -= (size_t)part;
+    }
+}
+
+static void
+test_lag(gconstpointer data)
+{
+    const struct lag_case *c = data;
+    char *text = g_strnfill(LAG_TEXT_BYTES, 'x');
+    const struct client *client;
+    struct fixture fixture;
+    uint32_t cursor = 0;
+    size_t sent = 0;
+    int caller;
+
+    fixture_start(&fixture);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, c->path);
+    g_free(read_some(fixture.target));
+    answer(&fixture, c->head);
+    client = table_next(&fixture.relay->clients, &cursor, NULL);
+    for (int id = 1; sent < LAG_TOTAL_BYTES; id++) {
+        char *piece = g_strdup_printf(c->format, id, text);
+
+        while (client->output.waiting > LAG_MIN_BYTES) {
+            read_bytes(caller, LAG_TEXT_BYTES);
+            step(&fixture, 0);
+        }
+        answer(&fixture, piece);
+        sent += strlen(piece);
+        g_free(piece);
+        g_assert_cmpuint(client->output.held, <=, 2 * OUTPUT_PAUSE_BYTES);
+    }
+    g_free(text);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Guards against an idle connection on which nothing is read any more, because
  * its last response filled the output of a caller that reads slowly. */
 static void
@@ -1025,6 +1096,7 @@
     CASES("/relay_time/stall", stall_cases, test_stall),
     CASES("/relay_time/move", move_cases, test_move),
     CASES("/relay_time/endless", endless_cases, test_endless),
+    CASES("/relay_time/lag", lag_cases, test_lag),
     CASES("/relay_time/stop", stop_cases, test_stop),
     CASES("/relay_time/late", late_cases, test_late),
     CASES("/relay_time/discard", discard_cases, test_discard),
--- a/test/wire_play.c
+++ b/test/wire_play.c
@@ -45,7 +45,7 @@
 };
 
 /* What a target still has to write on a connection, from @offset. */
-struct output {
+struct sent_output {
     int fd;
     int relay_port; /* of the relay's end; not unique to the connection */
     int target_port;
@@ -71,10 +71,11 @@
     const struct wire_case *c;
     size_t split;
     size_t written; /* bytes of all answers so far */
-    struct output connections[CONNECTIONS_MAX];
+    struct sent_output connections[CONNECTIONS_MAX];
     int connection_count;
-    struct output *output; /* the one that is being written; NULL for none */
-    struct output *next;   /* written then */
+    struct sent_output
+        *output; /* the one that is being written; NULL for none */
+    struct sent_output *next; /* written then */
     int unread_fd;
     char *unread; /* written before the caller's next request */
     int arrivals;
@@ -235,7 +236,7 @@
 }
 
 static bool
-is_end_of(const struct upstream *upstream, const struct output *output)
+is_end_of(const struct upstream *upstream, const struct sent_output *output)
 {
     return socket_port(upstream->fd, getsockname) == output->relay_port &&
            socket_port(upstream->fd, getpeername) == output->target_port;
@@ -243,7 +244,7 @@
 
 /* The relay's end of a connection; NULL when it is closed. */
 static struct upstream *
-find_upstream(struct play *play, const struct output *output)
+find_upstream(struct play *play, const struct sent_output *output)
 {
     struct upstream *upstream;
     uint32_t cursor = 0;
@@ -266,7 +267,7 @@
 }
 
 static size_t
-segment_bytes(const struct play *play, const struct output *output)
+segment_bytes(const struct play *play, const struct sent_output *output)
 {
     size_t left = strlen(output->text) - output->offset;
 
@@ -291,7 +292,7 @@
 
 /* Ends the connection as the mark says. */
 static void
-end_connection(struct output *output)
+end_connection(struct sent_output *output)
 {
     if (strcmp(output->end, "<reset>") == 0) {
         reset_connection(output->fd);
@@ -339,7 +340,7 @@
 static void
 write_segment(struct play *play)
 {
-    struct output *output = play->output;
+    struct sent_output *output = play->output;
     struct upstream *upstream = find_upstream(play, output);
     size_t count = segment_bytes(play, output);
 
@@ -365,10 +366,10 @@
     step(play->bench, 0);
 }
 
-static struct output *
+static struct sent_output *
 accept_connection(struct play *play, int target)
 {
-    struct output *output = &play->connections[play->connection_count++];
+    struct sent_output *output = &play->connections[play->connection_count++];
     int on = 1;
 
     g_assert_cmpint(play->connection_count, <=, CONNECTIONS_MAX);
@@ -382,11 +383,11 @@
 
 /* The target's end of a connection, accepted if it is new. The relay may have
  * made others before it that carry no request. */
-static struct output *
+static struct sent_output *
 find_connection(struct play *play, const struct upstream *upstream)
 {
     int port = socket_port(upstream->fd, getpeername);
-    struct output *output;
+    struct sent_output *output;
     int target = 0;
 
     for (int i = 0; i < play->connection_count; i++) {
@@ -447,7 +448,7 @@
 
 /* Sets what is written on a connection, up to a mark. */
 static void
-set_output(struct play *play, struct output *output, const char *text)
+set_output(struct play *play, struct sent_output *output, const char *text)
 {
     size_t bytes = strcspn(text, "<");
     const char *end = text + bytes;
@@ -470,8 +471,8 @@
 {
     static const char mark[] = "<then>";
     struct upstream *upstream;
-    struct output *output;
-    struct output *first = &play->connections[0];
+    struct sent_output *output;
+    struct sent_output *first = &play->connections[0];
     char *answer;
     char *own;
     char *id;
@@ -556,7 +557,7 @@
     struct client *client =
         table_next(&play->bench->relay->clients, &cursor, NULL);
 
-    return client != NULL && client->output->len > client->output_start;
+    return client != NULL && client->output.waiting > 0;
 }
 
 /* Whether the caller has received more before the end of its connection. */
