--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -148,9 +148,9 @@
     }
 }
 
-/* Whether a vanished entry may have expired by an outage of the store, and not
- * been removed. Heartbeats spread over an interval, so an outage leaves most
- * entries only if it has hardly let any expire. */
+/* Whether a vanished entry may have expired in an outage of the store. A long
+ * outage lets all entries expire within a heartbeat interval; as long as most
+ * of them are there, one that vanishes was removed. */
 static bool
 may_be_back(const struct registry *registry,
             const struct registry_entry *entry, int64_t now_ms)
