View tests: the bound of an outage and the draining target

half_expired never deleted the target that it watches, and outage_others_left_draining never put the others, so neither could fail; since draining_has_no_grace doesn't guard its rule alone, either, as a single draining target leaves nobody to count. Replaced by half_vanished (two of four) and outage_draining_target. Seen red with the faults put back: a bound of half or more, and grace for draining targets.

--- a/test/view_test.c
+++ b/test/view_test.c
@@ -101,7 +101,8 @@
  * against failed calls of this instance that are taken for an outage.
  *
  * Steps: p put, n put of an entry that was created anew, l put of a draining
- * target, d deleted; P, N and D the same of three other targets; a a call
+ * target, d deleted; P, N and D the same of three other targets, e
+ * the first of these is deleted; a a call
  * failed, b a call succeeded, t drop missing targets, [ and ] begin and end of
  * a list, 0-9 time in seconds. Deletions in a row come in one response.
  * Changes, of the first target only: C changed, M missing, G gone.
@@ -129,11 +130,11 @@
     {"left_after_cut", "0pP1a5b6d", "CG"},
     {"left_while_cut_off_listed", "0pP1a5b[P]", "CG"},
     {"one_call_failed", "0p1a2bd", "CG"},
-    {"half_expired", "0pP1a5bD", "C"},
+    {"half_vanished", "0pP1a5bed", "CG"},
     {"outage", "0pP1a5bDd6p", "CMC"},
     {"outage_listed", "0pP1a5b[]6p", "CMC"},
     {"others_back_before", "0pP1a5b[N]6p", "CMC"},
-    {"outage_others_left_draining", "0pl1a5bDd", "CCG"},
+    {"outage_draining_target", "0plP1a5bDd", "CCG"},
     {"left_after_outage", "0pP1a5bD6pd", "CG"},
     {"back_then_left", "0pP1a5bDd6nd", "CMCG"},
     {"created_anew_then_left", "0pP1a5bDnd", "CG"},
@@ -189,6 +190,9 @@
     case 'd':
         target_step(registry, "i-1", step, now_ms);
         break;
+    case 'e':
+        registry_delete(registry, "o-1", now_ms);
+        break;
     case 'P':
     case 'N':
     case 'D':
@@ -221,7 +225,7 @@
 static bool
 is_deletion(char step)
 {
-    return step == 'd' || step == 'D';
+    return step == 'd' || step == 'e' || step == 'D';
 }
 
 static void
