--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -88,7 +88,11 @@
         "{\"name\":\"twice\",\"host\":\"h\",\"path_prefix\":\"/twice/\","
         "\"kind\":\"stream\",\"resumable\":true,\"timeout_ms\":20000,"
         "\"latency_goal_ms\":500,\"gap_aim_ms\":300,\"max_attempts\":2,"
-        "\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}],"
+        "\"service\":\"s\"},"
+        "{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\","
+        "\"kind\":\"idempotent\",\"timeout_ms\":20000,"
+        "\"latency_goal_ms\":150,\"max_attempts\":2,\"service\":\"s\"}],"
+        "\"services\":[{\"name\":\"s\"}],"
         "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
     struct err err = {0};
@@ -595,6 +599,130 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against an answer that is ended because its target is silent, when
+ * the request can't go elsewhere or another target turns it away. */
+struct silence_case {
+    const char *name;
+    const char *path;
+    const char *start; /* sent by the target; NULL for nothing */
+    int events;        /* then sent 1 s apart */
+    bool has_budget;
+    const char *refusal; /* of the other target; NULL when it gets nothing */
+    int64_t silence_ms;
+    const char *rest; /* then sent by the target */
+    const char *end;  /* of what the caller gets */
+};
+
+#define STREAM_HEAD ANSWER_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define EVENT_CHUNK "10\r\nid: %02d\ndata: a\n\n\r\n"
+#define REST_EVENT(id) "10\r\nid: " id "\ndata: z\n\n\r\n0\r\n\r\n"
+#define NOT_RUN                                                               \
+    "HTTP/1.1 503 Busy\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"               \
+    "Content-Length: 0\r\n\r\n"
+
+static const struct silence_case silence_cases[] = {
+    {"no_attempt_left", "/stream/1", STREAM_HEAD, 1, true, NULL, 3000,
+     REST_EVENT("01"), "0\r\n\r\n"},
+    {"no_budget", "/twice/1", STREAM_HEAD, 1, false, NULL, 1500,
+     REST_EVENT("01"), "0\r\n\r\n"},
+    {"no_budget_before_the_head", "/twice/1", NULL, 0, false, NULL, 1500,
+     STREAM_HEAD REST_EVENT("00"), "0\r\n\r\n"},
+    {"no_budget_for_a_body", "/safe/1", NULL, 0, false, NULL, 1500,
+     ANSWER_HEAD "Content-Length: 4\r\n\r\nwhat", "what"},
+    {"turned_away_elsewhere", "/twice/1", STREAM_HEAD, 4, true, NOT_RUN, 1250,
+     REST_EVENT("04"), "0\r\n\r\n"},
+};
+
+static void
+read_until(struct fixture *fixture, int caller, const char *end)
+{
+    GString *text = g_string_new(NULL);
+    char bytes[4096];
+
+    while (!g_str_has_suffix(text->str, end)) {
+        ssize_t count;
+
+        step(fixture, 0);
+        count = recv(caller, bytes, sizeof(bytes), MSG_DONTWAIT);
+        g_assert_true(count > 0 || (count < 0 && errno == EAGAIN));
+        g_string_append_len(text, bytes, MAX(count, 0));
+    }
+    g_assert_true(g_str_has_prefix(text->str, "HTTP/1.1 200"));
+    g_string_free(text, TRUE);
+}
+
+/* The other target turns the request away, and the first gets it again. */
+static void
+turn_away(struct fixture *fixture, int other, const char *refusal)
+{
+    int connection;
+
+    fcntl(other, F_SETFL, 0);
+    connection = accept(other, NULL, NULL);
+    while (!is_readable(connection)) {
+        step(fixture, EVENT_WAIT_MS);
+    }
+    send_text(connection, refusal);
+    step(fixture, EVENT_WAIT_MS);
+    close(fixture->target);
+    advance(fixture, 300);
+    fcntl(fixture->target_listener, F_SETFL, O_NONBLOCK);
+    fixture->target = accept(fixture->target_listener, NULL, NULL);
+    g_assert_cmpint(fixture->target, >=, 0);
+    while (!is_readable(fixture->target)) {
+        step(fixture, EVENT_WAIT_MS);
+    }
+    answer(fixture, STREAM_HEAD);
+    close(connection);
+}
+
+static void
+test_silence(gconstpointer data)
+{
+    const struct silence_case *c = data;
+    char *request = g_strdup_printf(
+        "GET %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n", c->path);
+    struct fixture fixture;
+    int other;
+    int caller;
+
+    fixture_start(&fixture);
+    if (!c->has_budget) {
+        fixture.settings.limits.retry_ratio = 0;
+        fixture.settings.limits.retry_allowance = 0;
+    }
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, request);
+    other = add_target(&fixture, 1);
+    fcntl(other, F_SETFL, O_NONBLOCK);
+    step(&fixture, EVENT_WAIT_MS);
+    if (c->start != NULL) {
+        answer(&fixture, c->start);
+    }
+    for (int i = 0; i < c->events; i++) {
+        char *chunk = g_strdup_printf(EVENT_CHUNK, i);
+
+        advance(&fixture, 1000);
+        answer(&fixture, chunk);
+        g_free(chunk);
+    }
+    advance(&fixture, c->silence_ms);
+    if (c->refusal != NULL) {
+        turn_away(&fixture, other, c->refusal);
+    }
+    else {
+        g_assert_cmpint(accept(other, NULL, NULL), <, 0);
+        g_assert_cmpint(table_count(&fixture.relay->upstreams), ==, 1);
+    }
+    answer(&fixture, c->rest);
+    read_until(&fixture, caller, c->end);
+    close(caller);
+    close(other);
+    g_free(request);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a target that is blamed for the pause of a caller that reads
  * slowly. */
 static void
@@ -1095,6 +1223,7 @@
     CASES("/relay_time/limit", limit_cases, test_limit),
     CASES("/relay_time/stall", stall_cases, test_stall),
     CASES("/relay_time/move", move_cases, test_move),
+    CASES("/relay_time/silence", silence_cases, test_silence),
     CASES("/relay_time/endless", endless_cases, test_endless),
     CASES("/relay_time/lag", lag_cases, test_lag),
     CASES("/relay_time/stop", stop_cases, test_stop),
