Relay: a request stays at a silent target unless another one gets it

Cause: should_take_back() took a request from a silent target when an attempt was left and a target had room, or, for any resumable stream, when its callers' patience had passed; retry budget, blame, the kind of the answer and the count of refusals were asked after the connection was closed, and a no then closed the caller's connection (refuse() with begun=1).

Now silence_choose() decides on all of them before anything is closed. The line stays tells the reason, once for each silence.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -95,6 +95,43 @@
     bool encoded;
 };
 
+/**
+ * enum silence_choice - what to do with a request whose target is silent
+ * @SILENCE_MOVE: it is taken back and sent to another target
+ * @SILENCE_ONE_RUN: it stays, as it may not run once more
+ * @SILENCE_BEGUN: it stays, as nothing can go on with what its caller has
+ * @SILENCE_BLAMED: it stays, as it is known to crash targets
+ * @SILENCE_NO_TARGET: it stays until another target has room
+ * @SILENCE_NO_BUDGET: it stays until the retry budget has room
+ */
+enum silence_choice {
+    SILENCE_MOVE,
+    SILENCE_ONE_RUN,
+    SILENCE_BEGUN,
+    SILENCE_BLAMED,
+    SILENCE_NO_TARGET,
+    SILENCE_NO_BUDGET,
+};
+
+/**
+ * struct silence_facts - what determines whether a request stays at a silent
+ *                        target
+ * @may_run_again: its kind and its attempts allow another run
+ * @has_begun: its caller has a part of the answer
+ * @is_stream: that part is of a stream, which another run can go on with
+ * @is_blamed: it has a trait that crashes targets
+ * @target_has_room: another target can take it now
+ * @budget_has_room: a retry may be sent now
+ */
+struct silence_facts {
+    bool may_run_again;
+    bool has_begun;
+    bool is_stream;
+    bool is_blamed;
+    bool target_has_room;
+    bool budget_has_room;
+};
+
 /**
  * enum body_type - what the head of a response says that its body is
  * @BODY_UNDECLARED: nothing
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -16,6 +16,12 @@
 /* verdict.c */
 enum verdict response_verdict(const struct response_facts *facts);
 
+/* silence.c */
+int64_t silence_limit_ms(const struct gate_route *route);
+enum silence_choice silence_choose(const struct silence_facts *facts);
+bool silence_is_final(enum silence_choice choice);
+const char *silence_reason(enum silence_choice choice);
+
 /* stream.c */
 bool stream_continues(const struct stream_facts *facts);
 enum event_verdict stream_event_verdict(const struct stream_event *event,
@@ -30,6 +36,9 @@
 /* retry_budget.c */
 void retry_budget_count_request(struct retry_budget *budget, int64_t window_ms,
                                 int64_t now_ms);
+bool retry_budget_has_room(const struct retry_budget *budget,
+                           const struct gate_limits *limits, int instances,
+                           int64_t now_ms);
 bool retry_budget_take(struct retry_budget *budget,
                        const struct gate_limits *limits, int instances,
                        int64_t now_ms);
--- a/src/gate/choose/retry_budget.c
+++ b/src/gate/choose/retry_budget.c
@@ -45,19 +45,17 @@
 }
 
 /**
- * retry_budget_take() - take a retry from the budget
+ * retry_budget_has_room() - whether a retry may be sent
  * @budget: budget of the request's service
  * @limits: limits of the deployment
  * @instances: number of instances that share the allowance; 0 when unknown,
  *             which leaves no share of it
  * @now_ms: current time
- *
- * Return: whether the request may be sent again; the retry is counted then.
  */
 bool
-retry_budget_take(struct retry_budget *budget,
-                  const struct gate_limits *limits, int instances,
-                  int64_t now_ms)
+retry_budget_has_room(const struct retry_budget *budget,
+                      const struct gate_limits *limits, int instances,
+                      int64_t now_ms)
 {
     int64_t window_start_ms = now_ms - limits->retry_window_ms;
     int requests = 0;
@@ -74,7 +72,24 @@
     if (instances > 0) {
         allowed += (double)limits->retry_allowance / instances;
     }
-    if (retries + 1 > USED_FRACTION * allowed) {
+    return retries + 1 <= USED_FRACTION * allowed;
+}
+
+/**
+ * retry_budget_take() - take a retry from the budget
+ * @budget: budget of the request's service
+ * @limits: limits of the deployment
+ * @instances: as for retry_budget_has_room()
+ * @now_ms: current time
+ *
+ * Return: whether the request may be sent again; the retry is counted then.
+ */
+bool
+retry_budget_take(struct retry_budget *budget,
+                  const struct gate_limits *limits, int instances,
+                  int64_t now_ms)
+{
+    if (!retry_budget_has_room(budget, limits, instances, now_ms)) {
         return false;
     }
     bucket_at(budget, limits->retry_window_ms, now_ms)->retries++;
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -304,6 +304,23 @@
     return relay->crashes->quarantine.count > 0;
 }
 
+/**
+ * crash_is_blamed() - whether a request has a trait that crashes targets
+ * @relay: the relay
+ * @exchange: the request
+ */
+bool
+crash_is_blamed(struct relay *relay, const struct exchange *exchange)
+{
+    struct trait_list traits;
+
+    if (!has_verdicts(relay)) {
+        return false;
+    }
+    collect_traits(exchange, &traits);
+    return quarantine_match(&relay->crashes->quarantine, &traits) != NULL;
+}
+
 /* Returns the verdict that is known by now. */
 static enum quarantine_action
 decide(struct relay *relay, struct exchange *exchange, int64_t now_ms,
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -23,12 +23,6 @@
     BUDGET_RETRY_MS = 500,  /* a part of the budget's window has passed */
     REJECTS_MAX = 3,        /* each retry adds load to a busy service */
     CONNECT_FAILURES_MAX = 6,
-    /* A retryable request is sent again after the larger of the time and the
-     * multiple of its latency goal without progress. */
-    PROGRESS_TIMEOUT_MS = 400,
-    PROGRESS_TIMEOUT_GOALS = 3,
-    /* A target may preempt a stream for about 1 s. */
-    STREAM_PROGRESS_TIMEOUT_MS = 1200,
     SILENCE_RECHECK_MS = 100, /* another target may have become free */
     URGENCY_MAX = 9,
     DRAIN_RETRY_MS = 50,      /* at another instance */
@@ -228,22 +222,12 @@
     exchange_dispatch(relay, exchange, now_ms);
 }
 
-/* How long a target may be silent before a retryable request is sent to
- * another one: well before its caller gives up, so that it is served. */
-static int64_t
-progress_timeout_ms(const struct exchange *exchange)
+/* Whether the kind of the request and its attempts allow another run. */
+static bool
+may_run_again(const struct exchange *exchange)
 {
-    const struct gate_route *route = exchange->route;
-    int64_t timeout_ms;
-
-    if (!route->retryable) {
-        return 0;
-    }
-    if (route->stream) {
-        return MAX(route->latency_goal_ms, STREAM_PROGRESS_TIMEOUT_MS);
-    }
-    timeout_ms = route->latency_goal_ms * PROGRESS_TIMEOUT_GOALS;
-    return MAX(timeout_ms, PROGRESS_TIMEOUT_MS);
+    return exchange->route->retryable &&
+           exchange->runs < exchange->route->attempts_max;
 }
 
 /**
@@ -255,7 +239,7 @@
 exchange_set_timer(struct relay *relay, struct exchange *exchange)
 {
     int64_t due_ms = exchange->deadline_ms;
-    int64_t timeout_ms = progress_timeout_ms(exchange);
+    int64_t limit_ms = silence_limit_ms(exchange->route);
 
     if (exchange->queued) {
         due_ms =
@@ -263,8 +247,8 @@
                 MAX(exchange->arrived_ms + forecast_check_delay_ms(exchange),
                     exchange->last_progress_ms + QUEUE_RECHECK_MS));
     }
-    else if (timeout_ms > 0) {
-        due_ms = MIN(due_ms, exchange->last_progress_ms + timeout_ms);
+    else if (may_run_again(exchange)) {
+        due_ms = MIN(due_ms, exchange->last_progress_ms + limit_ms);
     }
     heap_set(&relay->timers, &exchange->timer, due_ms);
 }
@@ -386,6 +370,15 @@
                              relay_budget_instances(relay, now_ms), now_ms);
 }
 
+static bool
+has_retry_budget(struct relay *relay, const struct exchange *exchange,
+                 int64_t now_ms)
+{
+    return retry_budget_has_room(
+        retry_budget_of(relay, exchange), &relay->settings->limits,
+        relay_budget_instances(relay, now_ms), now_ms);
+}
+
 /**
  * exchange_dispatch() - send a request to a target, or queue it
  * @relay: the relay
@@ -513,21 +506,56 @@
     exchange_dispatch(relay, exchange, now_ms);
 }
 
-/* Whether to take a request back from a silent target. It may still be
- * answered there, so it stays unless another target can have it now, or its
- * caller has given up. */
-static bool
-should_take_back(struct relay *relay, const struct exchange *exchange,
-                 int64_t now_ms)
+static enum silence_choice
+choose_for_silence(struct relay *relay, const struct exchange *exchange,
+                   int64_t now_ms)
 {
-    const struct gate_route *route = exchange->route;
+    struct silence_facts facts = {
+        .may_run_again =
+            may_run_again(exchange) && !attempts_are_used_up(exchange),
+        .has_begun = exchange->answer.head_sent,
+        .is_stream = result_is_stream(exchange),
+        .is_blamed = crash_is_blamed(relay, exchange),
+        .target_has_room =
+            target_select(relay, &exchange->needs, now_ms) != NULL,
+        .budget_has_room = has_retry_budget(relay, exchange, now_ms),
+    };
+
+    return silence_choose(&facts);
+}
 
-    if (route->stream &&
-        now_ms - exchange->last_progress_ms >= stream_patience_ms(route)) {
-        return true;
+/* One line for each silence, with the first reason to stay. */
+static void
+log_stay(struct exchange *exchange, enum silence_choice choice, int64_t now_ms)
+{
+    if (exchange->stayed_since_ms == exchange->last_progress_ms) {
+        return;
     }
-    return exchange->runs < exchange->route->attempts_max &&
-           target_select(relay, &exchange->needs, now_ms) != NULL;
+    exchange->stayed_since_ms = exchange->last_progress_ms;
+    counter_add(CTR_SILENCE_STAYED, 1);
+    log_line(LOG_PRI_INFO, "relay",
+             "event=stays id=%s reason=%s runs=%d begun=%d "
+             "silent_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
+             exchange->meta.attempt_id, silence_reason(choice), exchange->runs,
+             exchange->answer.head_sent,
+             (gint64)(now_ms - exchange->last_progress_ms),
+             (gint64)(exchange->deadline_ms - now_ms));
+}
+
+static void
+handle_silence(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    enum silence_choice choice = choose_for_silence(relay, exchange, now_ms);
+
+    if (choice == SILENCE_MOVE) {
+        result_aborted(relay, exchange, "silent", now_ms);
+        return;
+    }
+    log_stay(exchange, choice, now_ms);
+    heap_set(&relay->timers, &exchange->timer,
+             silence_is_final(choice)
+                 ? exchange->deadline_ms
+                 : MIN(now_ms + SILENCE_RECHECK_MS, exchange->deadline_ms));
 }
 
 /* The target can't send while its caller has much to read, which says nothing
@@ -562,11 +590,7 @@
         exchange->last_progress_ms = now_ms;
         exchange_set_timer(relay, exchange);
     }
-    else if (should_take_back(relay, exchange, now_ms)) {
-        result_aborted(relay, exchange, "silent", now_ms);
-    }
     else {
-        heap_set(&relay->timers, &exchange->timer,
-                 MIN(now_ms + SILENCE_RECHECK_MS, exchange->deadline_ms));
+        handle_silence(relay, exchange, now_ms);
     }
 }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -184,6 +184,7 @@
  * @deadline_ms: when the final response is due
  * @last_progress_ms: when it was last queued or sent, or a part of its
  * response arrived
+ * @stayed_since_ms: the silence since then is in the log; 0 for none
  * @last_event_ms: when the last event was forwarded
  * @longest_interval_ms: longest interval between events so far
  * @queued: it waits in the queue with the key @queue_key
@@ -222,6 +223,7 @@
     int64_t sent_ms;
     int64_t first_byte_ms;
     int64_t last_progress_ms;
+    int64_t stayed_since_ms;
     int64_t last_event_ms;
     int64_t longest_interval_ms;
     struct answer answer;
@@ -492,6 +494,7 @@
 /* result.c */
 void result_unreachable(struct relay *relay, struct exchange *exchange,
                         int64_t now_ms);
+bool result_is_stream(const struct exchange *exchange);
 bool result_head(struct relay *relay, struct exchange *exchange,
                  struct upstream *upstream, int64_t now_ms);
 bool result_body(struct relay *relay, struct exchange *exchange,
@@ -624,6 +627,7 @@
                             int64_t now_ms);
 void crash_survived(struct relay *relay, const struct exchange *exchange,
                     int64_t now_ms);
+bool crash_is_blamed(struct relay *relay, const struct exchange *exchange);
 bool crash_refuses(struct relay *relay, struct exchange *exchange,
                    int64_t now_ms);
 void crash_apply_report(struct relay *relay, struct crash_report *report,
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -64,8 +64,12 @@
     }
 }
 
-static bool
-is_event_stream(const struct exchange *exchange)
+/**
+ * result_is_stream() - whether the response to a request is an event stream
+ * @exchange: the request
+ */
+bool
+result_is_stream(const struct exchange *exchange)
 {
     return exchange->route->stream && exchange->answer.status < 300 &&
            exchange->answer.body_type != BODY_OTHER;
@@ -79,7 +83,7 @@
 
     events_restart(&exchange->events);
     if (exchange->answer.head_sent) {
-        may_retry = exchange->route->retryable && is_event_stream(exchange);
+        may_retry = exchange->route->retryable && result_is_stream(exchange);
         exchange->resumes++;
     }
     if (!may_retry) {
@@ -383,7 +387,7 @@
 {
     struct answer *answer = &exchange->answer;
 
-    if (is_event_stream(exchange)) {
+    if (result_is_stream(exchange)) {
         if (!forward_events(relay, exchange, bytes, count, now_ms)) {
             counter_add(CTR_STREAM_BAD_EVENT, 1);
             result_aborted(relay, exchange,
@@ -433,7 +437,7 @@
 {
     const GByteArray *body = exchange->answer.body;
 
-    if (is_event_stream(exchange)) {
+    if (result_is_stream(exchange)) {
         return stream_fault(exchange);
     }
     return body_holds_response(body->data, body->len,
@@ -486,7 +490,7 @@
     struct answer *answer = &exchange->answer;
     GString *rest = exchange->events.partial;
 
-    if (is_event_stream(exchange)) {
+    if (result_is_stream(exchange)) {
         if (!answer->head_sent) {
             answer_send_head(relay, exchange, -1, now_ms);
         }
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -56,6 +56,43 @@
     g_assert_cmpint(response_verdict(&c->facts), ==, c->verdict);
 }
 
+/* Guards against a request that is taken from a silent target although it is
+ * not certain that another one gets it. */
+struct silence_case {
+    const char *name;
+    struct silence_facts facts;
+    enum silence_choice choice;
+};
+
+#define CAN_MOVE                                                              \
+    .may_run_again = true, .target_has_room = true, .budget_has_room = true
+
+static const struct silence_case silence_cases[] = {
+    {"can_move", {CAN_MOVE}, SILENCE_MOVE},
+    {"begun_stream",
+     {CAN_MOVE, .has_begun = true, .is_stream = true},
+     SILENCE_MOVE},
+    {"begun_body", {CAN_MOVE, .has_begun = true}, SILENCE_BEGUN},
+    {"one_run",
+     {.target_has_room = true, .budget_has_room = true},
+     SILENCE_ONE_RUN},
+    {"blamed", {CAN_MOVE, .is_blamed = true}, SILENCE_BLAMED},
+    {"no_target",
+     {.may_run_again = true, .budget_has_room = true},
+     SILENCE_NO_TARGET},
+    {"no_budget",
+     {.may_run_again = true, .target_has_room = true},
+     SILENCE_NO_BUDGET},
+};
+
+static void
+test_silence(gconstpointer data)
+{
+    const struct silence_case *c = data;
+
+    g_assert_cmpint(silence_choose(&c->facts), ==, c->choice);
+}
+
 /* Guards against a body that ends with its connection being passed on together
  * with the response behind it, and against refusing a text about HTTP. */
 struct body_case {
@@ -306,6 +343,7 @@
 {
     static const struct cases groups[] = {
         CASES("/choose/verdict", verdict_cases, test_verdict),
+        CASES("/choose/silence", silence_cases, test_silence),
         CASES("/choose/body", body_cases, test_body),
         CASES("/choose/budget", budget_cases, test_budget),
         CASES("/choose/instance_counts", instance_counts_cases,
