Relay: a begun stream waits for a target as long as its caller

Cause: the time until the caller of a stream gives up was counted from the arrival of its request, also where events had come since, so that a stream older than the callers' patience was never worth waiting for; and a retry without room in the budget was refused at once, which for a begun answer closes the connection.

Now patience counts from the last event (half a second more, as callers get it later), and decide_wait() ends a begun stream only when its caller has given up. One that has a target but no retry budget waits for it too. Requests without a part of their answer are refused as before.

relay_time_test silence/turned_away_elsewhere was red before and is without this change; admit_test wait/begun_*.

--- a/src/gate/admit/dat.h
+++ b/src/gate/admit/dat.h
@@ -25,6 +25,7 @@
 
 /**
  * struct wait_facts - what decides whether a request should wait for a place
+ * @begun: its caller has a part of the answer, which a refusal would end
  * @waited_ms: time since it arrived
  * @ahead: requests before it in the queue
  * @load: whether its item will be there
@@ -35,6 +36,7 @@
  * @goal_ms: time until its latency objective is missed
  */
 struct wait_facts {
+    bool begun;
     int64_t waited_ms;
     int ahead;
     enum load_state load;
--- a/src/gate/admit/wait.c
+++ b/src/gate/admit/wait.c
@@ -94,6 +94,9 @@
     int64_t useful_ms = longest_useful_wait_ms(facts);
     double margin = facts->waited_ms > 0 ? UNCERTAINTY : 1.0;
 
+    if (facts->begun) {
+        return facts->patience_ms <= 0;
+    }
     if (facts->load == LOAD_NOT_EXPECTED) {
         return facts->known_since_arrival;
     }
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -413,7 +413,8 @@
         exchange->needs.tried_count = 0;
         target = target_select(relay, &exchange->needs, now_ms);
     }
-    if (target == NULL) {
+    if (target == NULL || (exchange->answer.head_sent &&
+                           !has_retry_budget(relay, exchange, now_ms))) {
         wait_for_target(relay, exchange, now_ms);
         return;
     }
@@ -496,7 +497,8 @@
 {
     struct wait_decision decision;
 
-    if (target_select(relay, &exchange->needs, now_ms) == NULL) {
+    if (exchange->answer.head_sent ||
+        target_select(relay, &exchange->needs, now_ms) == NULL) {
         decision = forecast_decide(relay, exchange, now_ms);
         if (decision.refuse) {
             refuse_wait(relay, exchange, &decision, now_ms);
--- a/src/gate/relay/forecast.c
+++ b/src/gate/relay/forecast.c
@@ -30,6 +30,8 @@
     STREAM_TIMEOUT_MS = 2000,
     STREAM_TIMEOUT_GOALS = 4,
     STREAM_TIMEOUT_INTERVALS = 8,
+    /* A caller gets an event later than it is sent. */
+    CALLER_LAG_MS = 500,
 };
 
 /**
@@ -74,11 +76,8 @@
     return g_hash_table_lookup(relay->forecasts, GUINT_TO_POINTER(item));
 }
 
-/**
- * stream_patience_ms() - how long callers wait for the next event of a stream
- * @route: a route of streams
- */
-int64_t
+/* How long callers wait for the next event of a stream. */
+static int64_t
 stream_patience_ms(const struct gate_route *route)
 {
     int64_t patience_ms =
@@ -88,16 +87,22 @@
                STREAM_TIMEOUT_INTERVALS * route->interval_goal_ms);
 }
 
-/* When the caller gives up: at the deadline, or earlier for a stream that has
- * sent no event. */
+/* When the caller gives up: at the deadline, or earlier for a stream whose
+ * first or next event doesn't come. */
 static int64_t
 caller_timeout_at_ms(const struct exchange *exchange)
 {
+    int64_t waits_since_ms = exchange->arrived_ms;
+
     if (!exchange->route->stream) {
         return exchange->deadline_ms;
     }
+    if (exchange->answer.head_sent) {
+        waits_since_ms =
+            MAX(waits_since_ms, exchange->last_event_ms) + CALLER_LAG_MS;
+    }
     return MIN(exchange->deadline_ms,
-               exchange->arrived_ms + stream_patience_ms(exchange->route));
+               waits_since_ms + stream_patience_ms(exchange->route));
 }
 
 static void
@@ -145,6 +150,7 @@
                 int64_t now_ms)
 {
     struct wait_facts facts = {
+        .begun = exchange->answer.head_sent,
         .waited_ms = exchange->queued ? now_ms - exchange->arrived_ms : 0,
         .ahead = queue_ahead(relay, exchange),
         .left_ms = exchange->deadline_ms - now_ms,
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -556,7 +556,6 @@
 /* forecast.c */
 void forecast_store(struct relay *relay, const struct load_forecast *forecast,
                     int64_t now_ms);
-int64_t stream_patience_ms(const struct gate_route *route);
 int64_t forecast_check_delay_ms(const struct exchange *exchange);
 bool forecast_is_ready(struct relay *relay, const struct exchange *exchange,
                        int64_t now_ms);
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -118,6 +118,16 @@
      false,
      400},
     {"no_time_left", {HELD, TIMES(700, 6000, 600)}, PACE(1, 0, 0.1), true, 0},
+    {"begun_stays_while_its_caller_waits",
+     {.begun = true, HELD, .ahead = 3, TIMES(6000, 100, -2000)},
+     PACE(20, 4, 2.0),
+     false,
+     1600},
+    {"begun_ends_when_its_caller_has_left",
+     {.begun = true, HELD, TIMES(6000, 0, -2000)},
+     PACE(1, 0, 0.1),
+     true,
+     0},
 };
 
 static void
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -697,7 +697,7 @@
     g_string_free(text, TRUE);
 }
 
-/* The other target turns the request away, and the first gets it again. */
+/* The other target turns the request away, and either gets it again. */
 static void
 turn_away(struct fixture *fixture, int other, const char *refusal)
 {
@@ -713,7 +713,11 @@
     close(fixture->target);
     advance(fixture, 300);
     fcntl(fixture->target_listener, F_SETFL, O_NONBLOCK);
+    fcntl(other, F_SETFL, O_NONBLOCK);
     fixture->target = accept(fixture->target_listener, NULL, NULL);
+    if (fixture->target < 0) {
+        fixture->target = accept(other, NULL, NULL);
+    }
     g_assert_cmpint(fixture->target, >=, 0);
     while (!is_readable(fixture->target)) {
         step(fixture, EVENT_WAIT_MS);
