Relay: an idle connection stays open for a longer idle time of a newer configuration

What callers would see: a request on a connection that they may use by the limits in force meets a close, beside a change that raises idle_timeout_ms; it is not read and gets neither an answer nor a refusal. Cause: the timer of an idle connection kept the time of the configuration under which it was set.

Now the time is asked again when it is due. A lower one counts from the next request on, as callers go by the one that they had.

relay_time_test idle_time/raised was red before; same and lowered are controls.

--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -160,6 +160,13 @@
     }
 }
 
+static int64_t
+idle_due_ms(const struct relay *relay, const struct client *client)
+{
+    return client->idle_since_ms +
+           (relay->draining ? DRAIN_IDLE_MS : idle_timeout_ms(relay));
+}
+
 static void
 set_timer(struct relay *relay, struct client *client, int64_t now_ms)
 {
@@ -176,8 +183,8 @@
         due_ms = now_ms + OUTPUT_STALL_MS;
     }
     else {
-        due_ms = now_ms +
-                 (relay->draining ? DRAIN_IDLE_MS : idle_timeout_ms(relay));
+        client->idle_since_ms = now_ms;
+        due_ms = idle_due_ms(relay, client);
     }
     heap_set(&relay->timers, &client->timer, due_ms);
 }
@@ -500,6 +507,11 @@
                  client->self.index, client->self.generation,
                  client->output.waiting, OUTPUT_STALL_MS);
     }
+    else if (idle_due_ms(relay, client) > now_ms) {
+        /* A configuration with a longer idle time has come since. */
+        heap_set(&relay->timers, &client->timer, idle_due_ms(relay, client));
+        return;
+    }
     client_close(relay, client, now_ms);
 }
 
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -105,6 +105,7 @@
  * @request_complete: a request was read completely
  * @reading: how long it has taken to arrive
  * @closing: nothing more is read; closed when @output is written
+ * @idle_since_ms: when the connection became idle, if it is
  */
 struct client {
     struct timer timer;
@@ -123,6 +124,7 @@
     struct reading_progress reading;
     bool keep_alive;
     bool closing;
+    int64_t idle_since_ms;
     uint32_t epoll_events;
 };
 
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1324,6 +1324,46 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a connection that is closed at the idle time of an older
+ * configuration while its caller goes by a longer one, and against one that
+ * isn't closed. */
+struct idle_case {
+    const char *name;
+    int idle_timeout_ms; /* when the connection becomes idle */
+    int later_ms;        /* by a configuration that comes then */
+    int64_t open_ms;     /* it is open until then, and closed 1 s later */
+};
+
+static const struct idle_case idle_cases[] = {
+    {"same", 5000, 5000, 4900},
+    {"raised", 5000, 10000, 9900},
+    {"lowered", 5000, 1000, 4900},
+};
+
+static void
+test_idle_time(gconstpointer data)
+{
+    const struct idle_case *c = data;
+    struct fixture fixture;
+    int caller;
+
+    fixture_start(&fixture);
+    post_limits(fixture.relay, 2, c->idle_timeout_ms);
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/once/1"));
+    answer(&fixture, ANSWER_HEAD "Content-Length: 4\r\n\r\nwhat");
+    read_until(&fixture, caller, "what");
+    post_limits(fixture.relay, 3, c->later_ms);
+    step(&fixture, EVENT_WAIT_MS);
+    advance(&fixture, c->open_ms);
+    g_assert_cmpint(table_count(&fixture.relay->clients), ==, 1);
+    advance(&fixture, 1000);
+    g_assert_cmpint(table_count(&fixture.relay->clients), ==, 0);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 static const struct cases groups[] = {
     CASES("/relay_time/reading", reading_cases, test_reading),
     CASES("/relay_time/limit", limit_cases, test_limit),
@@ -1333,6 +1373,7 @@
     CASES("/relay_time/endless", endless_cases, test_endless),
     CASES("/relay_time/lag", lag_cases, test_lag),
     CASES("/relay_time/unread", unread_cases, test_unread),
+    CASES("/relay_time/idle_time", idle_cases, test_idle_time),
     CASES("/relay_time/stop", stop_cases, test_stop),
     CASES("/relay_time/late", late_cases, test_late),
     CASES("/relay_time/discard", discard_cases, test_discard),
