Relay: a connection lasts through two seconds without an acknowledgement

What callers would see: a request or a stream ended although its target goes on, when the target's machine acknowledges or takes nothing for 1.5 s (a window of zero counts).

Now 2.5 s, so that a probe that is sent after 1 s ends a connection after 3 s. relay_time_test transport_silence was red before.

--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -28,8 +28,9 @@
 
 enum {
     CONNECT_TIMEOUT_MS = 1000, /* a lost packet is sent again by then */
-    /* The target is unreachable when sent data is not acknowledged by then. */
-    ACK_TIMEOUT_MS = 1500,
+    /* The target is unreachable when sent data or a probe is not acknowledged
+     * by then. A sound one may be silent for a second or so. */
+    ACK_TIMEOUT_MS = 2500,
     TCP_KEEP_ALIVE_S = 1, /* a dead peer is detected after 3 s */
     TCP_KEEP_ALIVE_PROBES = 2,
     /* For targets that announce no Keep-Alive timeout. */
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -11,6 +11,7 @@
 #include <http_parser.h>
 #include <json-c/json.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/resource.h>
@@ -1276,6 +1277,31 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against the kernel ending a connection to a sound target that takes
+ * or acknowledges nothing for a second or so. */
+static void
+test_transport_silence(void)
+{
+    enum { SOUND_SILENCE_MS = 2000 };
+    struct fixture fixture;
+    const struct upstream *upstream;
+    unsigned timeout_ms = 0;
+    socklen_t bytes = sizeof(timeout_ms);
+    uint32_t cursor = 0;
+    int caller;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/once/1"));
+    upstream = table_next(&fixture.relay->upstreams, &cursor, NULL);
+    getsockopt(upstream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               &bytes);
+    g_assert_cmpuint(timeout_ms, >, SOUND_SILENCE_MS);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Guards against an answer that is cut off because its caller pauses for
  * longer than the limits of a new configuration allow between two requests,
  * and against one that is kept for a caller that has gone. */
@@ -1392,6 +1418,7 @@
     g_test_add_func("/relay_time/start", test_start);
     g_test_add_func("/relay_time/no_listener", test_no_listener);
     g_test_add_func("/relay_time/slow_reader", test_slow_reader);
+    g_test_add_func("/relay_time/transport_silence", test_transport_silence);
     g_test_add_func("/relay_time/idle_after_pause", test_idle_after_pause);
     return g_test_run();
 }
