Relay: callers are told how long they may use an idle connection

What callers saw: a whole request with neither an answer nor a refusal. Cause: the request crosses the close of a connection that was idle for idle_timeout_ms.

Now each answer and each refusal says for how long the connection may be used (Keep-Alive: timeout=, four fifths of idle_timeout_ms in whole seconds), which callers respect, and the connection stays open for the idle time by which it was announced, also when a later configuration has a shorter one.

relay_time_test idle_time: same, raised, lowered, refusal and lowered_in_mid_stream are red without the field; lowered_in_mid_stream is red when the announced time isn't held.

--- a/src/gate/relay/answer.c
+++ b/src/gate/relay/answer.c
@@ -116,9 +116,7 @@
     }
     if (client != NULL) {
         client->keep_alive = client->keep_alive && !relay->draining;
-        if (!client->keep_alive) {
-            g_string_append(text, "Connection: close\r\n");
-        }
+        client_write_persistence(relay, client, text);
         g_string_append(text, "\r\n");
         client_write(relay, client, text->str, text->len, now_ms);
     }
--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -33,6 +33,9 @@
     DEFAULT_HEAD_MAX_BYTES = 16384,
     DEFAULT_BODY_MAX_BYTES = 1024 * 1024,
     DRAIN_IDLE_MS = 200, /* callers know of the drain by then */
+    /* Callers use a connection for four fifths of its idle time, so that their
+     * requests don't cross its close. */
+    IDLE_USE_FIFTHS = 4,
     /* A caller that takes nothing of its answer for so long has gone. The
      * limits of a configuration are for requests and idle connections. */
     OUTPUT_STALL_MS = 15000,
@@ -164,7 +167,34 @@
 idle_due_ms(const struct relay *relay, const struct client *client)
 {
     return client->idle_since_ms +
-           (relay->draining ? DRAIN_IDLE_MS : idle_timeout_ms(relay));
+           (relay->draining
+                ? DRAIN_IDLE_MS
+                : MAX(idle_timeout_ms(relay), client->announced_idle_ms));
+}
+
+/**
+ * client_write_persistence() - write the fields on whether and how long the
+ * connection can be used for another request
+ * @relay: the relay
+ * @client: the connection
+ * @text: head of a response; the fields are appended
+ */
+void
+client_write_persistence(struct relay *relay, struct client *client,
+                         GString *text)
+{
+    int64_t use_s = idle_timeout_ms(relay) * IDLE_USE_FIFTHS / 5 / 1000;
+
+    if (!client->keep_alive) {
+        g_string_append(text, "Connection: close\r\n");
+    }
+    else if (use_s > 0) {
+        client->announced_idle_ms = idle_timeout_ms(relay);
+        g_string_append_printf(text,
+                               "Connection: keep-alive\r\n"
+                               "Keep-Alive: timeout=%" G_GINT64_FORMAT "\r\n",
+                               (gint64)use_s);
+    }
 }
 
 static void
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -106,6 +106,7 @@
  * @reading: how long it has taken to arrive
  * @closing: nothing more is read; closed when @output is written
  * @idle_since_ms: when the connection became idle, if it is
+ * @announced_idle_ms: idle time by which its caller goes; 0 for none
  */
 struct client {
     struct timer timer;
@@ -125,6 +126,7 @@
     bool keep_alive;
     bool closing;
     int64_t idle_since_ms;
+    int64_t announced_idle_ms;
     uint32_t epoll_events;
 };
 
@@ -470,6 +472,8 @@
 void client_handle_timer(struct relay *relay, struct client *client,
                          int64_t now_ms);
 void client_close(struct relay *relay, struct client *client, int64_t now_ms);
+void client_write_persistence(struct relay *relay, struct client *client,
+                              GString *text);
 void client_write(struct relay *relay, struct client *client,
                   const void *bytes, size_t count, int64_t now_ms);
 void client_exchange_done(struct relay *relay, struct client *client,
--- a/src/gate/relay/refuse.c
+++ b/src/gate/relay/refuse.c
@@ -48,9 +48,7 @@
             text, "Retry-After: %" G_GINT64_FORMAT ".%03d\r\n",
             (gint64)(retry_ms / 1000), (int)(retry_ms % 1000));
     }
-    if (!client->keep_alive) {
-        g_string_append(text, "Connection: close\r\n");
-    }
+    client_write_persistence(relay, client, text);
     g_string_append(text, "\r\n");
     g_string_append(text, body);
     client_write(relay, client, text->str, text->len, now_ms);
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1355,38 +1355,69 @@
  * isn't closed. */
 struct idle_case {
     const char *name;
-    int idle_timeout_ms; /* when the connection becomes idle */
-    int later_ms;        /* by a configuration that comes then */
-    int64_t open_ms;     /* it is open until then, and closed 1 s later */
+    const char *path;
+    const char *announced; /* to the caller, in whole seconds; NULL for none */
+    int idle_timeout_ms;   /* when the connection becomes idle */
+    int later_ms;          /* by a configuration that comes then */
+    int64_t open_ms;       /* it is open until then, and closed 1 s later */
 };
 
 static const struct idle_case idle_cases[] = {
-    {"same", 5000, 5000, 4900},
-    {"raised", 5000, 10000, 9900},
-    {"lowered", 5000, 1000, 4900},
+    {"same", "/once/1", "timeout=4\r\n", 5000, 5000, 4900},
+    {"raised", "/once/1", "timeout=4\r\n", 5000, 10000, 9900},
+    {"lowered", "/once/1", "timeout=4\r\n", 5000, 1000, 4900},
+    {"lowered_in_mid_stream", "/stream/1", "timeout=4\r\n", 5000, 1000, 4900},
+    {"short", "/once/1", NULL, 1200, 1200, 1100},
+    {"refusal", "/nowhere/1", "timeout=4\r\n", 5000, 5000, 4900},
 };
 
 static void
 test_idle_time(gconstpointer data)
 {
     const struct idle_case *c = data;
+    char *request = g_strdup_printf(
+        "GET %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n", c->path);
     struct fixture fixture;
+    char *text;
     int caller;
 
     fixture_start(&fixture);
     post_limits(fixture.relay, 2, c->idle_timeout_ms);
     step(&fixture, EVENT_WAIT_MS);
     caller = connect_caller(&fixture);
-    send_request(&fixture, caller, REQUEST("/once/1"));
-    answer(&fixture, ANSWER_HEAD "Content-Length: 4\r\n\r\nwhat");
-    read_until(&fixture, caller, "what");
+    if (strcmp(c->path, "/once/1") == 0) {
+        send_request(&fixture, caller, request);
+        answer(&fixture, ANSWER_HEAD "Content-Length: 4\r\n\r\nwhat");
+    }
+    else if (strcmp(c->path, "/stream/1") == 0) {
+        send_request(&fixture, caller, request);
+        answer(&fixture, STREAM_HEAD "10\r\nid: 00\ndata: a\n\n\r\n");
+    }
+    else {
+        send_text(caller, request);
+    }
+    while (!is_readable(caller)) {
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    text = read_some(caller);
+    if (c->announced != NULL) {
+        g_assert_nonnull(strstr(text, c->announced));
+    }
+    else {
+        g_assert_null(strstr(text, "Keep-Alive:"));
+    }
+    g_free(text);
     post_limits(fixture.relay, 3, c->later_ms);
     step(&fixture, EVENT_WAIT_MS);
+    if (strcmp(c->path, "/stream/1") == 0) {
+        answer(&fixture, REST_EVENT("01"));
+    }
     advance(&fixture, c->open_ms);
     g_assert_cmpint(table_count(&fixture.relay->clients), ==, 1);
     advance(&fixture, 1000);
     g_assert_cmpint(table_count(&fixture.relay->clients), ==, 0);
     close(caller);
+    g_free(request);
     fixture_stop(&fixture);
 }
 
