Relay: a verdict on a request doesn't end a long answer on its way

Cause: run_has_begun() asked for the body that waits, of which there is none once it is passed on, so the run counted as one that has not begun.

--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -103,11 +103,13 @@
 }
 
 /* Whether the target has begun to answer in this run. The beginning of an
- * answer that is no stream shows only with its body. */
+ * answer that is no stream shows only with its body, which is passed on when
+ * it is long. */
 static bool
 run_has_begun(const struct exchange *exchange)
 {
-    return exchange->events.run_id >= 0 || exchange->answer.body->len > 0;
+    return exchange->events.run_id >= 0 || exchange->answer.body->len > 0 ||
+           (exchange->answer.head_sent && !result_is_stream(exchange));
 }
 
 static void
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -25,6 +25,8 @@
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
@@ -662,7 +664,7 @@
     const char *start; /* sent by the target; NULL for nothing */
     int events;        /* then sent 1 s apart */
     bool has_budget;
-    const char *refusal; /* of the other target; NULL when it gets nothing */
+    int refusals; /* by any target, once the request has moved */
     int64_t silence_ms;
     const char *rest; /* then sent by the target */
     const char *end;  /* of what the caller gets */
@@ -676,15 +678,15 @@
     "Content-Length: 0\r\n\r\n"
 
 static const struct silence_case silence_cases[] = {
-    {"no_attempt_left", "/stream/1", STREAM_HEAD, 1, true, NULL, 3000,
+    {"no_attempt_left", "/stream/1", STREAM_HEAD, 1, true, 0, 3000,
      REST_EVENT("01"), "0\r\n\r\n"},
-    {"no_budget", "/twice/1", STREAM_HEAD, 1, false, NULL, 1500,
-     REST_EVENT("01"), "0\r\n\r\n"},
-    {"no_budget_before_the_head", "/twice/1", NULL, 0, false, NULL, 1500,
+    {"no_budget", "/twice/1", STREAM_HEAD, 1, false, 0, 1500, REST_EVENT("01"),
+     "0\r\n\r\n"},
+    {"no_budget_before_the_head", "/twice/1", NULL, 0, false, 0, 1500,
      STREAM_HEAD REST_EVENT("00"), "0\r\n\r\n"},
-    {"no_budget_for_a_body", "/safe/1", NULL, 0, false, NULL, 1500,
+    {"no_budget_for_a_body", "/safe/1", NULL, 0, false, 0, 1500,
      ANSWER_HEAD "Content-Length: 4\r\n\r\nwhat", "what"},
-    {"turned_away_elsewhere", "/twice/1", STREAM_HEAD, 4, true, NOT_RUN, 1250,
+    {"turned_away_elsewhere", "/twice/1", STREAM_HEAD, 4, true, 1, 1250,
      REST_EVENT("04"), "0\r\n\r\n"},
 };
 
@@ -706,33 +708,45 @@
     g_string_free(text, TRUE);
 }
 
-/* The other target turns the request away, and either gets it again. */
-static void
-turn_away(struct fixture *fixture, int other, const char *refusal)
+/* Waits for a connection of the relay to either target, and a request on it.
+ */
+static int
+accept_either(struct fixture *fixture, int other)
 {
-    int connection;
+    int connection = -1;
 
-    fcntl(other, F_SETFL, 0);
-    connection = accept(other, NULL, NULL);
-    while (!is_readable(connection)) {
-        step(fixture, EVENT_WAIT_MS);
-    }
-    send_text(connection, refusal);
-    step(fixture, EVENT_WAIT_MS);
-    close(fixture->target);
-    advance(fixture, 300);
     fcntl(fixture->target_listener, F_SETFL, O_NONBLOCK);
     fcntl(other, F_SETFL, O_NONBLOCK);
-    fixture->target = accept(fixture->target_listener, NULL, NULL);
-    if (fixture->target < 0) {
-        fixture->target = accept(other, NULL, NULL);
+    for (int i = 0; connection < 0 && i < 60; i++) {
+        connection = accept(fixture->target_listener, NULL, NULL);
+        if (connection < 0) {
+            connection = accept(other, NULL, NULL);
+        }
+        if (connection < 0) {
+            advance(fixture, 10);
+        }
     }
-    g_assert_cmpint(fixture->target, >=, 0);
-    while (!is_readable(fixture->target)) {
+    g_assert_cmpint(connection, >=, 0);
+    while (!is_readable(connection)) {
+        step(fixture, EVENT_WAIT_MS);
+    }
+    return connection;
+}
+
+/* The targets turn the request away, then one takes it. */
+static void
+turn_away(struct fixture *fixture, int other, int refusals)
+{
+    for (int i = 0; i < refusals; i++) {
+        int connection = accept_either(fixture, other);
+
+        send_text(connection, NOT_RUN);
         step(fixture, EVENT_WAIT_MS);
+        close(connection);
     }
+    close(fixture->target);
+    fixture->target = accept_either(fixture, other);
     answer(fixture, STREAM_HEAD);
-    close(connection);
 }
 
 static void
@@ -767,8 +781,8 @@
         g_free(chunk);
     }
     advance(&fixture, c->silence_ms);
-    if (c->refusal != NULL) {
-        turn_away(&fixture, other, c->refusal);
+    if (c->refusals > 0) {
+        turn_away(&fixture, other, c->refusals);
     }
     else {
         g_assert_cmpint(accept(other, NULL, NULL), <, 0);
@@ -782,6 +796,94 @@
     fixture_stop(&fixture);
 }
 
+static const struct exchange *
+find_exchange(const struct fixture *fixture, const char *id)
+{
+    const struct exchange *exchange;
+    uint32_t cursor = 0;
+
+    while ((exchange = table_next(&fixture->relay->exchanges, &cursor,
+                                  NULL)) != NULL) {
+        if (strcmp(exchange->meta.attempt_id, id) == 0) {
+            return exchange;
+        }
+    }
+    return NULL;
+}
+
+/* Another instance reports that the request crashes targets. */
+static void
+blame(struct fixture *fixture, const char *id)
+{
+    struct crash_report *report = crash_report_new();
+    struct trait_verdict verdict = {
+        .trait = {.key = find_exchange(fixture, id)->fingerprint,
+                  .depth = WHOLE_REQUEST},
+        .since_ms = fixture->now_ms,
+        .seen_ms = fixture->now_ms,
+        .probe_ms = fixture->now_ms + 60000,
+    };
+
+    g_array_append_val(report->verdicts, verdict);
+    crash_apply_report(fixture->relay, report, fixture->now_ms);
+}
+
+/* Guards against a begun stream that is taken from its silent target and then
+ * refused, because it is known to crash targets. */
+static void
+test_blamed_silence(void)
+{
+    struct fixture fixture;
+    int other;
+    int caller;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/twice/1"));
+    other = add_target(&fixture, 1);
+    step(&fixture, EVENT_WAIT_MS);
+    answer(&fixture, STREAM_HEAD "10\r\nid: 00\ndata: a\n\n\r\n");
+    blame(&fixture, "a");
+    advance(&fixture, 1500);
+    g_assert_false(is_closed(fixture.target));
+    answer(&fixture, REST_EVENT("01"));
+    read_until(&fixture, caller, "0\r\n\r\n");
+    close(caller);
+    close(other);
+    fixture_stop(&fixture);
+}
+
+/* Guards against an answer that is ended by a verdict on its request after its
+ * target has begun it. */
+static void
+test_verdict_on_body(void)
+{
+    enum { SENT_BYTES = 300000 };
+    char *body = g_strnfill(SENT_BYTES, 'z');
+    char *last = g_strnfill(10000, 'y');
+    struct fixture fixture;
+    int caller;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/once/1"));
+    answer(&fixture, ANSWER_HEAD "Content-Length: 310000\r\n\r\n");
+    send_text(fixture.target, body);
+    while (!find_exchange(&fixture, "a")->answer.head_sent) {
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    blame(&fixture, "a");
+    step(&fixture, 0);
+    send_text(fixture.target, last);
+    read_until(&fixture, caller, "yyyy");
+    close(caller);
+    g_free(body);
+    g_free(last);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a target that is blamed for the pause of a caller that reads
  * slowly. */
 static void
@@ -1448,6 +1550,8 @@
     g_test_add_func("/relay_time/no_descriptors", test_no_descriptors);
     g_test_add_func("/relay_time/start", test_start);
     g_test_add_func("/relay_time/no_listener", test_no_listener);
+    g_test_add_func("/relay_time/blamed_silence", test_blamed_silence);
+    g_test_add_func("/relay_time/verdict_on_body", test_verdict_on_body);
     g_test_add_func("/relay_time/slow_reader", test_slow_reader);
     g_test_add_func("/relay_time/transport_silence", test_transport_silence);
     g_test_add_func("/relay_time/idle_after_pause", test_idle_after_pause);
