Relay: a request whose answer is arriving isn't taken back as silent

What callers would see: a request that may be repeated, whose target sends its answer slowly, or was silent for a second and goes on, begins anew at another target. Cause: the timer of a request was moved on by events only, while bytes of a body and heads are progress, too; when it was due nothing asked how long the silence had lasted.

Now the time since the last progress is asked first. relay_time_test trickle is red without that.

--- a/src/gate/choose/silence.c
+++ b/src/gate/choose/silence.c
@@ -2,8 +2,9 @@
  * DOC: Requests whose target is silent.
  *
  * A sound target may be silent for a second or so, and its silence doesn't
- * tell whether it will answer. A request is taken back only when it is certain
- * that another target gets it; otherwise its deadline ends it.
+ * tell whether it will answer. A request is taken back only when another
+ * target can take it now and nothing else forbids that; otherwise it stays
+ * until its target goes on or its deadline ends it.
  */
 #include <glib.h>
 
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -547,8 +547,14 @@
 static void
 handle_silence(struct relay *relay, struct exchange *exchange, int64_t now_ms)
 {
-    enum silence_choice choice = choose_for_silence(relay, exchange, now_ms);
+    enum silence_choice choice;
 
+    if (now_ms - exchange->last_progress_ms <
+        silence_limit_ms(exchange->route)) {
+        exchange_set_timer(relay, exchange);
+        return;
+    }
+    choice = choose_for_silence(relay, exchange, now_ms);
     if (choice == SILENCE_MOVE) {
         result_aborted(relay, exchange, "silent", now_ms);
         return;
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -796,6 +796,52 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a request that is taken from a target that was silent and has
+ * gone on, or never was: bytes of a body are progress. */
+struct trickle_case {
+    const char *name;
+    int64_t silence_ms; /* before the first byte */
+    int64_t other_ms;   /* when another target has room */
+};
+
+static const struct trickle_case trickle_cases[] = {
+    {"from_the_start", 50, 0},
+    {"after_a_silence", 1000, 1300},
+};
+
+static void
+test_trickle(gconstpointer data)
+{
+    const struct trickle_case *c = data;
+    struct fixture fixture;
+    int64_t start_ms;
+    int other = -1;
+    int caller;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/safe/1"));
+    start_ms = fixture.now_ms;
+    advance(&fixture, c->silence_ms);
+    answer(&fixture, ANSWER_HEAD "Content-Length: 40\r\n\r\n");
+    for (int i = 0; i < 40; i++) {
+        if (other < 0 && fixture.now_ms - start_ms >= c->other_ms) {
+            other = add_target(&fixture, 1);
+            fcntl(other, F_SETFL, O_NONBLOCK);
+            step(&fixture, EVENT_WAIT_MS);
+        }
+        advance(&fixture, 50);
+        g_assert_false(is_closed(fixture.target));
+        answer(&fixture, "x");
+    }
+    read_until(&fixture, caller, "xxxx");
+    g_assert_cmpint(accept(other, NULL, NULL), <, 0);
+    close(caller);
+    close(other);
+    fixture_stop(&fixture);
+}
+
 static const struct exchange *
 find_exchange(const struct fixture *fixture, const char *id)
 {
@@ -1529,6 +1575,7 @@
     CASES("/relay_time/stall", stall_cases, test_stall),
     CASES("/relay_time/move", move_cases, test_move),
     CASES("/relay_time/silence", silence_cases, test_silence),
+    CASES("/relay_time/trickle", trickle_cases, test_trickle),
     CASES("/relay_time/endless", endless_cases, test_endless),
     CASES("/relay_time/lag", lag_cases, test_lag),
     CASES("/relay_time/unread", unread_cases, test_unread),
