Relay: a planned stop lets a begun stream wait until the last sixth of the grace

Cause: three seconds before the kill all that waits is refused, so that callers can still be served elsewhere; a begun stream can't be refused, it only ends.

--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -476,7 +476,8 @@
 /**
  * exchange_refuse_all() - refuse requests before the process stops
  * @relay: the relay
- * @queued: refuse only those that wait for a target
+ * @queued: refuse only those that wait for a target, of which no caller has a
+ * part of the answer
  * @now_ms: current time
  */
 void
@@ -486,7 +487,7 @@
     uint32_t cursor = 0;
 
     while ((exchange = table_next(&relay->exchanges, &cursor, NULL)) != NULL) {
-        if (!queued || exchange->queued) {
+        if (!queued || (exchange->queued && !exchange->answer.head_sent)) {
             refuse(relay, exchange, ERR_STOPPED, DRAIN_RETRY_MS, now_ms);
         }
     }
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -857,6 +857,42 @@
     return NULL;
 }
 
+/* Guards against a planned stop that ends a begun stream before the last sixth
+ * of the grace, because it waits for a target then. */
+static void
+test_stop_begun(void)
+{
+    struct target_change gone = {.kind = TARGET_GONE};
+    struct fixture fixture;
+    int caller;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/twice/1"));
+    relay_post_drain(fixture.relay);
+    step(&fixture, EVENT_WAIT_MS);
+    answer(&fixture, STREAM_HEAD "10\r\nid: 00\ndata: a\n\n\r\n");
+    for (int i = 1; i <= 4; i++) {
+        char *chunk = g_strdup_printf(EVENT_CHUNK, i);
+
+        advance(&fixture, 1150);
+        answer(&fixture, chunk);
+        g_free(chunk);
+    }
+    g_strlcpy(gone.info.id, "i-0", sizeof(gone.info.id));
+    relay_post_target_change(fixture.relay, &gone);
+    step(&fixture, EVENT_WAIT_MS);
+    close(fixture.target);
+    fixture.target = -1;
+    step(&fixture, EVENT_WAIT_MS);
+    g_assert_true(find_exchange(&fixture, "a")->queued);
+    advance(&fixture, GRACE_MS * 5 / 6 - 4 * 1150);
+    g_assert_nonnull(find_exchange(&fixture, "a"));
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Another instance reports that the request crashes targets. */
 static void
 blame(struct fixture *fixture, const char *id)
@@ -1597,6 +1633,7 @@
     g_test_add_func("/relay_time/no_descriptors", test_no_descriptors);
     g_test_add_func("/relay_time/start", test_start);
     g_test_add_func("/relay_time/no_listener", test_no_listener);
+    g_test_add_func("/relay_time/stop_begun", test_stop_begun);
     g_test_add_func("/relay_time/blamed_silence", test_blamed_silence);
     g_test_add_func("/relay_time/verdict_on_body", test_verdict_on_body);
     g_test_add_func("/relay_time/slow_reader", test_slow_reader);
