Relay: a begun stream that can't be sent yet is in no queue

And a begun stream that was turned away four times ended at once, with 18 s left. Cause: it stood in the queue for places although it waited for something else, and the bound on refusals, which keeps load off busy targets, was asked before the caller's patience.

Now such a stream pauses for 250 ms outside the queue; then it is sent once more if the budget has room, until its caller has given up. relay_time_test budget_wait, patience and silence/turned_away_often are red without it.

--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -351,13 +351,22 @@
     exchange_set_timer(relay, exchange);
 }
 
-/* Whether no further attempt is allowed, whichever target is there. */
+/* Whether targets have turned the request away, or were not reached, so often
+ * that another attempt at once would only add load. */
+static bool
+was_turned_away_often(const struct exchange *exchange)
+{
+    return exchange->rejects > REJECTS_MAX ||
+           exchange->connect_failures > CONNECT_FAILURES_MAX;
+}
+
+/* Whether no further attempt is allowed, whichever target is there. A begun
+ * stream, which a refusal would end, has one more after each pause. */
 static bool
 attempts_are_used_up(const struct exchange *exchange)
 {
     return exchange->runs >= exchange->route->attempts_max ||
-           exchange->rejects > REJECTS_MAX ||
-           exchange->connect_failures > CONNECT_FAILURES_MAX;
+           (was_turned_away_often(exchange) && !exchange->answer.head_sent);
 }
 
 static bool
@@ -379,6 +388,47 @@
         relay_budget_instances(relay, now_ms), now_ms);
 }
 
+/* Lets a begun stream pause that could be sent, but not now. It is in no
+ * queue, where it would keep a free place from those behind it. */
+static void
+pause_begun(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    queue_remove(relay, exchange);
+    exchange->pausing = true;
+    heap_set(&relay->timers, &exchange->timer,
+             MIN(now_ms + QUEUE_RECHECK_MS, exchange->deadline_ms));
+}
+
+/* Returns whether a begun stream pauses before it is sent again. */
+static bool
+must_pause(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    bool has_paused = exchange->pausing;
+
+    exchange->pausing = false;
+    return exchange->answer.head_sent &&
+           ((was_turned_away_often(exchange) && !has_paused) ||
+            !has_retry_budget(relay, exchange, now_ms));
+}
+
+/* The target that can take a request now, or NULL. */
+static struct relay_target *
+select_target(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    struct relay_target *target =
+        target_select(relay, &exchange->needs, now_ms);
+
+    if (target == NULL && exchange->queued &&
+        exchange->needs.tried_count > 0 &&
+        !target_exists_for(relay, &exchange->needs)) {
+        /* All suitable targets were tried, but some time ago: try them again.
+         */
+        exchange->needs.tried_count = 0;
+        target = target_select(relay, &exchange->needs, now_ms);
+    }
+    return target;
+}
+
 /**
  * exchange_dispatch() - send a request to a target, or queue it
  * @relay: the relay
@@ -404,20 +454,15 @@
                BUDGET_RETRY_MS, now_ms);
         return;
     }
-    target = target_select(relay, &exchange->needs, now_ms);
-    if (target == NULL && exchange->queued &&
-        exchange->needs.tried_count > 0 &&
-        !target_exists_for(relay, &exchange->needs)) {
-        /* All suitable targets were tried, but some time ago: try them again.
-         */
-        exchange->needs.tried_count = 0;
-        target = target_select(relay, &exchange->needs, now_ms);
-    }
-    if (target == NULL || (exchange->answer.head_sent &&
-                           !has_retry_budget(relay, exchange, now_ms))) {
+    target = select_target(relay, exchange, now_ms);
+    if (target == NULL) {
         wait_for_target(relay, exchange, now_ms);
         return;
     }
+    if (must_pause(relay, exchange, now_ms)) {
+        pause_begun(relay, exchange, now_ms);
+        return;
+    }
     queue_take(relay, exchange, now_ms);
     if (!take_retry_budget(relay, exchange, now_ms)) {
         refuse(relay, exchange, ERR_RETRY_BUDGET, BUDGET_RETRY_MS, now_ms);
@@ -494,7 +539,7 @@
 }
 
 static void
-recheck_queued(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+recheck_waiting(struct relay *relay, struct exchange *exchange, int64_t now_ms)
 {
     struct wait_decision decision;
 
@@ -515,7 +560,7 @@
 {
     struct silence_facts facts = {
         .may_run_again =
-            may_run_again(exchange) && !attempts_are_used_up(exchange),
+            may_run_again(exchange) && !was_turned_away_often(exchange),
         .has_begun = exchange->answer.head_sent,
         .is_stream = result_is_stream(exchange),
         .is_blamed = crash_is_blamed(relay, exchange),
@@ -592,8 +637,8 @@
     if (now_ms >= exchange->deadline_ms) {
         refuse(relay, exchange, ERR_DEADLINE, 0, now_ms);
     }
-    else if (exchange->queued) {
-        recheck_queued(relay, exchange, now_ms);
+    else if (exchange->queued || exchange->pausing) {
+        recheck_waiting(relay, exchange, now_ms);
     }
     else if (is_paused(relay, exchange)) {
         exchange->last_progress_ms = now_ms;
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -192,6 +192,7 @@
  * @last_event_ms: when the last event was forwarded
  * @longest_interval_ms: longest interval between events so far
  * @queued: it waits in the queue with the key @queue_key
+ * @pausing: it is a begun stream that waits in no queue to be sent again
  * @fingerprint: hash of the request, the same when a caller repeats it
  * @run_events: events of the present run
  * @probe_key: trait that the request has and may have, to see whether it still
@@ -233,6 +234,7 @@
     struct answer answer;
     struct event_reader events;
     bool queued;
+    bool pausing;
     uint64_t queue_key;
     uint64_t fingerprint;
     int run_events;
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -688,6 +688,8 @@
      ANSWER_HEAD "Content-Length: 4\r\n\r\nwhat", "what"},
     {"turned_away_elsewhere", "/twice/1", STREAM_HEAD, 4, true, 1, 1250,
      REST_EVENT("04"), "0\r\n\r\n"},
+    {"turned_away_often", "/twice/1", STREAM_HEAD, 1, true, 6, 1250,
+     REST_EVENT("01"), "0\r\n\r\n"},
 };
 
 static void
@@ -857,6 +859,104 @@
     return NULL;
 }
 
+static void
+set_budget(struct fixture *fixture, double ratio, int allowance)
+{
+    fixture->settings.limits.retry_ratio = ratio;
+    fixture->settings.limits.retry_allowance = allowance;
+}
+
+/* Starts a stream and breaks it off when no retry may be sent. */
+static int
+start_broken_stream(struct fixture *fixture)
+{
+    int caller;
+
+    fixture_start(fixture);
+    set_budget(fixture, 0, 0);
+    step(fixture, EVENT_WAIT_MS);
+    caller = connect_caller(fixture);
+    send_request(fixture, caller, REQUEST("/twice/1"));
+    answer(fixture, STREAM_HEAD "10\r\nid: 00\ndata: a\n\n\r\n");
+    close(fixture->target);
+    fixture->target = -1;
+    step(fixture, EVENT_WAIT_MS);
+    return caller;
+}
+
+/* Sends requests until one waits for a place, and returns its number. */
+static int
+fill_target(struct fixture *fixture, int callers[], int count_max)
+{
+    for (int i = 0; i < count_max; i++) {
+        char *id = g_strdup_printf("x%d", i);
+        char *request = g_strdup_printf(
+            "GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\n\r\n", id);
+        const struct exchange *exchange = NULL;
+
+        callers[i] = connect_caller(fixture);
+        send_text(callers[i], request);
+        while ((exchange = find_exchange(fixture, id)) == NULL) {
+            step(fixture, EVENT_WAIT_MS);
+        }
+        g_free(id);
+        g_free(request);
+        if (exchange->queued) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Guards against a begun stream that ends, or keeps a free place from the
+ * requests behind it, while it waits for the retry budget. */
+static void
+test_budget_wait(void)
+{
+    enum { CALLERS_MAX = 30 };
+    struct fixture fixture;
+    int callers[CALLERS_MAX];
+    int caller = start_broken_stream(&fixture);
+    int last = fill_target(&fixture, callers, CALLERS_MAX);
+    char *id = g_strdup_printf("x%d", last);
+
+    g_assert_cmpint(last, >, 0);
+    close(callers[0]);
+    while (find_exchange(&fixture, "x0") != NULL) {
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    g_assert_cmpint(find_exchange(&fixture, id)->stage, ==, STAGE_SENT);
+    set_budget(&fixture, 0.2, 50);
+    close(callers[1]);
+    advance(&fixture, 300);
+    g_assert_cmpint(find_exchange(&fixture, "a")->stage, ==, STAGE_SENT);
+    for (int i = 0; i <= last; i++) {
+        if (i > 1) {
+            close(callers[i]);
+        }
+    }
+    close(caller);
+    g_free(id);
+    fixture_stop(&fixture);
+}
+
+/* Guards against a begun stream that ends with its caller's patience not
+ * spent, and against one that is kept for a caller that has given up. */
+static void
+test_patience(void)
+{
+    enum { PATIENCE_MS = 2400 };
+    struct fixture fixture;
+    int caller = start_broken_stream(&fixture);
+
+    advance(&fixture, PATIENCE_MS);
+    g_assert_nonnull(find_exchange(&fixture, "a"));
+    advance(&fixture, 1000);
+    g_assert_null(find_exchange(&fixture, "a"));
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a planned stop that ends a begun stream before the last sixth
  * of the grace, because it waits for a target then. */
 static void
@@ -1633,6 +1733,8 @@
     g_test_add_func("/relay_time/no_descriptors", test_no_descriptors);
     g_test_add_func("/relay_time/start", test_start);
     g_test_add_func("/relay_time/no_listener", test_no_listener);
+    g_test_add_func("/relay_time/budget_wait", test_budget_wait);
+    g_test_add_func("/relay_time/patience", test_patience);
     g_test_add_func("/relay_time/stop_begun", test_stop_begun);
     g_test_add_func("/relay_time/blamed_silence", test_blamed_silence);
     g_test_add_func("/relay_time/verdict_on_body", test_verdict_on_body);
