Relay: a request to a target without a connection has not run

What callers would see: a request that may be repeated and is taken from a target to which no connection was made yet has an attempt less, and a later refusal says 502 where nothing has run. Cause: it counts as run from the choice of the target on, and only a connection that fails gave that back.

relay_time_test unconnected is red without this (sends 2 for 1).

--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -590,6 +590,20 @@
              (gint64)(exchange->deadline_ms - now_ms));
 }
 
+static void
+take_back(struct relay *relay, struct exchange *exchange, int64_t now_ms)
+{
+    const struct upstream *upstream =
+        table_get(&relay->upstreams, exchange->upstream);
+
+    if (upstream != NULL && !upstream->connected) {
+        /* No byte of it was sent. */
+        exchange->sends--;
+        exchange->runs--;
+    }
+    result_aborted(relay, exchange, "silent", now_ms);
+}
+
 static void
 handle_silence(struct relay *relay, struct exchange *exchange, int64_t now_ms)
 {
@@ -602,7 +616,7 @@
     }
     choice = choose_for_silence(relay, exchange, now_ms);
     if (choice == SILENCE_MOVE) {
-        result_aborted(relay, exchange, "silent", now_ms);
+        take_back(relay, exchange, now_ms);
         return;
     }
     log_stay(exchange, choice, now_ms);
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -957,6 +957,52 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a request that counts as run at a target to which no
+ * connection was made: it would have an attempt less. */
+static void
+test_unconnected(void)
+{
+    enum { WAITING = 8 }; /* more than the kernel accepts for the target */
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t bytes = sizeof(address);
+    int silent = socket(AF_INET, SOCK_STREAM, 0);
+    int waiting[WAITING];
+    const struct exchange *exchange;
+    struct fixture fixture;
+    int other;
+    int caller;
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    g_assert_cmpint(bind(silent, (struct sockaddr *)&address, bytes), ==, 0);
+    g_assert_cmpint(listen(silent, 0), ==, 0);
+    getsockname(silent, (struct sockaddr *)&address, &bytes);
+    for (int i = 0; i < WAITING; i++) {
+        waiting[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        connect(waiting[i], (struct sockaddr *)&address, bytes);
+    }
+    fixture_start(&fixture);
+    post_target(fixture.relay, 0, ntohs(address.sin_port));
+    step(&fixture, EVENT_WAIT_MS);
+    caller = connect_caller(&fixture);
+    send_text(caller, REQUEST("/safe/1"));
+    while (find_exchange(&fixture, "a") == NULL) {
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    other = add_target(&fixture, 1);
+    step(&fixture, EVENT_WAIT_MS);
+    exchange = find_exchange(&fixture, "a");
+    advance(&fixture, 460);
+    g_assert_cmpint(exchange->sends, ==, 1);
+    g_assert_cmpint(exchange->runs, ==, 1);
+    for (int i = 0; i < WAITING; i++) {
+        close(waiting[i]);
+    }
+    close(silent);
+    close(caller);
+    close(other);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a planned stop that ends a begun stream before the last sixth
  * of the grace, because it waits for a target then. */
 static void
@@ -1735,6 +1781,7 @@
     g_test_add_func("/relay_time/no_listener", test_no_listener);
     g_test_add_func("/relay_time/budget_wait", test_budget_wait);
     g_test_add_func("/relay_time/patience", test_patience);
+    g_test_add_func("/relay_time/unconnected", test_unconnected);
     g_test_add_func("/relay_time/stop_begun", test_stop_begun);
     g_test_add_func("/relay_time/blamed_silence", test_blamed_silence);
     g_test_add_func("/relay_time/verdict_on_body", test_verdict_on_body);
