Route: a stream that waits to be resumed keeps its deadline

A caller whose stream broke off was refused 30 s after the break although its deadline was later: with wait_max_ms above 30 s the connection was closed while an engine that could resume the stream was still to come.

The deadline of a call was replaced by now + RESUME_TIMEOUT_MS at each resume. It is now only ever extended.

The case /route/silence/resume_waits_until_the_deadline, red without the change (refused target_failed at 30 s), is green; route_test 76 of 76.

--- a/src/turmericd/serve/route/results.c
+++ b/src/turmericd/serve/route/results.c
@@ -122,7 +122,8 @@
     routed->resume_same_engine = false;
     if (retry->action == RETRY_RESUME_SAME_ENGINE ||
         retry->action == RETRY_RESUME_OTHER_ENGINE) {
-        routed->request.deadline_ms = now_ms + RESUME_TIMEOUT_MS;
+        routed->request.deadline_ms =
+            MAX(routed->request.deadline_ms, now_ms + RESUME_TIMEOUT_MS);
     }
     if (retry->action == RETRY_RESUME_SAME_ENGINE) {
         routed_call_resume_same_engine(router, routed, now_ms);
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -696,6 +696,17 @@
      "refuse(0,target_failed,unknown)"},
 };
 
+/* Guards against an answer that is ended before its deadline because its
+ * target is silent. */
+static const struct script_case silence_cases[] = {
+    {"resume_waits_until_the_deadline",
+     "report e1 x live 1 a; call 0 a sse 5 60000; result 0 broken 4; "
+     "report e1 x down 1 a; result 0 not_sent; +40000; "
+     "report e2 x live 1 a",
+     "send(0,e1) send(0,e1 here:4) strike(e1,1) load(/s/a,5,1) "
+     "send(0,e2 elsewhere:4)"},
+};
+
 /* Guards against an attempt without a claim, a second attempt of a claimed
  * call that may have run, and a claim that is kept or released wrongly. */
 static const struct script_case claim_cases[] = {
@@ -978,6 +989,7 @@
     CASES("/route/pick", pick_cases, test_script),
     CASES("/route/retry", retry_cases, test_script),
     CASES("/route/resume", resume_cases, test_script),
+    CASES("/route/silence", silence_cases, test_script),
     CASES("/route/claim", claim_cases, test_script),
     CASES("/route/strike", strike_cases, test_script),
     CASES("/route/retry_budget", budget_cases, test_retry_budget),
