Route, forward: a silent target keeps a call that can't go elsewhere

A caller with a deadline later than 30 s lost its answer when its target fell silent for 30 s after the first byte: the attempt was ended as broken, and only then was it asked whether another attempt may follow. For a call that may run once, for the last of attempts_max and for a partial answer that isn't a stream the answer was no, and the connection was closed. The last resume of a stream likewise ended 30 s after it began.

An attempt now knows whether it is the last one. Such an attempt, and one whose answer can't be sent again, ends for silence at the deadline of the call and not before; others go on as they did. The decision is silence_ends_ms().

--- a/src/turmericd/serve/forward/internal.h
+++ b/src/turmericd/serve/forward/internal.h
@@ -113,6 +113,22 @@
     TRANSFER_STOPPED,
 };
 
+/**
+ * struct silence - what decides how long a target may be silent
+ * @has_first_byte: the first byte of the body has been received
+ * @is_last: no other target can continue the answer
+ * @last_data_ms: monotonic time of the last part of the body
+ * @idle_timeout_ms: longest pause between two parts of the body
+ * @deadline_ms: monotonic; deadline of the attempt
+ */
+struct silence {
+    bool has_first_byte;
+    bool is_last;
+    int64_t last_data_ms;
+    int64_t idle_timeout_ms;
+    int64_t deadline_ms;
+};
+
 /* sse.c */
 void sse_parser_init(struct sse_parser *parser);
 void sse_parser_clear(struct sse_parser *parser);
@@ -148,6 +164,7 @@
                                atomic_bool *stopping, char *detail,
                                size_t detail_bytes);
 void transfer_cancel(const struct attempt *attempt);
+int64_t silence_ends_ms(const struct silence *silence);
 
 struct forward;
 
--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -242,18 +242,43 @@
         return TRANSFER_NO_FIRST_BYTE;
     }
     snprintf(detail, detail_bytes, "no data from the target for %lld ms",
-             (long long)transfer->idle_timeout_ms);
+             (long long)(clock_now_ms() - transfer->last_data_ms));
     return TRANSFER_BROKEN;
 }
 
-/* The deadline applies to the target's first byte, even when the answer is
- * buffered and the caller gets its first byte only when it is complete. */
+/**
+ * silence_ends_ms() - when a silent target loses its call
+ * @silence: state of the transfer
+ *
+ * The deadline applies to the target's first byte, even when the answer is
+ * buffered and the caller gets its first byte only when it is complete. A
+ * target that falls silent later loses the call after the idle timeout, but
+ * not before the deadline when no other target can continue the answer.
+ */
+int64_t
+silence_ends_ms(const struct silence *silence)
+{
+    int64_t idle_ms = silence->last_data_ms + silence->idle_timeout_ms;
+
+    if (!silence->has_first_byte) {
+        return silence->deadline_ms;
+    }
+    return silence->is_last ? MAX(idle_ms, silence->deadline_ms) : idle_ms;
+}
+
 static int64_t
 expires_ms(const struct transfer *transfer, const struct attempt *attempt)
 {
-    return transfer->has_first_byte
-               ? transfer->last_data_ms + transfer->idle_timeout_ms
-               : attempt->deadline_ms;
+    struct silence silence = {
+        .has_first_byte = transfer->has_first_byte,
+        .is_last =
+            attempt->is_last || transfer->answer->mode == ANSWER_PASS_THROUGH,
+        .last_data_ms = transfer->last_data_ms,
+        .idle_timeout_ms = transfer->idle_timeout_ms,
+        .deadline_ms = attempt->deadline_ms,
+    };
+
+    return silence_ends_ms(&silence);
 }
 
 static bool
--- a/src/turmericd/serve/route/attempts.c
+++ b/src/turmericd/serve/route/attempts.c
@@ -33,17 +33,44 @@
     }
 }
 
+static bool
+is_last_attempt(struct router *router, const struct routed_call *routed)
+{
+    struct tree *tree = router->port->ops->tree_ref(router->port);
+    const struct node *node = leaf_find_node(tree, routed->leaf);
+    bool is_last = !routed->request.idempotent || node == NULL ||
+                   routed->attempts_sent + 1 >= node->settings.attempts_max;
+
+    if (tree != NULL) {
+        tree_unref(tree);
+    }
+    return is_last;
+}
+
+/* A resumed stream leaves a silent engine early only while another one may
+ * resume it; otherwise the end of the attempt would end the answer. */
+static int64_t
+attempt_deadline_ms(const struct routed_call *routed, bool is_last,
+                    int64_t now_ms)
+{
+    int64_t resume_ms = now_ms + RESUME_TIMEOUT_MS;
+
+    if (routed->events_delivered == 0) {
+        return routed->request.deadline_ms;
+    }
+    return is_last ? MAX(resume_ms, routed->request.deadline_ms) : resume_ms;
+}
+
 static void
 fill_attempt(const struct routed_call *routed, const struct target *target,
-             int64_t now_ms, struct attempt *attempt)
+             bool is_last, int64_t now_ms, struct attempt *attempt)
 {
     attempt->call = routed->call;
     attempt->target = target->report.id;
     memcpy(attempt->address, target->report.address, sizeof(attempt->address));
     attempt->number = routed->attempts + 1;
-    attempt->deadline_ms = routed->events_delivered > 0
-                               ? now_ms + RESUME_TIMEOUT_MS
-                               : routed->request.deadline_ms;
+    attempt->is_last = is_last;
+    attempt->deadline_ms = attempt_deadline_ms(routed, is_last, now_ms);
     attempt->resume_same_engine = routed->resume_same_engine;
     attempt->resume_from = routed->resume_same_engine
                                ? routed->stream_events
@@ -86,7 +113,8 @@
     if (!routed->resume_same_engine) {
         routed->stream_number++;
     }
-    fill_attempt(routed, target, now_ms, &attempt);
+    fill_attempt(routed, target, is_last_attempt(router, routed), now_ms,
+                 &attempt);
     *running = (struct running_attempt){
         .routed_call = routed->id,
         .target = target->report.id,
--- a/src/turmericd/serve/route/dat.h
+++ b/src/turmericd/serve/route/dat.h
@@ -20,6 +20,8 @@
  * @resume_same_engine: resume the stream that the same engine may still keep;
  *                      otherwise another engine continues the text generated
  *                      so far
+ * @is_last: no other attempt can follow, so a silent target keeps the call
+ *           until @deadline_ms
  */
 struct attempt {
     struct handle id;
@@ -31,6 +33,7 @@
     char stream_id[STREAM_ID_MAX_BYTES];
     uint32_t resume_from;
     bool resume_same_engine;
+    bool is_last;
 };
 
 enum attempt_result_kind {
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -689,6 +689,50 @@
     fixture_close(&fixture);
 }
 
+/* Guards against an answer that is ended before its deadline because its
+ * target is silent, although no other target can continue it, and against a
+ * silent target that keeps a call which another one can continue. */
+struct silence_case {
+    const char *name;
+    struct silence silence;
+    int64_t ends_ms;
+};
+
+static const struct silence_case silence_cases[] = {
+    {"no_byte", {false, false, 0, 30, 100}, 100},
+    {"no_byte_of_the_last", {false, true, 0, 30, 100}, 100},
+    {"another_may_continue", {true, false, 10, 30, 100}, 40},
+    {"last", {true, true, 10, 30, 100}, 100},
+    {"last_after_its_deadline", {true, true, 90, 30, 100}, 120},
+};
+
+static void
+test_silence(gconstpointer data)
+{
+    const struct silence_case *c = data;
+
+    g_assert_cmpint(silence_ends_ms(&c->silence), ==, c->ends_ms);
+}
+
+/* Guards against a last attempt that ends at the idle timeout. */
+static void
+test_silent_last_attempt(void)
+{
+    struct call_request request = make_request(CHAT_STREAM);
+    static struct fixture fixture;
+
+    fixture_open(&fixture, &request);
+    forward_set_idle_timeout_ms(fixture.forward, 1);
+    fixture.server.responses[0] = (struct canned_response)RESPONSE(
+        200, SSE, NULL, EVENT("a"), END_STALL, 0, 0);
+    fixture.attempt.is_last = true;
+    fixture.attempt.deadline_ms = clock_now_ms() + SHORT_DEADLINE_MS;
+    post(&fixture);
+    g_assert_cmpint(wait_for_result(&fixture).kind, !=, ATTEMPT_OK);
+    g_assert_cmpint(clock_now_ms(), >=, fixture.attempt.deadline_ms);
+    fixture_close(&fixture);
+}
+
 /* Guards against an attempt that is sent after its deadline. */
 static void
 test_deadline_passed(void)
@@ -829,6 +873,7 @@
     CASES("/forward/answer", answer_cases, test_answer),
     CASES("/forward/raw", raw_cases, test_raw),
     CASES("/forward/endless", endless_cases, test_endless),
+    CASES("/forward/silence", silence_cases, test_silence),
     CASES("/forward/request", request_cases, test_request),
     CASES("/forward/sse", sse_cases, test_sse),
 };
@@ -845,6 +890,7 @@
     g_test_add_func("/forward/fresh_connection", test_fresh_connection);
     g_test_add_func("/forward/first_byte_timeout", test_first_byte_timeout);
     g_test_add_func("/forward/idle_timeout", test_idle_timeout);
+    g_test_add_func("/forward/silent_last_attempt", test_silent_last_attempt);
     g_test_add_func("/forward/deadline_passed", test_deadline_passed);
     g_test_add_func("/forward/caller_gone", test_caller_gone);
     g_test_add_func("/forward/post_from_result", test_post_from_result);
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -18,6 +18,7 @@
  *   place LEAF T KIND              answer to a load request
  *   strike N T INC                 strike from another instance on the request
  *                                  of call N
+ *   limit N                        trace the limits of call N's attempt
  *   full                           the forward duty refuses attempts
  *   room                           the forward duty accepts attempts again
  *   stop                           stop the router
@@ -29,6 +30,8 @@
  *   claim(N), release(N)           claim of call N requested, released
  *   strike(T,INC)                  strike sent to the other instances
  *   refuse(N,ERROR,OUTCOME)        call N refused
+ *   limit(N,MS[ last])             time to the deadline of its attempt, and
+ *                                  whether no other can follow
  * A load request that equals the one before is not traced again.
  */
 #include <glib.h>
@@ -354,6 +357,17 @@
     router_handle_placement(fixture->router, &placement, fixture->now_ms);
 }
 
+static void
+do_limit(struct fixture *fixture, char **words)
+{
+    int number = atoi(words[1]);
+    const struct attempt *attempt = &fixture->attempt[number];
+
+    trace(fixture, "limit(%d,%d%s)", number,
+          (int)(attempt->deadline_ms - fixture->now_ms),
+          attempt->is_last ? " last" : "");
+}
+
 /* Advances the time in steps, so that each timer runs when it is due. */
 static void
 advance(struct fixture *fixture, int64_t ms)
@@ -423,6 +437,9 @@
                              target_id(words[2]), strtoull(words[3], NULL, 10),
                              fixture->now_ms);
     }
+    else if (strcmp(words[0], "limit") == 0) {
+        do_limit(fixture, words);
+    }
     else if (strcmp(words[0], "full") == 0 || strcmp(words[0], "room") == 0) {
         fixture->forward_full = words[0][0] == 'f';
     }
@@ -697,7 +714,7 @@
 };
 
 /* Guards against an answer that is ended before its deadline because its
- * target is silent. */
+ * target is silent, although no other target can continue it. */
 static const struct script_case silence_cases[] = {
     {"resume_waits_until_the_deadline",
      "report e1 x live 1 a; call 0 a sse 5 60000; result 0 broken 4; "
@@ -705,6 +722,19 @@
      "report e2 x live 1 a",
      "send(0,e1) send(0,e1 here:4) strike(e1,1) load(/s/a,5,1) "
      "send(0,e2 elsewhere:4)"},
+    {"not_idempotent",
+     "report e1 x live 1 a; call 0 a once 5 60000; decide 0 none; limit 0",
+     "claim(0) send(0,e1) limit(0,60000 last)"},
+    {"first_of_three",
+     "report e1 x live 1 a; call 0 a sse 5 60000; limit 0; "
+     "result 0 broken 4; limit 0; result 0 broken 1; limit 0",
+     "send(0,e1) limit(0,60000) send(0,e1 here:4) limit(0,30000) "
+     "send(0,e1 elsewhere:5) limit(0,60000 last)"},
+    {"refused_connection_is_no_attempt",
+     "report e1 x live 1 a; call 0 a idem 5 60000; result 0 not_sent; +1000; "
+     "result 0 busy; +100; limit 0; result 0 busy; +200; limit 0",
+     "send(0,e1) load(/s/a,5,1) send(0,e1) send(0,e1) limit(0,58900) "
+     "send(0,e1) limit(0,58700 last)"},
 };
 
 /* Guards against an attempt without a claim, a second attempt of a claimed
