Stand-in: targets that leave and targets that turn requests away

Checked by hand over HTTP: status, chat, 404 of a known path and 503 carry X-Leaving, the 503 has Retry-After: 1.5, and the field is gone after {"leaving":false}.

--- a/src/standin/chat.c
+++ b/src/standin/chat.c
@@ -316,6 +316,10 @@
                                    json_get_string(body, "model", ""));
     engine->chats += loaded ? 1 : 0;
     pthread_mutex_unlock(&engine->role.lock);
+    if (role_turn_away(&engine->role, response)) {
+        json_object_put(body);
+        return role_end_request(&engine->role, response);
+    }
     if (!loaded) {
         reply_error(response, 404, "not_loaded");
     }
--- a/src/standin/dat.h
+++ b/src/standin/dat.h
@@ -3,7 +3,11 @@
 
 #include <glib.h>
 
-enum { STANDIN_BODY_MAX_BYTES = 4 * 1024 * 1024, CRASH_MARKER_MAX_BYTES = 64 };
+enum {
+    STANDIN_BODY_MAX_BYTES = 4 * 1024 * 1024,
+    CRASH_MARKER_MAX_BYTES = 64,
+    RETRY_AFTER_MAX_BYTES = 64,
+};
 
 /**
  * struct faults - injected faults, set with POST /faults
@@ -14,7 +18,9 @@
  * @drop_write_responses: kv: like @drop_responses, but only for writes
  * @crash_marker: a request whose body contains this text ends the process
  * @ignore_fence: engine: orders with an old fencing token are accepted
- * @draining: the target reports itself as leaving
+ * @draining: the target says in all its answers that it leaves
+ * @turn_away: number of further requests that are refused and not run
+ * @retry_after: value of Retry-After in these refusals; empty to omit it
  * @fail_loads: engine: number of further loads that fail
  */
 struct faults {
@@ -25,6 +31,8 @@
     char crash_marker[CRASH_MARKER_MAX_BYTES];
     bool ignore_fence;
     bool draining;
+    int64_t turn_away;
+    char retry_after[RETRY_AFTER_MAX_BYTES];
     int64_t fail_loads;
 };
 
@@ -37,6 +45,9 @@
  * @store_load_ms: engine: time of a load from the weight store
  * @token_ms: engine: time to generate a token
  * @answer_tokens: engine: tokens per answer, unless max_tokens overrides it
+ * @leaving: engine, plain: @draining from the start
+ * @turn_away: engine, plain: @turn_away at the start
+ * @retry_after: engine, plain: @retry_after at the start
  * @list_delay_ms: list: delay after which a change becomes visible
  * @full_speed_downloads: store: concurrent downloads that run at full speed
  */
@@ -51,6 +62,9 @@
     int64_t store_load_ms;
     int64_t token_ms;
     int64_t answer_tokens;
+    bool leaving;
+    int64_t turn_away;
+    const char *retry_after;
     int64_t list_delay_ms;
     int64_t full_speed_downloads;
 };
--- a/src/standin/fns.h
+++ b/src/standin/fns.h
@@ -12,6 +12,7 @@
                                       void *user_data));
 void role_delay(struct role *role, int64_t delay_ms);
 bool role_begin_request(struct role *role, const struct _u_request *request);
+bool role_turn_away(struct role *role, struct _u_response *response);
 int role_drop_response(struct _u_response *response);
 int role_end_request(struct role *role, struct _u_response *response);
 void reply_error(struct _u_response *response, unsigned status,
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -28,6 +28,9 @@
     KEY_TOKENS,
     KEY_LAG,
     KEY_AT_ONCE,
+    KEY_LEAVING,
+    KEY_TURN_AWAY,
+    KEY_RETRY_AFTER,
 };
 
 static const struct argp_option argp_options[] = {
@@ -43,6 +46,12 @@
     {"load-ms", KEY_LOAD, "MS", 0, "engine: load time from the store", 0},
     {"token-ms", KEY_TOKEN, "MS", 0, "engine: time per token", 0},
     {"tokens", KEY_TOKENS, "N", 0, "engine: tokens per answer", 0},
+    {"leaving", KEY_LEAVING, NULL, 0,
+     "engine, plain: say in all answers that it leaves", 0},
+    {"turn-away", KEY_TURN_AWAY, "N", 0,
+     "engine, plain: refuse the first N requests with 503, not run", 0},
+    {"retry-after", KEY_RETRY_AFTER, "SECONDS", 0,
+     "engine, plain: Retry-After of these refusals, sent as given", 0},
     {"at-once", KEY_AT_ONCE, "N", 0,
      "store: concurrent downloads at full speed", 0},
     {0},
@@ -96,6 +105,15 @@
     case KEY_LAG:
         options->list_delay_ms = parse_number(state, argument);
         break;
+    case KEY_LEAVING:
+        options->leaving = true;
+        break;
+    case KEY_TURN_AWAY:
+        options->turn_away = parse_number(state, argument);
+        break;
+    case KEY_RETRY_AFTER:
+        options->retry_after = argument;
+        break;
     case KEY_AT_ONCE:
         options->full_speed_downloads = parse_number(state, argument);
         break;
--- a/src/standin/plain.c
+++ b/src/standin/plain.c
@@ -65,10 +65,14 @@
 {
     struct plain_role *plain = user_data;
     const char *key = u_map_get_case(request->map_header, "Idempotency-Key");
-    struct json_object *reply = json_object_new_object();
+    struct json_object *reply;
     int64_t runs;
 
     role_begin_request(&plain->role, request);
+    if (role_turn_away(&plain->role, response)) {
+        return role_end_request(&plain->role, response);
+    }
+    reply = json_object_new_object();
     pthread_mutex_lock(&plain->role.lock);
     runs = count_run(plain, key != NULL ? key : "");
     pthread_mutex_unlock(&plain->role.lock);
@@ -86,9 +90,13 @@
        void *user_data)
 {
     struct plain_role *plain = user_data;
-    struct json_object *reply = json_object_new_object();
+    struct json_object *reply;
 
     role_begin_request(&plain->role, request);
+    if (role_turn_away(&plain->role, response)) {
+        return role_end_request(&plain->role, response);
+    }
+    reply = json_object_new_object();
     json_object_object_add(reply, "path",
                            json_object_new_string(request->http_url));
     json_object_object_add(reply, "by",
--- a/src/standin/role.c
+++ b/src/standin/role.c
@@ -26,6 +26,22 @@
     .connections_max = CONNECTIONS_MAX,
 };
 
+/* Runs before the handler of each endpoint. */
+static int
+mark_leaving(const struct _u_request *request, struct _u_response *response,
+             void *user_data)
+{
+    struct role *role = user_data;
+
+    (void)request;
+    pthread_mutex_lock(&role->lock);
+    if (role->faults.draining) {
+        u_map_put(response->map_header, "X-Leaving", "1");
+    }
+    pthread_mutex_unlock(&role->lock);
+    return U_CALLBACK_CONTINUE;
+}
+
 /**
  * role_add_endpoint() - add an endpoint to the service address
  * @role: the role
@@ -39,8 +55,12 @@
                                  struct _u_response *response,
                                  void *user_data))
 {
-    return ulfius_add_endpoint_by_val(&role->server->instance, method, NULL,
-                                      path, 0, handler, role) == U_OK;
+    struct _u_instance *instance = &role->server->instance;
+
+    return ulfius_add_endpoint_by_val(instance, method, NULL, path, 0,
+                                      mark_leaving, role) == U_OK &&
+           ulfius_add_endpoint_by_val(instance, method, NULL, path, 1, handler,
+                                      role) == U_OK;
 }
 
 /**
@@ -110,6 +130,38 @@
     return true;
 }
 
+/**
+ * role_turn_away() - refuse a request that does not run, if that fault is set
+ * @role: the role
+ * @response: the response
+ *
+ * Return: whether the request was refused.
+ */
+bool
+role_turn_away(struct role *role, struct _u_response *response)
+{
+    struct json_object *body;
+    bool refused;
+
+    pthread_mutex_lock(&role->lock);
+    refused = role->faults.turn_away > 0;
+    if (refused) {
+        role->faults.turn_away--;
+        if (role->faults.retry_after[0] != '\0') {
+            u_map_put(response->map_header, "Retry-After",
+                      role->faults.retry_after);
+        }
+    }
+    pthread_mutex_unlock(&role->lock);
+    if (refused) {
+        body = json_object_new_object();
+        json_object_object_add(body, "outcome",
+                               json_object_new_string("not_run"));
+        http_reply_json(response, 503, body);
+    }
+    return refused;
+}
+
 static ssize_t
 fail_stream(void *user_data, uint64_t offset, char *buffer, size_t max)
 {
@@ -175,6 +227,10 @@
                            json_object_new_boolean(faults->ignore_fence));
     json_object_object_add(object, "leaving",
                            json_object_new_boolean(faults->draining));
+    json_object_object_add(object, "turn_away",
+                           json_object_new_int64(faults->turn_away));
+    json_object_object_add(object, "retry_after",
+                           json_object_new_string(faults->retry_after));
     json_object_object_add(object, "fail_loads",
                            json_object_new_int64(faults->fail_loads));
     return object;
@@ -192,6 +248,10 @@
     faults->ignore_fence =
         json_get_bool(object, "ignore_fence", faults->ignore_fence);
     faults->draining = json_get_bool(object, "leaving", faults->draining);
+    faults->turn_away = json_get_int64(object, "turn_away", faults->turn_away);
+    g_strlcpy(faults->retry_after,
+              json_get_string(object, "retry_after", faults->retry_after),
+              sizeof(faults->retry_after));
     faults->fail_loads =
         json_get_int64(object, "fail_loads", faults->fail_loads);
     g_strlcpy(faults->crash_marker,
@@ -276,6 +336,11 @@
 {
     role->ops = ops;
     role->options = options;
+    role->faults.draining = options->leaving;
+    role->faults.turn_away = options->turn_away;
+    g_strlcpy(role->faults.retry_after,
+              options->retry_after != NULL ? options->retry_after : "",
+              sizeof(role->faults.retry_after));
     pthread_mutex_init(&role->lock, NULL);
     pthread_mutex_init(&role->server_lock, NULL);
     cond_init_monotonic(&role->state_changed);
