Observe: what an answer says of leaving holds against older states

A target that leaves says so first in its answers. An instance learnt it from its status, polled once a second, or from a peer or the list: until then requests went on to the target, and afterwards a peer's report or a list that was older could bring it back, as could a list that named it again after its absence.

observe_post_leaving() takes that an answer said so. The target is reported as draining to route, place and peers at once, until a poll of this instance that started later says otherwise; an instance that doesn't poll the target does so then every 5 s, within the budget for stale targets. A target that said so is remembered for an hour after the list has dropped it. One line where the belief begins and one where it ends, with source and age, and a counter for each.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -196,6 +196,8 @@
     X(CTR_MEMBER_DEAD, "member_dead_total")                                   \
     X(CTR_REPORTS, "reports_total")                                           \
     X(CTR_POLLS_FAILED, "polls_failed_total")                                 \
+    X(CTR_LEAVING_BEGUN, "target_leaving_begun_total")                        \
+    X(CTR_LEAVING_ENDED, "target_leaving_ended_total")                        \
     X(CTR_DUTY_RESTARTS, "duty_restarts_total")                               \
     X(CTR_CONNECTS, "target_connects_total")                                  \
     X(CTR_ORDERS, "orders_total")                                             \
--- a/src/turmericd/fleet/observe/dat.h
+++ b/src/turmericd/fleet/observe/dat.h
@@ -161,6 +161,10 @@
  * @listed_draining: the list says that the target is draining
  * @reported_draining: the last poll, local or of a peer, says so
  * @unreachable: polls fail
+ * @leaving: an answer to a caller's request said that the target leaves, and
+ * no poll of this instance that started later says otherwise
+ * @leaving_since_ms: when the first such answer came
+ * @leaving_heard_ms: when the last such answer came
  * @consecutive_missing: consecutive reads of the list without the target
  * @consecutive_failures: consecutive local polls that failed
  * @polling: a local poll is in progress
@@ -177,6 +181,9 @@
     bool listed_draining;
     bool reported_draining;
     bool unreachable;
+    bool leaving;
+    int64_t leaving_since_ms;
+    int64_t leaving_heard_ms;
     int consecutive_missing;
     int consecutive_failures;
     bool polling;
@@ -201,12 +208,18 @@
     char url[ADDRESS_MAX_BYTES + 32];
 };
 
-enum observe_message_kind { OBSERVE_STATUS, OBSERVE_LIST, OBSERVE_ENVELOPE };
+enum observe_message_kind {
+    OBSERVE_STATUS,
+    OBSERVE_LIST,
+    OBSERVE_ENVELOPE,
+    OBSERVE_LEAVING,
+};
 
 /**
  * struct observe_message - message to the core duty
  * @kind: which of the other members are set
- * @target_id: target that was polled
+ * @target_id: target that was polled, or whose answer says that it leaves
+ * @heard_ms: when that answer came
  * @status: status of the target, NULL when the poll failed; owned
  * @list: decoded list; owned
  * @list_valid: whether the list could be read and decoded
@@ -215,6 +228,7 @@
 struct observe_message {
     enum observe_message_kind kind;
     uint64_t target_id;
+    int64_t heard_ms;
     struct target_report *status;
     struct instance_list list;
     bool list_valid;
--- a/src/turmericd/fleet/observe/fns.h
+++ b/src/turmericd/fleet/observe/fns.h
@@ -9,6 +9,8 @@
 /* Takes ownership of the envelope only when it returns true. */
 bool observe_post_envelope(struct observe *observe,
                            Turmeric__Envelope *envelope, struct err *err);
+bool observe_post_leaving(struct observe *observe, uint64_t target,
+                          int64_t heard_ms, struct err *err);
 
 /* status.c; no I/O. */
 bool status_parse(const char *text, size_t bytes, struct target_report *report,
@@ -29,6 +31,10 @@
 bool merge_peer_report(struct observed_target *observed,
                        const struct target_report *report, bool load_only,
                        bool polled_here, int64_t now_ms);
+bool merge_answer_leaving(struct observed_target *observed, int64_t heard_ms);
+bool merge_keeps_gone(const struct observed_target *observed, int64_t now_ms);
+bool merge_needs_own_poll(const struct observed_target *observed,
+                          int64_t now_ms);
 bool merge_is_stale(const struct observed_target *observed, int64_t now_ms);
 enum broadcast_kind
 merge_broadcast_needed(const struct observed_target *observed, int64_t now_ms);
--- a/src/turmericd/fleet/observe/merge.c
+++ b/src/turmericd/fleet/observe/merge.c
@@ -32,6 +32,9 @@
     /* At an instance that polls the target, a poll newer than this takes
      * precedence over a peer's report. */
     LOCAL_POLL_FRESH_MS = 2000,
+    /* A target that said that it leaves is remembered for this long after it
+     * is gone from the list, so that an older list can't bring it back. */
+    LEAVING_KEEP_MS = 3600000,
 };
 
 /**
@@ -60,7 +63,8 @@
     if (observed->unreachable) {
         return TARGET_DOWN;
     }
-    return observed->listed_draining || observed->reported_draining
+    return observed->listed_draining || observed->reported_draining ||
+                   observed->leaving
                ? TARGET_DRAINING
                : TARGET_LIVE;
 }
@@ -133,6 +137,45 @@
     return update_state(observed);
 }
 
+/**
+ * merge_answer_leaving() - apply an answer in which the target says it leaves
+ * @observed: the target
+ * @heard_ms: when the answer came
+ *
+ * Lists and reports of peers may be older than the answer, and so may be the
+ * incarnation that is known here. Only the target's own word ends it: the
+ * status that a poll of this instance got which started later.
+ *
+ * Return: whether the target was not known to leave before.
+ */
+bool
+merge_answer_leaving(struct observed_target *observed, int64_t heard_ms)
+{
+    bool begins = !observed->leaving;
+
+    if (begins) {
+        observed->leaving = true;
+        observed->leaving_since_ms = heard_ms;
+    }
+    if (begins || heard_ms > observed->leaving_heard_ms) {
+        observed->leaving_heard_ms = heard_ms;
+    }
+    update_state(observed);
+    return begins;
+}
+
+/**
+ * merge_keeps_gone() - whether to remember a target that the list lacks
+ * @observed: the target
+ * @now_ms: current time
+ */
+bool
+merge_keeps_gone(const struct observed_target *observed, int64_t now_ms)
+{
+    return observed->leaving &&
+           now_ms - observed->leaving_heard_ms < LEAVING_KEEP_MS;
+}
+
 /* Copies the fields of a status: all but the identity and the state. */
 static void
 copy_status(struct target_report *report, const struct target_report *status)
@@ -165,6 +208,9 @@
 merge_poll_status(struct observed_target *observed,
                   const struct target_report *status, int64_t now_ms)
 {
+    if (observed->poll_started_ms > observed->leaving_heard_ms) {
+        observed->leaving = false;
+    }
     copy_status(observed->report, status);
     observed->reported_draining = status->state == TARGET_DRAINING;
     observed->unreachable = false;
@@ -277,6 +323,20 @@
     return now_ms - observed->confirmed_ms >= REPORT_STALE_MS;
 }
 
+/**
+ * merge_needs_own_poll() - whether to poll a target that a peer should poll
+ * @observed: the target
+ * @now_ms: current time
+ *
+ * A peer's report can't show that a target which said here that it leaves has
+ * changed its mind: it may be older.
+ */
+bool
+merge_needs_own_poll(const struct observed_target *observed, int64_t now_ms)
+{
+    return observed->leaving || merge_is_stale(observed, now_ms);
+}
+
 static uint64_t
 hash_ids(uint64_t hash, const uint64_t *ids, uint16_t count)
 {
--- a/src/turmericd/fleet/observe/observe.c
+++ b/src/turmericd/fleet/observe/observe.c
@@ -31,8 +31,9 @@
      * of headers. */
     BROADCAST_DELAY_MS = 500,
     BROADCAST_REPORTS_MAX = 64,
-    /* Polls per second of stale targets that other members should poll; this
-     * limits the traffic to other data centres to about 5 KB/s. */
+    /* Polls per second of targets that other members should poll, but are
+     * stale or said here that they leave; this limits the traffic to other
+     * data centres to about 5 KB/s. */
     STALE_POLLS_PER_S = 8,
     STALE_RETRY_MS = 5000,
     /* A result this late was lost because the inbox was full. */
@@ -154,6 +155,22 @@
     observe->port->ops->target_reported(observe->port, report);
 }
 
+/* Logs the end of what an answer said, if it ended. */
+static void
+log_leaving_end(const struct observed_target *observed, bool was_leaving,
+                const char *source, int64_t now_ms)
+{
+    if (was_leaving && !observed->leaving) {
+        counter_add(CTR_LEAVING_ENDED, 1);
+        log_line(LOG_PRI_INFO, "observe",
+                 "event=leaving_ended target=%s source=%s age_ms=%lld "
+                 "state=%s",
+                 observed->report->name, source,
+                 (long long)(now_ms - observed->leaving_since_ms),
+                 state_name(observed->report->state));
+    }
+}
+
 static void
 apply_listed_entry(struct observe *observe,
                    const struct listed_instance *listed)
@@ -192,7 +209,7 @@
 }
 
 static void
-apply_missing_targets(struct observe *observe)
+apply_missing_targets(struct observe *observe, int64_t now_ms)
 {
     uint32_t cursor = 0;
     struct handle handle;
@@ -208,7 +225,12 @@
         if (merge_list_absence(observed)) {
             publish_report(observe, observed, before);
         }
-        if (observed->report->state == TARGET_GONE) {
+        if (observed->report->state == TARGET_GONE &&
+            !merge_keeps_gone(observed, now_ms)) {
+            bool was_leaving = observed->leaving;
+
+            observed->leaving = false;
+            log_leaving_end(observed, was_leaving, "list", now_ms);
             target_remove(observe, observed, handle);
         }
     }
@@ -248,7 +270,7 @@
             apply_listed_target(observe, listed, now_ms);
         }
     }
-    apply_missing_targets(observe);
+    apply_missing_targets(observe, now_ms);
 }
 
 /* A full report or a change of state is broadcast without delay. */
@@ -296,6 +318,7 @@
     struct observed_target *observed =
         target_find(observe, message->target_id);
     enum target_state before;
+    bool was_leaving;
     bool changed;
 
     if (observed == NULL || !observed->polling) {
@@ -303,6 +326,7 @@
     }
     observed->polling = false;
     before = observed->report->state;
+    was_leaving = observed->leaving;
     if (is_status_of(observed, message->status)) {
         changed = merge_poll_status(observed, message->status, now_ms);
     }
@@ -310,6 +334,7 @@
         counter_add(CTR_POLLS_FAILED, 1);
         changed = merge_poll_failure(observed);
     }
+    log_leaving_end(observed, was_leaving, "poll", now_ms);
     if (changed) {
         publish_report(observe, observed, before);
     }
@@ -318,6 +343,31 @@
     }
 }
 
+static void
+handle_leaving(struct observe *observe, uint64_t target_id, int64_t heard_ms,
+               int64_t now_ms)
+{
+    struct observed_target *observed = target_find(observe, target_id);
+    enum target_state before;
+
+    if (observed == NULL) {
+        return;
+    }
+    before = observed->report->state;
+    if (merge_answer_leaving(observed, heard_ms)) {
+        counter_add(CTR_LEAVING_BEGUN, 1);
+        log_line(LOG_PRI_INFO, "observe",
+                 "event=leaving target=%s source=answer age_ms=%lld",
+                 observed->report->name, (long long)(now_ms - heard_ms));
+    }
+    if (observed->report->state != before) {
+        publish_report(observe, observed, before);
+        if (polls_target(observe, observed)) {
+            schedule_broadcast(observe, observed, now_ms);
+        }
+    }
+}
+
 static void
 handle_peer_report(struct observe *observe,
                    const Turmeric__TargetReport *packed, int64_t now_ms)
@@ -384,6 +434,9 @@
     case OBSERVE_ENVELOPE:
         handle_envelope(observe, message->envelope, now_ms);
         break;
+    case OBSERVE_LEAVING:
+        handle_leaving(observe, message->target_id, message->heard_ms, now_ms);
+        break;
     }
     message_free(message);
 }
@@ -439,14 +492,15 @@
         now_ms - observed->poll_started_ms >= RESULT_TIMEOUT_MS) {
         observed->polling = false;
     }
-    if (observed->polling || now_ms < observed->next_poll_ms) {
+    if (observed->polling || now_ms < observed->next_poll_ms ||
+        observed->report->state == TARGET_GONE) {
         return;
     }
     if (polls_target(observe, observed)) {
         observed->next_poll_ms = now_ms + observe->settings.poll_interval_ms;
         start_poll(observe, observed, now_ms);
     }
-    else if (!merge_is_stale(observed, now_ms)) {
+    else if (!merge_needs_own_poll(observed, now_ms)) {
         observed->next_poll_ms = now_ms + observe->settings.poll_interval_ms;
     }
     else if (take_stale_poll(observe)) {
@@ -714,3 +768,25 @@
 
     return ring_push(&observe->inbox, &message, err);
 }
+
+/**
+ * observe_post_leaving() - queue that an answer says its target leaves
+ * @observe: the supervisor
+ * @target: id of the target
+ * @heard_ms: monotonic; when the answer came
+ * @err: filled in on failure
+ *
+ * Return: false with ERR_RING_FULL or ERR_STOPPED.
+ */
+bool
+observe_post_leaving(struct observe *observe, uint64_t target,
+                     int64_t heard_ms, struct err *err)
+{
+    struct observe_message message = {
+        .kind = OBSERVE_LEAVING,
+        .target_id = target,
+        .heard_ms = heard_ms,
+    };
+
+    return ring_push(&observe->inbox, &message, err);
+}
--- a/test/observe_test.c
+++ b/test/observe_test.c
@@ -305,7 +305,9 @@
     STEP_PEER_DRAINING,
     STEP_PEER_DOWN,
     STEP_PEER_LOAD,
-    STEP_PEER_POLLS, /* a peer's report; this instance does not poll */
+    STEP_LEAVING,        /* an answer says that the target leaves */
+    STEP_EARLIER_STATUS, /* of a poll that started 500 ms before */
+    STEP_PEER_POLLS,     /* a peer's report; this instance does not poll */
 };
 
 struct merge_step {
@@ -408,6 +410,111 @@
       {STEP_PEER_LOAD, 3000, 0, true, TARGET_LIVE, 5}}},
 };
 
+/* Guards against a target that is used again after it said that it leaves,
+ * because of a state that is older or not its own, and against one that is
+ * never used again. */
+static const struct merge_case leaving_cases[] = {
+    {"holds_against_lists",
+     {{STEP_STATUS, 0, 5, true, TARGET_LIVE, 5},
+      {STEP_LEAVING, 500, 0, true, TARGET_DRAINING, 5},
+      {STEP_LISTED, 900, 0, true, TARGET_DRAINING, 5},
+      {STEP_LISTED, 90000, 0, false, TARGET_DRAINING, 5}}},
+    {"holds_against_peers",
+     {{STEP_PEER_POLLS, 0, 5, true, TARGET_LIVE, 5},
+      {STEP_LEAVING, 500, 0, true, TARGET_DRAINING, 5},
+      {STEP_PEER_POLLS, 600, 5, true, TARGET_DRAINING, 5},
+      {STEP_PEER_POLLS, 20000, 4, true, TARGET_DRAINING, 4}}},
+    {"holds_against_an_earlier_poll",
+     {{STEP_STATUS, 0, 5, true, TARGET_LIVE, 5},
+      {STEP_LEAVING, 800, 0, true, TARGET_DRAINING, 5},
+      {STEP_EARLIER_STATUS, 1300, 5, true, TARGET_DRAINING, 5},
+      {STEP_EARLIER_STATUS, 1301, 5, true, TARGET_LIVE, 5}}},
+    {"renewed_by_each_answer",
+     {{STEP_STATUS, 0, 5, true, TARGET_LIVE, 5},
+      {STEP_LEAVING, 500, 0, true, TARGET_DRAINING, 5},
+      {STEP_LEAVING, 1500, 0, false, TARGET_DRAINING, 5},
+      {STEP_LEAVING, 1400, 0, false, TARGET_DRAINING, 5},
+      {STEP_EARLIER_STATUS, 2000, 5, true, TARGET_DRAINING, 5}}},
+    {"own_later_word",
+     {{STEP_STATUS, 0, 5, true, TARGET_LIVE, 5},
+      {STEP_LEAVING, 500, 0, true, TARGET_DRAINING, 5},
+      {STEP_STATUS_DRAINING, 1000, 5, true, TARGET_DRAINING, 5},
+      {STEP_STATUS, 2000, 5, true, TARGET_LIVE, 5}}},
+    {"holds_against_a_later_process",
+     {{STEP_PEER_POLLS, 0, 5, true, TARGET_LIVE, 5},
+      {STEP_LEAVING, 500, 0, true, TARGET_DRAINING, 5},
+      {STEP_PEER_POLLS, 1000, 6, true, TARGET_DRAINING, 6},
+      {STEP_EARLIER_STATUS, 1000, 6, true, TARGET_DRAINING, 6},
+      {STEP_STATUS, 2000, 6, true, TARGET_LIVE, 6}}},
+    {"back_in_an_older_list",
+     {{STEP_STATUS, 0, 5, true, TARGET_LIVE, 5},
+      {STEP_LEAVING, 500, 0, true, TARGET_DRAINING, 5},
+      {STEP_MISSING, 1000, 0, false, TARGET_DRAINING, 5},
+      {STEP_MISSING, 2000, 0, false, TARGET_DRAINING, 5},
+      {STEP_MISSING, 3000, 0, true, TARGET_GONE, 5},
+      {STEP_LISTED, 4000, 0, true, TARGET_DRAINING, 5}}},
+};
+
+/* Guards against a target that left and is forgotten while a list may still
+ * be late, and against one that is remembered forever. */
+struct keep_case {
+    const char *name;
+    bool leaving;
+    int64_t after_ms;
+    bool kept;
+};
+
+static const struct keep_case keep_cases[] = {
+    {"did_not_leave", false, 0, false},
+    {"left", true, 3599999, true},
+    {"left_long_ago", true, 3600000, false},
+};
+
+static void
+test_keep(gconstpointer data)
+{
+    const struct keep_case *c = data;
+    struct target_report report = {0};
+    struct observed_target observed;
+
+    merge_init(&observed, &report, 0);
+    if (c->leaving) {
+        g_assert_true(merge_answer_leaving(&observed, 100));
+    }
+    g_assert_true(merge_keeps_gone(&observed, 100 + c->after_ms) == c->kept);
+}
+
+/* Guards against a target that stays, but is never used again where another
+ * instance polls it. */
+struct own_poll_case {
+    const char *name;
+    bool leaving;
+    int64_t age_ms;
+    bool needed;
+};
+
+static const struct own_poll_case own_poll_cases[] = {
+    {"reported", false, 9999, false},
+    {"stale", false, 10000, true},
+    {"leaving", true, 0, true},
+};
+
+static void
+test_own_poll(gconstpointer data)
+{
+    const struct own_poll_case *c = data;
+    struct target_report report = {0};
+    struct observed_target observed;
+
+    merge_init(&observed, &report, 0);
+    g_assert_true(merge_peer_report(&observed, &report, false, false, 1000));
+    if (c->leaving) {
+        g_assert_true(merge_answer_leaving(&observed, 1000));
+    }
+    g_assert_true(merge_needs_own_poll(&observed, 1000 + c->age_ms) ==
+                  c->needed);
+}
+
 static const struct listed_instance listed_record = {
     .kind = LISTED_ENGINE,
     .name = "e1",
@@ -423,6 +530,8 @@
     struct listed_instance listed = listed_record;
 
     listed.draining = step->op == STEP_LISTED_DRAINING;
+    observed->poll_started_ms =
+        step->now_ms - (step->op == STEP_EARLIER_STATUS ? 500 : 0);
     if (step->op == STEP_STATUS_DRAINING || step->op == STEP_PEER_DRAINING) {
         report.state = TARGET_DRAINING;
     }
@@ -435,7 +544,10 @@
         return merge_list_record(observed, &listed);
     case STEP_MISSING:
         return merge_list_absence(observed);
+    case STEP_LEAVING:
+        return merge_answer_leaving(observed, step->now_ms);
     case STEP_STATUS:
+    case STEP_EARLIER_STATUS:
     case STEP_STATUS_DRAINING:
         return merge_poll_status(observed, &report, step->now_ms);
     case STEP_POLL_FAILED:
@@ -975,6 +1087,63 @@
     g_free(other);
 }
 
+/* Guards against a target that said that it leaves and is used again because
+ * an older list names it once more, and, where another instance polls it,
+ * against one that is never used again although it stays. */
+static void
+test_leaving_duty(void)
+{
+    struct http_stub target;
+    struct http_stub list;
+    struct port_recorder recorder;
+    struct observe_settings settings = {.list_interval_ms = 20,
+                                        .poll_interval_ms = 20,
+                                        .poll_timeout_ms = WATCHDOG_MS};
+    struct observe *observe;
+    struct target_report report;
+    pthread_t thread;
+    char *listed;
+    char *empty = g_strdup("[]");
+    char *live = g_strdup("{\"incarnation\": 77}");
+    char *leaving = g_strdup("{\"incarnation\": 77, \"leaving\": true}");
+
+    recorder_init(&recorder);
+    http_stub_start(&target, live);
+    listed = g_strdup_printf(
+        "[{\"name\": \"e1\", \"kind\": \"engine\", \"service\": \"s\", "
+        "\"data_centre\": \"far\", \"address\": \"127.0.0.1:%d\", "
+        "\"state\": \"live\"}]",
+        target.port);
+    http_stub_start(&list, listed);
+    snprintf(settings.list_url, sizeof(settings.list_url),
+             "http://127.0.0.1:%d", list.port);
+    observe = observe_new(&settings, &recorder.port, NULL);
+    pthread_create(&thread, NULL, observe_main, observe_duty(observe));
+    wait_for_report(&recorder, "e1", TARGET_LIVE, 77);
+    g_atomic_pointer_set(&target.body, leaving);
+    g_assert_true(
+        observe_post_leaving(observe, hash_text("e1"), clock_now_ms(), NULL));
+    wait_for_report(&recorder, "e1", TARGET_DRAINING, 77);
+    g_atomic_pointer_set(&list.body, empty);
+    wait_for_report(&recorder, "e1", TARGET_GONE, 77);
+    g_atomic_pointer_set(&list.body, listed);
+    do {
+        g_assert_cmpint(ring_pop(&recorder.reports, &report, WATCHDOG_MS), ==,
+                        RING_OK);
+    } while (report.state == TARGET_GONE);
+    g_assert_cmpint(report.state, ==, TARGET_DRAINING);
+    g_atomic_pointer_set(&target.body, live);
+    wait_for_report(&recorder, "e1", TARGET_LIVE, 77);
+    observe_duty(observe)->ops->stop(observe_duty(observe));
+    pthread_join(thread, NULL);
+    observe_free(observe);
+    http_stub_stop(&target);
+    http_stub_stop(&list);
+    recorder_free(&recorder);
+    g_free(empty);
+    g_free(leaving);
+}
+
 static void
 add_case_test(const char *group, const char *name, gconstpointer data,
               GTestDataFunc function)
@@ -997,9 +1166,13 @@
     ADD_CASES("status", status_cases, test_status)
     ADD_CASES("list", list_cases, test_list)
     ADD_CASES("merge", merge_cases, test_merge)
+    ADD_CASES("leaving", leaving_cases, test_merge)
+    ADD_CASES("keep", keep_cases, test_keep)
+    ADD_CASES("own_poll", own_poll_cases, test_own_poll)
     ADD_CASES("broadcast", broadcast_cases, test_broadcast)
     ADD_CASES("wire", wire_cases, test_wire)
     ADD_CASES("duty", duty_cases, test_duty)
+    g_test_add_func("/observe/leaving_duty", test_leaving_duty);
     g_test_add_func("/observe/list_unreadable", test_list_unreadable);
     g_test_add_func("/observe/status_too_many", test_status_too_many);
     return g_test_run();
