--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -127,10 +127,13 @@
 /**
  * struct err - error returned through a parameter
  * @kind: error kind; ERR_NONE means no error
+ * @retry_after_s: when it is known, the time after which a caller should try
+ *                 again; 0 for the usual time of @kind
  * @text: what failed and why, without the remedy
  */
 struct err {
     enum err_kind kind;
+    int retry_after_s;
     char text[ERR_TEXT_MAX];
 };
 
@@ -198,6 +201,9 @@
     X(CTR_POLLS_FAILED, "polls_failed_total")                                 \
     X(CTR_LEAVING_BEGUN, "target_leaving_begun_total")                        \
     X(CTR_LEAVING_ENDED, "target_leaving_ended_total")                        \
+    X(CTR_HOLDOFF_BEGUN, "target_holdoff_begun_total")                        \
+    X(CTR_HOLDOFF_ENDED, "target_holdoff_ended_total")                        \
+    X(CTR_HOLDOFF_INVALID, "target_holdoff_invalid_total")                    \
     X(CTR_DUTY_RESTARTS, "duty_restarts_total")                               \
     X(CTR_CONNECTS, "target_connects_total")                                  \
     X(CTR_ORDERS, "orders_total")                                             \
--- a/src/base/err.c
+++ b/src/base/err.c
@@ -82,6 +82,7 @@
         return false;
     }
     err->kind = kind;
+    err->retry_after_s = 0;
     va_start(arguments, format);
     vsnprintf(err->text, sizeof(err->text), format, arguments);
     va_end(arguments);
@@ -96,5 +97,6 @@
 err_clear(struct err *err)
 {
     err->kind = ERR_NONE;
+    err->retry_after_s = 0;
     err->text[0] = '\0';
 }
--- a/src/turmericd/serve/call/call.c
+++ b/src/turmericd/serve/call/call.c
@@ -314,6 +314,25 @@
     call_slot_unlock(slot);
 }
 
+/**
+ * call_text_is_complete() - whether another engine can continue the text
+ * @calls: table of calls
+ * @call: handle of the call
+ */
+bool
+call_text_is_complete(struct calls *calls, struct handle call)
+{
+    struct call_slot *slot = call_slot_lock(calls, call);
+    bool complete;
+
+    if (slot == NULL) {
+        return false;
+    }
+    complete = !slot->text_incomplete;
+    call_slot_unlock(slot);
+    return complete;
+}
+
 /**
  * call_copy_text() - copy the text generated so far
  * @calls: table of calls
--- a/src/turmericd/serve/call/fns.h
+++ b/src/turmericd/serve/call/fns.h
@@ -41,6 +41,7 @@
 /* Text of a streamed answer, from which another engine can continue. */
 void call_append_text(struct calls *calls, struct handle call,
                       const char *text, size_t bytes);
+bool call_text_is_complete(struct calls *calls, struct handle call);
 char *call_copy_text(struct calls *calls, struct handle call);
 
 #endif
--- a/src/turmericd/serve/forward/answer.c
+++ b/src/turmericd/serve/forward/answer.c
@@ -8,13 +8,17 @@
  */
 #include <curl/curl.h>
 #include <glib.h>
+#include <json-c/json.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <ulfius.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
 #include "proto/peer.pb-c.h"
 #include "tree/dat.h"
 #include "turmericd/state/config/dat.h"
@@ -23,6 +27,7 @@
 #include "turmericd/serve/call/dat.h"
 #include "turmericd/serve/call/fns.h"
 #include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/forward/dat.h"
 #include "turmericd/serve/forward/internal.h"
 
 enum {
@@ -100,15 +105,20 @@
 }
 
 /**
- * answer_add_outcome() - store the value of an X-Outcome field
+ * answer_reset_fields() - forget the fields of an interim response
  * @answer: the answer
- * @value: the value, not terminated
- * @bytes: its length
- *
- * Only "not_run" in all such fields proves that the request did not run.
  */
 void
-answer_add_outcome(struct answer *answer, const char *value, size_t bytes)
+answer_reset_fields(struct answer *answer)
+{
+    answer->outcome = ANSWER_OUTCOME_NONE;
+    answer->leaving = false;
+    answer->retry_after = RETRY_AFTER_NONE;
+}
+
+/* Only "not_run" in all such fields proves that the request did not run. */
+static void
+add_outcome(struct answer *answer, const char *value, size_t bytes)
 {
     static const char not_run[] = "not_run";
     bool is_not_run = bytes == sizeof(not_run) - 1 &&
@@ -122,6 +132,101 @@
     }
 }
 
+/**
+ * retry_after_parse() - read a number of seconds, with or without a fraction
+ * @value: the value, not terminated
+ * @bytes: its length
+ * @wait_ms: set to the time, rounded up
+ *
+ * Return: false for anything else and for more than RETRY_AFTER_MAX_MS.
+ */
+bool
+retry_after_parse(const char *value, size_t bytes, int64_t *wait_ms)
+{
+    int64_t unit_us = 1000000;
+    int64_t us = 0;
+    bool in_fraction = false;
+
+    for (size_t i = 0; i < bytes; i++) {
+        if (value[i] == '.' && !in_fraction && i > 0 && i + 1 < bytes) {
+            in_fraction = true;
+        }
+        else if (!g_ascii_isdigit(value[i])) {
+            return false;
+        }
+        else if (in_fraction) {
+            unit_us /= 10;
+            us += (value[i] - '0') * unit_us;
+        }
+        else if (us <= RETRY_AFTER_MAX_MS * 1000LL) {
+            us = us * 10 + (value[i] - '0') * unit_us;
+        }
+    }
+    *wait_ms = (us + 999) / 1000;
+    return bytes > 0 && *wait_ms <= RETRY_AFTER_MAX_MS;
+}
+
+static void
+add_retry_after(struct answer *answer, const char *value, size_t bytes)
+{
+    int64_t wait_ms;
+    bool valid = retry_after_parse(value, bytes, &wait_ms);
+
+    if (!valid || (answer->retry_after != RETRY_AFTER_NONE &&
+                   answer->retry_after_ms != wait_ms)) {
+        answer->retry_after = RETRY_AFTER_INVALID;
+    }
+    else if (answer->retry_after == RETRY_AFTER_NONE) {
+        answer->retry_after = RETRY_AFTER_VALID;
+        answer->retry_after_ms = wait_ms;
+    }
+}
+
+/**
+ * answer_add_field() - store a header field that says something of the target
+ * @answer: the answer
+ * @line: line of the head, not terminated
+ * @bytes: its length
+ */
+void
+answer_add_field(struct answer *answer, const char *line, size_t bytes)
+{
+    const char *value;
+    size_t value_bytes;
+
+    if ((value = http_field_value(line, bytes, "X-Outcome", &value_bytes)) !=
+        NULL) {
+        add_outcome(answer, value, value_bytes);
+    }
+    else if ((value = http_field_value(line, bytes, "X-Leaving",
+                                       &value_bytes)) != NULL) {
+        answer->leaving |= value_bytes == 1 && value[0] == '1';
+    }
+    else if ((value = http_field_value(line, bytes, "Retry-After",
+                                       &value_bytes)) != NULL) {
+        add_retry_after(answer, value, value_bytes);
+    }
+}
+
+/**
+ * answer_get_notice() - what a complete head says of its target
+ * @answer: the answer
+ * @status: HTTP status
+ * @notice: leaving, holds_off and holdoff_ms are set
+ *
+ * Return: whether it says anything.
+ */
+bool
+answer_get_notice(const struct answer *answer, int status,
+                  struct target_notice *notice)
+{
+    notice->leaving = answer->leaving;
+    notice->holds_off = status == STATUS_UNAVAILABLE &&
+                        answer->retry_after == RETRY_AFTER_VALID;
+    notice->holdoff_ms = notice->holds_off ? answer->retry_after_ms : 0;
+    return notice->leaving || notice->holds_off;
+}
+
 static bool
 start_answer(struct answer *answer)
 {
@@ -240,6 +345,23 @@
                            "error", "not_loaded");
 }
 
+static bool
+has_outcome(const struct answer *answer, const char *outcome)
+{
+    return body_has_member(answer->buffered->str, answer->buffered->len,
+                           "outcome", outcome);
+}
+
+/* A target that names the time in which it wants no requests has turned this
+ * one away, unless it says that the request ran or may have run. */
+static bool
+is_turned_away(const struct answer *answer)
+{
+    return answer->status == STATUS_UNAVAILABLE &&
+           answer->retry_after == RETRY_AFTER_VALID &&
+           !has_outcome(answer, "ran") && !has_outcome(answer, "unknown");
+}
+
 static bool
 is_busy(const struct answer *answer)
 {
@@ -247,8 +369,7 @@
             answer->status == STATUS_TOO_MANY) &&
            (answer->outcome == ANSWER_OUTCOME_NOT_RUN ||
             (answer->outcome == ANSWER_OUTCOME_NONE &&
-             body_has_member(answer->buffered->str, answer->buffered->len,
-                             "outcome", "not_run")));
+             (has_outcome(answer, "not_run") || is_turned_away(answer))));
 }
 
 static enum attempt_result_kind
--- a/src/turmericd/serve/forward/dat.h
+++ b/src/turmericd/serve/forward/dat.h
@@ -7,10 +7,14 @@
  * struct forward_port_ops - callbacks of the forward duty
  * @report_result: reports the end of an attempt; blocks until the result is
  *                 accepted, because no result may be lost
+ * @report_notice: reports what the head of an answer says of its target, as
+ *                 soon as it is received
  */
 struct forward_port_ops {
     void (*report_result)(struct forward_port *port,
                           const struct attempt_result *result);
+    void (*report_notice)(struct forward_port *port,
+                          const struct target_notice *notice);
 };
 
 struct forward_port {
--- a/src/turmericd/serve/forward/forward.c
+++ b/src/turmericd/serve/forward/forward.c
@@ -97,8 +97,8 @@
     }
     forward_answer_init(&answer, forward->calls, attempt, request);
     end = transfer_run(worker->multi, attempt, request, generated_text,
-                       &answer, forward->idle_timeout_ms, &forward->stopping,
-                       result->text, sizeof(result->text));
+                       &answer, forward->port, forward->idle_timeout_ms,
+                       &forward->stopping, result->text, sizeof(result->text));
     forward_answer_end(&answer, end, result);
     forward_answer_clear(&answer);
     free(generated_text);
--- a/src/turmericd/serve/forward/internal.h
+++ b/src/turmericd/serve/forward/internal.h
@@ -4,6 +4,9 @@
 enum {
     BUFFERED_ANSWER_MAX_BYTES = 8 * 1024 * 1024,
     SSE_EVENT_MAX_BYTES = 1024 * 1024,
+    /* Longest Retry-After of a target that is followed: a longer one would
+     * keep a sound target unused long after an operator has corrected it. */
+    RETRY_AFTER_MAX_MS = 600000,
 };
 
 /**
@@ -52,6 +55,19 @@
     ANSWER_OUTCOME_OTHER,
 };
 
+/**
+ * enum retry_after - what Retry-After says
+ * @RETRY_AFTER_NONE: no such field
+ * @RETRY_AFTER_VALID: a time in seconds
+ * @RETRY_AFTER_INVALID: anything else, a time beyond RETRY_AFTER_MAX_MS, or
+ *                       times that differ
+ */
+enum retry_after {
+    RETRY_AFTER_NONE,
+    RETRY_AFTER_VALID,
+    RETRY_AFTER_INVALID,
+};
+
 /**
  * struct answer - HTTP response of a target, forwarded to a call
  * @calls: table of calls
@@ -67,6 +83,9 @@
  * @status: HTTP status from the target
  * @content_type: content type from the target; empty when it sent none
  * @outcome: what the head says of the request
+ * @leaving: the head says that the target leaves
+ * @retry_after: kind of the head's Retry-After
+ * @retry_after_ms: its time, when it is valid
  * @mode: how the body is forwarded
  * @buffered: body received so far in mode ANSWER_BUFFER
  * @parser: parser of the body in mode ANSWER_EVENTS
@@ -88,6 +107,9 @@
     int status;
     char content_type[CALL_CONTENT_TYPE_MAX_BYTES];
     enum answer_outcome outcome;
+    bool leaving;
+    enum retry_after retry_after;
+    int64_t retry_after_ms;
     enum answer_mode mode;
     GString *buffered;
     struct sse_parser parser;
@@ -150,19 +172,25 @@
 void forward_answer_clear(struct answer *answer);
 void answer_set_head(struct answer *answer, int status,
                      const char *content_type);
-void answer_add_outcome(struct answer *answer, const char *value,
-                        size_t bytes);
+void answer_reset_fields(struct answer *answer);
+void answer_add_field(struct answer *answer, const char *line, size_t bytes);
+bool answer_get_notice(const struct answer *answer, int status,
+                       struct target_notice *notice);
+bool retry_after_parse(const char *value, size_t bytes, int64_t *wait_ms);
 bool answer_receive(struct answer *answer, const char *data, size_t bytes);
 void forward_answer_end(struct answer *answer, enum transfer_end end,
                         struct attempt_result *result);
 
 /* transfer.c */
+struct forward_port;
+
 enum transfer_end transfer_run(CURLM *multi, const struct attempt *attempt,
                                const struct call_request *request,
                                const char *generated_text,
-                               struct answer *answer, int64_t idle_timeout_ms,
-                               atomic_bool *stopping, char *detail,
-                               size_t detail_bytes);
+                               struct answer *answer,
+                               struct forward_port *port,
+                               int64_t idle_timeout_ms, atomic_bool *stopping,
+                               char *detail, size_t detail_bytes);
 void transfer_cancel(const struct attempt *attempt);
 int64_t silence_ends_ms(const struct silence *silence);
 
--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -11,6 +11,7 @@
  */
 #include <curl/curl.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <json-c/json.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -31,6 +32,7 @@
 #include "turmericd/serve/call/dat.h"
 #include "turmericd/serve/call/fns.h"
 #include "turmericd/serve/route/dat.h"
+#include "turmericd/serve/forward/dat.h"
 #include "turmericd/serve/forward/internal.h"
 
 enum {
@@ -38,6 +40,8 @@
     CANCEL_TIMEOUT_S = 1,
     URL_MAX_BYTES = ADDRESS_MAX_BYTES + CALL_URL_MAX_BYTES + 16,
     HEADER_MAX_BYTES = 512,
+    STATUS_OK = 200,
+    STATUS_UNAVAILABLE = 503,
 };
 
 /**
@@ -50,6 +54,9 @@
  * @idle_timeout_ms: longest pause between two parts of the answer's body
  * @last_data_ms: monotonic time when the last part of the body was processed
  * @has_first_byte: the first byte of the body has been received
+ * @head_ended: the head of the final response is complete
+ * @target: id of the target
+ * @port: receives what the head says of the target
  */
 struct transfer {
     CURL *easy;
@@ -60,6 +67,9 @@
     int64_t idle_timeout_ms;
     int64_t last_data_ms;
     bool has_first_byte;
+    bool head_ended;
+    uint64_t target;
+    struct forward_port *port;
 };
 
 static void
@@ -89,20 +99,55 @@
     return keep_going ? size * count : 0;
 }
 
+/* The notice doesn't wait for the body: other calls would be sent to a target
+ * that leaves as long as a stream lasts. */
+static void
+end_head(struct transfer *transfer, long status)
+{
+    struct answer *answer = transfer->answer;
+    struct target_notice notice = {
+        .target = transfer->target,
+        .heard_ms = clock_now_ms(),
+    };
+
+    transfer->head_ended = true;
+    if (answer_get_notice(answer, (int)status, &notice)) {
+        transfer->port->ops->report_notice(transfer->port, &notice);
+    }
+    if (status == STATUS_UNAVAILABLE &&
+        answer->retry_after == RETRY_AFTER_INVALID) {
+        counter_add(CTR_HOLDOFF_INVALID, 1);
+        log_line(LOG_PRI_WARNING, "forward",
+                 "event=retry_after_invalid target=%016" PRIx64 " max_ms=%d",
+                 transfer->target, RETRY_AFTER_MAX_MS);
+    }
+}
+
+static bool
+is_blank(const char *line, size_t bytes)
+{
+    return bytes > 0 && (line[0] == '\r' || line[0] == '\n');
+}
+
+/* Also gets the trailers of a chunked body, which say nothing. */
 static size_t
 on_header(char *data, size_t size, size_t count, void *argument)
 {
     struct transfer *transfer = argument;
     size_t bytes = size * count;
-    size_t value_bytes;
-    const char *outcome =
-        http_field_value(data, bytes, "X-Outcome", &value_bytes);
+    long status = 0;
 
     if (http_starts_head(data, bytes)) {
-        transfer->answer->outcome = ANSWER_OUTCOME_NONE;
+        answer_reset_fields(transfer->answer);
     }
-    else if (outcome != NULL) {
-        answer_add_outcome(transfer->answer, outcome, value_bytes);
+    else if (!transfer->head_ended && !is_blank(data, bytes)) {
+        answer_add_field(transfer->answer, data, bytes);
+    }
+    else if (!transfer->head_ended) {
+        curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+        if (status >= STATUS_OK && transfer->head.fault == NULL) {
+            end_head(transfer, status);
+        }
     }
     return http_head_add(&transfer->head, data, bytes) ? bytes : 0;
 }
@@ -331,6 +376,7 @@
  * @request: the request
  * @generated_text: text generated so far, which the engine continues, or NULL
  * @answer: receives the answer
+ * @port: receives what the answer's head says of the target
  * @idle_timeout_ms: longest pause between two parts of the answer's body
  * @stopping: set by another thread to end the transfer
  * @detail: set to an error text unless TRANSFER_COMPLETE is returned
@@ -342,10 +388,13 @@
 enum transfer_end
 transfer_run(CURLM *multi, const struct attempt *attempt,
              const struct call_request *request, const char *generated_text,
-             struct answer *answer, int64_t idle_timeout_ms,
-             atomic_bool *stopping, char *detail, size_t detail_bytes)
+             struct answer *answer, struct forward_port *port,
+             int64_t idle_timeout_ms, atomic_bool *stopping, char *detail,
+             size_t detail_bytes)
 {
     struct transfer transfer = {.answer = answer,
+                                .port = port,
+                                .target = attempt->target,
                                 .idle_timeout_ms = idle_timeout_ms};
     enum transfer_end end = TRANSFER_NOT_CONNECTED;
 
--- a/src/turmericd/serve/frontend/handler.c
+++ b/src/turmericd/serve/frontend/handler.c
@@ -63,7 +63,7 @@
 {
     char seconds[16];
     char *text = problem_format(err, outcome);
-    int retry_after_s = problem_retry_after_s(err->kind);
+    int retry_after_s = problem_retry_after_s(err);
 
     ulfius_set_string_body_response(response,
                                     (unsigned)err_info(err->kind)->status,
--- a/src/turmericd/serve/frontend/internal.h
+++ b/src/turmericd/serve/frontend/internal.h
@@ -81,7 +81,7 @@
                      int64_t address_ttl_s);
 
 /* problem.c */
-int problem_retry_after_s(enum err_kind kind);
+int problem_retry_after_s(const struct err *err);
 
 /* open_calls.c: tracks calls in progress for the graceful stop. */
 bool open_calls_reserve(struct frontend *frontend, struct err *err);
--- a/src/turmericd/serve/frontend/problem.c
+++ b/src/turmericd/serve/frontend/problem.c
@@ -63,14 +63,17 @@
 
 /**
  * problem_retry_after_s() - delay before a caller should retry a refused call
- * @kind: reason for the refusal
+ * @err: reason for the refusal
  *
  * Return: seconds for Retry-After; 0 when waiting doesn't help.
  */
 int
-problem_retry_after_s(enum err_kind kind)
+problem_retry_after_s(const struct err *err)
 {
-    switch (kind) {
+    if (err->retry_after_s > 0) {
+        return err->retry_after_s;
+    }
+    switch (err->kind) {
     case ERR_RING_FULL:
     case ERR_TABLE_FULL:
     case ERR_QUEUE_FULL:
--- a/src/turmericd/serve/route/attempts.c
+++ b/src/turmericd/serve/route/attempts.c
@@ -88,6 +88,21 @@
     routed->last_target = target;
 }
 
+static void
+target_count_start(struct target *target, int64_t now_ms)
+{
+    const struct holdoff *holdoff = &target->holdoff;
+
+    if (holdoff_count_start(&target->holdoff, now_ms)) {
+        counter_add(CTR_HOLDOFF_ENDED, 1);
+        log_line(LOG_PRI_INFO, "route",
+                 "event=holdoff_ended target=%s source=time age_ms=%lld "
+                 "late_ms=%lld",
+                 target->report.name, (long long)(now_ms - holdoff->since_ms),
+                 (long long)(now_ms - holdoff->until_ms));
+    }
+}
+
 /**
  * attempt_start() - hand an attempt to the forward duty
  * @router: the router
@@ -133,6 +148,7 @@
     routed->attempts++;
     add_tried(routed, target->report.id);
     target->inflight++;
+    target_count_start(target, now_ms);
     target->started_since_report++;
     report_use(router, routed->leaf, now_ms);
     return true;
@@ -166,13 +182,22 @@
     routed_call_enqueue(router, routed);
 }
 
+static bool
+is_down(const struct target *target)
+{
+    return target == NULL || target->report.state == TARGET_DOWN ||
+           target->report.state == TARGET_GONE;
+}
+
 /**
  * routed_call_resume_same_engine() - resume a stream where it broke off
  * @router: the router
  * @routed: the routed call
  * @now_ms: current monotonic time
  *
- * Falls back to another engine when the engine is down.
+ * Falls back to another engine when the engine is down, and when it leaves or
+ * wants no requests at present. A stream that no other engine can continue
+ * ends at one that leaves, and waits for one that wants no requests.
  */
 void
 routed_call_resume_same_engine(struct router *router,
@@ -180,13 +205,19 @@
 {
     struct target *target =
         fleet_find_target(&router->fleet, routed->last_target);
+    int64_t allows_ms =
+        target != NULL ? holdoff_allows_ms(&target->holdoff) : 0;
     struct err err = {0};
 
     routed->resume_same_engine = true;
-    if (target == NULL || target->report.state == TARGET_DOWN ||
-        target->report.state == TARGET_GONE) {
+    if (is_down(target) ||
+        ((target->report.state != TARGET_LIVE || allows_ms > now_ms) &&
+         call_text_is_complete(router->calls, routed->call))) {
         routed_call_resume_other_engine(router, routed, now_ms);
     }
+    else if (allows_ms > now_ms) {
+        routed_call_delay(router, routed, allows_ms);
+    }
     else if (!attempt_start(router, routed, target, now_ms, &err)) {
         routed_call_delay(router, routed, now_ms + BACKOFF_MIN_MS);
     }
--- a/src/turmericd/serve/route/dat.h
+++ b/src/turmericd/serve/route/dat.h
@@ -66,6 +66,22 @@
     char text[ERR_TEXT_MAX];
 };
 
+/**
+ * struct target_notice - what the head of an answer says of its target
+ * @target: id of the target
+ * @heard_ms: monotonic; when the head was received
+ * @leaving: the target leaves
+ * @holds_off: the target wants no requests of this instance for @holdoff_ms
+ * @holdoff_ms: from @heard_ms on
+ */
+struct target_notice {
+    uint64_t target;
+    int64_t heard_ms;
+    bool leaving;
+    bool holds_off;
+    int64_t holdoff_ms;
+};
+
 struct route_port;
 
 /**
--- a/src/turmericd/serve/route/dispatch.c
+++ b/src/turmericd/serve/route/dispatch.c
@@ -53,6 +53,45 @@
     }
 }
 
+/* Whether a load may still bring another target in time; how long it takes
+ * isn't known here. */
+static bool
+may_be_loaded(const struct leaf *leaf, const struct node *node)
+{
+    return !leaf->plain && leaf->placement_error == ERR_NONE &&
+           leaf->targets->len < node->settings.replicas_max;
+}
+
+/* Refuses the queued calls whose deadlines come before any target wants
+ * requests again. A stream that has begun is kept: its caller would lose it.
+ */
+static void
+refuse_held_off(struct router *router, struct leaf *leaf,
+                const struct node *node, int64_t now_ms)
+{
+    int64_t earliest_ms = holdoff_earliest_ms(leaf, now_ms);
+    GSequenceIter *next = g_sequence_get_begin_iter(leaf->queue);
+    struct err err = {0};
+
+    if (earliest_ms == 0 || may_be_loaded(leaf, node)) {
+        return;
+    }
+    err_set(&err, ERR_NO_TARGET,
+            "each target of %s wants no requests for %lld ms", leaf->path,
+            (long long)(earliest_ms - now_ms));
+    err.retry_after_s = holdoff_retry_after_s(leaf, now_ms);
+    while (!g_sequence_iter_is_end(next)) {
+        struct routed_call *routed = g_sequence_get(next);
+
+        next = g_sequence_iter_next(next);
+        if (routed->request.deadline_ms <= earliest_ms &&
+            routed->events_delivered == 0) {
+            routed_call_refuse(router, routed, &err,
+                               routed_call_idle_outcome(routed), now_ms);
+        }
+    }
+}
+
 static void
 send_load_request(struct router *router, struct leaf *leaf, int64_t now_ms)
 {
@@ -135,9 +174,23 @@
         break;
     }
     send_load_request(router, leaf, now_ms);
+    refuse_held_off(router, leaf, node, now_ms);
     return false;
 }
 
+/* A held-off target may want requests again before the next load request. */
+static int64_t
+next_dispatch_ms(const struct router *router, const struct leaf *leaf,
+                 int64_t now_ms)
+{
+    int64_t earliest_ms = holdoff_earliest_ms(leaf, now_ms);
+    int64_t interval_ms = router->forward_full ? FORWARD_FULL_RETRY_MS
+                                               : LOAD_REQUEST_INTERVAL_MS;
+
+    return earliest_ms == 0 ? now_ms + interval_ms
+                            : MIN(now_ms + interval_ms, earliest_ms);
+}
+
 /**
  * leaf_dispatch() - start queued calls of a leaf while targets have capacity
  * @router: the router
@@ -179,8 +232,7 @@
     }
     if (queue_length(leaf) > 0) {
         heap_set(&router->timers, &leaf->timer,
-                 now_ms + (router->forward_full ? FORWARD_FULL_RETRY_MS
-                                                : LOAD_REQUEST_INTERVAL_MS));
+                 next_dispatch_ms(router, leaf, now_ms));
     }
     tree_unref(tree);
 }
--- a/src/turmericd/serve/route/fns.h
+++ b/src/turmericd/serve/route/fns.h
@@ -9,6 +9,8 @@
 bool route_post_call(struct route *route, struct handle call, struct err *err);
 bool route_post_result(struct route *route,
                        const struct attempt_result *result, struct err *err);
+bool route_post_notice(struct route *route, const struct target_notice *notice,
+                       struct err *err);
 bool route_post_report(struct route *route, const struct target_report *report,
                        struct err *err);
 bool route_post_placement(struct route *route,
--- a/src/turmericd/serve/route/internal.h
+++ b/src/turmericd/serve/route/internal.h
@@ -26,10 +26,29 @@
     ABANDONED_CLAIM_TTL_MS = 60000,
     ABANDONED_CLAIMS_MAX = 4096,
     DEFER_MS = 200,
+    /* Time in which a target that was held off gets back as many requests as
+     * it had. */
+    HOLDOFF_RETURN_MS = 1000,
 };
 
 enum timer_kind { TIMER_CALL, TIMER_LEAF };
 
+/**
+ * struct holdoff - time in which a target wants no requests of this instance
+ * @active: the time runs, or not all @places are used again
+ * @since_ms: monotonic; when the target refused a request
+ * @until_ms: monotonic; end of the time
+ * @places: requests that the target gets back in HOLDOFF_RETURN_MS
+ * @started: requests that started after the time
+ */
+struct holdoff {
+    bool active;
+    int64_t since_ms;
+    int64_t until_ms;
+    uint32_t places;
+    uint32_t started;
+};
+
 /**
  * struct target - a target and the attempts of this instance on it
  * @report: latest report, corrected by later results and placements
@@ -39,6 +58,7 @@
  * @started_since_report: attempts that started after the report and still run
  * @report_number: number of reports received
  * @backoff_until_ms: monotonic; a connection failed, so it isn't used before
+ * @holdoff: time in which the target wants no requests
  */
 struct target {
     struct target_report report;
@@ -47,6 +67,7 @@
     uint32_t started_since_report;
     uint64_t report_number;
     int64_t backoff_until_ms;
+    struct holdoff holdoff;
 };
 
 /**
@@ -280,6 +301,14 @@
                              const struct pick_query *query, uint64_t *random,
                              struct target **picked);
 
+/* holdoff.c */
+void holdoff_begin(struct holdoff *holdoff, int64_t wait_ms, uint32_t places,
+                   int64_t now_ms);
+int64_t holdoff_allows_ms(const struct holdoff *holdoff);
+bool holdoff_count_start(struct holdoff *holdoff, int64_t now_ms);
+int64_t holdoff_earliest_ms(const struct leaf *leaf, int64_t now_ms);
+int holdoff_retry_after_s(const struct leaf *leaf, int64_t now_ms);
+
 /* retry.c */
 void retry_budget_add_request(struct retry_budget *budget, int64_t now_ms);
 bool retry_budget_allows(const struct retry_budget *budget, int64_t now_ms);
@@ -336,6 +365,8 @@
                         int64_t now_ms);
 void router_handle_result(struct router *router,
                           const struct attempt_result *result, int64_t now_ms);
+void router_handle_notice(struct router *router,
+                          const struct target_notice *notice);
 void router_handle_report(struct router *router,
                           const struct target_report *report, int64_t now_ms);
 void router_handle_placement(struct router *router,
--- a/src/turmericd/serve/route/pick.c
+++ b/src/turmericd/serve/route/pick.c
@@ -78,12 +78,14 @@
 }
 
 /* A target that just refused a connection counts as down before a report
- * shows it: further attempts on it would fail and only delay the call. */
+ * shows it: further attempts on it would fail and only delay the call. One
+ * that is held off said itself that it wants none. */
 static bool
 is_usable(const struct target *target, const struct pick_query *query)
 {
     return target->report.state == TARGET_LIVE &&
-           target->backoff_until_ms <= query->now_ms;
+           target->backoff_until_ms <= query->now_ms &&
+           holdoff_allows_ms(&target->holdoff) <= query->now_ms;
 }
 
 static int
--- a/src/turmericd/serve/route/reports.c
+++ b/src/turmericd/serve/route/reports.c
@@ -130,3 +130,28 @@
 {
     strikes_add(router->strikes, fingerprint, target, incarnation, now_ms);
 }
+
+/**
+ * router_handle_notice() - handle what an answer says of its target
+ * @router: the router
+ * @notice: the target wants no requests of this instance for some time
+ *
+ * The time begins when the answer came, so that a late message doesn't prolong
+ * it.
+ */
+void
+router_handle_notice(struct router *router, const struct target_notice *notice)
+{
+    struct target *target = fleet_find_target(&router->fleet, notice->target);
+
+    if (target == NULL || !notice->holds_off) {
+        return;
+    }
+    holdoff_begin(&target->holdoff, notice->holdoff_ms, target->inflight,
+                  notice->heard_ms);
+    counter_add(CTR_HOLDOFF_BEGUN, 1);
+    log_line(LOG_PRI_INFO, "route",
+             "event=holdoff target=%s source=answer holdoff_ms=%lld places=%u",
+             target->report.name, (long long)notice->holdoff_ms,
+             target->holdoff.places);
+}
--- a/src/turmericd/serve/route/results.c
+++ b/src/turmericd/serve/route/results.c
@@ -100,6 +100,9 @@
 
     err_set(&err, retry->kind, "%s: attempt %d: %.160s", routed->leaf->path,
             routed->attempts, routed->last_failure);
+    if (retry->outcome == OUTCOME_NOT_RUN) {
+        err.retry_after_s = holdoff_retry_after_s(routed->leaf, now_ms);
+    }
     routed_call_refuse(router, routed, &err, retry->outcome, now_ms);
 }
 
--- a/src/turmericd/serve/route/route.c
+++ b/src/turmericd/serve/route/route.c
@@ -34,6 +34,7 @@
     MESSAGE_PLACEMENT,
     MESSAGE_CLAIM_RESULT,
     MESSAGE_STRIKE,
+    MESSAGE_NOTICE,
 };
 
 struct strike_message {
@@ -55,6 +56,7 @@
         struct placement placement;
         struct claim_result claim_result;
         struct strike_message strike;
+        struct target_notice notice;
     };
 };
 
@@ -90,6 +92,9 @@
                              message->strike.target,
                              message->strike.incarnation, now_ms);
         break;
+    case MESSAGE_NOTICE:
+        router_handle_notice(route->router, &message->notice);
+        break;
     }
 }
 
@@ -239,6 +244,23 @@
     return ring_push(&route->ring, &message, err);
 }
 
+/**
+ * route_post_notice() - post what the head of an answer says of its target
+ * @route: the duty
+ * @notice: the notice, copied
+ * @err: set on failure
+ *
+ * Return: false with ERR_RING_FULL or ERR_STOPPED.
+ */
+bool
+route_post_notice(struct route *route, const struct target_notice *notice,
+                  struct err *err)
+{
+    struct message message = {.kind = MESSAGE_NOTICE, .notice = *notice};
+
+    return ring_push(&route->ring, &message, err);
+}
+
 /**
  * route_post_report() - post a report of a target
  * @route: the duty
--- a/src/turmericd/serveports.c
+++ b/src/turmericd/serveports.c
@@ -132,6 +132,22 @@
     }
 }
 
+static void
+forward_port_report_notice(struct forward_port *port,
+                           const struct target_notice *notice)
+{
+    struct root *root = ((struct root_forward_port *)port)->root;
+    struct err err = {0};
+
+    if (notice->leaving && !observe_post_leaving(root->observe, notice->target,
+                                                 notice->heard_ms, &err)) {
+        refusal_add(err.kind);
+    }
+    if (notice->holds_off && !route_post_notice(root->route, notice, &err)) {
+        refusal_add(err.kind);
+    }
+}
+
 static bool
 frontend_port_submit(struct frontend_port *port, struct handle call,
                      struct err *err)
@@ -232,7 +248,7 @@
     route_port_release_claim, route_port_broadcast_strike,
     route_port_tree_ref,      route_port_get_config_state};
 static const struct forward_port_ops forward_ops = {
-    forward_port_report_result};
+    forward_port_report_result, forward_port_report_notice};
 static const struct frontend_port_ops frontend_ops = {
     frontend_port_submit, frontend_port_tree_ref, frontend_port_list_members,
     frontend_port_announce_drain};
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -44,6 +44,7 @@
  * @server: the target
  * @attempt: attempt that post() sends
  * @results: struct attempt_result in the order of arrival
+ * @notices: struct target_notice in the order of arrival
  * @output: status and body that the caller has read
  * @read_result: last result of call_read()
  * @post_next: post @attempt again when the first result arrives
@@ -56,6 +57,7 @@
     struct handle call;
     struct attempt attempt;
     struct ring results;
+    struct ring notices;
     pthread_t duty_thread;
     pthread_t reader_thread;
     GString *output;
@@ -76,7 +78,13 @@
     ring_push(&fixture->results, result, NULL);
 }
 
-static const struct forward_port_ops ops = {on_result};
+static void
+on_notice(struct forward_port *port, const struct target_notice *notice)
+{
+    ring_push(&((struct fixture *)port)->notices, notice, NULL);
+}
+
+static const struct forward_port_ops ops = {on_result, on_notice};
 
 static void *
 read_answer(void *argument)
@@ -108,6 +116,7 @@
     fixture->calls = calls_new(4, NULL);
     fixture->output = g_string_new(NULL);
     ring_init(&fixture->results, 16, sizeof(struct attempt_result), NULL);
+    ring_init(&fixture->notices, 16, sizeof(struct target_notice), NULL);
     server_start(&fixture->server);
     fixture->forward = forward_new(fixture->calls, 1, &fixture->port, NULL);
     test_duty_start(forward_duty(fixture->forward), &fixture->duty_thread);
@@ -134,6 +143,7 @@
     forward_free(fixture->forward);
     calls_free(fixture->calls);
     ring_free(&fixture->results);
+    ring_free(&fixture->notices);
     g_string_free(fixture->output, TRUE);
 }
 
@@ -419,6 +429,164 @@
     script_stop(&script);
 }
 
+/* Guards against a notice of the target that is lost, late or made up, and
+ * against a request that was turned away and counts as run. A case has at most
+ * one notice; it must come before the result. */
+enum { NONE = -1, NOT_VALID = -2 };
+
+struct notice_case {
+    const char *name;
+    const char *response;
+    enum attempt_result_kind kind;
+    bool leaving;
+    int64_t holdoff_ms;
+};
+
+#define LEAVING(value) "X-Leaving: " value "\r\n"
+#define AFTER(value) "Retry-After: " value "\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+#define NO LENGTH("2")
+#define TURNED_AWAY(fields) HEAD("503", fields NO) "no"
+
+static const struct notice_case notice_cases[] = {
+    {"none", HEAD("200", NO) "ok", ATTEMPT_OK, false, NONE},
+    {"leaving", HEAD("200", LEAVING("1") NO) "ok", ATTEMPT_OK, true, NONE},
+    {"not_leaving", HEAD("200", LEAVING("0") NO) "ok", ATTEMPT_OK, false,
+     NONE},
+    {"leaving_in_interim_response",
+     HEAD("103", LEAVING("1")) HEAD("200", NO) "ok", ATTEMPT_OK, false, NONE},
+    {"leaving_in_trailer",
+     HEAD("200", CHUNKED) "2\r\nok\r\n0\r\n" LEAVING("1") "\r\n", ATTEMPT_OK,
+     false, NONE},
+    {"leaving_with_trailer",
+     HEAD("200", LEAVING("1") CHUNKED) "2\r\nok\r\n0\r\nX-A: 1\r\n\r\n",
+     ATTEMPT_OK, true, NONE},
+    {"turned_away_in_trailer",
+     HEAD("503", CHUNKED) "2\r\nno\r\n0\r\n" AFTER("2") "\r\n", ATTEMPT_OK,
+     false, NONE},
+    {"leaving_before_the_answer_breaks",
+     HEAD("200", LEAVING("1") LENGTH("4")) "ok<close>", ATTEMPT_BROKEN, true,
+     NONE},
+    {"turned_away", TURNED_AWAY(AFTER("2")), ATTEMPT_BUSY, false, 2000},
+    {"fraction", TURNED_AWAY(AFTER("0.25")), ATTEMPT_BUSY, false, 250},
+    {"zero", TURNED_AWAY(AFTER("0")), ATTEMPT_BUSY, false, 0},
+    {"both", TURNED_AWAY(LEAVING("1") AFTER("2")), ATTEMPT_BUSY, true, 2000},
+    {"with_outcome", TURNED_AWAY(OUTCOME(" not_run") AFTER("2")), ATTEMPT_BUSY,
+     false, 2000},
+    {"that_may_have_run", TURNED_AWAY(OUTCOME(" unknown") AFTER("2")),
+     ATTEMPT_OK, false, 2000},
+    {"that_may_have_run_by_its_body",
+     HEAD("503", AFTER("2") LENGTH("21")) "{\"outcome\":\"unknown\"}",
+     ATTEMPT_OK, false, 2000},
+    {"other_status", HEAD("429", AFTER("2") NO) "no", ATTEMPT_OK, false, NONE},
+    {"word", TURNED_AWAY(AFTER("soon")), ATTEMPT_OK, false, NOT_VALID},
+    {"negative", TURNED_AWAY(AFTER("-1")), ATTEMPT_OK, false, NOT_VALID},
+    {"too_long", TURNED_AWAY(AFTER("600.001")), ATTEMPT_OK, false, NOT_VALID},
+    {"same_twice", TURNED_AWAY(AFTER("2") AFTER("2.0")), ATTEMPT_BUSY, false,
+     2000},
+    {"differ", TURNED_AWAY(AFTER("2") AFTER("3")), ATTEMPT_OK, false,
+     NOT_VALID},
+    {"in_interim_response", HEAD("103", AFTER("2")) TURNED_AWAY(""),
+     ATTEMPT_OK, false, NONE},
+};
+
+static void
+test_notice(gconstpointer data)
+{
+    const struct notice_case *c = data;
+    const char *answers[] = {c->response, NULL};
+    struct call_request request = make_request(PLAIN);
+    struct target_notice notice = {0};
+    struct scripted_target script;
+    uint64_t invalid = counter_read(CTR_HOLDOFF_INVALID);
+    static struct fixture fixture;
+
+    script_start(&script, answers, 1);
+    fixture_open(&fixture, &request);
+    snprintf(fixture.attempt.address, sizeof(fixture.attempt.address),
+             "127.0.0.1:%d", script.ports[0]);
+    fixture.attempt.target = 77;
+    post(&fixture);
+    g_assert_cmpint(wait_for_result(&fixture).kind, ==, c->kind);
+    g_assert_cmpuint(ring_count(&fixture.notices), ==,
+                     c->leaving || c->holdoff_ms >= 0 ? 1 : 0);
+    if (ring_pop(&fixture.notices, &notice, 0) == RING_OK) {
+        g_assert_cmpuint(notice.target, ==, 77);
+    }
+    g_assert_true(notice.leaving == c->leaving);
+    g_assert_true(notice.holds_off == (c->holdoff_ms >= 0));
+    if (notice.holds_off) {
+        g_assert_cmpint(notice.holdoff_ms, ==, c->holdoff_ms);
+    }
+    g_assert_cmpuint(counter_read(CTR_HOLDOFF_INVALID) - invalid, ==,
+                     c->holdoff_ms == NOT_VALID ? 1 : 0);
+    fixture_close(&fixture);
+    script_stop(&script);
+}
+
+/* Guards against a notice that waits for the end of a stream. */
+static void
+test_notice_before_the_body(void)
+{
+    static const char *const answers[] = {
+        HEAD("200", TYPE(SSE) LEAVING("1")) EVENT("a") "<hold>", NULL};
+    struct call_request request = make_request(CHAT_STREAM);
+    struct target_notice notice;
+    struct scripted_target script;
+    static struct fixture fixture;
+
+    script_start(&script, answers, 1);
+    fixture_open(&fixture, &request);
+    snprintf(fixture.attempt.address, sizeof(fixture.attempt.address),
+             "127.0.0.1:%d", script.ports[0]);
+    post(&fixture);
+    g_assert_cmpint(ring_pop(&fixture.notices, &notice, -1), ==, RING_OK);
+    g_assert_true(notice.leaving);
+    g_assert_cmpuint(ring_count(&fixture.results), ==, 0);
+    fixture_close(&fixture);
+    script_stop(&script);
+}
+
+/* Guards against a time that is read wrongly. */
+struct retry_after_case {
+    const char *name;
+    const char *value;
+    int64_t wait_ms;
+};
+
+static const struct retry_after_case retry_after_cases[] = {
+    {"seconds", "30", 30000},
+    {"fraction", "1.5", 1500},
+    {"rounded_up", "0.0001", 1},
+    {"longest", "600", 600000},
+    {"too_long", "601", -1},
+    {"huge", "99999999999999999999", -1},
+    {"long_fraction", "1.000000000000000000000000", 1000},
+    {"empty", "", -1},
+    {"negative", "-1", -1},
+    {"sign", "+1", -1},
+    {"point", ".", -1},
+    {"no_integer", ".5", -1},
+    {"no_fraction", "5.", -1},
+    {"two_points", "1.2.3", -1},
+    {"exponent", "1e3", -1},
+    {"date", "Sat, 05 Dec", -1},
+    {"list", "1, 2", -1},
+};
+
+static void
+test_retry_after(gconstpointer data)
+{
+    const struct retry_after_case *c = data;
+    int64_t wait_ms = 0;
+
+    g_assert_true(retry_after_parse(c->value, strlen(c->value), &wait_ms) ==
+                  (c->wait_ms >= 0));
+    if (c->wait_ms >= 0) {
+        g_assert_cmpint(wait_ms, ==, c->wait_ms);
+    }
+}
+
 /* Guards against a request that lacks a header field or member which its
  * target needs, or has one which this target must not get. */
 struct request_case {
@@ -874,6 +1042,8 @@
     CASES("/forward/raw", raw_cases, test_raw),
     CASES("/forward/endless", endless_cases, test_endless),
     CASES("/forward/silence", silence_cases, test_silence),
+    CASES("/forward/notice", notice_cases, test_notice),
+    CASES("/forward/retry_after", retry_after_cases, test_retry_after),
     CASES("/forward/request", request_cases, test_request),
     CASES("/forward/sse", sse_cases, test_sse),
 };
@@ -883,6 +1053,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
+    g_test_add_func("/forward/notice_before_the_body",
+                    test_notice_before_the_body);
     g_test_add_func("/forward/resume_elsewhere", test_resume_elsewhere);
     g_test_add_func("/forward/resume_refused", test_resume_refused);
     g_test_add_func("/forward/refused_connection", test_refused_connection);
--- a/test/frontend_test.c
+++ b/test/frontend_test.c
@@ -44,6 +44,7 @@
     RESPONSE_TEXT_ABORTED,   /* sends part of a text and aborts */
     RESPONSE_NO_CONTENT,     /* sends 204 */
     RESPONSE_REFUSED,        /* refuses with ERR_DEADLINE */
+    RESPONSE_HELD_OFF,       /* refuses with a Retry-After of its own */
     RESPONSE_RING_FULL,      /* fails to queue the call */
     RESPONSE_UNFINISHED,     /* sends one event, keeps the call open */
 };
@@ -116,6 +117,10 @@
     case RESPONSE_REFUSED:
         err_set(&refusal, ERR_DEADLINE, "nothing was free");
         return call_fail(fixture->calls, call, &refusal, OUTCOME_UNKNOWN);
+    case RESPONSE_HELD_OFF:
+        err_set(&refusal, ERR_NO_TARGET, "no target wants it");
+        refusal.retry_after_s = 77;
+        return call_fail(fixture->calls, call, &refusal, OUTCOME_NOT_RUN);
     case RESPONSE_UNFINISHED:
         fixture->unfinished_call = call;
         fixture->response = RESPONSE_COMPLETE;
@@ -430,6 +435,10 @@
      RESPONSE_REFUSED,
      {"504 ", "Retry-After: 5", "\"outcome\":\"unknown\"", "nothing was free"},
      false},
+    {"held_off",
+     RESPONSE_HELD_OFF,
+     {"503 ", "Retry-After: 77", "\"outcome\":\"not_run\"", "no_target"},
+     false},
     {"ring_full",
      RESPONSE_RING_FULL,
      {"503 ", "Retry-After: 1", "\"outcome\":\"not_run\"", "ring_full"},
--- a/test/outage_test.c
+++ b/test/outage_test.c
@@ -40,6 +40,7 @@
 
 enum { PAUSED_DEADLINE_MS = 12000 };
 enum {
+    TARGETS_OF_ORDERS = 2,
     DRAIN_PROPAGATION_MS = 3000,
     CALLS_AFTER_DRAIN = 12,
     LONG_TOKENS = 450
@@ -214,6 +215,97 @@
     check_plain_draining(cluster, true);
 }
 
+enum { TURNED_AWAY_ORDERS = 15, TURNED_AWAY_MAX = 2 };
+
+/* Guards against requests that an instance sends to targets while they want
+ * none, and against an order refused so that is not reported as not run. */
+static void
+run_plain_turned_away(struct cluster *cluster)
+{
+    int64_t before[TARGETS_OF_ORDERS];
+
+    call_orders(cluster, 0);
+    for (int i = 0; i < TARGETS_OF_ORDERS; i++) {
+        struct process *target = cluster_find(cluster, PROCESS_PLAIN, i + 1);
+
+        process_set_faults(target,
+                           "{\"turn_away\": 1000, \"retry_after\": \"500\"}");
+        before[i] = process_get_stat(target, "calls");
+    }
+    for (int i = 0; i < TURNED_AWAY_ORDERS; i++) {
+        char *key = g_strdup_printf("turned-away-%d", i);
+        struct order *order = order_new(cluster, 1, key);
+
+        send_order(order);
+        g_assert_cmpint(order->answer.status, ==, 503);
+        g_assert_nonnull(strstr(order->answer.text, "\"not_run\""));
+        g_free(order);
+        g_free(key);
+    }
+    for (int i = 0; i < TARGETS_OF_ORDERS; i++) {
+        struct process *target = cluster_find(cluster, PROCESS_PLAIN, i + 1);
+
+        g_assert_cmpint(process_get_stat(target, "calls") - before[i], <=,
+                        TURNED_AWAY_MAX);
+    }
+}
+
+static void
+set_plain_faults(struct cluster *cluster, const char *faults)
+{
+    for (int i = 1; i <= TARGETS_OF_ORDERS; i++) {
+        process_set_faults(cluster_find(cluster, PROCESS_PLAIN, i), faults);
+    }
+}
+
+struct leaving_check {
+    struct cluster *cluster;
+    int orders;
+};
+
+/* Condition: an instance has learnt from an answer that its target leaves. A
+ * poll may be first, and then no request is sent there. */
+static bool
+answer_told_leaving(void *context)
+{
+    struct leaving_check *check = context;
+    struct answer *answer = g_new0(struct answer, 1);
+    const char *begun;
+    bool told;
+
+    set_plain_faults(check->cluster, "{\"leaving\": true}");
+    order_once(check->cluster,
+               check->cluster->layout->entries * ++check->orders);
+    set_plain_faults(check->cluster, "{\"leaving\": false}");
+    g_assert_true(request_send(cluster_find(check->cluster, PROCESS_ENTRY, 1),
+                               "GET", "/metrics", NULL, NULL, answer));
+    begun = strstr(answer->text, "\ntarget_leaving_begun_total ");
+    told = begun != NULL && atoi(strchr(begun + 1, ' ')) > 0;
+    g_free(answer);
+    return told;
+}
+
+static bool
+orders_are_served(void *context)
+{
+    struct leaving_check *check = context;
+
+    return order_once(check->cluster, check->cluster->layout->entries *
+                                          ++check->orders) == 200;
+}
+
+/* Guards against an answer whose word that its target leaves is lost, and
+ * against a target that is never used again after it stayed. */
+static void
+run_plain_stays(struct cluster *cluster)
+{
+    struct leaving_check check = {cluster, 0};
+
+    call_orders(cluster, 0);
+    g_assert_true(cluster_await(answer_told_leaving, &check));
+    g_assert_true(cluster_await(orders_are_served, &check));
+}
+
 /* Guards against calls that exceed their deadline, or that are refused without
  * the outcome not_run, when the weight store is too slow for their loads. */
 enum { STORE_BURST = 24, STORE_DEADLINE_MS = 3000, ANSWER_SLACK_MS = 1000 };
@@ -726,7 +818,8 @@
                                                    .engine_memory_mb = 4096,
                                                    .load_ms = 200,
                                                    .token_ms = 10,
-                                                   .plain_targets = 2,
+                                                   .plain_targets =
+                                                       TARGETS_OF_ORDERS,
                                                    .entries = 3,
                                                    .tree = TREE("true")};
 static const struct cluster_layout unfenced_layout = {.engines = 2,
@@ -742,6 +835,8 @@
     {"engine_listed_leaving", &small_layout, run_engine_listed_draining},
     {"plain_leaving", &small_layout, run_plain_draining},
     {"plain_listed_leaving", &small_layout, run_plain_listed_draining},
+    {"plain_turned_away", &small_layout, run_plain_turned_away},
+    {"plain_stays", &small_layout, run_plain_stays},
     {"store_slow", &small_layout, run_store_slow},
     {"owner_paused_1", &unfenced_layout, run_owner_paused_1},
     {"owner_paused_2", &unfenced_layout, run_owner_paused_2},
--- a/test/path_test.c
+++ b/test/path_test.c
@@ -135,7 +135,15 @@
     g_assert_true(route_post_result(fixture.route, result, NULL));
 }
 
-static const struct forward_port_ops forward_ops = {on_report_result};
+static void
+on_report_notice(struct forward_port *port, const struct target_notice *notice)
+{
+    (void)port;
+    (void)notice;
+}
+
+static const struct forward_port_ops forward_ops = {on_report_result,
+                                                    on_report_notice};
 
 static bool
 on_submit(struct frontend_port *port, struct handle call, struct err *err)
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -18,6 +18,8 @@
  *   place LEAF T KIND              answer to a load request
  *   strike N T INC                 strike from another instance on the request
  *                                  of call N
+ *   hold T MS                      target T wants no requests for MS
+ *   partial N                      part of the answer to call N is no text
  *   limit N                        trace the limits of call N's attempt
  *   full                           the forward duty refuses attempts
  *   room                           the forward duty accepts attempts again
@@ -32,6 +34,7 @@
  *   refuse(N,ERROR,OUTCOME)        call N refused
  *   limit(N,MS[ last])             time to the deadline of its attempt, and
  *                                  whether no other can follow
+ *   after:S                        Retry-After of the refusal
  * A load request that equals the one before is not traced again.
  */
 #include <glib.h>
@@ -70,6 +73,7 @@
     "/s/q queue_max 2; /s/off type \"model\"; /s/off enabled false; "
     "/s/w type \"model\"; /s/w inflight_max 200; /s/w queue_max 500; "
     "/s/r type \"model\"; /s/r attempts_max 9; "
+    "/s/l type \"model\"; /s/l replicas_max 2; "
     "/p type \"service\"; /p kind \"plain\"";
 
 struct fixture {
@@ -368,6 +372,19 @@
           attempt->is_last ? " last" : "");
 }
 
+static void
+do_hold(struct fixture *fixture, char **words)
+{
+    struct target_notice notice = {
+        .target = target_id(words[1]),
+        .heard_ms = fixture->now_ms,
+        .holds_off = true,
+        .holdoff_ms = atoi(words[2]),
+    };
+
+    router_handle_notice(fixture->router, &notice);
+}
+
 /* Advances the time in steps, so that each timer runs when it is due. */
 static void
 advance(struct fixture *fixture, int64_t ms)
@@ -437,6 +454,13 @@
                              target_id(words[2]), strtoull(words[3], NULL, 10),
                              fixture->now_ms);
     }
+    else if (strcmp(words[0], "hold") == 0) {
+        do_hold(fixture, words);
+    }
+    else if (strcmp(words[0], "partial") == 0) {
+        call_append_text(fixture->calls, fixture->call[atoi(words[1])], NULL,
+                         0);
+    }
     else if (strcmp(words[0], "limit") == 0) {
         do_limit(fixture, words);
     }
@@ -464,6 +488,9 @@
                              &outcome)) {
             trace(fixture, "refuse(%d,%s,%s)", i, err_info(err.kind)->name,
                   outcome_name(outcome));
+            if (err.retry_after_s > 0) {
+                trace(fixture, "after:%d", err.retry_after_s);
+            }
             if (strstr(err.text, "memory_full") != NULL) {
                 trace(fixture, "reason:memory_full");
             }
@@ -737,6 +764,162 @@
      "send(0,e1) limit(0,58700 last)"},
 };
 
+/* Guards against a request that reaches a target while it wants none, against
+ * callers that return all at once, and against a caller that waits although no
+ * target wants its request before its deadline. /p is never loaded. */
+static const struct script_case holdoff_cases[] = {
+    {"other_target",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a idem; "
+     "hold e1 9000; result 0 busy; +50; call 1 a idem",
+     "send(0,e1) send(0,e2) send(1,e2)"},
+    {"waits_until_its_end",
+     "report p1 x live 1 p; call 0 p idem; hold p1 2000; result 0 busy; "
+     "+1999; +1",
+     "send(0,p1) send(0,p1)"},
+    {"reports_do_not_end_it",
+     "report p1 x live 1 p; call 0 p idem; result 0 ok; hold p1 2000; "
+     "report p1 x live 1 p; call 1 p idem; report p1 x live 2 p; +1999; "
+     "report p1 x live 2 p; call 2 off idem; +1",
+     "send(0,p1) refuse(2,disabled,not_run) send(1,p1)"},
+    {"replaced_not_added",
+     "report p1 x live 1 p; hold p1 2000; +1000; hold p1 1500; "
+     "call 0 p idem; +1499; call 1 off idem; +1",
+     "refuse(1,disabled,not_run) send(0,p1)"},
+    {"replaced_by_a_shorter_one",
+     "report p1 x live 1 p; hold p1 9000; hold p1 10; call 0 p idem; +10",
+     "send(0,p1)"},
+    {"return_is_spread",
+     "report p1 x live 1 p; call 0 p idem; call 1 p idem; hold p1 1000; "
+     "result 0 ok; result 1 ok; call 2 p idem; call 3 p idem; call 4 p idem; "
+     "+1000; result 2 ok; call 5 off idem; +499; call 6 off idem; +1; "
+     "result 3 ok",
+     "send(0,p1) send(1,p1) send(2,p1) refuse(5,disabled,not_run) "
+     "refuse(6,disabled,not_run) send(3,p1) send(4,p1)"},
+    {"places_of_a_replaced_time",
+     "report p1 x live 1 p; call 0 p idem; call 1 p idem; hold p1 1000; "
+     "result 0 ok; hold p1 1000; result 1 ok; call 2 p idem; call 3 p idem; "
+     "+1000; +499; call 4 off idem; +1",
+     "send(0,p1) send(1,p1) send(2,p1) refuse(4,disabled,not_run) "
+     "send(3,p1)"},
+    {"refused_when_it_is_too_late",
+     "report p1 x live 1 p; hold p1 3100; call 0 p idem 5 3100; "
+     "call 1 p idem 5 3101; +3100",
+     "refuse(0,no_target,not_run) after:4 send(1,p1)"},
+    {"waiting_calls_are_refused_too",
+     "report p1 x live 1 p; hold p1 2000; call 0 p idem 5 9000; "
+     "call 1 p idem; hold p1 6000; +500; +5500",
+     "refuse(1,no_target,not_run) after:6 send(0,p1)"},
+    {"earliest_of_all_targets",
+     "report p1 x live 1 p; report p2 x live 1 p; report p3 x down 1 p; "
+     "hold p1 9000; hold p2 7000; hold p3 10; call 0 p idem",
+     "refuse(0,no_target,not_run) after:7"},
+    {"turned_away_by_the_last",
+     "report p1 x live 1 p; report p2 x live 1 p; report p3 x live 1 p; "
+     "call 0 p idem; hold p1 9000; result 0 busy; +50; "
+     "hold p3 8000; result 0 busy; +100; hold p2 7000; result 0 busy",
+     "send(0,p1) send(0,p3) send(0,p2) refuse(0,no_target,not_run) after:7"},
+    {"busy_target_is_waited_for",
+     "report p1 x live 1 p; call 0 p idem; call 1 p idem; "
+     "report p2 x live 1 p; hold p2 9000; call 2 p idem; result 0 ok",
+     "send(0,p1) send(1,p1) send(2,p1)"},
+    {"load_may_come",
+     "report e1 x live 1 l; hold e1 9000; report e2 x live 1; call 0 l idem; "
+     "place l e2 none",
+     "load(/s/l,5,1) send(0,e2)"},
+    {"no_load_comes",
+     "report e1 x live 1 l; hold e1 9000; call 0 l idem; "
+     "place l e1 memory_full",
+     "load(/s/l,5,1) refuse(0,no_target,not_run) after:9"},
+    {"all_replicas_are_held_off",
+     "report e1 x live 1 a; hold e1 9000; call 0 a idem",
+     "load(/s/a,5,1) refuse(0,no_target,not_run) after:9"},
+    {"claim_is_released",
+     "report p1 x live 1 p; hold p1 9000; call 0 p once; decide 0 none",
+     "claim(0) release(0) refuse(0,no_target,not_run) after:9"},
+    {"stream_resumes_elsewhere",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; "
+     "hold e1 9000; result 0 broken 4",
+     "send(0,e1) send(0,e2 elsewhere:4)"},
+    {"stream_waits_for_the_only_engine_that_can",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; partial 0; "
+     "hold e1 9000; result 0 broken 4; +8999; call 1 off idem; +1",
+     "send(0,e1) refuse(1,disabled,not_run) send(0,e1 here:4)"},
+    {"stream_is_kept",
+     "report e1 x live 1 a; call 0 a sse; hold e1 29000; result 0 broken 4; "
+     "+28999; report e1 x live 1 a; +1",
+     "send(0,e1) load(/s/a,5,1) send(0,e1 elsewhere:4)"},
+    {"target_of_no_attempt", "hold e9 1000", ""},
+};
+
+/* Guards against a request that is queued at a target that leaves, or resumed
+ * there. */
+static const struct script_case leaving_cases[] = {
+    {"queued_goes_elsewhere",
+     "report e1 x live 1 a; call 0 a idem; call 1 a idem; call 2 a idem; "
+     "report e1 x leaving 1 a; report e2 y live 1 a; result 0 ok",
+     "send(0,e1) send(1,e1) load(/s/a,5,1) send(2,e2)"},
+    {"retry_goes_elsewhere",
+     "report e1 x live 1 a; call 0 a idem; report e1 x leaving 1 a; "
+     "result 0 busy; +50; report e2 y live 1 a",
+     "send(0,e1) load(/s/a,5,1) send(0,e2)"},
+    {"resume_goes_elsewhere",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; "
+     "report e1 x leaving 1 a; result 0 broken 4",
+     "send(0,e1) send(0,e2 elsewhere:4)"},
+    {"resume_that_no_other_engine_can",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; partial 0; "
+     "report e1 x leaving 1 a; result 0 broken 4",
+     "send(0,e1) send(0,e1 here:4)"},
+    {"what_runs_there_ends_there",
+     "report e1 x live 1 a; call 0 a sse; report e1 x leaving 1 a; +4000; "
+     "result 0 ok 4",
+     "send(0,e1)"},
+};
+
+/* Guards against callers that return to a target all at once, and against one
+ * that gets fewer for longer than HOLDOFF_RETURN_MS. A request starts as soon
+ * as it is allowed, from @first_ms after the end on; @active says whether the
+ * target is still getting its places back after them. */
+struct return_case {
+    const char *name;
+    uint32_t places;
+    int64_t first_ms;
+    int64_t starts_ms[5];
+    bool active;
+};
+
+static const struct return_case return_cases[] = {
+    {"no_place", 0, 0, {0, 0, 0, 0, 0}, false},
+    {"one", 1, 0, {0, 0, 0, 0, 0}, false},
+    {"four", 4, 0, {0, 250, 500, 750, 750}, false},
+    {"many", 100, 0, {0, 10, 20, 30, 40}, true},
+    {"late", 4, 600, {600, 600, 600, 750, 750}, false},
+    {"many_after_the_return",
+     100,
+     1000,
+     {1000, 1000, 1000, 1000, 1000},
+     false},
+    {"after_the_return", 4, 1000, {1000, 1000, 1000, 1000, 1000}, false},
+};
+
+static void
+test_return(gconstpointer data)
+{
+    const struct return_case *c = data;
+    struct holdoff holdoff = {0};
+    int64_t end_ms = START_MS + 700;
+    int64_t now_ms = end_ms + c->first_ms;
+
+    g_assert_cmpint(holdoff_allows_ms(&holdoff), ==, 0);
+    holdoff_begin(&holdoff, 700, c->places, START_MS);
+    for (size_t i = 0; i < G_N_ELEMENTS(c->starts_ms); i++) {
+        now_ms = MAX(now_ms, holdoff_allows_ms(&holdoff));
+        g_assert_cmpint(now_ms - end_ms, ==, c->starts_ms[i]);
+        holdoff_count_start(&holdoff, now_ms);
+    }
+    g_assert_true(holdoff.active == c->active);
+}
+
 /* Guards against an attempt without a claim, a second attempt of a claimed
  * call that may have run, and a claim that is kept or released wrongly. */
 static const struct script_case claim_cases[] = {
@@ -1020,6 +1203,9 @@
     CASES("/route/retry", retry_cases, test_script),
     CASES("/route/resume", resume_cases, test_script),
     CASES("/route/silence", silence_cases, test_script),
+    CASES("/route/holdoff", holdoff_cases, test_script),
+    CASES("/route/leaving", leaving_cases, test_script),
+    CASES("/route/return", return_cases, test_return),
     CASES("/route/claim", claim_cases, test_script),
     CASES("/route/strike", strike_cases, test_script),
     CASES("/route/retry_budget", budget_cases, test_retry_budget),
