Route: a silent target is no sign of a request that crashes targets

What callers saw: a stream whose target fell silent for 30 s, while the polls of the target failed too, as in one cut of the network, got a strike. With a strike of another target its connection was closed in the middle with request_crashes_targets, although a third engine could resume it, and the same request was refused at all instances for 600 s. No target had crashed.

Cause: the end of an attempt by the own idle timeout counted as a broken connection, and two failed polls as the crash that explains it.

Change: the result of an attempt says whether it ended for silence; such an attempt makes no suspect. A request whose target is cut off and restarted later without closing its connection gets no strike either.

--- a/src/turmericd/serve/forward/answer.c
+++ b/src/turmericd/serve/forward/answer.c
@@ -442,6 +442,7 @@
     }
     else {
         result->kind = ATTEMPT_BROKEN;
+        result->silent = end == TRANSFER_SILENT;
     }
     if (answer->restarted) {
         snprintf(result->text, sizeof(result->text),
--- a/src/turmericd/serve/forward/internal.h
+++ b/src/turmericd/serve/forward/internal.h
@@ -123,7 +123,8 @@
  * enum transfer_end - how an HTTP exchange with a target ended
  * @TRANSFER_COMPLETE: the complete answer was received
  * @TRANSFER_NOT_CONNECTED: no connection, so nothing was sent
- * @TRANSFER_BROKEN: failed or timed out after the connection was made
+ * @TRANSFER_BROKEN: failed after the connection was made
+ * @TRANSFER_SILENT: no further byte of the body for too long
  * @TRANSFER_NO_FIRST_BYTE: connected, but no byte of the body by the deadline
  * @TRANSFER_STOPPED: ended because the duty stops
  */
@@ -131,6 +132,7 @@
     TRANSFER_COMPLETE,
     TRANSFER_NOT_CONNECTED,
     TRANSFER_BROKEN,
+    TRANSFER_SILENT,
     TRANSFER_NO_FIRST_BYTE,
     TRANSFER_STOPPED,
 };
--- a/src/turmericd/serve/forward/transfer.c
+++ b/src/turmericd/serve/forward/transfer.c
@@ -288,7 +288,7 @@
     }
     snprintf(detail, detail_bytes, "no data from the target for %lld ms",
              (long long)(clock_now_ms() - transfer->last_data_ms));
-    return TRANSFER_BROKEN;
+    return TRANSFER_SILENT;
 }
 
 /**
--- a/src/turmericd/serve/route/dat.h
+++ b/src/turmericd/serve/route/dat.h
@@ -55,6 +55,8 @@
  * @events: server-sent events sent to the caller so far, counted on from the
  *          attempt's resume_from; ATTEMPT_EVENTS_NOT_RESUMABLE when the caller
  *          has part of an answer that is no event stream
+ * @silent: ATTEMPT_BROKEN because the target sent nothing for too long; its
+ *          connection did not break
  * @text: detail of a failure; may be empty
  */
 struct attempt_result {
@@ -63,6 +65,7 @@
     uint64_t target;
     enum attempt_result_kind kind;
     uint32_t events;
+    bool silent;
     char text[ERR_TEXT_MAX];
 };
 
--- a/src/turmericd/serve/route/results.c
+++ b/src/turmericd/serve/route/results.c
@@ -39,7 +39,9 @@
     if (result->kind == ATTEMPT_BROKEN || result->kind == ATTEMPT_TIMEOUT) {
         routed->maybe_ran = true;
     }
-    if (result->kind == ATTEMPT_BROKEN) {
+    /* A target that falls silent and then fails its polls need not have
+     * crashed: both may come from one cut of the network. */
+    if (result->kind == ATTEMPT_BROKEN && !result->silent) {
         strikes_add_suspect(router->strikes, routed->request.fingerprint,
                             running->target, running->incarnation, now_ms);
         if (target != NULL) {
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -282,6 +282,7 @@
     post(&fixture);
     result = wait_for_result(&fixture);
     g_assert_cmpint(result.kind, ==, c->kind);
+    g_assert_false(result.silent);
     g_assert_cmpuint(result.events, ==, c->events);
     g_assert_cmpint(
         call_fail(fixture.calls, fixture.call, &err, OUTCOME_UNKNOWN), ==,
@@ -838,7 +839,7 @@
 }
 
 /* Guards against an attempt that waits forever for a stream which has stalled
- * after its first event. */
+ * after its first event, and whose end counts as a broken connection. */
 static void
 test_idle_timeout(void)
 {
@@ -853,6 +854,7 @@
     post(&fixture);
     result = wait_for_result(&fixture);
     g_assert_cmpint(result.kind, ==, ATTEMPT_BROKEN);
+    g_assert_true(result.silent);
     g_assert_cmpuint(result.events, <=, 1);
     fixture_close(&fixture);
 }
