Route: log and count where a hold-off ends because the list drops its target

An operator saw the line holdoff and no line for its end when the target left the list meanwhile, as the target was removed with it. The end is written with source=list then, with source=time else. The frontend's comment on its idle time says what bounds a silent target since.

--- a/src/turmericd/serve/frontend/frontend.c
+++ b/src/turmericd/serve/frontend/frontend.c
@@ -28,7 +28,8 @@
     /* Closes idle connections and those of callers that don't read. The
      * server's idle time includes the pause between two parts of a response:
      * up to 30 s until a stalled stream is abandoned, 30 s until it is resumed
-     * and 30 s until its next event. */
+     * and 30 s until its next event. A silent target that no other can replace
+     * has until the call's deadline, but not beyond this time. */
     CONNECTION_IDLE_S = 180,
 };
 
--- a/src/turmericd/serve/route/attempts.c
+++ b/src/turmericd/serve/route/attempts.c
@@ -88,21 +88,6 @@
     routed->last_target = target;
 }
 
-static void
-target_count_start(struct target *target, int64_t now_ms)
-{
-    const struct holdoff *holdoff = &target->holdoff;
-
-    if (holdoff_count_start(&target->holdoff, now_ms)) {
-        counter_add(CTR_HOLDOFF_ENDED, 1);
-        log_line(LOG_PRI_INFO, "route",
-                 "event=holdoff_ended target=%s source=time age_ms=%lld "
-                 "late_ms=%lld",
-                 target->report.name, (long long)(now_ms - holdoff->since_ms),
-                 (long long)(now_ms - holdoff->until_ms));
-    }
-}
-
 /**
  * attempt_start() - hand an attempt to the forward duty
  * @router: the router
@@ -148,7 +133,9 @@
     routed->attempts++;
     add_tried(routed, target->report.id);
     target->inflight++;
-    target_count_start(target, now_ms);
+    if (holdoff_count_start(&target->holdoff, now_ms)) {
+        target_log_holdoff_end(target, "time", now_ms);
+    }
     target->started_since_report++;
     report_use(router, routed->leaf, now_ms);
     return true;
--- a/src/turmericd/serve/route/reports.c
+++ b/src/turmericd/serve/route/reports.c
@@ -58,6 +58,27 @@
     } while (count == STRIKE_BATCH_MAX);
 }
 
+/**
+ * target_log_holdoff_end() - log that a target is no longer held off
+ * @target: the target
+ * @source: what ended it
+ * @now_ms: current monotonic time
+ */
+void
+target_log_holdoff_end(const struct target *target, const char *source,
+                       int64_t now_ms)
+{
+    const struct holdoff *holdoff = &target->holdoff;
+
+    counter_add(CTR_HOLDOFF_ENDED, 1);
+    log_line(LOG_PRI_INFO, "route",
+             "event=holdoff_ended target=%s source=%s age_ms=%lld "
+             "late_ms=%lld",
+             target->report.name, source,
+             (long long)(now_ms - holdoff->since_ms),
+             (long long)(now_ms - holdoff->until_ms));
+}
+
 /**
  * router_handle_report() - handle a report of a target
  * @router: the router
@@ -79,6 +100,10 @@
                       now_ms);
     }
     target_dispatch(router, target, now_ms);
+    if (report->state == TARGET_GONE && target->holdoff.active) {
+        target->holdoff.active = false;
+        target_log_holdoff_end(target, "list", now_ms);
+    }
     fleet_remove_gone(&router->fleet, target);
 }
 
--- a/src/turmericd/serve/route/router.h
+++ b/src/turmericd/serve/route/router.h
@@ -93,6 +93,8 @@
 /* reports.c */
 void target_add_strikes(struct router *router,
                         const struct target_report *report, int64_t now_ms);
+void target_log_holdoff_end(const struct target *target, const char *source,
+                            int64_t now_ms);
 
 /* claims.c */
 void routed_call_request_claim(struct router *router,
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -925,6 +925,38 @@
     g_assert_true(holdoff.active == c->active);
 }
 
+/* Guards against a belief about a target whose end is not logged and counted:
+ * where all places are used again, and where the list drops the target. */
+struct holdoff_end_case {
+    const char *name;
+    const char *script;
+    uint64_t ended;
+};
+
+static const struct holdoff_end_case holdoff_end_cases[] = {
+    {"runs", "report p1 x live 1 p; hold p1 100; +99", 0},
+    {"time", "report p1 x live 1 p; hold p1 100; +100; call 0 p idem", 1},
+    {"list", "report p1 x live 1 p; hold p1 100; report p1 x gone 1 p", 1},
+    {"not_held_off", "report p1 x live 1 p; report p1 x gone 1 p", 0},
+};
+
+static void
+test_holdoff_end(gconstpointer data)
+{
+    const struct holdoff_end_case *c = data;
+    static struct fixture fixture;
+    uint64_t before = counter_read(CTR_HOLDOFF_ENDED);
+    char **commands = g_strsplit(c->script, "; ", -1);
+
+    fixture_init(&fixture);
+    for (int i = 0; commands[i] != NULL; i++) {
+        run_command(&fixture, commands[i]);
+    }
+    g_assert_cmpuint(counter_read(CTR_HOLDOFF_ENDED) - before, ==, c->ended);
+    g_strfreev(commands);
+    fixture_clear(&fixture);
+}
+
 /* Guards against an attempt without a claim, a second attempt of a claimed
  * call that may have run, and a claim that is kept or released wrongly. */
 static const struct script_case claim_cases[] = {
@@ -1218,6 +1250,7 @@
     CASES("/route/resume", resume_cases, test_script),
     CASES("/route/silence", silence_cases, test_script),
     CASES("/route/holdoff", holdoff_cases, test_script),
+    CASES("/route/holdoff_end", holdoff_end_cases, test_holdoff_end),
     CASES("/route/leaving", leaving_cases, test_script),
     CASES("/route/return", return_cases, test_return),
     CASES("/route/claim", claim_cases, test_script),
