Route: a call taken from a silent target waits for the retry budget

A repeatable call with a deadline later than 30 s was refused retry_budget when its target fell silent for 30 s within the answer while other targets failed: it was taken from a target that might have gone on, and only then was it asked whether another attempt may follow.

Such a call now waits for the budget until its deadline, as a stream that has begun does. A call whose connection broke is refused as before.

/route/silence/waits_for_the_budget red without the change (refused retry_budget at once), the rule for broken connections red with it applied to all (/route/retry_budget_outcome); route_test 120, plain and asan.

--- a/src/turmericd/serve/route/attempts.c
+++ b/src/turmericd/serve/route/attempts.c
@@ -142,13 +142,13 @@
 }
 
 /**
- * routed_call_resume_other_engine() - resume a stream at another engine
+ * routed_call_resume_other_engine() - continue a call at another engine
  * @router: the router
  * @routed: the routed call
  * @now_ms: current monotonic time
  *
- * When the retry budget is used up, the stream waits for it: part of the
- * answer was sent already, while a call without an answer would be refused.
+ * When the retry budget is used up, the call waits for it: part of the answer
+ * was sent already, or its target was merely silent. Other calls are refused.
  */
 void
 routed_call_resume_other_engine(struct router *router,
--- a/src/turmericd/serve/route/internal.h
+++ b/src/turmericd/serve/route/internal.h
@@ -224,6 +224,7 @@
  * @attempts_sent: attempts whose connection succeeded, with this one
  * @attempts_max: limit of @attempts_sent
  * @budget_available: the retry budget allows another attempt
+ * @silent: the attempt was ended because its target was silent
  */
 struct failure {
     enum attempt_result_kind kind;
@@ -236,12 +237,14 @@
     int attempts_sent;
     int64_t attempts_max;
     bool budget_available;
+    bool silent;
 };
 
 enum retry_action {
     RETRY_DONE,
     RETRY_QUEUE,
     RETRY_BACKOFF,
+    RETRY_AWAIT_BUDGET,
     RETRY_RESUME_SAME_ENGINE,
     RETRY_RESUME_OTHER_ENGINE,
     RETRY_REFUSE,
--- a/src/turmericd/serve/route/results.c
+++ b/src/turmericd/serve/route/results.c
@@ -70,12 +70,13 @@
 static struct retry
 decide_retry(struct router *router, const struct routed_call *routed,
              const struct running_attempt *running,
-             enum attempt_result_kind kind, int64_t now_ms)
+             const struct attempt_result *result, int64_t now_ms)
 {
     struct tree *tree = router->port->ops->tree_ref(router->port);
     const struct node *node = leaf_find_node(tree, routed->leaf);
     struct failure failure = {
-        .kind = kind,
+        .kind = result->kind,
+        .silent = result->silent,
         .idempotent = routed->request.idempotent,
         .maybe_ran = routed->maybe_ran,
         .response_started =
@@ -133,7 +134,8 @@
     if (retry->action == RETRY_RESUME_SAME_ENGINE) {
         routed_call_resume_same_engine(router, routed, now_ms);
     }
-    else if (retry->action == RETRY_RESUME_OTHER_ENGINE) {
+    else if (retry->action == RETRY_RESUME_OTHER_ENGINE ||
+             retry->action == RETRY_AWAIT_BUDGET) {
         routed_call_resume_other_engine(router, routed, now_ms);
     }
     else if (retry->action == RETRY_BACKOFF) {
@@ -220,7 +222,7 @@
         record_failure_text(result, routed);
         record_events(routed, &running, result);
         record_failure(router, routed, target, &running, result, now_ms);
-        retry = decide_retry(router, routed, &running, result->kind, now_ms);
+        retry = decide_retry(router, routed, &running, result, now_ms);
         apply_decision(router, routed, &retry, now_ms);
         leaf_dispatch(router, leaf, now_ms);
     }
--- a/src/turmericd/serve/route/retry.c
+++ b/src/turmericd/serve/route/retry.c
@@ -184,6 +184,12 @@
         }
         retry.counter = CTR_RETRY_BROKEN;
         retry.action = RETRY_QUEUE;
+        if (failure->silent && !failure->budget_available) {
+            /* The target might have gone on, so its silence ends the call no
+             * sooner than the deadline. The budget is charged later. */
+            retry.action = RETRY_AWAIT_BUDGET;
+            retry.uses_budget = false;
+        }
         return retry_or_refuse(failure, retry, ERR_TARGET_FAILED);
     case ATTEMPT_TIMEOUT:
     default:
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -762,6 +762,18 @@
      "result 0 broken 4; limit 0; result 0 broken 1; limit 0",
      "send(0,e1) limit(0,60000) send(0,e1 here:4) limit(0,30000) "
      "send(0,e1 elsewhere:5) limit(0,60000 last)"},
+    {"waits_for_the_budget",
+     "spend 32; report e1 x live 1 a; report e2 y live 1 a; "
+     "call 0 a idem 5 60000; result 0 silent; +9000; call 1 off idem; +1200",
+     "send(0,e1) refuse(1,disabled,not_run) send(0,e2)"},
+    {"waits_for_the_budget_until_the_deadline",
+     "spend 32; report e1 x live 1 a; report e2 y live 1 a; "
+     "call 0 a idem 5 900; result 0 silent; +899; call 1 off idem; +1",
+     "send(0,e1) refuse(1,disabled,not_run) refuse(0,deadline,unknown)"},
+    {"last_of_attempts_max_is_refused",
+     "report e1 x live 1 a; call 0 a idem 5 60000; result 0 silent; "
+     "result 0 silent; result 0 silent",
+     "send(0,e1) send(0,e1) send(0,e1) refuse(0,target_failed,unknown)"},
     {"refused_connection_is_no_attempt",
      "report e1 x live 1 a; call 0 a idem 5 60000; result 0 not_sent; +1000; "
      "result 0 busy; +100; limit 0; result 0 busy; +200; limit 0",
