--- a/src/turmericd/serve/route/dat.h
+++ b/src/turmericd/serve/route/dat.h
@@ -20,6 +20,8 @@
  * @resume_same_engine: resume the stream that the same engine may still keep;
  *                      otherwise another engine continues the text generated
  *                      so far
+ * @is_last: no other attempt can follow, so a silent target keeps the call
+ *           until @deadline_ms
  */
 struct attempt {
     struct handle id;
@@ -31,6 +33,7 @@
     char stream_id[STREAM_ID_MAX_BYTES];
     uint32_t resume_from;
     bool resume_same_engine;
+    bool is_last;
 };
 
 enum attempt_result_kind {
@@ -52,6 +55,8 @@
  * @events: server-sent events sent to the caller so far, counted on from the
  *          attempt's resume_from; ATTEMPT_EVENTS_NOT_RESUMABLE when the caller
  *          has part of an answer that is no event stream
+ * @silent: ATTEMPT_BROKEN because the target sent nothing for too long; its
+ *          connection did not break
  * @text: detail of a failure; may be empty
  */
 struct attempt_result {
@@ -60,9 +65,26 @@
     uint64_t target;
     enum attempt_result_kind kind;
     uint32_t events;
+    bool silent;
     char text[ERR_TEXT_MAX];
 };
 
+/**
+ * struct target_notice - what the head of an answer says of its target
+ * @target: id of the target
+ * @heard_ms: monotonic; when the head was received
+ * @leaving: the target leaves
+ * @holds_off: the target wants no requests of this instance for @holdoff_ms
+ * @holdoff_ms: from @heard_ms on
+ */
+struct target_notice {
+    uint64_t target;
+    int64_t heard_ms;
+    bool leaving;
+    bool holds_off;
+    int64_t holdoff_ms;
+};
+
 struct route_port;
 
 /**
--- a/src/turmericd/serve/route/results.c
+++ b/src/turmericd/serve/route/results.c
@@ -39,7 +39,9 @@
     if (result->kind == ATTEMPT_BROKEN || result->kind == ATTEMPT_TIMEOUT) {
         routed->maybe_ran = true;
     }
-    if (result->kind == ATTEMPT_BROKEN) {
+    /* A target that falls silent and then fails its polls need not have
+     * crashed: both may come from one cut of the network. */
+    if (result->kind == ATTEMPT_BROKEN && !result->silent) {
         strikes_add_suspect(router->strikes, routed->request.fingerprint,
                             running->target, running->incarnation, now_ms);
         if (target != NULL) {
@@ -68,12 +70,13 @@
 static struct retry
 decide_retry(struct router *router, const struct routed_call *routed,
              const struct running_attempt *running,
-             enum attempt_result_kind kind, int64_t now_ms)
+             const struct attempt_result *result, int64_t now_ms)
 {
     struct tree *tree = router->port->ops->tree_ref(router->port);
     const struct node *node = leaf_find_node(tree, routed->leaf);
     struct failure failure = {
-        .kind = kind,
+        .kind = result->kind,
+        .silent = result->silent,
         .idempotent = routed->request.idempotent,
         .maybe_ran = routed->maybe_ran,
         .response_started =
@@ -100,6 +103,9 @@
 
     err_set(&err, retry->kind, "%s: attempt %d: %.160s", routed->leaf->path,
             routed->attempts, routed->last_failure);
+    if (retry->outcome == OUTCOME_NOT_RUN) {
+        err.retry_after_s = holdoff_retry_after_s(routed->leaf, now_ms);
+    }
     routed_call_refuse(router, routed, &err, retry->outcome, now_ms);
 }
 
@@ -122,12 +128,14 @@
     routed->resume_same_engine = false;
     if (retry->action == RETRY_RESUME_SAME_ENGINE ||
         retry->action == RETRY_RESUME_OTHER_ENGINE) {
-        routed->request.deadline_ms = now_ms + RESUME_TIMEOUT_MS;
+        routed->request.deadline_ms =
+            MAX(routed->request.deadline_ms, now_ms + RESUME_TIMEOUT_MS);
     }
     if (retry->action == RETRY_RESUME_SAME_ENGINE) {
         routed_call_resume_same_engine(router, routed, now_ms);
     }
-    else if (retry->action == RETRY_RESUME_OTHER_ENGINE) {
+    else if (retry->action == RETRY_RESUME_OTHER_ENGINE ||
+             retry->action == RETRY_AWAIT_BUDGET) {
         routed_call_resume_other_engine(router, routed, now_ms);
     }
     else if (retry->action == RETRY_BACKOFF) {
@@ -214,7 +222,7 @@
         record_failure_text(result, routed);
         record_events(routed, &running, result);
         record_failure(router, routed, target, &running, result, now_ms);
-        retry = decide_retry(router, routed, &running, result->kind, now_ms);
+        retry = decide_retry(router, routed, &running, result, now_ms);
         apply_decision(router, routed, &retry, now_ms);
         leaf_dispatch(router, leaf, now_ms);
     }
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -13,11 +13,15 @@
  *                                  may be); deadline after MS
  *   same N M                       call N gets the fingerprint of call M
  *   close N                        the caller of call N closes its connection
- *   result N KIND [EVENTS]         result of the latest attempt of call N
+ *   result N KIND [EVENTS]         result of the latest attempt of call N; the
+ *                                  KIND silent is broken because of silence
  *   decide N KIND                  decision on the claim of call N
  *   place LEAF T KIND              answer to a load request
  *   strike N T INC                 strike from another instance on the request
  *                                  of call N
+ *   hold T MS                      target T wants no requests for MS
+ *   partial N                      part of the answer to call N is no text
+ *   limit N                        trace the limits of call N's attempt
  *   full                           the forward duty refuses attempts
  *   room                           the forward duty accepts attempts again
  *   stop                           stop the router
@@ -29,6 +33,9 @@
  *   claim(N), release(N)           claim of call N requested, released
  *   strike(T,INC)                  strike sent to the other instances
  *   refuse(N,ERROR,OUTCOME)        call N refused
+ *   limit(N,MS[ last])             time to the deadline of its attempt, and
+ *                                  whether no other can follow
+ *   after:S                        Retry-After of the refusal
  * A load request that equals the one before is not traced again.
  */
 #include <glib.h>
@@ -67,6 +74,7 @@
     "/s/q queue_max 2; /s/off type \"model\"; /s/off enabled false; "
     "/s/w type \"model\"; /s/w inflight_max 200; /s/w queue_max 500; "
     "/s/r type \"model\"; /s/r attempts_max 9; "
+    "/s/l type \"model\"; /s/l replicas_max 2; "
     "/p type \"service\"; /p kind \"plain\"";
 
 struct fixture {
@@ -310,12 +318,16 @@
         "ok", "not_sent", "not_loaded", "busy", "broken", "timeout", "gone",
     };
     int number = atoi(words[1]);
+    bool silent = strcmp(words[2], "silent") == 0;
     const struct attempt *attempt = &fixture->attempt[number];
     struct attempt_result result = {
         .id = attempt->id,
         .call = attempt->call,
         .target = attempt->target,
-        .kind = (enum attempt_result_kind)word_index(kinds, 7, words[2]),
+        .kind = silent
+                    ? ATTEMPT_BROKEN
+                    : (enum attempt_result_kind)word_index(kinds, 7, words[2]),
+        .silent = silent,
         .events = attempt->resume_from,
     };
 
@@ -354,6 +366,30 @@
     router_handle_placement(fixture->router, &placement, fixture->now_ms);
 }
 
+static void
+do_limit(struct fixture *fixture, char **words)
+{
+    int number = atoi(words[1]);
+    const struct attempt *attempt = &fixture->attempt[number];
+
+    trace(fixture, "limit(%d,%d%s)", number,
+          (int)(attempt->deadline_ms - fixture->now_ms),
+          attempt->is_last ? " last" : "");
+}
+
+static void
+do_hold(struct fixture *fixture, char **words)
+{
+    struct target_notice notice = {
+        .target = target_id(words[1]),
+        .heard_ms = fixture->now_ms,
+        .holds_off = true,
+        .holdoff_ms = atoi(words[2]),
+    };
+
+    router_handle_notice(fixture->router, &notice);
+}
+
 /* Advances the time in steps, so that each timer runs when it is due. */
 static void
 advance(struct fixture *fixture, int64_t ms)
@@ -423,6 +459,16 @@
                              target_id(words[2]), strtoull(words[3], NULL, 10),
                              fixture->now_ms);
     }
+    else if (strcmp(words[0], "hold") == 0) {
+        do_hold(fixture, words);
+    }
+    else if (strcmp(words[0], "partial") == 0) {
+        call_append_text(fixture->calls, fixture->call[atoi(words[1])], NULL,
+                         0);
+    }
+    else if (strcmp(words[0], "limit") == 0) {
+        do_limit(fixture, words);
+    }
     else if (strcmp(words[0], "full") == 0 || strcmp(words[0], "room") == 0) {
         fixture->forward_full = words[0][0] == 'f';
     }
@@ -447,6 +493,9 @@
                              &outcome)) {
             trace(fixture, "refuse(%d,%s,%s)", i, err_info(err.kind)->name,
                   outcome_name(outcome));
+            if (err.retry_after_s > 0) {
+                trace(fixture, "after:%d", err.retry_after_s);
+            }
             if (strstr(err.text, "memory_full") != NULL) {
                 trace(fixture, "reason:memory_full");
             }
@@ -696,6 +745,230 @@
      "refuse(0,target_failed,unknown)"},
 };
 
+/* Guards against an answer that is ended before its deadline because its
+ * target is silent, although no other target can continue it. */
+static const struct script_case silence_cases[] = {
+    {"resume_waits_until_the_deadline",
+     "report e1 x live 1 a; call 0 a sse 5 60000; result 0 broken 4; "
+     "report e1 x down 1 a; result 0 not_sent; +40000; "
+     "report e2 x live 1 a",
+     "send(0,e1) send(0,e1 here:4) strike(e1,1) load(/s/a,5,1) "
+     "send(0,e2 elsewhere:4)"},
+    {"not_idempotent",
+     "report e1 x live 1 a; call 0 a once 5 60000; decide 0 none; limit 0",
+     "claim(0) send(0,e1) limit(0,60000 last)"},
+    {"first_of_three",
+     "report e1 x live 1 a; call 0 a sse 5 60000; limit 0; "
+     "result 0 broken 4; limit 0; result 0 broken 1; limit 0",
+     "send(0,e1) limit(0,60000) send(0,e1 here:4) limit(0,30000) "
+     "send(0,e1 elsewhere:5) limit(0,60000 last)"},
+    {"waits_for_the_budget",
+     "spend 32; report e1 x live 1 a; report e2 y live 1 a; "
+     "call 0 a idem 5 60000; result 0 silent; +9000; call 1 off idem; +1200",
+     "send(0,e1) refuse(1,disabled,not_run) send(0,e2)"},
+    {"waits_for_the_budget_until_the_deadline",
+     "spend 32; report e1 x live 1 a; report e2 y live 1 a; "
+     "call 0 a idem 5 900; result 0 silent; +899; call 1 off idem; +1",
+     "send(0,e1) refuse(1,disabled,not_run) refuse(0,deadline,unknown)"},
+    {"last_of_attempts_max_is_refused",
+     "report e1 x live 1 a; call 0 a idem 5 60000; result 0 silent; "
+     "result 0 silent; result 0 silent",
+     "send(0,e1) send(0,e1) send(0,e1) refuse(0,target_failed,unknown)"},
+    {"refused_connection_is_no_attempt",
+     "report e1 x live 1 a; call 0 a idem 5 60000; result 0 not_sent; +1000; "
+     "result 0 busy; +100; limit 0; result 0 busy; +200; limit 0",
+     "send(0,e1) load(/s/a,5,1) send(0,e1) send(0,e1) limit(0,58900) "
+     "send(0,e1) limit(0,58700 last)"},
+};
+
+/* Guards against a request that reaches a target while it wants none, against
+ * callers that return all at once, and against a caller that waits although no
+ * target wants its request before its deadline. /p is never loaded. */
+static const struct script_case holdoff_cases[] = {
+    {"other_target",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a idem; "
+     "hold e1 9000; result 0 busy; +50; call 1 a idem",
+     "send(0,e1) send(0,e2) send(1,e2)"},
+    {"waits_until_its_end",
+     "report p1 x live 1 p; call 0 p idem; hold p1 2000; result 0 busy; "
+     "+1999; +1",
+     "send(0,p1) send(0,p1)"},
+    {"reports_do_not_end_it",
+     "report p1 x live 1 p; call 0 p idem; result 0 ok; hold p1 2000; "
+     "report p1 x live 1 p; call 1 p idem; report p1 x live 2 p; +1999; "
+     "report p1 x live 2 p; call 2 off idem; +1",
+     "send(0,p1) refuse(2,disabled,not_run) send(1,p1)"},
+    {"replaced_not_added",
+     "report p1 x live 1 p; hold p1 2000; +1000; hold p1 1500; "
+     "call 0 p idem; +1499; call 1 off idem; +1",
+     "refuse(1,disabled,not_run) send(0,p1)"},
+    {"replaced_by_a_shorter_one",
+     "report p1 x live 1 p; hold p1 9000; hold p1 10; call 0 p idem; +10",
+     "send(0,p1)"},
+    {"return_is_spread",
+     "report p1 x live 1 p; call 0 p idem; call 1 p idem; hold p1 1000; "
+     "result 0 ok; result 1 ok; call 2 p idem; call 3 p idem; call 4 p idem; "
+     "+1000; result 2 ok; call 5 off idem; +499; call 6 off idem; +1; "
+     "result 3 ok",
+     "send(0,p1) send(1,p1) send(2,p1) refuse(5,disabled,not_run) "
+     "refuse(6,disabled,not_run) send(3,p1) send(4,p1)"},
+    {"places_of_a_replaced_time",
+     "report p1 x live 1 p; call 0 p idem; call 1 p idem; hold p1 1000; "
+     "result 0 ok; hold p1 1000; result 1 ok; call 2 p idem; call 3 p idem; "
+     "+1000; +499; call 4 off idem; +1",
+     "send(0,p1) send(1,p1) send(2,p1) refuse(4,disabled,not_run) "
+     "send(3,p1)"},
+    {"refused_when_it_is_too_late",
+     "report p1 x live 1 p; hold p1 3100; call 0 p idem 5 3100; "
+     "call 1 p idem 5 3101; +3100",
+     "refuse(0,no_target,not_run) after:4 send(1,p1)"},
+    {"waiting_calls_are_refused_too",
+     "report p1 x live 1 p; hold p1 2000; call 0 p idem 5 9000; "
+     "call 1 p idem; hold p1 6000; +500; +5500",
+     "refuse(1,no_target,not_run) after:6 send(0,p1)"},
+    {"earliest_of_all_targets",
+     "report p1 x live 1 p; report p2 x live 1 p; report p3 x down 1 p; "
+     "hold p1 9000; hold p2 7000; hold p3 10; call 0 p idem",
+     "refuse(0,no_target,not_run) after:7"},
+    {"turned_away_by_the_last",
+     "report p1 x live 1 p; report p2 x live 1 p; report p3 x live 1 p; "
+     "call 0 p idem; hold p1 9000; result 0 busy; +50; "
+     "hold p3 8000; result 0 busy; +100; hold p2 7000; result 0 busy",
+     "send(0,p1) send(0,p3) send(0,p2) refuse(0,no_target,not_run) after:7"},
+    {"busy_target_is_waited_for",
+     "report p1 x live 1 p; call 0 p idem; call 1 p idem; "
+     "report p2 x live 1 p; hold p2 9000; call 2 p idem; result 0 ok",
+     "send(0,p1) send(1,p1) send(2,p1)"},
+    {"load_may_come",
+     "report e1 x live 1 l; hold e1 9000; report e2 x live 1; call 0 l idem; "
+     "place l e2 none",
+     "load(/s/l,5,1) send(0,e2)"},
+    {"no_load_comes",
+     "report e1 x live 1 l; hold e1 9000; call 0 l idem; "
+     "place l e1 memory_full",
+     "load(/s/l,5,1) refuse(0,no_target,not_run) after:9"},
+    {"all_replicas_are_held_off",
+     "report e1 x live 1 a; hold e1 9000; call 0 a idem",
+     "load(/s/a,5,1) refuse(0,no_target,not_run) after:9"},
+    {"claim_is_released",
+     "report p1 x live 1 p; hold p1 9000; call 0 p once; decide 0 none",
+     "claim(0) release(0) refuse(0,no_target,not_run) after:9"},
+    {"stream_resumes_elsewhere",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; "
+     "hold e1 9000; result 0 broken 4",
+     "send(0,e1) send(0,e2 elsewhere:4)"},
+    {"stream_waits_for_the_only_engine_that_can",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; partial 0; "
+     "hold e1 9000; result 0 broken 4; +8999; call 1 off idem; +1",
+     "send(0,e1) refuse(1,disabled,not_run) send(0,e1 here:4)"},
+    {"stream_is_kept",
+     "report e1 x live 1 a; call 0 a sse; hold e1 29000; result 0 broken 4; "
+     "+28999; report e1 x live 1 a; +1",
+     "send(0,e1) load(/s/a,5,1) send(0,e1 elsewhere:4)"},
+    {"target_of_no_attempt", "hold e9 1000", ""},
+};
+
+/* Guards against a request that is queued at a target that leaves, or resumed
+ * there. */
+static const struct script_case leaving_cases[] = {
+    {"queued_goes_elsewhere",
+     "report e1 x live 1 a; call 0 a idem; call 1 a idem; call 2 a idem; "
+     "report e1 x leaving 1 a; report e2 y live 1 a; result 0 ok",
+     "send(0,e1) send(1,e1) load(/s/a,5,1) send(2,e2)"},
+    {"retry_goes_elsewhere",
+     "report e1 x live 1 a; call 0 a idem; report e1 x leaving 1 a; "
+     "result 0 busy; +50; report e2 y live 1 a",
+     "send(0,e1) load(/s/a,5,1) send(0,e2)"},
+    {"resume_goes_elsewhere",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; "
+     "report e1 x leaving 1 a; result 0 broken 4",
+     "send(0,e1) send(0,e2 elsewhere:4)"},
+    {"resume_that_no_other_engine_can",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; partial 0; "
+     "report e1 x leaving 1 a; result 0 broken 4",
+     "send(0,e1) send(0,e1 here:4)"},
+    {"what_runs_there_ends_there",
+     "report e1 x live 1 a; call 0 a sse; report e1 x leaving 1 a; +4000; "
+     "result 0 ok 4",
+     "send(0,e1)"},
+};
+
+/* Guards against callers that return to a target all at once, and against one
+ * that gets fewer for longer than HOLDOFF_RETURN_MS. A request starts as soon
+ * as it is allowed, from @first_ms after the end on; @active says whether the
+ * target is still getting its places back after them. */
+struct return_case {
+    const char *name;
+    uint32_t places;
+    int64_t first_ms;
+    int64_t starts_ms[5];
+    bool active;
+};
+
+static const struct return_case return_cases[] = {
+    {"no_place", 0, 0, {0, 0, 0, 0, 0}, false},
+    {"one", 1, 0, {0, 0, 0, 0, 0}, false},
+    {"four", 4, 0, {0, 250, 500, 750, 750}, false},
+    {"many", 100, 0, {0, 10, 20, 30, 40}, true},
+    {"late", 4, 600, {600, 600, 600, 750, 750}, false},
+    {"many_after_the_return",
+     100,
+     1000,
+     {1000, 1000, 1000, 1000, 1000},
+     false},
+    {"after_the_return", 4, 1000, {1000, 1000, 1000, 1000, 1000}, false},
+};
+
+static void
+test_return(gconstpointer data)
+{
+    const struct return_case *c = data;
+    struct holdoff holdoff = {0};
+    int64_t end_ms = START_MS + 700;
+    int64_t now_ms = end_ms + c->first_ms;
+
+    g_assert_cmpint(holdoff_allows_ms(&holdoff), ==, 0);
+    holdoff_begin(&holdoff, 700, c->places, START_MS);
+    for (size_t i = 0; i < G_N_ELEMENTS(c->starts_ms); i++) {
+        now_ms = MAX(now_ms, holdoff_allows_ms(&holdoff));
+        g_assert_cmpint(now_ms - end_ms, ==, c->starts_ms[i]);
+        holdoff_count_start(&holdoff, now_ms);
+    }
+    g_assert_true(holdoff.active == c->active);
+}
+
+/* Guards against a belief about a target whose end is not logged and counted:
+ * where all places are used again, and where the list drops the target. */
+struct holdoff_end_case {
+    const char *name;
+    const char *script;
+    uint64_t ended;
+};
+
+static const struct holdoff_end_case holdoff_end_cases[] = {
+    {"runs", "report p1 x live 1 p; hold p1 100; +99", 0},
+    {"time", "report p1 x live 1 p; hold p1 100; +100; call 0 p idem", 1},
+    {"list", "report p1 x live 1 p; hold p1 100; report p1 x gone 1 p", 1},
+    {"not_held_off", "report p1 x live 1 p; report p1 x gone 1 p", 0},
+};
+
+static void
+test_holdoff_end(gconstpointer data)
+{
+    const struct holdoff_end_case *c = data;
+    static struct fixture fixture;
+    uint64_t before = counter_read(CTR_HOLDOFF_ENDED);
+    char **commands = g_strsplit(c->script, "; ", -1);
+
+    fixture_init(&fixture);
+    for (int i = 0; commands[i] != NULL; i++) {
+        run_command(&fixture, commands[i]);
+    }
+    g_assert_cmpuint(counter_read(CTR_HOLDOFF_ENDED) - before, ==, c->ended);
+    g_strfreev(commands);
+    fixture_clear(&fixture);
+}
+
 /* Guards against an attempt without a claim, a second attempt of a claimed
  * call that may have run, and a claim that is kept or released wrongly. */
 static const struct script_case claim_cases[] = {
@@ -763,6 +1036,15 @@
      "strike 0 e9 1; +599999; same 1 0; call 1 a idem; +1; same 2 0; "
      "call 2 a idem",
      "send(0,e1) refuse(1,request_crashes_targets,unknown) send(2,e1)"},
+    {"silent_targets_are_no_crashes",
+     THREE_TARGETS "call 0 a idem; result 0 silent; result 0 silent; +500; "
+                   "report e1 x down 1 a; report e2 x down 1 a; +200",
+     "send(0,e1) send(0,e2) send(0,e3)"},
+    {"stream_of_a_silent_target",
+     "report e1 x live 1 a; report e2 y live 1 a; call 0 a sse; "
+     "strike 0 e8 1; result 0 silent 4; report e1 x down 1 a; "
+     "result 0 silent 0",
+     "send(0,e1) send(0,e1 here:4) send(0,e2 elsewhere:4)"},
     {"running_target_clears_suspicion",
      THREE_TARGETS
      "call 0 a idem 5 9000; result 0 broken; result 0 broken; +2900; "
@@ -978,6 +1260,11 @@
     CASES("/route/pick", pick_cases, test_script),
     CASES("/route/retry", retry_cases, test_script),
     CASES("/route/resume", resume_cases, test_script),
+    CASES("/route/silence", silence_cases, test_script),
+    CASES("/route/holdoff", holdoff_cases, test_script),
+    CASES("/route/holdoff_end", holdoff_end_cases, test_holdoff_end),
+    CASES("/route/leaving", leaving_cases, test_script),
+    CASES("/route/return", return_cases, test_return),
     CASES("/route/claim", claim_cases, test_script),
     CASES("/route/strike", strike_cases, test_script),
     CASES("/route/retry_budget", budget_cases, test_retry_budget),
