Admit: decisions about the memory of requests and responses

Change: functions on plain state, with the present time as an argument: who is read, left unread or refused, which response is no longer read from its target, how long a request may be left unread, when its caller may come back. The bound is half of the process's memory, of which an eighth is for short requests; a request is admitted with the length that it announces, so those that are admitted can finish. Not yet called.

--- a/src/gate/admit/dat.h
+++ b/src/gate/admit/dat.h
@@ -1,6 +1,8 @@
 #ifndef ADMIT_DAT_H
 #define ADMIT_DAT_H
 
+#include <stddef.h>
+
 /**
  * struct queue_pace - how fast requests come to a queue and leave it
  * @arrived: requests that had to wait, decayed
@@ -57,4 +59,56 @@
     int64_t retry_ms;
 };
 
+enum {
+    /* The memory limit of the process when the settings have none. */
+    MEMORY_DEFAULT_MB = 256,
+    /* Bytes that a caller may have in flight to a connection that isn't
+     * read. */
+    PAUSED_WINDOW_BYTES = 64 * 1024,
+};
+
+/**
+ * enum memory_verdict - what to do with a request that is being read
+ * @MEMORY_READ: read on
+ * @MEMORY_PAUSE: leave the rest unread until there is room
+ * @MEMORY_REFUSE: refuse it
+ */
+enum memory_verdict { MEMORY_READ, MEMORY_PAUSE, MEMORY_REFUSE };
+
+/**
+ * struct memory_facts - what decides whether a request is read
+ * @bound: bytes that all connections may take
+ * @others: bytes that the other connections take
+ * @held: bytes that the connection holds
+ * @expected: bytes that it will hold when the request is complete
+ * @paused_ms: since when it is not read; 0 while it is
+ * @pause_max_ms: how long it may be left unread
+ */
+struct memory_facts {
+    size_t bound;
+    size_t others;
+    size_t held;
+    size_t expected;
+    int64_t paused_ms;
+    int64_t pause_max_ms;
+};
+
+/**
+ * struct memory_use - what decides whether a response is read
+ * @bound: bytes that all connections may take
+ * @charged: bytes that they take
+ * @connections: their number
+ * @held: bytes that the caller's connection holds
+ * @waiting: of these, bytes that the caller has not taken
+ * @waiting_max: most bytes that may wait for a caller
+ */
+struct memory_use {
+    size_t bound;
+    size_t charged;
+    size_t connections;
+    size_t held;
+    size_t waiting;
+    size_t waiting_max;
+};
+
 #endif
--- a/src/gate/admit/fns.h
+++ b/src/gate/admit/fns.h
@@ -15,4 +15,15 @@
 struct wait_decision decide_wait(const struct wait_facts *facts,
                                  const struct queue_pace *pace, double spread);
 
+/* memory.c */
+size_t memory_bound(int memory_mb);
+size_t memory_expected_bytes(size_t held, int64_t announced);
+int64_t memory_pause_max_ms(int64_t deadline_ms);
+enum memory_verdict memory_decide(const struct memory_facts *facts,
+                                  int64_t now_ms);
+int64_t memory_retry_ms(int64_t deadline_ms, double spread);
+size_t memory_share(size_t bound, size_t connections);
+bool memory_stops_answer(const struct memory_use *use);
+bool memory_refusing_ended(int64_t last_ms, int64_t now_ms);
+
 #endif
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -1,4 +1,5 @@
-/* Tests of the decisions about requests that have no place. */
+/* Tests of the decisions about requests that have no place, and of those about
+ * memory. */
 #include <glib.h>
 #include <math.h>
 #include <stdbool.h>
@@ -313,10 +314,182 @@
     g_assert_cmpint(result.longest_refused_ms, <=, c->deadline_ms / 3);
 }
 
+/* Guards against requests that take more memory than there is, against one
+ * that is left unread although it fits or never can, and against short ones
+ * that suffer for long ones. */
+struct memory_case {
+    const char *name;
+    struct memory_facts facts;
+    enum memory_verdict verdict;
+};
+
+enum {
+    BOUND = 1000 * 1000,
+    LONG_BOUND = BOUND - BOUND / 8,
+    SHORT = 16 * 1024,
+    NOW_MS = 100000,
+    PAUSE_MS = 300,
+};
+
+#define FACTS(o, h, e)                                                        \
+    .bound = BOUND, .others = (o), .held = (h), .expected = (e),              \
+    .pause_max_ms = PAUSE_MS
+
+static const struct memory_case memory_cases[] = {
+    {"room", {FACTS(0, SHORT, 400000)}, MEMORY_READ},
+    {"last_room", {FACTS(LONG_BOUND - 400000, SHORT, 400000)}, MEMORY_READ},
+    {"no_room", {FACTS(LONG_BOUND - 399999, SHORT, 400000)}, MEMORY_PAUSE},
+    {"largest", {FACTS(0, SHORT, LONG_BOUND)}, MEMORY_READ},
+    {"never_fits", {FACTS(0, SHORT, LONG_BOUND + 1)}, MEMORY_REFUSE},
+    {"waits",
+     {FACTS(600000, SHORT, 400000), .paused_ms = NOW_MS - PAUSE_MS + 1},
+     MEMORY_PAUSE},
+    {"waited",
+     {FACTS(600000, SHORT, 400000), .paused_ms = NOW_MS - PAUSE_MS},
+     MEMORY_REFUSE},
+    {"room_after_waiting",
+     {FACTS(400000, SHORT, 400000), .paused_ms = NOW_MS - PAUSE_MS},
+     MEMORY_READ},
+    {"no_room_to_wait",
+     {FACTS(BOUND - PAUSED_WINDOW_BYTES - SHORT + 1, SHORT, 400000)},
+     MEMORY_REFUSE},
+    {"last_room_to_wait",
+     {FACTS(BOUND - PAUSED_WINDOW_BYTES - SHORT, SHORT, 400000)},
+     MEMORY_PAUSE},
+    {"short_beside_long", {FACTS(LONG_BOUND, 100, 100)}, MEMORY_READ},
+    {"last_short", {FACTS(BOUND - SHORT, SHORT, SHORT)}, MEMORY_READ},
+    {"short_over_bound", {FACTS(BOUND - 99, 100, 100)}, MEMORY_REFUSE},
+};
+
+static void
+test_memory(gconstpointer data)
+{
+    const struct memory_case *c = data;
+
+    g_assert_cmpint(memory_decide(&c->facts, NOW_MS), ==, c->verdict);
+}
+
+/* Guards against a body without a length that takes memory as if it had
+ * ended, and against those that hold least being paused first. */
+struct expected_case {
+    const char *name;
+    size_t held;
+    int64_t announced;
+    size_t expected;
+};
+
+static const struct expected_case expected_cases[] = {
+    {"announced", 100, 5000, 5000},
+    {"more_than_announced", 6000, 5000, 6000},
+    {"begun", 100, -1, 100},
+    {"grows_by_a_step", 20000, -1, 20000 + 64 * 1024},
+    {"doubles", 100000, -1, 200000},
+};
+
+static void
+test_expected(gconstpointer data)
+{
+    const struct expected_case *c = data;
+
+    g_assert_cmpuint(memory_expected_bytes(c->held, c->announced), ==,
+                     c->expected);
+}
+
+/* Guards against responses that take more memory than there is, and against
+ * one that is stopped although its caller has taken nearly all of it. */
+struct answer_case {
+    const char *name;
+    struct memory_use use;
+    bool stops;
+};
+
+#define USE(c, n, h, w)                                                       \
+    .bound = BOUND, .charged = (c), .connections = (n), .held = (h),          \
+    .waiting = (w), .waiting_max = 100000
+
+static const struct answer_case answer_cases[] = {
+    {"room", {USE(200000, 2, 110000, 100000)}, false},
+    {"much_waits", {USE(200000, 2, 110000, 100001)}, true},
+    {"many_callers", {USE(900000, 25, 30000, 20001)}, true},
+    {"small_share", {USE(900000, 25, 30000, 20000)}, false},
+    {"least_share", {USE(900000, 1000, 30000, SHORT)}, false},
+    {"over_bound", {USE(BOUND + 1, 25, 20001, 0)}, true},
+    {"share_over_bound", {USE(BOUND + 1, 25, 20000, 0)}, false},
+};
+
+static void
+test_answer(gconstpointer data)
+{
+    const struct answer_case *c = data;
+
+    g_assert_true(memory_stops_answer(&c->use) == c->stops);
+}
+
+/* Guards against a caller that is told to come back when it has given up, and
+ * against a request that is refused when its caller has abandoned it. */
+struct time_case {
+    const char *name;
+    int64_t deadline_ms;
+    int64_t pause_max_ms;
+    int64_t retry_min_ms;
+    int64_t retry_max_ms;
+};
+
+static const struct time_case time_cases[] = {
+    {"unknown", -1, 300, 200, 500},
+    {"long", 12000, 300, 200, 500},
+    {"short", 600, 100, 150, 150},
+    {"over", 0, 0, 1, 1},
+};
+
+static void
+test_times(gconstpointer data)
+{
+    const struct time_case *c = data;
+
+    g_assert_cmpint(memory_pause_max_ms(c->deadline_ms), ==, c->pause_max_ms);
+    g_assert_cmpint(memory_retry_ms(c->deadline_ms, 0), ==, c->retry_min_ms);
+    g_assert_cmpint(memory_retry_ms(c->deadline_ms, 1), ==, c->retry_max_ms);
+}
+
+/* Guards against a limit that is not read, and against no bound without it. */
+struct bound_case {
+    const char *name;
+    int memory_mb;
+    size_t bound;
+};
+
+static const struct bound_case bound_cases[] = {
+    {"small", 260, 130 * 1000 * 1000},
+    {"large", 520, 260 * 1000 * 1000},
+    {"absent", 0, 128 * 1000 * 1000},
+};
+
+static void
+test_bound(gconstpointer data)
+{
+    const struct bound_case *c = data;
+
+    g_assert_cmpuint(memory_bound(c->memory_mb), ==, c->bound);
+}
+
+/* Guards against two log lines for each refusal. */
+static void
+test_refusing_end(void)
+{
+    g_assert_false(memory_refusing_ended(NOW_MS, NOW_MS + 999));
+    g_assert_true(memory_refusing_ended(NOW_MS, NOW_MS + 1000));
+}
+
 static const struct cases groups[] = {
     CASES("/admit/wait", wait_cases, test_wait),
     CASES("/admit/retry", retry_cases, test_retry),
     CASES("/admit/load", load_cases, test_load),
+    CASES("/admit/memory", memory_cases, test_memory),
+    CASES("/admit/memory_expected", expected_cases, test_expected),
+    CASES("/admit/memory_answer", answer_cases, test_answer),
+    CASES("/admit/memory_times", time_cases, test_times),
+    CASES("/admit/memory_bound", bound_cases, test_bound),
 };
 
 int
@@ -324,5 +497,6 @@
 {
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
+    g_test_add_func("/admit/memory_refusing_end", test_refusing_end);
     return g_test_run();
 }
