Place: leave room for orders that may be carried out late

Cause: an order without a response stays valid until the engine's sequence is beyond the one that it expects. The planner forgot it when the engine started again, though the new process counts from 0 and reaches that number anew. In the same process it can happen, too: an unload that was answered "holds already" is assumed to have counted, the next order expects that number, and remains valid when the assumption is taken back.

Change: the planner keeps each order until its response, or until 12 s after the wait for it has ended, whichever process of the engine is running, and also when the engine has left the list. A load is chosen only if the late orders that expect the sequence after it, or successive ones, still fit then. Other engines are preferred; an idle item may be unloaded to get beyond the late order; what the engine holds is served. An order is no longer trusted to have unloaded an item while a late one may have advanced the sequence in its place.

--- a/src/gate/place/capacity.c
+++ b/src/gate/place/capacity.c
@@ -19,9 +19,17 @@
 #include "gate/place/dat.h"
 #include "gate/place/fns.h"
 
-static double
-item_mb(const struct plan *plan, const struct plan_engine *engine,
-        uint32_t item)
+/**
+ * engine_item_mb() - memory that an item takes
+ * @plan: the plan
+ * @engine: the engine
+ * @item: quark of a model or adapter
+ *
+ * Return: 0 for an item that the engine's service does not have.
+ */
+double
+engine_item_mb(const struct plan *plan, const struct plan_engine *engine,
+               uint32_t item)
 {
     const struct gate_model *model = plan_engine_model(plan, engine, item);
 
@@ -49,10 +57,10 @@
         item_set_remove(&held, engine->unloading);
     }
     for (int i = 0; i < held.count; i++) {
-        used_mb += item_mb(plan, engine, held.ids[i]);
+        used_mb += engine_item_mb(plan, engine, held.ids[i]);
     }
     if (engine->loading != 0 && !item_set_contains(&held, engine->loading)) {
-        used_mb += item_mb(plan, engine, engine->loading);
+        used_mb += engine_item_mb(plan, engine, engine->loading);
     }
     return used_mb;
 }
@@ -102,21 +110,24 @@
  * @plan: the plan
  * @engine: the engine
  * @item: quark of a model or adapter
+ * @now_ms: current time
  *
- * Return: false also when it holds items of unknown size, or when an adapter's
- * model is not held.
+ * Return: false also when it holds items of unknown size, when an adapter's
+ * model is not held, or when a late order would no longer fit.
  */
 bool
 engine_has_room(const struct plan *plan, const struct plan_engine *engine,
-                uint32_t item)
+                uint32_t item, int64_t now_ms)
 {
     const struct gate_service *service = plan_engine_service(plan, engine);
 
     if (service == NULL ||
         !are_sizes_known(plan, engine,
                          item_is_adapter(item) ? 0 : engine->unloading) ||
-        engine_used_mb(plan, engine, item) + item_mb(plan, engine, item) >
-            service->memory_mb) {
+        engine_used_mb(plan, engine, item) +
+                engine_item_mb(plan, engine, item) >
+            service->memory_mb ||
+        !late_orders_fit(plan, engine, item, 0, now_ms)) {
         return false;
     }
     if (!item_is_adapter(item)) {
@@ -146,16 +157,18 @@
  * would any item beside one of unknown size. */
 static bool
 makes_room(const struct plan *plan, const struct plan_engine *engine,
-           uint32_t candidate, uint32_t item)
+           uint32_t candidate, uint32_t item, int64_t now_ms)
 {
     const struct gate_service *service = plan_engine_service(plan, engine);
 
-    return are_sizes_known(plan, engine, candidate) &&
+    return late_orders_fit(plan, engine, item, candidate, now_ms) &&
+           are_sizes_known(plan, engine, candidate) &&
            (item_is_adapter(item) ||
-            (service != NULL && engine_used_mb(plan, engine, item) -
-                                        item_mb(plan, engine, candidate) +
-                                        item_mb(plan, engine, item) <=
-                                    service->memory_mb));
+            (service != NULL &&
+             engine_used_mb(plan, engine, item) -
+                     engine_item_mb(plan, engine, candidate) +
+                     engine_item_mb(plan, engine, item) <=
+                 service->memory_mb));
 }
 
 /**
@@ -184,7 +197,7 @@
 
         if (item_is_adapter(candidate) != item_is_adapter(item) ||
             candidate == item_model(item) || candidate == engine->unloading ||
-            !makes_room(plan, engine, candidate, item) ||
+            !makes_room(plan, engine, candidate, item, now_ms) ||
             !is_evictable(plan, candidate, idle_ms, now_ms)) {
             continue;
         }
--- a/src/gate/place/choice.c
+++ b/src/gate/place/choice.c
@@ -186,7 +186,7 @@
     choice->cost_ms = (double)engine_load_ms(plan, choice->engine, item,
                                              &choice->from_store) +
                       RUNNING_COST_MS * choice->engine->running;
-    if (engine_has_room(plan, choice->engine, item)) {
+    if (engine_has_room(plan, choice->engine, item, now_ms)) {
         return true;
     }
     choice->evicted_item =
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -109,10 +109,27 @@
     struct item_copies copies;
 };
 
+/**
+ * struct late_order - order whose outcome is not known
+ * @target: engine to which it was sent, whichever process runs there now
+ * @expected_sequence: the engine carries it out at this sequence only
+ * @until_ms: end of the time in which it may be carried out; G_MAXINT64 while
+ *            the call lasts
+ */
+struct late_order {
+    char target[NAME_MAX_BYTES];
+    enum order_action action;
+    uint32_t item;
+    int64_t expected_sequence;
+    int64_t until_ms;
+};
+
 /**
  * struct plan - state of the engines and demand for items
  * @config: may be NULL; one reference is held
  * @engines: target id -> struct plan_engine
+ * @late_orders: orders of this instance without an outcome, as struct
+ *               late_order; kept when an engine leaves or restarts
  * @items: quark -> struct item_demand
  * @activities: instance id -> struct activity_report, its last one
  * @is_holder: this instance held the lease at the last check
@@ -125,6 +142,7 @@
     struct plan_settings settings;
     struct gate_config *config;
     GHashTable *engines;
+    GArray *late_orders;
     GHashTable *items;
     GHashTable *activities;
     bool is_holder;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -24,12 +24,25 @@
 struct item_demand *plan_demand(struct plan *plan, uint32_t item);
 double item_request_rate(const struct item_demand *demand, int64_t now_ms);
 
+/* late.c */
+void late_order_sent(struct plan *plan, const struct plan_step *step);
+void late_order_done(struct plan *plan, const struct engine_call *call,
+                     int64_t now_ms);
+void late_orders_expire(struct plan *plan, int64_t now_ms);
+bool late_order_expects(const struct plan *plan,
+                        const struct plan_engine *engine, int64_t sequence,
+                        int64_t now_ms);
+bool late_orders_fit(const struct plan *plan, const struct plan_engine *engine,
+                     uint32_t item, uint32_t evicted, int64_t now_ms);
+
 /* capacity.c */
+double engine_item_mb(const struct plan *plan,
+                      const struct plan_engine *engine, uint32_t item);
 double engine_used_mb(const struct plan *plan,
                       const struct plan_engine *engine, uint32_t item);
 int engine_adapter_count(const struct plan_engine *engine);
 bool engine_has_room(const struct plan *plan, const struct plan_engine *engine,
-                     uint32_t item);
+                     uint32_t item, int64_t now_ms);
 uint32_t engine_eviction_candidate(struct plan *plan,
                                    const struct plan_engine *engine,
                                    uint32_t item, int64_t idle_ms,
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -34,6 +34,7 @@
     store_limit_init(plan);
     plan->engines =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    plan->late_orders = g_array_new(FALSE, FALSE, sizeof(struct late_order));
     plan->items = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     plan->activities = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                              g_free, free_activity);
@@ -48,6 +49,7 @@
 {
     gate_config_unref(plan->config);
     g_hash_table_destroy(plan->engines);
+    g_array_free(plan->late_orders, TRUE);
     g_hash_table_destroy(plan->items);
     g_hash_table_destroy(plan->activities);
 }
@@ -104,8 +106,7 @@
 
 /* Calls in progress are forgotten, too: their outcomes are about an earlier
  * process of the engine or an earlier term, and the next report is newer.
- * Their orders may still be carried out, until one of this term is accepted.
- */
+ * Their orders may still be carried out, see late.c. */
 static void
 clear_orders(struct plan_engine *engine)
 {
--- a/src/gate/place/results.c
+++ b/src/gate/place/results.c
@@ -50,6 +50,9 @@
 {
     struct plan_engine *engine = find_engine(plan, step);
 
+    if (!step->is_report) {
+        late_order_sent(plan, step);
+    }
     if (engine == NULL) {
         return;
     }
@@ -188,10 +191,11 @@
  * and only a report shows what it did. Returns whether the engine's held items
  * have changed. */
 static bool
-unload_already_done(struct plan_engine *engine, const struct plan_step *step,
-                    int64_t now_ms)
+unload_already_done(const struct plan *plan, struct plan_engine *engine,
+                    const struct plan_step *step, int64_t now_ms)
 {
-    if (step->expected_sequence < engine->settled_sequence) {
+    if (step->expected_sequence < engine->settled_sequence ||
+        late_order_expects(plan, engine, step->expected_sequence, now_ms)) {
         engine->in_doubt = true;
         return false;
     }
@@ -249,7 +253,7 @@
         engine->next_report_ms = now_ms + REPORT_LAG_MS;
         changed = true;
         if (step->action == ORDER_UNLOAD) {
-            changed = unload_already_done(engine, step, now_ms);
+            changed = unload_already_done(plan, engine, step, now_ms);
         }
         else {
             item_set_add(&engine->info.held, step->item);
@@ -364,6 +368,9 @@
 {
     struct plan_engine *engine = find_engine(plan, &call->step);
 
+    if (!call->step.is_report) {
+        late_order_done(plan, call, now_ms);
+    }
     if (engine == NULL) {
         return NULL;
     }
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -116,7 +116,7 @@
         if (!engine_can_load(plan, engine, item, now_ms)) {
             continue;
         }
-        if (engine_has_room(plan, engine, item)) {
+        if (engine_has_room(plan, engine, item, now_ms)) {
             fill_step(step, engine, ORDER_LOAD, item, "reserved");
             return true;
         }
@@ -448,6 +448,7 @@
         return false;
     }
     plan_expire_activities(plan, now_ms);
+    late_orders_expire(plan, now_ms);
     schedule_overdue_reports(plan, now_ms);
     plan_count_copies(plan, now_ms);
     return next_report(plan, now_ms, step) ||
--- a/test/plan_limit_test.c
+++ b/test/plan_limit_test.c
@@ -23,7 +23,9 @@
  * Two instances take turns as the lease holder and place models on engines
  * that behave as the users' pages say. Reports are old, responses get lost,
  * orders without a response are carried out seconds later, unloads wait for
- * runs, and a holder is paused with results and messages on their way.
+ * runs, and a holder is paused with results and messages on their way. An
+ * engine restarts under its id, so orders for its former process reach it,
+ * too.
  */
 enum {
     INSTANCES = 2,
@@ -36,6 +38,7 @@
     COMING_MAX = 4, /* adapters in transit to an engine */
     SNAPSHOTS = 16, /* states that a report may still show */
     REPORT_AGE_MS = 400,
+    LATE_MS = 12000, /* longest delay of an order, from its arrival */
     TICK_MS = 50,
     DEMAND_MS = 300,
     DAY_MS = 40000,
@@ -79,6 +82,7 @@
     {"holder_paused_and_responses_lost", 150, 20, 30, 0, 0, true, 105, 22},
     {"views_delayed", 150, 5, 30, 20, 0, false, 67, 6},
     {"engines_restart", 100, 0, 30, 5, 100, false, 126, 6},
+    {"engines_restart_and_responses_lost", 0, 20, 30, 0, 100, false, 1, 80},
 };
 
 /**
@@ -493,7 +497,7 @@
     bool lost = !step->is_report && chance(search, search->c->lost);
     struct event *event =
         add_event(search, EVENT_ORDER,
-                  lost && chance(search, 50) ? between(search, 5, 4000)
+                  lost && chance(search, 50) ? between(search, 5, LATE_MS)
                                              : between(search, 1, 10));
 
     event->instance = from;
@@ -520,9 +524,6 @@
     if (event->call.step.is_report) {
         engine_report(search, event->engine, &event->call);
     }
-    else if (engine->started_ms != event->call.step.started_ms) {
-        event->call.result = ORDER_WRONG_TARGET;
-    }
     else {
         event->call.result = engine_order(search, engine, &event->call.step);
     }
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -29,7 +29,8 @@
  * weight store, 0.4 s from memory and 0.8 s from disk. Commands of a script:
  *   t=MS            sets the time
  *   e1:ITEMS        engine 1's registry entry says that it holds ITEMS
- *   e1:ITEMS:born   the same after a restart of the engine
+ *   e1:ITEMS:born   the same after a restart of the engine; "again" after
+ *                   its second one
  *   g1              engine 1 is removed
  *   r1:SEQ:ITEMS    report of engine 1; ":busy" or ":disk=ITEMS" may follow
  *   f1              reading engine 1's report fails
@@ -149,6 +150,85 @@
     {"restart_with_a_call_in_progress",
      "e1: n r1:0: w:m1=1 n e1::born n r1:0: a n",
      "report1 load1:m1@0 report1 load1:m1@0"},
+    {"late_order_of_a_former_process_fits",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 "
+     "w:m4=0 w:m4:run=1 w:m5=1 n t=21199 w:m5=1 n t=21200 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 "
+     "- - load1:m5@1"},
+    {"late_order_counts_after_the_engine_was_removed",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 g1 t=9800 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n "
+     "r1:1:m4 w:m4=0 w:m4:run=1 w:m5=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 -"},
+    {"late_order_counts_in_the_third_process",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0: e1::again n r1:0::disk=m4,m5 w:m4=1 n a "
+     "t=10700 n r1:1:m4 w:m4=0 w:m4:run=1 w:m5=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 report1 load1:m4@0 "
+     "report1 -"},
+    {"late_order_counts_in_a_later_term",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 "
+     "begin n r1:1:m4 t=11300 w:m4=0 w:m4:run=1 w:m5=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 "
+     "report1 -"},
+    {"small_model_fits_beside_a_late_order",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m6 w:m6=1 n a t=10700 n r1:1:m6 w:m6=0 "
+     "w:m6:run=1 w:m1=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m6@0 report1 -"},
+    {"item_of_a_late_order_may_be_loaded",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m3 w:m4=1 n a t=10700 n r1:1:m4 "
+     "w:m4=0 w:m4:run=1 w:m3=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 "
+     "load1:m3@1"},
+    {"sequence_beyond_a_late_order",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:3:m4 w:m4:run=1 w:m5=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m5@3"},
+    {"other_engine_than_that_of_a_late_order",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 e2: "
+     "n r2:0::disk=m5 w:m4=0 w:m4:run=1 w:m5=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 "
+     "report2 load2:m5@0"},
+    {"eviction_passes_a_late_order",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 "
+     "w:m4=0 t=12000 w:m5=1 t=12700 n a t=12900 n r1:2: n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 "
+     "unload1:m4@1 report1 load1:m5@2"},
+    {"order_with_an_answer_is_not_late",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n c w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 "
+     "w:m4=0 w:m4:run=1 w:m5=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 "
+     "load1:m5@1"},
+    {"order_under_way_at_a_restart_is_late",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 "
+     "w:m4=0 w:m4:run=1 w:m5=1 n",
+     "report1 unload1:m1@1 report1 load1:m3@2 report1 load1:m4@0 report1 -"},
+    {"late_adapter_keeps_its_slot",
+     "e1:m1,m1/a1 n r1:3:m1,m1/a1 w:m1/a2=1 n u w:m1/a2=0 t=500 e1::born "
+     "n r1:0::disk=m1 w:m1=1 n a t=1500 n r1:1:m1 w:m1=0 w:m1/a3=1 n a "
+     "t=1600 w:m1/a3=0 w:m1/a3:run=1 w:m1/a1=1 n t=12000 n",
+     "report1 load1:m1/a2@3 report1 load1:m1@0 report1 load1:m1/a3@1 - -"},
+    {"late_orders_of_successive_sequences",
+     "e1: n r1:1: w:m6=1 n u w:m6=0 t=400 n r1:2:m6 w:m1=1 n u w:m1=0 "
+     "t=800 n r1:2:m6 e1::born n r1:0::disk=m2,m6 w:m2=1 n w:m2=0 w:m6=1 n",
+     "report1 load1:m6@1 report1 load1:m1@2 report1 report1 - load1:m6@0"},
+    {"unload_that_holds_beside_a_late_order",
+     "e1:m1,m1/a1 n r1:3:m1,m1/a1 w:m6=1 n u w:m6=0 t=500 e1::born n "
+     "r1:2:m1,m1/a1 w:m1/a2=1 n a w:m1/a2=0 w:m1/a2:run=1 t=9000 "
+     "w:m1/a3=1 n h t=9020 n t=9200 n",
+     "report1 load1:m6@3 report1 load1:m1/a2@2 unload1:m1/a1@3 - report1"},
+    {"order_for_an_assumed_sequence",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9050 "
+     "n u w:m1/a3=0 t=12100 n r1:0:m1,m1/a2 w:m1/a2:run=1 w:m1/a1=1 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 report1 -"},
     {"removed_engine", "e1: e2: n n r1:0: r2:0: g1 w:m1=1 n",
      "report2 report1 load2:m1@0"},
     {"items_of_unknown_size_prevent_loads", "e1: n r1:0:other w:m1=1 n",
@@ -315,7 +395,7 @@
     fill_info(&change.info, number);
     parse_items(parts[1], &change.info.held, &change.info.has_unknown_items);
     if (parts[2] != NULL) {
-        change.info.started_ms = 2;
+        change.info.started_ms = strcmp(parts[2], "born") == 0 ? 2 : 3;
     }
     plan_apply_target_change(&fixture->plan, &change, fixture->now_ms);
 }
