Place: see a late load that runs after an unload

An engine would crash with the streams that it runs.

Cause: while the planner waited for the end of an unload, it took a busy engine for one that is still unloading, even when the report no longer had the item. An order without a response that was carried out right after the unload was not seen: its item, still loading, counted as nothing.

Change: the engine is busy with the unload only while the report has the item.

--- a/src/gate/place/results.c
+++ b/src/gate/place/results.c
@@ -328,8 +328,10 @@
         engine->info.in_memory = info->in_memory;
         engine->info.on_disk = info->on_disk;
     }
+    /* An order that runs after the unload has ended is not the unload. */
     engine->busy_with_unknown_order =
-        info->order_running && engine->loading == 0 && engine->unloading == 0;
+        info->order_running && engine->loading == 0 &&
+        !item_set_contains(&info->held, engine->unloading);
     if (info->order_running) {
         engine->next_report_ms = now_ms + REPORT_LAG_MS;
         engine->in_doubt = engine->busy_with_unknown_order;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -229,6 +229,10 @@
      "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9050 "
      "n u w:m1/a3=0 t=12100 n r1:0:m1,m1/a2 w:m1/a2:run=1 w:m1/a1=1 n",
      "report1 unload1:m1/a1@0 load1:m1/a3@1 report1 -"},
+    {"lost_load_that_runs_after_an_unload",
+     "e1:m1,m2 n r1:0:m1,m2 t=9000 w:m3=1 w:m2:run=1 n a t=9100 n u "
+     "t=9400 n r1:2:m2:busy t=9420 n",
+     "report1 unload1:m1@0 load1:m3@1 report1 -"},
     {"removed_engine", "e1: e2: n n r1:0: r2:0: g1 w:m1=1 n",
      "report2 report1 load2:m1@0"},
     {"items_of_unknown_size_prevent_loads", "e1: n r1:0:other w:m1=1 n",
