Place: leave room for a late order of the former holder

An engine would crash with the streams that it runs.

Cause: a new holder knows no order of the former one that got no response. It may be carried out at an engine that has restarted, seconds after the term of its sender.

Change: when this instance has learned of an engine's restart within the last 15 s before its term, or learns of it in the first 15 s, it leaves room for the largest item that the engine doesn't hold, and for an adapter, until no order can be under way any more (2 s until the former holder knows of the restart, 1 s for the call, 12 s of delay). An engine counts as restarted also when it had left the list in between, if it is not the same process. Without a restart nothing changes.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -42,6 +42,8 @@
  * @unanswered_since_ms: first call that failed since the last answer; 0 for
  *                       none
  * @running: requests running there, sent by all instances
+ * @restarted_ms: when this instance learned that it runs again under an id
+ *                that it had before; 0 for never
  */
 struct plan_engine {
     struct target_info info;
@@ -68,6 +70,17 @@
     int64_t assumed_order_ms;
     int64_t unanswered_since_ms;
     int running;
+    int64_t restarted_ms;
+};
+
+/**
+ * struct departed_engine - engine that has left the list
+ * @started_ms: wall time of its last start
+ * @gone_ms: when it left
+ */
+struct departed_engine {
+    int64_t started_ms;
+    int64_t gone_ms;
 };
 
 /**
@@ -128,6 +141,7 @@
  * struct plan - state of the engines and demand for items
  * @config: may be NULL; one reference is held
  * @engines: target id -> struct plan_engine
+ * @departed: target id -> struct departed_engine, of the last seconds
  * @late_orders: orders of this instance without an outcome, as struct
  *               late_order; kept when an engine leaves or restarts
  * @items: quark -> struct item_demand
@@ -142,6 +156,7 @@
     struct plan_settings settings;
     struct gate_config *config;
     GHashTable *engines;
+    GHashTable *departed;
     GArray *late_orders;
     GHashTable *items;
     GHashTable *activities;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -29,6 +29,9 @@
 void late_order_done(struct plan *plan, const struct engine_call *call,
                      int64_t now_ms);
 void late_orders_expire(struct plan *plan, int64_t now_ms);
+void late_engine_departed(struct plan *plan, const struct plan_engine *engine,
+                          int64_t now_ms);
+bool late_engine_returned(struct plan *plan, const struct target_info *info);
 bool late_order_expects(const struct plan *plan,
                         const struct plan_engine *engine, int64_t sequence,
                         int64_t now_ms);
--- a/src/gate/place/late.c
+++ b/src/gate/place/late.c
@@ -8,6 +8,10 @@
  * out whenever its new count reaches the expected one. Orders of the present
  * process are therefore chosen so that late ones fit at the sequence that they
  * expect.
+ *
+ * A new holder does not know the late orders of the former one. It assumes
+ * that one may be under way to each engine that has restarted lately, of any
+ * item and for any sequence.
  */
 #include <glib.h>
 #include <string.h>
@@ -28,6 +32,11 @@
     /* Engines carry out an order up to 12 s after it has reached them, which
      * it has when the wait for its response ends. */
     ORDER_LATE_MAX_MS = 12000,
+    /* Another instance may learn of a restart so much later than this one. */
+    RESTART_NEWS_MS = 2000,
+    /* From when a former holder sent its last order to a former process. */
+    FORMER_ORDER_MAX_MS =
+        RESTART_NEWS_MS + ORDER_TIMEOUT_MS + ORDER_LATE_MAX_MS,
 };
 
 /**
@@ -115,17 +124,64 @@
     }
 }
 
+static gboolean
+is_long_gone(gpointer id, gpointer value, gpointer now)
+{
+    const struct departed_engine *departed = value;
+
+    (void)id;
+    return *(const int64_t *)now - departed->gone_ms >= FORMER_ORDER_MAX_MS;
+}
+
 /**
- * late_order_expects() - whether an order without an outcome expects a
- *                        sequence
+ * late_engine_departed() - note that an engine has left the list
  * @plan: the plan
  * @engine: the engine
- * @sequence: the sequence
  * @now_ms: current time
  */
+void
+late_engine_departed(struct plan *plan, const struct plan_engine *engine,
+                     int64_t now_ms)
+{
+    struct departed_engine departed = {engine->info.started_ms, now_ms};
+
+    g_hash_table_foreach_remove(plan->departed, is_long_gone, &now_ms);
+    g_hash_table_insert(plan->departed, g_strdup(engine->info.id),
+                        g_memdup2(&departed, sizeof(departed)));
+}
+
+/**
+ * late_engine_returned() - whether an engine that is new in the list was there
+ *                          before as another process
+ * @plan: the plan
+ * @info: the engine
+ */
 bool
-late_order_expects(const struct plan *plan, const struct plan_engine *engine,
-                   int64_t sequence, int64_t now_ms)
+late_engine_returned(struct plan *plan, const struct target_info *info)
+{
+    const struct departed_engine *departed =
+        g_hash_table_lookup(plan->departed, info->id);
+    bool returned =
+        departed != NULL && departed->started_ms != info->started_ms;
+
+    g_hash_table_remove(plan->departed, info->id);
+    return returned;
+}
+
+/* A former holder sent no order after the begin of the present term, and none
+ * for a former process once it knew of the restart. */
+static bool
+former_order_possible(const struct plan *plan,
+                      const struct plan_engine *engine, int64_t now_ms)
+{
+    return engine->restarted_ms != 0 &&
+           now_ms < MIN(engine->restarted_ms, plan->holder_since_ms) +
+                        FORMER_ORDER_MAX_MS;
+}
+
+static bool
+known_order_expects(const struct plan *plan, const struct plan_engine *engine,
+                    int64_t sequence, int64_t now_ms)
 {
     for (guint i = 0; i < plan->late_orders->len; i++) {
         const struct late_order *order = order_at(plan, i);
@@ -138,6 +194,22 @@
     return false;
 }
 
+/**
+ * late_order_expects() - whether an order without an outcome may expect a
+ *                        sequence
+ * @plan: the plan
+ * @engine: the engine
+ * @sequence: the sequence
+ * @now_ms: current time
+ */
+bool
+late_order_expects(const struct plan *plan, const struct plan_engine *engine,
+                   int64_t sequence, int64_t now_ms)
+{
+    return known_order_expects(plan, engine, sequence, now_ms) ||
+           former_order_possible(plan, engine, now_ms);
+}
+
 /* Only one of the orders that expect a sequence can be carried out there. An
  * order that is not a load, or whose item is held, adds nothing. */
 static struct late_loads
@@ -163,14 +235,37 @@
     return largest;
 }
 
+/* The largest item that a former holder may have ordered. */
+static struct late_loads
+former_load(const struct plan *plan, const struct plan_engine *engine,
+            const struct item_set *held, int64_t now_ms)
+{
+    const struct gate_service *service = plan_engine_service(plan, engine);
+    struct late_loads largest = {0};
+
+    if (!former_order_possible(plan, engine, now_ms)) {
+        return largest;
+    }
+    for (int i = 0; i < service->model_count; i++) {
+        const struct gate_model *model = &service->models[i];
+
+        if (!item_set_contains(held, model->model)) {
+            largest.mb = MAX(largest.mb, model->weights_mb);
+        }
+        largest.mb = MAX(largest.mb, model->adapter_mb);
+    }
+    largest.adapters = service->adapter_slots > 0 ? 1 : 0;
+    return largest;
+}
+
 /* Late orders that expect successive sequences may all be carried out. */
 static struct late_loads
 loads_from(const struct plan *plan, const struct plan_engine *engine,
            const struct item_set *held, int64_t sequence, int64_t now_ms)
 {
-    struct late_loads sum = {0};
+    struct late_loads sum = former_load(plan, engine, held, now_ms);
 
-    for (; late_order_expects(plan, engine, sequence, now_ms); sequence++) {
+    for (; known_order_expects(plan, engine, sequence, now_ms); sequence++) {
         struct late_loads largest =
             largest_load(plan, engine, held, sequence, now_ms);
 
@@ -211,7 +306,8 @@
         .adapters = engine_adapter_count(engine),
     };
 
-    if (plan->late_orders->len == 0 || service == NULL) {
+    if (service == NULL || (plan->late_orders->len == 0 &&
+                            !former_order_possible(plan, engine, now_ms))) {
         return true;
     }
     if (!item_is_adapter(item)) {
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -34,6 +34,8 @@
     store_limit_init(plan);
     plan->engines =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    plan->departed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     plan->late_orders = g_array_new(FALSE, FALSE, sizeof(struct late_order));
     plan->items = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     plan->activities = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -49,6 +51,7 @@
 {
     gate_config_unref(plan->config);
     g_hash_table_destroy(plan->engines);
+    g_hash_table_destroy(plan->departed);
     g_array_free(plan->late_orders, TRUE);
     g_hash_table_destroy(plan->items);
     g_hash_table_destroy(plan->activities);
@@ -170,6 +173,7 @@
     if (engine == NULL) {
         engine = g_new0(struct plan_engine, 1);
         reset_engine(engine, info, now_ms);
+        engine->restarted_ms = late_engine_returned(plan, info) ? now_ms : 0;
         g_hash_table_insert(plan->engines, engine->info.id, engine);
         return;
     }
@@ -177,6 +181,7 @@
     if (engine->info.started_ms != info->started_ms) {
         clear_orders(engine);
         reset_engine(engine, info, now_ms);
+        engine->restarted_ms = now_ms;
         return;
     }
     refresh_engine(engine, info, now_ms);
@@ -205,6 +210,9 @@
         engine->missing = true;
         break;
     case TARGET_GONE:
+        if (engine != NULL) {
+            late_engine_departed(plan, engine, now_ms);
+        }
         g_hash_table_remove(plan->engines, change->info.id);
         break;
     }
--- a/test/plan_limit_test.c
+++ b/test/plan_limit_test.c
@@ -83,6 +83,7 @@
     {"views_delayed", 150, 5, 30, 20, 0, false, 67, 6},
     {"engines_restart", 100, 0, 30, 5, 100, false, 126, 6},
     {"engines_restart_and_responses_lost", 0, 20, 30, 0, 100, false, 1, 80},
+    {"engines_restart_and_holder_paused", 150, 20, 30, 0, 100, true, 200, 40},
 };
 
 /**
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -233,6 +233,28 @@
      "e1:m1,m2 n r1:0:m1,m2 t=9000 w:m3=1 w:m2:run=1 n a t=9100 n u "
      "t=9400 n r1:2:m2:busy t=9420 n",
      "report1 unload1:m1@0 load1:m3@1 report1 -"},
+    {"late_order_of_a_former_holder",
+     "e1:m1,m2 t=1000 e1::born t=2000 begin n r1:0::disk=m4,m6 w:m4=1 n "
+     "w:m4=0 w:m6=1 n a t=15999 n r1:1:m6 w:m4=1 n t=16000 n",
+     "report1 - load1:m6@0 report1 - load1:m4@1"},
+    {"late_order_of_a_former_holder_before_its_restart",
+     "e1:m1,m2 t=1000 begin n r1:0:m1,m2 t=2000 e1::born n r1:0::disk=m4 "
+     "w:m4=1 n t=15999 w:m4=1 n t=16000 n",
+     "report1 report1 - - load1:m4@0"},
+    {"restart_long_before_the_term",
+     "e1:m1,m2 t=1000 e1::born t=16000 begin n r1:0::disk=m4 w:m4=1 n",
+     "report1 load1:m4@0"},
+    {"restart_long_after_the_begin_of_the_term",
+     "e1:m1,m2 t=1000 begin n r1:0:m1,m2 t=16000 e1::born n r1:0::disk=m4 "
+     "w:m4=1 n",
+     "report1 report1 load1:m4@0"},
+    {"late_order_of_a_former_holder_after_a_removal",
+     "e1:m1,m2 t=900 g1 t=1000 e1::born t=2000 begin n r1:0::disk=m4 "
+     "w:m4=1 n",
+     "report1 -"},
+    {"same_process_after_a_removal",
+     "e1:m1,m2 t=900 g1 t=1000 e1: t=2000 begin n r1:0::disk=m4 w:m4=1 n",
+     "report1 load1:m4@0"},
     {"removed_engine", "e1: e2: n n r1:0: r2:0: g1 w:m1=1 n",
      "report2 report1 load2:m1@0"},
     {"items_of_unknown_size_prevent_loads", "e1: n r1:0:other w:m1=1 n",
