Place: show where memory is left free for a late order

What callers saw: a request for a model with a local copy on such an engine would wait for a load that isn't ordered for up to 12 s, and operators had no sign of it.

Change: the forecast of a load adds the time for which the model can't be loaded, so that a request which can't last so long is refused at once. Log lines memory_held and memory_free, and the counter engine_memory_holds_total, tell where an engine's memory is left free and until when.

Evidence: plan_test /plan/forecast/behind_a_late_order is red without the addition; three cases of /plan/hold are red when an end is not noticed.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -200,6 +200,7 @@
     X(CTR_CONNECTS, "target_connects_total")                                  \
     X(CTR_ORDERS, "orders_total")                                             \
     X(CTR_ORDERS_FAILED, "orders_failed_total")                               \
+    X(CTR_MEMORY_HOLDS, "engine_memory_holds_total")                          \
     X(CTR_REPORTS_FAILED, "engine_reports_failed_total")                      \
     X(CTR_LOG_DROPPED, "log_lines_dropped_total")
 
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -42,6 +42,7 @@
  * @unanswered_since_ms: first call that failed since the last answer; 0 for
  *                       none
  * @running: requests running there, sent by all instances
+ * @late_hold: memory is left free for a late order; see late_next_hold()
  * @restarted_ms: when this instance learned that it runs again under an id
  *                that it had before; 0 for never
  */
@@ -70,6 +71,7 @@
     int64_t assumed_order_ms;
     int64_t unanswered_since_ms;
     int running;
+    bool late_hold;
     int64_t restarted_ms;
 };
 
@@ -137,6 +139,24 @@
     int64_t until_ms;
 };
 
+/**
+ * struct late_hold - begin or end of a time in which an engine's memory is
+ * left free for an order that may be carried out late
+ * @begins: whether it begins
+ * @item: item of the order; 0 for any, of a former holder
+ * @expected_sequence: of the order; -1 for any
+ * @sequence: orders that the engine has accepted
+ * @left_ms: longest time that it lasts
+ */
+struct late_hold {
+    char target[NAME_MAX_BYTES];
+    bool begins;
+    uint32_t item;
+    int64_t expected_sequence;
+    int64_t sequence;
+    int64_t left_ms;
+};
+
 /**
  * struct plan - state of the engines and demand for items
  * @config: may be NULL; one reference is held
@@ -186,6 +206,10 @@
     const char *reason;
 };
 
+enum {
+    EVICT_IDLE_MS = 600, /* requests come in bursts */
+};
+
 /**
  * enum load_source - where an item may be loaded from
  * @SOURCE_ANY: local copies and the weight store
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -38,6 +38,10 @@
 bool late_orders_fit(const struct plan *plan, const struct plan_engine *engine,
                      uint32_t item, uint32_t evicted, int64_t now_ms);
 
+int64_t late_hold_left_ms(const struct plan *plan,
+                          const struct plan_engine *engine, int64_t now_ms);
+bool late_next_hold(struct plan *plan, int64_t now_ms, struct late_hold *hold);
+
 /* capacity.c */
 double engine_item_mb(const struct plan *plan,
                       const struct plan_engine *engine, uint32_t item);
--- a/src/gate/place/forecast.c
+++ b/src/gate/place/forecast.c
@@ -48,11 +48,12 @@
  * -1 when it has neither. Loads of a local copy take a few hundred ms; the
  * time is doubled because other orders may go first. */
 static int64_t
-local_ready_ms(const struct plan *plan, const struct plan_engine *engine,
+local_ready_ms(struct plan *plan, const struct plan_engine *engine,
                uint32_t model, int64_t now_ms)
 {
     bool from_store;
     int64_t load_ms = engine_load_ms(plan, engine, model, &from_store);
+    int64_t hold_ms = 0;
 
     if (engine->info.draining || engine->missing ||
         engine_is_unresponsive(engine, now_ms)) {
@@ -61,7 +62,12 @@
     if (item_set_contains(&engine->info.held, model)) {
         return SWAP_ORDERS_MS;
     }
-    return from_store ? -1 : 2 * (load_ms + SWAP_ORDERS_MS);
+    if (!late_orders_fit(plan, engine, model, 0, now_ms) &&
+        engine_eviction_candidate(plan, engine, model, EVICT_IDLE_MS,
+                                  now_ms) == 0) {
+        hold_ms = late_hold_left_ms(plan, engine, now_ms);
+    }
+    return from_store ? -1 : 2 * (load_ms + SWAP_ORDERS_MS) + hold_ms;
 }
 
 static void
--- a/src/gate/place/late.c
+++ b/src/gate/place/late.c
@@ -334,3 +334,95 @@
     return fits(service, used,
                 loads_from(plan, engine, &held, sequence + 1, now_ms));
 }
+
+/* Whether the wait for a response has ended, and the engine has yet to reach
+ * the expected sequence: the order was made for a former process, or for a
+ * sequence that was only assumed. */
+static bool
+is_ahead(const struct late_order *order, const struct plan_engine *engine,
+         int64_t now_ms)
+{
+    return order->action == ORDER_LOAD && now_ms < order->until_ms &&
+           order->until_ms != G_MAXINT64 &&
+           order->expected_sequence > engine->info.sequence &&
+           strcmp(order->target, engine->info.id) == 0;
+}
+
+/* Fills in the late order that lasts longest. Returns false when there is
+ * none. */
+static bool
+find_hold(const struct plan *plan, const struct plan_engine *engine,
+          int64_t now_ms, struct late_hold *hold)
+{
+    int64_t until_ms = now_ms;
+
+    if (engine->info.sequence < 0) {
+        return false;
+    }
+    if (former_order_possible(plan, engine, now_ms)) {
+        until_ms = MIN(engine->restarted_ms, plan->holder_since_ms) +
+                   FORMER_ORDER_MAX_MS;
+        hold->item = 0;
+        hold->expected_sequence = -1;
+    }
+    for (guint i = 0; i < plan->late_orders->len; i++) {
+        const struct late_order *order = order_at(plan, i);
+
+        if (is_ahead(order, engine, now_ms) && order->until_ms > until_ms) {
+            until_ms = order->until_ms;
+            hold->item = order->item;
+            hold->expected_sequence = order->expected_sequence;
+        }
+    }
+    hold->left_ms = until_ms - now_ms;
+    return until_ms > now_ms;
+}
+
+/**
+ * late_hold_left_ms() - how long memory may be left free for a late order
+ * @plan: the plan
+ * @engine: the engine
+ * @now_ms: current time
+ *
+ * Return: 0 when it is not.
+ */
+int64_t
+late_hold_left_ms(const struct plan *plan, const struct plan_engine *engine,
+                  int64_t now_ms)
+{
+    struct late_hold hold;
+
+    return find_hold(plan, engine, now_ms, &hold) ? hold.left_ms : 0;
+}
+
+/**
+ * late_next_hold() - the next engine for which the need to leave memory free
+ *                    for a late order has begun or ended
+ * @plan: the plan
+ * @now_ms: current time
+ * @hold: filled in
+ *
+ * Return: false when there is none.
+ */
+bool
+late_next_hold(struct plan *plan, int64_t now_ms, struct late_hold *hold)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, plan->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct plan_engine *engine = value;
+
+        memset(hold, 0, sizeof(*hold));
+        hold->begins =
+            plan->is_holder && find_hold(plan, engine, now_ms, hold);
+        if (hold->begins != engine->late_hold) {
+            engine->late_hold = hold->begins;
+            hold->sequence = engine->info.sequence;
+            g_strlcpy(hold->target, engine->info.id, sizeof(hold->target));
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -84,6 +84,29 @@
     return true;
 }
 
+static void
+log_late_holds(struct plan *plan, int64_t now_ms)
+{
+    struct late_hold hold;
+
+    while (late_next_hold(plan, now_ms, &hold)) {
+        if (!hold.begins) {
+            log_line(LOG_PRI_INFO, "place",
+                     "event=memory_free target=%s sequence=%" G_GINT64_FORMAT,
+                     hold.target, (gint64)hold.sequence);
+            continue;
+        }
+        counter_add(CTR_MEMORY_HOLDS, 1);
+        log_line(LOG_PRI_INFO, "place",
+                 "event=memory_held target=%s sequence=%" G_GINT64_FORMAT
+                 " item=%s expected=%" G_GINT64_FORMAT
+                 " left_ms=%" G_GINT64_FORMAT,
+                 hold.target, (gint64)hold.sequence,
+                 hold.item != 0 ? g_quark_to_string(hold.item) : "any",
+                 (gint64)hold.expected_sequence, (gint64)hold.left_ms);
+    }
+}
+
 static void
 run_plan(struct place_gate *place, int64_t now_ms)
 {
@@ -97,6 +120,7 @@
     if (!is_holder) {
         plan_end_term(&place->plan);
     }
+    log_late_holds(&place->plan, now_ms);
     while (is_holder && place->pending_calls < ORDER_WORKERS * 2 &&
            plan_next_step(&place->plan, now_ms, &step) &&
            queue_call(place, &step)) {
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -22,7 +22,6 @@
 #include "gate/place/fns.h"
 
 enum {
-    EVICT_IDLE_MS = 600,       /* requests come in bursts */
     PRELOAD_IDLE_MS = 4000,    /* no eviction of used items for a preload */
     RESERVATION_MS = 3000,     /* the evicted item's requests end by then */
     IN_DOUBT_REPORT_MS = 600,  /* delay of the report of an engine in doubt */
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -39,7 +39,7 @@
  *   n               takes the next step and records it
  *   a h c u x       the last order is accepted, answered as held already,
  *                   refused with a conflict, not answered, not sent
- *   begin           this instance becomes the lease holder
+ *   begin           this instance becomes the lease holder; "end" ends it
  *   v1:SEQ:ITEMS    another instance's view of engine 1 arrives
  */
 struct step_case {
@@ -355,6 +355,7 @@
     struct item_activity items[16];
     int item_count;
     GString *steps;
+    GString *holds;
     int64_t now_ms;
 };
 
@@ -574,6 +575,29 @@
     plan_apply_target_change(&fixture->plan, &change, fixture->now_ms);
 }
 
+/* Lists the changes, and 0 where there are no more. */
+static void
+list_holds(struct plan_fixture *fixture)
+{
+    struct late_hold hold;
+
+    if (fixture->holds->len > 0) {
+        g_string_append_c(fixture->holds, ' ');
+    }
+    while (late_next_hold(&fixture->plan, fixture->now_ms, &hold)) {
+        g_assert_cmpstr(hold.target, ==, "i-1");
+        if (!hold.begins) {
+            g_string_append(fixture->holds, "end ");
+            continue;
+        }
+        g_string_append_printf(fixture->holds, "begin:%s@%d:%d ",
+                               hold.item != 0 ? g_quark_to_string(hold.item)
+                                              : "any",
+                               (int)hold.expected_sequence, (int)hold.left_ms);
+    }
+    g_string_append_c(fixture->holds, '0');
+}
+
 static void
 run_command(struct plan_fixture *fixture, const char *command)
 {
@@ -585,6 +609,12 @@
     else if (strcmp(command, "begin") == 0) {
         plan_become_holder(&fixture->plan, fixture->now_ms);
     }
+    else if (strcmp(command, "end") == 0) {
+        plan_end_term(&fixture->plan);
+    }
+    else if (strcmp(command, "l") == 0) {
+        list_holds(fixture);
+    }
     else if (g_str_has_prefix(command, "arrive:")) {
         apply_activity(fixture, command);
     }
@@ -643,19 +673,30 @@
     bool has_forecast;
     bool expected;
     int64_t at_most_ms;
+    int64_t at_least_ms;
 };
 
 static const struct forecast_case forecast_cases[] = {
-    {"no_waiting_requests", "e1: n r1:0:", "m1", false, false, 0},
-    {"not_ordered", "e1: n r1:0: w:m1=1", "m1", true, false, 0},
-    {"loading", "e1: n r1:0: w:m1=1 n a", "m1", true, true, 6500},
-    {"half_loaded", "e1: n r1:0: w:m1=1 n a t=3000", "m1", true, true, 3500},
-    {"on_disk", "e1: n r1:0::disk=m1 w:m1=1", "m1", true, true, 2500},
+    {"no_waiting_requests", "e1: n r1:0:", "m1", false, false, 0, 0},
+    {"not_ordered", "e1: n r1:0: w:m1=1", "m1", true, false, 0, 0},
+    {"loading", "e1: n r1:0: w:m1=1 n a", "m1", true, true, 6500, 0},
+    {"half_loaded", "e1: n r1:0: w:m1=1 n a t=3000", "m1", true, true, 3500,
+     0},
+    {"on_disk", "e1: n r1:0::disk=m1 w:m1=1", "m1", true, true, 2500, 0},
     {"on_disk_of_unresponsive_engine",
-     "e1: n r1:0::disk=m1 w:m1=1 n u n t=2000", "m1", true, false, 0},
-    {"held", "e1:m1 n r1:0:m1 w:m1=1", "m1", true, true, 0},
-    {"adapter_of_held", "e1:m1 n r1:0:m1 w:m1/a1=1", "m1/a1", true, true,
-     1000},
+     "e1: n r1:0::disk=m1 w:m1=1 n u n t=2000", "m1", true, false, 0, 0},
+    {"held", "e1:m1 n r1:0:m1 w:m1=1", "m1", true, true, 0, 0},
+    {"adapter_of_held", "e1:m1 n r1:0:m1 w:m1/a1=1", "m1/a1", true, true, 1000,
+     0},
+    {"behind_a_late_order",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 "
+     "w:m4=0 w:m4:run=1 w:m5=1",
+     "m5", true, true, 13000, 10000},
+    {"beside_a_late_order",
+     "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
+     "t=9700 e1::born n r1:0::disk=m6 w:m6=1",
+     "m6", true, true, 3000, 0},
 };
 
 static void
@@ -680,6 +721,7 @@
                         g_quark_try_string(c->item));
         g_assert_cmpint(forecast->items[0].expected, ==, c->expected);
         g_assert_cmpint(forecast->items[0].ready_ms, <=, c->at_most_ms);
+        g_assert_cmpint(forecast->items[0].ready_ms, >=, c->at_least_ms);
     }
     load_forecast_free(forecast);
     g_strfreev(commands);
@@ -723,6 +765,69 @@
     plan_clear(&fixture.plan);
 }
 
+/* Guards against a hold of an engine's memory for a late order that the log
+ * doesn't show, or that it shows without end. A command "l" lists what has
+ * begun and ended; the list is made once more at the end of the script. */
+struct hold_case {
+    const char *name;
+    const char *script;
+    const char *holds;
+};
+
+static const struct hold_case hold_cases[] = {
+    {"no_late_order", "begin e1: n r1:0:", "0"},
+    {"same_process",
+     "begin e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u "
+     "w:m3=0 t=9600 n r1:2:m2",
+     "0"},
+    {"unknown_sequence",
+     "begin e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u "
+     "w:m3=0 t=20000 e1::born",
+     "0"},
+    {"former_process",
+     "begin e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u "
+     "w:m3=0 t=20000 e1::born n r1:0:",
+     "begin:m3@2:1200 0"},
+    {"ends_with_time",
+     "begin e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u "
+     "w:m3=0 t=20000 e1::born n r1:0: l t=21199 l t=21200",
+     "begin:m3@2:1200 0 0 end 0"},
+    {"ends_beyond_the_sequence",
+     "begin e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u "
+     "w:m3=0 t=20000 e1::born n r1:1: l r1:2:m6",
+     "begin:m3@2:1200 0 end 0"},
+    {"call_in_progress",
+     "begin t=20000 e1: n r1:0: w:m1=1 n e1::born n r1:0:", "0"},
+    {"former_holder",
+     "e1: t=1000 e1::born t=2000 begin n r1:0:", "begin:any@-1:14000 0"},
+    {"ends_with_the_term",
+     "begin e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u "
+     "w:m3=0 t=20000 e1::born n r1:0: l end",
+     "begin:m3@2:1200 0 end 0"},
+};
+
+static void
+test_hold(gconstpointer data)
+{
+    const struct hold_case *c = data;
+    struct plan_fixture fixture = {.now_ms = 1};
+    char **commands = g_strsplit(c->script, " ", -1);
+
+    plan_init(&fixture.plan);
+    plan_set_config(&fixture.plan, make_config());
+    fixture.steps = g_string_new(NULL);
+    fixture.holds = g_string_new(NULL);
+    for (int i = 0; commands[i] != NULL; i++) {
+        run_command(&fixture, commands[i]);
+    }
+    list_holds(&fixture);
+    g_assert_cmpstr(fixture.holds->str, ==, c->holds);
+    g_strfreev(commands);
+    g_string_free(fixture.steps, TRUE);
+    g_string_free(fixture.holds, TRUE);
+    plan_clear(&fixture.plan);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -730,6 +835,7 @@
         CASES("/plan/step", step_cases, test_steps),
         CASES("/plan/forecast", forecast_cases, test_forecast),
         CASES("/plan/silence", silence_cases, test_silence),
+        CASES("/plan/hold", hold_cases, test_hold),
     };
 
     g_test_init(&argc, &argv, NULL);
