Place: begin a term anew when its fence is another one

An engine would crash with the streams that it runs.

Cause: the planner began a term only if it had not been the holder at its last look. After a pause in which another instance had a term, it could find itself the holder again, and went on with what it knew before: engines' sequences, and orders that it believed in progress.

Change: the planner keeps the fence of its term and begins anew when it differs.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -166,7 +166,8 @@
  *               late_order; kept when an engine leaves or restarts
  * @items: quark -> struct item_demand
  * @activities: instance id -> struct activity_report, its last one
- * @is_holder: this instance held the lease at the last check
+ * @fence: fencing token of the term at the last check; 0 while this instance
+ *         isn't the lease holder
  * @holder_since_ms: when this instance became the lease holder
  * @store_load_start_ms: start times of the last loads from the weight store,
  *                       a ring indexed by @store_load_count
@@ -180,7 +181,7 @@
     GArray *late_orders;
     GHashTable *items;
     GHashTable *activities;
-    bool is_holder;
+    int64_t fence;
     int64_t holder_since_ms;
     int64_t store_load_start_ms[64];
     int store_load_count;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -9,8 +9,7 @@
                               const struct target_change *change,
                               int64_t now_ms);
 void plan_apply_holdings(struct plan *plan, const struct holdings *holdings);
-void plan_become_holder(struct plan *plan, int64_t now_ms);
-void plan_end_term(struct plan *plan);
+void plan_set_term(struct plan *plan, int64_t fence, int64_t now_ms);
 const struct gate_service *
 plan_engine_service(const struct plan *plan, const struct plan_engine *engine);
 const struct gate_model *plan_engine_model(const struct plan *plan,
--- a/src/gate/place/late.c
+++ b/src/gate/place/late.c
@@ -416,7 +416,7 @@
 
         memset(hold, 0, sizeof(*hold));
         hold->begins =
-            plan->is_holder && find_hold(plan, engine, now_ms, hold);
+            plan->fence != 0 && find_hold(plan, engine, now_ms, hold);
         if (hold->begins != engine->late_hold) {
             engine->late_hold = hold->begins;
             hold->sequence = engine->info.sequence;
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -112,14 +112,10 @@
 {
     struct plan_step step;
     struct holdings *holdings;
-    bool is_holder = term_is_valid(place->term, clock_boot_ms(), NULL);
+    int64_t fence = 0;
+    bool is_holder = term_is_valid(place->term, clock_boot_ms(), &fence);
 
-    if (is_holder && !place->plan.is_holder) {
-        plan_become_holder(&place->plan, now_ms);
-    }
-    if (!is_holder) {
-        plan_end_term(&place->plan);
-    }
+    plan_set_term(&place->plan, is_holder ? fence : 0, now_ms);
     log_late_holds(&place->plan, now_ms);
     while (is_holder && place->pending_calls < ORDER_WORKERS * 2 &&
            plan_next_step(&place->plan, now_ms, &step) &&
@@ -152,8 +148,8 @@
 
     (void)err;
     while ((result = ring_pop(&place->messages, &message,
-                              place->plan.is_holder ? HOLDER_TICK_MS
-                                                    : IDLE_TICK_MS)) !=
+                              place->plan.fence != 0 ? HOLDER_TICK_MS
+                                                     : IDLE_TICK_MS)) !=
            RING_CLOSED) {
         while (result == RING_OK) {
             handle_message(place, &message, clock_now_ms());
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -234,7 +234,7 @@
     struct plan_engine *engine =
         g_hash_table_lookup(plan->engines, holdings->target);
 
-    if (plan->is_holder) {
+    if (plan->fence != 0) {
         return;
     }
     if (holdings->store_loads_max > 0) {
@@ -247,22 +247,15 @@
     }
 }
 
-/**
- * plan_become_holder() - start a term of this instance as lease holder
- * @plan: the plan
- * @now_ms: current time
- *
- * Orders of the previous holder may still be in progress, so each engine's
+/* Orders of the previous holder may still be in progress, so each engine's
  * report is read before the engine gets an order. What is known of its
- * sequence may have been an assumption of that holder.
- */
-void
-plan_become_holder(struct plan *plan, int64_t now_ms)
+ * sequence may have been an assumption of that holder. */
+static void
+begin_term(struct plan *plan, int64_t now_ms)
 {
     GHashTableIter iter;
     void *value;
 
-    plan->is_holder = true;
     plan->holder_since_ms = now_ms;
     g_hash_table_iter_init(&iter, plan->engines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -278,11 +271,19 @@
 }
 
 /**
- * plan_end_term() - end this instance's term as lease holder
+ * plan_set_term() - note whether this instance is the lease holder
  * @plan: the plan
+ * @fence: fencing token of its term; 0 when it isn't the holder
+ * @now_ms: current time
+ *
+ * An instance that was paused may find itself the holder of a new term without
+ * having noticed that another one had one in between; the fence tells.
  */
 void
-plan_end_term(struct plan *plan)
+plan_set_term(struct plan *plan, int64_t fence, int64_t now_ms)
 {
-    plan->is_holder = false;
+    if (fence != 0 && fence != plan->fence) {
+        begin_term(plan, now_ms);
+    }
+    plan->fence = fence;
 }
--- a/test/plan_limit_test.c
+++ b/test/plan_limit_test.c
@@ -84,6 +84,7 @@
     {"engines_restart", 100, 0, 30, 5, 100, false, 126, 6},
     {"engines_restart_and_responses_lost", 0, 20, 30, 0, 100, false, 1, 80},
     {"engines_restart_and_holder_paused", 150, 20, 30, 0, 100, true, 200, 40},
+    {"holder_resumes_in_a_new_term", 150, 20, 30, 0, 100, true, 10438, 4},
 };
 
 /**
@@ -167,6 +168,7 @@
  * @events: pointers to struct event
  * @event_count: events made so far
  * @holder: instance that holds the lease; -1 for none
+ * @term: fencing token of the term
  * @lease_free_ms: when the next instance may take the lease
  * @loads: accepted loads
  * @conflicts: refused orders
@@ -182,6 +184,7 @@
     struct model_engine engines[ENGINES];
     struct instance instances[INSTANCES];
     int holder;
+    int64_t term;
     int64_t lease_free_ms;
     int loads;
     int conflicts;
@@ -543,12 +546,7 @@
     struct plan_step step;
     struct holdings *holdings;
 
-    if (is_holder && !plan->is_holder) {
-        plan_become_holder(plan, search->now_ms);
-    }
-    if (!is_holder) {
-        plan_end_term(plan);
-    }
+    plan_set_term(plan, is_holder ? search->term : 0, search->now_ms);
     for (int i = 0; is_holder && i < CALLS_AT_ONCE &&
                     plan_next_step(plan, search->now_ms, &step);
          i++) {
@@ -606,6 +604,7 @@
     if (search->holder < 0 && search->now_ms >= search->lease_free_ms) {
         search->holder =
             search->instances[0].paused_until_ms > search->now_ms ? 1 : 0;
+        search->term++;
     }
     else if (search->holder >= 0 &&
              chance(search, search->c->pauses * DEMAND_MS / 10000)) {
@@ -660,7 +659,7 @@
                   plan_step_done(plan, &event->call, search->now_ms));
         break;
     case EVENT_VIEW:
-        search->late += plan->is_holder ? 1 : 0;
+        search->late += plan->fence != 0 ? 1 : 0;
         plan_apply_holdings(plan, &event->view);
         break;
     case EVENT_ENTRY:
@@ -698,6 +697,7 @@
     search->rand = g_rand_new_with_seed(search->seed);
     search->events = g_ptr_array_new_with_free_func(g_free);
     search->holder = 0;
+    search->term = 1;
     for (int i = 0; i < INSTANCES; i++) {
         plan_init(&search->instances[i].plan);
         plan_set_config(&search->instances[i].plan, make_config());
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -39,7 +39,8 @@
  *   n               takes the next step and records it
  *   a h c u x       the last order is accepted, answered as held already,
  *                   refused with a conflict, not answered, not sent
- *   begin           this instance becomes the lease holder; "end" ends it
+ *   begin           a term of this instance as lease holder begins; "same":
+ *                   it lasts, "end": it ends
  *   v1:SEQ:ITEMS    another instance's view of engine 1 arrives
  */
 struct step_case {
@@ -150,6 +151,10 @@
     {"restart_with_a_call_in_progress",
      "e1: n r1:0: w:m1=1 n e1::born n r1:0: a n",
      "report1 load1:m1@0 report1 load1:m1@0"},
+    {"term_that_began_unnoticed_after_another_one",
+     "begin e1: n r1:0: w:m1=1 begin n", "report1 report1"},
+    {"same_term", "begin e1: n r1:0: t=2000 w:m1=1 same n",
+     "report1 load1:m1@0"},
     {"late_order_of_a_former_process_fits",
      "e1:m1,m2 n r1:1:m1,m2 t=9000 w:m3=1 n a t=9200 n r1:2:m2 n u w:m3=0 "
      "t=9700 e1::born n r1:0::disk=m4,m5 w:m4=1 n a t=10700 n r1:1:m4 "
@@ -357,6 +362,7 @@
     GString *steps;
     GString *holds;
     int64_t now_ms;
+    int64_t term;
 };
 
 static struct gate_config *
@@ -607,10 +613,13 @@
         fixture->now_ms = g_ascii_strtoll(command + 2, NULL, 10);
     }
     else if (strcmp(command, "begin") == 0) {
-        plan_become_holder(&fixture->plan, fixture->now_ms);
+        plan_set_term(&fixture->plan, ++fixture->term, fixture->now_ms);
+    }
+    else if (strcmp(command, "same") == 0) {
+        plan_set_term(&fixture->plan, fixture->term, fixture->now_ms);
     }
     else if (strcmp(command, "end") == 0) {
-        plan_end_term(&fixture->plan);
+        plan_set_term(&fixture->plan, 0, fixture->now_ms);
     }
     else if (strcmp(command, "l") == 0) {
         list_holds(fixture);
