Relay: believe a target's own word that it leaves

A target that leaves says so in all its answers (Server-Leaving: 1). The field was passed on to callers and not read: with a store that was away or late, or an entry that came once more, callers' requests went on reaching a target that had told this instance that it stops (DRAIN).

Cause: only the entry in the store made a target a leaving one.

It counts in an answer that is the target's own to that request, as answers_exchange() tells; an answer that names another target by Instance-Id is about that one. The notice is kept by the target's id beside the table of targets, so that it outlives the entry, and holds against every entry that is not of a later start (choose/leaving.c). Idle connections to the target are closed, a request on a connection that is not established goes elsewhere, and the planner of this instance neither orders loads there nor counts on it. What runs there goes on.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -28,6 +28,39 @@
     int64_t updated_ms;
 };
 
+/**
+ * struct target_identity - a start of a target
+ * @id: its id
+ * @address: where it takes requests
+ * @started_ms: wall time of its start; TARGET_START_UNKNOWN when its entry has
+ *              not been read
+ */
+struct target_identity {
+    char id[NAME_MAX_BYTES];
+    char address[ADDRESS_MAX_BYTES];
+    int64_t started_ms;
+};
+
+enum { TARGET_START_UNKNOWN = -1 };
+
+/**
+ * struct leaving_notice - a target has said in an answer that it leaves
+ * @target: the target
+ * @learnt_ms: when the answer was read
+ */
+struct leaving_notice {
+    struct target_identity target;
+    int64_t learnt_ms;
+};
+
+/**
+ * enum leaving_end - what an entry means for the notice of a target
+ * @LEAVING_HOLDS: nothing, the notice holds
+ * @LEAVING_RESTARTED: the target itself has started again since
+ * @LEAVING_REPLACED: another target has started at its address since
+ */
+enum leaving_end { LEAVING_HOLDS, LEAVING_RESTARTED, LEAVING_REPLACED };
+
 /**
  * struct target_record - a target with its load, health and speed
  * @info: the target's description of itself
@@ -35,6 +68,7 @@
  * @running_elsewhere: requests that other instances have running there, by
  *                     their last reports
  * @missing: its entry expired while the store was unreachable
+ * @leaving_ms: when it said in an answer that it leaves; 0 when it has not
  * @health: recent results of requests
  * @intervals: recent intervals between events of its streams
  */
@@ -43,6 +77,7 @@
     int running;
     int running_elsewhere;
     bool missing;
+    int64_t leaving_ms;
     struct target_health health;
     struct event_intervals intervals;
 };
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -8,6 +8,11 @@
                    const struct request_needs *needs, int64_t now_ms);
 bool target_has_capacity(const struct target_record *target);
 
+/* leaving.c */
+bool target_is_leaving(const struct target_record *target);
+enum leaving_end leaving_apply_entry(struct leaving_notice *notice,
+                                     const struct target_info *entry);
+
 /* health.c */
 void health_connect_failed(struct target_health *health, int64_t now_ms);
 void health_request_failed(struct target_health *health);
--- a/src/gate/choose/target_cost.c
+++ b/src/gate/choose/target_cost.c
@@ -47,7 +47,7 @@
 {
     uint64_t id;
 
-    if (target->info.draining ||
+    if (target_is_leaving(target) ||
         strcmp(target->info.service, needs->service) != 0) {
         return false;
     }
--- a/src/gate/place/choice.c
+++ b/src/gate/place/choice.c
@@ -35,13 +35,23 @@
 static const double RUNNING_COST_MS = 30.0;
 static const double EVICTION_COST_MS = 150.0;
 
+/**
+ * engine_is_leaving() - whether an engine is about to stop
+ * @engine: the engine
+ */
+bool
+engine_is_leaving(const struct plan_engine *engine)
+{
+    return engine->info.draining || engine->leaves;
+}
+
 static bool
 accepts_orders(const struct plan_engine *engine, uint32_t item, int64_t now_ms)
 {
     bool unloading = engine->unloading != 0 &&
                      (item_is_adapter(item) || !engine->unload_immediate);
 
-    return !engine->info.draining && !engine->missing &&
+    return !engine_is_leaving(engine) && !engine->missing &&
            !engine->order_pending && !engine->in_doubt &&
            engine->loading == 0 && !unloading &&
            now_ms >= engine->next_order_ms && engine->info.sequence >= 0;
@@ -142,8 +152,9 @@
 static bool
 may_load(struct plan *plan, const struct plan_engine *engine, uint32_t item)
 {
-    if (plan_engine_service(plan, engine) == NULL || engine->info.draining ||
-        engine->missing || plan_engine_model(plan, engine, item) == NULL ||
+    if (plan_engine_service(plan, engine) == NULL ||
+        engine_is_leaving(engine) || engine->missing ||
+        plan_engine_model(plan, engine, item) == NULL ||
         item_set_contains(&engine->info.held, item)) {
         return false;
     }
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -14,6 +14,7 @@
  * struct plan_engine - state of an engine, as the lease holder sees it
  * @info: last known description, updated by accepted orders
  * @missing: its registry entry expired while the store was unreachable
+ * @leaves: it has said in an answer that it leaves, whatever its entry says
  * @loading: item that is being loaded; 0 for none
  * @loading_from_store: the load comes from the weight store
  * @load_start_ms: start of the last load from the weight store
@@ -46,6 +47,7 @@
 struct plan_engine {
     struct target_info info;
     bool missing;
+    bool leaves;
     uint32_t loading;
     bool loading_from_store;
     int64_t load_start_ms;
@@ -115,6 +117,7 @@
  * @engines: target id -> struct plan_engine
  * @items: quark -> struct item_demand
  * @activities: instance id -> struct activity_report, its last one
+ * @leaving: ids of targets that have said in answers that they leave
  * @is_holder: this instance held the lease at the last check
  * @holder_since_ms: when this instance became the lease holder
  * @store_load_start_ms: start times of the last loads from the weight store,
@@ -127,6 +130,7 @@
     GHashTable *engines;
     GHashTable *items;
     GHashTable *activities;
+    GHashTable *leaving;
     bool is_holder;
     int64_t holder_since_ms;
     int64_t store_load_start_ms[64];
@@ -215,9 +219,20 @@
     PLACE_TARGET_CHANGE,
     PLACE_ACTIVITY,
     PLACE_HOLDINGS,
+    PLACE_LEAVING,
     PLACE_CALL_DONE,
 };
 
+/**
+ * struct place_leaving - what is learnt about the stop of a target
+ * @target: id of the target
+ * @leaves: whether it leaves
+ */
+struct place_leaving {
+    char target[NAME_MAX_BYTES];
+    bool leaves;
+};
+
 /* Ownership of @data passes to the receiver. */
 struct place_message {
     enum place_message_kind kind;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -8,6 +8,7 @@
 void plan_apply_target_change(struct plan *plan,
                               const struct target_change *change,
                               int64_t now_ms);
+void plan_apply_leaving(struct plan *plan, const struct place_leaving *news);
 void plan_apply_holdings(struct plan *plan, const struct holdings *holdings);
 void plan_become_holder(struct plan *plan, int64_t now_ms);
 void plan_end_term(struct plan *plan);
@@ -50,6 +51,7 @@
 int plan_store_loads(const struct plan *plan, int64_t now_ms);
 bool engine_can_load(struct plan *plan, const struct plan_engine *engine,
                      uint32_t item, int64_t now_ms);
+bool engine_is_leaving(const struct plan_engine *engine);
 bool engine_is_unresponsive(const struct plan_engine *engine, int64_t now_ms);
 struct engine_choice choose_fastest_engine(struct plan *plan, uint32_t item,
                                            enum load_source source,
@@ -87,6 +89,8 @@
                                    const struct target_change *change);
 void place_gate_post_activity(struct place_gate *place,
                               struct activity_report *activity);
+void place_gate_post_leaving(struct place_gate *place, const char *target,
+                             bool leaves);
 void place_gate_post_holdings(struct place_gate *place,
                               struct holdings *holdings);
 
--- a/src/gate/place/forecast.c
+++ b/src/gate/place/forecast.c
@@ -27,7 +27,7 @@
     uint32_t model = item_model(item);
     bool from_store;
 
-    if (engine->info.draining || engine->missing) {
+    if (engine_is_leaving(engine) || engine->missing) {
         return -1;
     }
     if (item_set_contains(&engine->info.held, item)) {
@@ -54,7 +54,7 @@
     bool from_store;
     int64_t load_ms = engine_load_ms(plan, engine, model, &from_store);
 
-    if (engine->info.draining || engine->missing ||
+    if (engine_is_leaving(engine) || engine->missing ||
         engine_is_unresponsive(engine, now_ms)) {
         return -1;
     }
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -53,6 +53,10 @@
         plan_apply_holdings(&place->plan, message->data);
         g_free(message->data);
         break;
+    case PLACE_LEAVING:
+        plan_apply_leaving(&place->plan, message->data);
+        g_free(message->data);
+        break;
     case PLACE_CALL_DONE:
         place->pending_calls--;
         holdings = plan_step_done(&place->plan, message->data, now_ms);
@@ -295,3 +299,22 @@
         g_free(holdings);
     }
 }
+
+/**
+ * place_gate_post_leaving() - post what a target has said about its stop
+ * @place: the duty
+ * @target: id of the target
+ * @leaves: whether it leaves
+ */
+void
+place_gate_post_leaving(struct place_gate *place, const char *target,
+                        bool leaves)
+{
+    struct place_leaving *news = g_new0(struct place_leaving, 1);
+
+    g_strlcpy(news->target, target, sizeof(news->target));
+    news->leaves = leaves;
+    if (!post(place, PLACE_LEAVING, news)) {
+        g_free(news);
+    }
+}
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -37,6 +37,8 @@
     plan->items = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     plan->activities = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                              g_free, free_activity);
+    plan->leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 /**
@@ -50,6 +52,7 @@
     g_hash_table_destroy(plan->engines);
     g_hash_table_destroy(plan->items);
     g_hash_table_destroy(plan->activities);
+    g_hash_table_destroy(plan->leaving);
 }
 
 /**
@@ -168,6 +171,7 @@
 
     if (engine == NULL) {
         engine = g_new0(struct plan_engine, 1);
+        engine->leaves = g_hash_table_contains(plan->leaving, info->id);
         reset_engine(engine, info, now_ms);
         g_hash_table_insert(plan->engines, engine->info.id, engine);
         return;
@@ -209,6 +213,28 @@
     }
 }
 
+/**
+ * plan_apply_leaving() - apply what a target has said about its stop
+ * @plan: the plan
+ * @news: what was learnt; it outlives the target's entry
+ */
+void
+plan_apply_leaving(struct plan *plan, const struct place_leaving *news)
+{
+    struct plan_engine *engine =
+        g_hash_table_lookup(plan->engines, news->target);
+
+    if (news->leaves) {
+        g_hash_table_add(plan->leaving, g_strdup(news->target));
+    }
+    else {
+        g_hash_table_remove(plan->leaving, news->target);
+    }
+    if (engine != NULL) {
+        engine->leaves = news->leaves;
+    }
+}
+
 /**
  * plan_apply_holdings() - apply held items as the lease holder reports them
  * @plan: the plan
--- a/src/gate/place/replicas.c
+++ b/src/gate/place/replicas.c
@@ -44,7 +44,7 @@
 static bool
 can_serve(const struct plan_engine *engine, int64_t now_ms)
 {
-    return !engine->info.draining && !engine->missing &&
+    return !engine_is_leaving(engine) && !engine->missing &&
            (!engine_is_unresponsive(engine, now_ms) || engine->running > 0);
 }
 
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -218,6 +218,14 @@
     peers_free_crashes(body);
 }
 
+static void
+relay_port_leaving(struct relay_port *port, const char *target, bool leaves)
+{
+    struct gate *gate = ((struct gate_relay_port *)port)->gate;
+
+    place_gate_post_leaving(&gate->place, target, leaves);
+}
+
 static void
 relay_port_drained(struct relay_port *port)
 {
@@ -225,7 +233,8 @@
 }
 
 static const struct relay_port_ops relay_ops = {
-    relay_port_activity, relay_port_crashes, relay_port_drained};
+    relay_port_activity, relay_port_crashes, relay_port_leaving,
+    relay_port_drained};
 
 static void
 place_port_holdings(struct place_gate_port *port, struct holdings *holdings)
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -15,6 +15,7 @@
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
+#include "gate/choose/fns.h"
 #include "gate/crash/dat.h"
 #include "gate/crash/fns.h"
 #include "gate/relay/dat.h"
@@ -122,7 +123,7 @@
 static bool
 is_expected_to_stay(const struct relay_target *target)
 {
-    return !target->record.info.draining && !target->record.missing;
+    return !target_is_leaving(&target->record) && !target->record.missing;
 }
 
 /**
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -50,6 +50,7 @@
  * @has_two_ids: it names another attempt besides
  * @signed_by_target: it carries the target's signature
  * @not_run: the target has not run the request
+ * @leaving: the target says that it is about to stop
  * @target_id: the target that responds; empty when not given
  */
 struct answer_meta {
@@ -57,6 +58,7 @@
     bool has_two_ids;
     bool signed_by_target;
     bool not_run;
+    bool leaving;
     char target_id[NAME_MAX_BYTES];
 };
 
@@ -216,6 +218,8 @@
  * @activity: sends an activity report; takes ownership, must not block
  * @crashes: sends a report on crashes, which is valid during the call, to all
  * instances, or to a few that @spread picks unless it is 0; must not block
+ * @leaving: a target has said that it leaves, or this no longer holds;
+ * @target, its id, is valid during the call; must not block
  * @drained: after relay_post_drain(), all requests are finished or the grace
  * period ends
  */
@@ -223,6 +227,7 @@
     void (*activity)(struct relay_port *port, struct activity_report *report);
     void (*crashes)(struct relay_port *port, const struct crash_report *report,
                     uint64_t spread);
+    void (*leaving)(struct relay_port *port, const char *target, bool leaves);
     void (*drained)(struct relay_port *port);
 };
 
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -236,6 +236,7 @@
 /**
  * struct upstream - connection to a target
  * @target: the target
+ * @peer: the target when the connection was made, also after it is removed
  * @connected: the connection is established
  * @paused: reading is stopped while the caller's output is full
  * @body: part of the body that was parsed but not yet forwarded
@@ -251,6 +252,7 @@
     struct timer timer;
     struct handle self;
     struct handle target;
+    struct target_identity peer;
     int fd;
     bool connected;
     bool paused;
@@ -371,6 +373,7 @@
     int total_instance_count;  /* instances in that total */
     GHashTable *arrivals;      /* item -> count since the last report */
     GHashTable *forecasts;     /* item -> struct known_forecast */
+    GHashTable *leaving;       /* id -> struct leaving_notice */
     struct gate_config *config;
     bool targets_listed;
     GArray *members;
@@ -601,6 +604,7 @@
                                    const struct request_needs *needs,
                                    int64_t now_ms);
 bool target_exists_for(struct relay *relay, const struct request_needs *needs);
+void target_close_idle(struct relay *relay, struct relay_target *target);
 void target_apply_change(struct relay *relay,
                          const struct target_change *change, int64_t now_ms);
 void target_apply_holdings(struct relay *relay,
@@ -611,6 +615,16 @@
 void target_apply_total(struct relay *relay, struct activity_report *total,
                         int64_t now_ms);
 
+/* leaving.c */
+struct target_identity target_identity_of(const struct target_info *info);
+void leaving_read_answer(struct relay *relay, const struct exchange *exchange,
+                         const struct upstream *upstream, int64_t now_ms);
+void leaving_check_entry(struct relay *relay, const struct target_info *entry,
+                         int64_t now_ms);
+void leaving_mark(struct relay *relay, struct relay_target *target);
+bool leaving_learnt_since(struct relay *relay,
+                          const struct upstream *upstream);
+
 /* crash.c */
 uint64_t crash_fingerprint(const struct exchange *exchange);
 void crash_connection_closed(struct relay *relay,
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -455,6 +455,8 @@
                                                 g_free, free_peer_report);
     relay->arrivals = g_hash_table_new(NULL, NULL);
     relay->forecasts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    relay->leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     relay->crashes = watch_new();
     return table_init(&relay->clients, connections_max, sizeof(struct client),
                       err) &&
@@ -563,6 +565,7 @@
     g_hash_table_destroy(relay->peer_reports);
     g_hash_table_destroy(relay->arrivals);
     g_hash_table_destroy(relay->forecasts);
+    g_hash_table_destroy(relay->leaving);
     watch_free(relay->crashes);
     table_destroy(&relay->clients);
     table_destroy(&relay->upstreams);
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -122,8 +122,13 @@
     return target;
 }
 
-static void
-close_idle(struct relay *relay, struct relay_target *target)
+/**
+ * target_close_idle() - close the idle connections to a target
+ * @relay: the relay
+ * @target: the target
+ */
+void
+target_close_idle(struct relay *relay, struct relay_target *target)
 {
     while (target->idle->len > 0) {
         struct handle handle = g_array_index(target->idle, struct handle, 0);
@@ -136,7 +141,7 @@
 static void
 remove_target(struct relay *relay, struct relay_target *target)
 {
-    close_idle(relay, target);
+    target_close_idle(relay, target);
     g_array_free(target->idle, TRUE);
     g_hash_table_remove(relay->target_ids, target->record.info.id);
     g_hash_table_remove(relay->target_hashes, &target->id_hash);
@@ -146,7 +151,7 @@
 static void
 reset_target(struct relay *relay, struct relay_target *target)
 {
-    close_idle(relay, target);
+    target_close_idle(relay, target);
     target->order_sequence = 0;
     target->holdings_received_ms = 0;
     target->doubt_ms = 0;
@@ -180,8 +185,9 @@
     target->record.info = *info;
     target->record.info.held = held;
     target->record.missing = false;
-    if (info->draining) {
-        close_idle(relay, target);
+    leaving_mark(relay, target);
+    if (target_is_leaving(&target->record)) {
+        target_close_idle(relay, target);
     }
     queue_mark_target(relay, target);
 }
@@ -239,6 +245,9 @@
     struct relay_target *target = target_find(relay, change->info.id);
 
     log_change(target, change);
+    if (change->kind != TARGET_GONE) {
+        leaving_check_entry(relay, &change->info, now_ms);
+    }
     switch (change->kind) {
     case TARGET_CHANGED:
         update_target(relay, &change->info, now_ms);
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -97,6 +97,7 @@
     set_options(fd);
     upstream->self = handle;
     upstream->target = target->self;
+    upstream->peer = target_identity_of(&target->record.info);
     upstream->fd = fd;
     upstream->timer.kind = TIMER_UPSTREAM;
     upstream->keep_alive_ms = DEFAULT_KEEP_ALIVE_MS;
@@ -386,7 +387,21 @@
     }
 }
 
-/* No byte of the request was sent. */
+/* Sends a request elsewhere of which no byte was sent. */
+static void
+take_back(struct relay *relay, struct upstream *upstream, int64_t now_ms)
+{
+    struct exchange *exchange =
+        table_get(&relay->exchanges, upstream->exchange);
+
+    upstream_close(relay, upstream);
+    if (exchange != NULL) {
+        exchange->sends--;
+        exchange->runs--;
+        result_unreachable(relay, exchange, now_ms);
+    }
+}
+
 static void
 connect_failed(struct relay *relay, struct upstream *upstream,
                const char *reason, int64_t now_ms)
@@ -404,12 +419,7 @@
                  target->record.health.connect_failures,
                  exchange != NULL ? exchange->meta.attempt_id : "-");
     }
-    upstream_close(relay, upstream);
-    if (exchange != NULL) {
-        exchange->sends--;
-        exchange->runs--;
-        result_unreachable(relay, exchange, now_ms);
-    }
+    take_back(relay, upstream, now_ms);
 }
 
 /**
@@ -451,7 +461,7 @@
         log_extra_bytes(relay, upstream, "behind_response");
     }
     if (target == NULL || !upstream->keep_alive || upstream->has_extra_bytes ||
-        upstream->keep_alive_ms <= 0 || target->record.info.draining ||
+        upstream->keep_alive_ms <= 0 || target_is_leaving(&target->record) ||
         upstream->output.waiting > 0) {
         upstream_close(relay, upstream);
         return;
@@ -482,6 +492,11 @@
         }
         return false;
     }
+    if (upstream->exchange.generation != 0 &&
+        leaving_learnt_since(relay, upstream)) {
+        take_back(relay, upstream, now_ms);
+        return false;
+    }
     upstream->connected = true;
     crash_connection_made(table_get(&relay->targets, upstream->target));
     heap_remove(&relay->timers, &upstream->timer);
--- a/src/turmericctl/why.c
+++ b/src/turmericctl/why.c
@@ -45,6 +45,8 @@
     "store_regained",
     "store_loads",
     "leaving",
+    "target_leaves",
+    "target_leaves_ended",
     "target_crashed",
     "quarantined",
     "quarantine_learnt",
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -186,10 +186,57 @@
     g_assert_cmpint(instance_counts_max(&counts, 10000, now_ms), ==, c->max);
 }
 
+/* Guards against a notice of a target that leaves which an older entry ends,
+ * and against one that keeps a new start of a target out for ever. Steps are
+ * entries: a letter for the id, the start, and @ for the address of target a,
+ * else # for another. */
+struct leaving_case {
+    const char *name;
+    int64_t started_ms; /* of target a */
+    const char *entries;
+    const char *ends; /* . holds, r restarted, x replaced */
+};
+
+static const struct leaving_case leaving_cases[] = {
+    {"listed_still", 5, "a5@a5@", ".."},
+    {"listed_as_before_its_start", 5, "a4@", "."},
+    {"new_start", 5, "a6@", "r"},
+    {"new_start_elsewhere", 5, "a6#", "r"},
+    {"replaced", 5, "b6@", "x"},
+    {"replaced_by_an_older_one", 5, "b4@b5@", ".."},
+    {"other_target_elsewhere", 5, "b6#", "."},
+    {"unknown_start", TARGET_START_UNKNOWN, "b6@a5@a5@a6@", "...r"},
+};
+
+static void
+test_leaving(gconstpointer data)
+{
+    const struct leaving_case *c = data;
+    struct leaving_notice notice = {
+        .target = {.id = "a", .address = "here"},
+        .learnt_ms = 1,
+    };
+
+    notice.target.started_ms = c->started_ms;
+    for (int i = 0; c->ends[i] != '\0'; i++) {
+        const char *entry = c->entries + 3 * i;
+        struct target_info info = {
+            .id = {entry[0]},
+            .started_ms = entry[1] - '0',
+        };
+
+        g_strlcpy(info.address, entry[2] == '@' ? "here" : "there",
+                  sizeof(info.address));
+        g_assert_cmpint(".rx"[leaving_apply_entry(&notice, &info)], ==,
+                        c->ends[i]);
+    }
+}
+
 /* Guards against requests that are sent to a target that can't serve them. */
 struct serve_case {
     const char *name;
     bool draining;
+    int64_t leaving_ms;
     const char *service;
     const char *held;
     const char *model;
@@ -199,13 +246,14 @@
 };
 
 static const struct serve_case serve_cases[] = {
-    {"plain", false, "s", NULL, NULL, NULL, false, true},
-    {"other_service", false, "t", NULL, NULL, NULL, false, false},
-    {"draining", true, "s", NULL, NULL, NULL, false, false},
-    {"tried", false, "s", NULL, NULL, NULL, true, false},
-    {"model", false, "s", "m", "m", NULL, false, true},
-    {"model_missing", false, "s", NULL, "m", NULL, false, false},
-    {"adapter_missing", false, "s", "m", "m", "m/a1", false, false},
+    {"plain", false, 0, "s", NULL, NULL, NULL, false, true},
+    {"other_service", false, 0, "t", NULL, NULL, NULL, false, false},
+    {"draining", true, 0, "s", NULL, NULL, NULL, false, false},
+    {"said_that_it_leaves", false, 1, "s", NULL, NULL, NULL, false, false},
+    {"tried", false, 0, "s", NULL, NULL, NULL, true, false},
+    {"model", false, 0, "s", "m", "m", NULL, false, true},
+    {"model_missing", false, 0, "s", NULL, "m", NULL, false, false},
+    {"adapter_missing", false, 0, "s", "m", "m", "m/a1", false, false},
 };
 
 static void
@@ -218,6 +266,7 @@
     g_strlcpy(target.info.id, "i-1", sizeof(target.info.id));
     g_strlcpy(target.info.service, c->service, sizeof(target.info.service));
     target.info.draining = c->draining;
+    target.leaving_ms = c->leaving_ms;
     if (c->held != NULL) {
         item_set_add(&target.info.held, g_quark_from_string(c->held));
     }
@@ -310,6 +359,7 @@
         CASES("/choose/budget", budget_cases, test_budget),
         CASES("/choose/instance_counts", instance_counts_cases,
               test_instance_counts),
+        CASES("/choose/leaving", leaving_cases, test_leaving),
         CASES("/choose/can_serve", serve_cases, test_serve),
         CASES("/choose/cost", cost_cases, test_cost),
     };
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -39,6 +39,7 @@
  *   a h c u x       the last order is accepted, answered as held already,
  *                   refused with a conflict, not answered, not sent
  *   begin           this instance becomes the lease holder
+ *   l1 s1           engine 1 has said that it leaves; this no longer holds
  *   v1:SEQ:ITEMS    another instance's view of engine 1 arrives
  */
 struct step_case {
@@ -151,6 +152,14 @@
      "report1 load1:m1@0 report1 load1:m1@0"},
     {"removed_engine", "e1: e2: n n r1:0: r2:0: g1 w:m1=1 n",
      "report2 report1 load2:m1@0"},
+    {"no_load_on_an_engine_that_said_that_it_leaves",
+     "e1: e2: n n r1:0: r2:0: l2 w:m1=1 n n", "report2 report1 load1:m1@0 -"},
+    {"what_an_engine_said_outlives_its_entry",
+     "e1: n r1:0: l1 g1 e1: n r1:0: w:m1=1 n", "report1 report1 -"},
+    {"model_on_an_engine_that_said_that_it_leaves_is_not_counted_on",
+     "e1:m1 e2: n n r1:0:m1 r2:0: l1 w:m1=1 n", "report2 report1 load2:m1@0"},
+    {"engine_that_has_not_left_gets_loads", "e1: n r1:0: l1 s1 w:m1=1 n",
+     "report1 load1:m1@0"},
     {"items_of_unknown_size_prevent_loads", "e1: n r1:0:other w:m1=1 n",
      "report1 -"},
     {"item_missing_from_the_configuration_prevents_loads",
@@ -468,6 +477,17 @@
     plan_apply_target_change(&fixture->plan, &change, fixture->now_ms);
 }
 
+static void
+apply_leaving(struct plan_fixture *fixture, char number, bool leaves)
+{
+    struct place_leaving news = {.leaves = leaves};
+    struct target_info info;
+
+    fill_info(&info, number);
+    g_strlcpy(news.target, info.id, sizeof(news.target));
+    plan_apply_leaving(&fixture->plan, &news);
+}
+
 static void
 run_command(struct plan_fixture *fixture, const char *command)
 {
@@ -500,6 +520,9 @@
     else if (command[0] == 'g') {
         remove_engine(fixture, command[1]);
     }
+    else if (command[0] == 'l' || command[0] == 's') {
+        apply_leaving(fixture, command[1], command[0] == 'l');
+    }
     else if (command[0] == 'n') {
         record_next_step(fixture);
     }
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -78,6 +78,15 @@
     (void)spread;
 }
 
+/* For relay_port_ops.leaving. */
+static inline void
+drop_leaving(struct relay_port *port, const char *target, bool leaves)
+{
+    (void)port;
+    (void)target;
+    (void)leaves;
+}
+
 static inline int
 connect_to(int port)
 {
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -71,7 +71,7 @@
 }
 
 static const struct relay_port_ops port_ops = {count_activity, drop_crashes,
-                                               ignore_drained};
+                                               drop_leaving, ignore_drained};
 
 static void
 post_config(struct relay *relay)
--- a/test/why_test.c
+++ b/test/why_test.c
@@ -31,7 +31,14 @@
     "item=m2 result=conflict\n"
     "  0.3 gate-2 <4>tenure: ms=6000 event=term_ended fence=1 "
     "reason=leaving\n"
-    "  0.4 gate-2 <6>relay: ms=9120 event=answer id=c target=i-1 status=500\n";
+    "  0.4 gate-2 <6>relay: ms=9120 event=answer id=c target=i-1 status=500\n"
+    "  0.5 gate-2 <6>relay: ms=20000 event=target_leaves target=i-3 "
+    "source=answer id=d status=200\n"
+    "  0.6 gate-2 <6>relay: ms=20010 event=waiting id=e item=m4 sends=0\n"
+    "  0.7 gate-2 <6>relay: ms=20500 event=target_leaves_ended target=i-3 "
+    "source=restarted age_ms=500\n"
+    "  0.8 gate-2 <4>relay: ms=21000 event=refused id=e reason=no_target "
+    "item=m4\n";
 
 /* Guards against output that leaves out lines of other instances, contains
  * lines of other requests, or is not in the order of time. */
@@ -50,6 +57,8 @@
     {"failed_at_another_instance", "c", false, 0, "+0 +20 "},
     {"item", "m1", false, 0, "+0 +3100 +4100 +6100 "},
     {"target", "i-2", false, 0, "+0 "},
+    {"refused_while_a_target_leaves", "e", false, 0, "-10 +0 +490 +990 "},
+    {"target_that_leaves", "i-3", false, 0, "+0 +500 "},
     {"json", "c", true, 0, "9100 9120 "},
     {"unknown", "z", false, 3, ""},
 };
