Relay: keep requests from a target that turns them away for a time

A target that turns a request away with 503 may add Retry-After. The field was dropped with the refusal: the next request went there at once, and each was refused in turn (BUDGET), while callers waited without being told when a return would be of use.

Cause: a refusal said something about its request only, never about the target.

The pause is kept per target and instance by the target's id, on the monotonic clock; a later answer replaces it, 0 withdraws it, and a value that is malformed, negative, huge or given twice is an answer without the field and a log line. Until its end this instance sends the target nothing; a request on a connection that is not established goes elsewhere. Then requests return in the order of the queue, beside those that still run there, as many in 1 s as the target has slots (choose/pause.c). While all suitable targets are paused, a request waits only if its place comes in time, else it is refused at once with the time until then, spread over 1 s (admit/wait.c). Loads ordered by the planner, and its reports, still go to such a target.

Each guard was removed once and made a test red: not learnt, not looked at in the choice, times added up, all returning at once, dropped with the next entry, connection established in the pause, callers kept in vain, refused although there is time, advice that is too early, any status, no maximum, text behind the number, a pause without end.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -162,6 +162,8 @@
     X(CTR_ANSWER_EXTRA, "answer_extra_total")                                 \
     X(CTR_ANSWER_ENCODED, "answer_encoded_total")                             \
     X(CTR_TARGET_UNCHANGED, "target_unchanged_total")                         \
+    X(CTR_TARGET_PAUSES, "target_pauses_total")                               \
+    X(CTR_TARGET_PAUSES_ENDED, "target_pauses_ended_total")                   \
     X(CTR_TARGET_LEAVES, "target_leaves_total")                               \
     X(CTR_TARGET_LEAVES_ENDED, "target_leaves_ended_total")                   \
     X(CTR_HOLDINGS_UNCHANGED, "holdings_unchanged_total")                     \
--- a/src/gate/admit/dat.h
+++ b/src/gate/admit/dat.h
@@ -30,6 +30,11 @@
  * @load: whether its item will be there
  * @ready_in_ms: with LOAD_EXPECTED, time until the item can be used
  * @known_since_arrival: @load was learned after the request arrived
+ * @all_paused: all suitable targets want no requests for a time, or take them
+ * back one by one after it
+ * @paused_ms: with @all_paused, time until the first of them takes one
+ * @place_interval_ms: with @all_paused, time between the places that they then
+ * give
  * @left_ms: time until its deadline
  * @patience_ms: time until its caller gives up
  * @goal_ms: time until its latency objective is missed
@@ -40,6 +45,9 @@
     enum load_state load;
     int64_t ready_in_ms;
     bool known_since_arrival;
+    bool all_paused;
+    int64_t paused_ms;
+    int64_t place_interval_ms;
     int64_t left_ms;
     int64_t patience_ms;
     int64_t goal_ms;
--- a/src/gate/admit/wait.c
+++ b/src/gate/admit/wait.c
@@ -28,6 +28,9 @@
     /* The advised delay is at most the remaining time divided by this, so
      * that a caller that tries again still has time left. */
     RETRY_TIME_DIVISOR = 3,
+    /* Callers that are refused while all targets are paused come back over
+     * this time, as long as the targets take to be in full use again. */
+    PAUSED_SPREAD_MS = 1000,
 };
 
 /* Estimates vary by about this factor with a few places in some seconds. A
@@ -51,6 +54,9 @@
 {
     double places_per_s = pace_places_per_s(pace);
 
+    if (facts->all_paused) {
+        return facts->paused_ms + facts->ahead * facts->place_interval_ms;
+    }
     if (facts->load == LOAD_EXPECTED && facts->ready_in_ms > 0) {
         return facts->ready_in_ms;
     }
@@ -84,6 +90,10 @@
         MIN(expected_ms >= 0 ? expected_ms : UNKNOWN_RETRY_MS, most_ms);
     double part = RETRY_PART_MIN + (1.0 - RETRY_PART_MIN) * spread;
 
+    /* A caller that comes earlier is refused again. */
+    if (facts->all_paused) {
+        return expected_ms + (int64_t)(spread * PAUSED_SPREAD_MS) + 1;
+    }
     return MAX((int64_t)((double)delay_ms * part), 1);
 }
 
@@ -94,6 +104,9 @@
     int64_t useful_ms = longest_useful_wait_ms(facts);
     double margin = facts->waited_ms > 0 ? UNCERTAINTY : 1.0;
 
+    if (facts->all_paused) {
+        return expected_ms > useful_ms;
+    }
     if (facts->load == LOAD_NOT_EXPECTED) {
         return facts->known_since_arrival;
     }
--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -53,6 +53,34 @@
     int64_t learnt_ms;
 };
 
+/**
+ * struct target_pause - a target has turned a request away and wants no more
+ *                       for some time
+ * @since_ms: when the answer was read; 0 for never
+ * @until_ms: the end of that time
+ * @kept: requests that this instance had there at the end
+ */
+struct target_pause {
+    int64_t since_ms;
+    int64_t until_ms;
+    int kept;
+};
+
+/* After a pause, requests return to the target over this time. */
+enum { PAUSE_RETURN_MS = 1000 };
+
+/**
+ * struct pause_notice - the pause of a target
+ * @target: the target
+ * @pause: the pause
+ * @ended: its end was logged; requests still return
+ */
+struct pause_notice {
+    struct target_identity target;
+    struct target_pause pause;
+    bool ended;
+};
+
 /**
  * enum leaving_end - what an entry means for the notice of a target
  * @LEAVING_HOLDS: nothing, the notice holds
@@ -68,6 +96,7 @@
  * @running_elsewhere: requests that other instances have running there, by
  *                     their last reports
  * @missing: its entry expired while the store was unreachable
+ * @pause: the time in which it wants no requests
  * @leaving_ms: when it said in an answer that it leaves; 0 when it has not
  * @health: recent results of requests
  * @intervals: recent intervals between events of its streams
@@ -77,6 +106,7 @@
     int running;
     int running_elsewhere;
     bool missing;
+    struct target_pause pause;
     int64_t leaving_ms;
     struct target_health health;
     struct event_intervals intervals;
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -8,6 +8,13 @@
                    const struct request_needs *needs, int64_t now_ms);
 bool target_has_capacity(const struct target_record *target);
 
+/* pause.c */
+bool pause_holds(const struct target_pause *pause, int64_t now_ms);
+bool pause_is_over(const struct target_pause *pause, int64_t now_ms);
+bool pause_admits(const struct target_record *target, int64_t now_ms);
+int64_t pause_place_interval_ms(const struct target_record *target);
+int64_t pause_next_ms(const struct target_record *target, int64_t now_ms);
+
 /* leaving.c */
 bool target_is_leaving(const struct target_record *target);
 enum leaving_end leaving_apply_entry(struct leaving_notice *notice,
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -44,6 +44,9 @@
     int64_t last_event_id;
 };
 
+/* A target that wants nothing for longer leaves the list. */
+enum { TARGET_PAUSE_MAX_MS = 3600 * 1000 };
+
 /**
  * struct answer_meta - parameters from the header fields of a response
  * @attempt_id: attempt that it belongs to; empty when not given
@@ -51,6 +54,9 @@
  * @signed_by_target: it carries the target's signature
  * @not_run: the target has not run the request
  * @leaving: the target says that it is about to stop
+ * @has_pause: the target says how long it wants no requests
+ * @pause_ms: how long; not above TARGET_PAUSE_MAX_MS
+ * @pause_invalid: it says so in a form that can't be used
  * @target_id: the target that responds; empty when not given
  */
 struct answer_meta {
@@ -59,6 +65,9 @@
     bool signed_by_target;
     bool not_run;
     bool leaving;
+    bool has_pause;
+    int64_t pause_ms;
+    bool pause_invalid;
     char target_id[NAME_MAX_BYTES];
 };
 
--- a/src/gate/relay/due.c
+++ b/src/gate/relay/due.c
@@ -68,6 +68,9 @@
     int64_t due_ms = MIN(report_due_ms(relay), drain_due_ms(relay, now_ms));
 
     due_ms = MIN(due_ms, crash_due_ms(relay, now_ms));
+    if (relay->pause_due_ms != 0) {
+        due_ms = MIN(due_ms, relay->pause_due_ms);
+    }
     if (timer != NULL) {
         due_ms = MIN(due_ms, timer->due_ms);
     }
--- a/src/gate/relay/forecast.c
+++ b/src/gate/relay/forecast.c
@@ -155,5 +155,6 @@
     double spread = (double)(relay_random(relay) >> 11) / (double)(1ULL << 53);
 
     add_load(relay, exchange, &facts, now_ms);
+    pause_add_facts(relay, exchange, &facts, now_ms);
     return decide_wait(&facts, queue_pace_of(relay, exchange, now_ms), spread);
 }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -374,6 +374,8 @@
     GHashTable *arrivals;      /* item -> count since the last report */
     GHashTable *forecasts;     /* item -> struct known_forecast */
     GHashTable *leaving;       /* id -> struct leaving_notice */
+    GHashTable *pauses;        /* id -> struct pause_notice */
+    int64_t pause_due_ms;      /* when pause_work() is due; 0 for never */
     struct gate_config *config;
     bool targets_listed;
     GArray *members;
@@ -536,6 +538,7 @@
 bool events_cut_off(const struct event_reader *reader);
 
 struct wait_decision;
+struct wait_facts;
 struct queue_pace;
 
 /* queue.c */
@@ -617,6 +620,8 @@
 
 /* leaving.c */
 struct target_identity target_identity_of(const struct target_info *info);
+struct target_identity target_that_answers(struct relay *relay,
+                                           const struct upstream *upstream);
 void leaving_read_answer(struct relay *relay, const struct exchange *exchange,
                          const struct upstream *upstream, int64_t now_ms);
 void leaving_check_entry(struct relay *relay, const struct target_info *entry,
@@ -625,6 +630,18 @@
 bool leaving_learnt_since(struct relay *relay,
                           const struct upstream *upstream);
 
+/* pause.c */
+void pause_read_answer(struct relay *relay, const struct exchange *exchange,
+                       const struct upstream *upstream, int64_t now_ms);
+void pause_check_entry(struct relay *relay, const struct target_info *entry,
+                       int64_t now_ms);
+void pause_mark(struct relay *relay, struct relay_target *target);
+bool pause_learnt_since(struct relay *relay, const struct upstream *upstream,
+                        int64_t now_ms);
+void pause_add_facts(struct relay *relay, const struct exchange *exchange,
+                     struct wait_facts *facts, int64_t now_ms);
+void pause_work(struct relay *relay, int64_t now_ms);
+
 /* crash.c */
 uint64_t crash_fingerprint(const struct exchange *exchange);
 void crash_connection_closed(struct relay *relay,
--- a/src/gate/relay/leaving.c
+++ b/src/gate/relay/leaving.c
@@ -93,10 +93,15 @@
     end_notice(relay, oldest, "no_room", now_ms);
 }
 
-/* An answer may come from another target than the one that was meant, which
- * then names itself. */
-static struct target_identity
-answering_target(struct relay *relay, const struct upstream *upstream)
+/**
+ * target_that_answers() - the target that an answer comes from
+ * @relay: the relay
+ * @upstream: the connection with the head
+ *
+ * It may be another one than was meant, which then names itself.
+ */
+struct target_identity
+target_that_answers(struct relay *relay, const struct upstream *upstream)
 {
     const char *id = upstream->meta.target_id;
     struct target_identity identity = upstream->peer;
@@ -132,7 +137,7 @@
     if (!upstream->meta.leaving) {
         return;
     }
-    identity = answering_target(relay, upstream);
+    identity = target_that_answers(relay, upstream);
     if (g_hash_table_contains(relay->leaving, identity.id)) {
         return;
     }
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -332,6 +332,9 @@
     for (int i = 0; i < count; i++) {
         handle_epoll_event(relay, &events[i], now_ms);
     }
+    /* Before the timers of requests that wait, so that the first gets the
+     * first place. */
+    pause_work(relay, now_ms);
     handle_due_timers(relay, now_ms);
     open_front(relay, now_ms);
     resume_accepting(relay, now_ms);
@@ -457,6 +460,8 @@
     relay->forecasts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     relay->leaving =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    relay->pauses =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     relay->crashes = watch_new();
     return table_init(&relay->clients, connections_max, sizeof(struct client),
                       err) &&
@@ -566,6 +571,7 @@
     g_hash_table_destroy(relay->arrivals);
     g_hash_table_destroy(relay->forecasts);
     g_hash_table_destroy(relay->leaving);
+    g_hash_table_destroy(relay->pauses);
     watch_free(relay->crashes);
     table_destroy(&relay->clients);
     table_destroy(&relay->upstreams);
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -68,7 +68,8 @@
 
         if (!target_can_serve(&target->record, needs) ||
             now_ms < target->record.health.backoff_until_ms ||
-            !target_has_capacity(&target->record)) {
+            !target_has_capacity(&target->record) ||
+            !pause_admits(&target->record, now_ms)) {
             continue;
         }
         cost = target_cost(&target->record, needs, now_ms);
@@ -186,6 +187,7 @@
     target->record.info.held = held;
     target->record.missing = false;
     leaving_mark(relay, target);
+    pause_mark(relay, target);
     if (target_is_leaving(&target->record)) {
         target_close_idle(relay, target);
     }
@@ -247,6 +249,7 @@
     log_change(target, change);
     if (change->kind != TARGET_GONE) {
         leaving_check_entry(relay, &change->info, now_ms);
+        pause_check_entry(relay, &change->info, now_ms);
     }
     switch (change->kind) {
     case TARGET_CHANGED:
--- a/src/gate/relay/upstream.c
+++ b/src/gate/relay/upstream.c
@@ -493,7 +493,8 @@
         return false;
     }
     if (upstream->exchange.generation != 0 &&
-        leaving_learnt_since(relay, upstream)) {
+        (leaving_learnt_since(relay, upstream) ||
+         pause_learnt_since(relay, upstream, now_ms))) {
         take_back(relay, upstream, now_ms);
         return false;
     }
--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -213,6 +213,7 @@
         return true;
     }
     leaving_read_answer(relay, exchange, upstream, now_ms);
+    pause_read_answer(relay, exchange, upstream, now_ms);
     result_head(relay, exchange, upstream, now_ms);
     return table_get(&relay->upstreams, self) != NULL;
 }
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -232,6 +232,55 @@
     }
 }
 
+/* Guards against requests in a target's pause, against all that waited going
+ * there at its end, and against a target that never gets as many again. */
+struct pause_case {
+    const char *name;
+    int64_t since_ms;
+    int64_t until_ms;
+    int kept;
+    int slots;
+    int running;
+    int64_t now_ms;
+    bool admits;
+    int64_t next_ms; /* 0 when the pause is over */
+};
+
+static const struct pause_case pause_cases[] = {
+    {"never", 0, 0, 0, 4, 9, 10, true, 0},
+    {"begins", 10, 1010, 0, 4, 0, 10, false, 1010},
+    {"last_moment", 10, 1010, 0, 4, 0, 1009, false, 1010},
+    {"first_returns", 10, 1010, 0, 4, 0, 1010, true, 1260},
+    {"second_waits", 10, 1010, 0, 4, 1, 1259, false, 1260},
+    {"second_returns", 10, 1010, 0, 4, 1, 1260, true, 1510},
+    {"one_slot", 10, 1010, 0, 1, 1, 2009, false, 2010},
+    {"no_slots_known", 10, 1010, 0, 0, 0, 1010, true, 2010},
+    {"many_slots", 10, 1010, 0, 5000, 600, 1500, false, 1501},
+    {"over", 10, 1010, 0, 4, 9, 2010, true, 0},
+    {"beside_those_that_run", 10, 1010, 6, 4, 6, 1010, true, 1260},
+    {"second_beside_those_that_run", 10, 1010, 6, 4, 7, 1259, false, 1260},
+};
+
+static void
+test_pause(gconstpointer data)
+{
+    const struct pause_case *c = data;
+    struct target_record target = {
+        .info = {.slots = c->slots},
+        .running = c->running,
+        .pause = {.since_ms = c->since_ms,
+                  .until_ms = c->until_ms,
+                  .kept = c->kept},
+    };
+
+    g_assert_cmpint(pause_admits(&target, c->now_ms), ==, c->admits);
+    g_assert_cmpint(pause_is_over(&target.pause, c->now_ms), ==,
+                    c->next_ms == 0);
+    if (c->next_ms != 0) {
+        g_assert_cmpint(pause_next_ms(&target, c->now_ms), ==, c->next_ms);
+    }
+}
+
 /* Guards against requests that are sent to a target that can't serve them. */
 struct serve_case {
     const char *name;
@@ -360,6 +409,7 @@
         CASES("/choose/instance_counts", instance_counts_cases,
               test_instance_counts),
         CASES("/choose/leaving", leaving_cases, test_leaving),
+        CASES("/choose/pause", pause_cases, test_pause),
         CASES("/choose/can_serve", serve_cases, test_serve),
         CASES("/choose/cost", cost_cases, test_cost),
     };
--- a/test/notice_test.c
+++ b/test/notice_test.c
@@ -23,6 +23,7 @@
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
+#include "gate/admit/dat.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
@@ -33,8 +34,9 @@
 
 enum {
     EVENTS_MAX = 64,
-    EVENT_WAIT_MS = 5000, /* real time, for events that must come */
-    ROUNDS_MAX = 1000,
+    EVENT_WAIT_MS = 1000, /* real time, for events that must come */
+    ROUNDS_MAX = 20,
+    SETTLE_ROUNDS_MAX = 1000,
     CONNECTIONS_MAX = 64,
     STARTED_MS = 5, /* of the first target */
     FREEZE_MS = 60000,
@@ -527,10 +529,23 @@
 }
 
 /* Guards against a request that is sent on a connection that is established
- * after the target has said that it leaves. */
+ * after the target has said that it leaves or wants no requests. */
+struct connecting_case {
+    const char *name;
+    const char *answer;
+};
+
+static const struct connecting_case connecting_cases[] = {
+    {"leaving", ANSWER_200},
+    {"pause", "HTTP/1.1 503 Busy\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"
+              "Retry-After: 30\r\nContent-Length: 0\r\n\r\n"},
+};
+
 static void
-test_connecting(void)
+test_connecting(gconstpointer data)
 {
+    const struct connecting_case *c = data;
+
     struct epoll_event events[EVENTS_MAX];
     struct world world;
     int callers[2];
@@ -541,7 +556,7 @@
     world_start(&world);
     other = listen_any(&other_port);
     callers[0] = send_request(&world, PATH_ONCE, "a");
-    send_text(receive_request(&world), ANSWER_200);
+    send_text(receive_request(&world), c->answer);
     /* The request is read while the answer waits in the socket. */
     callers[1] = connect_to(relay_front_port(world.relay));
     send_text(callers[1],
@@ -604,7 +619,416 @@
     world_stop(&world);
 }
 
+/*
+ * Guards against requests that reach a target in the time for which it has
+ * turned requests away, against times that are added up or taken from
+ * something else than a number of seconds, and against a target that is never
+ * used again.
+ */
+struct pause_case {
+    const char *name;
+    const char *answers[2]; /* Retry-After of one request after the other */
+    enum counter counter;   /* that the last one changes */
+    const char *script;     /* as for struct leaving_case */
+    int64_t pause_ms;       /* after the last answer */
+};
+
+static const struct pause_case pause_cases[] = {
+    {"none", {"0", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"none_after_some", {"3", "0"}, CTR_TARGET_PAUSES_ENDED, "", 0},
+    {"fraction", {"0.25", NULL}, CTR_TARGET_PAUSES, "", 250},
+    {"fraction_of_a_millisecond",
+     {"0.2501", NULL},
+     CTR_TARGET_PAUSES,
+     "",
+     251},
+    {"seconds", {"3", NULL}, CTR_TARGET_PAUSES, "", 3000},
+    {"the_longest", {"3600", NULL}, CTR_TARGET_PAUSES, "", 3600000},
+    {"huge", {"1000000000", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"digits_without_end",
+     {"99999999999999999999999999999999999999", NULL},
+     CTR_RETRY_BUSY,
+     "",
+     0},
+    {"negative", {"-1", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"date", {"Sun, 06 Nov 1994 08:49:37 GMT", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"two_values", {"3, 4", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"two_fields", {"3\r\nRetry-After: 4", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"exponent", {"1e3", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"empty", {"", NULL}, CTR_RETRY_BUSY, "", 0},
+    {"longer_one_replaces", {"0.25", "3"}, CTR_TARGET_PAUSES, "", 3000},
+    {"shorter_one_replaces", {"3", "0.25"}, CTR_TARGET_PAUSES, "", 250},
+    {"malformed_one_leaves_the_first",
+     {"3", "soon"},
+     CTR_RETRY_BUSY,
+     "",
+     3000},
+    {"listed_again", {"3", NULL}, CTR_TARGET_PAUSES, "l", 3000},
+    {"gone_then_listed", {"3", NULL}, CTR_TARGET_PAUSES, "gl", 3000},
+    {"started_again", {"3", NULL}, CTR_TARGET_PAUSES, "s", 0},
+    {"freeze", {"3", NULL}, CTR_TARGET_PAUSES, "f", 0},
+};
+
+static char *
+format_refusal(const char *id, const char *retry_after)
+{
+    return g_strdup_printf("HTTP/1.1 503 Busy\r\nAttempt-Id: %s\r\n"
+                           "Not-Executed: 1\r\nRetry-After: %s\r\n"
+                           "Content-Length: 0\r\n\r\n",
+                           id, retry_after);
+}
+
+/* Closes a caller's connection and waits until its request is given up. */
+static void
+cancel(struct world *world, int caller, const char *id)
+{
+    close(caller);
+    for (int i = 0; find_exchange(world, id) != NULL; i++) {
+        g_assert_cmpint(i, <, ROUNDS_MAX);
+        step(world, EVENT_WAIT_MS);
+    }
+}
+
+/* Sends a request and gives it up. Returns whether it went to a target. */
+static bool
+goes_to_target(struct world *world)
+{
+    int caller = send_request(world, PATH_ONCE, "probe");
+    bool sent = strcmp(place_of(world, "probe"), "A") == 0;
+
+    cancel(world, caller, "probe");
+    return sent;
+}
+
+static void
+test_pause(gconstpointer data)
+{
+    static const char *const ids[] = {"a", "b"};
+    const struct pause_case *c = data;
+    struct world world;
+    int callers[2];
+    int connections[2];
+    int count = c->answers[1] != NULL ? 2 : 1;
+
+    world_start(&world);
+    for (int i = 0; i < count; i++) {
+        callers[i] = send_request(&world, PATH_ONCE, ids[i]);
+        connections[i] = receive_request(&world);
+    }
+    for (int i = 0; i < count; i++) {
+        char *refusal = format_refusal(ids[i], c->answers[i]);
+
+        answer(&world, connections[i], refusal,
+               i == count - 1 ? c->counter : CTR_TARGET_PAUSES);
+        g_free(refusal);
+        if (find_exchange(&world, ids[i]) != NULL) {
+            cancel(&world, callers[i], ids[i]);
+        }
+        else {
+            close(callers[i]);
+        }
+    }
+    for (const char *command = c->script; *command != '\0'; command++) {
+        run_command(&world, NULL, -1, *command);
+    }
+    if (c->pause_ms > 0) {
+        g_assert_false(goes_to_target(&world));
+        advance(&world, c->pause_ms - 1);
+        g_assert_false(goes_to_target(&world));
+        advance(&world, 1);
+    }
+    g_assert_true(goes_to_target(&world));
+    world_stop(&world);
+}
+
+/* Guards against a time that is taken from an answer that is none of the
+ * target's own, or no refusal. */
+static const struct foreign_case foreign_pause_cases[] = {
+    {"late_second_copy",
+     "HTTP/1.1 503 Busy\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"
+     "Retry-After: 30\r\nContent-Length: 0\r\n\r\n" OWN("b"),
+     CTR_ANSWERS, "A"},
+    {"failure",
+     "HTTP/1.1 500 Failed\r\nAttempt-Id: b\r\nServer-Seal: s\r\n"
+     "Retry-After: 30\r\nContent-Length: 0\r\n\r\n",
+     CTR_ANSWERS, "A"},
+    {"of_another_target",
+     "HTTP/1.1 503 Busy\r\nAttempt-Id: b\r\nNot-Executed: 1\r\n"
+     "Instance-Id: C\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n",
+     CTR_TARGET_PAUSES, "A"},
+};
+
+/* Guards against callers that all reach a target when its time ends, and
+ * against such that wait in vain. */
+struct return_case {
+    const char *name;
+    const char *deadline_ms; /* of each caller */
+    int served;              /* of RETURN_CALLERS */
+};
+
+enum {
+    RETURN_CALLERS = 40,
+    TARGET_PAUSE_MS = 3000,
+    TARGET_RUN_MS = 100,
+    TARGET_SLOTS = 4, /* see post_entry() */
+    CALLER_INTERVAL_MS = 10,
+};
+
+static const struct return_case return_cases[] = {
+    {"patient_callers", "20000", RETURN_CALLERS},
+    {"callers_that_leave_before_its_end", "2500", 0},
+};
+
+struct caller {
+    int fd;
+    int64_t came_ms;
+    int64_t done_ms; /* 0 before its answer */
+    bool served;
+    double retry_after_s;
+};
+
+/* Reads the answers that have come. */
+static void
+read_answers(struct world *world, struct caller *callers)
+{
+    char text[2048];
+
+    for (int i = 0; i < RETURN_CALLERS; i++) {
+        ssize_t bytes;
+
+        if (callers[i].fd <= 0 || callers[i].done_ms != 0 ||
+            !is_readable(callers[i].fd)) {
+            continue;
+        }
+        bytes = recv(callers[i].fd, text, sizeof(text) - 1, 0);
+        g_assert_cmpint(bytes, >, 0);
+        text[bytes] = '\0';
+        callers[i].done_ms = world->now_ms;
+        callers[i].served = g_str_has_prefix(text, "HTTP/1.1 200");
+        if (!callers[i].served) {
+            const char *field = strstr(text, "Retry-After: ");
+
+            g_assert_nonnull(field);
+            callers[i].retry_after_s = g_ascii_strtod(field + 13, NULL);
+        }
+    }
+}
+
+/* Requests that have arrived at the target, each with its time. */
+struct run {
+    int connection;
+    int64_t arrived_ms;
+    char id[8];
+};
+
+/* Takes in what has arrived at the target. Returns how much. */
+static int
+take_arrivals(struct world *world, GArray *runs)
+{
+    char text[2048];
+    int count = 0;
+
+    accept_connections(world);
+    for (int i = 0; i < world->connection_count; i++) {
+        struct run run = {.connection = world->connections[i],
+                          .arrived_ms = world->now_ms};
+        ssize_t bytes =
+            recv(run.connection, text, sizeof(text) - 1, MSG_DONTWAIT);
+        const char *id;
+
+        if (bytes <= 0) {
+            continue;
+        }
+        text[bytes] = '\0';
+        id = strstr(text, "Attempt-Id: ") + 12;
+        g_strlcpy(run.id, id, MIN(strcspn(id, "\r") + 1, sizeof(run.id)));
+        g_array_append_val(runs, run);
+        count++;
+    }
+    return count;
+}
+
+/* Answers what has run for long enough. */
+static void
+end_runs(struct world *world, GArray *runs)
+{
+    while (runs->len > 0 &&
+           world->now_ms - g_array_index(runs, struct run, 0).arrived_ms >=
+               TARGET_RUN_MS) {
+        struct run *run = &g_array_index(runs, struct run, 0);
+        char *text = g_strdup_printf(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n"
+            "Content-Length: 2\r\n\r\nok",
+            run->id);
+
+        answer(world, run->connection, text, CTR_ANSWERS);
+        g_free(text);
+        g_array_remove_index(runs, 0);
+    }
+}
+
+/* Lets all that is in the sockets arrive. */
+static void
+settle(struct world *world)
+{
+    struct epoll_event event;
+
+    for (int i = 0; epoll_wait(world->relay->epoll_fd, &event, 1, 0) > 0;
+         i++) {
+        g_assert_cmpint(i, <, SETTLE_ROUNDS_MAX);
+        step(world, 0);
+    }
+}
+
+static void
+send_caller(struct world *world, const struct return_case *c,
+            struct caller *caller, int number)
+{
+    uint64_t calls = counter_read(CTR_CALLS);
+    char *request = g_strdup_printf(
+        "GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: c%d\r\n"
+        "Deadline-Ms: %s\r\n\r\n",
+        number, c->deadline_ms);
+
+    caller->fd = connect_to(relay_front_port(world->relay));
+    caller->came_ms = world->now_ms;
+    send_text(caller->fd, request);
+    g_free(request);
+    for (int i = 0; counter_read(CTR_CALLS) == calls; i++) {
+        g_assert_cmpint(i, <, ROUNDS_MAX);
+        step(world, EVENT_WAIT_MS);
+    }
+}
+
+static void
+check_callers(const struct return_case *c, const struct caller *callers,
+              int64_t until_ms)
+{
+    int64_t worst_refused_ms = 0;
+    int64_t worst_served_ms = 0;
+    int served = 0;
+
+    for (int i = 0; i < RETURN_CALLERS; i++) {
+        int64_t waited_ms = callers[i].done_ms - callers[i].came_ms;
+        double left_s = (double)(until_ms - callers[i].came_ms) / 1000.0;
+
+        g_assert_cmpint(callers[i].done_ms, !=, 0);
+        if (callers[i].served) {
+            served++;
+            worst_served_ms = MAX(worst_served_ms, waited_ms);
+            continue;
+        }
+        worst_refused_ms = MAX(worst_refused_ms, waited_ms);
+        /* Not before the target takes requests, nor much after. */
+        g_assert_cmpfloat(callers[i].retry_after_s, >=, left_s);
+        g_assert_cmpfloat(callers[i].retry_after_s, <=, left_s + 2.0);
+    }
+    g_test_message("served %d of %d, worst wait %d ms, of a refused one %d ms",
+                   served, RETURN_CALLERS, (int)worst_served_ms,
+                   (int)worst_refused_ms);
+    g_assert_cmpint(served, ==, c->served);
+    g_assert_cmpint(worst_refused_ms, <=, 2 * CALLER_INTERVAL_MS);
+}
+
+static void
+test_return(gconstpointer data)
+{
+    const struct return_case *c = data;
+    struct caller callers[RETURN_CALLERS] = {0};
+    GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct run));
+    struct world world;
+    int64_t until_ms;
+    char *refusal;
+    int first;
+    int come = 0;
+
+    world_start(&world);
+    first = send_request(&world, PATH_ONCE, "a");
+    refusal = format_refusal("a", "3");
+    answer(&world, receive_request(&world), refusal, CTR_TARGET_PAUSES);
+    g_free(refusal);
+    cancel(&world, first, "a");
+    until_ms = world.now_ms + TARGET_PAUSE_MS;
+    for (int round = 0; world.now_ms < until_ms + 8000; round++) {
+        int64_t since_ms;
+        int arrived;
+
+        if (come < RETURN_CALLERS) {
+            send_caller(&world, c, &callers[come], come);
+            come++;
+        }
+        settle(&world);
+        arrived = take_arrivals(&world, runs);
+        since_ms = world.now_ms - until_ms;
+        g_assert_true(since_ms >= 0 || arrived == 0);
+        if (since_ms >= 0 && since_ms < PAUSE_RETURN_MS) {
+            g_assert_cmpint(
+                (int)runs->len, <=,
+                1 + (int)(since_ms * TARGET_SLOTS / PAUSE_RETURN_MS));
+        }
+        end_runs(&world, runs);
+        read_answers(&world, callers);
+        advance(&world, CALLER_INTERVAL_MS);
+    }
+    check_callers(c, callers, until_ms);
+    for (int i = 0; i < RETURN_CALLERS; i++) {
+        close(callers[i].fd);
+    }
+    g_array_free(runs, TRUE);
+    world_stop(&world);
+}
+
+/* Guards against callers that wait for the wrong one of several targets that
+ * have all turned requests away, or are sent away for longer than needed. */
+static void
+test_all_pause(void)
+{
+    struct world world;
+    char *refusal;
+    char *text;
+    int callers[2];
+    char bytes[2048] = "";
+
+    world_start(&world);
+    post_entry(&world, "B", world.target_port, STARTED_MS, false,
+               TARGET_CHANGED);
+    step(&world, EVENT_WAIT_MS);
+    callers[0] = send_request(&world, PATH_ONCE, "a");
+    for (int i = 0; i < 2; i++) {
+        refusal = format_refusal("a", i == 0 ? "5" : "2");
+        answer(&world, receive_request(&world), refusal, CTR_TARGET_PAUSES);
+        g_free(refusal);
+    }
+    g_assert_cmpstr(place_of(&world, "a"), ==, "wait");
+    callers[1] = connect_to(relay_front_port(world.relay));
+    text = g_strdup("GET /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: b\r\n"
+                    "Deadline-Ms: 1500\r\n\r\n");
+    send_text(callers[1], text);
+    g_free(text);
+    for (int i = 0; !is_readable(callers[1]); i++) {
+        g_assert_cmpint(i, <, ROUNDS_MAX);
+        step(&world, EVENT_WAIT_MS);
+    }
+    g_assert_cmpint(recv(callers[1], bytes, sizeof(bytes) - 1, 0), >, 0);
+    g_assert_true(g_str_has_prefix(bytes, "HTTP/1.1 503"));
+    g_assert_cmpfloat(
+        g_ascii_strtod(strstr(bytes, "Retry-After: ") + 13, NULL), >=, 2.0);
+    g_assert_cmpfloat(
+        g_ascii_strtod(strstr(bytes, "Retry-After: ") + 13, NULL), <=, 3.5);
+    advance(&world, 1999);
+    g_assert_cmpstr(place_of(&world, "a"), ==, "wait");
+    advance(&world, 1);
+    g_assert_cmpstr(place_of(&world, "a"), ==, "B");
+    close(callers[0]);
+    close(callers[1]);
+    world_stop(&world);
+}
+
 static const struct cases groups[] = {
+    CASES("/notice/connecting", connecting_cases, test_connecting),
+    CASES("/notice/pause", pause_cases, test_pause),
+    CASES("/notice/foreign_pause", foreign_pause_cases, test_foreign),
+    CASES("/notice/return", return_cases, test_return),
     CASES("/notice/leaving", leaving_cases, test_leaving),
     CASES("/notice/foreign", foreign_cases, test_foreign),
 };
@@ -615,7 +1039,7 @@
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
     g_test_add_func("/notice/idle", test_idle);
-    g_test_add_func("/notice/connecting", test_connecting);
     g_test_add_func("/notice/stream", test_stream);
+    g_test_add_func("/notice/all_pause", test_all_pause);
     return g_test_run();
 }
--- a/test/why_test.c
+++ b/test/why_test.c
@@ -37,6 +37,10 @@
     "  0.6 gate-2 <6>relay: ms=20010 event=waiting id=e item=m4 sends=0\n"
     "  0.7 gate-2 <6>relay: ms=20500 event=target_leaves_ended target=i-3 "
     "source=restarted age_ms=500\n"
+    "  0.7 gate-2 <6>relay: ms=20600 event=target_paused target=i-4 "
+    "source=answer id=f for_ms=300\n"
+    "  0.7 gate-2 <6>relay: ms=20900 event=target_pause_ended target=i-4 "
+    "source=elapsed age_ms=300\n"
     "  0.8 gate-2 <4>relay: ms=21000 event=refused id=e reason=no_target "
     "item=m4\n";
 
@@ -57,7 +61,8 @@
     {"failed_at_another_instance", "c", false, 0, "+0 +20 "},
     {"item", "m1", false, 0, "+0 +3100 +4100 +6100 "},
     {"target", "i-2", false, 0, "+0 "},
-    {"refused_while_a_target_leaves", "e", false, 0, "-10 +0 +490 +990 "},
+    {"refused_while_a_target_leaves", "e", false, 0,
+     "-10 +0 +490 +590 +890 +990 "},
     {"target_that_leaves", "i-3", false, 0, "+0 +500 "},
     {"json", "c", true, 0, "9100 9120 "},
     {"unknown", "z", false, 3, ""},
