--- a/src/gate/choose/leaving.c
+++ b/src/gate/choose/leaving.c
@@ -3,8 +3,8 @@
  *
  * The word of the target itself is newer than any entry that still lists it,
  * and the store, a list, a watch or another instance may deliver such an entry
- * long after. So only a later start ends a notice. The wall time of starts is
- * compared, which both entries take from the machine that hosts the targets.
+ * long after. So only a later start ends a notice. Starts are compared by the
+ * wall time that targets give in their entries.
  */
 #include <string.h>
 
