Relay: one bound for the memory of all connections

Cause: each connection, request and response had a bound of its own, and their number another; nothing bounded the sum, and nothing read memory_mb.

Change: an account of all that is held for callers' connections, with a bound from memory_mb. A request without room is left unread for up to 300 ms, then refused: 503, not run, Retry-After; the rest of its body is read and dropped, so that its caller gets the response. A body that announces more than the operator allows is refused with 413 as soon as that is known. Responses are read less far ahead when callers are many. Counters memory_paused_total and memory_refused_total, log lines memory_refusing and memory_refusing_ended.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -158,6 +158,8 @@
     X(CTR_TARGET_CRASHES, "target_crashes_total")                             \
     X(CTR_QUARANTINED, "quarantine_begun_total")                              \
     X(CTR_QUARANTINE_ENDED, "quarantine_ended_total")                         \
+    X(CTR_MEMORY_PAUSED, "memory_paused_total")                               \
+    X(CTR_MEMORY_REFUSED, "memory_refused_total")                             \
     X(CTR_ANSWER_STALE, "answer_stale_total")                                 \
     X(CTR_ANSWER_EXTRA, "answer_extra_total")                                 \
     X(CTR_ANSWER_ENCODED, "answer_encoded_total")                             \
--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -37,6 +37,7 @@
  * @lease_ttl_min_ms: shortest time to live of a lease that the store grants
  * @heartbeat_ms: interval at which targets renew their entries in the store
  * @descriptors_max: limit of open file descriptors of the process
+ * @memory_mb: memory limit of the process in MB; 0 for a default
  * @limits: limits of the deployment
  */
 struct gate_settings {
@@ -51,6 +52,7 @@
     int64_t lease_ttl_min_ms;
     int64_t heartbeat_ms;
     int descriptors_max;
+    int memory_mb;
     struct gate_limits limits;
 };
 
--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -33,6 +33,8 @@
     DEFAULT_HEAD_MAX_BYTES = 16384,
     DEFAULT_BODY_MAX_BYTES = 1024 * 1024,
     DRAIN_IDLE_MS = 200, /* callers know of the drain by then */
+    /* A larger room of a body is given back after its request. */
+    BODY_ROOM_KEPT_BYTES = 4096,
 };
 
 static size_t
@@ -133,7 +135,12 @@
     http_parser_init(&client->parser, HTTP_REQUEST);
     client->parser.data = client;
     head_reset(&client->head);
+    if (client->body->len > BODY_ROOM_KEPT_BYTES) {
+        g_byte_array_free(client->body, TRUE);
+        client->body = g_byte_array_new();
+    }
     g_byte_array_set_size(client->body, 0);
+    account_request_ended(client);
     client->request_complete = false;
     client->head_complete = false;
     client->request_started = false;
@@ -147,7 +154,9 @@
     if (client->output.waiting > 0) {
         events |= EPOLLOUT;
     }
-    if (!client->closing && client->pending->len < PENDING_MAX_BYTES) {
+    if (client->closing ? client->discard_left > 0
+                        : client->memory.paused_ms == 0 &&
+                              client->pending->len < PENDING_MAX_BYTES) {
         events |= EPOLLIN;
     }
     if (events != client->epoll_events) {
@@ -167,6 +176,13 @@
         heap_remove(&relay->timers, &client->timer);
         return;
     }
+    if (client->memory.paused_ms != 0 || client->discard_left > 0) {
+        heap_set(&relay->timers, &client->timer,
+                 client->discard_left > 0
+                     ? client->discard_end_ms
+                     : client->memory.paused_ms + client->memory.pause_max_ms);
+        return;
+    }
     timeout_ms =
         client->closing ? head_timeout_ms(relay) : idle_timeout_ms(relay);
     if (relay->draining && client->output.waiting == 0) {
@@ -205,6 +221,7 @@
     reset_request(client);
     relay_epoll_ctl(relay, EPOLL_CTL_ADD, fd, client->epoll_events,
                     WATCH_CLIENT, handle);
+    account_settle(relay, client);
     set_timer(relay, client, now_ms);
 }
 
@@ -247,6 +264,7 @@
     struct exchange *exchange = table_get(&relay->exchanges, client->exchange);
 
     client->exchange = (struct handle){0};
+    account_remove(relay, client);
     heap_remove(&relay->timers, &client->timer);
     close(client->fd);
     head_clear(&client->head);
@@ -260,10 +278,16 @@
     }
 }
 
-/* Reading from the target stops while the caller has much to read, also when
- * the caller never reads and its connection has no event. */
-static void
-update_pause(struct relay *relay, const struct client *client)
+/**
+ * client_update_pause() - stop or resume reading a response from its target
+ * @relay: the relay
+ * @client: the caller
+ *
+ * Reading stops while the caller has much to read, also when the caller never
+ * reads and its connection has no event.
+ */
+void
+client_update_pause(struct relay *relay, const struct client *client)
 {
     const struct exchange *exchange =
         table_get(&relay->exchanges, client->exchange);
@@ -273,7 +297,7 @@
 
     if (upstream != NULL) {
         upstream_set_paused(relay, upstream,
-                            client->output.waiting > OUTPUT_PAUSE_BYTES);
+                            account_stops_answer(relay, client));
     }
 }
 
@@ -284,12 +308,13 @@
 close_or_update(struct relay *relay, struct client *client, int64_t now_ms)
 {
     if (client->closing && client->output.waiting == 0 &&
-        client->exchange.generation == 0) {
+        client->discard_left == 0 && client->exchange.generation == 0) {
         shutdown(client->fd, SHUT_WR);
         client_close(relay, client, now_ms);
         return false;
     }
-    update_pause(relay, client);
+    account_settle(relay, client);
+    client_update_pause(relay, client);
     update_epoll_events(relay, client);
     return true;
 }
@@ -314,7 +339,8 @@
         /* epoll reports the broken connection next, which closes it. */
         output_clear(&client->output);
     }
-    update_pause(relay, client);
+    account_settle(relay, client);
+    client_update_pause(relay, client);
     update_epoll_events(relay, client);
 }
 
@@ -327,11 +353,33 @@
     else if (client->listener != LISTEN_FRONT) {
         local_serve(relay, client, now_ms);
     }
-    else {
+    else if (account_admits(relay, client, now_ms)) {
         exchange_start(relay, client, now_ms);
     }
 }
 
+/**
+ * client_announced_bytes() - length of the body that a request announces
+ * @client: its connection
+ *
+ * Return: bytes; -1 while the head is incomplete or for a body in chunks.
+ */
+int64_t
+client_announced_bytes(const struct client *client)
+{
+    const http_parser *parser = &client->parser;
+
+    if (!client->head_complete || (parser->flags & F_CHUNKED)) {
+        return -1;
+    }
+    if (!(parser->flags & F_CONTENTLENGTH)) {
+        return 0;
+    }
+    /* The parser counts down what has arrived. */
+    return (int64_t)MIN(parser->content_length + client->body->len,
+                        (uint64_t)INT64_MAX / 2);
+}
+
 /* Refuses what can't be read or exceeds a limit. Returns whether it did. A
  * request to change the protocol may be ignored (RFC 9110, 7.8), and ends as
  * its length says; what follows a CONNECT is not for this server. */
@@ -343,7 +391,8 @@
     if (client->head.text->len > head_max(relay)) {
         refuse_client(relay, client, 431, "head_too_large", now_ms);
     }
-    else if (client->body->len > body_max(relay)) {
+    else if (client->body->len > body_max(relay) ||
+             client_announced_bytes(client) > (int64_t)body_max(relay)) {
         refuse_client(relay, client, 413, "body_too_large", now_ms);
     }
     else if (client->head_complete && client->parser.method == HTTP_CONNECT) {
@@ -420,6 +469,12 @@
     return true;
 }
 
+static void
+discard(struct client *client, size_t count)
+{
+    client->discard_left -= MIN(client->discard_left, count);
+}
+
 /* Returns whether the client still exists. */
 static bool
 receive(struct relay *relay, struct client *client, int64_t now_ms)
@@ -434,6 +489,10 @@
         client_close(relay, client, now_ms);
         return false;
     }
+    if (client->closing) {
+        discard(client, (size_t)count);
+        return true;
+    }
     if (client->exchange.generation != 0) {
         g_byte_array_append(client->pending, relay->buffer, (guint)count);
         return true;
@@ -460,13 +519,15 @@
         client_close(relay, client, now_ms);
         return;
     }
-    if ((events & EPOLLRDHUP) && client->exchange.generation != 0) {
+    if ((events & EPOLLRDHUP) &&
+        (client->exchange.generation != 0 || client->memory.paused_ms != 0)) {
         client_close(relay, client, now_ms);
         return;
     }
     if ((events & (EPOLLIN | EPOLLRDHUP)) && !receive(relay, client, now_ms)) {
         return;
     }
+    account_read_on(relay, client, now_ms);
     if (close_or_update(relay, client, now_ms)) {
         set_timer(relay, client, now_ms);
     }
@@ -482,6 +543,10 @@
 void
 client_handle_timer(struct relay *relay, struct client *client, int64_t now_ms)
 {
+    if (client->memory.paused_ms != 0) {
+        client_resume(relay, client, now_ms);
+        return;
+    }
     if (client->request_started && !client->closing) {
         refuse_client(relay, client, 408, "head_timeout", now_ms);
         if (close_or_update(relay, client, now_ms)) {
@@ -492,6 +557,22 @@
     client_close(relay, client, now_ms);
 }
 
+/**
+ * client_resume() - read a request on that was paused, if there is room, or
+ * refuse it if it has waited too long
+ * @relay: the relay
+ * @client: the connection; may be invalid afterwards
+ * @now_ms: current time
+ */
+void
+client_resume(struct relay *relay, struct client *client, int64_t now_ms)
+{
+    account_read_on(relay, client, now_ms);
+    if (close_or_update(relay, client, now_ms)) {
+        set_timer(relay, client, now_ms);
+    }
+}
+
 /**
  * client_exchange_done() - continue after the response to a request
  * @relay: the relay
@@ -518,6 +599,7 @@
         if (client == NULL) {
             return;
         }
+        account_read_on(relay, client, now_ms);
     }
     if (close_or_update(relay, client, now_ms)) {
         set_timer(relay, client, now_ms);
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -92,6 +92,44 @@
     size_t body_bytes;
 };
 
+/**
+ * struct client_memory - memory that a caller's connection takes
+ * @charge: bytes that it takes in the account
+ * @reserved: bytes that the request being read may take; 0 before it was
+ * admitted
+ * @paused_ms: since when the request is not read for lack of memory; 0 while
+ * it is
+ * @pause_max_ms: how long it may be left unread
+ */
+struct client_memory {
+    size_t charge;
+    size_t reserved;
+    int64_t paused_ms;
+    int64_t pause_max_ms;
+};
+
+/**
+ * struct memory_account - memory that all callers' connections take
+ * @bound: most bytes that they may take
+ * @charged: bytes that they take
+ * @paused: handles of connections that are not read, the first paused first
+ * @room_freed: some connection takes less than before
+ * @answers_stopped: some response is not read because of the bound
+ * @refusing: requests are refused
+ * @refused: since the refusing began
+ * @last_refusal_ms: when one was last refused
+ */
+struct memory_account {
+    size_t bound;
+    size_t charged;
+    GArray *paused;
+    bool room_freed;
+    bool answers_stopped;
+    bool refusing;
+    int refused;
+    int64_t last_refusal_ms;
+};
+
 /**
  * struct client - connection of a caller
  * @listener: listener that accepted it
@@ -104,7 +142,11 @@
  * @head_complete: its head was read completely
  * @request_complete: a request was read completely
  * @reading: how long it has taken to arrive
+ * @memory: what it takes in the account
  * @closing: nothing more is read; closed when @output is written
+ * @discard_left: bytes of a refused request that are still read and dropped,
+ * so that its caller gets the response instead of a reset
+ * @discard_end_ms: when that ends
  */
 struct client {
     struct timer timer;
@@ -121,8 +163,11 @@
     bool head_complete;
     bool request_complete;
     struct reading_progress reading;
+    struct client_memory memory;
     bool keep_alive;
     bool closing;
+    size_t discard_left;
+    int64_t discard_end_ms;
     uint32_t epoll_events;
 };
 
@@ -360,6 +405,7 @@
     struct table exchanges;
     struct table upstreams;
     struct table targets;
+    struct memory_account memory;
     GHashTable *target_ids;    /* id -> handle */
     GHashTable *target_hashes; /* hash of the id -> handle */
     GHashTable *queues;        /* key -> GQueue of handles */
@@ -458,7 +504,26 @@
 void output_append_shared(struct output *output, GBytes *bytes);
 bool output_flush(struct output *output, int fd);
 
+/* account.c */
+void account_init(struct relay *relay);
+void account_clear(struct relay *relay);
+void account_settle(struct relay *relay, struct client *client);
+void account_settle_upstream(struct relay *relay,
+                             const struct upstream *upstream);
+void account_remove(struct relay *relay, struct client *client);
+bool account_stops_answer(struct relay *relay, const struct client *client);
+size_t account_buffered_max(const struct relay *relay);
+bool account_admits(struct relay *relay, struct client *client,
+                    int64_t now_ms);
+void account_read_on(struct relay *relay, struct client *client,
+                     int64_t now_ms);
+void account_request_ended(struct client *client);
+void account_work(struct relay *relay, int64_t now_ms);
+
 /* client.c */
+void client_resume(struct relay *relay, struct client *client, int64_t now_ms);
+int64_t client_announced_bytes(const struct client *client);
+void client_update_pause(struct relay *relay, const struct client *client);
 void client_accept(struct relay *relay, enum listener_kind kind,
                    int64_t now_ms);
 void client_handle_event(struct relay *relay, struct client *client,
@@ -507,6 +572,8 @@
 /* refuse.c */
 void refuse(struct relay *relay, struct exchange *exchange, enum err_kind kind,
             int64_t retry_ms, int64_t now_ms);
+void refuse_for_memory(struct relay *relay, struct client *client,
+                       int64_t retry_ms, int64_t now_ms);
 void refuse_client(struct relay *relay, struct client *client, int status,
                    const char *reason, int64_t now_ms);
 
--- a/src/gate/relay/refuse.c
+++ b/src/gate/relay/refuse.c
@@ -108,6 +108,29 @@
     exchange_finish(relay, exchange, now_ms);
 }
 
+/**
+ * refuse_for_memory() - refuse a request that there is no memory for
+ * @relay: the relay
+ * @client: the connection; it is closed afterwards unless the request is
+ * complete
+ * @retry_ms: delay after which the caller may try again
+ * @now_ms: current time
+ */
+void
+refuse_for_memory(struct relay *relay, struct client *client, int64_t retry_ms,
+                  int64_t now_ms)
+{
+    const struct err_info *info = err_info(ERR_NO_MEMORY);
+
+    refusal_add(ERR_NO_MEMORY);
+    if (!client->request_complete || !client->keep_alive || relay->draining) {
+        client->keep_alive = false;
+        client->closing = true;
+    }
+    write_refusal(relay, client, info->status, info->name, "not_run",
+                  info->remedy, retry_ms, now_ms);
+}
+
 /**
  * refuse_client() - refuse a request that could not be read, and close
  * @relay: the relay
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -337,6 +337,7 @@
     resume_accepting(relay, now_ms);
     queue_dispatch_marked(relay, now_ms);
     crash_work(relay, now_ms);
+    account_work(relay, now_ms);
     report_send(relay, now_ms);
     return !drain_continue(relay, now_ms);
 }
@@ -443,6 +444,7 @@
     uint32_t connections_max = (uint32_t)MAX(descriptors / 2, 64);
 
     heap_init(&relay->timers);
+    account_init(relay);
     queue_init(relay);
     relay->members = g_array_new(FALSE, FALSE, sizeof(struct gate_member));
     relay->target_ids =
@@ -555,6 +557,7 @@
     close_if_open(relay->wake_fd);
     gate_config_unref(relay->config);
     g_array_free(relay->members, TRUE);
+    account_clear(relay);
     queue_clear(relay);
     heap_clear(&relay->timers);
     g_hash_table_destroy(relay->target_ids);
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -399,7 +399,7 @@
         return true;
     }
     g_byte_array_append(answer->body, bytes, (guint)count);
-    if (answer->body->len > BUFFERED_BODY_MAX_BYTES) {
+    if (answer->body->len > account_buffered_max(relay)) {
         answer_send_head(relay, exchange, answer->content_length, now_ms);
         answer_send_body(relay, exchange, answer->body->data,
                          answer->body->len, now_ms);
--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -265,6 +265,7 @@
         if (table_get(&relay->upstreams, self) == NULL) {
             return false;
         }
+        account_settle_upstream(relay, upstream);
     }
     g_byte_array_set_size(upstream->body, 0);
     return !upstream->answer_complete ||
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -348,11 +348,13 @@
     g_string_free(ids, TRUE);
 }
 
-/* Guards against a start without required settings. */
+/* Guards against a start without required settings, and against a memory limit
+ * that is not read. */
 struct settings_case {
     const char *name;
     const char *text;
     bool usable;
+    int memory_mb;
 };
 
 #define LISTEN "\"listen\":{\"front\":\"1.2.3.4:1\",\"ready\":\"1.2.3.4:2\"}"
@@ -362,20 +364,25 @@
     {"minimal",
      "{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\","
      "\"internal_ports\":[7000,7001]," LISTEN "," STORE "}",
-     true},
+     true, 0},
+    {"memory",
+     "{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\","
+     "\"internal_ports\":[7000,7001]," LISTEN "," STORE
+     ",\"limits\":{\"memory_mb\":260}}",
+     true, 260},
     {"no_name",
      "{\"zone\":\"z\",\"ip\":\"1.2.3.4\",\"internal_ports\":[7000]," LISTEN
      "," STORE "}",
-     false},
+     false, 0},
     {"no_ports",
      "{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\"," LISTEN "," STORE
      "}",
-     false},
+     false, 0},
     {"no_store",
      "{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\","
      "\"internal_ports\":[7000]," LISTEN "}",
-     false},
-    {"invalid_json", "node_name = \"n\"", false},
+     false, 0},
+    {"invalid_json", "node_name = \"n\"", false, 0},
 };
 
 static void
@@ -390,6 +397,7 @@
     g_assert_cmpint(platform_settings_read(file, &settings, &err), ==,
                     c->usable);
     g_assert_cmpint(err.kind, ==, c->usable ? ERR_NONE : ERR_SETTINGS);
+    g_assert_cmpint(settings.memory_mb, ==, c->memory_mb);
     g_assert_cmpint(g_remove(file), ==, 0);
     g_assert_cmpint(g_rmdir(directory), ==, 0);
     g_free(file);
