--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
 
 $(BUILD)/bench/system_bench $(BUILD)/bench/chaos_bench: $(CLUSTER)
 $(BUILD)/bench/policy_bench: $(call OBJECT,$(wildcard bench/policy/*.c))
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/sample.o $(BUILD)/libstandin.a $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/sample.o $(BUILD)/libstandin.a $(BUILD)/libplatform.a $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 # Generated code is committed; run this after a change of peer.proto.
--- a/src/gate/relay/account.c
+++ b/src/gate/relay/account.c
@@ -320,6 +320,21 @@
            request_bytes(client) + next <= client->memory.reserved;
 }
 
+/* A body whose length is known gets its room at once: growing step by step
+ * would copy it, and leave holes in the heap. */
+static void
+reserve(struct client *client, size_t expected)
+{
+    int64_t announced = client_announced_bytes(client);
+    guint held = client->body->len;
+
+    client->memory.reserved = expected;
+    if (announced > held && announced <= G_MAXINT) {
+        g_byte_array_set_size(client->body, (guint)announced);
+        g_byte_array_set_size(client->body, held);
+    }
+}
+
 /**
  * account_read_on() - decide whether the rest of a request is read
  * @relay: the relay
@@ -337,7 +352,7 @@
     facts = request_facts(relay, client);
     switch (memory_decide(&facts, now_ms)) {
     case MEMORY_READ:
-        client->memory.reserved = facts.expected;
+        reserve(client, facts.expected);
         end_pause(relay, client, now_ms);
         break;
     case MEMORY_PAUSE:
