Relay: requests wait for memory half of their callers' patience

Cause: 300 ms derived from nothing. Callers abandon a request that isn't read within 1 s or a third of their time.

Change: a request waits up to half of that, 500 ms or a sixth of its caller's time. A caller that announces a body over max_body_bytes can send the rest, as one that is refused for lack of memory, so that it gets its 413.

--- a/src/gate/admit/memory.c
+++ b/src/gate/admit/memory.c
@@ -30,9 +30,9 @@
     GROWTH_MIN_BYTES = 64 * 1024,
     /* A connection passes on at least this much at a time. */
     SHARE_MIN_BYTES = 16 * 1024,
-    /* Callers abandon a request that isn't read within the smaller of 1 s and
-     * a third of their time. */
-    PAUSE_MAX_MS = 300,
+    /* Half of what callers allow: they abandon a request that isn't read
+     * within the smaller of 1 s and a third of their time. */
+    PAUSE_MAX_MS = 500,
     PAUSE_TIME_DIVISOR = 6,
     RETRY_MIN_MS = 200,
     RETRY_SPREAD_MS = 300,
--- a/src/gate/relay/account.c
+++ b/src/gate/relay/account.c
@@ -23,9 +23,6 @@
     /* Slots in the tables, parsers and small blocks of a connection with a
      * request. */
     CONNECTION_BYTES = 8 * 1024,
-    /* A caller that sends its request before it reads can't see the refusal
-     * earlier, and would get a reset instead of it. */
-    DISCARD_MAX_MS = 1000,
 };
 
 void
@@ -235,13 +232,7 @@
     end_pause(relay, client, now_ms);
     client->memory.reserved = 0;
     if (!client->request_complete) {
-        int64_t left = client_announced_bytes(client);
-
-        client->discard_left =
-            left < 0 ? SIZE_MAX : (size_t)left - client->body->len;
-        client->discard_end_ms = now_ms + DISCARD_MAX_MS;
-        g_byte_array_free(client->body, TRUE);
-        client->body = g_byte_array_new();
+        client_discard_rest(client, now_ms);
     }
     refuse_for_memory(
         relay, client,
--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -35,6 +35,9 @@
     DRAIN_IDLE_MS = 200, /* callers know of the drain by then */
     /* A larger room of a body is given back after its request. */
     BODY_ROOM_KEPT_BYTES = 4096,
+    /* A caller that sends its request before it reads can't see the refusal
+     * earlier, and would get a reset instead of it. */
+    DISCARD_MAX_MS = 1000,
 };
 
 static size_t
@@ -380,6 +383,23 @@
                         (uint64_t)INT64_MAX / 2);
 }
 
+/**
+ * client_discard_rest() - read and drop the rest of a request that is refused
+ * @client: its connection
+ * @now_ms: current time
+ */
+void
+client_discard_rest(struct client *client, int64_t now_ms)
+{
+    int64_t announced = client_announced_bytes(client);
+
+    client->discard_left =
+        announced < 0 ? SIZE_MAX : (size_t)announced - client->body->len;
+    client->discard_end_ms = now_ms + DISCARD_MAX_MS;
+    g_byte_array_free(client->body, TRUE);
+    client->body = g_byte_array_new();
+}
+
 /* Refuses what can't be read or exceeds a limit. Returns whether it did. A
  * request to change the protocol may be ignored (RFC 9110, 7.8), and ends as
  * its length says; what follows a CONNECT is not for this server. */
@@ -391,8 +411,11 @@
     if (client->head.text->len > head_max(relay)) {
         refuse_client(relay, client, 431, "head_too_large", now_ms);
     }
-    else if (client->body->len > body_max(relay) ||
-             client_announced_bytes(client) > (int64_t)body_max(relay)) {
+    else if (client->body->len > body_max(relay)) {
+        refuse_client(relay, client, 413, "body_too_large", now_ms);
+    }
+    else if (client_announced_bytes(client) > (int64_t)body_max(relay)) {
+        client_discard_rest(client, now_ms);
         refuse_client(relay, client, 413, "body_too_large", now_ms);
     }
     else if (client->head_complete && client->parser.method == HTTP_CONNECT) {
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -523,6 +523,7 @@
 /* client.c */
 void client_resume(struct relay *relay, struct client *client, int64_t now_ms);
 int64_t client_announced_bytes(const struct client *client);
+void client_discard_rest(struct client *client, int64_t now_ms);
 void client_update_pause(struct relay *relay, const struct client *client);
 void client_accept(struct relay *relay, enum listener_kind kind,
                    int64_t now_ms);
