Relay: a paused target doesn't keep a request from one that is free again

What callers would see: a request that one target turned away once waits while another target pauses, for up to an hour, and is refused although the first has places again (review of the joined parts: 6.5 s in the queue, then 503). Cause: a request tries its targets again when none is left to try, and a target that wants nothing for a time counted as one.

notice_test free_beside_pause is red without this.

--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -420,7 +420,7 @@
 
     if (target == NULL && exchange->queued &&
         exchange->needs.tried_count > 0 &&
-        !target_exists_for(relay, &exchange->needs)) {
+        !target_exists_for(relay, &exchange->needs, now_ms)) {
         /* All suitable targets were tried, but some time ago: try them again.
          */
         exchange->needs.tried_count = 0;
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -214,10 +214,10 @@
 /* Whether the request may run once more; if not, a failure that the target
  * reported is forwarded as it is. */
 static bool
-can_retry(struct relay *relay, const struct exchange *exchange)
+can_retry(struct relay *relay, const struct exchange *exchange, int64_t now_ms)
 {
     return exchange->runs < exchange->route->attempts_max &&
-           target_exists_for(relay, &exchange->needs);
+           target_exists_for(relay, &exchange->needs, now_ms);
 }
 
 static bool
@@ -260,7 +260,7 @@
     }
     if (verdict == VERDICT_RETRY && facts.signed_by_target && !facts.encoded &&
         facts.status >= 500 && facts.status != 503 &&
-        !exchange->answer.head_sent && !can_retry(relay, exchange)) {
+        !exchange->answer.head_sent && !can_retry(relay, exchange, now_ms)) {
         verdict = VERDICT_PASS;
     }
     if (exchange->answer.head_sent && verdict != VERDICT_NOT_RUN &&
--- a/src/gate/relay/target.c
+++ b/src/gate/relay/target.c
@@ -85,15 +85,18 @@
  * target_exists_for() - whether any target, busy or not, can serve a request
  * @relay: the relay
  * @needs: what the request needs
+ * @now_ms: current time
  */
 bool
-target_exists_for(struct relay *relay, const struct request_needs *needs)
+target_exists_for(struct relay *relay, const struct request_needs *needs,
+                  int64_t now_ms)
 {
     struct relay_target *target;
     uint32_t cursor = 0;
 
     while ((target = table_next(&relay->targets, &cursor, NULL)) != NULL) {
-        if (target_can_serve(&target->record, needs)) {
+        if (target_can_serve(&target->record, needs) &&
+            !pause_holds(&target->record.pause, now_ms)) {
             return true;
         }
     }
--- a/test/notice_test.c
+++ b/test/notice_test.c
@@ -1024,6 +1024,39 @@
     world_stop(&world);
 }
 
+/* Guards against a request that waits for the end of another target's pause
+ * although the one that turned it away is free again. */
+static void
+test_free_beside_pause(void)
+{
+    struct world world;
+    char *refusal = format_refusal("a", "10");
+    char *free_one;
+    int callers[2];
+
+    world_start(&world);
+    post_entry(&world, "B", world.target_port, STARTED_MS, false,
+               TARGET_CHANGED);
+    step(&world, EVENT_WAIT_MS);
+    callers[0] = send_request(&world, PATH_ONCE, "a");
+    answer(&world, receive_request(&world), refusal, CTR_TARGET_PAUSES);
+    receive_request(&world);
+    free_one = g_strdup(place_of(&world, "a"));
+    callers[1] = send_request(&world, PATH_ONCE, "b");
+    answer(&world, receive_request(&world),
+           "HTTP/1.1 503 Busy\r\nAttempt-Id: b\r\nNot-Executed: 1\r\n"
+           "Content-Length: 0\r\n\r\n",
+           CTR_RETRY_BUSY);
+    g_assert_cmpstr(place_of(&world, "b"), ==, "wait");
+    advance(&world, 500);
+    g_assert_cmpstr(place_of(&world, "b"), ==, free_one);
+    close(callers[0]);
+    close(callers[1]);
+    g_free(refusal);
+    g_free(free_one);
+    world_stop(&world);
+}
+
 static const struct cases groups[] = {
     CASES("/notice/connecting", connecting_cases, test_connecting),
     CASES("/notice/pause", pause_cases, test_pause),
@@ -1041,5 +1074,6 @@
     g_test_add_func("/notice/idle", test_idle);
     g_test_add_func("/notice/stream", test_stream);
     g_test_add_func("/notice/all_pause", test_all_pause);
+    g_test_add_func("/notice/free_beside_pause", test_free_beside_pause);
     return g_test_run();
 }
