Relay: an unreadable request gives its reservation back when it is refused

What callers would see: other long requests wait or are refused while a refused connection is still open, up to 15 s when an earlier answer is unread. Found by the review of the joined parts, by reading; no test of its own. Cause: the reservation ended with the connection.

--- a/src/gate/relay/refuse.c
+++ b/src/gate/relay/refuse.c
@@ -148,6 +148,7 @@
              status, reason, client->head.text->len, client->body->len);
     client->keep_alive = false;
     client->closing = true;
+    account_request_ended(client);
     write_refusal(relay, client, status, reason, "not_run",
                   "correct the request", 0, now_ms);
 }
