Relay: a request that is admitted is no longer paused

What callers would see: an instance that answers nobody any more: its thread wakes for one connection again and again.

Now nothing is read from a paused connection, and a request that is admitted, or isn't being read, ends its pause. relay_memory_test paused_pipeline is red without this.

--- a/src/gate/relay/account.c
+++ b/src/gate/relay/account.c
@@ -269,6 +269,7 @@
 {
     struct memory_facts facts;
 
+    end_pause(relay, client, now_ms);
     if (client->memory.reserved >= request_bytes(client)) {
         client->memory.reserved = 0; /* the exchange holds the body now */
         return true;
@@ -337,7 +338,11 @@
 {
     struct memory_facts facts;
 
-    if (!is_being_read(client) || has_room(client)) {
+    if (!is_being_read(client)) {
+        end_pause(relay, client, now_ms);
+        return;
+    }
+    if (has_room(client)) {
         return;
     }
     facts = request_facts(relay, client);
--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -586,7 +586,8 @@
         client_close(relay, client, now_ms);
         return;
     }
-    if ((events & (EPOLLIN | EPOLLRDHUP)) && !receive(relay, client, now_ms)) {
+    if ((events & (EPOLLIN | EPOLLRDHUP)) && client->memory.paused_ms == 0 &&
+        !receive(relay, client, now_ms)) {
         return;
     }
     account_read_on(relay, client, now_ms);
--- a/test/relay_memory_test.c
+++ b/test/relay_memory_test.c
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <curl/curl.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <http_parser.h>
 #include <json-c/json.h>
@@ -601,6 +602,66 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a request that is read although it is paused, and then stays
+ * paused for ever: the relay would wake for it again and again. */
+static void
+test_paused_pipeline(void)
+{
+    enum { PART_BYTES = 20000, TARGETS = 4 };
+    const struct request_case c = {"", 1, TARGETS - 1, false, false, 0};
+    char *part = g_strnfill(PART_BYTES, 'x');
+    char *second = g_strdup_printf(
+        "POST /once/3 HTTP/1.1\r\nHost: h\r\nAttempt-Id: 78\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s",
+        PART_BYTES, part);
+    struct fixture fixture;
+    int targets[TARGETS];
+    int caller;
+
+    fixture_start(&fixture, c.memory_mb);
+    for (int i = 0; i < c.callers; i++) {
+        add_caller(&fixture, long_request(&c, i));
+    }
+    settle(&fixture, c.callers);
+    for (int i = 0; i < 5; i++) {
+        add_caller(&fixture, g_string_new(""));
+    }
+    caller = connect_to(relay_front_port(fixture.relay));
+    send_text(caller, "GET /once/2 HTTP/1.1\r\nHost: h\r\n"
+                      "Attempt-Id: 77\r\n\r\n");
+    while (table_count(&fixture.relay->exchanges) < TARGETS) {
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    for (int i = 0; i < TARGETS; i++) {
+        targets[i] = accept(fixture.listener, NULL, NULL);
+    }
+    for (int i = 0; i < 20; i++) {
+        step(&fixture, 0);
+    }
+    send_text(caller, second);
+    for (int i = 0; i < 20; i++) {
+        step(&fixture, 0);
+    }
+    send_text(targets[TARGETS - 1],
+              "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nServer-Seal: s\r\n"
+              "Content-Length: 2\r\n\r\nok");
+    send_text(caller, "\r\n0\r\n\r\n");
+    for (int i = 0; i < 20; i++) {
+        step(&fixture, 0);
+        g_assert_true(fixture.relay->memory.paused->len == 0 ||
+                      table_count(&fixture.relay->exchanges) < TARGETS);
+    }
+    advance(&fixture, PAUSED_MS + 100);
+    g_assert_cmpuint(fixture.relay->memory.paused->len, ==, 0);
+    for (int i = 0; i < TARGETS; i++) {
+        close(targets[i]);
+    }
+    g_free(part);
+    g_free(second);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 static const struct cases groups[] = {
     CASES("/relay_memory/requests", request_cases, test_requests),
     CASES("/relay_memory/answers", answer_cases, test_answers),
@@ -611,5 +672,6 @@
 {
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
+    g_test_add_func("/relay_memory/paused_pipeline", test_paused_pipeline);
     return g_test_run();
 }
