Admit: tight memory stops only answers that take it

Cause: in tight memory a response wasn't read when its connection held more than its share, and the request's own body counted, which only that response would free.

Now what the response itself takes counts. relay_memory_test tight_answers is red without this.

--- a/src/gate/admit/dat.h
+++ b/src/gate/admit/dat.h
@@ -108,7 +108,7 @@
  * @bound: bytes that all connections may take
  * @charged: bytes that they take
  * @connections: their number
- * @held: bytes that the caller's connection holds
+ * @held: bytes of the response that the connection holds
  * @waiting: of these, bytes that the caller has not taken
  * @waiting_max: most bytes that may wait for a caller
  */
--- a/src/gate/relay/account.c
+++ b/src/gate/relay/account.c
@@ -161,6 +161,23 @@
     client->memory.reserved = 0;
 }
 
+/* What reading a response on adds to. */
+static size_t
+answer_bytes(const struct relay *relay, const struct client *client)
+{
+    const struct exchange *exchange =
+        table_get(&relay->exchanges, client->exchange);
+    size_t bytes = client->output.held;
+
+    if (exchange == NULL) {
+        return bytes;
+    }
+    bytes += exchange->answer.body->len;
+    return exchange->events.partial != NULL
+               ? bytes + exchange->events.partial->len
+               : bytes;
+}
+
 /**
  * account_stops_answer() - whether to stop reading the response for a caller
  * @relay: the relay
@@ -174,7 +191,7 @@
         .bound = account->bound,
         .charged = account->charged,
         .connections = table_count(&relay->clients),
-        .held = client->memory.charge,
+        .held = answer_bytes(relay, client),
         .waiting = client->output.waiting,
         .waiting_max = OUTPUT_PAUSE_BYTES,
     };
--- a/test/relay_memory_test.c
+++ b/test/relay_memory_test.c
@@ -602,6 +602,95 @@
     fixture_stop(&fixture);
 }
 
+/* A target that answers each request that it has read whole. */
+struct answerer {
+    int fds[2 * CALLERS_MAX];
+    GString *texts[2 * CALLERS_MAX];
+    int count;
+};
+
+static void
+answer_one(int fd, GString *text)
+{
+    char bytes[READ_BUFFER_BYTES];
+    const char *id;
+    ssize_t count;
+
+    while ((count = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0) {
+        g_string_append_len(text, bytes, count);
+    }
+    id = strstr(text->str, "Attempt-Id: ");
+    if (id != NULL && text->len > BODY_BYTES) {
+        char *answer = g_strdup_printf(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: %d\r\nServer-Seal: s\r\n"
+            "Content-Length: 2\r\n\r\nok",
+            atoi(id + strlen("Attempt-Id: ")));
+
+        send_text(fd, answer);
+        g_string_truncate(text, 0);
+        g_free(answer);
+    }
+}
+
+static void
+answer_requests(struct fixture *fixture, struct answerer *answerer)
+{
+    int fd;
+
+    while ((fd = accept4(fixture->listener, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
+        g_assert_cmpint(answerer->count, <, 2 * CALLERS_MAX);
+        answerer->fds[answerer->count] = fd;
+        answerer->texts[answerer->count++] = g_string_new(NULL);
+    }
+    for (int i = 0; i < answerer->count; i++) {
+        answer_one(answerer->fds[i], answerer->texts[i]);
+    }
+}
+
+static int
+count_answered(const struct fixture *fixture)
+{
+    int count = 0;
+
+    for (int i = 0; i < fixture->caller_count; i++) {
+        count +=
+            g_str_has_prefix(fixture->callers[i].answer->str, "HTTP/1.1 200")
+                ? 1
+                : 0;
+    }
+    return count;
+}
+
+/* Guards against answers that are not read because long requests have taken
+ * the memory, which only these answers would free. No time passes. */
+static void
+test_tight_answers(void)
+{
+    const struct request_case c = {"", 8, 60, false, false, 0};
+    struct answerer answerer = {.count = 0};
+    struct fixture fixture;
+    int sent;
+
+    fixture_start(&fixture, c.memory_mb);
+    fcntl(fixture.listener, F_SETFL, O_NONBLOCK);
+    for (int i = 0; i < c.callers; i++) {
+        add_caller(&fixture, long_request(&c, i));
+    }
+    settle(&fixture, c.callers);
+    g_assert_cmpuint(fixture.relay->memory.paused->len, >, 0);
+    sent = (int)table_count(&fixture.relay->exchanges);
+    for (int i = 0; count_answered(&fixture) < sent; i++) {
+        g_assert_cmpint(i, <, ROUNDS_MAX / 100);
+        answer_requests(&fixture, &answerer);
+        move_callers(&fixture);
+    }
+    for (int i = 0; i < answerer.count; i++) {
+        close(answerer.fds[i]);
+        g_string_free(answerer.texts[i], TRUE);
+    }
+    fixture_stop(&fixture);
+}
+
 /* Guards against a request that is read although it is paused, and then stays
  * paused for ever: the relay would wake for it again and again. */
 static void
@@ -672,6 +761,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
+    g_test_add_func("/relay_memory/tight_answers", test_tight_answers);
     g_test_add_func("/relay_memory/paused_pipeline", test_paused_pipeline);
     return g_test_run();
 }
