Relay: the log tells how long an answer may be and was

No line said how many tokens a request asks for or how many events came, so the hypotheses on answers that a stop ends couldn't be told apart. `sent` has prompt_tokens and output_tokens, `answered` has events.

--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -338,7 +338,7 @@
         "running=%d elsewhere=%d pace_ms=%.0f failures=%.2f urgency=%d "
         "connection=%u.%u use=%d "
         "waited_ms=%" G_GINT64_FORMAT " version=%" G_GINT64_FORMAT
-        " last_event=%" G_GINT64_FORMAT,
+        " last_event=%" G_GINT64_FORMAT " prompt_tokens=%d output_tokens=%d",
         exchange->meta.attempt_id, target->record.info.id,
         exchange->service->name, exchange->meta.item, exchange->sends,
         target->record.running, target->record.running_elsewhere,
@@ -346,7 +346,8 @@
         target->record.health.failure_rate, exchange_urgency(exchange),
         upstream->self.index, upstream->self.generation,
         upstream->request_count + 1, (gint64)(now_ms - exchange->arrived_ms),
-        (gint64)exchange->config->version, (gint64)exchange->events.last_id);
+        (gint64)exchange->config->version, (gint64)exchange->events.last_id,
+        exchange->meta.prompt_tokens, exchange->meta.max_output_tokens);
     upstream_send(relay, upstream, exchange, now_ms);
     exchange_set_timer(relay, exchange);
 }
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -516,7 +516,7 @@
              "event=answered id=%s status=%d sends=%d resumes=%d "
              "waited_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
              " gap_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
-             " goal_ms=%" G_GINT64_FORMAT " item=%s framing=%s",
+             " goal_ms=%" G_GINT64_FORMAT " item=%s framing=%s events=%d",
              exchange->meta.attempt_id, answer->status, exchange->sends,
              exchange->resumes,
              (gint64)(exchange->sent_ms - exchange->arrived_ms),
@@ -526,7 +526,7 @@
              (gint64)exchange->longest_interval_ms,
              (gint64)(now_ms - exchange->arrived_ms),
              (gint64)exchange->route->latency_goal_ms, exchange->meta.item,
-             framing_name(answer->framing));
+             framing_name(answer->framing), exchange->run_events);
     exchange_finish(relay, exchange, now_ms);
 }
 
