Test: a stopping instance sends requests that can't end there (red)

relay_time_test stop_length: 20 answers of 4.5 s, then a request 2.7 s into a stop, and one that arrives early and gets its place after 4 s. The cases of short answers, of no other instance and of unknown lengths pass and have to stay so.

--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1287,6 +1287,131 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a stopping instance that sends a request whose answer can't
+ * end before the instance does, and against one that refuses what can. */
+struct stop_length_case {
+    const char *name;
+    int others;        /* instances that serve callers besides this one */
+    int64_t taught_ms; /* length of the answers before the stop; 0 for none */
+    int64_t at_ms;     /* from the start of the stop */
+    int64_t wait_ms;   /* no target has a place until then */
+    bool sent;
+};
+
+static const struct stop_length_case stop_length_cases[] = {
+    {"long_late", 1, 4500, 2700, 0, false},
+    {"long_early", 1, 4500, 1500, 0, true},
+    {"short_late", 1, 50, 2700, 0, true},
+    {"long_waited", 1, 4500, 100, 4000, false},
+    {"short_waited", 1, 50, 100, 4000, true},
+    {"no_other_instance", 0, 4500, 2700, 0, true},
+    {"unknown_length", 1, 0, 2700, 0, true},
+};
+
+static void
+post_others(struct fixture *fixture, int count)
+{
+    GArray *members = g_array_new(FALSE, TRUE, sizeof(struct gate_member));
+
+    for (int i = 0; i < count; i++) {
+        struct gate_member member = {.id = (uint64_t)i + 1};
+
+        g_snprintf(member.front_address, sizeof(member.front_address),
+                   "127.0.0.2:%d", 8000 + i);
+        g_array_append_val(members, member);
+    }
+    g_assert_true(relay_post_members(fixture->relay, members));
+    g_array_free(members, TRUE);
+    step(fixture, EVENT_WAIT_MS);
+}
+
+/* Has a request answered after some time. */
+static void
+play_answer(struct fixture *fixture, int64_t duration_ms)
+{
+    int caller = connect_caller(fixture);
+
+    send_request(fixture, caller, REQUEST("/once/1"));
+    g_free(read_some(fixture->target));
+    advance(fixture, duration_ms);
+    answer(fixture, ANSWER_HEAD "Content-Length: 2\r\n\r\nok");
+    while (!is_readable(caller)) {
+        step(fixture, EVENT_WAIT_MS);
+    }
+    close(caller);
+    step(fixture, EVENT_WAIT_MS);
+}
+
+/* Whether the target or the caller gets something first. */
+static bool
+target_gets_request(struct fixture *fixture, int caller)
+{
+    while (!is_readable(caller)) {
+        if (fixture->target < 0 &&
+            table_count(&fixture->relay->upstreams) > 0) {
+            fixture->target = accept(fixture->target_listener, NULL, NULL);
+        }
+        if (fixture->target >= 0 && is_readable(fixture->target)) {
+            return true;
+        }
+        advance(fixture, 10);
+    }
+    return false;
+}
+
+static void
+test_stop_length(gconstpointer data)
+{
+    const struct stop_length_case *c = data;
+    struct target_change gone = {.kind = TARGET_GONE};
+    struct fixture fixture;
+    int listener = -1;
+    bool sent;
+    int caller;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    post_others(&fixture, c->others);
+    for (int i = 0; c->taught_ms > 0 && i < 20; i++) {
+        play_answer(&fixture, c->taught_ms);
+    }
+    if (fixture.target >= 0) {
+        close(fixture.target);
+        fixture.target = -1;
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    relay_post_drain(fixture.relay);
+    step(&fixture, EVENT_WAIT_MS);
+    if (c->wait_ms > 0) {
+        g_strlcpy(gone.info.id, "i-0", sizeof(gone.info.id));
+        relay_post_target_change(fixture.relay, &gone);
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    advance(&fixture, c->at_ms);
+    caller = connect_caller(&fixture);
+    send_text(caller, REQUEST("/once/1"));
+    if (c->wait_ms > 0) {
+        step(&fixture, EVENT_WAIT_MS);
+        advance(&fixture, c->wait_ms - c->at_ms);
+        listener = fixture.target_listener;
+        fixture.target_listener = add_target(&fixture, 1);
+    }
+    sent = target_gets_request(&fixture, caller);
+    if (!sent) {
+        char *text = read_some(caller);
+
+        g_assert_true(g_str_has_prefix(text, "HTTP/1.1 503"));
+        g_assert_nonnull(strstr(text, "not_run"));
+        g_free(text);
+    }
+    g_assert_cmpint(sent, ==, c->sent);
+    close(caller);
+    if (listener >= 0) {
+        close(listener);
+    }
+    fixture_stop(&fixture);
+}
+
 /*
  * Guards against requests that come late in a planned stop, are sent to a
  * target and then cut off without an answer, or are cut off while there is
@@ -1765,6 +1890,7 @@
     CASES("/relay_time/idle_time", idle_cases, test_idle_time),
     CASES("/relay_time/stop", stop_cases, test_stop),
     CASES("/relay_time/late", late_cases, test_late),
+    CASES("/relay_time/stop_length", stop_length_cases, test_stop_length),
     CASES("/relay_time/discard", discard_cases, test_discard),
     CASES("/relay_time/fault", fault_cases, test_fault),
     CASES("/relay_time/discard_time", discard_time_cases, test_discard_time),
