Relay: a stopping instance leaves what would not end there to another one

Callers saw begun answers end in mid-stream 1.1 s before the kill of the instance, with seconds of their time left. Cause: whether a request may still be sent was decided by the time since the SIGTERM alone, the same 3 s for an answer of 20 ms and one of 8 s, and not asked again for one that waited.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -179,6 +179,7 @@
     X(CTR_RETRY_BUSY, "retry_busy_total")                                     \
     X(CTR_RETRY_RESUME, "retry_resume_total")                                 \
     X(CTR_SILENCE_STAYED, "silence_stayed_total")                             \
+    X(CTR_STOP_TOO_LONG, "stop_too_long_total")                               \
     X(CTR_STREAM_CUT_OFF, "stream_cut_off_total")                             \
     X(CTR_STREAM_BAD_EVENT, "stream_bad_event_total")                         \
     X(CTR_STREAM_NOT_CONTINUED, "stream_not_continued_total")                 \
--- a/src/gate/admit/dat.h
+++ b/src/gate/admit/dat.h
@@ -69,6 +69,41 @@
     int64_t retry_ms;
 };
 
+enum {
+    RUN_LENGTH_BUCKETS = 64,
+    RUN_LENGTH_BUCKETS_PER_DOUBLING = 4,
+};
+
+/**
+ * struct run_lengths - lengths of recent answers to requests of one kind
+ * @counts: answers by the logarithm of their number of steps, decayed
+ * @total: sum of @counts
+ * @step_total_ms: sum of the mean times of their steps, decayed
+ * @updated_ms: when these were last decayed
+ */
+struct run_lengths {
+    double counts[RUN_LENGTH_BUCKETS];
+    double total;
+    double step_total_ms;
+    int64_t updated_ms;
+};
+
+/**
+ * struct stop_facts - what decides whether a stopping instance keeps a request
+ * @begun: its caller has a part of the answer, which a refusal would end
+ * @elsewhere: another instance serves callers
+ * @wait_ms: expected time until it can be sent
+ * @left_ms: time until the instance ends all answers
+ * @step_ms: mean time of a step at its target; 0 for unknown
+ */
+struct stop_facts {
+    bool begun;
+    bool elsewhere;
+    int64_t wait_ms;
+    int64_t left_ms;
+    double step_ms;
+};
+
 enum {
     /* The memory limit of the process when the settings have none. */
     MEMORY_DEFAULT_MB = 256,
--- a/src/gate/admit/fns.h
+++ b/src/gate/admit/fns.h
@@ -15,6 +15,17 @@
 struct wait_decision decide_wait(const struct wait_facts *facts,
                                  const struct queue_pace *pace, double spread);
 
+/* run_lengths.c */
+void run_lengths_add(struct run_lengths *lengths, int64_t run_ms,
+                     double step_ms, int64_t now_ms);
+bool run_lengths_known(const struct run_lengths *lengths);
+double run_lengths_late_share(const struct run_lengths *lengths,
+                              int64_t left_ms, double step_ms);
+
+/* stop.c */
+bool stop_refuses(const struct stop_facts *facts,
+                  const struct run_lengths *lengths);
+
 /* memory.c */
 size_t memory_bound(int memory_mb);
 size_t memory_expected_bytes(size_t held, int64_t announced);
--- a/src/gate/relay/drain.c
+++ b/src/gate/relay/drain.c
@@ -15,6 +15,8 @@
 #include "gate/view/fns.h"
 #include "gate/choose/dat.h"
 #include "gate/choose/fns.h"
+#include "gate/admit/dat.h"
+#include "gate/admit/fns.h"
 #include "gate/relay/dat.h"
 #include "gate/relay/fns.h"
 #include "gate/relay/internal.h"
@@ -79,6 +81,62 @@
            now_ms - relay->drain_started_ms <= schedule_of(relay).admit_ms;
 }
 
+static bool
+is_served_elsewhere(const struct relay *relay)
+{
+    for (guint i = 0; i < relay->members->len; i++) {
+        if (!member_is_self(relay, &g_array_index(relay->members,
+                                                  struct gate_member, i))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * drain_refuses() - whether a request that isn't sent is left to another
+ * instance
+ * @relay: the relay
+ * @exchange: the request
+ * @target: the target that can take it; NULL while it waits for one
+ * @wait_ms: expected time until it can be sent
+ * @now_ms: current time
+ */
+bool
+drain_refuses(struct relay *relay, const struct exchange *exchange,
+              const struct relay_target *target, int64_t wait_ms,
+              int64_t now_ms)
+{
+    const struct run_lengths *lengths;
+    struct stop_facts facts = {0};
+
+    lengths = relay->draining ? lengths_of(relay, exchange) : NULL;
+    if (lengths == NULL) {
+        return false;
+    }
+    facts.begun = exchange->answer.head_sent;
+    facts.elsewhere = is_served_elsewhere(relay);
+    facts.wait_ms = wait_ms;
+    facts.left_ms =
+        relay->drain_started_ms + schedule_of(relay).refuse_all_ms - now_ms;
+    if (target != NULL && exchange->route->stream) {
+        facts.step_ms =
+            event_intervals_mean_ms(&target->record.intervals, now_ms);
+    }
+    if (!stop_refuses(&facts, lengths)) {
+        return false;
+    }
+    counter_add(CTR_STOP_TOO_LONG, 1);
+    log_line(LOG_PRI_INFO, "relay",
+             "event=would_not_end id=%s wait_ms=%" G_GINT64_FORMAT
+             " left_ms=%" G_GINT64_FORMAT " step_ms=%.0f late_share=%.2f",
+             exchange->meta.attempt_id, (gint64)wait_ms, (gint64)facts.left_ms,
+             facts.step_ms,
+             run_lengths_late_share(lengths, facts.left_ms - wait_ms,
+                                    facts.step_ms));
+    return true;
+}
+
 /**
  * drain_start() - start to stop, unless the relay is stopping already
  * @relay: the relay
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -253,10 +253,19 @@
     heap_set(&relay->timers, &exchange->timer, due_ms);
 }
 
-static void
-refuse_wait(struct relay *relay, struct exchange *exchange,
-            const struct wait_decision *decision, int64_t now_ms)
+/* Returns whether a request without a place was refused. */
+static bool
+refuses_wait(struct relay *relay, struct exchange *exchange,
+             const struct wait_decision *decision, int64_t now_ms)
 {
+    if (drain_refuses(relay, exchange, NULL, MAX(decision->expected_ms, 0),
+                      now_ms)) {
+        refuse(relay, exchange, ERR_STOPPED, DRAIN_RETRY_MS, now_ms);
+        return true;
+    }
+    if (!decision->refuse) {
+        return false;
+    }
     log_line(LOG_PRI_INFO, "relay",
              "event=not_worth_waiting id=%s expected_ms=%" G_GINT64_FORMAT
              " ahead=%d retry_ms=%" G_GINT64_FORMAT,
@@ -265,6 +274,7 @@
     refuse(relay, exchange,
            exchange->runs > 0 ? ERR_TARGET_FAILED : ERR_NO_TARGET,
            decision->retry_ms, now_ms);
+    return true;
 }
 
 static void
@@ -289,8 +299,7 @@
     if (!exchange->queued) {
         pace_arrived(queue_pace_of(relay, exchange, now_ms));
         decision = forecast_decide(relay, exchange, now_ms);
-        if (decision.refuse) {
-            refuse_wait(relay, exchange, &decision, now_ms);
+        if (refuses_wait(relay, exchange, &decision, now_ms)) {
             return;
         }
         start_to_wait(relay, exchange, now_ms);
@@ -460,6 +469,10 @@
         wait_for_target(relay, exchange, now_ms);
         return;
     }
+    if (drain_refuses(relay, exchange, target, 0, now_ms)) {
+        refuse(relay, exchange, ERR_STOPPED, DRAIN_RETRY_MS, now_ms);
+        return;
+    }
     if (must_pause(relay, exchange, now_ms)) {
         pause_begun(relay, exchange, now_ms);
         return;
@@ -547,8 +560,7 @@
     if (exchange->answer.head_sent ||
         target_select(relay, &exchange->needs, now_ms) == NULL) {
         decision = forecast_decide(relay, exchange, now_ms);
-        if (decision.refuse) {
-            refuse_wait(relay, exchange, &decision, now_ms);
+        if (refuses_wait(relay, exchange, &decision, now_ms)) {
             return;
         }
     }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -427,6 +427,7 @@
     int total_instance_count;  /* instances in that total */
     GHashTable *arrivals;      /* item -> count since the last report */
     GHashTable *forecasts;     /* item -> struct known_forecast */
+    GHashTable *run_lengths;   /* kind or service -> struct run_lengths */
     GHashTable *leaving;       /* id -> struct leaving_notice */
     GHashTable *pauses;        /* id -> struct pause_notice */
     int64_t pause_due_ms;      /* when pause_work() is due; 0 for never */
@@ -485,6 +486,9 @@
 /* drain.c */
 struct drain_schedule drain_schedule(int64_t grace_ms);
 bool drain_admits(const struct relay *relay, int64_t now_ms);
+bool drain_refuses(struct relay *relay, const struct exchange *exchange,
+                   const struct relay_target *target, int64_t wait_ms,
+                   int64_t now_ms);
 void drain_start(struct relay *relay, int64_t now_ms);
 bool drain_continue(struct relay *relay, int64_t now_ms);
 int64_t drain_due_ms(const struct relay *relay, int64_t now_ms);
@@ -553,6 +557,9 @@
                           int64_t now_ms);
 
 /* local.c */
+struct gate_member;
+bool member_is_self(const struct relay *relay,
+                    const struct gate_member *member);
 void local_serve(struct relay *relay, struct client *client, int64_t now_ms);
 
 /* exchange.c */
@@ -635,6 +642,16 @@
 void queue_mark_target(struct relay *relay, const struct relay_target *target);
 void queue_dispatch_marked(struct relay *relay, int64_t now_ms);
 
+struct run_lengths;
+
+/* lengths.c */
+void lengths_init(struct relay *relay);
+void lengths_clear(struct relay *relay);
+const struct run_lengths *lengths_of(struct relay *relay,
+                                     const struct exchange *exchange);
+void lengths_record(struct relay *relay, const struct exchange *exchange,
+                    int64_t now_ms);
+
 /* forecast.c */
 void forecast_store(struct relay *relay, const struct load_forecast *forecast,
                     int64_t now_ms);
--- a/src/gate/relay/local.c
+++ b/src/gate/relay/local.c
@@ -43,8 +43,13 @@
     return relay->config != NULL && relay->targets_listed && !relay->draining;
 }
 
-static bool
-is_self(const struct relay *relay, const struct gate_member *member)
+/**
+ * member_is_self() - whether an entry of the member list is of this instance
+ * @relay: the relay
+ * @member: the entry
+ */
+bool
+member_is_self(const struct relay *relay, const struct gate_member *member)
 {
     return strcmp(member->front_address, relay->settings->front_address) == 0;
 }
@@ -64,7 +69,7 @@
         struct gate_member *member =
             &g_array_index(relay->members, struct gate_member, i);
 
-        if (!is_self(relay, member)) {
+        if (!member_is_self(relay, member)) {
             g_ptr_array_add(list, member->front_address);
         }
     }
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -1,5 +1,5 @@
-/* Tests of the decisions about requests that have no place, and of those about
- * memory. */
+/* Tests of the decisions about requests that have no place, about memory and
+ * about a stop. */
 #include <glib.h>
 #include <math.h>
 #include <stdbool.h>
@@ -522,10 +522,90 @@
     g_assert_true(memory_refusing_ended(NOW_MS, NOW_MS + 1000));
 }
 
+enum { LENGTHS_MAX = 3 };
+
+/* Guards against a request that is kept by an instance that stops before its
+ * answer would end, and against one that is refused although it would end. */
+struct stop_case {
+    const char *name;
+    struct stop_facts facts;
+    struct {
+        int count;
+        int64_t run_ms;
+        double step_ms;
+        int64_t at_ms;
+    } answers[LENGTHS_MAX];
+    double late_share;
+    bool refuse;
+};
+
+#define STOP(wait, left, step)                                                \
+    {                                                                         \
+        .elsewhere = true, .wait_ms = (wait), .left_ms = (left),              \
+        .step_ms = (step)                                                     \
+    }
+
+static const struct stop_case stop_cases[] = {
+    {"nothing_known", STOP(0, 100, 0), {{0}}, -1, false},
+    {"few_known", STOP(0, 100, 0), {{9, 4000, 0, 0}}, -1, false},
+    {"all_longer", STOP(0, 3000, 0), {{10, 4000, 0, 0}}, 1, true},
+    {"all_shorter", STOP(0, 5000, 0), {{10, 4000, 0, 0}}, 0, false},
+    {"waits_too_long", STOP(3000, 5000, 0), {{10, 4000, 0, 0}}, 1, true},
+    {"no_time_left", STOP(3000, 2000, 0), {{10, 1, 0, 0}}, 1, true},
+    {"one_in_twenty_longer",
+     STOP(0, 2000, 0),
+     {{38, 1000, 0, 0}, {2, 9000, 0, 0}},
+     0.05,
+     false},
+    {"two_in_twenty_longer",
+     STOP(0, 2000, 0),
+     {{36, 1000, 0, 0}, {4, 9000, 0, 0}},
+     0.1,
+     true},
+    {"target_is_slower", STOP(0, 3000, 80), {{10, 2000, 40, 0}}, 1, true},
+    {"target_is_idle", STOP(0, 3000, 0), {{10, 2000, 40, 0}}, 0, false},
+    {"long_ago",
+     STOP(0, 2000, 0),
+     {{100, 9000, 0, 0}, {100, 1000, 0, 600 * 1000}},
+     0,
+     false},
+    {"longer_than_any_bucket",
+     STOP(0, 5000, 0),
+     {{10, 1000000, 0, 0}},
+     1,
+     true},
+    {"begun",
+     {.begun = true, .elsewhere = true, .left_ms = 100},
+     {{10, 4000, 0, 0}},
+     1,
+     false},
+    {"no_other_instance", {.left_ms = 100}, {{10, 4000, 0, 0}}, 1, false},
+};
+
+static void
+test_stop(gconstpointer data)
+{
+    const struct stop_case *c = data;
+    struct run_lengths lengths = {0};
+
+    for (int i = 0; i < LENGTHS_MAX; i++) {
+        for (int n = 0; n < c->answers[i].count; n++) {
+            run_lengths_add(&lengths, c->answers[i].run_ms,
+                            c->answers[i].step_ms, c->answers[i].at_ms);
+        }
+    }
+    g_assert_cmpfloat_with_epsilon(
+        run_lengths_late_share(&lengths, c->facts.left_ms - c->facts.wait_ms,
+                               c->facts.step_ms),
+        c->late_share, 0.001);
+    g_assert_cmpint(stop_refuses(&c->facts, &lengths), ==, c->refuse);
+}
+
 static const struct cases groups[] = {
     CASES("/admit/wait", wait_cases, test_wait),
     CASES("/admit/retry", retry_cases, test_retry),
     CASES("/admit/load", load_cases, test_load),
+    CASES("/admit/stop", stop_cases, test_stop),
     CASES("/admit/memory", memory_cases, test_memory),
     CASES("/admit/memory_expected", expected_cases, test_expected),
     CASES("/admit/memory_answer", answer_cases, test_answer),
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1291,21 +1291,26 @@
  * end before the instance does, and against one that refuses what can. */
 struct stop_length_case {
     const char *name;
-    int others;        /* instances that serve callers besides this one */
-    int64_t taught_ms; /* length of the answers before the stop; 0 for none */
-    int64_t at_ms;     /* from the start of the stop */
-    int64_t wait_ms;   /* no target has a place until then */
+    int others;         /* instances that serve callers besides this one */
+    const char *taught; /* request of the answers before the stop */
+    int64_t taught_ms;  /* length of these answers; 0 for none */
+    int64_t at_ms;      /* from the start of the stop */
+    int64_t wait_ms;    /* no target has a place until then */
     bool sent;
 };
 
+#define ONCE REQUEST("/once/1")
+#define OTHER_ROUTE REQUEST("/safe/1")
+
 static const struct stop_length_case stop_length_cases[] = {
-    {"long_late", 1, 4500, 2700, 0, false},
-    {"long_early", 1, 4500, 1500, 0, true},
-    {"short_late", 1, 50, 2700, 0, true},
-    {"long_waited", 1, 4500, 100, 4000, false},
-    {"short_waited", 1, 50, 100, 4000, true},
-    {"no_other_instance", 0, 4500, 2700, 0, true},
-    {"unknown_length", 1, 0, 2700, 0, true},
+    {"long_late", 1, ONCE, 4500, 2700, 0, false},
+    {"long_early", 1, ONCE, 4500, 1500, 0, true},
+    {"short_late", 1, ONCE, 50, 2700, 0, true},
+    {"long_waited", 1, ONCE, 4500, 100, 4000, false},
+    {"short_waited", 1, ONCE, 50, 100, 4000, true},
+    {"no_other_instance", 0, ONCE, 4500, 2700, 0, true},
+    {"unknown_length", 1, ONCE, 0, 2700, 0, true},
+    {"known_for_the_service", 1, OTHER_ROUTE, 4500, 2700, 0, false},
 };
 
 static void
@@ -1327,11 +1332,11 @@
 
 /* Has a request answered after some time. */
 static void
-play_answer(struct fixture *fixture, int64_t duration_ms)
+play_answer(struct fixture *fixture, const char *request, int64_t duration_ms)
 {
     int caller = connect_caller(fixture);
 
-    send_request(fixture, caller, REQUEST("/once/1"));
+    send_request(fixture, caller, request);
     g_free(read_some(fixture->target));
     advance(fixture, duration_ms);
     answer(fixture, ANSWER_HEAD "Content-Length: 2\r\n\r\nok");
@@ -1373,7 +1378,7 @@
     step(&fixture, EVENT_WAIT_MS);
     post_others(&fixture, c->others);
     for (int i = 0; c->taught_ms > 0 && i < 20; i++) {
-        play_answer(&fixture, c->taught_ms);
+        play_answer(&fixture, c->taught, c->taught_ms);
     }
     if (fixture.target >= 0) {
         close(fixture.target);
@@ -1389,10 +1394,11 @@
     }
     advance(&fixture, c->at_ms);
     caller = connect_caller(&fixture);
-    send_text(caller, REQUEST("/once/1"));
+    send_text(caller, ONCE);
     if (c->wait_ms > 0) {
         step(&fixture, EVENT_WAIT_MS);
         advance(&fixture, c->wait_ms - c->at_ms);
+        g_assert_cmpint(is_readable(caller), ==, !c->sent);
         listener = fixture.target_listener;
         fixture.target_listener = add_target(&fixture, 1);
     }
