--- a/src/gate/choose/silence.c
+++ b/src/gate/choose/silence.c
@@ -66,6 +66,9 @@
     if (!facts->target_has_room) {
         return SILENCE_NO_TARGET;
     }
+    if (facts->would_not_end) {
+        return SILENCE_WOULD_NOT_END;
+    }
     return facts->budget_has_room ? SILENCE_MOVE : SILENCE_NO_BUDGET;
 }
 
@@ -87,9 +90,13 @@
 silence_reason(enum silence_choice choice)
 {
     static const char *const names[] = {
-        [SILENCE_MOVE] = "moves",          [SILENCE_ONE_RUN] = "one_run",
-        [SILENCE_BEGUN] = "begun",         [SILENCE_BLAMED] = "blamed",
-        [SILENCE_NO_TARGET] = "no_target", [SILENCE_NO_BUDGET] = "no_budget",
+        [SILENCE_MOVE] = "moves",
+        [SILENCE_ONE_RUN] = "one_run",
+        [SILENCE_BEGUN] = "begun",
+        [SILENCE_BLAMED] = "blamed",
+        [SILENCE_NO_TARGET] = "no_target",
+        [SILENCE_NO_BUDGET] = "no_budget",
+        [SILENCE_WOULD_NOT_END] = "would_not_end",
     };
 
     return names[choice];
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -571,14 +571,17 @@
 choose_for_silence(struct relay *relay, const struct exchange *exchange,
                    int64_t now_ms)
 {
+    const struct relay_target *target =
+        target_select(relay, &exchange->needs, now_ms);
     struct silence_facts facts = {
         .may_run_again =
             may_run_again(exchange) && !was_turned_away_often(exchange),
         .has_begun = exchange->answer.head_sent,
         .is_stream = result_is_stream(exchange),
         .is_blamed = crash_is_blamed(relay, exchange),
-        .target_has_room =
-            target_select(relay, &exchange->needs, now_ms) != NULL,
+        .target_has_room = target != NULL,
+        .would_not_end =
+            drain_would_refuse(relay, exchange, target, 0, now_ms),
         .budget_has_room = has_retry_budget(relay, exchange, now_ms),
     };
 
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -486,6 +486,9 @@
 /* drain.c */
 struct drain_schedule drain_schedule(int64_t grace_ms);
 bool drain_admits(const struct relay *relay, int64_t now_ms);
+bool drain_would_refuse(struct relay *relay, const struct exchange *exchange,
+                        const struct relay_target *target, int64_t wait_ms,
+                        int64_t now_ms);
 bool drain_refuses(struct relay *relay, const struct exchange *exchange,
                    const struct relay_target *target, int64_t wait_ms,
                    int64_t now_ms);
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1418,6 +1418,41 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a request that is taken from a silent target during a stop,
+ * and then not sent to another one, as its answer wouldn't end there. */
+static void
+test_stop_silent(void)
+{
+    struct fixture fixture;
+    int other;
+    int caller;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    post_others(&fixture, 1);
+    for (int i = 0; i < 20; i++) {
+        play_answer(&fixture, OTHER_ROUTE, 4500);
+    }
+    close(fixture.target);
+    fixture.target = -1;
+    step(&fixture, EVENT_WAIT_MS);
+    relay_post_drain(fixture.relay);
+    step(&fixture, EVENT_WAIT_MS);
+    advance(&fixture, 2000);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, OTHER_ROUTE);
+    other = add_target(&fixture, 1);
+    fcntl(other, F_SETFL, O_NONBLOCK);
+    step(&fixture, EVENT_WAIT_MS);
+    advance(&fixture, 1500);
+    g_assert_cmpint(accept(other, NULL, NULL), <, 0);
+    answer(&fixture, ANSWER_HEAD "Content-Length: 4\r\n\r\nwhat");
+    read_until(&fixture, caller, "what");
+    close(caller);
+    close(other);
+    fixture_stop(&fixture);
+}
+
 /*
  * Guards against requests that come late in a planned stop, are sent to a
  * target and then cut off without an answer, or are cut off while there is
@@ -1916,6 +1951,7 @@
     g_test_add_func("/relay_time/patience", test_patience);
     g_test_add_func("/relay_time/unconnected", test_unconnected);
     g_test_add_func("/relay_time/stop_begun", test_stop_begun);
+    g_test_add_func("/relay_time/stop_silent", test_stop_silent);
     g_test_add_func("/relay_time/blamed_silence", test_blamed_silence);
     g_test_add_func("/relay_time/verdict_on_body", test_verdict_on_body);
     g_test_add_func("/relay_time/slow_reader", test_slow_reader);
