Place: a report of another process frees no memory

An engine would crash with the streams that it runs.

Cause: the planner didn't look at which process had made a report. Until the entry of an engine that started again had arrived, its report was taken for one of the former process where the sequences allowed it, and a load was ordered without the room that is left for late orders after a restart.

Change: a report whose start differs from the known one is ignored and read again, and the engine is in doubt until its entry arrives. The entry alone begins a new process for the planner, so a report that is older than the entry is not taken for a restart. Starts that aren't reported are not compared. platform_decode_report() has to read "born" for this to take effect.

In plan_test a report is now from the known process unless the script names another one; all of them said that they were from the first.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -32,7 +32,8 @@
  * @next_order_ms: earliest time of the next order
  * @next_report_ms: when to read its next report; 0 for never
  * @report_pending: its report is being read
- * @in_doubt: an order may still take effect; the next report decides
+ * @in_doubt: an order may still take effect, or the engine has restarted and
+ *            its entry has yet to arrive; the next report decides
  * @busy_with_unknown_order: it executes an order that this instance did not
  *                           send
  * @settled_sequence: from this sequence on, no earlier order with an unknown
--- a/src/gate/place/results.c
+++ b/src/gate/place/results.c
@@ -292,6 +292,17 @@
     }
 }
 
+/* Whether another process of the engine than the known one made a report. A
+ * report or an entry may be the older one of the two, so only an entry tells
+ * of a restart. */
+static bool
+is_of_other_process(const struct plan_engine *engine,
+                    const struct target_info *info)
+{
+    return info->started_ms != 0 && engine->info.started_ms != 0 &&
+           info->started_ms != engine->info.started_ms;
+}
+
 /* Whether a report is from before the last order that counts. An order that
  * was only assumed to count is taken back once no report can be that old. */
 static bool
@@ -317,6 +328,11 @@
         engine->next_report_ms = now_ms + CONFLICT_RETRY_MS;
         return NULL;
     }
+    if (is_of_other_process(engine, info)) {
+        engine->next_report_ms = now_ms + REPORT_LAG_MS;
+        engine->in_doubt = true;
+        return NULL;
+    }
     if (is_outdated(engine, info, now_ms)) {
         engine->next_report_ms = now_ms + REPORT_LAG_MS;
         return NULL;
--- a/test/plan_limit_test.c
+++ b/test/plan_limit_test.c
@@ -85,6 +85,7 @@
     {"engines_restart_and_responses_lost", 0, 20, 30, 0, 100, false, 1, 80},
     {"engines_restart_and_holder_paused", 150, 20, 30, 0, 100, true, 200, 40},
     {"holder_resumes_in_a_new_term", 150, 20, 30, 0, 100, true, 10438, 4},
+    {"report_precedes_the_entry", 150, 20, 30, 0, 100, true, 24815, 1},
 };
 
 /**
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -32,7 +32,9 @@
  *   e1:ITEMS:born   the same after a restart of the engine; "again" after
  *                   its second one
  *   g1              engine 1 is removed
- *   r1:SEQ:ITEMS    report of engine 1; ":busy" or ":disk=ITEMS" may follow
+ *   r1:SEQ:ITEMS    report of engine 1; ":busy" or ":disk=ITEMS" may follow,
+ *                   or ":first", ":born", ":again" for the process that made
+ *                   it, which else is the known one
  *   f1              reading engine 1's report fails
  *   w:ITEM=N        N requests wait for ITEM; w:ITEM:run=N are running
  *   arrive:ITEM=N   N requests for ITEM have come
@@ -247,6 +249,13 @@
      "e1:m1,m2 t=1000 begin n r1:0:m1,m2 t=2000 e1::born n r1:0::disk=m4 "
      "w:m4=1 n t=15999 w:m4=1 n t=16000 n",
      "report1 report1 - - load1:m4@0"},
+    {"report_of_a_process_whose_entry_is_late",
+     "e1:m3 t=1000 begin n r1:0::born w:m4=1 t=1600 n r1:0::born n e1::born n "
+     "r1:0::disk=m4 n t=14600 w:m4=1 n t=16000 n",
+     "report1 report1 - report1 - - load1:m4@0"},
+    {"report_of_a_former_process_does_not_undo_a_restart",
+     "e1:m1 n r1:3:m1 e1::born n r1:3:m1:first w:m2=1 n t=600 n r1:0: n",
+     "report1 report1 - report1 load1:m2@0"},
     {"restart_long_before_the_term",
      "e1:m1,m2 t=1000 e1::born t=16000 begin n r1:0::disk=m4 w:m4=1 n",
      "report1 load1:m4@0"},
@@ -429,6 +438,20 @@
     info->started_ms = 1;
 }
 
+/* Returns 0 for what names no process. */
+static int64_t
+find_start_ms(const char *process)
+{
+    static const char *const processes[] = {"first", "born", "again"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(processes); i++) {
+        if (g_strcmp0(process, processes[i]) == 0) {
+            return (int64_t)i + 1;
+        }
+    }
+    return 0;
+}
+
 static void
 apply_entry(struct plan_fixture *fixture, char number, char **parts)
 {
@@ -437,7 +460,7 @@
     fill_info(&change.info, number);
     parse_items(parts[1], &change.info.held, &change.info.has_unknown_items);
     if (parts[2] != NULL) {
-        change.info.started_ms = strcmp(parts[2], "born") == 0 ? 2 : 3;
+        change.info.started_ms = find_start_ms(parts[2]);
     }
     plan_apply_target_change(&fixture->plan, &change, fixture->now_ms);
 }
@@ -453,6 +476,10 @@
     call.step.is_report = true;
     call.step.started_ms = engine->info.started_ms;
     g_strlcpy(call.step.target, call.info.id, sizeof(call.step.target));
+    call.info.started_ms = find_start_ms(parts[3]);
+    if (call.info.started_ms == 0) {
+        call.info.started_ms = engine->info.started_ms;
+    }
     call.info.sequence = g_ascii_strtoll(parts[1], NULL, 10);
     parse_items(parts[2], &call.info.held, &call.info.has_unknown_items);
     if (parts[3] != NULL && strcmp(parts[3], "busy") == 0) {
