Place: an unload that repeats one that waited doesn't count

An engine would crash with the streams that it runs.

Cause: while the unload of an adapter waits for requests, reports still list the adapter, so the planner unloaded it a second time. The engine answered "holds already", as it had just dropped the adapter, and the planner assumed that the order had counted. The next load expected a sequence that the engine hadn't reached. Without a response, it stayed valid there, and the next holder, which doesn't know it, brought the engine to that sequence with full slots.

Change: the planner remembers the adapters whose unload was accepted or has an unknown outcome, until it loads them again or a report is from after a later order, which an engine accepts only once the unload has ended. The response to a second unload of such an adapter leaves the engine in doubt, and a report tells the sequence. Other unloads are trusted as before.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -39,6 +39,9 @@
  * @settled_sequence: from this sequence on, no earlier order with an unknown
  *                    outcome can still be carried out
  * @certain_sequence: sequence after the last order that certainly counts
+ * @adapter_unloads: adapters whose unload was accepted, or has an unknown
+ *                   outcome; reports may list them while it waits for requests
+ * @adapter_unloads_sequence: sequence after the last of these unloads
  * @assumed_order_ms: when info.sequence was last set to a number that is only
  *                    assumed; 0 when it is certain
  * @unanswered_since_ms: first call that failed since the last answer; 0 for
@@ -71,6 +74,8 @@
     bool busy_with_unknown_order;
     int64_t settled_sequence;
     int64_t certain_sequence;
+    struct item_set adapter_unloads;
+    int64_t adapter_unloads_sequence;
     int64_t assumed_order_ms;
     int64_t unanswered_since_ms;
     int running;
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -134,6 +134,8 @@
 {
     engine->unanswered_since_ms = 0;
     engine->assumed_order_ms = 0;
+    engine->adapter_unloads.count = 0;
+    engine->adapter_unloads_sequence = 0;
     engine->info = *info;
     engine->in_doubt = true;
     engine->next_report_ms = now_ms;
--- a/src/gate/place/results.c
+++ b/src/gate/place/results.c
@@ -156,6 +156,16 @@
     engine->next_report_ms = engine->order_done_ms + REPORT_LAG_MS;
 }
 
+static void
+note_adapter_unload(struct plan_engine *engine, const struct plan_step *step)
+{
+    if (step->action == ORDER_UNLOAD && item_is_adapter(step->item)) {
+        item_set_add(&engine->adapter_unloads, step->item);
+        engine->adapter_unloads_sequence =
+            MAX(engine->adapter_unloads_sequence, step->expected_sequence + 1);
+    }
+}
+
 static void
 sequence_is(struct plan_engine *engine, int64_t sequence)
 {
@@ -172,11 +182,13 @@
     sequence_is(engine, step->expected_sequence + 1);
     engine->settled_sequence = engine->info.sequence;
     if (step->action == ORDER_UNLOAD) {
+        note_adapter_unload(engine, step);
         start_unload(plan, engine, step->item, now_ms);
         return true;
     }
     if (item_is_adapter(step->item)) {
         item_set_add(&engine->info.held, step->item);
+        item_set_remove(&engine->adapter_unloads, step->item);
         engine->reserved_for = 0;
         engine->next_order_ms = now_ms + ADAPTER_LOAD_MS;
         return true;
@@ -188,13 +200,15 @@
 /* Only an adapter is unloaded at once, which counts as an order. The unload of
  * what was gone before gets the same response and doesn't count. Then an order
  * with an unknown outcome may have advanced the sequence to the same number,
- * and only a report shows what it did. Returns whether the engine's held items
+ * and only a report shows what it did. An earlier unload of the adapter may
+ * have waited for requests until now. Returns whether the engine's held items
  * have changed. */
 static bool
 unload_already_done(const struct plan *plan, struct plan_engine *engine,
                     const struct plan_step *step, int64_t now_ms)
 {
     if (step->expected_sequence < engine->settled_sequence ||
+        item_set_contains(&engine->adapter_unloads, step->item) ||
         late_order_expects(plan, engine, step->expected_sequence, now_ms)) {
         engine->in_doubt = true;
         return false;
@@ -265,6 +279,7 @@
     case ORDER_IN_DOUBT:
         engine->settled_sequence =
             MAX(engine->settled_sequence, step->expected_sequence + 1);
+        note_adapter_unload(engine, step);
         engine->next_order_ms = now_ms + NO_ANSWER_RETRY_MS;
         engine->next_report_ms = now_ms + NO_ANSWER_RETRY_MS;
         engine->in_doubt = true;
@@ -340,6 +355,10 @@
     engine->info.held = info->held;
     engine->info.has_unknown_items = info->has_unknown_items;
     sequence_is(engine, info->sequence);
+    /* An engine accepts an order only after an unload has ended. */
+    if (info->sequence > engine->adapter_unloads_sequence) {
+        engine->adapter_unloads.count = 0;
+    }
     if (info->in_memory.count > 0 || info->on_disk.count > 0) {
         engine->info.in_memory = info->in_memory;
         engine->info.on_disk = info->on_disk;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -143,6 +143,30 @@
      "e1: begin n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9020 n t=9150 n "
      "r1:1:m1,m1/a2 n",
      "report1 unload1:m1/a1@0 - report1 load1:m1/a3@1"},
+    {"unload_that_holds_after_an_accepted_one",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n a t=9050 n c "
+     "t=9300 n r1:1:m1,m1/a1,m1/a2 t=12100 w:m1/a3=1 n n h t=12120 n t=12250 n "
+     "r1:1:m1,m1/a2 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 report1 - unload1:m1/a1@1 - report1 "
+     "load1:m1/a3@1"},
+    {"unload_that_holds_after_a_lost_one",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n u t=9400 n "
+     "r1:1:m1,m1/a1,m1/a2 t=12100 w:m1/a3=1 n n h t=12120 n t=12250 n "
+     "r1:1:m1,m1/a2 n",
+     "report1 unload1:m1/a1@0 report1 - unload1:m1/a1@1 - report1 "
+     "load1:m1/a3@1"},
+    {"unload_that_holds_is_trusted_after_another_load",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n a t=9050 n a "
+     "t=9100 w:m1/a3=0 w:m1/a3:run=1 w:m1/a1=1 n a t=9150 n a t=9200 "
+     "w:m1/a1=0 w:m1/a2=1 t=9900 n h t=9950 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 unload1:m1/a2@2 load1:m1/a1@3 "
+     "unload1:m1/a1@4 load1:m1/a2@5"},
+    {"unload_that_holds_is_trusted_after_a_newer_report",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n a t=9050 n a "
+     "w:m1/a3=0 t=9100 w:m6=1 n a w:m6=0 t=15500 n r1:5:m1,m6,m1/a1,m1/a2 "
+     "w:m1/a2:run=1 w:m1/a3=1 n h t=15520 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 load1:m6@2 report1 "
+     "unload1:m1/a1@5 load1:m1/a3@6"},
     {"busy_engine_waits", "e1: n r1:3::busy w:m1=1 n t=400 n r1:3: n",
      "report1 - report1 load1:m1@3"},
     {"unsent_order_is_planned_again", "e1: n r1:0: w:m1=1 n x n",
