Place: late orders in a row fit an empty engine

An engine that had just started again would crash once more.

Cause: two orders without a response expected 0 and 1. In the process for which they were made only one of them could be carried out beside the order that it accepted in between. A new process of the engine carries out both, one after the other, before it gets any order of the planner: no later choice can prevent it, and together they exceeded its memory.

Change: a load that expects the end of a row of late orders which begins at 0 is sent only if the row, this load included, fits an empty engine. Until then other engines are preferred; the wait ends with the first of the late orders that expires, 12 s after its call. Without a late order nothing changes.

Three more cases guard against loads that wait in vain; each was seen red with its part of the function left out. plan_test and plan_limit_test are green.

--- a/src/gate/place/late.c
+++ b/src/gate/place/late.c
@@ -7,7 +7,8 @@
  * from 0, holds nothing and knows no fence of before, so it carries the order
  * out whenever its new count reaches the expected one. Orders of the present
  * process are therefore chosen so that late ones fit at the sequence that they
- * expect.
+ * expect. No order can be chosen in time against late ones that expect 0, 1
+ * and so on, so these are sent only if all of them fit an empty engine.
  *
  * A new holder does not know the late orders of the former one. It assumes
  * that one may be under way to each engine that has restarted lately, of any
@@ -258,23 +259,34 @@
     return largest;
 }
 
+static struct late_loads
+add_loads(struct late_loads a, struct late_loads b)
+{
+    return (struct late_loads){a.mb + b.mb, a.adapters + b.adapters};
+}
+
 /* Late orders that expect successive sequences may all be carried out. */
 static struct late_loads
-loads_from(const struct plan *plan, const struct plan_engine *engine,
-           const struct item_set *held, int64_t sequence, int64_t now_ms)
+known_loads_from(const struct plan *plan, const struct plan_engine *engine,
+                 const struct item_set *held, int64_t sequence, int64_t now_ms)
 {
-    struct late_loads sum = former_load(plan, engine, held, now_ms);
+    struct late_loads sum = {0};
 
     for (; known_order_expects(plan, engine, sequence, now_ms); sequence++) {
-        struct late_loads largest =
-            largest_load(plan, engine, held, sequence, now_ms);
-
-        sum.mb += largest.mb;
-        sum.adapters += largest.adapters;
+        sum =
+            add_loads(sum, largest_load(plan, engine, held, sequence, now_ms));
     }
     return sum;
 }
 
+static struct late_loads
+loads_from(const struct plan *plan, const struct plan_engine *engine,
+           const struct item_set *held, int64_t sequence, int64_t now_ms)
+{
+    return add_loads(former_load(plan, engine, held, now_ms),
+                     known_loads_from(plan, engine, held, sequence, now_ms));
+}
+
 static bool
 fits(const struct gate_service *service, struct late_loads used,
      struct late_loads late)
@@ -284,6 +296,32 @@
             used.adapters + late.adapters <= service->adapter_slots);
 }
 
+/* Whether a load, once it is late itself, fits together with the late orders
+ * that a new process of the engine would carry out one after the other from
+ * its start on, before this instance can order anything there. */
+static bool
+fits_after_restart(const struct plan *plan, const struct plan_engine *engine,
+                   uint32_t item, int64_t sequence, int64_t now_ms)
+{
+    struct late_loads used = {
+        .mb = engine_item_mb(plan, engine, item),
+        .adapters = item_is_adapter(item) ? 1 : 0,
+    };
+    struct item_set held = {0};
+    struct late_loads late;
+
+    item_set_add(&held, item);
+    late = known_loads_from(plan, engine, &held, sequence + 1, now_ms);
+    for (int64_t before = 0; before < sequence; before++) {
+        if (!known_order_expects(plan, engine, before, now_ms)) {
+            return true;
+        }
+        late =
+            add_loads(late, largest_load(plan, engine, &held, before, now_ms));
+    }
+    return fits(plan_engine_service(plan, engine), used, late);
+}
+
 /**
  * late_orders_fit() - whether late orders still fit after a load
  * @plan: the plan
@@ -332,7 +370,8 @@
     used.mb += engine_item_mb(plan, engine, item);
     used.adapters += item_is_adapter(item) ? 1 : 0;
     return fits(service, used,
-                loads_from(plan, engine, &held, sequence + 1, now_ms));
+                loads_from(plan, engine, &held, sequence + 1, now_ms)) &&
+           fits_after_restart(plan, engine, item, sequence, now_ms);
 }
 
 /* Whether the wait for a response has ended, and the engine has yet to reach
--- a/test/plan_limit_test.c
+++ b/test/plan_limit_test.c
@@ -86,6 +86,7 @@
     {"engines_restart_and_holder_paused", 150, 20, 30, 0, 100, true, 200, 40},
     {"holder_resumes_in_a_new_term", 150, 20, 30, 0, 100, true, 10438, 4},
     {"report_precedes_the_entry", 150, 20, 30, 0, 100, true, 24815, 1},
+    {"late_orders_in_a_row", 0, 20, 30, 0, 100, false, 22049, 1},
     {"unload_repeated_after_a_wait", 150, 20, 30, 0, 100, true, 27875, 1},
     {"unload_repeated_after_a_lost_one", 150, 20, 30, 0, 100, true, 28215, 1},
     {"unload_repeated_after_a_conflict", 150, 20, 30, 0, 100, true, 28494, 3},
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -252,6 +252,26 @@
      "e1: n r1:1: w:m6=1 n u w:m6=0 t=400 n r1:2:m6 w:m1=1 n u w:m1=0 "
      "t=800 n r1:2:m6 e1::born n r1:0::disk=m2,m6 w:m2=1 n w:m2=0 w:m6=1 n",
      "report1 load1:m6@1 report1 load1:m1@2 report1 report1 - load1:m6@0"},
+    {"late_orders_in_a_row_fit_an_empty_engine",
+     "e1: n r1:0: w:m4=1 n u w:m4=0 t=400 n r1:0: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:1:m6 w:m7=1 n t=11900 w:m7=1 n t=12001 n",
+     "report1 load1:m4@0 report1 load1:m6@0 report1 - - load1:m7@1"},
+    {"late_orders_in_a_row_behind_an_eviction_fit_an_empty_engine",
+     "e1:m3 n r1:0:m3 w:m4=1 n u w:m4=0 t=400 n r1:0:m3 t=9000 w:m7=1 n "
+     "t=12000 n t=12001 n a t=12200 n r1:1: n",
+     "report1 load1:m4@0 report1 - - unload1:m3@0 report1 load1:m7@1"},
+    {"load_behind_a_late_order_that_fits_beside_it",
+     "e1: n r1:0: w:m4=1 n u w:m4=0 t=400 n r1:0: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:1:m6 w:m1=1 n",
+     "report1 load1:m4@0 report1 load1:m6@0 report1 load1:m1@1"},
+    {"load_of_the_item_of_a_late_order",
+     "e1: n r1:0: w:m7=1 n u w:m7=0 t=400 n r1:0: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:1:m6 w:m7=1 n",
+     "report1 load1:m7@0 report1 load1:m6@0 report1 load1:m7@1"},
+    {"load_behind_late_orders_that_do_not_begin_at_0",
+     "e1: n r1:1: w:m4=1 n u w:m4=0 t=400 n r1:1: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:2:m6 w:m7=1 n",
+     "report1 load1:m4@1 report1 load1:m6@1 report1 load1:m7@2"},
     {"unload_that_holds_beside_a_late_order",
      "e1:m1,m1/a1 n r1:3:m1,m1/a1 w:m6=1 n u w:m6=0 t=500 e1::born n "
      "r1:2:m1,m1/a1 w:m1/a2=1 n a w:m1/a2=0 w:m1/a2:run=1 t=9000 "
