--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -32,12 +32,16 @@
  * @next_order_ms: earliest time of the next order
  * @next_report_ms: when to read its next report; 0 for never
  * @report_pending: its report is being read
- * @in_doubt: an order may still take effect; the next report decides
+ * @in_doubt: an order may still take effect, or the engine has restarted and
+ *            its entry has yet to arrive; the next report decides
  * @busy_with_unknown_order: it executes an order that this instance did not
  *                           send
  * @settled_sequence: from this sequence on, no earlier order with an unknown
  *                    outcome can still be carried out
  * @certain_sequence: sequence after the last order that certainly counts
+ * @adapter_unloads: adapters whose unload was accepted, or has an unknown
+ *                   outcome; reports may list them while it waits for requests
+ * @adapter_unloads_sequence: sequence after the last of these unloads
  * @assumed_order_ms: when info.sequence was last set to a number that is only
  *                    assumed; 0 when it is certain
  * @unanswered_since_ms: first call that failed since the last answer; 0 for
@@ -70,6 +74,8 @@
     bool busy_with_unknown_order;
     int64_t settled_sequence;
     int64_t certain_sequence;
+    struct item_set adapter_unloads;
+    int64_t adapter_unloads_sequence;
     int64_t assumed_order_ms;
     int64_t unanswered_since_ms;
     int running;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -32,7 +32,9 @@
  *   e1:ITEMS:born   the same after a restart of the engine; "again" after
  *                   its second one
  *   g1              engine 1 is removed
- *   r1:SEQ:ITEMS    report of engine 1; ":busy" or ":disk=ITEMS" may follow
+ *   r1:SEQ:ITEMS    report of engine 1; ":busy" or ":disk=ITEMS" may follow,
+ *                   or ":first", ":born", ":again" for the process that made
+ *                   it, which else is the known one
  *   f1              reading engine 1's report fails
  *   w:ITEM=N        N requests wait for ITEM; w:ITEM:run=N are running
  *   arrive:ITEM=N   N requests for ITEM have come
@@ -141,6 +143,30 @@
      "e1: begin n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n h t=9020 n t=9150 n "
      "r1:1:m1,m1/a2 n",
      "report1 unload1:m1/a1@0 - report1 load1:m1/a3@1"},
+    {"unload_that_holds_after_an_accepted_one",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n a t=9050 n c "
+     "t=9300 n r1:1:m1,m1/a1,m1/a2 t=12100 w:m1/a3=1 n n h t=12120 n t=12250 n "
+     "r1:1:m1,m1/a2 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 report1 - unload1:m1/a1@1 - report1 "
+     "load1:m1/a3@1"},
+    {"unload_that_holds_after_a_lost_one",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n u t=9400 n "
+     "r1:1:m1,m1/a1,m1/a2 t=12100 w:m1/a3=1 n n h t=12120 n t=12250 n "
+     "r1:1:m1,m1/a2 n",
+     "report1 unload1:m1/a1@0 report1 - unload1:m1/a1@1 - report1 "
+     "load1:m1/a3@1"},
+    {"unload_that_holds_is_trusted_after_another_load",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n a t=9050 n a "
+     "t=9100 w:m1/a3=0 w:m1/a3:run=1 w:m1/a1=1 n a t=9150 n a t=9200 "
+     "w:m1/a1=0 w:m1/a2=1 t=9900 n h t=9950 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 unload1:m1/a2@2 load1:m1/a1@3 "
+     "unload1:m1/a1@4 load1:m1/a2@5"},
+    {"unload_that_holds_is_trusted_after_a_newer_report",
+     "e1:m1,m1/a1,m1/a2 n r1:0:m1,m1/a1,m1/a2 t=9000 w:m1/a3=1 n a t=9050 n a "
+     "w:m1/a3=0 t=9100 w:m6=1 n a w:m6=0 t=15500 n r1:5:m1,m6,m1/a1,m1/a2 "
+     "w:m1/a2:run=1 w:m1/a3=1 n h t=15520 n",
+     "report1 unload1:m1/a1@0 load1:m1/a3@1 load1:m6@2 report1 "
+     "unload1:m1/a1@5 load1:m1/a3@6"},
     {"busy_engine_waits", "e1: n r1:3::busy w:m1=1 n t=400 n r1:3: n",
      "report1 - report1 load1:m1@3"},
     {"unsent_order_is_planned_again", "e1: n r1:0: w:m1=1 n x n",
@@ -226,6 +252,26 @@
      "e1: n r1:1: w:m6=1 n u w:m6=0 t=400 n r1:2:m6 w:m1=1 n u w:m1=0 "
      "t=800 n r1:2:m6 e1::born n r1:0::disk=m2,m6 w:m2=1 n w:m2=0 w:m6=1 n",
      "report1 load1:m6@1 report1 load1:m1@2 report1 report1 - load1:m6@0"},
+    {"late_orders_in_a_row_fit_an_empty_engine",
+     "e1: n r1:0: w:m4=1 n u w:m4=0 t=400 n r1:0: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:1:m6 w:m7=1 n t=11900 w:m7=1 n t=12001 n",
+     "report1 load1:m4@0 report1 load1:m6@0 report1 - - load1:m7@1"},
+    {"late_orders_in_a_row_behind_an_eviction_fit_an_empty_engine",
+     "e1:m3 n r1:0:m3 w:m4=1 n u w:m4=0 t=400 n r1:0:m3 t=9000 w:m7=1 n "
+     "t=12000 n t=12001 n a t=12200 n r1:1: n",
+     "report1 load1:m4@0 report1 - - unload1:m3@0 report1 load1:m7@1"},
+    {"load_behind_a_late_order_that_fits_beside_it",
+     "e1: n r1:0: w:m4=1 n u w:m4=0 t=400 n r1:0: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:1:m6 w:m1=1 n",
+     "report1 load1:m4@0 report1 load1:m6@0 report1 load1:m1@1"},
+    {"load_of_the_item_of_a_late_order",
+     "e1: n r1:0: w:m7=1 n u w:m7=0 t=400 n r1:0: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:1:m6 w:m7=1 n",
+     "report1 load1:m7@0 report1 load1:m6@0 report1 load1:m7@1"},
+    {"load_behind_late_orders_that_do_not_begin_at_0",
+     "e1: n r1:1: w:m4=1 n u w:m4=0 t=400 n r1:1: w:m6=1 n a w:m6=0 t=7000 n "
+     "r1:2:m6 w:m7=1 n",
+     "report1 load1:m4@1 report1 load1:m6@1 report1 load1:m7@2"},
     {"unload_that_holds_beside_a_late_order",
      "e1:m1,m1/a1 n r1:3:m1,m1/a1 w:m6=1 n u w:m6=0 t=500 e1::born n "
      "r1:2:m1,m1/a1 w:m1/a2=1 n a w:m1/a2=0 w:m1/a2:run=1 t=9000 "
@@ -247,6 +293,13 @@
      "e1:m1,m2 t=1000 begin n r1:0:m1,m2 t=2000 e1::born n r1:0::disk=m4 "
      "w:m4=1 n t=15999 w:m4=1 n t=16000 n",
      "report1 report1 - - load1:m4@0"},
+    {"report_of_a_process_whose_entry_is_late",
+     "e1:m3 t=1000 begin n r1:0::born w:m4=1 t=1600 n r1:0::born n e1::born n "
+     "r1:0::disk=m4 n t=14600 w:m4=1 n t=16000 n",
+     "report1 report1 - report1 - - load1:m4@0"},
+    {"report_of_a_former_process_does_not_undo_a_restart",
+     "e1:m1 n r1:3:m1 e1::born n r1:3:m1:first w:m2=1 n t=600 n r1:0: n",
+     "report1 report1 - report1 load1:m2@0"},
     {"restart_long_before_the_term",
      "e1:m1,m2 t=1000 e1::born t=16000 begin n r1:0::disk=m4 w:m4=1 n",
      "report1 load1:m4@0"},
@@ -429,6 +482,20 @@
     info->started_ms = 1;
 }
 
+/* Returns 0 for what names no process. */
+static int64_t
+find_start_ms(const char *process)
+{
+    static const char *const processes[] = {"first", "born", "again"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(processes); i++) {
+        if (g_strcmp0(process, processes[i]) == 0) {
+            return (int64_t)i + 1;
+        }
+    }
+    return 0;
+}
+
 static void
 apply_entry(struct plan_fixture *fixture, char number, char **parts)
 {
@@ -437,7 +504,7 @@
     fill_info(&change.info, number);
     parse_items(parts[1], &change.info.held, &change.info.has_unknown_items);
     if (parts[2] != NULL) {
-        change.info.started_ms = strcmp(parts[2], "born") == 0 ? 2 : 3;
+        change.info.started_ms = find_start_ms(parts[2]);
     }
     plan_apply_target_change(&fixture->plan, &change, fixture->now_ms);
 }
@@ -453,6 +520,10 @@
     call.step.is_report = true;
     call.step.started_ms = engine->info.started_ms;
     g_strlcpy(call.step.target, call.info.id, sizeof(call.step.target));
+    call.info.started_ms = find_start_ms(parts[3]);
+    if (call.info.started_ms == 0) {
+        call.info.started_ms = engine->info.started_ms;
+    }
     call.info.sequence = g_ascii_strtoll(parts[1], NULL, 10);
     parse_items(parts[2], &call.info.held, &call.info.has_unknown_items);
     if (parts[3] != NULL && strcmp(parts[3], "busy") == 0) {
