Fault soak: planned work, silences of sound engines, and LOST

The soak had no sound engine that falls silent and goes on, no answer that lasts when a stop begins, and no check of connections that end without a complete answer.

- test/soak/silence.c: an engine writes nothing for 0.5 to 2 s, neither heads nor events nor the rest of a body, and goes on with all it held.
- SOAK_PLANNED runs: SIGTERM of gates that overlap, SIGHUP, changes of the configuration in quick succession and silences only.
Callers connect to the gates themselves, keep their connections, and ask for answers of up to 8 s, 2 s longer than the grace period.
- test/soak/lost.c: the check LOST, with its exceptions as a table.
Each connection that ends without a complete answer is put down to one of them and counted, or it is a violation.
- SOAK_GATES and SOAK_CALLERS set how many there are.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -25,6 +25,14 @@
     PAUSE_MAX_MS = 30,
     BYTES = 4096,
     RECONNECT_PERCENT = 25,
+    /* callers keep connections, so that requests meet a stop on them */
+    PLANNED_RECONNECT_PERCENT = 5,
+    LOSS_SLACK_MS = 200,
+    /* of the requests beside planned work that last long */
+    LONG_PERCENT = 40,
+    LONG_MAX_MS = 3000,
+    LONGEST_PERCENT = 10,
+    LONGEST_MAX_MS = GRACE_S * 1000 + 2000,
 };
 
 /* Properties of the route of each kind of request. */
@@ -46,6 +54,8 @@
 /* One request, with the state of the gate and the config when it was sent. */
 struct soak_request {
     enum request_kind kind;
+    int size; /* events of a stream, parts of a body */
+    int64_t deadline_ms;
     struct soak_gate *gate;
     char attempt_id[NAME_MAX_BYTES];
     int64_t sent_ms;
@@ -58,9 +68,10 @@
     struct soak *soak;
     int number;
     GRand *random;
-    int fds[GATES];
-    int64_t seen_version[GATES]; /* newest config that each gate has served */
-    int seen_start_count[GATES];
+    int fds[GATES_MAX];
+    /* newest config that each gate has served */
+    int64_t seen_version[GATES_MAX];
+    int seen_start_count[GATES_MAX];
     int request_count;
 };
 
@@ -172,12 +183,12 @@
 }
 
 static int
-connect_to_port(int port)
+connect_to(const char *ip, int port)
 {
     struct sockaddr_in address = {
         .sin_family = AF_INET,
         .sin_port = htons((uint16_t)port),
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_addr.s_addr = inet_addr(ip),
     };
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
@@ -208,10 +219,11 @@
     GString *text;
 
     if (!request_kinds[request->kind].stream) {
-        return soak_body(request->attempt_id, service == 0 ? "p0" : "p1");
+        return soak_body(request->attempt_id, service == 0 ? "p0" : "p1",
+                         request->size);
     }
     text = g_string_new(NULL);
-    for (int i = 0; i < STREAM_EVENTS; i++) {
+    for (int i = 0; i < request->size; i++) {
         g_string_append_printf(text, "id: %d\ndata: %s:%d\n\n", i,
                                request->attempt_id, i);
     }
@@ -448,23 +460,48 @@
     char *model =
         kind->names_model ? model_fields(state->random) : g_strdup("");
     char *text =
-        g_strdup_printf("GET %s1 HTTP/1.1\r\nHost: h\r\n"
+        g_strdup_printf("GET %s%d HTTP/1.1\r\nHost: h\r\n"
                         "Attempt-Id: %s\r\nDeadline-Ms: %d\r\n"
                         "%s\r\n",
-                        kind->path, request->attempt_id, DEADLINE_MS, model);
+                        kind->path, request->size, request->attempt_id,
+                        (int)request->deadline_ms, model);
 
     g_free(model);
     return text;
 }
 
+/* Some requests last for seconds beside planned work, a few longer than the
+ * grace period. */
+static int
+request_size(struct caller_state *state, enum request_kind kind, bool calm)
+{
+    int usual = request_kinds[kind].stream ? STREAM_EVENTS : 1;
+    int percent;
+
+    if (state->soak->kind != SOAK_PLANNED || calm) {
+        return usual;
+    }
+    percent = g_rand_int_range(state->random, 0, 100);
+    if (percent < LONGEST_PERCENT) {
+        return g_rand_int_range(state->random, LONG_MAX_MS, LONGEST_MAX_MS) /
+               EVENT_INTERVAL_MS;
+    }
+    return percent < LONG_PERCENT
+               ? g_rand_int_range(state->random, STREAM_EVENTS,
+                                  LONG_MAX_MS / EVENT_INTERVAL_MS)
+               : usual;
+}
+
 static void
 prepare_request(struct caller_state *state, struct soak_request *request)
 {
     struct soak *soak = state->soak;
+    bool calm;
 
     request->kind =
         (enum request_kind)g_rand_int_range(state->random, 0, KIND_COUNT);
-    request->gate = &soak->gates[g_rand_int_range(state->random, 0, GATES)];
+    request->gate =
+        &soak->gates[g_rand_int_range(state->random, 0, soak->gate_count)];
     g_snprintf(request->attempt_id, sizeof(request->attempt_id), "c%d-%d",
                state->number, state->request_count++);
     pthread_mutex_lock(&soak->lock);
@@ -472,15 +509,47 @@
     request->config_version = soak->config_version;
     request->config_acked_ms = soak->config_acked_ms;
     request->gate_start_count = request->gate->start_count;
+    calm = soak->faults_ended_ms != 0;
     pthread_mutex_unlock(&soak->lock);
+    request->deadline_ms =
+        soak->kind == SOAK_PLANNED ? PLANNED_TIMEOUT_MS : DEADLINE_MS;
+    request->size = request_size(state, request->kind, calm);
     request->sent_ms = clock_now_ms();
 }
 
+/* Whether the gate has neither answered nor closed the connection within
+ * LOSS_SLACK_MS. */
+static bool
+is_open_after_slack(int fd)
+{
+    struct pollfd wait = {.fd = fd, .events = POLLIN};
+
+    return poll(&wait, 1, LOSS_SLACK_MS) == 0;
+}
+
+static void
+check_end(struct caller_state *state, const struct soak_request *request,
+          const struct reply *reply, struct soak_end *end)
+{
+    end->attempt = request->attempt_id;
+    end->gate = request->gate;
+    end->start = request->gate_start_count;
+    end->stream = request_kinds[request->kind].stream;
+    end->complete = reply->complete;
+    end->status = reply->status;
+    end->sent_ms = request->sent_ms;
+    end->deadline_ms = request->deadline_ms;
+    end->end_ms = clock_now_ms();
+    soak_request_ended(state->soak, end);
+}
+
 static void
 send_and_check(struct caller_state *state)
 {
     struct soak_request request = {0};
     struct reply reply = {.body = g_string_new(NULL)};
+    bool planned = state->soak->kind == SOAK_PLANNED;
+    struct soak_end end = {0};
     char *text;
     int *fd;
 
@@ -492,18 +561,25 @@
                             request.gate->number, request.attempt_id);
     }
     if (*fd >= 0 &&
-        g_rand_int_range(state->random, 0, 100) < RECONNECT_PERCENT) {
+        g_rand_int_range(state->random, 0, 100) <
+            (planned ? PLANNED_RECONNECT_PERCENT : RECONNECT_PERCENT)) {
         close(*fd);
         *fd = -1;
     }
     if (*fd < 0) {
-        *fd = connect_to_port(request.gate->frontend_link->port);
+        *fd = planned
+                  ? connect_to(request.gate->ip, FRONTEND_PORT)
+                  : connect_to("127.0.0.1", request.gate->frontend_link->port);
     }
     text = request_text(state, &request);
-    if (*fd >= 0 &&
-        send(*fd, text, strlen(text), MSG_NOSIGNAL) == (ssize_t)strlen(text)) {
-        if (reply_read(*fd, request.sent_ms + DEADLINE_MS + RESPONSE_SLACK_MS,
-                       &reply)) {
+    end.sent = *fd >= 0 && send(*fd, text, strlen(text), MSG_NOSIGNAL) ==
+                               (ssize_t)strlen(text);
+    if (end.sent) {
+        end.late = is_open_after_slack(*fd);
+        if (reply_read(
+                *fd, request.sent_ms + request.deadline_ms + RESPONSE_SLACK_MS,
+                &reply)) {
+            check_end(state, &request, &reply, &end);
             check_reply(state, &request, &reply);
         }
         else if (gate_was_unaffected(state->soak, &request)) {
@@ -512,6 +588,9 @@
                                 request.attempt_id, request.gate->number);
         }
     }
+    else if (*fd >= 0) {
+        check_end(state, &request, &reply, &end);
+    }
     if (*fd >= 0 && (!reply.complete || !reply.keep_alive)) {
         close(*fd);
         *fd = -1;
@@ -526,14 +605,14 @@
 {
     struct caller_state *state = argument;
 
-    for (int i = 0; i < GATES; i++) {
+    for (int i = 0; i < state->soak->gate_count; i++) {
         state->fds[i] = -1;
     }
     while (!atomic_load(&state->soak->stopping)) {
         send_and_check(state);
         soak_delay(g_rand_int_range(state->random, 1, PAUSE_MAX_MS));
     }
-    for (int i = 0; i < GATES; i++) {
+    for (int i = 0; i < state->soak->gate_count; i++) {
         if (state->fds[i] >= 0) {
             close(state->fds[i]);
         }
--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -11,7 +11,11 @@
 #include "test/soak/dat.h"
 #include "test/soak/fns.h"
 
-enum { LARGE_BODY_STEP = 8, LARGE_BODY_BYTES = 300000 };
+enum {
+    LARGE_BODY_STEP = 8,
+    LARGE_BODY_BYTES = 300000,
+    TIMEOUT_MS = 8000,
+};
 
 /* Records a violated guarantee. All are printed, as the first one need not be
  * the one that is sought; the result names the first. Must be called without
@@ -104,15 +108,15 @@
 }
 
 /* The body with which an engine answers a request. Some are longer than a gate
- * buffers. */
+ * buffers, as are all that are sent in parts. */
 char *
-soak_body(const char *attempt, const char *service)
+soak_body(const char *attempt, const char *service, int parts)
 {
     GString *body = g_string_new(NULL);
 
     do {
         g_string_append_printf(body, "%s by %s", attempt, service);
-    } while (g_str_hash(attempt) % LARGE_BODY_STEP == 0 &&
+    } while ((parts > 1 || g_str_hash(attempt) % LARGE_BODY_STEP == 0) &&
              body->len < LARGE_BODY_BYTES);
     return g_string_free(body, FALSE);
 }
@@ -149,7 +153,7 @@
 };
 
 static char *
-routes_text(int64_t version)
+routes_text(int64_t version, int timeout_ms)
 {
     GString *text = g_string_new(NULL);
     const char *changing = version % 2 == 0 ? "p0" : "p1";
@@ -161,11 +165,11 @@
             text,
             "%s{\"name\":\"%s\",\"host\":\"h\",\"path_prefix\":\"/%s/\","
             "\"kind\":\"%s\",\"service\":\"%s\",\"resumable\":%s,"
-            "\"gap_aim_ms\":300,\"timeout_ms\":8000,"
+            "\"gap_aim_ms\":300,\"timeout_ms\":%d,"
             "\"latency_goal_ms\":500,\"max_attempts\":3}",
             i > 0 ? "," : "", route->name, route->name, route->kind,
             route->service != NULL ? route->service : changing,
-            route->resumable ? "true" : "false");
+            route->resumable ? "true" : "false", timeout_ms);
     }
     return g_string_free(text, FALSE);
 }
@@ -177,7 +181,8 @@
 {
     int64_t version = soak->config_version + 1;
     char *models = models_text();
-    char *route_list = routes_text(version);
+    char *route_list = routes_text(
+        version, soak->kind == SOAK_PLANNED ? PLANNED_TIMEOUT_MS : TIMEOUT_MS);
     char *text = g_strdup_printf(
         "{\"version\":%d,\"routes\":[%s],"
         "\"services\":[{\"name\":\"p0\"},{\"name\":\"p1\"},"
@@ -187,6 +192,9 @@
         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}",
         (int)version, route_list, models);
 
+    pthread_mutex_lock(&soak->lock);
+    soak->config_sent_ms = clock_now_ms();
+    pthread_mutex_unlock(&soak->lock);
     if (soak_store_put(soak->store, "op/config", text, 0)) {
         pthread_mutex_lock(&soak->lock);
         soak->config_version = version;
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -5,16 +5,22 @@
 
 enum {
     GATES = 3,
+    GATES_MAX = 48,
     ENGINES = 7, /* the first MODEL_ENGINES serve models, the rest is plain */
     MODEL_ENGINES = 3,
     MODELS = 8, /* more than fit into the engines' memory */
     CALLERS = 10,
-    LINKS_MAX = 2 * GATES + ENGINES,
+    PLANNED_CALLERS = 24, /* as many requests besides those that last long */
+    CALLERS_MAX = 96,
+    LINKS_MAX = 2 * GATES_MAX + ENGINES,
     FRONTEND_PORT = 8000,
     READINESS_PORT = 8001,
     DIRECTORY_PORT = 8002,
     PEER_PORT = 7100,
     STREAM_EVENTS = 6,
+    EVENT_INTERVAL_MS = 30, /* also between the parts of a slow body */
+    GRACE_S = 6,
+    PLANNED_TIMEOUT_MS = 12000, /* requests outlast a grace period */
     /* Limits of the guarantees, as in deployments. */
     DRAIN_BOUND_MS = 3000,
     CONFIG_BOUND_MS = 3000,
@@ -117,6 +123,28 @@
     bool spoils;
 };
 
+/**
+ * enum soak_kind - what happens in a run
+ * @SOAK_FAULTS: faults of all kinds; each third seed strikes engines only
+ * @SOAK_PLANNED: planned work and silences of sound engines only; callers
+ *                connect to the gates without a proxy
+ */
+enum soak_kind { SOAK_FAULTS, SOAK_PLANNED };
+
+/**
+ * struct disruption - unplanned faults of one target
+ * @active: number of them in progress
+ * @ended_ms: when the last one ended
+ */
+struct disruption {
+    int active;
+    int64_t ended_ms;
+};
+
+enum {
+    CUT_NAMES = 16, /* exceptions to LOST that are counted */
+};
+
 struct proxy;
 struct soak_store;
 struct spoiler;
@@ -132,6 +160,7 @@
  * @holder: sender of the last order, received at @holder_ms
  * @previous_holder: sender before @holder, last seen at @previous_holder_ms
  * @highest_fence: highest fencing token received
+ * @silent_until_ms: it writes nothing before that
  */
 struct soak_engine {
     struct soak *soak;
@@ -154,6 +183,8 @@
     char previous_holder[NAME_MAX_BYTES];
     int64_t previous_holder_ms;
     int64_t highest_fence;
+    int64_t silent_until_ms;
+    struct disruption disruption;
 };
 
 /**
@@ -163,6 +194,11 @@
  * @start_count: number of starts
  * @resumed_ms: when it was last continued after a pause
  * @fault_until_ms: end of the last fault that affects it; INT64_MAX during one
+ * @terminated_ms: last SIGTERM, sent to the process of start @terminated_start
+ * @reloaded_ms: last SIGHUP
+ * @ends: requests that ended beside a change of the configuration and at
+ *        other times, without planned work at the gate
+ * @cuts: those of them that count as LOST
  */
 struct soak_gate {
     int number;
@@ -174,6 +210,12 @@
     int start_count;
     int64_t resumed_ms;
     int64_t fault_until_ms;
+    int64_t terminated_ms;
+    int terminated_start;
+    int64_t reloaded_ms;
+    int ends[2];
+    int cuts[2];
+    struct disruption disruption;
     struct link *frontend_link;
     struct link *store_link;
 };
@@ -188,7 +230,12 @@
  * @engine_percents: share of the requests that each engine fault strikes
  * @refused: attempt ids of at-most-once requests that were refused as not run
  * @config_version: last configuration version that the store acknowledged
- * @config_acked_ms: when the store acknowledged it
+ * @config_sent_ms: when the last version was sent to the store
+ * @config_acked_ms: when the store acknowledged @config_version
+ * @works: attempt id -> struct soak_work
+ * @excused: cut connections, by the exception to LOST that holds
+ * @store_disruption: of the store
+ * @response_disruption: of the responses of all engines
  * @store_fault_until_ms: end of the last store fault; INT64_MAX during one
  * @recovered: gates and request kinds served since @faults_ended_ms
  * @faults_ended_ms: when the last fault ended; 0 before that
@@ -196,6 +243,9 @@
 struct soak {
     pthread_mutex_t lock;
     uint64_t seed;
+    enum soak_kind kind;
+    int gate_count;
+    int caller_count;
     GRand *random;
     int64_t start_ms;
     int64_t end_ms;
@@ -204,23 +254,66 @@
     GHashTable *run_counts;
     GHashTable *refused;
     GHashTable *answered;
+    GHashTable *works;
+    int excused[CUT_NAMES];
+    struct disruption store_disruption;
+    struct disruption response_disruption;
     int engine_percents[ENGINE_FAULT_COUNT];
     int64_t config_version;
+    int64_t config_sent_ms;
     int64_t config_acked_ms;
     int64_t store_fault_until_ms;
     struct proxy *proxy;
     struct soak_store *store;
     struct soak_engine engines[ENGINES];
-    struct soak_gate gates[GATES];
+    struct soak_gate gates[GATES_MAX];
     char directory[PATH_MAX_BYTES];
     char program[PATH_MAX_BYTES];
-    bool recovered[GATES][KIND_COUNT];
+    bool recovered[GATES_MAX][KIND_COUNT];
     int64_t faults_ended_ms;
     int64_t request_count;
     int64_t served_count;
     int fault_count;
 };
 
+/**
+ * struct soak_work - what engines have done for an attempt
+ * @engines: bit N is set when engine N received it
+ * @engine_id: the last one that received it
+ * @began_ms: when that was
+ * @ended_ms: when that one had written its whole response; 0 before that
+ * @broke_off: an engine ended its response early
+ */
+struct soak_work {
+    unsigned engines;
+    char engine_id[NAME_MAX_BYTES];
+    int64_t began_ms;
+    int64_t ended_ms;
+    bool broke_off;
+};
+
+/**
+ * struct soak_end - how an attempt ended at its caller
+ * @start: number of the gate's process, counted from its first start
+ * @sent: the whole request was written
+ * @late: the connection was open LOSS_SLACK_MS after the last byte
+ * @complete: the response was complete
+ * @status: of the response; 0 without a head
+ */
+struct soak_end {
+    const char *attempt;
+    struct soak_gate *gate;
+    int start;
+    bool stream;
+    bool sent;
+    bool late;
+    bool complete;
+    int status;
+    int64_t sent_ms;
+    int64_t deadline_ms;
+    int64_t end_ms;
+};
+
 /**
  * struct reply - response that a caller received
  * @status: 0 without a complete response head, -1 for invalid HTTP
--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -21,7 +21,6 @@
     LOCAL_LOAD_MS = 150,
     UNLOAD_MS = 50,
     RUN_MS = 60,
-    EVENT_INTERVAL_MS = 30,
     LEASE_MS = 3000,
     MODEL_MB = 60,
     MEMORY_MB = 130,
@@ -152,6 +151,7 @@
     struct json_object *body;
 
     (void)request;
+    soak_silence_wait(engine);
     pthread_mutex_lock(&engine->soak->lock);
     finish_load(engine, clock_now_ms());
     body = holdings_json(engine);
@@ -188,7 +188,7 @@
 static bool
 has_just_resumed(const struct soak *soak, const char *holder, int64_t now_ms)
 {
-    for (int i = 0; i < GATES; i++) {
+    for (int i = 0; i < soak->gate_count; i++) {
         char *name = g_strdup_printf("gate-%d", i);
         bool same = strcmp(name, holder) == 0;
 
@@ -330,6 +330,7 @@
             engine->soak, "LIMIT: %s was ordered to load %s beyond its memory",
             engine->id, item);
     }
+    soak_silence_wait(engine);
     ulfius_set_string_body_response(response, status, "");
     json_object_put(order);
     g_free(violation);
@@ -342,6 +343,7 @@
     struct soak_engine *engine;
     char engine_id[NAME_MAX_BYTES];
     char attempt_id[NAME_MAX_BYTES];
+    int event_count;
     int next_number;
     char text[EVENT_BYTES];
     size_t sent;
@@ -367,11 +369,14 @@
 
     (void)offset;
     if (stream->text[stream->sent] == '\0') {
-        if (stream->next_number >= STREAM_EVENTS) {
+        if (stream->next_number >= stream->event_count) {
+            soak_work_end(stream->engine, stream->attempt_id, true);
             return U_STREAM_END;
         }
         soak_delay(EVENT_INTERVAL_MS);
+        soak_silence_wait(stream->engine);
         if (!stream_is_alive(stream)) {
+            soak_work_end(stream->engine, stream->attempt_id, false);
             return U_STREAM_ERROR;
         }
         g_snprintf(stream->text, sizeof(stream->text),
@@ -388,13 +393,14 @@
 
 static void
 start_stream(struct soak_engine *engine, const struct _u_request *request,
-             const char *attempt, struct _u_response *response)
+             const char *attempt, int size, struct _u_response *response)
 {
     struct stream *stream = g_new0(struct stream, 1);
     const char *last = u_map_get_case(request->map_header, "Last-Event-Id");
 
     soak_record_answer(engine->soak, attempt, 200);
     stream->engine = engine;
+    stream->event_count = size;
     g_strlcpy(stream->engine_id, engine->id, sizeof(stream->engine_id));
     g_strlcpy(stream->attempt_id, attempt, sizeof(stream->attempt_id));
     stream->next_number = last != NULL ? atoi(last) + 1 : 0;
@@ -418,7 +424,7 @@
         soak->store_fault_until_ms > since_ms) {
         return false;
     }
-    for (int i = 0; i < GATES; i++) {
+    for (int i = 0; i < soak->gate_count; i++) {
         if (soak->gates[i].fault_until_ms > since_ms) {
             return false;
         }
@@ -485,18 +491,26 @@
     soak_record_answer(engine->soak, attempt,
                        status == 200 ? STATUS_NO_EVENTS : (int)status);
     ulfius_set_string_body_response(response, status, body);
+    soak_work_end(engine, attempt, true);
     g_free(body);
 }
 
 static void
-respond(struct soak_engine *engine, const char *attempt,
+respond(struct soak_engine *engine, const char *attempt, int size,
         struct _u_response *response)
 {
-    char *body = soak_body(attempt, engine->service);
+    char *body;
 
     soak_delay(RUN_MS);
+    soak_silence_wait(engine);
     soak_record_answer(engine->soak, attempt, 200);
+    if (size > 1) {
+        soak_respond_slowly(engine, attempt, size, response);
+        return;
+    }
+    body = soak_body(attempt, engine->service, size);
     ulfius_set_string_body_response(response, 200, body);
+    soak_work_end(engine, attempt, true);
     g_free(body);
 }
 
@@ -509,6 +523,7 @@
     const char *path = request->http_url;
     bool stream = strstr(path, "stream/") != NULL || strstr(path, "chat/");
     bool once = strstr(path, "once/") != NULL || strstr(path, "chat/");
+    int size = atoi(strrchr(path, '/') + 1);
     bool drained;
     unsigned failure = 0;
     bool typed;
@@ -527,26 +542,30 @@
     drained = status == 0 && drain_is_known(engine, clock_now_ms());
     pthread_mutex_unlock(&engine->soak->lock);
     attempt = attempt != NULL ? attempt : "";
+    soak_work_begin(engine, attempt);
     ulfius_add_header_to_response(response, "Attempt-Id", attempt);
     if (drained) {
         soak_record_failure(engine->soak, "DRAIN: draining %s received %s",
                             engine->id, attempt);
     }
     if (status != 0) {
+        soak_silence_wait(engine);
+        soak_work_end(engine, attempt, true);
         ulfius_add_header_to_response(response, "Not-Executed", "1");
         ulfius_set_string_body_response(response, status, "not run");
         return U_CALLBACK_COMPLETE;
     }
     soak_record_run(engine->soak, attempt, once);
+    soak_silence_wait(engine);
     ulfius_add_header_to_response(response, "Server-Seal", "s");
     if (failure != 0) {
         respond_with_text(engine, attempt, failure, typed, response);
     }
     else if (stream) {
-        start_stream(engine, request, attempt, response);
+        start_stream(engine, request, attempt, size, response);
     }
     else {
-        respond(engine, attempt, response);
+        respond(engine, attempt, size, response);
     }
     return U_CALLBACK_COMPLETE;
 }
@@ -556,7 +575,7 @@
 {
     struct soak_engine *engine = &soak->engines[number];
     struct http_limits limits = {.body_max_bytes = 1 << 16,
-                                 .connections_max = 256};
+                                 .connections_max = 1024};
     struct err err = {0};
 
     engine->soak = soak;
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -24,27 +24,41 @@
     STORE_DELAY_MS = 400,
     DRAIN_DURATION_MS = 5000,
     END_ALL_MS = 60000,
+    PLANNED_ACTIVE_MAX = 12,
+    PLANNED_INTERVAL_MAX_MS = 450, /* so that silences meet each stop */
+    CONFIG_SERIES_MAX = 3,
+    SILENCE_MIN_MS = 500,
+    SILENCE_MAX_MS = 2000,
     /* every third seed injects only faults that affect no gate or store */
     GATES_UNAFFECTED_SEED_STEP = 3,
 };
 
 struct fault;
 
+enum fault_target {
+    TARGET_GATE,
+    TARGET_ENGINE,
+    TARGET_STORE,
+    TARGET_RESPONSES, /* of all engines */
+};
+
 /**
  * struct fault_ops - operations of one kind of fault
  * @gates_unaffected: gates and store count as free of faults meanwhile, so the
  *                    checks that require this stay in force
- * @target_count: number of possible targets
+ * @target: what it strikes; one of them, if there are several
  * @end: undoes the fault; false when it must be called again later
  * @kind: the enum spoil_kind or enum engine_fault that it begins and ends
+ * @sound: no disruption: it excuses no connection that ends without an answer
  */
 struct fault_ops {
     const char *name;
     bool gates_unaffected;
-    int target_count;
+    enum fault_target target;
     void (*begin)(struct soak *soak, struct fault *fault);
     bool (*end)(struct soak *soak, struct fault *fault);
     int kind;
+    bool sound;
 };
 
 /**
@@ -63,17 +77,21 @@
 
 /**
  * struct fault_source - faults that are drawn independently of other sources
+ * @run: the kind of run in which it draws
  * @kinds: what it draws from
  * @active_max: how many of its faults are in progress at most
  * @duration_max_ms: longest fault
+ * @interval_max_ms: longest time between two draws
  * @active: struct fault of those in progress
  * @next_ms: when it draws the next one
  */
 struct fault_source {
+    enum soak_kind run;
     const struct fault_ops *kinds;
     int kind_count;
     guint active_max;
     int duration_max_ms;
+    int interval_max_ms;
     GRand *random;
     GArray *active;
     int64_t next_ms;
@@ -99,7 +117,7 @@
 static struct soak_gate *
 fault_gate(struct soak *soak, const struct fault *fault)
 {
-    return &soak->gates[fault->target % GATES];
+    return &soak->gates[fault->target % soak->gate_count];
 }
 
 static struct soak_engine *
@@ -112,15 +130,15 @@
 begin_kill(struct soak *soak, struct fault *fault)
 {
     set_gate_fault_until(soak, fault_gate(soak, fault), INT64_MAX);
-    soak_gate_signal(fault_gate(soak, fault), SIGKILL);
+    soak_gate_signal(soak, fault_gate(soak, fault), SIGKILL);
 }
 
 static void
 begin_terminate(struct soak *soak, struct fault *fault)
 {
     set_gate_fault_until(soak, fault_gate(soak, fault), INT64_MAX);
-    soak_gate_signal(fault_gate(soak, fault), SIGCONT);
-    soak_gate_signal(fault_gate(soak, fault), SIGTERM);
+    soak_gate_signal(soak, fault_gate(soak, fault), SIGCONT);
+    soak_gate_signal(soak, fault_gate(soak, fault), SIGTERM);
 }
 
 static bool
@@ -140,7 +158,7 @@
 begin_pause(struct soak *soak, struct fault *fault)
 {
     set_gate_fault_until(soak, fault_gate(soak, fault), INT64_MAX);
-    soak_gate_signal(fault_gate(soak, fault), SIGSTOP);
+    soak_gate_signal(soak, fault_gate(soak, fault), SIGSTOP);
 }
 
 static bool
@@ -150,7 +168,7 @@
     pthread_mutex_lock(&soak->lock);
     fault_gate(soak, fault)->resumed_ms = clock_now_ms();
     pthread_mutex_unlock(&soak->lock);
-    soak_gate_signal(fault_gate(soak, fault), SIGCONT);
+    soak_gate_signal(soak, fault_gate(soak, fault), SIGCONT);
     set_gate_fault_until(soak, fault_gate(soak, fault), clock_now_ms());
     return true;
 }
@@ -158,7 +176,7 @@
 static void
 begin_reload(struct soak *soak, struct fault *fault)
 {
-    soak_gate_signal(fault_gate(soak, fault), SIGHUP);
+    soak_gate_signal(soak, fault_gate(soak, fault), SIGHUP);
 }
 
 static bool
@@ -378,48 +396,139 @@
 }
 
 static const struct fault_ops fault_kinds[] = {
-    {"gate_kill", false, GATES, begin_kill, end_restart, 0},
-    {"gate_term", false, GATES, begin_terminate, end_restart, 0},
-    {"gate_pause", false, GATES, begin_pause, end_pause, 0},
-    {"gate_reload", true, GATES, begin_reload, end_nothing, 0},
-    {"front_link", false, GATES, begin_frontend_link, end_frontend_link, 0},
-    {"store_link", false, GATES, begin_store_link, end_store_link, 0},
-    {"engine_link", true, ENGINES, begin_engine_link, end_engine_link, 0},
-    {"answers_lost", true, ENGINES, begin_responses_lost, end_engine_link, 0},
-    {"engine_crash", true, ENGINES, begin_crash, end_crash, 0},
-    {"engine_leave", true, ENGINES, begin_drain, end_drain, 0},
-    {"store_away", false, 1, begin_store_down, end_store_down, 0},
-    {"store_slow", false, 1, begin_store_slow, end_store_slow, 0},
-    {"store_lose", false, 1, begin_store_responses_lost,
-     end_store_responses_lost, 0},
-    {"store_forget", true, 1, begin_store_compaction, end_nothing, 0},
-    {"config", true, 1, begin_config, end_nothing, 0},
+    {"gate_kill", false, TARGET_GATE, begin_kill, end_restart, 0, false},
+    {"gate_term", false, TARGET_GATE, begin_terminate, end_restart, 0, true},
+    {"gate_pause", false, TARGET_GATE, begin_pause, end_pause, 0, false},
+    {"gate_reload", true, TARGET_GATE, begin_reload, end_nothing, 0, true},
+    {"front_link", false, TARGET_GATE, begin_frontend_link, end_frontend_link,
+     0, false},
+    {"store_link", false, TARGET_GATE, begin_store_link, end_store_link, 0,
+     false},
+    {"engine_link", true, TARGET_ENGINE, begin_engine_link, end_engine_link, 0,
+     false},
+    {"answers_lost", true, TARGET_ENGINE, begin_responses_lost,
+     end_engine_link, 0, false},
+    {"engine_crash", true, TARGET_ENGINE, begin_crash, end_crash, 0, false},
+    {"engine_leave", true, TARGET_ENGINE, begin_drain, end_drain, 0, false},
+    {"store_away", false, TARGET_STORE, begin_store_down, end_store_down, 0,
+     false},
+    {"store_slow", false, TARGET_STORE, begin_store_slow, end_store_slow, 0,
+     false},
+    {"store_lose", false, TARGET_STORE, begin_store_responses_lost,
+     end_store_responses_lost, 0, false},
+    {"store_forget", true, TARGET_STORE, begin_store_compaction, end_nothing,
+     0, true},
+    {"config", true, TARGET_STORE, begin_config, end_nothing, 0, true},
 };
 
 /* These strike all engines. */
 static const struct fault_ops response_fault_kinds[] = {
-    {"repeated", true, 1, begin_spoiling, end_spoiling, SPOIL_REPEATED},
-    {"repeated_late", true, 1, begin_spoiling, end_spoiling,
-     SPOIL_REPEATED_LATE},
-    {"extra_bytes", true, 1, begin_spoiling, end_spoiling, SPOIL_EXTRA_BYTES},
-    {"extra_bytes_late", true, 1, begin_spoiling, end_spoiling,
-     SPOIL_EXTRA_BYTES_LATE},
-    {"encoded", true, 1, begin_spoiling, end_spoiling, SPOIL_ENCODED},
-    {"unsigned", true, 1, begin_spoiling, end_spoiling, SPOIL_UNSIGNED},
-    {"interim", true, 1, begin_spoiling, end_spoiling, SPOIL_INTERIM},
-    {"not_http", true, 1, begin_spoiling, end_spoiling, SPOIL_NOT_HTTP},
-    {"broken_fin", true, 1, begin_spoiling, end_spoiling, SPOIL_BROKEN_FIN},
-    {"broken_reset", true, 1, begin_spoiling, end_spoiling,
-     SPOIL_BROKEN_RESET},
-    {"unframed", true, 1, begin_spoiling, end_spoiling, SPOIL_UNFRAMED},
-    {"unframed_reset", true, 1, begin_spoiling, end_spoiling,
-     SPOIL_UNFRAMED_RESET},
-    {"full", true, 1, begin_engine_fault, end_engine_fault, ENGINE_FULL},
-    {"failing", true, 1, begin_engine_fault, end_engine_fault, ENGINE_FAILING},
-    {"no_events", true, 1, begin_engine_fault, end_engine_fault,
-     ENGINE_NO_EVENTS},
+    {"repeated", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_REPEATED, false},
+    {"repeated_late", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_REPEATED_LATE, false},
+    {"extra_bytes", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_EXTRA_BYTES, false},
+    {"extra_bytes_late", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_EXTRA_BYTES_LATE, false},
+    {"encoded", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_ENCODED, false},
+    {"unsigned", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_UNSIGNED, false},
+    {"interim", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_INTERIM, false},
+    {"not_http", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_NOT_HTTP, false},
+    {"broken_fin", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_BROKEN_FIN, false},
+    {"broken_reset", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_BROKEN_RESET, false},
+    {"unframed", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_UNFRAMED, false},
+    {"unframed_reset", true, TARGET_RESPONSES, begin_spoiling, end_spoiling,
+     SPOIL_UNFRAMED_RESET, false},
+    {"full", true, TARGET_RESPONSES, begin_engine_fault, end_engine_fault,
+     ENGINE_FULL, false},
+    {"failing", true, TARGET_RESPONSES, begin_engine_fault, end_engine_fault,
+     ENGINE_FAILING, false},
+    {"no_events", true, TARGET_RESPONSES, begin_engine_fault, end_engine_fault,
+     ENGINE_NO_EVENTS, false},
+};
+
+static void
+begin_planned_reload(struct soak *soak, struct fault *fault)
+{
+    fault->end_ms = clock_now_ms();
+    begin_reload(soak, fault);
+}
+
+static void
+begin_config_series(struct soak *soak, struct fault *fault)
+{
+    int count = g_rand_int_range(fault->random, 1, CONFIG_SERIES_MAX + 1);
+
+    fault->end_ms = clock_now_ms();
+    for (int i = 0; i < count; i++) {
+        soak_write_config(soak);
+    }
+}
+
+static void
+begin_silence(struct soak *soak, struct fault *fault)
+{
+    fault->end_ms =
+        clock_now_ms() +
+        g_rand_int_range(fault->random, SILENCE_MIN_MS, SILENCE_MAX_MS + 1);
+    soak_silence_begin(fault_engine(soak, fault), fault->end_ms);
+}
+
+static bool
+end_silence(struct soak *soak, struct fault *fault)
+{
+    soak_silence_begin(fault_engine(soak, fault), 0);
+    return true;
+}
+
+/* Silences stand here more than once, as they are to be in progress when a
+ * stop begins. */
+static const struct fault_ops planned_kinds[] = {
+    {"gate_term", false, TARGET_GATE, begin_terminate, end_restart, 0, true},
+    {"gate_reload", true, TARGET_GATE, begin_planned_reload, end_nothing, 0,
+     true},
+    {"config", true, TARGET_STORE, begin_config_series, end_nothing, 0, true},
+    {"silence", true, TARGET_ENGINE, begin_silence, end_silence, 0, true},
+    {"silence", true, TARGET_ENGINE, begin_silence, end_silence, 0, true},
+    {"silence", true, TARGET_ENGINE, begin_silence, end_silence, 0, true},
+    {"silence", true, TARGET_ENGINE, begin_silence, end_silence, 0, true},
 };
 
+static int
+target_count(const struct soak *soak, enum fault_target target)
+{
+    return target == TARGET_GATE     ? soak->gate_count
+           : target == TARGET_ENGINE ? ENGINES
+                                     : 1;
+}
+
+/* What counts as disrupted during the fault; NULL for sound ones. */
+static struct disruption *
+fault_disruption(struct soak *soak, const struct fault *fault)
+{
+    if (fault->ops->sound) {
+        return NULL;
+    }
+    switch (fault->ops->target) {
+    case TARGET_GATE:
+        return &fault_gate(soak, fault)->disruption;
+    case TARGET_ENGINE:
+        return &fault_engine(soak, fault)->disruption;
+    case TARGET_STORE:
+        return &soak->store_disruption;
+    default:
+        return &soak->response_disruption;
+    }
+}
+
 /* Whether an active fault of the same target excludes @fault: one with the
  * same end function, another one that restarts the target, or, for a pause,
  * one that ends the process. */
@@ -444,6 +553,21 @@
     return false;
 }
 
+/* Whether a planned stop would leave no gate that runs and isn't stopping. */
+static bool
+stops_last_gate(const struct soak *soak, const GArray *active,
+                const struct fault *fault)
+{
+    int stopping = 0;
+
+    for (guint i = 0; i < active->len; i++) {
+        stopping +=
+            g_array_index(active, struct fault, i).ops->end == end_restart;
+    }
+    return soak->kind == SOAK_PLANNED && fault->ops->end == end_restart &&
+           stopping + 1 >= soak->gate_count;
+}
+
 static void
 begin_fault(struct soak *soak, struct fault_source *source)
 {
@@ -453,15 +577,19 @@
         .random = random,
     };
 
-    fault.target = g_rand_int_range(random, 0, fault.ops->target_count);
+    fault.target =
+        g_rand_int_range(random, 0, target_count(soak, fault.ops->target));
     fault.end_ms = clock_now_ms() + g_rand_int_range(random, DURATION_MIN_MS,
                                                      source->duration_max_ms);
     if (source->active->len >= source->active_max ||
         conflicts_with_active(source->active, &fault) ||
-        (soak->seed % GATES_UNAFFECTED_SEED_STEP == 0 &&
+        stops_last_gate(soak, source->active, &fault) ||
+        (soak->kind == SOAK_FAULTS &&
+         soak->seed % GATES_UNAFFECTED_SEED_STEP == 0 &&
          !fault.ops->gates_unaffected)) {
         return;
     }
+    soak_disruption_begin(soak, fault_disruption(soak, &fault));
     fault.ops->begin(soak, &fault);
     soak->fault_count++;
     g_test_message("%d ms: %s %d mode %d share %d for %d ms",
@@ -478,6 +606,7 @@
         struct fault *fault = &g_array_index(active, struct fault, i - 1);
 
         if (now_ms >= fault->end_ms && fault->ops->end(soak, fault)) {
+            soak_disruption_end(soak, fault_disruption(soak, fault));
             g_array_remove_index_fast(active, i - 1);
         }
     }
@@ -501,8 +630,8 @@
 {
     if (now_ms >= source->next_ms) {
         begin_fault(soak, source);
-        source->next_ms =
-            now_ms + g_rand_int_range(source->random, 50, INTERVAL_MAX_MS);
+        source->next_ms = now_ms + g_rand_int_range(source->random, 50,
+                                                    source->interval_max_ms);
     }
 }
 
@@ -515,12 +644,21 @@
          .kind_count = G_N_ELEMENTS(fault_kinds),
          .active_max = ACTIVE_MAX,
          .duration_max_ms = DURATION_MAX_MS,
+         .interval_max_ms = INTERVAL_MAX_MS,
          .random = g_rand_new_with_seed((guint32)soak->seed)},
         {.kinds = response_fault_kinds,
          .kind_count = G_N_ELEMENTS(response_fault_kinds),
          .active_max = RESPONSE_FAULTS_MAX,
          .duration_max_ms = RESPONSE_FAULT_MAX_MS,
+         .interval_max_ms = INTERVAL_MAX_MS,
          .random = g_rand_new_with_seed(~(guint32)soak->seed)},
+        {.run = SOAK_PLANNED,
+         .kinds = planned_kinds,
+         .kind_count = G_N_ELEMENTS(planned_kinds),
+         .active_max = PLANNED_ACTIVE_MAX,
+         .duration_max_ms = DURATION_MAX_MS,
+         .interval_max_ms = PLANNED_INTERVAL_MAX_MS,
+         .random = g_rand_new_with_seed((guint32)soak->seed)},
     };
     int64_t engines_ms = 0;
     int64_t now_ms;
@@ -532,13 +670,13 @@
     while ((now_ms = clock_now_ms()) < until_ms || active > 0) {
         active = 0;
         tick_engines(soak, &engines_ms, now_ms);
-        for (int i = 0; i < GATES; i++) {
+        for (int i = 0; i < soak->gate_count; i++) {
             soak_gate_reap(soak, &soak->gates[i]);
         }
         for (size_t i = 0; i < G_N_ELEMENTS(sources); i++) {
             end_faults(soak, sources[i].active,
                        now_ms >= until_ms ? now_ms + END_ALL_MS : now_ms);
-            if (now_ms < until_ms) {
+            if (now_ms < until_ms && sources[i].run == soak->kind) {
                 tick_source(soak, &sources[i], now_ms);
             }
             active += sources[i].active->len;
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -1,6 +1,8 @@
 #ifndef SOAK_FNS_H
 #define SOAK_FNS_H
 
+struct _u_response;
+
 /* proxy.c */
 struct proxy *proxy_new(uint64_t seed);
 void proxy_free(struct proxy *proxy);
@@ -42,10 +44,26 @@
 void soak_engine_free(struct soak_engine *engine);
 void soak_engine_tick(struct soak_engine *engine, int64_t now_ms);
 
+/* silence.c */
+void soak_silence_begin(struct soak_engine *engine, int64_t until_ms);
+void soak_silence_wait(struct soak_engine *engine);
+void soak_respond_slowly(struct soak_engine *engine, const char *attempt,
+                         int parts, struct _u_response *response);
+
+/* lost.c */
+void soak_disruption_begin(struct soak *soak, struct disruption *disruption);
+void soak_disruption_end(struct soak *soak, struct disruption *disruption);
+void soak_work_begin(struct soak_engine *engine, const char *attempt);
+void soak_work_end(struct soak_engine *engine, const char *attempt,
+                   bool whole);
+void soak_request_ended(struct soak *soak, const struct soak_end *end);
+void soak_report_lost(struct soak *soak);
+
 /* gate.c */
 void soak_gate_init(struct soak *soak, int number, int store_port);
 void soak_gate_start(struct soak *soak, struct soak_gate *gate);
-void soak_gate_signal(struct soak_gate *gate, int signal_number);
+void soak_gate_signal(struct soak *soak, struct soak_gate *gate,
+                      int signal_number);
 bool soak_gate_reap(struct soak *soak, struct soak_gate *gate);
 void soak_gate_stop(struct soak_gate *gate);
 
@@ -58,7 +76,7 @@
 /* run.c */
 void soak_delay(int pause_ms);
 int64_t soak_env_int(const char *name, int64_t fallback);
-void soak_run(uint64_t seed, const char *program);
+void soak_run(uint64_t seed, enum soak_kind kind, const char *program);
 
 /* check.c */
 void soak_record_failure(struct soak *soak, const char *format, ...)
@@ -67,7 +85,7 @@
 void soak_record_refusal(struct soak *soak, const char *attempt);
 void soak_record_answer(struct soak *soak, const char *attempt, int status);
 bool soak_was_answered(struct soak *soak, const char *attempt, int status);
-char *soak_body(const char *attempt, const char *service);
+char *soak_body(const char *attempt, const char *service, int parts);
 void soak_write_config(struct soak *soak);
 
 #endif
--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -41,10 +41,11 @@
         "\"directory\":\"%s:%d\"},\"internal_ports\":[%d,%d],"
         "\"platform\":{\"address\":\"127.0.0.1:%d\",\"ttl_min_ms\":1000},"
         "\"limits\":{\"max_fds\":1024},"
-        "\"bounds\":{\"grace_s\":6,\"budget_ratio\":0.2,\"budget_extra\":50,"
+        "\"bounds\":{\"grace_s\":%d,\"budget_ratio\":0.2,\"budget_extra\":50,"
         "\"budget_window_s\":10,\"ttl_max_s\":5}}",
         number, gate->ip, front, gate->ip, READINESS_PORT, gate->ip,
-        DIRECTORY_PORT, PEER_PORT, PEER_PORT + 10, gate->store_link->port);
+        DIRECTORY_PORT, PEER_PORT, PEER_PORT + 10, gate->store_link->port,
+        GRACE_S);
     g_snprintf(gate->settings, sizeof(gate->settings), "%s/gate-%d.json",
                soak->directory, number);
     g_snprintf(gate->log, sizeof(gate->log), "%s/gate-%d.log", soak->directory,
@@ -92,8 +93,17 @@
 }
 
 void
-soak_gate_signal(struct soak_gate *gate, int signal_number)
+soak_gate_signal(struct soak *soak, struct soak_gate *gate, int signal_number)
 {
+    pthread_mutex_lock(&soak->lock);
+    if (signal_number == SIGTERM) {
+        gate->terminated_ms = clock_now_ms();
+        gate->terminated_start = gate->start_count;
+    }
+    else if (signal_number == SIGHUP) {
+        gate->reloaded_ms = clock_now_ms();
+    }
+    pthread_mutex_unlock(&soak->lock);
     if (signal_number == SIGKILL || signal_number == SIGTERM) {
         gate->termination_requested = true;
     }
--- a/test/soak/run.c
+++ b/test/soak/run.c
@@ -37,13 +37,20 @@
 }
 
 static void
-start(struct soak *soak, uint64_t seed, const char *program)
+start(struct soak *soak, uint64_t seed, enum soak_kind kind,
+      const char *program)
 {
     char *directory = g_dir_make_tmp("soak-XXXXXX", NULL);
 
     memset(soak, 0, sizeof(*soak));
     pthread_mutex_init(&soak->lock, NULL);
     soak->seed = seed;
+    soak->kind = kind;
+    soak->gate_count = (int)MIN(soak_env_int("SOAK_GATES", GATES), GATES_MAX);
+    soak->caller_count = (int)MIN(
+        soak_env_int("SOAK_CALLERS",
+                     kind == SOAK_PLANNED ? PLANNED_CALLERS : CALLERS),
+        CALLERS_MAX);
     soak->random = g_rand_new_with_seed((guint32)seed);
     soak->start_ms = clock_now_ms();
     soak->failure = g_string_new(NULL);
@@ -53,6 +60,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     soak->answered =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    soak->works =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_strlcpy(soak->directory, directory, sizeof(soak->directory));
     g_strlcpy(soak->program, program, sizeof(soak->program));
     g_free(directory);
@@ -64,7 +73,7 @@
         soak_engine_start(&soak->engines[i]);
         soak_engine_tick(&soak->engines[i], clock_now_ms());
     }
-    for (int i = 0; i < GATES; i++) {
+    for (int i = 0; i < soak->gate_count; i++) {
         soak_gate_init(soak, i, soak_store_port(soak->store));
         soak_gate_start(soak, &soak->gates[i]);
         soak->gates[i].fault_until_ms = clock_now_ms();
@@ -78,7 +87,7 @@
         g_test_message("logs in %s", soak->directory);
         return;
     }
-    for (int i = 0; i < GATES; i++) {
+    for (int i = 0; i < soak->gate_count; i++) {
         g_unlink(soak->gates[i].log);
         g_unlink(soak->gates[i].settings);
     }
@@ -88,7 +97,7 @@
 static void
 finish(struct soak *soak)
 {
-    for (int i = 0; i < GATES; i++) {
+    for (int i = 0; i < soak->gate_count; i++) {
         soak_gate_stop(&soak->gates[i]);
     }
     proxy_free(soak->proxy);
@@ -100,6 +109,7 @@
     g_hash_table_destroy(soak->run_counts);
     g_hash_table_destroy(soak->refused);
     g_hash_table_destroy(soak->answered);
+    g_hash_table_destroy(soak->works);
     g_string_free(soak->failure, TRUE);
     g_rand_free(soak->random);
     pthread_mutex_destroy(&soak->lock);
@@ -121,7 +131,7 @@
 {
     bool all = true;
 
-    for (int g = 0; g < GATES; g++) {
+    for (int g = 0; g < soak->gate_count; g++) {
         for (int k = 0; k < KIND_COUNT; k++) {
             all = all && has_recovered(soak, g, k);
         }
@@ -150,7 +160,7 @@
         }
         soak_delay(POLL_MS);
     }
-    for (int g = 0; g < GATES; g++) {
+    for (int g = 0; g < soak->gate_count; g++) {
         soak_gate_reap(soak, &soak->gates[g]);
         for (int k = 0; k < KIND_COUNT; k++) {
             if (!has_recovered(soak, g, k)) {
@@ -164,14 +174,14 @@
 
 /* Fails the test when a guarantee is violated. */
 void
-soak_run(uint64_t seed, const char *program)
+soak_run(uint64_t seed, enum soak_kind kind, const char *program)
 {
-    pthread_t callers[CALLERS];
+    pthread_t callers[CALLERS_MAX] = {0};
     struct soak soak;
 
-    start(&soak, seed, program);
+    start(&soak, seed, kind, program);
     soak_delay(START_DELAY_MS);
-    for (int i = 0; i < CALLERS; i++) {
+    for (int i = 0; i < soak.caller_count; i++) {
         soak_caller_start(&soak, i, &callers[i]);
     }
     soak_inject_faults(
@@ -179,9 +189,10 @@
                    soak_env_int("SOAK_SECONDS", FAULTS_DEFAULT_S) * 1000);
     await_recovery(&soak);
     atomic_store(&soak.stopping, true);
-    for (int i = 0; i < CALLERS; i++) {
+    for (int i = 0; i < soak.caller_count; i++) {
         pthread_join(callers[i], NULL);
     }
+    soak_report_lost(&soak);
     g_test_message("seed %d: %d faults, %d requests, %d served, %s", (int)seed,
                    soak.fault_count, (int)soak.request_count,
                    (int)soak.served_count,
--- a/test/soak_test.c
+++ b/test/soak_test.c
@@ -4,7 +4,9 @@
  *
  * Guards against guarantees that hold under each fault alone and fail when
  * faults overlap. SOAK_FIRST and SOAK_COUNT select other seeds, SOAK_SECONDS
- * the duration of the faults; SOAK_KEEP keeps the logs of the processes.
+ * the duration of the faults, SOAK_GATES and SOAK_CALLERS their numbers;
+ * SOAK_PLANNED=1 plays planned work and silences only. SOAK_KEEP keeps the
+ * logs of the processes.
  */
 #include <glib.h>
 #include <pthread.h>
@@ -20,27 +22,31 @@
 struct soak_case {
     const char *name;
     uint64_t seed;
+    enum soak_kind kind;
 };
 
 static const struct soak_case soak_cases[] = {
-    {"seed_1", 1},
-    {"seed_2", 2},
+    {"seed_1", 1, SOAK_FAULTS},
+    {"seed_2", 2, SOAK_FAULTS},
+    /* Guards against answers that a planned stop, a change of the
+     * configuration or an engine's silence ends. */
+    {"planned_work", 1, SOAK_PLANNED},
     /* The proxy dropped the middle of a stream and forwarded its end. */
-    {"dropped_middle", 110},
+    {"dropped_middle", 110, SOAK_FAULTS},
     /* The check for alternating holders measured from the second holder's
      * first order, although the first holder's orders were 10 s apart. */
-    {"turns_far_apart", 3022},
+    {"turns_far_apart", 3022, SOAK_FAULTS},
     /* A stream without a whole event was sent behind Content-Length: 0. */
-    {"no_whole_event", 3000},
+    {"no_whole_event", 3000, SOAK_FAULTS},
     /* A broken run's fragment was joined with the next run's first event. */
-    {"fragment_joined", 3002},
+    {"fragment_joined", 3002, SOAK_FAULTS},
     /* Bytes behind a response were read as the beginning of the next head. */
-    {"heads_joined", 3005},
+    {"heads_joined", 3005, SOAK_FAULTS},
     /* An encoded body passed as the target's. */
-    {"encoded_body", 3006},
+    {"encoded_body", 3006, SOAK_FAULTS},
     /* A refusal's second copy passed for that of the same request's next run;
      * an interim response passed as the final one. */
-    {"refusal_repeated", 3007},
+    {"refusal_repeated", 3007, SOAK_FAULTS},
 };
 
 static char program[PATH_MAX_BYTES];
@@ -48,16 +54,19 @@
 static void
 test_soak(gconstpointer data)
 {
-    soak_run(((const struct soak_case *)data)->seed, program);
+    const struct soak_case *c = data;
+
+    soak_run(c->seed, c->kind, program);
 }
 
 static void
 test_chosen(void)
 {
     int64_t first = soak_env_int("SOAK_FIRST", 1);
+    enum soak_kind kind = (enum soak_kind)soak_env_int("SOAK_PLANNED", 0);
 
     for (int64_t i = 0; i < soak_env_int("SOAK_COUNT", 1); i++) {
-        soak_run((uint64_t)(first + i), program);
+        soak_run((uint64_t)(first + i), kind, program);
     }
 }
 
