--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -79,12 +79,19 @@
 void
 soak_gate_start(struct soak *soak, struct soak_gate *gate)
 {
-    pid_t pid = fork();
+    sigset_t blocked;
+    pid_t pid;
 
+    /* A reload can be requested before the child runs. */
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &blocked, NULL);
+    pid = fork();
     g_assert_cmpint(pid, >=, 0);
     if (pid == 0) {
         run_child(soak, gate);
     }
+    pthread_sigmask(SIG_UNBLOCK, &blocked, NULL);
     pthread_mutex_lock(&soak->lock);
     gate->pid = pid;
     gate->termination_requested = false;
