--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -25,6 +25,7 @@
     PAUSE_MAX_MS = 30,
     BYTES = 4096,
     RECONNECT_PERCENT = 25,
+    REDRAWS_MAX = 100,
     /* callers keep connections, so that requests meet a stop on them */
     PLANNED_RECONNECT_PERCENT = 5,
     LOSS_SLACK_MS = 200,
@@ -493,15 +494,40 @@
 }
 
 static void
-prepare_request(struct caller_state *state, struct soak_request *request)
+draw_route(struct caller_state *state, struct soak_request *request)
 {
     struct soak *soak = state->soak;
-    bool calm;
 
     request->kind =
         (enum request_kind)g_rand_int_range(state->random, 0, KIND_COUNT);
     request->gate =
         &soak->gates[g_rand_int_range(state->random, 0, soak->gate_count)];
+}
+
+/* Whether the recovery of more gates than usual has other routes to try, as
+ * there are too many for a few tries of each by chance. */
+static bool
+needs_no_more(struct soak *soak, const struct soak_request *request)
+{
+    bool recovered;
+
+    pthread_mutex_lock(&soak->lock);
+    recovered = soak->gate_count > GATES &&
+                soak->recovered[request->gate->number][request->kind];
+    pthread_mutex_unlock(&soak->lock);
+    return recovered;
+}
+
+static void
+prepare_request(struct caller_state *state, struct soak_request *request)
+{
+    struct soak *soak = state->soak;
+    bool calm;
+
+    draw_route(state, request);
+    for (int i = 0; i < REDRAWS_MAX && needs_no_more(soak, request); i++) {
+        draw_route(state, request);
+    }
     g_snprintf(request->attempt_id, sizeof(request->attempt_id), "c%d-%d",
                state->number, state->request_count++);
     pthread_mutex_lock(&soak->lock);
