Soak: play engines that say that they leave or want no requests

Nothing in the soak sent Server-Leaving or Retry-After, so that neither rule was played beside other faults.

A third source of faults lets engines leave and say so in all their answers, with the store's word at once, before or after it, or never, and come back under a new id or, started later, under the same one; and lets engines turn all requests away with 503 and a Retry-After that is valid, malformed or huge. The seal names the start of the engine and whether it leaves, so that a caller's answer tells what its gate has passed on. A refusal counts as read when its request reaches another engine or is answered as not run, for requests that may run once.

DRAIN: a request sent DRAIN_BOUND_MS after such an answer reaches that engine from that gate, without a restart or freeze since. BUDGET: more than two reach it between half a second after a 503 with Retry-After and the end of its time.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -93,6 +93,9 @@
         g_strlcpy(reply->attempt_id, bytes,
                   MIN(count + 1, sizeof(reply->attempt_id)));
     }
+    if (reply->signed_by_target && reply->seal[0] == '\0') {
+        g_strlcpy(reply->seal, bytes, MIN(count + 1, sizeof(reply->seal)));
+    }
     return 0;
 }
 
@@ -322,6 +325,7 @@
 check_origin(struct soak *soak, const struct soak_request *request,
              const struct reply *reply)
 {
+    soak_record_answer_read(soak, request->attempt_id, reply->seal);
     if (!reply->signed_by_target ||
         strcmp(reply->attempt_id, request->attempt_id) != 0) {
         soak_record_failure(soak,
@@ -472,8 +476,10 @@
     request->config_version = soak->config_version;
     request->config_acked_ms = soak->config_acked_ms;
     request->gate_start_count = request->gate->start_count;
-    pthread_mutex_unlock(&soak->lock);
     request->sent_ms = clock_now_ms();
+    soak_record_sent(soak, request->attempt_id, request->gate,
+                     request->sent_ms);
+    pthread_mutex_unlock(&soak->lock);
 }
 
 static void
--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -69,6 +69,7 @@
     g_hash_table_add(soak->refused, g_strdup(attempt));
     ran = g_hash_table_contains(soak->run_counts, attempt);
     pthread_mutex_unlock(&soak->lock);
+    soak_record_refusal_read(soak, attempt);
     if (ran) {
         soak_record_failure(soak, "REFUSED: %s had run before it was refused",
                             attempt);
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -8,7 +8,7 @@
     ENGINES = 7, /* the first MODEL_ENGINES serve models, the rest is plain */
     MODEL_ENGINES = 3,
     MODELS = 8, /* more than fit into the engines' memory */
-    CALLERS = 10,
+    CALLERS = 20,
     LINKS_MAX = 2 * GATES + ENGINES,
     FRONTEND_PORT = 8000,
     READINESS_PORT = 8001,
@@ -120,6 +120,7 @@
 struct proxy;
 struct soak_store;
 struct spoiler;
+struct retry_after;
 
 /**
  * struct soak_engine - simulated model engine or plain target
@@ -132,6 +133,12 @@
  * @holder: sender of the last order, received at @holder_ms
  * @previous_holder: sender before @holder, last seen at @previous_holder_ms
  * @highest_fence: highest fencing token received
+ * @leaves_from_ms: when its answers begin to say that it leaves; 0 if never
+ * @drain_due_ms: when its entry is set to draining; 0 if it is not due
+ * @keeps_id: its next start has the same id
+ * @retry_after: it refuses all requests with this field; NULL if it does not
+ * @link_fault_until_ms: end of the last fault of its link; INT64_MAX during
+ * one
  */
 struct soak_engine {
     struct soak *soak;
@@ -154,6 +161,11 @@
     char previous_holder[NAME_MAX_BYTES];
     int64_t previous_holder_ms;
     int64_t highest_fence;
+    int64_t leaves_from_ms;
+    int64_t drain_due_ms;
+    bool keeps_id;
+    const struct retry_after *retry_after;
+    int64_t link_fault_until_ms;
 };
 
 /**
@@ -185,6 +197,9 @@
  * @failure: first violated guarantee; empty if there is none
  * @run_counts: attempt id -> number of times that an engine ran it
  * @answered: "ATTEMPT_ID STATUS" of each response that an engine signed
+ * @sent: attempt id -> struct sent_request of each request of a caller
+ * @notices: struct notice of each answer in which an engine said that it
+ * leaves or how long it wants no requests
  * @engine_percents: share of the requests that each engine fault strikes
  * @refused: attempt ids of at-most-once requests that were refused as not run
  * @config_version: last configuration version that the store acknowledged
@@ -204,6 +219,8 @@
     GHashTable *run_counts;
     GHashTable *refused;
     GHashTable *answered;
+    GHashTable *sent;
+    GPtrArray *notices;
     int engine_percents[ENGINE_FAULT_COUNT];
     int64_t config_version;
     int64_t config_acked_ms;
@@ -226,6 +243,7 @@
  * @status: 0 without a complete response head, -1 for invalid HTTP
  * @complete: the HTTP message was complete
  * @encoded: it has a Content-Encoding
+ * @seal: what an engine signed it with
  */
 struct reply {
     int status;
@@ -234,6 +252,7 @@
     bool encoded;
     bool keep_alive;
     char attempt_id[NAME_MAX_BYTES];
+    char seal[NAME_MAX_BYTES];
     GString *body;
 };
 
--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -158,6 +158,7 @@
     json_object_object_add(
         body, "busy",
         json_object_new_boolean(clock_now_ms() < engine->busy_until_ms));
+    soak_add_notice_fields(engine, 200, response, clock_now_ms());
     pthread_mutex_unlock(&engine->soak->lock);
     http_reply_json(response, 200, body);
     return U_CALLBACK_COMPLETE;
@@ -321,6 +322,7 @@
                          json_get_int64(order, "fence_token", 0), now_ms);
         status = apply_order(engine, order, item, now_ms, &exceeds_memory);
     }
+    soak_add_notice_fields(engine, status, response, now_ms);
     pthread_mutex_unlock(&engine->soak->lock);
     if (violation != NULL) {
         soak_record_failure(engine->soak, "%s", violation);
@@ -340,7 +342,7 @@
 /* A response stream; it fails when its engine stops or restarts. */
 struct stream {
     struct soak_engine *engine;
-    char engine_id[NAME_MAX_BYTES];
+    int64_t engine_started_ms;
     char attempt_id[NAME_MAX_BYTES];
     int next_number;
     char text[EVENT_BYTES];
@@ -353,7 +355,7 @@
     bool same;
 
     pthread_mutex_lock(&stream->engine->soak->lock);
-    same = strcmp(stream->engine_id, stream->engine->id) == 0 &&
+    same = stream->engine_started_ms == stream->engine->started_ms &&
            !stream->engine->down;
     pthread_mutex_unlock(&stream->engine->soak->lock);
     return same;
@@ -395,7 +397,7 @@
 
     soak_record_answer(engine->soak, attempt, 200);
     stream->engine = engine;
-    g_strlcpy(stream->engine_id, engine->id, sizeof(stream->engine_id));
+    stream->engine_started_ms = engine->started_ms;
     g_strlcpy(stream->attempt_id, attempt, sizeof(stream->attempt_id));
     stream->next_number = last != NULL ? atoi(last) + 1 : 0;
     ulfius_add_header_to_response(response, "Content-Type",
@@ -468,7 +470,10 @@
     if (model != NULL && !names_contain(engine->loaded, model)) {
         return 421;
     }
-    return engine->down || is_full(engine, now_ms) ? 503 : 0;
+    return engine->down || engine->retry_after != NULL ||
+                   is_full(engine, now_ms)
+               ? 503
+               : 0;
 }
 
 /* Answers with a signed failure, or, if @status is 200, with the same body in
@@ -509,14 +514,27 @@
     const char *path = request->http_url;
     bool stream = strstr(path, "stream/") != NULL || strstr(path, "chat/");
     bool once = strstr(path, "once/") != NULL || strstr(path, "chat/");
+    int64_t now_ms = clock_now_ms();
     bool drained;
     unsigned failure = 0;
     bool typed;
     unsigned status;
+    char seal[NAME_MAX_BYTES];
+    char *violation = NULL;
 
+    attempt = attempt != NULL ? attempt : "";
+    if (once) {
+        soak_record_refusal_read(engine->soak, attempt);
+    }
     pthread_mutex_lock(&engine->soak->lock);
-    finish_load(engine, clock_now_ms());
-    status = refusal_status(engine, request, clock_now_ms());
+    finish_load(engine, now_ms);
+    status = refusal_status(engine, request, now_ms);
+    soak_engine_seal(engine, now_ms, seal);
+    soak_add_notice_fields(engine, status, response, now_ms);
+    if (!is_wrong_instance(engine, request)) {
+        violation = soak_check_notices(engine, attempt, status, now_ms);
+        soak_record_notice(engine, attempt, status, now_ms);
+    }
     typed = g_rand_boolean(engine->soak->random);
     if (strikes(engine, ENGINE_FAILING)) {
         failure = 500;
@@ -524,10 +542,10 @@
     else if (stream && loses_events(engine, request)) {
         failure = 200;
     }
-    drained = status == 0 && drain_is_known(engine, clock_now_ms());
+    drained = status == 0 && drain_is_known(engine, now_ms);
     pthread_mutex_unlock(&engine->soak->lock);
-    attempt = attempt != NULL ? attempt : "";
     ulfius_add_header_to_response(response, "Attempt-Id", attempt);
+    soak_report_violation(engine->soak, violation);
     if (drained) {
         soak_record_failure(engine->soak, "DRAIN: draining %s received %s",
                             engine->id, attempt);
@@ -538,7 +556,7 @@
         return U_CALLBACK_COMPLETE;
     }
     soak_record_run(engine->soak, attempt, once);
-    ulfius_add_header_to_response(response, "Server-Seal", "s");
+    ulfius_add_header_to_response(response, "Server-Seal", seal);
     if (failure != 0) {
         respond_with_text(engine, attempt, failure, typed, response);
     }
@@ -593,8 +611,10 @@
 
     pthread_mutex_lock(&soak->lock);
     engine->started_ms = clock_wall_ms();
-    g_snprintf(engine->id, sizeof(engine->id), "i-%d-%d", engine->number,
-               (int)(clock_now_ms() - soak->start_ms));
+    if (!engine->keeps_id) {
+        g_snprintf(engine->id, sizeof(engine->id), "i-%d-%d", engine->number,
+                   (int)(clock_now_ms() - soak->start_ms));
+    }
     g_ptr_array_set_size(engine->loaded, 0);
     engine->sequence = 0;
     engine->loading[0] = '\0';
@@ -605,6 +625,9 @@
     engine->highest_fence = 0;
     engine->lease = 0;
     engine->down = false;
+    engine->leaves_from_ms = 0;
+    engine->drain_due_ms = 0;
+    engine->keeps_id = false;
     pthread_mutex_unlock(&soak->lock);
     proxy_set_server(soak->proxy, engine->link, address);
     g_free(address);
@@ -634,6 +657,10 @@
 {
     pthread_mutex_lock(&engine->soak->lock);
     finish_load(engine, now_ms);
+    if (engine->drain_due_ms != 0 && now_ms >= engine->drain_due_ms) {
+        engine->draining_since_ms = now_ms;
+        engine->drain_due_ms = 0;
+    }
     if (!engine->down) {
         if (engine->lease == 0 ||
             !soak_store_renew_lease(engine->soak->store, engine->lease)) {
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -14,6 +14,12 @@
     ACTIVE_MAX = 5,
     RESPONSE_FAULTS_MAX = 6,
     RESPONSE_FAULT_MAX_MS = 2500, /* short, so that a run has all of them */
+    NOTICE_FAULTS_MAX = 4,
+    NOTICE_FAULT_MAX_MS = 4000,
+    NOTICE_SEED = 0x5eed, /* apart from the other sources' draws */
+    /* long enough for requests sent after the bound */
+    LEAVING_MIN_MS = DRAIN_BOUND_MS + 2000,
+    LEAVING_MAX_MS = DRAIN_BOUND_MS + 5000,
     SHARE_MIN_PERCENT = 5,
     SHARE_MAX_PERCENT = 60,
     INTERVAL_MAX_MS = 700,
@@ -212,10 +218,20 @@
     return true;
 }
 
+static void
+set_link_fault_until(struct soak *soak, struct soak_engine *engine,
+                     int64_t until_ms)
+{
+    pthread_mutex_lock(&soak->lock);
+    engine->link_fault_until_ms = until_ms;
+    pthread_mutex_unlock(&soak->lock);
+}
+
 static void
 begin_engine_link(struct soak *soak, struct fault *fault)
 {
     pick_link_mode(fault);
+    set_link_fault_until(soak, fault_engine(soak, fault), INT64_MAX);
     proxy_set_mode(soak->proxy, fault_engine(soak, fault)->link, fault->mode);
 }
 
@@ -223,6 +239,7 @@
 end_engine_link(struct soak *soak, struct fault *fault)
 {
     proxy_set_mode(soak->proxy, fault_engine(soak, fault)->link, LINK_PASS);
+    set_link_fault_until(soak, fault_engine(soak, fault), clock_now_ms());
     return true;
 }
 
@@ -230,6 +247,7 @@
 begin_responses_lost(struct soak *soak, struct fault *fault)
 {
     fault->mode = LINK_RESET_ON_RESPONSE;
+    set_link_fault_until(soak, fault_engine(soak, fault), INT64_MAX);
     proxy_set_mode(soak->proxy, fault_engine(soak, fault)->link, fault->mode);
 }
 
@@ -272,6 +290,42 @@
     return true;
 }
 
+static void
+begin_leaving(struct soak *soak, struct fault *fault)
+{
+    fault->end_ms =
+        clock_now_ms() +
+        g_rand_int_range(fault->random, LEAVING_MIN_MS, LEAVING_MAX_MS);
+    soak_begin_leaving(fault_engine(soak, fault), fault->random);
+}
+
+/* An entry that never said it stays until its lease ends. */
+static bool
+end_leaving(struct soak *soak, struct fault *fault)
+{
+    struct soak_engine *engine = fault_engine(soak, fault);
+
+    if (engine->draining_since_ms != 0) {
+        return end_drain(soak, fault);
+    }
+    soak_engine_stop(engine);
+    soak_engine_start(engine);
+    return true;
+}
+
+static void
+begin_turning_away(struct soak *soak, struct fault *fault)
+{
+    soak_begin_turning_away(fault_engine(soak, fault), fault->random);
+}
+
+static bool
+end_turning_away(struct soak *soak, struct fault *fault)
+{
+    soak_end_turning_away(fault_engine(soak, fault));
+    return true;
+}
+
 static void
 begin_store_down(struct soak *soak, struct fault *fault)
 {
@@ -420,6 +474,12 @@
      ENGINE_NO_EVENTS},
 };
 
+/* What engines say of themselves in their answers. */
+static const struct fault_ops notice_fault_kinds[] = {
+    {"leaving", true, ENGINES, begin_leaving, end_leaving, 0},
+    {"turning_away", true, ENGINES, begin_turning_away, end_turning_away, 0},
+};
+
 /* Whether an active fault of the same target excludes @fault: one with the
  * same end function, another one that restarts the target, or, for a pause,
  * one that ends the process. */
@@ -521,6 +581,11 @@
          .active_max = RESPONSE_FAULTS_MAX,
          .duration_max_ms = RESPONSE_FAULT_MAX_MS,
          .random = g_rand_new_with_seed(~(guint32)soak->seed)},
+        {.kinds = notice_fault_kinds,
+         .kind_count = G_N_ELEMENTS(notice_fault_kinds),
+         .active_max = NOTICE_FAULTS_MAX,
+         .duration_max_ms = NOTICE_FAULT_MAX_MS,
+         .random = g_rand_new_with_seed((guint32)soak->seed ^ NOTICE_SEED)},
     };
     int64_t engines_ms = 0;
     int64_t now_ms;
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -1,6 +1,8 @@
 #ifndef SOAK_FNS_H
 #define SOAK_FNS_H
 
+struct _u_response;
+
 /* proxy.c */
 struct proxy *proxy_new(uint64_t seed);
 void proxy_free(struct proxy *proxy);
@@ -42,6 +44,27 @@
 void soak_engine_free(struct soak_engine *engine);
 void soak_engine_tick(struct soak_engine *engine, int64_t now_ms);
 
+/* notice.c */
+void soak_notice_init(struct soak *soak);
+void soak_notice_free(struct soak *soak);
+void soak_begin_leaving(struct soak_engine *engine, GRand *random);
+void soak_begin_turning_away(struct soak_engine *engine, GRand *random);
+void soak_end_turning_away(struct soak_engine *engine);
+void soak_add_notice_fields(const struct soak_engine *engine, unsigned status,
+                            struct _u_response *response, int64_t now_ms);
+void soak_engine_seal(const struct soak_engine *engine, int64_t now_ms,
+                      char out[static NAME_MAX_BYTES]);
+void soak_record_sent(struct soak *soak, const char *attempt,
+                      const struct soak_gate *gate, int64_t now_ms);
+void soak_record_notice(struct soak_engine *engine, const char *attempt,
+                        unsigned refusal, int64_t now_ms);
+void soak_record_refusal_read(struct soak *soak, const char *attempt);
+void soak_record_answer_read(struct soak *soak, const char *attempt,
+                             const char *seal);
+char *soak_check_notices(struct soak_engine *engine, const char *attempt,
+                         unsigned status, int64_t now_ms);
+void soak_report_violation(struct soak *soak, char *violation);
+
 /* gate.c */
 void soak_gate_init(struct soak *soak, int number, int store_port);
 void soak_gate_start(struct soak *soak, struct soak_gate *gate);
--- a/test/soak/run.c
+++ b/test/soak/run.c
@@ -53,6 +53,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     soak->answered =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    soak_notice_init(soak);
     g_strlcpy(soak->directory, directory, sizeof(soak->directory));
     g_strlcpy(soak->program, program, sizeof(soak->program));
     g_free(directory);
@@ -100,6 +101,7 @@
     g_hash_table_destroy(soak->run_counts);
     g_hash_table_destroy(soak->refused);
     g_hash_table_destroy(soak->answered);
+    soak_notice_free(soak);
     g_string_free(soak->failure, TRUE);
     g_rand_free(soak->random);
     pthread_mutex_destroy(&soak->lock);
