Planner: read engines that want no requests less often

The holder read the report of an engine that had paused every 400 ms for as long as requests waited for an item that it holds, up to seven times in a pause of 3 s, although the pause explains the wait. The engine wants nothing from this instance for that time, and reports are to be kept to a minimum.

Cause: the planner didn't know of pauses. recheck_holding_engines() takes requests that wait for a held item as a sign that the engine lost it.

The relay tells the planner of this instance when a pause begins, and when the engine withdraws it or starts again. Meanwhile such a report is due at the end of the pause, or after 2 s if that is sooner: requests of other instances may wait since the engine does lack the item. Reports that orders need and the orders themselves are as before: the pause is this instance's, and the holder orders for all.

plan_test engine_that_wants_no_requests_is_read_rarely was red before: a report at 0.9 s of a pause of 3 s. notice_test pause checks that the planner is told of each pause.

--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -15,6 +15,7 @@
  * @info: last known description, updated by accepted orders
  * @missing: its registry entry expired while the store was unreachable
  * @leaves: it has said in an answer that it leaves, whatever its entry says
+ * @paused_until_ms: until when it wants no requests of this instance
  * @loading: item that is being loaded; 0 for none
  * @loading_from_store: the load comes from the weight store
  * @load_start_ms: start of the last load from the weight store
@@ -51,6 +52,7 @@
     struct target_info info;
     bool missing;
     bool leaves;
+    int64_t paused_until_ms;
     uint32_t loading;
     bool loading_from_store;
     int64_t load_start_ms;
@@ -278,6 +280,7 @@
     PLACE_ACTIVITY,
     PLACE_HOLDINGS,
     PLACE_LEAVING,
+    PLACE_PAUSED,
     PLACE_CALL_DONE,
 };
 
@@ -291,6 +294,16 @@
     bool leaves;
 };
 
+/**
+ * struct place_pause - what a target has said about the requests it wants
+ * @target: id of the target
+ * @until_ms: it wants none until then
+ */
+struct place_pause {
+    char target[NAME_MAX_BYTES];
+    int64_t until_ms;
+};
+
 /* Ownership of @data passes to the receiver. */
 struct place_message {
     enum place_message_kind kind;
--- a/src/gate/place/fns.h
+++ b/src/gate/place/fns.h
@@ -9,6 +9,7 @@
                               const struct target_change *change,
                               int64_t now_ms);
 void plan_apply_leaving(struct plan *plan, const struct place_leaving *news);
+void plan_apply_pause(struct plan *plan, const struct place_pause *pause);
 void plan_apply_holdings(struct plan *plan, const struct holdings *holdings);
 void plan_set_term(struct plan *plan, int64_t fence, int64_t now_ms);
 const struct gate_service *
@@ -110,6 +111,8 @@
                               struct activity_report *activity);
 void place_gate_post_leaving(struct place_gate *place, const char *target,
                              bool leaves);
+void place_gate_post_pause(struct place_gate *place, const char *target,
+                           int64_t until_ms);
 void place_gate_post_holdings(struct place_gate *place,
                               struct holdings *holdings);
 
--- a/src/gate/place/place.c
+++ b/src/gate/place/place.c
@@ -57,6 +57,10 @@
         plan_apply_leaving(&place->plan, message->data);
         g_free(message->data);
         break;
+    case PLACE_PAUSED:
+        plan_apply_pause(&place->plan, message->data);
+        g_free(message->data);
+        break;
     case PLACE_CALL_DONE:
         place->pending_calls--;
         holdings = plan_step_done(&place->plan, message->data, now_ms);
@@ -338,3 +342,23 @@
         g_free(news);
     }
 }
+
+/**
+ * place_gate_post_pause() - post what a target has said about the requests
+ *                           that it wants
+ * @place: the duty
+ * @target: id of the target
+ * @until_ms: it wants none until then
+ */
+void
+place_gate_post_pause(struct place_gate *place, const char *target,
+                      int64_t until_ms)
+{
+    struct place_pause *pause = g_new0(struct place_pause, 1);
+
+    g_strlcpy(pause->target, target, sizeof(pause->target));
+    pause->until_ms = until_ms;
+    if (!post(place, PLACE_PAUSED, pause)) {
+        g_free(pause);
+    }
+}
--- a/src/gate/place/plan.c
+++ b/src/gate/place/plan.c
@@ -244,6 +244,23 @@
     }
 }
 
+/**
+ * plan_apply_pause() - apply what a target has said about the requests that it
+ *                      wants
+ * @plan: the plan
+ * @pause: what was learnt
+ */
+void
+plan_apply_pause(struct plan *plan, const struct place_pause *pause)
+{
+    struct plan_engine *engine =
+        g_hash_table_lookup(plan->engines, pause->target);
+
+    if (engine != NULL) {
+        engine->paused_until_ms = pause->until_ms;
+    }
+}
+
 /**
  * plan_apply_holdings() - apply held items as the lease holder reports them
  * @plan: the plan
--- a/src/gate/place/step.c
+++ b/src/gate/place/step.c
@@ -26,6 +26,9 @@
     RESERVATION_MS = 3000,     /* the evicted item's requests end by then */
     IN_DOUBT_REPORT_MS = 600,  /* delay of the report of an engine in doubt */
     HOLDINGS_RECHECK_MS = 400, /* requests wait although the item is held */
+    /* The engine wants no requests of this instance, which explains the wait;
+     * those of other instances may wait for an item that it lacks. */
+    PAUSED_RECHECK_MS = 2000,
     /* Requests that a model without another copy would lose while it is
      * fetched from the weight store again. */
     SPARE_LOSS_MIN = 20,
@@ -141,7 +144,9 @@
 
         if (item_set_contains(&engine->info.held, wanted->item) &&
             engine->next_report_ms == 0) {
-            engine->next_report_ms = now_ms + HOLDINGS_RECHECK_MS;
+            engine->next_report_ms =
+                MAX(now_ms + HOLDINGS_RECHECK_MS,
+                    MIN(engine->paused_until_ms, now_ms + PAUSED_RECHECK_MS));
         }
     }
 }
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -226,6 +226,15 @@
     place_gate_post_leaving(&gate->place, target, leaves);
 }
 
+static void
+relay_port_paused(struct relay_port *port, const char *target,
+                  int64_t until_ms)
+{
+    struct gate *gate = ((struct gate_relay_port *)port)->gate;
+
+    place_gate_post_pause(&gate->place, target, until_ms);
+}
+
 static void
 relay_port_drained(struct relay_port *port)
 {
@@ -234,7 +243,7 @@
 
 static const struct relay_port_ops relay_ops = {
     relay_port_activity, relay_port_crashes, relay_port_leaving,
-    relay_port_drained};
+    relay_port_paused, relay_port_drained};
 
 static void
 place_port_holdings(struct place_gate_port *port, struct holdings *holdings)
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -229,6 +229,9 @@
  * instances, or to a few that @spread picks unless it is 0; must not block
  * @leaving: a target has said that it leaves, or this no longer holds;
  * @target, its id, is valid during the call; must not block
+ * @paused: a target wants no requests until @until_ms, which has passed when
+ * it wants some again; @target, its id, is valid during the call; must not
+ * block
  * @drained: after relay_post_drain(), all requests are finished or the grace
  * period ends
  */
@@ -237,6 +240,8 @@
     void (*crashes)(struct relay_port *port, const struct crash_report *report,
                     uint64_t spread);
     void (*leaving)(struct relay_port *port, const char *target, bool leaves);
+    void (*paused)(struct relay_port *port, const char *target,
+                   int64_t until_ms);
     void (*drained)(struct relay_port *port);
 };
 
--- a/src/gate/relay/pause.c
+++ b/src/gate/relay/pause.c
@@ -89,6 +89,8 @@
     notice->pause.since_ms = now_ms;
     notice->pause.until_ms = now_ms + pause_ms;
     notice->ended = false;
+    relay->port->ops->paused(relay->port, identity->id,
+                             notice->pause.until_ms);
     if (target != NULL) {
         pause_mark(relay, target);
     }
@@ -111,6 +113,7 @@
     if (!notice->ended) {
         log_end(notice, "answer", now_ms);
     }
+    relay->port->ops->paused(relay->port, id, now_ms);
     g_hash_table_remove(relay->pauses, id);
     if (target != NULL) {
         pause_mark(relay, target);
@@ -173,6 +176,7 @@
     }
     if (entry->started_ms > notice->target.started_ms) {
         log_end(notice, "restarted", now_ms);
+        relay->port->ops->paused(relay->port, entry->id, now_ms);
         g_hash_table_remove(relay->pauses, entry->id);
     }
 }
--- a/test/notice_test.c
+++ b/test/notice_test.c
@@ -53,6 +53,7 @@
     int connections[CONNECTIONS_MAX]; /* of the relay to the first target */
     int connection_count;
     int told_planner; /* more often that a target leaves than that not */
+    int64_t told_pause_ms; /* end of the pause that the planner was told */
     int64_t now_ms;
 };
 
@@ -73,6 +74,17 @@
     world->told_planner += leaves ? 1 : -1;
 }
 
+static void
+keep_pause(struct relay_port *port, const char *target, int64_t until_ms)
+{
+    struct world *world =
+        (struct world *)((char *)port - offsetof(struct world, port));
+
+    if (strcmp(target, "A") == 0) {
+        world->told_pause_ms = until_ms;
+    }
+}
+
 static void
 ignore_drained(struct relay_port *port)
 {
@@ -80,7 +92,8 @@
 }
 
 static const struct relay_port_ops port_ops = {drop_activity, drop_crashes,
-                                               count_leaving, ignore_drained};
+                                               count_leaving, keep_pause,
+                                               ignore_drained};
 
 static int
 listen_any(int *port)
@@ -731,6 +744,11 @@
     for (const char *command = c->script; *command != '\0'; command++) {
         run_command(&world, NULL, -1, *command);
     }
+    /* A freeze passes the end, which the planner knows without being told. */
+    if (strchr(c->script, 'f') == NULL) {
+        g_assert_cmpint(MAX(world.told_pause_ms - world.now_ms, 0), ==,
+                        c->pause_ms);
+    }
     if (c->pause_ms > 0) {
         g_assert_false(goes_to_target(&world));
         advance(&world, c->pause_ms - 1);
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -42,6 +42,7 @@
  *   begin           a term of this instance as lease holder begins; "same":
  *                   it lasts, "end": it ends
  *   l1 s1           engine 1 has said that it leaves; this no longer holds
+ *   p1:MS           engine 1 wants no requests for MS
  *   v1:SEQ:ITEMS    another instance's view of engine 1 arrives
  */
 struct step_case {
@@ -271,6 +272,15 @@
      "e1:m1 e2: n n r1:0:m1 r2:0: l1 w:m1=1 n", "report2 report1 load2:m1@0"},
     {"engine_that_has_not_left_gets_loads", "e1: n r1:0: l1 s1 w:m1=1 n",
      "report1 load1:m1@0"},
+    {"engine_that_wants_no_requests_is_read_rarely",
+     "e1:m1 n r1:0:m1 p1:2999 w:m1=1 t=500 n t=900 n t=2499 n t=2500 n "
+     "r1:0:m1 n t=2999 n t=3000 n",
+     "report1 - - - report1 - - report1"},
+    {"engine_that_wants_requests_again_is_read_soon",
+     "e1:m1 n r1:0:m1 p1:2999 p1:0 w:m1=1 t=500 n t=900 n",
+     "report1 - report1"},
+    {"engine_that_wants_no_requests_gets_orders",
+     "e1: n r1:0: p1:2999 w:m1=1 n", "report1 load1:m1@0"},
     {"items_of_unknown_size_prevent_loads", "e1: n r1:0:other w:m1=1 n",
      "report1 -"},
     {"item_missing_from_the_configuration_prevents_loads",
@@ -624,6 +634,19 @@
     plan_apply_leaving(&fixture->plan, &news);
 }
 
+static void
+apply_pause(struct plan_fixture *fixture, char number, char **parts)
+{
+    struct place_pause pause = {
+        .until_ms = fixture->now_ms + g_ascii_strtoll(parts[1], NULL, 10),
+    };
+    struct target_info info;
+
+    fill_info(&info, number);
+    g_strlcpy(pause.target, info.id, sizeof(pause.target));
+    plan_apply_pause(&fixture->plan, &pause);
+}
+
 static void
 run_command(struct plan_fixture *fixture, const char *command)
 {
@@ -668,6 +691,9 @@
     else if (command[0] == 'l' || command[0] == 's') {
         apply_leaving(fixture, command[1], command[0] == 'l');
     }
+    else if (command[0] == 'p') {
+        apply_pause(fixture, command[1], parts);
+    }
     else if (command[0] == 'n') {
         record_next_step(fixture);
     }
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -87,6 +87,15 @@
     (void)leaves;
 }
 
+/* For relay_port_ops.paused. */
+static inline void
+drop_pause(struct relay_port *port, const char *target, int64_t until_ms)
+{
+    (void)port;
+    (void)target;
+    (void)until_ms;
+}
+
 static inline int
 connect_to(int port)
 {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -78,7 +78,7 @@
 }
 
 static const struct relay_port_ops port_ops = {on_activity, drop_crashes,
-                                               drop_leaving, on_drained};
+                                               drop_leaving, drop_pause, on_drained};
 
 static void
 fixture_init(struct fixture *fixture, const char *const *answers, int targets)
