Soak: a reload can't end a gate that has just been forked

The child blocked SIGHUP itself, so that one that came before it had run ended it. The mask is now set before the fork and put back in the parent.

--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -61,14 +61,8 @@
 run_child(const struct soak *soak, const struct soak_gate *gate)
 {
     int log_fd = open(gate->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
-    sigset_t blocked;
 
-    /* A reload can be requested while the program is still being loaded; the
-     * signal stays pending until its main() waits for it. */
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    sigemptyset(&blocked);
-    sigaddset(&blocked, SIGHUP);
-    sigprocmask(SIG_SETMASK, &blocked, NULL);
     dup2(log_fd, STDOUT_FILENO);
     dup2(log_fd, STDERR_FILENO);
     execl(soak->program, soak->program, gate->settings, (char *)NULL);
@@ -78,12 +72,22 @@
 void
 soak_gate_start(struct soak *soak, struct soak_gate *gate)
 {
-    pid_t pid = fork();
+    sigset_t blocked;
+    sigset_t previous;
+    pid_t pid;
 
+    /* A reload can be requested before the child has run, or while its program
+     * is still being loaded; the signal stays pending until its main() waits
+     * for it. */
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGHUP);
+    pthread_sigmask(SIG_SETMASK, &blocked, &previous);
+    pid = fork();
     g_assert_cmpint(pid, >=, 0);
     if (pid == 0) {
         run_child(soak, gate);
     }
+    pthread_sigmask(SIG_SETMASK, &previous, NULL);
     pthread_mutex_lock(&soak->lock);
     gate->pid = pid;
     gate->termination_requested = false;
