--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -105,6 +105,9 @@
         g_strlcpy(reply->attempt_id, bytes,
                   MIN(count + 1, sizeof(reply->attempt_id)));
     }
+    if (reply->signed_by_target && reply->seal[0] == '\0') {
+        g_strlcpy(reply->seal, bytes, MIN(count + 1, sizeof(reply->seal)));
+    }
     return 0;
 }
 
@@ -335,6 +338,7 @@
 check_origin(struct soak *soak, const struct soak_request *request,
              const struct reply *reply)
 {
+    soak_record_answer_read(soak, request->attempt_id, reply->seal);
     if (!reply->signed_by_target ||
         strcmp(reply->attempt_id, request->attempt_id) != 0) {
         soak_record_failure(soak,
@@ -536,11 +540,13 @@
     request->config_acked_ms = soak->config_acked_ms;
     request->gate_start_count = request->gate->start_count;
     calm = soak->faults_ended_ms != 0;
-    pthread_mutex_unlock(&soak->lock);
     request->deadline_ms =
         soak->kind == SOAK_PLANNED ? PLANNED_TIMEOUT_MS : DEADLINE_MS;
     request->size = request_size(state, request->kind, calm);
     request->sent_ms = clock_now_ms();
+    soak_record_sent(soak, request->attempt_id, request->gate,
+                     request->sent_ms);
+    pthread_mutex_unlock(&soak->lock);
 }
 
 /* Whether the gate has neither answered nor closed the connection within
--- a/test/soak/run.c
+++ b/test/soak/run.c
@@ -62,6 +62,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     soak->works =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    soak_notice_init(soak);
     g_strlcpy(soak->directory, directory, sizeof(soak->directory));
     g_strlcpy(soak->program, program, sizeof(soak->program));
     g_free(directory);
@@ -110,6 +111,7 @@
     g_hash_table_destroy(soak->refused);
     g_hash_table_destroy(soak->answered);
     g_hash_table_destroy(soak->works);
+    soak_notice_free(soak);
     g_string_free(soak->failure, TRUE);
     g_rand_free(soak->random);
     pthread_mutex_destroy(&soak->lock);
