Peers: instances tell each other that they stop

The member list loses an instance only when its lease is revoked, up to 2.56 s later, and crashed ones later. Activity reports, which go out at once when a stop begins and each 250 ms, have a field for it now; such an instance isn't counted as one that could serve a request instead, and callers that ask for addresses get it only for want of others. From nine instances on reports go to the holder alone, and the member list decides as before.

Evidence: relay_time_test stop_length/others_stop_too is red without it, lookup cases one_stops and this_stops likewise fail when the field isn't looked at.

--- a/src/gate/peers/messages.c
+++ b/src/gate/peers/messages.c
@@ -87,6 +87,7 @@
         encode_item(&items[i], &activity->items[i]);
         list[i] = &items[i];
     }
+    body.stopping = activity->stopping;
     body.n_items = (size_t)activity->item_count;
     body.items = list;
     sent = send_envelope(peer, member, &body, activity->targets,
@@ -198,6 +199,7 @@
             activity->item_count++;
         }
     }
+    activity->stopping = body->stopping;
     activity->targets = decode_targets(body);
     activity->target_count = (int)body->n_targets;
     return activity;
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -168,6 +168,7 @@
  * previous periodic report
  * @totals: like @targets, summed over this instance and all that report to it
  * @instance_count: instances that @totals covers
+ * @stopping: the instance leaves new requests to others
  */
 struct activity_report {
     uint64_t instance;
@@ -180,6 +181,7 @@
     int total_count;
     int instance_count;
     bool periodic;
+    bool stopping;
 };
 
 /**
--- a/src/gate/relay/drain.c
+++ b/src/gate/relay/drain.c
@@ -85,8 +85,11 @@
 is_served_elsewhere(const struct relay *relay)
 {
     for (guint i = 0; i < relay->members->len; i++) {
-        if (!member_is_self(relay, &g_array_index(relay->members,
-                                                  struct gate_member, i))) {
+        const struct gate_member *member =
+            &g_array_index(relay->members, struct gate_member, i);
+
+        if (!member_is_self(relay, member) &&
+            !member_is_stopping(relay, member)) {
             return true;
         }
     }
@@ -136,6 +139,7 @@
     if (!relay->draining) {
         relay->draining = true;
         relay->drain_started_ms = now_ms;
+        relay->report_soon = true;
         log_line(LOG_PRI_INFO, "relay", "event=leaving clients=%u requests=%u",
                  table_count(&relay->clients), table_count(&relay->exchanges));
     }
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -561,6 +561,8 @@
                           int64_t now_ms);
 
 /* local.c */
+bool member_is_stopping(const struct relay *relay,
+                        const struct gate_member *member);
 bool member_is_self(const struct relay *relay,
                     const struct gate_member *member);
 void local_serve(struct relay *relay, struct client *client, int64_t now_ms);
--- a/src/gate/relay/local.c
+++ b/src/gate/relay/local.c
@@ -54,25 +54,51 @@
     return strcmp(member->front_address, relay->settings->front_address) == 0;
 }
 
-/* Addresses for callers. Whether this instance is among them follows from its
- * own state, not from the member list. */
-static GPtrArray *
-list_addresses(const struct relay *relay)
+/**
+ * member_is_stopping() - whether an instance said in its last report that it
+ * stops
+ * @relay: the relay
+ * @member: its entry in the member list, which may outlast that by seconds
+ */
+bool
+member_is_stopping(const struct relay *relay, const struct gate_member *member)
 {
-    GPtrArray *list = g_ptr_array_new();
+    const struct peer_report *peer =
+        g_hash_table_lookup(relay->peer_reports, &member->id);
 
-    if (!relay->draining) {
-        g_ptr_array_add(list, (void *)relay->settings->front_address);
-    }
+    return peer != NULL && peer->report->stopping;
+}
+
+static void
+add_members(const struct relay *relay, GPtrArray *list, bool stopping)
+{
     for (guint i = 0; i < relay->members->len && list->len < ADDRESSES_MAX;
          i++) {
         struct gate_member *member =
             &g_array_index(relay->members, struct gate_member, i);
 
-        if (!member_is_self(relay, member)) {
+        if (!member_is_self(relay, member) &&
+            member_is_stopping(relay, member) == stopping) {
             g_ptr_array_add(list, member->front_address);
         }
     }
+}
+
+/* Addresses for callers. Whether this instance is among them follows from its
+ * own state, not from the member list. Instances that stop still serve for a
+ * moment, for want of others. */
+static GPtrArray *
+list_addresses(const struct relay *relay)
+{
+    GPtrArray *list = g_ptr_array_new();
+
+    if (!relay->draining) {
+        g_ptr_array_add(list, (void *)relay->settings->front_address);
+    }
+    add_members(relay, list, false);
+    if (list->len == 0) {
+        add_members(relay, list, true);
+    }
     return list;
 }
 
--- a/src/gate/relay/report.c
+++ b/src/gate/relay/report.c
@@ -173,6 +173,7 @@
     relay->last_report_ms = now_ms;
     relay->report_soon = false;
     report = activity_report_new(relay->self_id);
+    report->stopping = relay->draining;
     report->periodic =
         now_ms - relay->last_periodic_report_ms >= report_period_ms(relay);
     if (report->periodic) {
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -3884,7 +3884,7 @@
   (ProtobufCMessageInit) turmeric__gate_target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor turmeric__gate_activity__field_descriptors[4] =
+static const ProtobufCFieldDescriptor turmeric__gate_activity__field_descriptors[5] =
 {
   {
     "items",
@@ -3934,17 +3934,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stopping",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateActivity, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__gate_activity__field_indices_by_name[] = {
   3,   /* field[3] = instances */
   0,   /* field[0] = items */
+  4,   /* field[4] = stopping */
   2,   /* field[2] = sum_fence */
   1,   /* field[1] = targets */
 };
 static const ProtobufCIntRange turmeric__gate_activity__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor turmeric__gate_activity__descriptor =
 {
@@ -3954,7 +3967,7 @@
   "Turmeric__GateActivity",
   "turmeric",
   sizeof(Turmeric__GateActivity),
-  4,
+  5,
   turmeric__gate_activity__field_descriptors,
   turmeric__gate_activity__field_indices_by_name,
   1,  turmeric__gate_activity__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -500,10 +500,14 @@
    * that are summed up
    */
   uint32_t instances;
+  /*
+   * the sender leaves new requests to others
+   */
+  protobuf_c_boolean stopping;
 };
 #define TURMERIC__GATE_ACTIVITY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_activity__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0 }
+    , 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1008,7 +1008,7 @@
 #define OTHER_ROUTE REQUEST("/safe/1")
 
 static void
-post_others(struct fixture *fixture, int count)
+post_others(struct fixture *fixture, int count, int stopping)
 {
     GArray *members = g_array_new(FALSE, TRUE, sizeof(struct gate_member));
     struct gate_member self = {0};
@@ -1023,6 +1023,12 @@
                    "127.0.0.2:%d", 8000 + i);
         g_array_append_val(members, member);
     }
+    for (int i = 0; i < stopping; i++) {
+        struct activity_report *report = activity_report_new((uint64_t)i + 1);
+
+        report->stopping = true;
+        relay_post_activity(fixture->relay, report);
+    }
     g_assert_true(relay_post_members(fixture->relay, members));
     g_array_free(members, TRUE);
     step(fixture, EVENT_WAIT_MS);
@@ -1056,7 +1062,7 @@
 
     fixture_start(&fixture);
     step(&fixture, EVENT_WAIT_MS);
-    post_others(&fixture, 1);
+    post_others(&fixture, 1, 0);
     for (int i = 0; i < 20; i++) {
         play_answer(&fixture, OTHER_ROUTE, 6000);
     }
@@ -1336,7 +1342,8 @@
  * end before the instance does, and against one that refuses what can. */
 struct stop_length_case {
     const char *name;
-    int others;         /* instances that serve callers besides this one */
+    int others;         /* instances in the member list besides this one */
+    int stopping;       /* of these, those that report that they stop */
     const char *taught; /* request of the answers before the stop */
     int64_t taught_ms;  /* length of these answers; 0 for none */
     int64_t at_ms;      /* from the start of the stop */
@@ -1345,15 +1352,17 @@
 };
 
 static const struct stop_length_case stop_length_cases[] = {
-    {"long_late", 1, ONCE, 4500, 2700, 0, false},
-    {"long_early", 1, ONCE, 4500, 1500, 0, true},
-    {"short_late", 1, ONCE, 50, 2700, 0, true},
-    {"long_waited", 1, ONCE, 4500, 100, 4000, false},
-    {"short_waited", 1, ONCE, 50, 100, 4000, true},
-    {"no_other_instance", 0, ONCE, 4500, 2700, 0, true},
-    {"close_to_the_bound", 1, ONCE, 4500, 1950, 0, true},
-    {"unknown_length", 1, ONCE, 0, 2700, 0, true},
-    {"known_for_the_service", 1, OTHER_ROUTE, 4500, 2700, 0, false},
+    {"long_late", 1, 0, ONCE, 4500, 2700, 0, false},
+    {"long_early", 1, 0, ONCE, 4500, 1500, 0, true},
+    {"short_late", 1, 0, ONCE, 50, 2700, 0, true},
+    {"long_waited", 1, 0, ONCE, 4500, 100, 4000, false},
+    {"short_waited", 1, 0, ONCE, 50, 100, 4000, true},
+    {"no_other_instance", 0, 0, ONCE, 4500, 2700, 0, true},
+    {"close_to_the_bound", 1, 0, ONCE, 4500, 1950, 0, true},
+    {"unknown_length", 1, 0, ONCE, 0, 2700, 0, true},
+    {"known_for_the_service", 1, 0, OTHER_ROUTE, 4500, 2700, 0, false},
+    {"others_stop_too", 2, 2, ONCE, 4500, 2700, 0, true},
+    {"one_other_stops", 2, 1, ONCE, 4500, 2700, 0, false},
 };
 
 /* Whether the target or the caller gets something first. */
@@ -1385,7 +1394,6 @@
 
     fixture_start(&fixture);
     step(&fixture, EVENT_WAIT_MS);
-    post_others(&fixture, c->others);
     for (int i = 0; c->taught_ms > 0 && i < 20; i++) {
         play_answer(&fixture, c->taught, c->taught_ms);
     }
@@ -1394,6 +1402,7 @@
         fixture.target = -1;
         step(&fixture, EVENT_WAIT_MS);
     }
+    post_others(&fixture, c->others, c->stopping);
     relay_post_drain(fixture.relay);
     step(&fixture, EVENT_WAIT_MS);
     if (c->wait_ms > 0) {
@@ -1427,6 +1436,52 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against callers that are sent to an instance that has said that it
+ * stops, and against none when all have. */
+struct lookup_case {
+    const char *name;
+    int others;
+    int stopping;
+    bool draining;
+    const char *addresses;
+};
+
+static const struct lookup_case lookup_cases[] = {
+    {"none_stops", 2, 0, false,
+     "[\"127.0.0.1:0\",\"127.0.0.2:8000\",\"127.0.0.2:8001\"]"},
+    {"one_stops", 2, 1, false, "[\"127.0.0.1:0\",\"127.0.0.2:8001\"]"},
+    {"others_stop", 2, 2, false, "[\"127.0.0.1:0\"]"},
+    {"this_stops", 2, 1, true, "[\"127.0.0.2:8001\"]"},
+    {"all_stop", 2, 2, true, "[\"127.0.0.2:8000\",\"127.0.0.2:8001\"]"},
+};
+
+static void
+test_lookup(gconstpointer data)
+{
+    const struct lookup_case *c = data;
+    struct fixture fixture;
+    int caller;
+    char *text;
+
+    fixture_start(&fixture);
+    step(&fixture, EVENT_WAIT_MS);
+    post_others(&fixture, c->others, c->stopping);
+    if (c->draining) {
+        relay_post_drain(fixture.relay);
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    caller = connect_to(relay_lookup_port(fixture.relay));
+    send_text(caller, "GET /v1/resolve?name=h HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (!is_readable(caller)) {
+        step(&fixture, EVENT_WAIT_MS);
+    }
+    text = read_some(caller);
+    g_assert_nonnull(strstr(text, c->addresses));
+    g_free(text);
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a request that has run and is given up during a stop although
  * it may go on: at its silent target, or at another one. */
 struct stop_run_case {
@@ -1460,7 +1515,7 @@
 
     fixture_start(&fixture);
     step(&fixture, EVENT_WAIT_MS);
-    post_others(&fixture, 1);
+    post_others(&fixture, 1, 0);
     for (int i = 0; i < 30; i++) {
         play_answer(&fixture, OTHER_ROUTE, i < c->short_answers ? 50 : 4500);
     }
@@ -1982,6 +2037,7 @@
     CASES("/relay_time/late", late_cases, test_late),
     CASES("/relay_time/stop_length", stop_length_cases, test_stop_length),
     CASES("/relay_time/stop_run", stop_run_cases, test_stop_run),
+    CASES("/relay_time/lookup", lookup_cases, test_lookup),
     CASES("/relay_time/discard", discard_cases, test_discard),
     CASES("/relay_time/fault", fault_cases, test_fault),
     CASES("/relay_time/discard_time", discard_time_cases, test_discard_time),
