Fault soak: a stopping gate that a signal ends is a failure

A gate told to stop could end by SIGSEGV or SIGHUP unseen, as any signal counted as the end that was asked for. Only SIGTERM, before the program handles it, and SIGKILL are.

--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -120,8 +120,8 @@
 }
 
 /* Returns whether the process has ended. An exit without a request is a
- * failure, and so is an exit code other than 0, which a sanitizer's finding
- * causes. */
+ * failure, and so are an exit code other than 0, which a sanitizer's finding
+ * causes, and a signal that nobody sent. */
 bool
 soak_gate_reap(struct soak *soak, struct soak_gate *gate)
 {
@@ -136,9 +136,11 @@
                             "gate %d ended unexpectedly with wait status %x",
                             gate->number, (unsigned)status);
     }
-    else if (!WIFSIGNALED(status) && WEXITSTATUS(status) != 0) {
-        soak_record_failure(soak, "gate %d exited with code %d", gate->number,
-                            WEXITSTATUS(status));
+    else if (WIFSIGNALED(status)
+                 ? WTERMSIG(status) != SIGTERM && WTERMSIG(status) != SIGKILL
+                 : WEXITSTATUS(status) != 0) {
+        soak_record_failure(soak, "gate %d ended with wait status %x",
+                            gate->number, (unsigned)status);
     }
     return true;
 }
