--- a/test/notice_test.c
+++ b/test/notice_test.c
@@ -52,7 +52,7 @@
     int target_port;
     int connections[CONNECTIONS_MAX]; /* of the relay to the first target */
     int connection_count;
-    int told_planner; /* more often that a target leaves than that not */
+    int told_planner;      /* more often that a target leaves than that not */
     int64_t told_pause_ms; /* end of the pause that the planner was told */
     int64_t now_ms;
 };
@@ -91,9 +91,8 @@
     (void)port;
 }
 
-static const struct relay_port_ops port_ops = {drop_activity, drop_crashes,
-                                               count_leaving, keep_pause,
-                                               ignore_drained};
+static const struct relay_port_ops port_ops = {
+    drop_activity, drop_crashes, count_leaving, keep_pause, ignore_drained};
 
 static int
 listen_any(int *port)
--- a/test/relay_memory_test.c
+++ b/test/relay_memory_test.c
@@ -75,8 +75,8 @@
     (void)port;
 }
 
-static const struct relay_port_ops port_ops = {ignore_activity, drop_crashes,
-                                               drop_leaving, drop_pause, ignore_drained};
+static const struct relay_port_ops port_ops = {
+    ignore_activity, drop_crashes, drop_leaving, drop_pause, ignore_drained};
 
 static void
 post_config(struct relay *relay)
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -77,8 +77,8 @@
     pthread_mutex_unlock(&fixture->lock);
 }
 
-static const struct relay_port_ops port_ops = {on_activity, drop_crashes,
-                                               drop_leaving, drop_pause, on_drained};
+static const struct relay_port_ops port_ops = {
+    on_activity, drop_crashes, drop_leaving, drop_pause, on_drained};
 
 static void
 fixture_init(struct fixture *fixture, const char *const *answers, int targets)
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -73,8 +73,8 @@
     (void)port;
 }
 
-static const struct relay_port_ops port_ops = {count_activity, drop_crashes,
-                                               drop_leaving, drop_pause, ignore_drained};
+static const struct relay_port_ops port_ops = {
+    count_activity, drop_crashes, drop_leaving, drop_pause, ignore_drained};
 
 static void
 post_limits(struct relay *relay, int version, int idle_timeout_ms)
--- a/test/soak/notice.c
+++ b/test/soak/notice.c
@@ -1,5 +1,6 @@
 /* What engines say of themselves in their answers, that they leave or how long
- * they want no requests, and whether the gates that have read it keep to it. */
+ * they want no requests, and whether the gates that have read it keep to it.
+ */
 #include <glib.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -12,7 +13,7 @@
 #include "test/soak/fns.h"
 
 enum {
-    PAUSE_SLACK_MS = 500,  /* requests that are on their way */
+    PAUSE_SLACK_MS = 500,   /* requests that are on their way */
     PAUSE_REQUESTS_MAX = 2, /* that reach a paused engine after it */
     NEVER_MS = -1,
 };
@@ -27,8 +28,8 @@
 };
 
 static const struct retry_after retry_afters[] = {
-    {"0", 0},       {"0.25", 250},    {"1", 1000},
-    {"1.5", 1500},  {"2", 2000},      {"3", 3000},
+    {"0", 0},         {"0.25", 250},      {"1", 1000},
+    {"1.5", 1500},    {"2", 2000},        {"3", 3000},
     {"-1", NEVER_MS}, {"soon", NEVER_MS}, {"1000000000", NEVER_MS},
 };
 
@@ -78,7 +79,8 @@
 void
 soak_notice_init(struct soak *soak)
 {
-    soak->sent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    soak->sent =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     soak->notices = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -116,8 +118,8 @@
 soak_begin_turning_away(struct soak_engine *engine, GRand *random)
 {
     pthread_mutex_lock(&engine->soak->lock);
-    engine->retry_after = &retry_afters[g_rand_int_range(
-        random, 0, G_N_ELEMENTS(retry_afters))];
+    engine->retry_after =
+        &retry_afters[g_rand_int_range(random, 0, G_N_ELEMENTS(retry_afters))];
     pthread_mutex_unlock(&engine->soak->lock);
 }
 
--- a/test/soak_test.c
+++ b/test/soak_test.c
@@ -41,6 +41,10 @@
     /* A refusal's second copy passed for that of the same request's next run;
      * an interim response passed as the final one. */
     {"refusal_repeated", 3007},
+    /* These find DRAIN when Server-Leaving is forgotten, and BUDGET when
+     * Retry-After is ignored. */
+    {"leaving_forgotten", 7109},
+    {"pause_ignored", 7105},
 };
 
 static char program[PATH_MAX_BYTES];
--- a/test/wire_play.c
+++ b/test/wire_play.c
@@ -97,8 +97,8 @@
     (void)port;
 }
 
-static const struct relay_port_ops port_ops = {drop_activity, drop_crashes,
-                                               drop_leaving, drop_pause, ignore_drained};
+static const struct relay_port_ops port_ops = {
+    drop_activity, drop_crashes, drop_leaving, drop_pause, ignore_drained};
 
 static void
 step(struct wire_bench *bench, int wait_ms)
