--- a/test/soak/engine.c
+++ b/test/soak/engine.c
@@ -123,12 +123,17 @@
     struct json_object *object = holdings_json(engine);
     char *key = g_strdup_printf("servers/%s", engine->id);
     char *address = g_strdup_printf("127.0.0.1:%d", engine->link->port);
+    int slots = SLOTS;
 
+    /* The entry of an engine that leaves changes, and still lists it. */
+    if (engine->leaves_from_ms != 0) {
+        slots += g_rand_int_range(engine->soak->random, 0, 2);
+    }
     json_object_object_add(object, "service",
                            json_object_new_string(engine->service));
     json_object_object_add(object, "address", json_object_new_string(address));
     json_object_object_add(object, "zone", json_object_new_string("z"));
-    json_object_object_add(object, "slots", json_object_new_int(SLOTS));
+    json_object_object_add(object, "slots", json_object_new_int(slots));
     json_object_object_add(object, "born",
                            json_object_new_int64(engine->started_ms));
     json_object_object_add(
