--- a/test/soak_test.c
+++ b/test/soak_test.c
@@ -47,6 +47,10 @@
     /* A refusal's second copy passed for that of the same request's next run;
      * an interim response passed as the final one. */
     {"refusal_repeated", 3007, SOAK_FAULTS},
+    /* These find DRAIN when Server-Leaving is forgotten, and BUDGET when
+     * Retry-After is ignored. */
+    {"leaving_forgotten", 7109, SOAK_FAULTS},
+    {"pause_ignored", 7105, SOAK_FAULTS},
 };
 
 static char program[PATH_MAX_BYTES];
