Relay: answer callers until the process of a stopped instance ends

When the relay had nothing more to answer it left its event loop, with its connections open, and then the other duties were stopped. Nobody read what arrived in between, and the end of the process reset it.

The relay now goes on serving (that is, refusing) after it has said that the process may end, and stops last of all duties. It starts first therefore; its rings exist before any duty starts.

--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -436,6 +436,7 @@
     struct instance_counts instance_counts;
     bool draining;
     int64_t drain_started_ms;
+    bool drained; /* the process may end, and has been told so */
     int64_t last_report_ms;
     int64_t last_periodic_report_ms;
     bool report_soon;
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -355,6 +355,19 @@
                       (int)MAX(wait_ms, 0));
 }
 
+/* The other duties take up to a second to stop. What callers send until then
+ * is still refused, as it would be reset by the end of the process. */
+static void
+report_drained(struct relay *relay)
+{
+    if (!relay->drained) {
+        relay->drained = true;
+        log_line(LOG_PRI_INFO, "relay", "event=left requests=%u clients=%u",
+                 table_count(&relay->exchanges), table_count(&relay->clients));
+        relay->port->ops->drained(relay->port);
+    }
+}
+
 static bool
 run(struct duty *duty, struct err *err)
 {
@@ -366,10 +379,7 @@
         int count = wait_for_events(relay, events);
 
         if (!relay_handle_events(relay, events, count, clock_now_ms())) {
-            log_line(LOG_PRI_INFO, "relay", "event=left requests=%u",
-                     table_count(&relay->exchanges));
-            relay->port->ops->drained(relay->port);
-            break;
+            report_drained(relay);
         }
     }
     return true;
--- a/src/gate/root.c
+++ b/src/gate/root.c
@@ -31,9 +31,10 @@
 {
     supervisor_init(&gate->supervisor, "gate");
     supervisor_init(&gate->store_supervisor, "follow");
+    /* First, so that it stops last and callers are answered until then. */
+    supervisor_add(&gate->supervisor, relay_duty(gate->relay));
     supervisor_add(&gate->supervisor, peer_duty(gate->peer));
     supervisor_add(&gate->supervisor, &gate->place.supervisor.duty);
-    supervisor_add(&gate->supervisor, relay_duty(gate->relay));
     supervisor_add(&gate->supervisor, &gate->store_supervisor.duty);
     supervisor_add(&gate->store_supervisor, &gate->lease_keeper.duty);
     supervisor_add(&gate->store_supervisor, &gate->feed.duty);
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1216,6 +1216,132 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a request that is reset because nobody reads it while the
+ * other duties of a stopping process end. */
+struct ending_case {
+    const char *name;
+    const char *before;  /* sent before the stop */
+    const char *request; /* sent when the process has been told to end */
+};
+
+static const struct ending_case ending_cases[] = {
+    {"kept_connection", REQUEST("/nowhere/1"), REQUEST("/once/1")},
+    {"new_connection", NULL, REQUEST("/once/1")},
+    {"requests_in_a_row", REQUEST("/nowhere/1"),
+     REQUEST("/once/1") REQUEST("/once/2")},
+};
+
+/* Runs the relay's own thread, which takes the time from the clock. */
+struct running {
+    struct gate_settings settings;
+    struct relay_port port;
+    struct relay *relay;
+    GMutex lock;
+    GCond changed;
+    bool drained;
+    pthread_t thread;
+};
+
+static void
+note_drained(struct relay_port *port)
+{
+    struct running *running =
+        (struct running *)((char *)port - offsetof(struct running, port));
+
+    g_mutex_lock(&running->lock);
+    running->drained = true;
+    g_cond_signal(&running->changed);
+    g_mutex_unlock(&running->lock);
+}
+
+static void
+drop_activity(struct relay_port *port, struct activity_report *report)
+{
+    (void)port;
+    activity_report_free(report);
+}
+
+static const struct relay_port_ops running_ops = {drop_activity, drop_crashes,
+                                                  drop_leaving, note_drained};
+
+static void *
+run_relay(void *argument)
+{
+    struct duty *duty = relay_duty(argument);
+    struct err err = {0};
+
+    g_assert_true(duty->ops->run(duty, &err));
+    return NULL;
+}
+
+static void
+running_start(struct running *running)
+{
+    struct err err = {0};
+
+    memset(running, 0, sizeof(*running));
+    g_mutex_init(&running->lock);
+    g_cond_init(&running->changed);
+    fill_settings(&running->settings);
+    running->settings.limits.stop_grace_ms = 100;
+    running->port.ops = &running_ops;
+    running->relay =
+        relay_new(&running->settings, &platform_dialect, &running->port, &err);
+    g_assert_nonnull(running->relay);
+    post_config(running->relay);
+    pthread_create(&running->thread, NULL, run_relay, running->relay);
+}
+
+static void
+running_drain(struct running *running)
+{
+    relay_post_drain(running->relay);
+    g_mutex_lock(&running->lock);
+    while (!running->drained) {
+        g_cond_wait(&running->changed, &running->lock);
+    }
+    g_mutex_unlock(&running->lock);
+}
+
+static void
+running_stop(struct running *running)
+{
+    struct duty *duty = relay_duty(running->relay);
+
+    duty->ops->stop(duty);
+    pthread_join(running->thread, NULL);
+    relay_free(running->relay);
+    g_mutex_clear(&running->lock);
+    g_cond_clear(&running->changed);
+}
+
+static void
+test_ending(gconstpointer data)
+{
+    const struct ending_case *c = data;
+    struct timeval wait = {.tv_sec = EVENT_WAIT_MS / 1000};
+    struct running running;
+    char *text;
+    int caller;
+
+    running_start(&running);
+    caller = connect_to(relay_front_port(running.relay));
+    setsockopt(caller, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    if (c->before != NULL) {
+        send_text(caller, c->before);
+        g_free(read_some(caller));
+    }
+    running_drain(&running);
+    send_text(caller, c->request);
+    text = read_some(caller);
+    g_assert_true(g_str_has_prefix(text, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(text, "not_run"));
+    g_assert_nonnull(strstr(text, "Connection: close"));
+    g_free(text);
+    close(caller);
+    running_stop(&running);
+}
+
 /* Guards against requests that are cut off by a planned stop: connections that
  * the kernel has accepted, that were not read, or whose request was read in
  * part. */
@@ -1888,6 +2014,7 @@
     CASES("/relay_time/lag", lag_cases, test_lag),
     CASES("/relay_time/unread", unread_cases, test_unread),
     CASES("/relay_time/idle_time", idle_cases, test_idle_time),
+    CASES("/relay_time/ending", ending_cases, test_ending),
     CASES("/relay_time/stop", stop_cases, test_stop),
     CASES("/relay_time/late", late_cases, test_late),
     CASES("/relay_time/stop_length", stop_length_cases, test_stop_length),
