Relay: a planned stop keeps connections open for the time announced

Callers whose answer ended during a planned stop, on a head that had announced Keep-Alive: timeout=12, had their connection closed 200 ms later and lost a request that crossed the close ("cut, no answer").

DRAIN_IDLE_MS was meant for callers that know of the stop. All answers whose head is sent during a stop say Connection: close, so only connections from before it stay open, until their caller closes them or the process ends.

relay_time_test idle_time/stop_in_mid_stream is red without the change.

--- a/src/gate/relay/client.c
+++ b/src/gate/relay/client.c
@@ -32,7 +32,6 @@
     DEFAULT_IDLE_TIMEOUT_MS = 15000,
     DEFAULT_HEAD_MAX_BYTES = 16384,
     DEFAULT_BODY_MAX_BYTES = 1024 * 1024,
-    DRAIN_IDLE_MS = 200, /* callers know of the drain by then */
     /* Callers use a connection for four fifths of its idle time, so that their
      * requests don't cross its close. */
     IDLE_USE_FIFTHS = 4,
@@ -179,9 +178,7 @@
 idle_due_ms(const struct relay *relay, const struct client *client)
 {
     return client->idle_since_ms +
-           (relay->draining
-                ? DRAIN_IDLE_MS
-                : MAX(idle_timeout_ms(relay), client->announced_idle_ms));
+           MAX(idle_timeout_ms(relay), client->announced_idle_ms);
 }
 
 /**
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1933,8 +1933,8 @@
 }
 
 /* Guards against a connection that is closed at the idle time of an older
- * configuration while its caller goes by a longer one, and against one that
- * isn't closed. */
+ * configuration, or of a planned stop, while its caller goes by a longer one,
+ * and against one that isn't closed. */
 struct idle_case {
     const char *name;
     const char *path;
@@ -1942,15 +1942,19 @@
     int idle_timeout_ms;   /* when the connection becomes idle */
     int later_ms;          /* by a configuration that comes then */
     int64_t open_ms;       /* it is open until then, and closed 1 s later */
+    bool stopping;         /* a planned stop starts before the answer ends */
 };
 
 static const struct idle_case idle_cases[] = {
-    {"same", "/once/1", "timeout=4\r\n", 5000, 5000, 4900},
-    {"raised", "/once/1", "timeout=4\r\n", 5000, 10000, 9900},
-    {"lowered", "/once/1", "timeout=4\r\n", 5000, 1000, 4900},
-    {"lowered_in_mid_stream", "/stream/1", "timeout=4\r\n", 5000, 1000, 4900},
-    {"short", "/once/1", NULL, 1200, 1200, 1100},
-    {"refusal", "/nowhere/1", "timeout=4\r\n", 5000, 5000, 4900},
+    {"same", "/once/1", "timeout=4\r\n", 5000, 5000, 4900, false},
+    {"raised", "/once/1", "timeout=4\r\n", 5000, 10000, 9900, false},
+    {"lowered", "/once/1", "timeout=4\r\n", 5000, 1000, 4900, false},
+    {"lowered_in_mid_stream", "/stream/1", "timeout=4\r\n", 5000, 1000, 4900,
+     false},
+    {"short", "/once/1", NULL, 1200, 1200, 1100, false},
+    {"refusal", "/nowhere/1", "timeout=4\r\n", 5000, 5000, 4900, false},
+    {"stop_in_mid_stream", "/stream/1", "timeout=4\r\n", 5000, 5000, 4900,
+     true},
 };
 
 static void
@@ -1991,6 +1995,10 @@
     g_free(text);
     post_limits(fixture.relay, 3, c->later_ms);
     step(&fixture, EVENT_WAIT_MS);
+    if (c->stopping) {
+        relay_post_drain(fixture.relay);
+        step(&fixture, EVENT_WAIT_MS);
+    }
     if (strcmp(c->path, "/stream/1") == 0) {
         answer(&fixture, REST_EVENT("01"));
     }
