--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1312,8 +1312,8 @@
     activity_report_free(report);
 }
 
-static const struct relay_port_ops running_ops = {drop_activity, drop_crashes,
-                                                  drop_leaving, note_drained};
+static const struct relay_port_ops running_ops = {
+    drop_activity, drop_crashes, drop_leaving, drop_pause, note_drained};
 
 static void *
 run_relay(void *argument)
