Platform: a report tells which process made it

Reports carry "born" (PROTOCOL.md), which wasn't read, so, which ignores a report of another process until its entry arrives, compared nothing in the product.

platform_test report/born is red without the line (0 instead of the start).

--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -713,42 +713,50 @@
 
 /*
  * Guards against a report that is read as one of an idle engine that holds
- * nothing, which would be given orders for all that it has.
+ * nothing, which would be given orders for all that it has, and against one of
+ * another process that is taken for one of the known process.
  */
 struct report_case {
     const char *name;
     const char *report;
     bool succeeds;
+    int64_t started_ms;
 };
 
 #define REPORT_WITH(rest) "{\"stage\":\"both\",\"models\":[]" rest "}"
 
 static const struct report_case report_cases[] = {
-    {"sound", REPORT_WITH(",\"sequence\":2,\"busy\":true"), true},
-    {"sequence_0", REPORT_WITH(",\"sequence\":0"), true},
-    {"models_as_text", "{\"models\":\"m\",\"sequence\":2}", false},
-    {"models_as_object", "{\"models\":{},\"sequence\":2}", false},
-    {"models_null", "{\"models\":null,\"sequence\":2}", true},
+    {"sound", REPORT_WITH(",\"sequence\":2,\"busy\":true"), true, 0},
+    {"born", REPORT_WITH(",\"sequence\":2,\"born\":1768793460000"), true,
+     1768793460000},
+    {"born_as_text", REPORT_WITH(",\"sequence\":2,\"born\":\"12\""), false, 0},
+    {"sequence_0", REPORT_WITH(",\"sequence\":0"), true, 0},
+    {"models_as_text", "{\"models\":\"m\",\"sequence\":2}", false, 0},
+    {"models_as_object", "{\"models\":{},\"sequence\":2}", false, 0},
+    {"models_null", "{\"models\":null,\"sequence\":2}", true, 0},
     {"coming_as_text", REPORT_WITH(",\"sequence\":2,\"coming\":\"m/a1@1\""),
-     false},
-    {"at_hand_as_array", REPORT_WITH(",\"sequence\":2,\"at_hand\":[]"), false},
-    {"busy_as_text", REPORT_WITH(",\"sequence\":2,\"busy\":\"true\""), false},
-    {"busy_as_number", REPORT_WITH(",\"sequence\":2,\"busy\":1"), false},
-    {"sequence_missing", REPORT_WITH(""), false},
-    {"sequence_null", REPORT_WITH(",\"sequence\":null"), false},
-    {"sequence_as_text", REPORT_WITH(",\"sequence\":\"x\""), false},
-    {"sequence_negative", REPORT_WITH(",\"sequence\":-1"), false},
-    {"sequence_fraction", REPORT_WITH(",\"sequence\":2.5"), false},
-    {"sequence_2_63", REPORT_WITH(",\"sequence\":9223372036854775808"), false},
-    {"sequence_1e400", REPORT_WITH(",\"sequence\":1e400"), false},
-    {"array", "[]", false},
-    {"null", "null", false},
-    {"text", "\"models\"", false},
-    {"empty", "", false},
-    {"cut_off", "{\"models\":[", false},
-    {"not_utf8", "\xff\xfe", false},
+     false, 0},
+    {"at_hand_as_array", REPORT_WITH(",\"sequence\":2,\"at_hand\":[]"), false,
+     0},
+    {"busy_as_text", REPORT_WITH(",\"sequence\":2,\"busy\":\"true\""), false,
+     0},
+    {"busy_as_number", REPORT_WITH(",\"sequence\":2,\"busy\":1"), false, 0},
+    {"sequence_missing", REPORT_WITH(""), false, 0},
+    {"sequence_null", REPORT_WITH(",\"sequence\":null"), false, 0},
+    {"sequence_as_text", REPORT_WITH(",\"sequence\":\"x\""), false, 0},
+    {"sequence_negative", REPORT_WITH(",\"sequence\":-1"), false, 0},
+    {"sequence_fraction", REPORT_WITH(",\"sequence\":2.5"), false, 0},
+    {"sequence_2_63", REPORT_WITH(",\"sequence\":9223372036854775808"), false,
+     0},
+    {"sequence_1e400", REPORT_WITH(",\"sequence\":1e400"), false, 0},
+    {"array", "[]", false, 0},
+    {"null", "null", false, 0},
+    {"text", "\"models\"", false, 0},
+    {"empty", "", false, 0},
+    {"cut_off", "{\"models\":[", false, 0},
+    {"not_utf8", "\xff\xfe", false, 0},
     {"too_deep", "{\"models\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
-     false},
+     false, 0},
 };
 
 static void
@@ -772,6 +780,9 @@
         engine.base.ops->report(&engine.base, address, &info, &err), ==,
         c->succeeds);
     g_assert_cmpint(err.kind == ERR_NONE, ==, c->succeeds);
+    if (c->succeeds) {
+        g_assert_cmpint(info.started_ms, ==, c->started_ms);
+    }
     platform_client_clear(&engine.client);
     script_stop(&script);
     g_free(response);
