--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1236,8 +1236,8 @@
     struct gate_settings settings;
     struct relay_port port;
     struct relay *relay;
-    GMutex lock;
-    GCond changed;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
     bool drained;
     pthread_t thread;
 };
@@ -1248,10 +1248,10 @@
     struct running *running =
         (struct running *)((char *)port - offsetof(struct running, port));
 
-    g_mutex_lock(&running->lock);
+    pthread_mutex_lock(&running->lock);
     running->drained = true;
-    g_cond_signal(&running->changed);
-    g_mutex_unlock(&running->lock);
+    pthread_cond_signal(&running->changed);
+    pthread_mutex_unlock(&running->lock);
 }
 
 static void
@@ -1280,8 +1280,8 @@
     struct err err = {0};
 
     memset(running, 0, sizeof(*running));
-    g_mutex_init(&running->lock);
-    g_cond_init(&running->changed);
+    pthread_mutex_init(&running->lock, NULL);
+    pthread_cond_init(&running->changed, NULL);
     fill_settings(&running->settings);
     running->settings.limits.stop_grace_ms = 100;
     running->port.ops = &running_ops;
@@ -1296,11 +1296,11 @@
 running_drain(struct running *running)
 {
     relay_post_drain(running->relay);
-    g_mutex_lock(&running->lock);
+    pthread_mutex_lock(&running->lock);
     while (!running->drained) {
-        g_cond_wait(&running->changed, &running->lock);
+        pthread_cond_wait(&running->changed, &running->lock);
     }
-    g_mutex_unlock(&running->lock);
+    pthread_mutex_unlock(&running->lock);
 }
 
 static void
@@ -1311,8 +1311,8 @@
     duty->ops->stop(duty);
     pthread_join(running->thread, NULL);
     relay_free(running->relay);
-    g_mutex_clear(&running->lock);
-    g_cond_clear(&running->changed);
+    pthread_mutex_destroy(&running->lock);
+    pthread_cond_destroy(&running->changed);
 }
 
 static void
