--- a/src/gate/relay/drain.c
+++ b/src/gate/relay/drain.c
@@ -27,8 +27,8 @@
     FULL_GRACE_MS = 8000,
     /* Later requests may not finish before the process is killed. */
     ADMIT_MS = 3000,
-    /* The platform and the callers have noticed the drain by then: readiness
-     * is polled once a second, and addresses are cached for 2 s. */
+    /* The platform has noticed the drain by then, as it polls readiness once a
+     * second, and most callers, whose addresses are valid for 2 s. */
     ACCEPT_MS = 3500,
     /* Times before the end of the grace period: queued requests are refused
      * while another instance still has time to serve them, then all others,
