--- a/src/gate/relay/drain.c
+++ b/src/gate/relay/drain.c
@@ -70,7 +70,7 @@
 }
 
 /**
- * drain_admits() - whether a request may still be sent to a target
+ * drain_admits() - whether a request that arrives now is still taken
  * @relay: the relay
  * @now_ms: current time
  */
