Relay: callers' connections end with the relay, not with the process

A caller that used a kept connection of an instance that had just stopped got neither an answer nor a close for 0.66 s (soak, SOAK_PLANNED=1, beside a machine load of 23: LOST, "no engine received it"): its request came 190 ms after event=stopped, and the process ended 846 ms after it. Nobody reads the connections once the relay has ended, which is the last duty to stop; they were closed by the end of the process. Now the relay closes them itself, so that a caller learns at once that it has to go elsewhere.

Evidence: relay_time_test ended is red without the change (no end within 5 s). What takes a process so long to end beside such a load was not traced.

--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -368,6 +368,17 @@
     }
 }
 
+static void
+close_clients(struct relay *relay, int64_t now_ms)
+{
+    struct client *client;
+    uint32_t cursor = 0;
+
+    while ((client = table_next(&relay->clients, &cursor, NULL)) != NULL) {
+        client_close(relay, client, now_ms);
+    }
+}
+
 static bool
 run(struct duty *duty, struct err *err)
 {
@@ -382,6 +393,8 @@
             report_drained(relay);
         }
     }
+    /* Nobody reads them any more, and the process may take a while to end. */
+    close_clients(relay, clock_now_ms());
     return true;
 }
 
@@ -526,15 +539,11 @@
 static void
 free_connections(struct relay *relay, int64_t now_ms)
 {
-    struct client *client;
     struct upstream *upstream;
     struct relay_target *target;
     uint32_t cursor = 0;
 
-    while ((client = table_next(&relay->clients, &cursor, NULL)) != NULL) {
-        client_close(relay, client, now_ms);
-    }
-    cursor = 0;
+    close_clients(relay, now_ms);
     while ((upstream = table_next(&relay->upstreams, &cursor, NULL)) != NULL) {
         upstream_close(relay, upstream);
     }
--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -1361,6 +1361,11 @@
 
     duty->ops->stop(duty);
     pthread_join(running->thread, NULL);
+}
+
+static void
+running_free(struct running *running)
+{
     relay_free(running->relay);
     pthread_mutex_destroy(&running->lock);
     pthread_cond_destroy(&running->changed);
@@ -1391,6 +1396,29 @@
     g_free(text);
     close(caller);
     running_stop(&running);
+    running_free(&running);
+}
+
+/* Guards against a kept connection that stays open unread between the end of
+ * the relay and that of the process. */
+static void
+test_ended(void)
+{
+    struct timeval wait = {.tv_sec = EVENT_WAIT_MS / 1000};
+    struct running running;
+    char byte;
+    int caller;
+
+    running_start(&running);
+    caller = connect_to(relay_front_port(running.relay));
+    setsockopt(caller, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    send_text(caller, REQUEST("/nowhere/1"));
+    g_free(read_some(caller));
+    running_drain(&running);
+    running_stop(&running);
+    g_assert_cmpint(recv(caller, &byte, 1, 0), ==, 0);
+    close(caller);
+    running_free(&running);
 }
 
 /* Guards against requests that are cut off by a planned stop: connections that
@@ -2192,6 +2220,7 @@
     g_test_add_func("/relay_time/patience", test_patience);
     g_test_add_func("/relay_time/unconnected", test_unconnected);
     g_test_add_func("/relay_time/stop_begun", test_stop_begun);
+    g_test_add_func("/relay_time/ended", test_ended);
     g_test_add_func("/relay_time/blamed_silence", test_blamed_silence);
     g_test_add_func("/relay_time/verdict_on_body", test_verdict_on_body);
     g_test_add_func("/relay_time/slow_reader", test_slow_reader);
