--- a/review/stand2/cases.c
+++ b/review/stand2/cases.c
@@ -12,8 +12,6 @@
     READY_MAX_MS = 12000,
 };
 
-static int64_t crash_ms[64];
-static int crash_count;
 static int sends_after; /* to engines, in touch, later than the bound */
 static int64_t gates_calm_from_ms; /* all machines are in touch from then */
 static int late_expected = -1;
@@ -71,7 +69,7 @@
 static struct attempt *
 chat(int gate, const char *tag, const char *parts, int number)
 {
-    char fields[256];
+    char fields[1024];
 
     snprintf(
         fields, sizeof(fields),
@@ -102,8 +100,6 @@
                 "the fifth crash",
                 sends_after);
         }
-        crash_ms[crash_count < 63 ? crash_count : 63] = now + PREFILL_MS;
-        crash_count++;
     }
     (void)attempt;
 }
@@ -261,6 +257,41 @@
 static const struct scenario first_event = {"first_event", play_first_event,
                                             arrived_deadly, NULL, 1};
 
+/* --- the part is the 33rd of its prompt; a trial, of no case --- */
+
+static void
+play_long_prompt(void)
+{
+    enum { REQUESTS = 10, PERIOD_MS = 3000, PARTS = 32 };
+    GString *parts = g_string_new(NULL);
+    int64_t first_ms;
+    int number = 0;
+
+    if (!begin(10)) {
+        return;
+    }
+    for (int i = 0; i < PARTS; i++) {
+        g_string_append_printf(parts, "%sa%02x:10", i > 0 ? "," : "", i);
+    }
+    first_ms = now_ms();
+    for (int i = 0; i < REQUESTS; i++) {
+        int64_t at_ms = first_ms + i * PERIOD_MS;
+        char *deadly = g_strdup_printf("%s,dead01:60", parts->str);
+
+        for (int j = 0; j < 5; j++) {
+            wait_until(at_ms + j * 500);
+            chat(j % 2, "s", parts->str, number++);
+        }
+        chat(i % 2, "d", deadly, number++);
+        g_free(deadly);
+    }
+    wait_until(now_ms() + 3000);
+    judge_budget();
+}
+
+static const struct scenario long_prompt = {"long_prompt", play_long_prompt,
+                                            arrived_deadly, NULL, 0};
+
 /* --- what is known of the part ends with the processes --- */
 
 static void
@@ -539,5 +570,102 @@
 static const struct scenario recover = {"recover", play_recover, arrived_long,
                                         NULL, 0};
 
+/* --- engines leave while a machine is cut off from the store --- */
+
+static int64_t heal_ms;
+static int late_requests;
+
+static void
+arrived_cut(int engine, struct run *run, struct attempt *attempt)
+{
+    enum { DRAIN_MS = 2000 };
+    int64_t now = now_ms();
+    int64_t removed_ms = engines[engine].removed_ms;
+
+    run->next_ms = now + PREFILL_MS;
+    run->event_ms = BUSY_EVENT_MS;
+    if (attempt != NULL && removed_ms != 0 && now > removed_ms + DRAIN_MS &&
+        attempt->sent_ms > removed_ms + DRAIN_MS && heal_ms != 0 &&
+        attempt->sent_ms > heal_ms + CONTACT_MS) {
+        late_requests++;
+        note("DRAIN: %s, sent %" G_GINT64_FORMAT
+             " ms after the path had healed, reaches engine %s"
+             " %" G_GINT64_FORMAT " ms after its entry was removed",
+             attempt->id, attempt->sent_ms - heal_ms, engines[engine].id,
+             now - removed_ms);
+    }
+}
+
+static void
+play_cut(void)
+{
+    enum { ENGINES = 6, SERVE_ON_MS = 3600, CUT_MS = 5000 };
+    int64_t first_ms;
+    int64_t cut_ms = 0;
+    int64_t left_ms = 0;
+    int released = 0;
+    int lost = 0;
+    int number = 0;
+
+    put_config(MODEL("m0") "," MODEL("m9"));
+    for (int i = 0; i < ENGINES; i++) {
+        engine_add("mind", 32);
+        hold(&engines[i], i == ENGINES - 1 ? "m9" : "m0");
+    }
+    gate_add("za");
+    gate_add("za");
+    gate_add("za");
+    if (!wait_ready(READY_MAX_MS)) {
+        note("the gates are not ready");
+        return;
+    }
+    first_ms = now_ms() + CONTACT_MS;
+    while (left_ms == 0 || now_ms() < left_ms + 6000) {
+        int64_t now = now_ms();
+
+        if (cut_ms == 0 && now >= first_ms) {
+            cut_ms = now;
+            if (trouble) {
+                gate_cut(0, true);
+            }
+        }
+        /* Engines are replaced one after the other; the new one first. */
+        if (cut_ms != 0 && released < 4 &&
+            now >= cut_ms + 500 + released * 1000) {
+            engine_add("mind", 32);
+            engine_release(released++, SERVE_ON_MS);
+        }
+        /* It heals while a call is on its way. */
+        if (cut_ms != 0 && heal_ms == 0 && now >= cut_ms + CUT_MS &&
+            (!trouble || gates[0].cut_call_ms >= cut_ms + CUT_MS)) {
+            heal_ms = now;
+            if (trouble) {
+                gate_cut(0, false);
+            }
+        }
+        if (heal_ms != 0 && left_ms == 0 && now >= heal_ms + 200) {
+            left_ms = now;
+            engine_add("mind", 32);
+            engine_release(ENGINES - 1, SERVE_ON_MS);
+        }
+        ask(0, "r", "m9", number++);
+        wait_until(now + 100);
+    }
+    for (guint i = 0; i < attempts->len; i++) {
+        const struct attempt *attempt = attempts->pdata[i];
+
+        lost += attempt->sent_ms > heal_ms + CONTACT_MS &&
+                attempt->at_engine == ENGINES - 1 && !attempt->complete;
+    }
+    note("%d requests reached an engine later than drain_ms after its entry "
+         "was removed, from a machine in touch; %d answers from it were "
+         "broken off",
+         late_requests, lost);
+    exit_code = late_requests > 0 ? 1 : 0;
+}
+
+static const struct scenario cut = {"cut", play_cut, arrived_cut, NULL, 0};
+
 const struct scenario *const scenarios[] = {
-    &recover, &blamed, &sessions, &first_event, &forgotten, &late, NULL};
+    &recover,   &blamed, &sessions, &first_event, &long_prompt,
+    &forgotten, &cut,    &late,     NULL};
--- a/review/stand2/world.c
+++ b/review/stand2/world.c
@@ -64,6 +64,8 @@
 int exit_code = 2;
 int64_t start_ms;
 int lost_with_engines;
+int64_t crash_ms[64];
+int crash_count;
 
 static GPtrArray *keys;    /* struct key, by name */
 static GPtrArray *changes; /* struct change */
@@ -71,8 +73,6 @@
 static GPtrArray *conns;
 static int64_t revision = 1;
 static int64_t next_lease = 100;
-static int store_fd;
-static int store_port;
 static FILE *record;
 static char folder[256];
 
@@ -751,6 +751,23 @@
          cause, cut);
 }
 
+/* The engine leaves without a word: its entry is removed, and it serves on for
+ * a while. */
+void
+engine_release(int index, int64_t leave_after_ms)
+{
+    struct engine *engine = &engines[index];
+    char *key = g_strdup_printf("servers/%s", engine->id);
+
+    engine->removed_ms = now_ms();
+    engine->leave_ms = now_ms() + leave_after_ms;
+    remove_key(key);
+    note("engine %s: its entry is removed, it serves on for %" G_GINT64_FORMAT
+         " ms",
+         engine->id, leave_after_ms);
+    g_free(key);
+}
+
 static double
 used_mb(const struct engine *engine)
 {
@@ -981,6 +998,10 @@
     char text[512];
 
     if (run->deadly && run->events_sent >= scenario->deadly_events) {
+        if (crash_count < (int)G_N_ELEMENTS(crash_ms)) {
+            crash_ms[crash_count] = now_ms();
+        }
+        crash_count++;
         engine_crash(conn->engine, 3000, run->id);
         return false;
     }
@@ -1046,7 +1067,9 @@
                           sizeof(engine->disk[0]));
             }
             engine->loading[0] = '\0';
-            engine_beat(engine);
+            if (engine->removed_ms == 0) {
+                engine_beat(engine);
+            }
         }
         if (engine->late.set && now >= engine->late.at_ms) {
             int status;
@@ -1064,7 +1087,14 @@
                 continue;
             }
         }
-        if (now - engine->beat_ms >= BEAT_MS) {
+        if (engine->leave_ms != 0 && now >= engine->leave_ms) {
+            engine->leave_ms = 0;
+            engine_crash(i, 0, "it leaves for good");
+            engine->back_ms = 0;
+            engine->entry_gone_ms = 0;
+            continue;
+        }
+        if (engine->removed_ms == 0 && now - engine->beat_ms >= BEAT_MS) {
             engine_beat(engine);
         }
     }
@@ -1104,6 +1134,7 @@
 gate_add(const char *zone)
 {
     struct gate *gate = &gates[gate_count];
+    int store_port = 0;
     FILE *file;
 
     g_snprintf(gate->name, sizeof(gate->name), "front-%s-%d", zone,
@@ -1119,6 +1150,7 @@
     g_snprintf(gate->settings, sizeof(gate->settings), "%s/%s.json", folder,
                gate->name);
     file = fopen(gate->settings, "w");
+    gate->store_fd = listen_on("127.0.0.1", 0, &store_port);
     fprintf(
         file,
         "{\"node_name\":\"%s\",\"role\":\"entry\",\"machine_class\":\"front\","
@@ -1179,6 +1211,22 @@
     g_free(variable);
 }
 
+/* Cuts the path between a machine and the store, or heals it. What was sent
+ * meanwhile is lost. */
+void
+gate_cut(int index, bool cut)
+{
+    gates[index].cut = cut;
+    gates[index].cut_call_ms = 0;
+    for (guint i = 0; cut && i < conns->len; i++) {
+        struct conn *conn = conns->pdata[i];
+
+        conn->dead |= conn->kind == CONN_STORE && conn->engine == index;
+    }
+    note("gate %s %s the store", gates[index].name,
+         cut ? "is cut off from" : "reaches again");
+}
+
 void
 gate_kill(int index, int64_t start_after_ms)
 {
@@ -1355,6 +1403,7 @@
         conn->fd = accepted;
         conn->kind = kind;
         conn->engine = engine;
+        conn->dead = kind == CONN_STORE && gates[engine].cut;
         conn->in.bytes = g_string_new(NULL);
         g_ptr_array_add(conns, conn);
     }
@@ -1383,6 +1432,12 @@
         return;
     }
     g_string_append_len(conn->in.bytes, buffer, count);
+    if (conn->dead) {
+        if (strstr(conn->in.bytes->str, "/v1/kv-watch") != NULL) {
+            gates[conn->engine].cut_call_ms = now_ms();
+        }
+        return;
+    }
     while (conn->run == NULL && (length = request_length(&conn->in)) > 0) {
         char method[16] = "";
         char path[512] = "";
@@ -1422,7 +1477,7 @@
     for (guint i = 0; i < conns->len; i++) {
         struct conn *conn = conns->pdata[i];
 
-        if (conn->watch) {
+        if (conn->watch && !conn->dead) {
             answer_watch(conn, now >= conn->watch_until);
         }
     }
@@ -1443,7 +1498,10 @@
     int count = 0;
     int listeners;
 
-    polled[count++] = (struct pollfd){.fd = store_fd, .events = POLLIN};
+    for (int i = 0; i < GATES_MAX; i++) {
+        polled[count++] = (struct pollfd){
+            .fd = i < gate_count ? gates[i].store_fd : -1, .events = POLLIN};
+    }
     for (int i = 0; i < engine_count; i++) {
         polled[count++] =
             (struct pollfd){.fd = engines[i].fd, .events = POLLIN};
@@ -1479,11 +1537,14 @@
             conn_event(owners[i]);
         }
     }
-    if (polled[0].revents != 0) {
-        accept_all(store_fd, CONN_STORE, -1);
+    for (int i = 0; i < gate_count; i++) {
+        if (polled[i].revents != 0 && polled[i].fd == gates[i].store_fd) {
+            accept_all(gates[i].store_fd, CONN_STORE, i);
+        }
     }
     for (int i = 0; i < engine_count; i++) {
-        if (polled[1 + i].revents != 0 && engines[i].fd == polled[1 + i].fd) {
+        if (polled[GATES_MAX + i].revents != 0 &&
+            engines[i].fd == polled[GATES_MAX + i].fd) {
             accept_all(engines[i].fd, CONN_ENGINE, i);
         }
     }
@@ -1543,8 +1604,6 @@
 int
 main(int argc, char **argv)
 {
-    int port;
-
     if (argc != 4) {
         fprintf(stderr, "usage: world CASE FOLDER RECORD\n");
         return 2;
@@ -1567,11 +1626,6 @@
     leases = g_ptr_array_new();
     conns = g_ptr_array_new();
     attempts = g_ptr_array_new();
-    store_fd = listen_on("127.0.0.1", 0, &store_port);
-    if (store_fd < 0) {
-        return 2;
-    }
-    (void)port;
     note("case %s, %s disruption", scenario->name,
          trouble ? "with the" : "without the");
     scenario->play();
--- a/review/stand2/world.h
+++ b/review/stand2/world.h
@@ -29,6 +29,7 @@
     int engine;
     struct message in;
     struct run *run; /* the request that its engine works on */
+    bool dead; /* what comes on it is lost */
     bool watch;      /* a watch waits on it */
     int64_t watch_after;
     int64_t watch_until;
@@ -39,7 +40,7 @@
 struct run {
     char id[64];
     char path[64];
-    char parts[256];
+    char parts[1024];
     char model[64];
     int events_due;
     int events_sent;
@@ -81,9 +82,14 @@
     int64_t sequence;
     struct late_order late;
     int crashes;
+    int64_t removed_ms; /* when its entry was removed; it serves on */
+    int64_t leave_ms;   /* when it goes for good; 0 for not */
 };
 
 struct gate {
+    int store_fd;        /* the store's listener for this machine */
+    bool cut;            /* its path to the store is cut */
+    int64_t cut_call_ms; /* last call of its feed that was lost */
     char name[32];
     char ip[32];
     char settings[256];
@@ -131,7 +137,9 @@
 void engine_add(const char *service, int slots);
 void engine_crash(int index, int64_t back_after_ms, const char *why);
 bool engine_holds(const struct engine *engine, const char *item);
+void engine_release(int index, int64_t leave_after_ms);
 void gate_add(const char *zone);
+void gate_cut(int index, bool cut);
 void gate_kill(int index, int64_t start_after_ms);
 struct attempt *client_send(int gate, const char *tag, const char *method,
                             const char *path, const char *fields,
@@ -156,4 +164,7 @@
 extern int exit_code; /* 0 held, 1 broken, 2 could not run */
 extern int64_t start_ms;
 extern int lost_with_engines; /* sound requests cut by crashes */
+/* Crashes by deadly requests, the last ones left out. */
+extern int64_t crash_ms[64];
+extern int crash_count;
 #endif
