--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case forgotten of review/stand2; see claim.txt. Exits with 1 if the
+# Plays the case cut of review/stand2; see claim.txt. Exits with 1 if the
 # rule was broken, 0 if it held, 2 if it could not run. TROUBLE=0: without the
 # disruption.
 set -u
@@ -11,7 +11,7 @@
 fi
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 118 target/review-2/world forgotten "$folder" "$here/record.txt"
+timeout -k 2 118 target/review-2/world cut "$folder" "$here/record.txt"
 code=$?
 tail -n 2 "$here/record.txt"
 case $code in
