--- a/review/stand2/world.h
+++ b/review/stand2/world.h
@@ -29,7 +29,7 @@
     int engine;
     struct message in;
     struct run *run; /* the request that its engine works on */
-    bool dead; /* what comes on it is lost */
+    bool dead;       /* what comes on it is lost */
     bool watch;      /* a watch waits on it */
     int64_t watch_after;
     int64_t watch_until;
