--- a/src/gate/crash/blame.c
+++ b/src/gate/crash/blame.c
@@ -1,9 +1,11 @@
 /**
- * DOC: Which trait of the requests explains the crashes of targets.
+ * DOC: What explains the crashes of targets.
  *
  * The load answered here is one part of many prompts that crashes each target
  * that begins to answer. Parts that other requests share with it are at the
- * same crashes; they differ in that targets also answer without it.
+ * same crashes; they differ in that targets also answer without it. The
+ * explanation is computed anew from all that is known, so that one that was
+ * made with less is replaced.
  */
 #include <glib.h>
 
@@ -15,265 +17,473 @@
     /* Targets that crash within this time may have one cause outside the
      * requests, such as a loss of power. */
     MOMENT_MS = 150,
-    PART_MOMENTS_MIN = 2,
+    MOMENTS_MIN = 2,
+    /* For a trait that targets have survived before. */
+    SOUND_MOMENTS_MIN = 4,
     /* A request that happened to be at a crash is often sent again to where
-     * the cause is sent again, so one request proves nothing of its parts. */
-    PART_REQUESTS_MIN = 2,
-    WHOLE_CRASHES_MIN = 3,
+     * the cause is sent again, so one request proves less of its traits. */
+    REQUESTS_MIN = 2,
+    ONE_REQUEST_CRASHES_MIN = 3,
     /* With less, an instance may have missed reports. */
     REFUTING_CRASHES_MIN = 2,
-    /* In addition, for a trait that targets have survived before. */
-    SOUND_BEFORE_MOMENTS = 2,
 };
 
-/* What counts against a trait so far; a bit for each crash of the ledger. */
+G_STATIC_ASSERT(CRASHES_MAX <= 64);
+
+struct sighting {
+    uint64_t request;
+    int crash;
+};
+
+/* Where a trait was seen that has not been acquitted since; a bit for each
+ * crash of the ledger. */
 struct tally {
-    struct evidence evidence;
-    GHashTable *requests;
-    uint64_t crashes;
-    int last_moment;
+    struct trait trait;
+    bool known_sound;
+    uint64_t mask;
+    GArray *sightings;
 };
 
-G_STATIC_ASSERT(CRASHES_MAX <= 64);
+/* The evidence of a ledger by trait. Crashes later than @until_ms don't
+ * count. */
+struct inquiry {
+    const struct crash_ledger *ledger;
+    const struct sound_memory *sound;
+    int64_t until_ms;
+    int moments[CRASHES_MAX];
+    GHashTable *tallies;
+};
 
 static void
 free_tally(void *data)
 {
     struct tally *tally = data;
 
-    g_hash_table_destroy(tally->requests);
+    g_array_free(tally->sightings, TRUE);
     g_free(tally);
 }
 
 static struct tally *
-find_or_add_tally(GHashTable *tallies, const struct trait *trait)
+find_or_add_tally(struct inquiry *inquiry, const struct trait *trait)
 {
-    struct tally *tally = g_hash_table_lookup(tallies, &trait->key);
+    struct tally *tally = g_hash_table_lookup(inquiry->tallies, &trait->key);
 
     if (tally == NULL) {
         tally = g_new0(struct tally, 1);
-        tally->evidence.trait = *trait;
-        tally->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
-        tally->last_moment = -1;
-        g_hash_table_insert(tallies, &tally->evidence.trait.key, tally);
+        tally->trait = *trait;
+        tally->known_sound = sound_at_ms(inquiry->sound, trait->key) != 0;
+        tally->sightings = g_array_new(FALSE, FALSE, sizeof(struct sighting));
+        g_hash_table_insert(inquiry->tallies, &tally->trait.key, tally);
     }
     return tally;
 }
 
 static bool
-has_quarantined_part(const struct suspect *suspect,
-                     const struct quarantine *quarantine)
+is_open(const struct inquiry *inquiry, uint64_t key, int crash)
+{
+    return sound_at_ms(inquiry->sound, key) <
+           inquiry->ledger->crashes[crash].at_ms;
+}
+
+static void
+count_suspect(struct inquiry *inquiry, const struct suspect *suspect,
+              int crash)
 {
+    struct sighting sighting = {suspect->request, crash};
+
     for (int i = 0; i < suspect->trait_count; i++) {
         const struct trait *trait = &suspect->traits[i];
 
-        if (trait->depth != WHOLE_REQUEST &&
-            quarantine_contains(quarantine, trait->key)) {
-            return true;
+        if (is_open(inquiry, trait->key, crash)) {
+            struct tally *tally = find_or_add_tally(inquiry, trait);
+
+            tally->mask |= UINT64_C(1) << crash;
+            g_array_append_val(tally->sightings, sighting);
         }
     }
-    return false;
+}
+
+static void
+begin_inquiry(struct inquiry *inquiry, const struct crash_ledger *ledger,
+              const struct sound_memory *sound, int64_t until_ms)
+{
+    int64_t moment_start_ms = 0;
+    int moment = 0;
+
+    inquiry->ledger = ledger;
+    inquiry->sound = sound;
+    inquiry->until_ms = until_ms;
+    inquiry->tallies =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_tally);
+    for (int i = 0; i < ledger->count; i++) {
+        const struct crash *crash = &ledger->crashes[i];
+
+        if (i == 0 || crash->at_ms - moment_start_ms > MOMENT_MS) {
+            moment_start_ms = crash->at_ms;
+            moment++;
+        }
+        inquiry->moments[i] = moment;
+        for (int j = 0; j < crash->suspect_count && crash->at_ms <= until_ms;
+             j++) {
+            count_suspect(inquiry, &crash->suspects[j], i);
+        }
+    }
+}
+
+static int
+count_moments(const struct inquiry *inquiry, uint64_t mask)
+{
+    int last = 0;
+    int count = 0;
+
+    for (int i = 0; i < inquiry->ledger->count; i++) {
+        if ((mask >> i & 1) != 0 && inquiry->moments[i] != last) {
+            last = inquiry->moments[i];
+            count++;
+        }
+    }
+    return count;
+}
+
+static void
+count_sightings(const struct tally *tally, struct evidence *evidence)
+{
+    GHashTable *requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+    evidence->sightings = 0;
+    for (guint i = 0; i < tally->sightings->len; i++) {
+        struct sighting *sighting =
+            &g_array_index(tally->sightings, struct sighting, i);
+
+        if ((evidence->mask >> sighting->crash & 1) != 0) {
+            g_hash_table_add(requests, &sighting->request);
+            evidence->sightings++;
+        }
+    }
+    evidence->requests = (int)g_hash_table_size(requests);
+    g_hash_table_destroy(requests);
+}
+
+static struct evidence
+weigh(const struct inquiry *inquiry, const struct tally *tally, uint64_t mask)
+{
+    struct evidence evidence = {
+        .known_sound = tally->known_sound,
+        .mask = tally->mask & mask,
+    };
+
+    trait_set_add(&evidence.traits, &tally->trait);
+    evidence.crashes = __builtin_popcountll(evidence.mask);
+    evidence.moments = count_moments(inquiry, evidence.mask);
+    count_sightings(tally, &evidence);
+    return evidence;
+}
+
+static bool
+is_enough(const struct evidence *evidence)
+{
+    int moments_min = evidence->known_sound ? SOUND_MOMENTS_MIN : MOMENTS_MIN;
+
+    return evidence->moments >= moments_min &&
+           (evidence->requests >= REQUESTS_MIN ||
+            evidence->crashes >= ONE_REQUEST_CRASHES_MIN);
+}
+
+static bool
+suspect_has(const struct suspect *suspect, const struct trait_set *traits)
+{
+    return traits_include(suspect->traits, suspect->trait_count, traits);
 }
 
 /**
- * crash_is_explained() - whether the cause of a crash is known
+ * crash_may_be_by() - whether a request with some traits was at a crash
  * @crash: the crash
- * @quarantine: parts that are known to crash targets
- *
- * Such a crash says nothing about the other parts and requests at it.
+ * @traits: the traits
  */
 bool
-crash_is_explained(const struct crash *crash,
-                   const struct quarantine *quarantine)
+crash_may_be_by(const struct crash *crash, const struct trait_set *traits)
 {
     for (int i = 0; i < crash->suspect_count; i++) {
-        if (has_quarantined_part(&crash->suspects[i], quarantine)) {
+        if (suspect_has(&crash->suspects[i], traits)) {
             return true;
         }
     }
     return false;
 }
 
-static void
-count_suspect(GHashTable *tallies, const struct suspect *suspect,
-              const struct sound_memory *sound, int64_t at_ms, int crash,
-              int moment)
+static uint64_t
+crashes_by(const struct inquiry *inquiry, const struct trait_set *traits)
 {
-    for (int i = 0; i < suspect->trait_count; i++) {
-        const struct trait *trait = &suspect->traits[i];
-        struct tally *tally;
+    uint64_t mask = 0;
 
-        if (sound_at_ms(sound, trait->key) >= at_ms) {
-            continue;
+    for (int i = 0; i < inquiry->ledger->count; i++) {
+        const struct crash *crash = &inquiry->ledger->crashes[i];
+
+        if (crash->at_ms <= inquiry->until_ms &&
+            crash_may_be_by(crash, traits)) {
+            mask |= UINT64_C(1) << i;
         }
-        tally = find_or_add_tally(tallies, trait);
-        tally->crashes |= UINT64_C(1) << crash;
-        tally->evidence.crashes = __builtin_popcountll(tally->crashes);
-        tally->evidence.moments += tally->last_moment != moment;
-        tally->last_moment = moment;
-        g_hash_table_add(tally->requests, (void *)&suspect->request);
-        tally->evidence.requests = (int)g_hash_table_size(tally->requests);
     }
+    return mask;
 }
 
-/* Without @quarantine, explained crashes count, too. */
-static GHashTable *
-count_all(const struct crash_ledger *ledger, const struct sound_memory *sound,
-          const struct quarantine *quarantine, int64_t until_ms)
+static bool
+all_open(const struct inquiry *inquiry, const struct trait_set *traits,
+         int crash)
 {
-    GHashTable *tallies =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_tally);
-    int64_t moment_start_ms = 0;
-    int moment = 0;
+    for (int i = 0; i < traits->count; i++) {
+        if (!is_open(inquiry, traits->traits[i].key, crash)) {
+            return false;
+        }
+    }
+    return true;
+}
 
-    for (int i = 0; i < ledger->count; i++) {
-        const struct crash *crash = &ledger->crashes[i];
+/* Whether a request with a trait and all of a set was at each crash, and none
+ * of these has been acquitted since. */
+static bool
+go_together(const struct inquiry *inquiry, const struct trait *trait,
+            const struct trait_set *set, uint64_t mask)
+{
+    struct trait_set traits = *set;
 
-        if (i == 0 || crash->at_ms - moment_start_ms > MOMENT_MS) {
-            moment_start_ms = crash->at_ms;
-            moment++;
-        }
-        if (crash->at_ms > until_ms ||
-            (quarantine != NULL && crash_is_explained(crash, quarantine))) {
-            continue;
-        }
-        for (int j = 0; j < crash->suspect_count; j++) {
-            count_suspect(tallies, &crash->suspects[j], sound, crash->at_ms, i,
-                          moment);
+    trait_set_add(&traits, trait);
+    for (int i = 0; i < inquiry->ledger->count; i++) {
+        if ((mask >> i & 1) != 0 &&
+            !(all_open(inquiry, &traits, i) &&
+              crash_may_be_by(&inquiry->ledger->crashes[i], &traits))) {
+            return false;
         }
     }
-    return tallies;
+    return true;
 }
 
+/* Whether other requests at the same crashes are fewer, and so less likely to
+ * be there by chance. A request that a target's crash sends to the next one is
+ * at several crashes; against it, two others count for nothing yet. */
 static bool
-is_enough(const struct evidence *evidence, const struct sound_memory *sound)
+is_rarer(const struct evidence *other, const struct evidence *evidence)
 {
-    int moments_min = PART_MOMENTS_MIN;
+    return other->sightings < evidence->sightings ||
+           evidence->requests - other->requests == 1;
+}
 
-    if (sound_at_ms(sound, evidence->trait.key) != 0) {
-        moments_min += SOUND_BEFORE_MOMENTS;
+/* Whether another trait, in other requests, explains the crashes of @evidence
+ * better. One at more crashes, or that was never sound, is a candidate that
+ * comes first. */
+static bool
+is_better(const struct inquiry *inquiry, const struct tally *other,
+          const struct tally *tally, const struct evidence *evidence)
+{
+    struct evidence rival;
+
+    if (other == tally || other->known_sound != tally->known_sound ||
+        (evidence->mask & ~other->mask) != 0 ||
+        go_together(inquiry, &other->trait, &evidence->traits,
+                    evidence->mask)) {
+        return false;
     }
-    if (evidence->trait.depth == WHOLE_REQUEST) {
-        return evidence->crashes >= WHOLE_CRASHES_MIN &&
-               evidence->moments >= moments_min;
+    rival = weigh(inquiry, other, evidence->mask);
+    return is_rarer(&rival, evidence);
+}
+
+static bool
+has_better(const struct inquiry *inquiry, const struct tally *tally,
+           const struct evidence *evidence)
+{
+    GHashTableIter iter;
+    void *other;
+
+    g_hash_table_iter_init(&iter, inquiry->tallies);
+    while (g_hash_table_iter_next(&iter, NULL, &other)) {
+        if (is_better(inquiry, other, tally, evidence)) {
+            return true;
+        }
     }
-    return evidence->moments >= moments_min &&
-           evidence->requests >= PART_REQUESTS_MIN;
+    return false;
 }
 
+/* Ends with the key, so that all instances look in the same order. */
 static int
-other_request_count(const struct tally *tally, const struct tally *whole)
+compare_sightings(const void *a, const void *b)
 {
-    GHashTableIter iter;
-    void *request;
-    int shared = 0;
+    const struct evidence *first = a;
+    const struct evidence *second = b;
+    const struct trait *trait = &first->traits.traits[0];
+    const struct trait *other = &second->traits.traits[0];
 
-    g_hash_table_iter_init(&iter, whole->requests);
-    while (g_hash_table_iter_next(&iter, &request, NULL)) {
-        shared += g_hash_table_contains(tally->requests, request) ? 1 : 0;
+    if (first->sightings != second->sightings) {
+        return first->sightings - second->sightings;
     }
-    return tally->evidence.requests - shared;
+    if (first->requests != second->requests) {
+        return first->requests - second->requests;
+    }
+    if (trait->depth != other->depth) {
+        return other->depth - trait->depth;
+    }
+    return trait->key < other->key ? -1 : trait->key > other->key;
 }
 
-/* Whether another trait that was at all crashes of a part explains them
- * better: a deeper part, as fewer requests have it, or a whole request without
- * which too little is left. If it is not the cause, a crash without it
- * follows. */
-static bool
-dominates(const struct tally *other, const struct tally *tally)
+static int
+compare_candidates(const void *a, const void *b)
 {
-    if ((tally->crashes & ~other->crashes) != 0 ||
-        tally->evidence.trait.depth == WHOLE_REQUEST) {
-        return false;
+    const struct evidence *first = a;
+    const struct evidence *second = b;
+
+    if (first->known_sound != second->known_sound) {
+        return first->known_sound ? 1 : -1;
+    }
+    if (first->moments != second->moments) {
+        return second->moments - first->moments;
     }
-    if (other->evidence.trait.depth == WHOLE_REQUEST) {
-        return other_request_count(tally, other) < PART_REQUESTS_MIN;
+    if ((first->requests == 1) != (second->requests == 1)) {
+        return first->requests == 1 ? 1 : -1;
     }
-    return other->evidence.trait.depth > tally->evidence.trait.depth;
+    return compare_sightings(first, second);
 }
 
-static bool
-is_dominated(GHashTable *tallies, const struct tally *tally)
+/* Adds what can't be told apart from the trait by its crashes; what is rarer
+ * first, as not all that goes with the trait may go with each other. */
+static void
+add_companions(const struct inquiry *inquiry, const struct tally *tally,
+               struct evidence *evidence)
 {
+    GArray *companions = g_array_new(FALSE, FALSE, sizeof(struct evidence));
     GHashTableIter iter;
     void *value;
 
-    g_hash_table_iter_init(&iter, tallies);
+    g_hash_table_iter_init(&iter, inquiry->tallies);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (dominates(value, tally)) {
-            return true;
+        const struct tally *other = value;
+
+        if (other != tally && other->known_sound == tally->known_sound &&
+            (evidence->mask & ~other->mask) == 0) {
+            struct evidence companion = weigh(inquiry, other, evidence->mask);
+
+            g_array_append_val(companions, companion);
         }
     }
-    return false;
+    g_array_sort(companions, compare_sightings);
+    for (guint i = 0; i < companions->len; i++) {
+        const struct trait *trait =
+            &g_array_index(companions, struct evidence, i).traits.traits[0];
+
+        if (go_together(inquiry, trait, &evidence->traits, evidence->mask)) {
+            trait_set_add(&evidence->traits, trait);
+        }
+    }
+    g_array_free(companions, TRUE);
 }
 
-/* A part explains more than a request. */
-static bool
-is_better(const struct evidence *evidence, const struct evidence *best)
+static GArray *
+list_candidates(const struct inquiry *inquiry)
+{
+    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(struct evidence));
+    GHashTableIter iter;
+    void *tally;
+
+    g_hash_table_iter_init(&iter, inquiry->tallies);
+    while (g_hash_table_iter_next(&iter, NULL, &tally)) {
+        struct evidence evidence = weigh(inquiry, tally, UINT64_MAX);
+
+        if (is_enough(&evidence)) {
+            g_array_append_val(candidates, evidence);
+        }
+    }
+    g_array_sort(candidates, compare_candidates);
+    return candidates;
+}
+
+static void
+add_explanation(const struct inquiry *inquiry, const struct trait *trait,
+                uint64_t *explained, struct explanations *explanations)
+{
+    const struct tally *tally =
+        g_hash_table_lookup(inquiry->tallies, &trait->key);
+    struct evidence evidence = weigh(inquiry, tally, ~*explained);
+
+    if (is_enough(&evidence) && !has_better(inquiry, tally, &evidence)) {
+        add_companions(inquiry, tally, &evidence);
+        *explained |= crashes_by(inquiry, &evidence.traits);
+        explanations->found[explanations->count++] = evidence;
+    }
+}
+
+/* Crashes by what is quarantined for other crashes than those known here. */
+static uint64_t
+explained_elsewhere(const struct inquiry *inquiry,
+                    const struct quarantine *quarantine)
 {
-    if (evidence->trait.depth != best->trait.depth) {
-        return evidence->trait.depth > best->trait.depth;
+    uint64_t explained = 0;
+
+    for (int i = 0; i < quarantine->count; i++) {
+        uint64_t mask = crashes_by(inquiry, &quarantine->verdicts[i].traits);
+
+        if (__builtin_popcountll(mask) < REFUTING_CRASHES_MIN) {
+            explained |= mask;
+        }
     }
-    return evidence->crashes > best->crashes;
+    return explained;
 }
 
 /**
- * blame_find() - find a trait whose requests crash targets
+ * blame_find() - find what explains crashes
  * @ledger: the crashes
  * @sound: what targets have survived
- * @quarantine: traits that are known already
+ * @quarantine: explanations of crashes that may not be known here
  * @until_ms: later crashes don't count yet
- * @evidence: set to the trait and what counts against it
- *
- * Return: whether one was found; once it is in @quarantine, another one may
- * follow.
+ * @explanations: set to traits whose requests crash targets
  */
-bool
+void
 blame_find(const struct crash_ledger *ledger, const struct sound_memory *sound,
            const struct quarantine *quarantine, int64_t until_ms,
-           struct evidence *evidence)
+           struct explanations *explanations)
 {
-    GHashTable *tallies = count_all(ledger, sound, quarantine, until_ms);
-    GHashTableIter iter;
-    void *value;
-    bool found = false;
+    struct inquiry inquiry;
+    GArray *candidates;
+    uint64_t explained;
 
-    g_hash_table_iter_init(&iter, tallies);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct tally *tally = value;
-
-        if (!quarantine_contains(quarantine, tally->evidence.trait.key) &&
-            is_enough(&tally->evidence, sound) &&
-            !is_dominated(tallies, tally) &&
-            (!found || is_better(&tally->evidence, evidence))) {
-            *evidence = tally->evidence;
-            found = true;
-        }
+    begin_inquiry(&inquiry, ledger, sound, until_ms);
+    candidates = list_candidates(&inquiry);
+    explained = explained_elsewhere(&inquiry, quarantine);
+    explanations->count = 0;
+    for (guint i = 0;
+         i < candidates->len && explanations->count < EXPLANATIONS_MAX; i++) {
+        const struct evidence *candidate =
+            &g_array_index(candidates, struct evidence, i);
+
+        add_explanation(&inquiry, &candidate->traits.traits[0], &explained,
+                        explanations);
     }
-    g_hash_table_destroy(tallies);
-    return found;
+    g_array_free(candidates, TRUE);
+    g_hash_table_destroy(inquiry.tallies);
 }
 
 /**
- * blame_is_refuted() - whether a part was blamed for what another one did
+ * blame_is_refuted() - whether other traits explain what a verdict blames
  * @ledger: the crashes
- * @sound: what targets have survived
- * @trait: the part
- *
- * Return: true when another trait explains all crashes under requests with
- * this one. An instance that had not yet heard of all suspects may have blamed
- * it.
+ * @explanations: what explains them now
+ * @verdict: the verdict
  */
 bool
 blame_is_refuted(const struct crash_ledger *ledger,
-                 const struct sound_memory *sound, const struct trait *trait)
+                 const struct explanations *explanations,
+                 const struct trait_verdict *verdict)
 {
-    GHashTable *tallies = count_all(ledger, sound, NULL, INT64_MAX);
-    const struct tally *tally = g_hash_table_lookup(tallies, &trait->key);
-    bool refuted = tally != NULL &&
-                   tally->evidence.crashes >= REFUTING_CRASHES_MIN &&
-                   is_dominated(tallies, tally);
-
-    g_hash_table_destroy(tallies);
-    return refuted;
+    struct inquiry inquiry = {.ledger = ledger, .until_ms = INT64_MAX};
+    const struct trait_set *blamed = &verdict->traits;
+    uint64_t mask = crashes_by(&inquiry, blamed);
+
+    for (int i = 0; i < explanations->count; i++) {
+        const struct trait_set *found = &explanations->found[i].traits;
+        bool includes = trait_set_includes(found, blamed);
+        bool is_same = includes && found->count == blamed->count;
+
+        if (__builtin_popcountll(mask) >= REFUTING_CRASHES_MIN && !is_same &&
+            !(verdict->learnt && includes) &&
+            (mask & ~crashes_by(&inquiry, found)) == 0) {
+            return true;
+        }
+    }
+    return false;
 }
--- a/src/gate/crash/dat.h
+++ b/src/gate/crash/dat.h
@@ -9,14 +9,18 @@
     VERDICTS_MAX = 64,
     ABANDONED_MAX = 64,
     SOUND_GENERATION_MAX = 2048,
-    /* Depth of the trait of a whole request, which no part has. */
+    /* Depths that no part has: of a whole request, and of the last part of a
+     * prompt, which the requests of a session share. */
     WHOLE_REQUEST = -1,
+    OWN_PART = -2,
+    TRAIT_SET_MAX = 8,
+    EXPLANATIONS_MAX = 8,
 };
 
 /**
  * struct trait - what a request has in common with others
  * @key: hash of a part of its prompt, or of the whole request
- * @depth: place of the part in the prompt, from 0; WHOLE_REQUEST
+ * @depth: place of the part in the prompt, from 0; WHOLE_REQUEST or OWN_PART
  */
 struct trait {
     uint64_t key;
@@ -33,6 +37,17 @@
     int count;
 };
 
+/**
+ * struct trait_set - traits that crashes can't tell apart
+ * @traits: the most specific first: a whole request, a last part, then parts
+ * from the deepest on
+ * @count: number of valid members of @traits
+ */
+struct trait_set {
+    struct trait traits[TRAIT_SET_MAX];
+    int count;
+};
+
 /**
  * struct suspect - a request that had not begun when its target crashed
  * @request: identifies the request, also when a caller repeats it
@@ -84,26 +99,32 @@
 };
 
 /**
- * struct trait_verdict - a trait whose requests are refused
- * @trait: the trait
+ * struct trait_verdict - traits that crash targets, alone or together
+ * @traits: requests with all of them are refused
  * @since_ms: when the evidence was complete
  * @probe_ms: from then on one request may run, to see whether it still crashes
  * its target
  * @probing_until_ms: that request is on its way; 0 for none
- * @seen_ms: when a request last had the trait
- * @level: number of probes that crashed a target
+ * @seen_ms: when a request was last refused
+ * @level: number of probes that crashed a target; below 0 while the verdict is
+ * doubtful, and probes are early
+ * @learnt: it came from another instance, which may know of more answers
  */
 struct trait_verdict {
-    struct trait trait;
+    struct trait_set traits;
     int64_t since_ms;
     int64_t probe_ms;
     int64_t probing_until_ms;
     int64_t seen_ms;
     int level;
+    bool learnt;
 };
 
 /**
  * struct quarantine - traits whose requests crash targets
+ *
+ * No verdict has all the traits of another one, which would refuse the same
+ * requests.
  */
 struct quarantine {
     struct trait_verdict verdicts[VERDICTS_MAX];
@@ -111,17 +132,43 @@
 };
 
 /**
- * struct evidence - what counts against a trait
- * @trait: the trait
- * @crashes: crashes with a suspect that has the trait
+ * struct evidence - an explanation of crashes, and what speaks for it
+ * @traits: what the suspects of these crashes have in common
+ * @known_sound: one of @traits was sound before
+ * @mask: the crashes; a bit for each one of the ledger
+ * @crashes: their number
  * @moments: of these, at different times
- * @requests: different requests with the trait among the suspects
+ * @requests: different requests with the traits among the suspects
+ * @sightings: how often such requests were at these crashes
  */
 struct evidence {
-    struct trait trait;
+    struct trait_set traits;
+    bool known_sound;
+    uint64_t mask;
     int crashes;
     int moments;
     int requests;
+    int sightings;
+};
+
+/**
+ * struct explanations - what explains the crashes of a ledger
+ * @found: the best one first
+ * @count: number of valid members of @found
+ */
+struct explanations {
+    struct evidence found[EXPLANATIONS_MAX];
+    int count;
+};
+
+/**
+ * struct judgement - how the verdicts have changed
+ * @begun: new verdicts
+ * @withdrawn: number of verdicts that another explanation has replaced
+ */
+struct judgement {
+    struct explanations begun;
+    int withdrawn;
 };
 
 enum quarantine_action {
@@ -165,6 +212,7 @@
  * @abandoned_next: where the next one goes
  * @sound: traits that targets have survived
  * @quarantine: traits whose requests are refused
+ * @started_ms: when this instance began to collect evidence; 0 for not yet
  * @news: not yet sent to the other instances
  * @repeat_ms: when the report to some of them is due
  * @judge_ms: when the evidence on the last crash is likely to be complete; 0
@@ -177,6 +225,7 @@
     int abandoned_next;
     struct sound_memory sound;
     struct quarantine quarantine;
+    int64_t started_ms;
     struct crash_report news;
     int64_t repeat_ms;
     int64_t judge_ms;
--- a/src/gate/crash/fns.h
+++ b/src/gate/crash/fns.h
@@ -4,6 +4,13 @@
 /* trait.c */
 void trait_list_add(struct trait_list *list, uint64_t key, int depth);
 bool trait_list_contains(const struct trait_list *list, uint64_t key);
+void trait_set_add(struct trait_set *set, const struct trait *trait);
+bool trait_set_remove(struct trait_set *set, uint64_t key);
+bool trait_set_contains(const struct trait_set *set, uint64_t key);
+bool trait_set_includes(const struct trait_set *set,
+                        const struct trait_set *other);
+bool traits_include(const struct trait *traits, int count,
+                    const struct trait_set *set);
 
 /* sound.c */
 void sound_init(struct sound_memory *sound);
@@ -31,32 +38,37 @@
                      const struct sound_memory *sound, uint64_t key);
 
 /* blame.c */
-bool crash_is_explained(const struct crash *crash,
-                        const struct quarantine *quarantine);
-bool blame_find(const struct crash_ledger *ledger,
+bool crash_may_be_by(const struct crash *crash,
+                     const struct trait_set *traits);
+void blame_find(const struct crash_ledger *ledger,
                 const struct sound_memory *sound,
                 const struct quarantine *quarantine, int64_t until_ms,
-                struct evidence *evidence);
+                struct explanations *explanations);
 bool blame_is_refuted(const struct crash_ledger *ledger,
-                      const struct sound_memory *sound,
-                      const struct trait *trait);
+                      const struct explanations *explanations,
+                      const struct trait_verdict *verdict);
 
 /* quarantine.c */
+bool quarantine_names(const struct quarantine *quarantine, uint64_t key);
 struct trait_verdict *quarantine_find(struct quarantine *quarantine,
-                                      uint64_t key);
-bool quarantine_contains(const struct quarantine *quarantine, uint64_t key);
+                                      const struct trait_set *traits);
+bool quarantine_covers(const struct quarantine *quarantine,
+                       const struct trait_set *traits);
 struct trait_verdict *quarantine_match(struct quarantine *quarantine,
-                                       const struct trait_list *traits);
+                                       const struct trait_list *traits,
+                                       int *count);
 bool quarantine_add(struct quarantine *quarantine,
                     const struct trait_verdict *verdict);
-bool quarantine_begin(struct quarantine *quarantine, const struct trait *trait,
+bool quarantine_begin(struct quarantine *quarantine,
+                      const struct trait_set *traits, bool doubtful,
                       int64_t now_ms);
-bool quarantine_probe_crashed(struct quarantine *quarantine, uint64_t key,
-                              int64_t at_ms, int64_t now_ms);
+bool quarantine_probe_crashed(struct trait_verdict *verdict, int64_t at_ms,
+                              int64_t now_ms);
 void quarantine_remove(struct quarantine *quarantine,
                        struct trait_verdict *verdict);
-bool quarantine_lift(struct quarantine *quarantine, uint64_t key,
-                     int64_t sound_ms);
+int quarantine_lift(struct quarantine *quarantine, uint64_t key,
+                    int64_t sound_ms);
+int quarantine_probers(const struct trait_verdict *verdict, int64_t now_ms);
 enum quarantine_action quarantine_decide(struct trait_verdict *verdict,
                                          bool may_probe, int64_t now_ms,
                                          int64_t *retry_ms);
@@ -72,6 +84,7 @@
 
 /* watch.c */
 struct crash_watch *watch_new(void);
+void watch_begin(struct crash_watch *watch, int64_t now_ms);
 void watch_free(struct crash_watch *watch);
 bool watch_ended(struct crash_watch *watch, const struct crash *end,
                  const struct trait_list *traits, int64_t now_ms);
@@ -83,13 +96,12 @@
                    int64_t now_ms);
 int watch_apply(struct crash_watch *watch, const struct crash_report *report,
                 int64_t now_ms);
-bool watch_judge(struct crash_watch *watch, struct evidence *evidence,
+void watch_judge(struct crash_watch *watch, struct judgement *judgement,
                  int64_t now_ms);
-int watch_withdraw(struct crash_watch *watch, int64_t now_ms);
 enum quarantine_action watch_decide(struct crash_watch *watch,
                                     const struct trait_list *traits,
                                     bool may_probe, int64_t now_ms,
-                                    struct trait *trait, int64_t *retry_ms);
+                                    int64_t *retry_ms);
 int64_t watch_due_ms(const struct crash_watch *watch, int64_t now_ms);
 bool watch_repeat(struct crash_watch *watch, struct crash_report *report,
                   int64_t now_ms);
--- a/src/gate/crash/ledger.c
+++ b/src/gate/crash/ledger.c
@@ -160,6 +160,36 @@
     return insert(ledger, &crash);
 }
 
+static bool
+suspect_has(const struct suspect *suspect, uint64_t key)
+{
+    for (int i = 0; i < suspect->trait_count; i++) {
+        if (suspect->traits[i].key == key) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Two requests of a session may be at one target, with other parts. */
+static bool
+is_known_suspect(const struct crash *crash, uint64_t request,
+                 const struct trait *traits, int trait_count)
+{
+    for (int i = 0; i < crash->suspect_count; i++) {
+        const struct suspect *known = &crash->suspects[i];
+        int shared = 0;
+
+        for (int j = 0; j < trait_count && known->request == request; j++) {
+            shared += suspect_has(known, traits[j].key) ? 1 : 0;
+        }
+        if (known->request == request && shared == trait_count) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * crash_add_suspect() - add a request that had not begun
  * @crash: the crash
@@ -175,12 +205,8 @@
 {
     struct suspect *suspect;
 
-    for (int i = 0; i < crash->suspect_count; i++) {
-        if (crash->suspects[i].request == request) {
-            return false;
-        }
-    }
-    if (crash->suspect_count == CRASH_SUSPECTS_MAX) {
+    if (crash->suspect_count == CRASH_SUSPECTS_MAX ||
+        is_known_suspect(crash, request, traits, trait_count)) {
         return false;
     }
     crash->suspects =
@@ -214,17 +240,6 @@
     return added;
 }
 
-static bool
-suspect_has(const struct suspect *suspect, uint64_t key)
-{
-    for (int i = 0; i < suspect->trait_count; i++) {
-        if (suspect->traits[i].key == key) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 has_suspect(const struct crash *crash, uint64_t key)
 {
--- a/src/gate/crash/watch.c
+++ b/src/gate/crash/watch.c
@@ -22,9 +22,12 @@
     /* Reports of other instances on a crash arrive within some ms, and most
      * of its sound requests begin elsewhere within this time. */
     SETTLE_MS = 100,
-    /* Later, crashes that counted against a trait may have been dropped; and
-     * an instance that has missed some of them is to follow the others. */
-    REFUTABLE_MS = 2000,
+    /* Later, crashes that counted against a trait may have been dropped. */
+    REFUTABLE_MS = 60 * 1000,
+    /* Answers to requests with a part that is in common use come within this
+     * time. */
+    YOUNG_MS = 30 * 1000,
+    CERTAIN_MOMENTS = 3,
     /* Evidence is repeated until a verdict is likely. */
     REPEAT_CRASH_MS = 10 * 1000,
     /* Another instance that has just started may blame a trait whose answers
@@ -61,21 +64,27 @@
     g_free(watch);
 }
 
+/**
+ * watch_begin() - begin to collect evidence
+ * @watch: the watch
+ * @now_ms: current time
+ */
+void
+watch_begin(struct crash_watch *watch, int64_t now_ms)
+{
+    watch->started_ms = now_ms;
+}
+
 static void
 extend_quarantine(struct crash_watch *watch, const struct crash *crash,
                   int64_t now_ms)
 {
-    for (int i = 0; i < crash->suspect_count; i++) {
-        const struct suspect *suspect = &crash->suspects[i];
+    for (int i = 0; i < watch->quarantine.count; i++) {
+        struct trait_verdict *verdict = &watch->quarantine.verdicts[i];
 
-        for (int j = 0; j < suspect->trait_count; j++) {
-            uint64_t key = suspect->traits[j].key;
-
-            if (quarantine_probe_crashed(&watch->quarantine, key, crash->at_ms,
-                                         now_ms)) {
-                g_array_append_val(watch->news.verdicts,
-                                   *quarantine_find(&watch->quarantine, key));
-            }
+        if (crash_may_be_by(crash, &verdict->traits) &&
+            quarantine_probe_crashed(verdict, crash->at_ms, now_ms)) {
+            g_array_append_val(watch->news.verdicts, *verdict);
         }
     }
 }
@@ -220,7 +229,7 @@
     return added;
 }
 
-static bool
+static int
 acquit(struct crash_watch *watch, uint64_t key, int64_t now_ms)
 {
     sound_record(&watch->sound, key, now_ms);
@@ -244,44 +253,69 @@
     for (int i = 0; i < traits->count; i++) {
         const struct trait *trait = &traits->traits[i];
         bool matters =
-            quarantine_contains(&watch->quarantine, trait->key) ||
+            quarantine_names(&watch->quarantine, trait->key) ||
             ledger_suspects(&watch->crashes, &watch->sound, trait->key);
 
         if (matters) {
             g_array_append_val(watch->news.sound, trait->key);
         }
-        if (matters || trait->depth != WHOLE_REQUEST) {
+        if (matters || trait->depth >= 0) {
             lifted += acquit(watch, trait->key, now_ms);
         }
     }
     return lifted;
 }
 
+static void
+explain(const struct crash_watch *watch, struct explanations *explanations,
+        int64_t now_ms)
+{
+    blame_find(&watch->crashes, &watch->sound, &watch->quarantine,
+               now_ms - SETTLE_MS, explanations);
+}
+
 static bool
 is_refuted(const struct crash_watch *watch,
+           const struct explanations *explanations,
            const struct trait_verdict *verdict, int64_t now_ms)
 {
-    return verdict->level == 0 && now_ms - verdict->since_ms <= REFUTABLE_MS &&
-           blame_is_refuted(&watch->crashes, &watch->sound, &verdict->trait);
+    return now_ms - verdict->since_ms <= REFUTABLE_MS &&
+           blame_is_refuted(&watch->crashes, explanations, verdict);
+}
+
+/* Leaves out what was sound here a moment before the verdict: an instance that
+ * has missed an acquittal still sends its verdict. */
+static void
+leave_out_sound(struct crash_watch *watch, struct trait_verdict *verdict)
+{
+    for (int i = verdict->traits.count - 1; i >= 0; i--) {
+        uint64_t key = verdict->traits.traits[i].key;
+        int64_t sound_ms = sound_at_ms(&watch->sound, key);
+
+        if (sound_ms > verdict->since_ms) {
+            g_array_append_val(watch->news.sound, key);
+        }
+        if (sound_ms != 0 && sound_ms > verdict->since_ms - KNOWN_SOUND_MS) {
+            trait_set_remove(&verdict->traits, key);
+        }
+    }
 }
 
-/* An instance that has missed an acquittal still sends its verdict. For a
- * trait that was sound here a moment before the verdict, the evidence that is
- * known here decides. */
 static bool
-add_verdict(struct crash_watch *watch, const struct trait_verdict *verdict,
+add_verdict(struct crash_watch *watch, const struct trait_verdict *foreign,
             int64_t now_ms)
 {
-    int64_t sound_ms = sound_at_ms(&watch->sound, verdict->trait.key);
+    struct trait_verdict verdict = *foreign;
+    struct explanations explanations;
 
-    if (sound_ms > verdict->since_ms) {
-        g_array_append_val(watch->news.sound, verdict->trait.key);
-    }
-    if (sound_ms != 0 && sound_ms > verdict->since_ms - KNOWN_SOUND_MS) {
+    verdict.learnt = true;
+    leave_out_sound(watch, &verdict);
+    if (verdict.traits.count == 0) {
         return false;
     }
-    return !is_refuted(watch, verdict, now_ms) &&
-           quarantine_add(&watch->quarantine, verdict);
+    explain(watch, &explanations, now_ms);
+    return !is_refuted(watch, &explanations, &verdict, now_ms) &&
+           quarantine_add(&watch->quarantine, &verdict);
 }
 
 /**
@@ -313,79 +347,99 @@
     return added;
 }
 
-/**
- * watch_judge() - come to a verdict, if the evidence suffices
- * @watch: the watch
- * @evidence: set when there is a verdict
- * @now_ms: current time
- *
- * Return: whether there is a new verdict; another one may follow.
- */
-bool
-watch_judge(struct crash_watch *watch, struct evidence *evidence,
-            int64_t now_ms)
+/* Ends verdicts that another explanation has replaced. */
+static int
+withdraw(struct crash_watch *watch, const struct explanations *explanations,
+         int64_t now_ms)
 {
-    ledger_expire(&watch->crashes, now_ms);
-    if (watch->judge_ms != 0 && now_ms >= watch->judge_ms) {
-        watch->judge_ms = 0;
+    struct quarantine *quarantine = &watch->quarantine;
+    int count = 0;
+
+    for (int i = quarantine->count - 1; i >= 0; i--) {
+        struct trait_verdict *verdict = &quarantine->verdicts[i];
+
+        if (is_refuted(watch, explanations, verdict, now_ms)) {
+            quarantine_remove(quarantine, verdict);
+            count++;
+        }
     }
-    if (!blame_find(&watch->crashes, &watch->sound, &watch->quarantine,
-                    now_ms - SETTLE_MS, evidence)) {
+    return count;
+}
+
+static bool
+is_doubtful(const struct crash_watch *watch, const struct evidence *evidence,
+            int64_t now_ms)
+{
+    return evidence->known_sound || evidence->moments < CERTAIN_MOMENTS ||
+           now_ms - watch->started_ms < YOUNG_MS;
+}
+
+static bool
+begin_verdict(struct crash_watch *watch, const struct evidence *evidence,
+              int64_t now_ms)
+{
+    if (!quarantine_begin(&watch->quarantine, &evidence->traits,
+                          is_doubtful(watch, evidence, now_ms), now_ms)) {
         return false;
     }
-    quarantine_begin(&watch->quarantine, &evidence->trait, now_ms);
     g_array_append_val(
         watch->news.verdicts,
-        *quarantine_find(&watch->quarantine, evidence->trait.key));
+        *quarantine_find(&watch->quarantine, &evidence->traits));
     return true;
 }
 
 /**
- * watch_withdraw() - end verdicts that later reports have refuted
+ * watch_judge() - adapt the verdicts to the evidence
  * @watch: the watch
+ * @judgement: set to what has changed
  * @now_ms: current time
- *
- * Return: number of verdicts that this ends; then there may be others.
  */
-int
-watch_withdraw(struct crash_watch *watch, int64_t now_ms)
+void
+watch_judge(struct crash_watch *watch, struct judgement *judgement,
+            int64_t now_ms)
 {
-    struct quarantine *quarantine = &watch->quarantine;
-    int count = 0;
-
-    for (int i = quarantine->count - 1; i >= 0; i--) {
-        struct trait_verdict *verdict = &quarantine->verdicts[i];
+    struct explanations explanations;
 
-        if (is_refuted(watch, verdict, now_ms)) {
-            quarantine_remove(quarantine, verdict);
-            count++;
+    ledger_expire(&watch->crashes, now_ms);
+    if (watch->judge_ms != 0 && now_ms >= watch->judge_ms) {
+        watch->judge_ms = 0;
+    }
+    explain(watch, &explanations, now_ms);
+    judgement->withdrawn = withdraw(watch, &explanations, now_ms);
+    judgement->begun.count = 0;
+    for (int i = 0; i < explanations.count; i++) {
+        const struct evidence *evidence = &explanations.found[i];
+
+        if (begin_verdict(watch, evidence, now_ms)) {
+            judgement->begun.found[judgement->begun.count++] = *evidence;
         }
     }
-    return count;
 }
 
 /**
  * watch_decide() - whether a request may be sent to a target
  * @watch: the watch
  * @traits: traits of the request
- * @may_probe: this instance is the one that lets a request through
+ * @may_probe: this instance may let a request through
  * @now_ms: current time
- * @trait: unless the request passes, set to the trait that decided
  * @retry_ms: when refused, set to the time after which to try again
+ *
+ * A request with several verdicts is no probe: its crash would not tell which
+ * of them is right.
  */
 enum quarantine_action
 watch_decide(struct crash_watch *watch, const struct trait_list *traits,
-             bool may_probe, int64_t now_ms, struct trait *trait,
-             int64_t *retry_ms)
+             bool may_probe, int64_t now_ms, int64_t *retry_ms)
 {
+    int count;
     struct trait_verdict *verdict =
-        quarantine_match(&watch->quarantine, traits);
+        quarantine_match(&watch->quarantine, traits, &count);
 
     if (verdict == NULL) {
         return QUARANTINE_PASS;
     }
-    *trait = verdict->trait;
-    return quarantine_decide(verdict, may_probe, now_ms, retry_ms);
+    return quarantine_decide(verdict, may_probe && count == 1, now_ms,
+                             retry_ms);
 }
 
 static bool
@@ -455,6 +509,20 @@
     crash_clear(&open);
 }
 
+static bool
+is_explained(const struct crash_watch *watch, const struct crash *crash)
+{
+    const struct quarantine *quarantine = &watch->quarantine;
+
+    for (int i = 0; i < quarantine->count; i++) {
+        if (quarantine->verdicts[i].level >= 0 &&
+            crash_may_be_by(crash, &quarantine->verdicts[i].traits)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * watch_repeat() - what others may have missed
  * @watch: the watch
@@ -475,7 +543,7 @@
         const struct crash *crash = &watch->crashes.crashes[i];
 
         if (now_ms - crash->at_ms <= REPEAT_CRASH_MS &&
-            !crash_is_explained(crash, &watch->quarantine)) {
+            !is_explained(watch, crash)) {
             add_open_suspects(watch, report, crash);
         }
     }
--- a/src/gate/peers/crashes.c
+++ b/src/gate/peers/crashes.c
@@ -72,13 +72,30 @@
     Turmeric__GateVerdict *out = g_new(Turmeric__GateVerdict, 1);
 
     turmeric__gate_verdict__init(out);
-    out->trait = encode_trait(&verdict->trait);
+    out->trait = encode_trait(&verdict->traits.traits[0]);
+    out->n_others = (size_t)MAX(verdict->traits.count - 1, 0);
+    out->others = g_new(Turmeric__GateTrait *, out->n_others);
+    for (size_t i = 0; i < out->n_others; i++) {
+        out->others[i] = encode_trait(&verdict->traits.traits[i + 1]);
+    }
     out->age_ms = age_ms(verdict->since_ms, now_ms);
     out->probe_ms = age_ms(now_ms, verdict->probe_ms);
-    out->level = (uint32_t)verdict->level;
+    out->level = (uint32_t)MAX(verdict->level, 0);
+    out->early_probes = (uint32_t)MAX(-verdict->level, 0);
     return out;
 }
 
+static void
+free_verdict(Turmeric__GateVerdict *verdict)
+{
+    for (size_t i = 0; i < verdict->n_others; i++) {
+        g_free(verdict->others[i]);
+    }
+    g_free(verdict->others);
+    g_free(verdict->trait);
+    g_free(verdict);
+}
+
 static void
 free_suspect(Turmeric__GateSuspect *suspect)
 {
@@ -140,8 +157,7 @@
         free_crash(body->crashes[i]);
     }
     for (size_t i = 0; i < body->n_verdicts; i++) {
-        g_free(body->verdicts[i]->trait);
-        g_free(body->verdicts[i]);
+        free_verdict(body->verdicts[i]);
     }
     g_free(body->crashes);
     g_free(body->verdicts);
@@ -197,6 +213,21 @@
     g_array_append_val(report->crashes, crash);
 }
 
+static void
+decode_trait(const Turmeric__GateTrait *in, struct trait_set *set)
+{
+    struct trait trait = {in->key, in->depth};
+
+    trait_set_add(set, &trait);
+}
+
+/* A set that is cut would refuse more requests. */
+static bool
+is_whole(const Turmeric__GateVerdict *in)
+{
+    return in->trait != NULL && in->n_others < TRAIT_SET_MAX;
+}
+
 static void
 decode_verdict(const Turmeric__GateVerdict *in, struct crash_report *report,
                int64_t now_ms)
@@ -205,14 +236,17 @@
         .since_ms = now_ms - in->age_ms,
         .probe_ms = now_ms + in->probe_ms,
         .seen_ms = now_ms,
-        .level = (int)MIN(in->level, G_MAXINT8),
+        .level = (int)MIN(in->level, G_MAXINT8) -
+                 (int)MIN(in->early_probes, G_MAXINT8),
     };
 
-    if (in->trait == NULL) {
+    if (!is_whole(in)) {
         return;
     }
-    verdict.trait.key = in->trait->key;
-    verdict.trait.depth = in->trait->depth;
+    decode_trait(in->trait, &verdict.traits);
+    for (size_t i = 0; i < in->n_others; i++) {
+        decode_trait(in->others[i], &verdict.traits);
+    }
     g_array_append_val(report->verdicts, verdict);
 }
 
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -28,8 +28,6 @@
     ENDS_TOGETHER_MS = 20,
     /* A target that ends connections but goes on is not asked each time. */
     ASK_INTERVAL_MS = 1000,
-    /* A verdict that is withdrawn makes room for a better one. */
-    JUDGE_ROUNDS_MAX = 4,
 };
 
 /**
@@ -59,6 +57,14 @@
     return meta->parts_cut ? meta->part_count : MAX(meta->part_count - 1, 0);
 }
 
+/* Differs from the key of the same part elsewhere in a prompt, where others
+ * share it. */
+static uint64_t
+own_part_key(const struct prompt_part *part)
+{
+    return hash_pair(part->id, hash_text("own part"));
+}
+
 static void
 collect_traits(const struct exchange *exchange, struct trait_list *list)
 {
@@ -71,6 +77,9 @@
     for (int i = 0; i < shared; i++) {
         trait_list_add(list, meta->parts[i].id, i);
     }
+    if (shared < meta->part_count) {
+        trait_list_add(list, own_part_key(&meta->parts[shared]), OWN_PART);
+    }
     trait_list_add(list, exchange->fingerprint, WHOLE_REQUEST);
 }
 
@@ -287,19 +296,21 @@
     relay->crash_news |= !crash_report_is_empty(&relay->crashes->news);
 }
 
-/* The instance that lets a request through to see whether a trait still
- * crashes targets; others wait for what it finds. */
+/* Whether this instance may let a request through to see whether its traits
+ * still crash targets; others wait for what it finds. */
 static bool
-is_prober(const struct relay *relay, uint64_t key)
+is_prober(const struct relay *relay, const struct trait_verdict *verdict,
+          int64_t now_ms)
 {
+    uint64_t key = verdict->traits.traits[0].key;
     uint64_t ids[MEMBERS_MAX];
     int count = 0;
 
     for (guint i = 0; i < relay->members->len && count < MEMBERS_MAX; i++) {
         ids[count++] = g_array_index(relay->members, struct gate_member, i).id;
     }
-    return count == 0 ||
-           ids[rendezvous_pick(key, ids, count)] == relay->self_id;
+    return count == 0 || rendezvous_rank(key, ids, count, relay->self_id) <
+                             quarantine_probers(verdict, now_ms);
 }
 
 static bool
@@ -309,7 +320,7 @@
 }
 
 /**
- * crash_is_blamed() - whether a request has a trait that crashes targets
+ * crash_is_blamed() - whether a request has traits that crash targets
  * @relay: the relay
  * @exchange: the request
  */
@@ -322,29 +333,34 @@
         return false;
     }
     collect_traits(exchange, &traits);
-    return quarantine_match(&relay->crashes->quarantine, &traits) != NULL;
+    return quarantine_match(&relay->crashes->quarantine, &traits, NULL) !=
+           NULL;
+}
+
+static bool
+is_probe_for(const struct exchange *exchange,
+             const struct trait_verdict *verdict)
+{
+    return exchange->probe_key != 0 && exchange->runs == 0 &&
+           trait_set_contains(&verdict->traits, exchange->probe_key);
 }
 
 /* Returns the verdict that is known by now. */
 static enum quarantine_action
-decide(struct relay *relay, struct exchange *exchange, int64_t now_ms,
-       struct trait *trait, int64_t *retry_ms)
+decide(struct relay *relay, struct exchange *exchange,
+       const struct trait_list *traits, int64_t now_ms, int64_t *retry_ms)
 {
-    struct trait_list traits;
-    const struct trait_verdict *verdict;
+    const struct trait_verdict *verdict =
+        quarantine_match(&relay->crashes->quarantine, traits, NULL);
     enum quarantine_action action;
 
-    collect_traits(exchange, &traits);
-    verdict = quarantine_match(&relay->crashes->quarantine, &traits);
-    if (verdict == NULL ||
-        (verdict->trait.key == exchange->probe_key && exchange->runs == 0)) {
+    if (verdict == NULL || is_probe_for(exchange, verdict)) {
         return QUARANTINE_PASS;
     }
-    action = watch_decide(relay->crashes, &traits,
-                          is_prober(relay, verdict->trait.key), now_ms, trait,
-                          retry_ms);
+    action = watch_decide(relay->crashes, traits,
+                          is_prober(relay, verdict, now_ms), now_ms, retry_ms);
     if (action == QUARANTINE_PROBE) {
-        exchange->probe_key = trait->key;
+        exchange->probe_key = verdict->traits.traits[0].key;
     }
     return action;
 }
@@ -366,13 +382,44 @@
     struct trait_verdict verdict;
 
     collect_traits(exchange, &traits);
-    known = quarantine_match(&relay->crashes->quarantine, &traits);
+    known = quarantine_match(&relay->crashes->quarantine, &traits, NULL);
     if (known == NULL) {
         return false;
     }
     verdict = *known;
-    return quarantine_decide(&verdict, is_prober(relay, verdict.trait.key),
-                             now_ms, retry_ms) == QUARANTINE_REFUSE;
+    return quarantine_decide(&verdict, is_prober(relay, known, now_ms), now_ms,
+                             retry_ms) == QUARANTINE_REFUSE;
+}
+
+/* The first trait and its depth, and the keys of the others. */
+static char *
+format_traits(const struct trait_set *set)
+{
+    GString *text = g_string_new(NULL);
+
+    g_string_append_printf(text,
+                           "trait=%" G_GINT64_MODIFIER "x depth=%d with=",
+                           set->traits[0].key, set->traits[0].depth);
+    for (int i = 1; i < set->count; i++) {
+        g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
+                               i > 1 ? "," : "", set->traits[i].key);
+    }
+    g_string_append(text, set->count == 1 ? "-" : "");
+    return g_string_free(text, FALSE);
+}
+
+static void
+log_decision(const struct relay *relay, const struct exchange *exchange,
+             const struct trait_list *traits, enum quarantine_action action)
+{
+    const struct trait_verdict *verdict =
+        quarantine_match(&relay->crashes->quarantine, traits, NULL);
+    char *text = format_traits(&verdict->traits);
+
+    log_line(LOG_PRI_INFO, "relay", "event=%s id=%s %s level=%d",
+             action == QUARANTINE_PROBE ? "quarantine_probe" : "has_trait",
+             exchange->meta.attempt_id, text, verdict->level);
+    g_free(text);
 }
 
 /**
@@ -387,20 +434,18 @@
 crash_refuses(struct relay *relay, struct exchange *exchange, int64_t now_ms)
 {
     enum quarantine_action action;
-    struct trait trait;
+    struct trait_list traits;
     int64_t retry_ms = 0;
 
     if (!has_verdicts(relay)) {
         return false;
     }
-    action = decide(relay, exchange, now_ms, &trait, &retry_ms);
+    collect_traits(exchange, &traits);
+    action = decide(relay, exchange, &traits, now_ms, &retry_ms);
     if (action == QUARANTINE_PASS) {
         return false;
     }
-    log_line(LOG_PRI_INFO, "relay",
-             "event=%s id=%s trait=%" G_GINT64_MODIFIER "x depth=%d",
-             action == QUARANTINE_PROBE ? "quarantine_probe" : "has_trait",
-             exchange->meta.attempt_id, trait.key, trait.depth);
+    log_decision(relay, exchange, &traits, action);
     if (action == QUARANTINE_REFUSE) {
         refuse(relay, exchange, ERR_QUARANTINED, retry_ms, now_ms);
         return true;
@@ -408,6 +453,25 @@
     return false;
 }
 
+/* A run that has reached its target before a doubtful verdict shows whether it
+ * is right. */
+static bool
+may_go_on(struct relay *relay, const struct exchange *exchange)
+{
+    const struct trait_verdict *verdict;
+    struct trait_list traits;
+
+    if (run_has_begun(exchange)) {
+        return true;
+    }
+    if (exchange->stage != STAGE_SENT) {
+        return false;
+    }
+    collect_traits(exchange, &traits);
+    verdict = quarantine_match(&relay->crashes->quarantine, &traits, NULL);
+    return verdict == NULL || verdict->level < 0;
+}
+
 /* Requests that wait, and those whose target has not begun to answer: it would
  * crash when it does. */
 static void
@@ -418,7 +482,7 @@
 
     while ((exchange = table_next(&relay->exchanges, &cursor, NULL)) != NULL) {
         if (exchange->route != NULL && exchange->fingerprint != 0 &&
-            exchange->probe_key == 0 && !run_has_begun(exchange)) {
+            exchange->probe_key == 0 && !may_go_on(relay, exchange)) {
             crash_refuses(relay, exchange, now_ms);
         }
     }
@@ -427,30 +491,29 @@
 static void
 log_verdict(const struct evidence *evidence)
 {
+    char *text = format_traits(&evidence->traits);
+
     counter_add(CTR_QUARANTINED, 1);
     log_line(LOG_PRI_WARNING, "relay",
-             "event=quarantined trait=%" G_GINT64_MODIFIER
-             "x depth=%d crashes=%d moments=%d requests=%d",
-             evidence->trait.key, evidence->trait.depth, evidence->crashes,
-             evidence->moments, evidence->requests);
+             "event=quarantined %s crashes=%d moments=%d requests=%d "
+             "known_sound=%d",
+             text, evidence->crashes, evidence->moments, evidence->requests,
+             evidence->known_sound);
+    g_free(text);
 }
 
+/* Returns whether there are new verdicts. */
 static bool
 judge(struct relay *relay, int64_t now_ms)
 {
-    struct evidence evidence;
-    bool found = false;
-    int withdrawn = 1;
+    struct judgement judgement;
 
-    for (int round = 0; round < JUDGE_ROUNDS_MAX && withdrawn > 0; round++) {
-        while (watch_judge(relay->crashes, &evidence, now_ms)) {
-            log_verdict(&evidence);
-            found = true;
-        }
-        withdrawn = watch_withdraw(relay->crashes, now_ms);
-        log_ended_verdicts("-", withdrawn);
+    watch_judge(relay->crashes, &judgement, now_ms);
+    log_ended_verdicts("-", judgement.withdrawn);
+    for (int i = 0; i < judgement.begun.count; i++) {
+        log_verdict(&judgement.begun.found[i]);
     }
-    return found;
+    return judgement.begun.count > 0;
 }
 
 /**
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -266,8 +266,8 @@
  * @pausing: it is a begun stream that waits in no queue to be sent again
  * @fingerprint: hash of the request, the same when a caller repeats it
  * @run_events: events of the present run
- * @probe_key: trait that the request has and may have, to see whether it still
- * crashes targets; 0 for none
+ * @probe_key: trait of a verdict that the request may have, to see whether it
+ * still crashes targets; 0 for none
  * @team: of its key, in @config; NULL for none
  * @priority: of its team or its route; 0 is the highest
  * @quota: of its team; NULL for no limit
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -5309,7 +5309,7 @@
   (ProtobufCMessageInit) turmeric__gate_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor turmeric__gate_verdict__field_descriptors[4] =
+static const ProtobufCFieldDescriptor turmeric__gate_verdict__field_descriptors[6] =
 {
   {
     "trait",
@@ -5359,17 +5359,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "others",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__GateVerdict, n_others),
+    offsetof(Turmeric__GateVerdict, others),
+    &turmeric__gate_trait__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "early_probes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateVerdict, early_probes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__gate_verdict__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  5,   /* field[5] = early_probes */
   3,   /* field[3] = level */
+  4,   /* field[4] = others */
   2,   /* field[2] = probe_ms */
   0,   /* field[0] = trait */
 };
 static const ProtobufCIntRange turmeric__gate_verdict__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor turmeric__gate_verdict__descriptor =
 {
@@ -5379,7 +5405,7 @@
   "Turmeric__GateVerdict",
   "turmeric",
   sizeof(Turmeric__GateVerdict),
-  4,
+  6,
   turmeric__gate_verdict__field_descriptors,
   turmeric__gate_verdict__field_indices_by_name,
   1,  turmeric__gate_verdict__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -771,7 +771,8 @@
    */
   uint64_t key;
   /*
-   * place of the part in the prompt; -1: whole request
+   * Place of the part in the prompt; -1: whole request; -2: last part, which
+   * the requests of a session share.
    */
   int32_t depth;
 };
@@ -819,10 +820,19 @@
    * such requests that crashed a target
    */
   uint32_t level;
+  /*
+   * requests with all are refused
+   */
+  size_t n_others;
+  Turmeric__GateTrait **others;
+  /*
+   * that are left while it is doubtful
+   */
+  uint32_t early_probes;
 };
 #define TURMERIC__GATE_VERDICT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_verdict__descriptor) \
-    , NULL, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Turmeric__GateCrashes
