Crash: a verdict is certain once other parts of its requests are answered

Cause: the age of an instance stood for what it has seen of other parts.

Change: what counts is whether another part of such a request has been answered since its crash. If not, the targets may crash for a reason of their own. Three crashes are enough beside that. A doubtful verdict becomes certain with the evidence.

--- a/src/gate/crash/blame.c
+++ b/src/gate/crash/blame.c
@@ -394,6 +394,37 @@
     return candidates;
 }
 
+static bool
+has_acquitted_part(const struct inquiry *inquiry,
+                   const struct suspect *suspect, int crash)
+{
+    for (int i = 0; i < suspect->trait_count; i++) {
+        const struct trait *trait = &suspect->traits[i];
+
+        if (trait->depth >= 0 && !is_open(inquiry, trait->key, crash)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_contrasted(const struct inquiry *inquiry, const struct evidence *evidence)
+{
+    for (int i = 0; i < inquiry->ledger->count; i++) {
+        const struct crash *crash = &inquiry->ledger->crashes[i];
+
+        for (int j = 0;
+             j < crash->suspect_count && (evidence->mask >> i & 1) != 0; j++) {
+            if (suspect_has(&crash->suspects[j], &evidence->traits) &&
+                has_acquitted_part(inquiry, &crash->suspects[j], i)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 static void
 add_explanation(const struct inquiry *inquiry, const struct trait *trait,
                 uint64_t *explained, struct explanations *explanations)
@@ -404,6 +435,7 @@
 
     if (is_enough(&evidence) && !has_better(inquiry, tally, &evidence)) {
         add_companions(inquiry, tally, &evidence);
+        evidence.contrasted = is_contrasted(inquiry, &evidence);
         *explained |= crashes_by(inquiry, &evidence.traits);
         explanations->found[explanations->count++] = evidence;
     }
--- a/src/gate/crash/dat.h
+++ b/src/gate/crash/dat.h
@@ -135,6 +135,7 @@
  * struct evidence - an explanation of crashes, and what speaks for it
  * @traits: what the suspects of these crashes have in common
  * @known_sound: one of @traits was sound before
+ * @contrasted: targets have since survived another part of such a request
  * @mask: the crashes; a bit for each one of the ledger
  * @crashes: their number
  * @moments: of these, at different times
@@ -144,6 +145,7 @@
 struct evidence {
     struct trait_set traits;
     bool known_sound;
+    bool contrasted;
     uint64_t mask;
     int crashes;
     int moments;
@@ -212,7 +214,6 @@
  * @abandoned_next: where the next one goes
  * @sound: traits that targets have survived
  * @quarantine: traits whose requests are refused
- * @started_ms: when this instance began to collect evidence; 0 for not yet
  * @news: not yet sent to the other instances
  * @repeat_ms: when the report to some of them is due
  * @judge_ms: when the evidence on the last crash is likely to be complete; 0
@@ -225,7 +226,6 @@
     int abandoned_next;
     struct sound_memory sound;
     struct quarantine quarantine;
-    int64_t started_ms;
     struct crash_report news;
     int64_t repeat_ms;
     int64_t judge_ms;
--- a/src/gate/crash/fns.h
+++ b/src/gate/crash/fns.h
@@ -84,7 +84,6 @@
 
 /* watch.c */
 struct crash_watch *watch_new(void);
-void watch_begin(struct crash_watch *watch, int64_t now_ms);
 void watch_free(struct crash_watch *watch);
 bool watch_ended(struct crash_watch *watch, const struct crash *end,
                  const struct trait_list *traits, int64_t now_ms);
--- a/src/gate/crash/watch.c
+++ b/src/gate/crash/watch.c
@@ -24,10 +24,7 @@
     SETTLE_MS = 100,
     /* Later, crashes that counted against a trait may have been dropped. */
     REFUTABLE_MS = 60 * 1000,
-    /* Answers to requests with a part that is in common use come within this
-     * time. */
-    YOUNG_MS = 30 * 1000,
-    CERTAIN_MOMENTS = 3,
+    CERTAIN_CRASHES = 3,
     /* Evidence is repeated until a verdict is likely. */
     REPEAT_CRASH_MS = 10 * 1000,
     /* Another instance that has just started may blame a trait whose answers
@@ -64,17 +61,6 @@
     g_free(watch);
 }
 
-/**
- * watch_begin() - begin to collect evidence
- * @watch: the watch
- * @now_ms: current time
- */
-void
-watch_begin(struct crash_watch *watch, int64_t now_ms)
-{
-    watch->started_ms = now_ms;
-}
-
 static void
 extend_quarantine(struct crash_watch *watch, const struct crash *crash,
                   int64_t now_ms)
@@ -366,12 +352,13 @@
     return count;
 }
 
+/* While nothing else was answered, the crashes may have another cause than the
+ * requests. */
 static bool
-is_doubtful(const struct crash_watch *watch, const struct evidence *evidence,
-            int64_t now_ms)
+is_doubtful(const struct evidence *evidence)
 {
-    return evidence->known_sound || evidence->moments < CERTAIN_MOMENTS ||
-           now_ms - watch->started_ms < YOUNG_MS;
+    return evidence->known_sound || !evidence->contrasted ||
+           evidence->crashes < CERTAIN_CRASHES;
 }
 
 static bool
@@ -379,7 +366,7 @@
               int64_t now_ms)
 {
     if (!quarantine_begin(&watch->quarantine, &evidence->traits,
-                          is_doubtful(watch, evidence, now_ms), now_ms)) {
+                          is_doubtful(evidence), now_ms)) {
         return false;
     }
     g_array_append_val(
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -155,7 +155,6 @@
         break;
     case RELAY_TARGETS_LISTED:
         relay->targets_listed = true;
-        watch_begin(relay->crashes, now_ms);
         break;
     case RELAY_HOLDINGS:
         target_apply_holdings(relay, message->data, now_ms);
