--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -74,14 +74,20 @@
     int64_t version_max;
 };
 
+enum feed_message_kind { FEED_CHANGES, FEED_FRESH_ASK, FEED_CONTACT };
+
 /**
- * struct feed_message - message to the feed; one of them is set
- * @changes: changes that another instance has read; owned
- * @ask: question of another instance, when @changes is NULL
+ * struct feed_message - message of another instance to the feed
+ * @kind: which of the members below is set
+ * @changes: changes that it has read; owned
+ * @ask: whether the configuration is the newest
+ * @contact: when the store has answered it
  */
 struct feed_message {
+    enum feed_message_kind kind;
     struct store_changes *changes;
     struct fresh_ask ask;
+    struct store_contact contact;
 };
 
 /**
@@ -114,6 +120,8 @@
  * @confirmed: a configuration that was delivered was the newest
  * @ask_fresh: asks another instance whether the configuration is the newest;
  *             may be lost
+ * @ask_contact: asks some instances when the store has answered them; may be
+ *               lost
  *
  * Called in the feed's thread; must not block. The caller keeps ownership of
  * the arguments. A callback returns false when a receiver's ring was full; the
@@ -133,6 +141,7 @@
                       const struct confirmation *confirmation);
     void (*ask_fresh)(struct feed_port *port, uint64_t member,
                       int64_t sent_ms);
+    void (*ask_contact)(struct feed_port *port);
 };
 
 struct feed_port {
@@ -156,6 +165,16 @@
     bool holder_changed;
 };
 
+/**
+ * struct shared_contact - struct store_contact that other threads read
+ * @since_ms: beginning
+ * @heard_ms: last answer; 0 for none
+ */
+struct shared_contact {
+    atomic_int_fast64_t since_ms;
+    atomic_int_fast64_t heard_ms;
+};
+
 /**
  * struct feed - duty that watches the store for changes
  * @store: used by this duty only
@@ -180,6 +199,7 @@
  *                  keys first
  * @backoff_ms: delay after the last failed poll
  * @targets_listed: the first list has been read
+ * @contact: that of @registry, for other threads
  */
 struct feed {
     struct duty duty;
@@ -208,6 +228,7 @@
     int64_t backoff_ms;
     bool targets_listed;
     bool members_changed;
+    struct shared_contact contact;
 };
 
 /**
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -299,6 +299,14 @@
     return succeeded;
 }
 
+static void
+note_store_up(struct feed *feed, int64_t now_ms)
+{
+    registry_store_up(&feed->registry, now_ms);
+    atomic_store(&feed->contact.since_ms, feed->registry.contact.since_ms);
+    atomic_store(&feed->contact.heard_ms, feed->registry.contact.heard_ms);
+}
+
 /* The pages are not a consistent snapshot, so the watch starts at the first
  * page's revision. */
 static bool
@@ -379,7 +387,7 @@
         *now_ms = MAX(*now_ms,
                       g_array_index(pages, struct store_items, pages->len - 1)
                           .received_ms);
-        registry_store_up(&feed->registry, *now_ms);
+        note_store_up(feed, *now_ms);
         apply_pages(feed, pages, *now_ms);
         log_line(LOG_PRI_INFO, "feed",
                  "event=listed revision=%" G_GINT64_FORMAT
@@ -461,7 +469,7 @@
         return false;
     }
     *now_ms = MAX(*now_ms, changes.items.received_ms);
-    registry_store_up(&feed->registry, *now_ms);
+    note_store_up(feed, *now_ms);
     apply_changes(feed, &changes.items, *now_ms);
     if (feed->share.sharing) {
         changes.fresh = fresh_take_asks(&feed->fresh);
@@ -502,6 +510,7 @@
                  err->text);
     }
     registry_store_down(&feed->registry, now_ms);
+    feed->port->ops->ask_contact(feed->port);
     feed->backoff_ms =
         MIN(MAX(feed->backoff_ms * 2, BACKOFF_MIN_MS), BACKOFF_MAX_MS);
     return feed->backoff_ms;
@@ -594,7 +603,7 @@
     if (share_connects(changes, feed->known_revision, feed->era)) {
         feed->share.heard_ms = now_ms;
         feed->backoff_ms = 0;
-        registry_store_up(&feed->registry, now_ms);
+        note_store_up(feed, now_ms);
         apply_changes(feed, &changes->items, now_ms);
         fresh_note_source(&feed->fresh, changes->from, now_ms);
         feed->confirmed_ms =
@@ -620,7 +629,7 @@
 void
 feed_post_changes(struct feed *feed, struct store_changes *changes)
 {
-    struct feed_message message = {.changes = changes};
+    struct feed_message message = {.kind = FEED_CHANGES, .changes = changes};
     struct err err = {0};
 
     if (!ring_push(&feed->inbox, &message, &err)) {
@@ -640,7 +649,7 @@
 void
 feed_post_ask(struct feed *feed, const struct fresh_ask *ask)
 {
-    struct feed_message message = {.ask = *ask};
+    struct feed_message message = {.kind = FEED_FRESH_ASK, .ask = *ask};
     struct err err = {0};
 
     if (!ring_push(&feed->inbox, &message, &err)) {
@@ -648,6 +657,43 @@
     }
 }
 
+/**
+ * feed_post_contact() - hand over when the store has answered another instance
+ * @feed: the feed
+ * @contact: copied; dropped when the inbox is full
+ *
+ * Callable from any thread.
+ */
+void
+feed_post_contact(struct feed *feed, const struct store_contact *contact)
+{
+    struct feed_message message = {.kind = FEED_CONTACT, .contact = *contact};
+    struct err err = {0};
+
+    if (!ring_push(&feed->inbox, &message, &err)) {
+        refusal_add(err.kind);
+    }
+}
+
+/**
+ * feed_contact() - when the store has answered this instance
+ * @feed: the feed
+ *
+ * Callable from any thread.
+ *
+ * Return: by clock_now_ms(); all 0 for never.
+ */
+struct store_contact
+feed_contact(const struct feed *feed)
+{
+    struct store_contact contact = {
+        .since_ms = atomic_load(&feed->contact.since_ms),
+        .heard_ms = atomic_load(&feed->contact.heard_ms),
+    };
+
+    return contact;
+}
+
 /**
  * feed_ask() - ask whether the configuration is the newest, if that is due
  * @feed: the feed
@@ -673,17 +719,30 @@
 
 /* Returns when the store is to be called next. */
 static int64_t
-handle_message(struct feed *feed, const struct feed_message *message,
+handle_changes(struct feed *feed, struct store_changes *changes,
                int64_t next_poll_ms, int64_t now_ms)
 {
-    int64_t wait_ms;
+    int64_t wait_ms = feed_take_changes(feed, changes, now_ms);
+
+    return feed->share.rank == 0 ? next_poll_ms : clock_now_ms() + wait_ms;
+}
 
-    if (message->changes == NULL) {
+/* Returns when the store is to be called next. */
+static int64_t
+handle_message(struct feed *feed, const struct feed_message *message,
+               int64_t next_poll_ms, int64_t now_ms)
+{
+    switch (message->kind) {
+    case FEED_CHANGES:
+        return handle_changes(feed, message->changes, next_poll_ms, now_ms);
+    case FEED_FRESH_ASK:
         fresh_add_ask(&feed->fresh, &message->ask);
-        return next_poll_ms;
+        break;
+    case FEED_CONTACT:
+        registry_note_others(&feed->registry, &message->contact, now_ms);
+        break;
     }
-    wait_ms = feed_take_changes(feed, message->changes, now_ms);
-    return feed->share.rank == 0 ? next_poll_ms : clock_now_ms() + wait_ms;
+    return next_poll_ms;
 }
 
 static bool
@@ -773,7 +832,9 @@
     struct feed_message message;
 
     while (ring_pop(&feed->inbox, &message, 0) == RING_OK) {
-        store_changes_free(message.changes);
+        if (message.kind == FEED_CHANGES) {
+            store_changes_free(message.changes);
+        }
     }
     registry_clear(&feed->registry);
     outbox_clear(&feed->outbox);
--- a/src/gate/follow/fns.h
+++ b/src/gate/follow/fns.h
@@ -55,6 +55,8 @@
 void feed_post_changes(struct feed *feed, struct store_changes *changes);
 int64_t feed_ask(struct feed *feed, int64_t now_ms);
 void feed_post_ask(struct feed *feed, const struct fresh_ask *ask);
+void feed_post_contact(struct feed *feed, const struct store_contact *contact);
+struct store_contact feed_contact(const struct feed *feed);
 
 /* lease_keeper.c */
 bool lease_keeper_init(struct lease_keeper *keeper, struct store *store,
--- a/src/gate/internal.h
+++ b/src/gate/internal.h
@@ -36,7 +36,8 @@
  * @self_id: id of this instance
  * @term: term of this instance as the holder
  * @peers_lock: guards @peers, @aggregator and @holder, which threads of
- * several duties use
+ * several duties use, and @contact_asks
+ * @contact_asks: rounds of asks when the store has answered others
  * @peers: struct peer_instance; the instances that messages are sent to
  * @aggregator: source of the activity totals
  * @holder: the instance that grants quotas
@@ -59,6 +60,7 @@
     struct gate_quota_port quota_port;
     struct gate_peer_port peer_port;
     pthread_mutex_t peers_lock;
+    uint64_t contact_asks;
     GArray *peers;
     struct aggregator aggregator;
     struct holder holder;
--- a/src/gate/peers/fns.h
+++ b/src/gate/peers/fns.h
@@ -39,6 +39,15 @@
 struct activity_report *
 peers_decode_activity(const Turmeric__Envelope *envelope);
 struct holdings *peers_decode_holdings(const Turmeric__Envelope *envelope);
+bool peers_send_contact_ask(struct peer *peer, uint64_t member, int64_t now_ms,
+                            struct err *err);
+void peers_encode_contact(const Turmeric__GateContactAsk *ask,
+                          const struct store_contact *contact, int64_t now_ms,
+                          Turmeric__GateContact *body);
+bool peers_send_contact(struct peer *peer, uint64_t member,
+                        Turmeric__GateContact *body, struct err *err);
+struct store_contact peers_decode_contact(const Turmeric__GateContact *body,
+                                          int64_t now_ms);
 
 /* quota.c */
 struct quota_ask;
--- a/src/gate/peers/messages.c
+++ b/src/gate/peers/messages.c
@@ -477,3 +477,91 @@
     }
     return changes;
 }
+
+/**
+ * peers_send_contact_ask() - ask an instance whether the store answers it
+ * @peer: duty that sends the message
+ * @member: id of the recipient
+ * @now_ms: current time
+ * @err: set on failure
+ *
+ * Return: false when the message can't be queued.
+ */
+bool
+peers_send_contact_ask(struct peer *peer, uint64_t member, int64_t now_ms,
+                       struct err *err)
+{
+    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
+    Turmeric__GateContactAsk body = TURMERIC__GATE_CONTACT_ASK__INIT;
+
+    body.sent_ms = now_ms;
+    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_CONTACT_ASK;
+    envelope.gate_contact_ask = &body;
+    return peer_send(peer, member, &envelope, err);
+}
+
+/**
+ * peers_encode_contact() - encode when the store has answered this instance
+ * @ask: the ask that this answers
+ * @contact: the times
+ * @now_ms: current time
+ * @body: filled in
+ *
+ * Clocks of instances differ, so ages are sent.
+ */
+void
+peers_encode_contact(const Turmeric__GateContactAsk *ask,
+                     const struct store_contact *contact, int64_t now_ms,
+                     Turmeric__GateContact *body)
+{
+    turmeric__gate_contact__init(body);
+    body->sent_ms = ask->sent_ms;
+    body->age_ms = (uint32_t)CLAMP(now_ms - contact->heard_ms, 0, G_MAXINT32);
+    body->steady_ms =
+        (uint32_t)CLAMP(contact->heard_ms - contact->since_ms, 0, G_MAXINT32);
+}
+
+/**
+ * peers_send_contact() - tell an instance when the store has answered this one
+ * @peer: duty that sends the message
+ * @member: id of the recipient
+ * @body: the encoded times
+ * @err: set on failure
+ *
+ * Return: false when the message can't be queued.
+ */
+bool
+peers_send_contact(struct peer *peer, uint64_t member,
+                   Turmeric__GateContact *body, struct err *err)
+{
+    Turmeric__Envelope envelope = TURMERIC__ENVELOPE__INIT;
+
+    envelope.body_case = TURMERIC__ENVELOPE__BODY_GATE_CONTACT;
+    envelope.gate_contact = body;
+    return peer_send(peer, member, &envelope, err);
+}
+
+/**
+ * peers_decode_contact() - decode when the store has answered an instance
+ * @body: the message
+ * @now_ms: current time
+ *
+ * It was sent at some time between the ask and now, and may have been delayed:
+ * the times are those that are sure.
+ *
+ * Return: all 0 when the ask was not sent by this process, or nothing is sure.
+ */
+struct store_contact
+peers_decode_contact(const Turmeric__GateContact *body, int64_t now_ms)
+{
+    struct store_contact contact = {
+        .since_ms = now_ms - body->age_ms - body->steady_ms,
+        .heard_ms = body->sent_ms - body->age_ms,
+    };
+
+    if (body->sent_ms <= 0 || body->sent_ms > now_ms ||
+        contact.heard_ms < contact.since_ms) {
+        return (struct store_contact){0};
+    }
+    return contact;
+}
--- a/src/gate/ports.c
+++ b/src/gate/ports.c
@@ -26,9 +26,9 @@
 #include "gate/fns.h"
 #include "gate/internal.h"
 
-/* Instances that a repeated report on crashes goes to: after some repetitions
+/* Instances that a message goes to which is repeated: after some repetitions
  * all have it. */
-enum { REPEATED_TO = 3 };
+enum { PICKED = 3 };
 
 static uint64_t
 peer_id_at(const struct gate *gate, guint index)
@@ -152,11 +152,43 @@
     }
 }
 
+/* Whether a message that goes to a few instances at a time goes to the peer at
+ * @index; the others get the next ones. */
+static bool
+is_picked(const struct gate *gate, uint64_t spread, guint index)
+{
+    guint first = (guint)(spread % gate->peers->len);
+
+    return (index + gate->peers->len - first) % gate->peers->len < PICKED;
+}
+
+/* Several machines may be cut off from the store together, so each ask goes to
+ * others. */
+static void
+feed_port_ask_contact(struct feed_port *port)
+{
+    struct gate *gate = gate_of_feed_port(port);
+    int64_t now_ms = clock_now_ms();
+    struct err err = {0};
+
+    pthread_mutex_lock(&gate->peers_lock);
+    gate->contact_asks++;
+    for (guint i = 0; i < gate->peers->len; i++) {
+        if (is_picked(gate, gate->contact_asks * PICKED, i) &&
+            !peers_send_contact_ask(gate->peer, peer_id_at(gate, i), now_ms,
+                                    &err)) {
+            counter_add(CTR_PEER_DROPPED, 1);
+        }
+    }
+    pthread_mutex_unlock(&gate->peers_lock);
+}
+
 static const struct feed_port_ops feed_ops = {
     feed_port_config_changed, feed_port_target_changed,
     feed_port_targets_listed, feed_port_members_changed,
     feed_port_holder_changed, feed_port_changes_read,
     feed_port_confirmed,      feed_port_ask_fresh,
+    feed_port_ask_contact,
 };
 
 /* Frames that can't be queued are dropped and counted; the next report
@@ -219,16 +251,6 @@
     place_gate_post_activity(&gate->place, activity);
 }
 
-/* Whether a report that is repeated to a few goes to the peer at @index; the
- * others get the next ones. */
-static bool
-is_picked(const struct gate *gate, uint64_t spread, guint index)
-{
-    guint first = (guint)(spread % gate->peers->len);
-
-    return (index + gate->peers->len - first) % gate->peers->len < REPEATED_TO;
-}
-
 static void
 relay_port_crashes(struct relay_port *port, const struct crash_report *report,
                    uint64_t spread)
@@ -395,6 +417,33 @@
     place_gate_post_holdings(&gate->place, peers_decode_holdings(envelope));
 }
 
+/* An instance that the store has not answered yet can't tell. */
+static void
+answer_contact_ask(struct gate *gate, const Turmeric__Envelope *envelope)
+{
+    struct store_contact contact = feed_contact(&gate->feed);
+    Turmeric__GateContact body;
+    struct err err = {0};
+
+    if (contact.heard_ms == 0) {
+        return;
+    }
+    peers_encode_contact(envelope->gate_contact_ask, &contact, clock_now_ms(),
+                         &body);
+    if (!peers_send_contact(gate->peer, envelope->from, &body, &err)) {
+        counter_add(CTR_PEER_DROPPED, 1);
+    }
+}
+
+static void
+handle_contact(struct gate *gate, const Turmeric__Envelope *envelope)
+{
+    struct store_contact contact =
+        peers_decode_contact(envelope->gate_contact, clock_now_ms());
+
+    feed_post_contact(&gate->feed, &contact);
+}
+
 static void
 handle_quota_grant(struct gate *gate, const Turmeric__Envelope *envelope)
 {
@@ -427,6 +476,13 @@
 
         feed_post_ask(&gate->feed, &ask);
     }
+    else if (envelope->body_case ==
+             TURMERIC__ENVELOPE__BODY_GATE_CONTACT_ASK) {
+        answer_contact_ask(gate, envelope);
+    }
+    else if (envelope->body_case == TURMERIC__ENVELOPE__BODY_GATE_CONTACT) {
+        handle_contact(gate, envelope);
+    }
     else if (envelope->body_case == TURMERIC__ENVELOPE__BODY_GATE_CRASHES) {
         relay_post_crashes(gate->relay,
                            peers_decode_crashes(envelope, clock_now_ms()));
--- a/src/gate/view/dat.h
+++ b/src/gate/view/dat.h
@@ -52,14 +52,28 @@
     bool written;
 };
 
+/**
+ * struct store_contact - a time in which the store has answered, without a
+ * silence in which entries expire
+ * @since_ms: beginning
+ * @heard_ms: last answer; 0 for none
+ */
+struct store_contact {
+    int64_t since_ms;
+    int64_t heard_ms;
+};
+
 /**
  * struct registry - the targets that are registered in the store
  * @entries: id to struct registry_entry; owned
  * @port: receiver of changes; borrowed
  * @silence_min_ms: shortest outage of the store in which entries expire
- * @heard_ms: when the store last answered
+ * @contact: when the store has answered this instance
+ * @others: when it has answered others, as far as they were asked
+ * @failed_ms: when the last failed call began
  * @returned_ms: when the store answered after a silence in which entries may
  *               have expired
+ * @grace_end_ms: until when targets whose entries expired may write them again
  * @known: entries at @returned_ms, without those of draining targets
  * @lapsed: how many of @known have vanished, or were created anew, since
  * @restored: the store was restored from an older copy at @returned_ms
@@ -70,8 +84,11 @@
     struct _GHashTable *entries;
     struct registry_port *port;
     int64_t silence_min_ms;
-    int64_t heard_ms;
+    struct store_contact contact;
+    struct store_contact others;
+    int64_t failed_ms;
     int64_t returned_ms;
+    int64_t grace_end_ms;
     int known;
     int lapsed;
     bool restored;
--- a/src/gate/view/fns.h
+++ b/src/gate/view/fns.h
@@ -24,11 +24,19 @@
 uint32_t item_model(uint32_t item);
 bool item_is_adapter(uint32_t item);
 
+/* contact.c */
+void contact_add(struct store_contact *contact, int64_t since_ms,
+                 int64_t heard_ms, int64_t silence_ms);
+bool contact_covers(const struct store_contact *contact, int64_t from_ms,
+                    int64_t to_ms, int64_t silence_ms);
+
 /* registry.c */
 void registry_init(struct registry *registry, struct registry_port *port,
                    int64_t heartbeat_ms);
 void registry_clear(struct registry *registry);
 void registry_store_down(struct registry *registry, int64_t now_ms);
+void registry_note_others(struct registry *registry,
+                          const struct store_contact *contact, int64_t now_ms);
 void registry_store_up(struct registry *registry, int64_t now_ms);
 void registry_restored(struct registry *registry, int64_t now_ms);
 void registry_list_begin(struct registry *registry);
--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -7,9 +7,13 @@
  *
  * A call of this instance that fails says nothing about the store: its path
  * may be cut, or the store may have cut one watch. An outage that lets entries
- * expire silences all targets, so it is told by the entries: most of those
- * that were known have expired, or were created anew. Otherwise an entry that
- * vanishes has been removed, and its target takes no more requests.
+ * expire silences the store towards all instances, and all targets: no other
+ * instance has been answered, and most entries that were known have expired,
+ * or were created anew. Otherwise an entry that vanishes has been removed, and
+ * its target takes no more requests.
+ *
+ * When the store, or the path to it, was back is known only between the begin
+ * of the last call that failed and the first answer.
  */
 #include <glib.h>
 #include <string.h>
@@ -68,23 +72,24 @@
 /**
  * registry_store_down() - record that a call to the store has failed
  * @registry: the registry
- * @now_ms: current time
+ * @now_ms: when the call began
  */
 void
 registry_store_down(struct registry *registry, int64_t now_ms)
 {
+    registry->failed_ms = now_ms;
     if (!registry->store_down) {
         registry->store_down = true;
         log_line(LOG_PRI_WARNING, "registry",
                  "event=store_lost targets=%u silent_ms=%" G_GINT64_FORMAT,
                  g_hash_table_size(registry->entries),
-                 (gint64)(now_ms - registry->heard_ms));
+                 (gint64)(now_ms - registry->contact.heard_ms));
     }
 }
 
 /* Entries may have expired: begins to count how many of them have. */
 static void
-begin_grace(struct registry *registry, int64_t now_ms)
+begin_grace(struct registry *registry, int64_t now_ms, int64_t end_ms)
 {
     GHashTableIter iter;
     void *value;
@@ -93,6 +98,7 @@
     registry->lapsed = 0;
     registry->restored = false;
     registry->returned_ms = now_ms;
+    registry->grace_end_ms = end_ms;
     g_hash_table_iter_init(&iter, registry->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct registry_entry *entry = value;
@@ -105,6 +111,48 @@
     }
 }
 
+/**
+ * registry_note_others() - note when the store has answered another instance
+ * @registry: the registry
+ * @contact: what it says
+ * @now_ms: current time
+ */
+void
+registry_note_others(struct registry *registry,
+                     const struct store_contact *contact, int64_t now_ms)
+{
+    if (contact->heard_ms != 0) {
+        contact_add(&registry->others, contact->since_ms,
+                    MIN(contact->heard_ms, now_ms), registry->silence_min_ms);
+    }
+}
+
+/* Targets write their entries again soon after the return of the store, which
+ * may have been back since the last failed call began. Counted from there, a
+ * target that left while the path of this instance was cut is missed no longer
+ * than if the return had been noticed at once. */
+static void
+handle_return(struct registry *registry, int64_t now_ms)
+{
+    int64_t heard_ms = registry->contact.heard_ms;
+    int64_t silent_ms = now_ms - heard_ms;
+    bool others_heard = contact_covers(&registry->others, heard_ms, now_ms,
+                                       registry->silence_min_ms);
+    bool may_have_expired =
+        silent_ms >= registry->silence_min_ms && !others_heard;
+
+    log_line(LOG_PRI_INFO, "registry",
+             "event=store_regained targets=%u silent_ms=%" G_GINT64_FORMAT
+             " may_have_expired=%d others_heard=%d"
+             " failed_ago_ms=%" G_GINT64_FORMAT,
+             g_hash_table_size(registry->entries), (gint64)silent_ms,
+             may_have_expired, others_heard,
+             (gint64)(now_ms - registry->failed_ms));
+    if (may_have_expired) {
+        begin_grace(registry, now_ms, registry->failed_ms + EXPIRY_GRACE_MS);
+    }
+}
+
 /**
  * registry_store_up() - record that the store has answered
  * @registry: the registry
@@ -114,21 +162,11 @@
 void
 registry_store_up(struct registry *registry, int64_t now_ms)
 {
-    int64_t silent_ms = now_ms - registry->heard_ms;
-    bool may_have_expired = silent_ms >= registry->silence_min_ms;
-
     if (registry->store_down) {
         registry->store_down = false;
-        log_line(LOG_PRI_INFO, "registry",
-                 "event=store_regained targets=%u silent_ms=%" G_GINT64_FORMAT
-                 " may_have_expired=%d",
-                 g_hash_table_size(registry->entries), (gint64)silent_ms,
-                 may_have_expired);
-        if (may_have_expired) {
-            begin_grace(registry, now_ms);
-        }
+        handle_return(registry, now_ms);
     }
-    registry->heard_ms = now_ms;
+    contact_add(&registry->contact, now_ms, now_ms, registry->silence_min_ms);
 }
 
 /**
@@ -145,7 +183,7 @@
     GHashTableIter iter;
     void *value;
 
-    begin_grace(registry, now_ms);
+    begin_grace(registry, now_ms, now_ms + EXPIRY_GRACE_MS);
     registry->restored = true;
     registry->lists_copy = true;
     g_hash_table_iter_init(&iter, registry->entries);
@@ -154,7 +192,7 @@
 
         entry->create_revision = 0;
         if (entry->missing_until_ms != 0) {
-            entry->missing_until_ms = now_ms + EXPIRY_GRACE_MS;
+            entry->missing_until_ms = registry->grace_end_ms;
         }
     }
 }
@@ -162,8 +200,7 @@
 static bool
 in_grace(const struct registry *registry, int64_t now_ms)
 {
-    return registry->known > 0 &&
-           now_ms < registry->returned_ms + EXPIRY_GRACE_MS;
+    return registry->known > 0 && now_ms < registry->grace_end_ms;
 }
 
 static void
@@ -353,7 +390,7 @@
         remove_entry(registry, entry);
         return false;
     }
-    entry->missing_until_ms = registry->returned_ms + EXPIRY_GRACE_MS;
+    entry->missing_until_ms = registry->grace_end_ms;
     notify(registry, TARGET_MISSING, &entry->info);
     return true;
 }
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1492,6 +1492,96 @@
   assert(message->base.descriptor == &turmeric__gate_fresh_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   turmeric__gate_contact_ask__init
+                     (Turmeric__GateContactAsk         *message)
+{
+  static const Turmeric__GateContactAsk init_value = TURMERIC__GATE_CONTACT_ASK__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_contact_ask__get_packed_size
+                     (const Turmeric__GateContactAsk *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_contact_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_contact_ask__pack
+                     (const Turmeric__GateContactAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_contact_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_contact_ask__pack_to_buffer
+                     (const Turmeric__GateContactAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_contact_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateContactAsk *
+       turmeric__gate_contact_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateContactAsk *)
+     protobuf_c_message_unpack (&turmeric__gate_contact_ask__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_contact_ask__free_unpacked
+                     (Turmeric__GateContactAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_contact_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   turmeric__gate_contact__init
+                     (Turmeric__GateContact         *message)
+{
+  static const Turmeric__GateContact init_value = TURMERIC__GATE_CONTACT__INIT;
+  *message = init_value;
+}
+size_t turmeric__gate_contact__get_packed_size
+                     (const Turmeric__GateContact *message)
+{
+  assert(message->base.descriptor == &turmeric__gate_contact__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t turmeric__gate_contact__pack
+                     (const Turmeric__GateContact *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &turmeric__gate_contact__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t turmeric__gate_contact__pack_to_buffer
+                     (const Turmeric__GateContact *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &turmeric__gate_contact__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Turmeric__GateContact *
+       turmeric__gate_contact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Turmeric__GateContact *)
+     protobuf_c_message_unpack (&turmeric__gate_contact__descriptor,
+                                allocator, len, data);
+}
+void   turmeric__gate_contact__free_unpacked
+                     (Turmeric__GateContact *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &turmeric__gate_contact__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   turmeric__gate_team_use__init
                      (Turmeric__GateTeamUse         *message)
 {
@@ -1897,7 +1987,7 @@
   assert(message->base.descriptor == &turmeric__gate_crashes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[30] =
+static const ProtobufCFieldDescriptor turmeric__envelope__field_descriptors[32] =
 {
   {
     "version",
@@ -2259,6 +2349,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gate_contact_ask",
+    78,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__Envelope, body_case),
+    offsetof(Turmeric__Envelope, gate_contact_ask),
+    &turmeric__gate_contact_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gate_contact",
+    79,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Turmeric__Envelope, body_case),
+    offsetof(Turmeric__Envelope, gate_contact),
+    &turmeric__gate_contact__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned turmeric__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
@@ -2272,6 +2386,8 @@
   1,   /* field[1] = from */
   22,   /* field[22] = gate_activity */
   25,   /* field[25] = gate_changes */
+  31,   /* field[31] = gate_contact */
+  30,   /* field[30] = gate_contact_ask */
   26,   /* field[26] = gate_crashes */
   27,   /* field[27] = gate_fresh_ask */
   23,   /* field[23] = gate_holdings */
@@ -2302,7 +2418,7 @@
   { 50, 19 },
   { 60, 21 },
   { 70, 22 },
-  { 0, 30 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor turmeric__envelope__descriptor =
 {
@@ -2312,7 +2428,7 @@
   "Turmeric__Envelope",
   "turmeric",
   sizeof(Turmeric__Envelope),
-  30,
+  32,
   turmeric__envelope__field_descriptors,
   turmeric__envelope__field_indices_by_name,
   8,  turmeric__envelope__number_ranges,
@@ -4770,6 +4886,108 @@
   (ProtobufCMessageInit) turmeric__gate_fresh_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor turmeric__gate_contact_ask__field_descriptors[1] =
+{
+  {
+    "sent_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateContactAsk, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_contact_ask__field_indices_by_name[] = {
+  0,   /* field[0] = sent_ms */
+};
+static const ProtobufCIntRange turmeric__gate_contact_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_contact_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateContactAsk",
+  "GateContactAsk",
+  "Turmeric__GateContactAsk",
+  "turmeric",
+  sizeof(Turmeric__GateContactAsk),
+  1,
+  turmeric__gate_contact_ask__field_descriptors,
+  turmeric__gate_contact_ask__field_indices_by_name,
+  1,  turmeric__gate_contact_ask__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_contact_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor turmeric__gate_contact__field_descriptors[3] =
+{
+  {
+    "sent_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateContact, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateContact, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steady_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Turmeric__GateContact, steady_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned turmeric__gate_contact__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = sent_ms */
+  2,   /* field[2] = steady_ms */
+};
+static const ProtobufCIntRange turmeric__gate_contact__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor turmeric__gate_contact__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "turmeric.GateContact",
+  "GateContact",
+  "Turmeric__GateContact",
+  "turmeric",
+  sizeof(Turmeric__GateContact),
+  3,
+  turmeric__gate_contact__field_descriptors,
+  turmeric__gate_contact__field_indices_by_name,
+  1,  turmeric__gate_contact__number_ranges,
+  (ProtobufCMessageInit) turmeric__gate_contact__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor turmeric__gate_team_use__field_descriptors[6] =
 {
   {
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -48,6 +48,8 @@
 typedef struct Turmeric__GateChanges Turmeric__GateChanges;
 typedef struct Turmeric__GateFreshAsk Turmeric__GateFreshAsk;
 typedef struct Turmeric__GateFreshAnswer Turmeric__GateFreshAnswer;
+typedef struct Turmeric__GateContactAsk Turmeric__GateContactAsk;
+typedef struct Turmeric__GateContact Turmeric__GateContact;
 typedef struct Turmeric__GateTeamUse Turmeric__GateTeamUse;
 typedef struct Turmeric__GateQuotaAsk Turmeric__GateQuotaAsk;
 typedef struct Turmeric__GateTeamGrant Turmeric__GateTeamGrant;
@@ -93,7 +95,9 @@
   TURMERIC__ENVELOPE__BODY_GATE_CRASHES = 74,
   TURMERIC__ENVELOPE__BODY_GATE_FRESH_ASK = 75,
   TURMERIC__ENVELOPE__BODY_GATE_QUOTA_ASK = 76,
-  TURMERIC__ENVELOPE__BODY_GATE_QUOTA_GRANT = 77
+  TURMERIC__ENVELOPE__BODY_GATE_QUOTA_GRANT = 77,
+  TURMERIC__ENVELOPE__BODY_GATE_CONTACT_ASK = 78,
+  TURMERIC__ENVELOPE__BODY_GATE_CONTACT = 79
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TURMERIC__ENVELOPE__BODY__CASE)
 } Turmeric__Envelope__BodyCase;
 
@@ -135,6 +139,8 @@
     Turmeric__GateFreshAsk *gate_fresh_ask;
     Turmeric__GateQuotaAsk *gate_quota_ask;
     Turmeric__GateQuotaGrant *gate_quota_grant;
+    Turmeric__GateContactAsk *gate_contact_ask;
+    Turmeric__GateContact *gate_contact;
   };
 };
 #define TURMERIC__ENVELOPE__INIT \
@@ -655,6 +661,44 @@
     , 0, 0 }
 
 
+/*
+ * Asks whether the store answers the recipient; sent by an instance whose calls
+ * to the store fail.
+ */
+struct  Turmeric__GateContactAsk
+{
+  ProtobufCMessage base;
+  /*
+   * by the sender's clock
+   */
+  int64_t sent_ms;
+};
+#define TURMERIC__GATE_CONTACT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_contact_ask__descriptor) \
+    , 0 }
+
+
+struct  Turmeric__GateContact
+{
+  ProtobufCMessage base;
+  /*
+   * of the ask
+   */
+  int64_t sent_ms;
+  /*
+   * since the last answer
+   */
+  uint32_t age_ms;
+  /*
+   * before it, without a silence in which entries expire
+   */
+  uint32_t steady_ms;
+};
+#define TURMERIC__GATE_CONTACT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&turmeric__gate_contact__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * What an instance has spent of the teams' quotas, and what it wants to spend.
  */
@@ -1480,6 +1524,44 @@
 void   turmeric__gate_fresh_answer__free_unpacked
                      (Turmeric__GateFreshAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Turmeric__GateContactAsk methods */
+void   turmeric__gate_contact_ask__init
+                     (Turmeric__GateContactAsk         *message);
+size_t turmeric__gate_contact_ask__get_packed_size
+                     (const Turmeric__GateContactAsk   *message);
+size_t turmeric__gate_contact_ask__pack
+                     (const Turmeric__GateContactAsk   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_contact_ask__pack_to_buffer
+                     (const Turmeric__GateContactAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateContactAsk *
+       turmeric__gate_contact_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_contact_ask__free_unpacked
+                     (Turmeric__GateContactAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Turmeric__GateContact methods */
+void   turmeric__gate_contact__init
+                     (Turmeric__GateContact         *message);
+size_t turmeric__gate_contact__get_packed_size
+                     (const Turmeric__GateContact   *message);
+size_t turmeric__gate_contact__pack
+                     (const Turmeric__GateContact   *message,
+                      uint8_t             *out);
+size_t turmeric__gate_contact__pack_to_buffer
+                     (const Turmeric__GateContact   *message,
+                      ProtobufCBuffer     *buffer);
+Turmeric__GateContact *
+       turmeric__gate_contact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   turmeric__gate_contact__free_unpacked
+                     (Turmeric__GateContact *message,
+                      ProtobufCAllocator *allocator);
 /* Turmeric__GateTeamUse methods */
 void   turmeric__gate_team_use__init
                      (Turmeric__GateTeamUse         *message);
@@ -1752,6 +1834,12 @@
 typedef void (*Turmeric__GateFreshAnswer_Closure)
                  (const Turmeric__GateFreshAnswer *message,
                   void *closure_data);
+typedef void (*Turmeric__GateContactAsk_Closure)
+                 (const Turmeric__GateContactAsk *message,
+                  void *closure_data);
+typedef void (*Turmeric__GateContact_Closure)
+                 (const Turmeric__GateContact *message,
+                  void *closure_data);
 typedef void (*Turmeric__GateTeamUse_Closure)
                  (const Turmeric__GateTeamUse *message,
                   void *closure_data);
@@ -1818,6 +1906,8 @@
 extern const ProtobufCMessageDescriptor turmeric__gate_changes__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_fresh_ask__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_fresh_answer__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_contact_ask__descriptor;
+extern const ProtobufCMessageDescriptor turmeric__gate_contact__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_team_use__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_quota_ask__descriptor;
 extern const ProtobufCMessageDescriptor turmeric__gate_team_grant__descriptor;
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -61,7 +61,7 @@
     {"unreadable_twice", "C1TrSrSr", "c1 C l G "},
     {"unreadable_then_back", "C1TrSrTr", "c1 C l G C "},
     {"unreadable_after_draining", "C1TrLrSr", "c1 C l C G "},
-    {"unreadable_after_missing", "C1Tr1Ar3DBrSr", "c1 C l M G "},
+    {"unreadable_after_missing", "C1Tr1Ar2r3DBrSr", "c1 C l M G "},
     {"unreadable_while_down", "C1Tr1Ar3SBr", "c1 C l G "},
     {"unreadable_in_list", "C1TrSFrr", "c1 C l G "},
     {"unreadable_in_list_after_outage", "C1Tr1Ar3SFBrr", "c1 C l G "},
@@ -74,15 +74,15 @@
     {"watch_unreadable", "C1TrJLC2rr", "c1 C l c2 C "},
     {"watch_unreadable_then_down", "C1TrJLrArBr", "c1 C l C "},
     {"down_then_changed", "C1TrArC2Br", "c1 C l c2 "},
-    {"expired_and_back", "C1Tr1Ar3DBr5Tr", "c1 C l M C "},
-    {"expired_for_good", "C1Tr1Ar3DBr9r", "c1 C l M G "},
+    {"expired_and_back", "C1Tr1Ar2r3DBr5Tr", "c1 C l M C "},
+    {"expired_for_good", "C1Tr1Ar2r3DBr9r", "c1 C l M G "},
     {"left_while_cut_off", "C1TOr1Ar5DBr", "c1 C l G "},
     {"left_after_cut", "C1TOr1Ar5Br6Dr", "c1 C l G "},
     {"left_while_cut_off_history_lost", "C1TOr1Ar5DFBrr", "c1 C l G "},
     {"left_after_one_failed_call", "C1Tr1Ar2DBr", "c1 C l G "},
-    {"all_expired", "C1TOr1Ar5oDBr6OTr", "c1 C l M C "},
-    {"all_expired_history_lost", "C1TOr1Ar5oDFBrr6OTrr", "c1 C l M C "},
-    {"calls_fail_on", "C1TOr1Ar5oDBr6Ar7Br8r", "c1 C l M G "},
+    {"all_expired", "C1TOr1Ar4r5oDBr6OTr", "c1 C l M C "},
+    {"all_expired_history_lost", "C1TOr1Ar4r5oDFBrr6OTrr", "c1 C l M C "},
+    {"calls_fail_on", "C1TOr1Ar4r5oDBr6Ar7Br8r", "c1 C l M G "},
     {"down_at_first", "ArBC1r", "c1 l "},
     {"full_then_config", "C1rWC2rwr", "c1 l c2 "},
     {"full_twice", "C1rWC2rC3rwr", "c1 l c3 "},
@@ -106,6 +106,7 @@
     int64_t now_ms;
     int64_t poll_ms; /* returned by the last poll */
     bool ring_full;
+    int contact_asks;
 };
 
 static struct store_changes *copy_changes(const struct store_changes *changes);
@@ -186,9 +187,16 @@
     fixture_of(port)->asked = (struct fresh_ask){member, sent_ms};
 }
 
+static void
+on_ask_contact(struct feed_port *port)
+{
+    fixture_of(port)->contact_asks++;
+}
+
 static const struct feed_port_ops feed_ops = {
-    on_config, on_target_change, on_targets_listed, on_members,
-    on_holder, on_changes_read,  on_confirmed,      on_ask_fresh,
+    on_config,    on_target_change, on_targets_listed,
+    on_members,   on_holder,        on_changes_read,
+    on_confirmed, on_ask_fresh,     on_ask_contact,
 };
 
 static void
@@ -299,6 +307,14 @@
     return step + 1;
 }
 
+static void
+play_steps(struct feed_fixture *fixture, const char *step)
+{
+    while (*step != '\0') {
+        step = apply_feed_step(fixture, step);
+    }
+}
+
 /* Starts a feed and plays the steps; clear_feed() must follow. */
 static void
 play_feed(struct feed_fixture *fixture, const char *step)
@@ -317,9 +333,7 @@
     memstore_init(&fixture->store);
     g_assert_true(feed_init(&fixture->feed, &settings, &fixture->store.store,
                             &platform_decode, &fixture->port, &err));
-    while (*step != '\0') {
-        step = apply_feed_step(fixture, step);
-    }
+    play_steps(fixture, step);
 }
 
 static void
@@ -371,7 +385,7 @@
      false},
     {"one_target_lost", "EC1OKT1rR2rrTr", "c1 C l M C ", 2000, 0, false},
     {"copy_expires_first", "EC1TKDT1rR2rrDrTr", "c1 C l M C ", 2000, 0, false},
-    {"missing_at_the_restore", "EC1KTO1rAr5oDBr7Rrr8r", "c1 C l M ", 8000, 0,
+    {"missing_at_the_restore", "EC1KTO1rAr4r5oDBr6Rrr8r", "c1 C l M ", 8000, 0,
      false},
     {"draining_in_copy", "EC1TKL1rR2rr", "c1 C l ", 2000, 0, false},
     {"draining_in_copy_then_written", "EC1TKL1rR2rrTr", "c1 C l C ", 2000, 0,
@@ -435,12 +449,29 @@
     {"after_failure", "C1Tr1Ar2r", 1, 200},
     {"store_is_back", "C1Tr1Ar2Br", 1, 400},
     {"after_return", "C1Tr1Ar2Br3r", 2000, 400},
-    {"missing_is_due", "C1Tr1Ar5DBr7r", 500, 400},
-    {"missing_was_dropped", "C1Tr1Ar5DBr8r", 2000, 400},
+    {"missing_is_due", "C1Tr1Ar4r5DBr6r", 500, 400},
+    {"missing_was_dropped", "C1Tr1Ar4r5DBr8r", 2000, 400},
     {"restored", "EC1K1r2rR3r", 2000, 0},
     {"restored_then_away", "EC1K1r2rR3rAr", 2000, 100},
 };
 
+/* Guards against an instance that takes the cut of its own path for an outage,
+ * because it asks no other one. */
+static void
+test_contact(void)
+{
+    struct store_contact others = {0, 4900};
+    struct feed_fixture fixture;
+
+    play_feed(&fixture, "C1TOr1Ar4r");
+    g_assert_cmpint(fixture.contact_asks, ==, 2);
+    g_assert_cmpint(feed_contact(&fixture.feed).heard_ms, <, 4000);
+    registry_note_others(&fixture.feed.registry, &others, 4900);
+    play_steps(&fixture, "5oDBr");
+    g_assert_cmpstr(fixture.delivered->str, ==, "c1 C l G ");
+    clear_feed(&fixture);
+}
+
 static void
 test_wait(gconstpointer data)
 {
@@ -1854,5 +1885,6 @@
 
     g_test_init(&argc, &argv, NULL);
     cases_add(groups, G_N_ELEMENTS(groups));
+    g_test_add_func("/follow/contact", test_contact);
     return g_test_run();
 }
--- a/test/gate_peers_test.c
+++ b/test/gate_peers_test.c
@@ -272,6 +272,44 @@
     g_free(bytes);
 }
 
+/* Guards against an answer that was held up on its way and counts as a contact
+ * with the store that is newer than it was. Times in ms by the clock of the
+ * instance that asks; the other one's is ahead. */
+struct contact_case {
+    const char *name;
+    int64_t asked_ms;
+    int64_t answered_ms;
+    int64_t received_ms;
+    int64_t heard_ms; /* by the other instance, since 1000 */
+    int64_t sure_since_ms;
+    int64_t sure_heard_ms;
+};
+
+static const struct contact_case contact_cases[] = {
+    {"at_once", 5000, 5000, 5000, 4900, 1000, 4900},
+    {"answer_held_up", 5000, 5000, 7000, 4900, 3000, 4900},
+    {"ask_held_up", 5000, 7000, 7000, 6900, 1000, 4900},
+    {"nothing_is_sure", 5000, 5000, 9500, 4900, 0, 0},
+    {"of_a_former_process", 50000, 5000, 7000, 4900, 0, 0},
+};
+
+static void
+test_contact(gconstpointer data)
+{
+    enum { AHEAD_MS = 77000 };
+    const struct contact_case *c = data;
+    struct store_contact known = {AHEAD_MS + 1000, AHEAD_MS + c->heard_ms};
+    Turmeric__GateContactAsk ask = TURMERIC__GATE_CONTACT_ASK__INIT;
+    Turmeric__GateContact body;
+    struct store_contact told;
+
+    ask.sent_ms = c->asked_ms;
+    peers_encode_contact(&ask, &known, AHEAD_MS + c->answered_ms, &body);
+    told = peers_decode_contact(&body, c->received_ms);
+    g_assert_cmpint(told.since_ms, ==, c->sure_since_ms);
+    g_assert_cmpint(told.heard_ms, ==, c->sure_heard_ms);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -280,6 +318,7 @@
         CASES("/gate_peers/holder", holder_cases, test_holder),
         CASES("/gate_peers/aggregator", aggregator_cases, test_aggregator),
         CASES("/gate_peers/crashes", crashes_cases, test_crashes),
+        CASES("/gate_peers/contact", contact_cases, test_contact),
     };
 
     g_test_init(&argc, &argv, NULL);
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -103,8 +103,10 @@
  * Steps: p put, n put of an entry that was created anew, l put of a draining
  * target, d deleted; P, N and D the same of three other targets, e
  * the first of these is deleted; a a call
- * failed, b a call succeeded, t drop missing targets, [ and ] begin and end of
- * a list, 0-9 time in seconds. Deletions in a row come in one response.
+ * failed, b a call succeeded, h another instance was answered all the time, s
+ * it was answered last at 1 s, r it is answered again, t drop missing targets,
+ * [ and ] begin and end of a list, 0-9 time in seconds. Deletions in a row
+ * come in one response. During an outage calls fail each 2.3 s at least.
  * Changes, of the first target only: C changed, M missing, G gone.
  */
 struct registry_case {
@@ -118,28 +120,35 @@
     {"unchanged", "0p1p", "C"},
     {"gone_immediately", "0p1d", "CG"},
     {"draining_then_gone", "0p1l2d", "CCG"},
-    {"expired_and_back", "0p1a5b5d6p", "CMC"},
-    {"expired_for_good", "0p1a5b5d8t", "CMG"},
-    {"expired_within_grace", "0p1a5b5d6t", "CM"},
+    {"expired_and_back", "0p1a4a5b5d6p", "CMC"},
+    {"expired_for_good", "0p1a4a5b5d8t", "CMG"},
+    {"expired_within_grace", "0p1a4a5b5d6t", "CM"},
     {"grace_is_over", "0p1a2b6d", "CG"},
-    {"expired_unlisted", "0p1a5b5[]6p", "CMC"},
+    {"expired_unlisted", "0p1a4a5b5[]6p", "CMC"},
     {"unlisted_without_outage", "0p1[]", "CG"},
-    {"draining_has_no_grace", "0l1a5b5d", "CG"},
-    {"nothing_dropped_while_down", "0p1a5b5d6a9t", "CM"},
-    {"left_while_cut_off", "0pP1a5bd", "CG"},
-    {"left_after_cut", "0pP1a5b6d", "CG"},
-    {"left_while_cut_off_listed", "0pP1a5b[P]", "CG"},
+    {"draining_has_no_grace", "0l1a4a5b5d", "CG"},
+    {"nothing_dropped_while_down", "0p1a4a5b5d6a9t", "CM"},
+    {"left_while_cut_off", "0pP1a4a5bd", "CG"},
+    {"left_after_cut", "0pP1a4a5b6d", "CG"},
+    {"left_while_cut_off_listed", "0pP1a4a5b[P]", "CG"},
     {"one_call_failed", "0p1a2bd", "CG"},
-    {"half_vanished", "0pP1a5bed", "CG"},
-    {"outage", "0pP1a5bDd6p", "CMC"},
-    {"outage_listed", "0pP1a5b[]6p", "CMC"},
-    {"others_back_before", "0pP1a5b[N]6p", "CMC"},
-    {"outage_draining_target", "0plP1a5bDd", "CCG"},
-    {"left_after_outage", "0pP1a5bD6pd", "CG"},
-    {"back_then_left", "0pP1a5bDd6nd", "CMCG"},
-    {"created_anew_then_left", "0pP1a5bDnd", "CG"},
-    {"calls_fail_on", "0pP1a5bDd6a7b8t", "CMG"},
-    {"second_outage", "0pP1a5bDd6a9bt", "CMG"},
+    {"half_vanished", "0pP1a4a5bed", "CG"},
+    {"outage", "0pP1a4a5bDd6p", "CMC"},
+    {"outage_listed", "0pP1a4a5b[]6p", "CMC"},
+    {"others_back_before", "0pP1a4a5b[N]6p", "CMC"},
+    {"outage_draining_target", "0plP1a4a5bDd", "CCG"},
+    {"left_after_outage", "0pP1a4a5bD6pd", "CG"},
+    {"back_then_left", "0pP1a4a5bDd6nd", "CMCG"},
+    {"created_anew_then_left", "0pP1a4a5bDnd", "CG"},
+    {"calls_fail_on", "0pP1a4a5bDd6a7b8t", "CMG"},
+    {"others_heard", "0pP1a4ah5bDd", "CG"},
+    {"others_heard_listed", "0pP1a4ah5b[]", "CG"},
+    {"others_silent", "0pP1as4as5bDd6p", "CMC"},
+    {"others_back_before_heard", "0pP1as4asr5bDd6p", "CMC"},
+    {"others_heard_before", "0pP1ah4a5bDd6p", "CMC"},
+    {"back_since_last_failure", "0pP1a3a5bDd6t", "CMG"},
+    {"failed_long_ago", "0pP1a5bDd", "CG"},
+    {"second_outage", "0pP1a4a5bDd6a9bt", "CMG"},
 };
 
 struct recorder_port {
@@ -180,6 +189,15 @@
     }
 }
 
+static void
+note_others(struct registry *registry, int64_t since_ms, int64_t heard_ms,
+            int64_t now_ms)
+{
+    struct store_contact contact = {since_ms, heard_ms};
+
+    registry_note_others(registry, &contact, now_ms);
+}
+
 static void
 registry_step(struct registry *registry, char step, int64_t now_ms)
 {
@@ -208,6 +226,15 @@
     case 'b':
         registry_store_up(registry, now_ms);
         break;
+    case 'h':
+        note_others(registry, 0, now_ms, now_ms);
+        break;
+    case 's':
+        note_others(registry, 0, 1000, now_ms);
+        break;
+    case 'r':
+        note_others(registry, now_ms, now_ms, now_ms);
+        break;
     case 't':
         registry_drop_missing(registry, now_ms);
         break;
@@ -253,6 +280,133 @@
     g_string_free(port.changes, TRUE);
 }
 
+/*
+ * Guards against requests to a target that has left, later than the
+ * deployments' bounds, by an instance whose path to the store was cut: a
+ * target is gone by CONTACT_MS after the path has healed, or DRAIN_MS after
+ * its entry was removed. The path heals at each moment of a call that fails.
+ */
+struct heal_case {
+    const char *name;
+    int failing_ms; /* how long a call lasts that fails */
+    int left_ms;    /* after the path has healed */
+    int others;     /* that leave during the cut */
+    bool others_heard;
+};
+
+static const struct heal_case heal_cases[] = {
+    {"one_left", 1000, 200, 0, false},
+    {"most_left", 1000, 200, 2, false},
+    {"all_left", 1000, 200, 3, false},
+    {"left_just_before", 1000, -100, 3, false},
+    {"left_at_the_cut", 1000, -5000, 3, false},
+    {"left_later", 1000, 1000, 3, false},
+    {"long_calls", 1500, 200, 3, false},
+    {"refused_calls", 1, 200, 3, false},
+    {"all_left_others_heard", 1500, 200, 3, true},
+};
+
+enum {
+    CONTACT_MS = 3000,
+    DRAIN_MS = 2000,
+    CUT_MS = 3000,
+    BACK_OFF_MS = 800,
+    CALL_MS = 5,
+    POLL_MS = 400,
+    HEAL_FIRST_MS = CUT_MS + 5000,
+    HEAL_LAST_MS = CUT_MS + 8000,
+    HEAL_STEP_MS = 50,
+};
+
+struct cut_path {
+    const struct heal_case *c;
+    struct registry registry;
+    int64_t heal_ms;
+    int64_t call_ms; /* begin of the present call or the next one */
+    int64_t end_ms;  /* its end */
+    bool removed;    /* the instance has read that the first target has left */
+};
+
+static void
+begin_call(struct cut_path *path, int64_t begin_ms)
+{
+    bool fails = begin_ms >= CUT_MS && begin_ms < path->heal_ms;
+
+    path->call_ms = begin_ms;
+    path->end_ms = begin_ms + (fails ? path->c->failing_ms : CALL_MS);
+}
+
+static void
+fail_call(struct cut_path *path)
+{
+    registry_store_down(&path->registry, path->call_ms);
+    if (path->c->others_heard) {
+        note_others(&path->registry, 0, path->end_ms - POLL_MS, path->end_ms);
+    }
+    begin_call(path, path->end_ms + BACK_OFF_MS);
+}
+
+static void
+read_changes(struct cut_path *path, int64_t now_ms)
+{
+    registry_store_up(&path->registry, now_ms);
+    if (now_ms >= path->heal_ms) {
+        for (int i = 0; i < path->c->others; i++) {
+            char id[] = {'o', '-', (char)('1' + i), '\0'};
+
+            registry_delete(&path->registry, id, now_ms);
+        }
+    }
+    if (now_ms >= path->heal_ms + path->c->left_ms) {
+        registry_delete(&path->registry, "i-1", now_ms);
+    }
+    registry_settle(&path->registry, now_ms);
+    begin_call(path, now_ms + POLL_MS);
+}
+
+static int64_t
+play_cut(struct cut_path *path, const GString *changes)
+{
+    int64_t now_ms = 0;
+
+    registry_step(&path->registry, 'p', now_ms);
+    registry_step(&path->registry, 'P', now_ms);
+    begin_call(path, now_ms);
+    while (strchr(changes->str, 'G') == NULL) {
+        now_ms++;
+        if (now_ms == path->end_ms) {
+            if (path->end_ms - path->call_ms != CALL_MS) {
+                fail_call(path);
+            }
+            else {
+                read_changes(path, now_ms);
+            }
+        }
+        registry_drop_missing(&path->registry, now_ms);
+    }
+    return now_ms;
+}
+
+static void
+test_heal(gconstpointer data)
+{
+    const struct heal_case *c = data;
+
+    for (int64_t heal_ms = HEAL_FIRST_MS; heal_ms < HEAL_LAST_MS;
+         heal_ms += HEAL_STEP_MS) {
+        struct recorder_port port = {{&recorder_ops}, g_string_new(NULL)};
+        struct cut_path path = {.c = c, .heal_ms = heal_ms};
+        int64_t gone_ms;
+
+        registry_init(&path.registry, &port.port, HEARTBEAT_MS);
+        gone_ms = play_cut(&path, port.changes);
+        g_assert_cmpint(gone_ms, <=,
+                        heal_ms + MAX(CONTACT_MS, c->left_ms + DRAIN_MS));
+        registry_clear(&path.registry);
+        g_string_free(port.changes, TRUE);
+    }
+}
+
 /* Guards against adapters that stay in a set after their model is removed. */
 struct items_case {
     const char *name;
@@ -288,6 +442,7 @@
         CASES("/view/match", match_cases, test_match),
         CASES("/view/share", share_cases, test_share),
         CASES("/view/registry", registry_cases, test_registry),
+        CASES("/view/heal", heal_cases, test_heal),
         CASES("/view/item_set", items_cases, test_items),
     };
 
