Crash: a run is suspected until 1 s behind its first event

Cause: a run with an event was no suspect, and with two it had survived. The same predicate says what may be taken back from a target, which is another question.

Evidence: no target_crashed line in any of the crashes. crash_test relay/behind_the_first_event, behind_two_events, behind_an_unframed_event and eight plays of blame_play_test are red with the old predicate.

Change: crash/run.c answers both questions for a run: it is new until 1 s behind its first event or byte of a body, and has survived from then on, or when its response is complete by its own framing. One that is complete only because its connection ended proves nothing. The relay keeps when the present run began. Such an end has a log line and a counter of its own.

--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -170,6 +170,7 @@
     X(CTR_CALLS, "calls_total")                                               \
     X(CTR_ANSWERS, "answers_total")                                           \
     X(CTR_ENDED_UNANSWERED, "target_ended_unanswered_total")                  \
+    X(CTR_ENDED_AT_BEGIN, "target_ended_at_begin_total")                      \
     X(CTR_TARGET_CRASHES, "target_crashes_total")                             \
     X(CTR_QUARANTINED, "quarantine_begun_total")                              \
     X(CTR_QUARANTINE_ENDED, "quarantine_ended_total")                         \
--- a/src/gate/crash/dat.h
+++ b/src/gate/crash/dat.h
@@ -49,7 +49,7 @@
 };
 
 /**
- * struct suspect - a request that had not begun when its target crashed
+ * struct suspect - a request whose run was new when its target crashed
  * @request: identifies the request, also when a caller repeats it
  * @traits: owned
  * @trait_count: number of @traits
@@ -87,7 +87,7 @@
 };
 
 /**
- * struct sound_memory - traits of requests that targets began to answer
+ * struct sound_memory - traits of requests that targets have survived
  * @recent: trait key -> time
  * @older: what @recent held before it was full
  *
@@ -192,8 +192,8 @@
 };
 
 /**
- * struct abandoned_request - a request that was given up before it began, and
- * may begin all the same
+ * struct abandoned_request - a request that was given up while its run was
+ * new, and may go on all the same
  * @target: hash of the target's id
  * @started_ms: wall time of the target's start
  * @at_ms: when it was given up; 0 for an empty entry
--- a/src/gate/crash/ledger.c
+++ b/src/gate/crash/ledger.c
@@ -1,8 +1,8 @@
 /**
  * DOC: Recent crashes of targets, with the requests that may have caused them.
  *
- * Each instance that had requests at a target reports those that had not
- * begun. The reports on one start of a target are one crash, in whichever
+ * Each instance that had requests at a target reports those whose runs were
+ * new. The reports on one start of a target are one crash, in whichever
  * order and however often they arrive.
  */
 #include <glib.h>
@@ -191,7 +191,7 @@
 }
 
 /**
- * crash_add_suspect() - add a request that had not begun
+ * crash_add_suspect() - add a request whose run was new
  * @crash: the crash
  * @request: identifies the request
  * @traits: copied
--- /dev/null
+++ b/src/gate/crash/run.c
@@ -0,0 +1,37 @@
+/**
+ * DOC: What the beginning of a run at a target proves.
+ *
+ * A target that crashes when it begins to write an answer may have sent some
+ * events by then.
+ */
+#include <glib.h>
+
+#include "base/dat.h"
+#include "gate/crash/dat.h"
+#include "gate/crash/fns.h"
+
+enum { BEGINNING_MS = 1000 };
+
+/**
+ * run_is_new() - whether a run may be what crashes its target
+ * @began_ms: when its first event, or byte of a body, was read; 0 for not yet
+ * @now_ms: current time
+ */
+bool
+run_is_new(int64_t began_ms, int64_t now_ms)
+{
+    return began_ms == 0 || now_ms - began_ms < BEGINNING_MS;
+}
+
+/**
+ * run_has_survived() - whether a run is past what crashes targets
+ * @began_ms: when its first event, or byte of a body, was read; 0 for not yet
+ * @complete: its response is; not if that is known only by the end of the
+ * connection, which is how a crash looks, too
+ * @now_ms: current time
+ */
+bool
+run_has_survived(int64_t began_ms, bool complete, int64_t now_ms)
+{
+    return complete || !run_is_new(began_ms, now_ms);
+}
--- a/src/gate/crash/sound.c
+++ b/src/gate/crash/sound.c
@@ -1,5 +1,5 @@
 /**
- * DOC: Traits of requests that targets began to answer, and survived.
+ * DOC: Traits of requests that targets have survived.
  *
  * A part that crashes each target never gets here, so one answer acquits all
  * parts of its prompt of the crashes before it.
@@ -39,7 +39,7 @@
 }
 
 /**
- * sound_at_ms() - when a target last survived the beginning of an answer
+ * sound_at_ms() - when a target last survived a request with a trait
  * @sound: the memory
  * @key: key of a trait of the request
  *
@@ -57,7 +57,7 @@
 }
 
 /**
- * sound_record() - remember that a target survived the beginning of an answer
+ * sound_record() - remember that a target survived a request with a trait
  * @sound: the memory
  * @key: key of a trait of the request
  * @at_ms: when; an older time than the known one is ignored
--- a/src/gate/crash/watch.c
+++ b/src/gate/crash/watch.c
@@ -19,8 +19,7 @@
      * begun it by then. */
     ABANDONED_MAX_MS = 2000,
     REPEAT_PERIOD_MS = 500,
-    /* Reports of other instances on a crash arrive within some ms, and most
-     * of its sound requests begin elsewhere within this time. */
+    /* Reports of other instances on a crash arrive within some ms. */
     SETTLE_MS = 100,
     /* Later, crashes that counted against a trait may have been dropped. */
     REFUTABLE_MS = 60 * 1000,
@@ -135,7 +134,7 @@
 }
 
 /**
- * watch_ended() - a target ended a connection before it began to answer
+ * watch_ended() - a target ended the connection of a new run
  * @watch: the watch
  * @end: target and time; without suspects
  * @traits: traits of the request
@@ -168,7 +167,7 @@
 }
 
 /**
- * watch_abandoned() - this instance gave up a request that had not begun
+ * watch_abandoned() - this instance gave up a new run
  * @watch: the watch
  * @end: target and time; without suspects
  * @traits: traits of the request
@@ -195,7 +194,7 @@
  * @now_ms: current time
  *
  * Return: the crash with this instance's requests, valid until the next call;
- * NULL when no request was cut off before its answer.
+ * NULL when no new run was cut off.
  */
 const struct crash *
 watch_confirm(struct crash_watch *watch, uint64_t target, int64_t started_ms,
@@ -223,7 +222,7 @@
 }
 
 /**
- * watch_survived() - a target goes on after it began to answer a request
+ * watch_survived() - a target goes on with a request, or has answered it
  * @watch: the watch
  * @traits: traits of the request
  * @now_ms: current time
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -1,9 +1,9 @@
 /**
  * DOC: Requests that crash targets: evidence, verdicts and refusals.
  *
- * A request whose connection ends before its answer begins is suspected once
- * its target proves to be gone. What the suspects of several crashes have in
- * common is decided in src/gate/crash.
+ * A request whose connection ends before its answer has begun, or just behind
+ * its beginning, is suspected once its target proves to be gone. What the
+ * suspects of several crashes have in common is decided in src/gate/crash.
  */
 #include <glib.h>
 #include <http_parser.h>
@@ -95,17 +95,26 @@
     return g_string_free(text, FALSE);
 }
 
+/* Whether the target has begun to answer in this run. */
+static bool
+run_has_begun(const struct exchange *exchange)
+{
+    return exchange->run_began_ms != 0;
+}
+
 static void
 log_ended(const struct exchange *exchange, const struct relay_target *target,
           int64_t now_ms)
 {
     char *parts = format_parts(&exchange->meta);
+    bool begun = run_has_begun(exchange);
 
-    counter_add(CTR_ENDED_UNANSWERED, 1);
+    counter_add(begun ? CTR_ENDED_AT_BEGIN : CTR_ENDED_UNANSWERED, 1);
     log_line(LOG_PRI_INFO, "relay",
-             "event=ended_unanswered id=%s target=%s born_ms=%" G_GINT64_FORMAT
+             "event=%s id=%s target=%s born_ms=%" G_GINT64_FORMAT
              " since_sent_ms=%" G_GINT64_FORMAT
              " request=%016" G_GINT64_MODIFIER "x parts=%s",
+             begun ? "ended_at_begin" : "ended_unanswered",
              exchange->meta.attempt_id, target->record.info.id,
              (gint64)target->record.info.started_ms,
              (gint64)(now_ms - exchange->sent_ms), exchange->fingerprint,
@@ -113,16 +122,6 @@
     g_free(parts);
 }
 
-/* Whether the target has begun to answer in this run. The beginning of an
- * answer that is no stream shows only with its body, which is passed on when
- * it is long. */
-static bool
-run_has_begun(const struct exchange *exchange)
-{
-    return exchange->events.run_id >= 0 || exchange->answer.body->len > 0 ||
-           (exchange->answer.head_sent && !result_is_stream(exchange));
-}
-
 static void
 schedule_check(struct relay *relay, int64_t at_ms)
 {
@@ -143,7 +142,7 @@
  * @relay: the relay
  * @upstream: the connection
  *
- * Its request may still begin at the target.
+ * Its request may still begin, or go on, at the target.
  */
 void
 crash_connection_closed(struct relay *relay, const struct upstream *upstream)
@@ -155,7 +154,7 @@
     struct trait_list traits;
 
     if (exchange != NULL && target != NULL && upstream->connected &&
-        !run_has_begun(exchange)) {
+        run_is_new(exchange->run_began_ms, relay->event_ms)) {
         struct crash end = {
             .target = target->id_hash,
             .started_ms = target->record.info.started_ms,
@@ -183,7 +182,8 @@
     struct crash end = {.at_ms = now_ms};
     struct trait_list traits;
 
-    if (exchange == NULL || target == NULL || run_has_begun(exchange)) {
+    if (exchange == NULL || target == NULL ||
+        !run_is_new(exchange->run_began_ms, now_ms)) {
         return;
     }
     log_ended(exchange, target, now_ms);
@@ -278,18 +278,24 @@
 }
 
 /**
- * crash_survived() - handle a target that goes on after it began to answer
+ * crash_run_went_on() - handle an answer that goes on, or has ended
  * @relay: the relay
  * @exchange: the request
+ * @complete: the response is complete, whatever happens to its target
  * @now_ms: current time
  */
 void
-crash_survived(struct relay *relay, const struct exchange *exchange,
-               int64_t now_ms)
+crash_run_went_on(struct relay *relay, struct exchange *exchange,
+                  bool complete, int64_t now_ms)
 {
     struct trait_list traits;
     int ended;
 
+    if (exchange->run_survived ||
+        !run_has_survived(exchange->run_began_ms, complete, now_ms)) {
+        return;
+    }
+    exchange->run_survived = true;
     collect_traits(exchange, &traits);
     ended = watch_survived(relay->crashes, &traits, now_ms);
     log_ended_verdicts(exchange->meta.attempt_id, ended);
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -266,6 +266,9 @@
  * @pausing: it is a begun stream that waits in no queue to be sent again
  * @fingerprint: hash of the request, the same when a caller repeats it
  * @run_events: events of the present run
+ * @run_began_ms: when the first of them, or byte of a body, was read; 0 for
+ * not yet
+ * @run_survived: its target has survived the present run's beginning
  * @probe_key: trait of a verdict that the request may have, to see whether it
  * still crashes targets; 0 for none
  * @team: of its key, in @config; NULL for none
@@ -322,6 +325,8 @@
     uint64_t queue_key;
     uint64_t fingerprint;
     int run_events;
+    int64_t run_began_ms;
+    bool run_survived;
     uint64_t probe_key;
     const struct gate_team *team;
     int priority;
@@ -959,8 +964,8 @@
 void crash_connection_made(struct relay_target *target);
 void crash_target_restarted(struct relay *relay, struct relay_target *target,
                             int64_t now_ms);
-void crash_survived(struct relay *relay, const struct exchange *exchange,
-                    int64_t now_ms);
+void crash_run_went_on(struct relay *relay, struct exchange *exchange,
+                       bool complete, int64_t now_ms);
 bool crash_is_blamed(struct relay *relay, const struct exchange *exchange);
 bool crash_would_refuse(struct relay *relay, const struct exchange *exchange,
                         int64_t now_ms, int64_t *retry_ms);
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -18,10 +18,6 @@
 #include "gate/team/dat.h"
 #include "gate/relay/internal.h"
 
-/* A target that sends a second event goes on after the beginning of its
- * answer. */
-enum { SURVIVED_EVENTS = 2 };
-
 static struct relay_target *
 target_of(struct relay *relay, const struct exchange *exchange)
 {
@@ -310,6 +306,14 @@
     }
 }
 
+static void
+set_run_began(struct exchange *exchange, int64_t now_ms)
+{
+    if (exchange->run_began_ms == 0) {
+        exchange->run_began_ms = now_ms;
+    }
+}
+
 static void
 count_interval(struct relay *relay, struct exchange *exchange,
                int64_t interval_ms)
@@ -333,9 +337,9 @@
             MAX(exchange->longest_interval_ms, interval_ms);
         count_interval(relay, exchange, interval_ms);
     }
-    if (++exchange->run_events == SURVIVED_EVENTS) {
-        crash_survived(relay, exchange, now_ms);
-    }
+    exchange->run_events++;
+    set_run_began(exchange, now_ms);
+    crash_run_went_on(relay, exchange, false, now_ms);
     exchange->last_event_ms = now_ms;
     set_first_byte_time(exchange, now_ms);
     exchange->last_progress_ms = now_ms;
@@ -400,6 +404,7 @@
         return true;
     }
     set_first_byte_time(exchange, now_ms);
+    set_run_began(exchange, now_ms);
     exchange->last_progress_ms = now_ms;
     if (answer->head_sent) {
         answer_send_body(relay, exchange, bytes, count, now_ms);
@@ -505,8 +510,9 @@
                          answer->body->len, now_ms);
     }
     answer_end(relay, exchange, now_ms);
-    if (answer->status < 300 && exchange->run_events < SURVIVED_EVENTS) {
-        crash_survived(relay, exchange, now_ms);
+    if (answer->status < 300) {
+        crash_run_went_on(relay, exchange, answer->framing != FRAMED_BY_CLOSE,
+                          now_ms);
     }
     counter_add(CTR_ANSWERS, 1);
     if (exchange->first_byte_ms != 0) {
--- a/test/blame_play_test.c
+++ b/test/blame_play_test.c
@@ -26,7 +26,6 @@
     PREFILL_MS = 260,
     EVENT_MS = 100,
     STREAM_EVENTS = 20,
-    SURVIVED_EVENTS = 2,
     RESTART_MS = 3000,
     PLAY_MS = 60 * 1000,
     ENDS_MAX = 4,
@@ -39,7 +38,8 @@
  * A prompt lists its shared parts; "%" is a part of its own for each two
  * requests in a row, as of a session. A target crashes under a prompt with
  * "d". Sound requests come from the start, deadly ones from @warm_ms on: two,
- * 520 ms apart, and then one each @deadly_ms.
+ * 520 ms apart, and then one each @deadly_ms. The target sends some events
+ * before it crashes.
  */
 struct play_case {
     const char *name;
@@ -49,39 +49,56 @@
     int deadly_ms;
     int warm_ms;
     bool same_own_part;    /* of the deadly requests */
+    int deadly_events;     /* that a target sends before it crashes */
     int ends_ms[ENDS_MAX]; /* a target with a new sound run ends by itself */
 };
 
 static const struct play_case play_cases[] = {
-    {"bad_first", "dac", "ac", 1500, 3000, 33000, false, {0}},
-    {"bad_between", "adc", "ac", 1500, 3000, 33000, false, {0}},
-    {"bad_behind", "acd", "ac", 1500, 3000, 33000, false, {0}},
-    {"bad_alone", "d", "ac", 1500, 3000, 33000, false, {0}},
-    {"bad_in_short", "ad", "ac", 1500, 3000, 33000, false, {0}},
-    {"bad_between_many", "abdce", "abce", 1500, 3000, 33000, false, {0}},
-    {"bad_first_young", "dac", "ac", 1500, 3000, 0, false, {0}},
-    {"bad_between_young", "adc", "ac", 1500, 3000, 0, false, {0}},
-    {"bad_behind_young", "acd", "ac", 1500, 3000, 0, false, {0}},
-    {"bad_between_many_young", "abdce", "abce", 1500, 3000, 0, false, {0}},
-    {"sound_is_shorter", "adc", "a", 1500, 3000, 33000, false, {0}},
-    {"sound_is_shorter_young", "adc", "a", 1500, 3000, 0, false, {0}},
-    {"sound_is_rare", "adc", "ac", 1900, 400, 20000, false, {0}},
-    {"sound_is_rare_young", "adc", "ac", 1900, 400, 0, false, {0}},
-    {"busy", "adc", "ac", 50, 300, 10000, false, {0}},
-    {"busy_young", "adc", "ac", 50, 300, 0, false, {0}},
-    {"busy_other_parts_young", "ad", "ab", 50, 700, 0, false, {0}},
-    {"sessions", "ad%", "ab", 700, 1500, 20000, false, {0}},
-    {"sessions_young", "ad%", "ab", 700, 1500, 0, false, {0}},
-    {"sessions_before", "a%d", "ab", 700, 1500, 20000, false, {0}},
-    {"sessions_alone_young", "%d", "ab", 1500, 1500, 0, false, {0}},
-    {"sessions_seldom", "ad%", "ab", 1200, 7000, 20000, false, {0}},
-    {"one_session", "adc", "ac", 1500, 3000, 33000, true, {0}},
-    {"one_session_young", "adc", "ac", 1500, 3000, 0, true, {0}},
-    {"ends_young", NULL, "a", 900, 0, 0, false, {1000, 1400}},
-    {"ends_thrice_young", NULL, "a", 900, 0, 0, false, {1000, 1400, 2000}},
-    {"ends_busy_young", NULL, "a", 100, 0, 0, false, {300, 600, 900, 1200}},
-    {"ends_later", NULL, "a", 900, 0, 0, false, {30000, 31000, 32000, 33000}},
-    {"ends_beside", "adc", "ac", 900, 3000, 0, false, {1000, 1300}},
+    {"bad_first", "dac", "ac", 1500, 3000, 33000, false, 0, {0}},
+    {"bad_between", "adc", "ac", 1500, 3000, 33000, false, 0, {0}},
+    {"bad_behind", "acd", "ac", 1500, 3000, 33000, false, 0, {0}},
+    {"bad_alone", "d", "ac", 1500, 3000, 33000, false, 0, {0}},
+    {"bad_in_short", "ad", "ac", 1500, 3000, 33000, false, 0, {0}},
+    {"bad_between_many", "abdce", "abce", 1500, 3000, 33000, false, 0, {0}},
+    {"bad_first_young", "dac", "ac", 1500, 3000, 0, false, 0, {0}},
+    {"bad_between_young", "adc", "ac", 1500, 3000, 0, false, 0, {0}},
+    {"bad_behind_young", "acd", "ac", 1500, 3000, 0, false, 0, {0}},
+    {"bad_between_many_young", "abdce", "abce", 1500, 3000, 0, false, 0, {0}},
+    {"sound_is_shorter", "adc", "a", 1500, 3000, 33000, false, 0, {0}},
+    {"sound_is_shorter_young", "adc", "a", 1500, 3000, 0, false, 0, {0}},
+    {"sound_is_rare", "adc", "ac", 1900, 400, 20000, false, 0, {0}},
+    {"sound_is_rare_young", "adc", "ac", 1900, 400, 0, false, 0, {0}},
+    {"busy", "adc", "ac", 50, 300, 10000, false, 0, {0}},
+    {"busy_young", "adc", "ac", 50, 300, 0, false, 0, {0}},
+    {"busy_other_parts_young", "ad", "ab", 50, 700, 0, false, 0, {0}},
+    {"sessions", "ad%", "ab", 700, 1500, 20000, false, 0, {0}},
+    {"sessions_young", "ad%", "ab", 700, 1500, 0, false, 0, {0}},
+    {"sessions_before", "a%d", "ab", 700, 1500, 20000, false, 0, {0}},
+    {"sessions_alone_young", "%d", "ab", 1500, 1500, 0, false, 0, {0}},
+    {"sessions_seldom", "ad%", "ab", 1200, 7000, 20000, false, 0, {0}},
+    {"one_session", "adc", "ac", 1500, 3000, 33000, true, 0, {0}},
+    {"one_session_young", "adc", "ac", 1500, 3000, 0, true, 0, {0}},
+    {"first_event", "ad", "ab", 500, 3000, 0, false, 1, {0}},
+    {"first_event_warm", "ad", "ab", 500, 3000, 33000, false, 1, {0}},
+    {"first_event_sessions", "ad%", "ab", 700, 1500, 0, false, 1, {0}},
+    {"second_event", "adc", "ac", 1500, 3000, 33000, false, 2, {0}},
+    {"second_event_young", "adc", "ac", 1500, 3000, 0, false, 2, {0}},
+    {"third_event_busy", "adc", "ac", 50, 700, 10000, false, 3, {0}},
+    {"third_event_busy_young", "adc", "ac", 50, 700, 0, false, 3, {0}},
+    {"eighth_event", "adc", "ac", 900, 3000, 20000, false, 8, {0}},
+    {"ends_young", NULL, "a", 900, 0, 0, false, 0, {1000, 1400}},
+    {"ends_thrice_young", NULL, "a", 900, 0, 0, false, 0, {1000, 1400, 2000}},
+    {"ends_busy_young", NULL, "a", 100, 0, 0, false, 0, {300, 600, 900, 1200}},
+    {"ends_later",
+     NULL,
+     "a",
+     900,
+     0,
+     0,
+     false,
+     0,
+     {30000, 31000, 32000, 33000}},
+    {"ends_beside", "adc", "ac", 900, 3000, 0, false, 0, {1000, 1300}},
 };
 
 struct request {
@@ -100,6 +117,8 @@
     int instance;
     int target;
     int64_t sent_ms;
+    int64_t began_ms;
+    bool survived;
     int events;
 };
 
@@ -218,8 +237,11 @@
         place++;
         g_assert_cmpint(place, <, RUNS_MAX);
     }
-    play->runs[place] =
-        (struct run){true, index, instance, target, play->now_ms, 0};
+    play->runs[place] = (struct run){.used = true,
+                                     .request = index,
+                                     .instance = instance,
+                                     .target = target,
+                                     .sent_ms = play->now_ms};
     request->attempts++;
     if (request->deadly &&
         request->sent_ms > fifth_crash_ms(play) + CONTACT_MS) {
@@ -241,7 +263,7 @@
         if (!run->used || run->target != target) {
             continue;
         }
-        if (run->events == 0) {
+        if (run_is_new(run->began_ms, play->now_ms)) {
             watch_ended(play->watches[run->instance], &end,
                         &request_of(play, run)->traits, play->now_ms);
         }
@@ -273,30 +295,34 @@
 }
 
 static void
-survive(struct play *play, const struct run *run)
+go_on(struct play *play, struct run *run)
 {
+    bool complete = run->events == STREAM_EVENTS;
+
+    run->used = !complete;
+    if (run->survived ||
+        !run_has_survived(run->began_ms, complete, play->now_ms)) {
+        return;
+    }
+    run->survived = true;
     watch_survived(play->watches[run->instance],
                    &request_of(play, run)->traits, play->now_ms);
     tell_others(play, run->instance);
 }
 
-/* Returns whether the target has crashed. */
-static bool
+static void
 write_event(struct play *play, struct run *run)
 {
     struct request *request = request_of(play, run);
 
-    if (request->deadly) {
+    if (request->deadly && run->events == play->c->deadly_events) {
         g_array_append_val(play->crashes, play->now_ms);
         crash_target(play, run->target);
-        return true;
+        return;
     }
     request->begun |= request->attempts == 1;
-    if (++run->events == SURVIVED_EVENTS) {
-        survive(play, run);
-    }
-    run->used = run->events < STREAM_EVENTS;
-    return false;
+    run->began_ms = run->events++ == 0 ? play->now_ms : run->began_ms;
+    go_on(play, run);
 }
 
 static void
--- a/test/crash_test.c
+++ b/test/crash_test.c
@@ -49,6 +49,8 @@
 #define STREAM_HEAD                                                           \
     HEAD "Content-Type: text/event-stream\r\n"                                \
          "Transfer-Encoding: chunked\r\n\r\n"
+#define UNFRAMED_HEAD HEAD "Content-Type: text/event-stream\r\n\r\n"
+#define UNFRAMED_EVENT "id: 1\ndata: a\n\n"
 #define EVENT1 "f\r\nid: 1\ndata: a\n\n\r\n"
 #define EVENT2 "f\r\nid: 2\ndata: b\n\n\r\n"
 #define STREAM STREAM_HEAD EVENT1 EVENT2 "0\r\n\r\n"
@@ -61,6 +63,9 @@
 enum ending {
     ENDS_ALL,
     ENDS_AFTER_HEAD,
+    ENDS_AFTER_EVENT,
+    ENDS_AFTER_EVENTS,
+    ENDS_UNFRAMED, /* after an event, as a response without a length ends */
     ENDS_CONNECTION,
     ENDS_AND_REFUSES, /* new connections */
 };
@@ -226,6 +231,18 @@
         send_text(target->connections[index], HEAD "\r\n");
         crash(target);
         break;
+    case ENDS_AFTER_EVENT:
+        send_text(target->connections[index], STREAM_HEAD EVENT1);
+        crash(target);
+        break;
+    case ENDS_AFTER_EVENTS:
+        send_text(target->connections[index], STREAM_HEAD EVENT1 EVENT2);
+        crash(target);
+        break;
+    case ENDS_UNFRAMED:
+        send_text(target->connections[index], UNFRAMED_HEAD UNFRAMED_EVENT);
+        crash(target);
+        break;
     case ENDS_ALL:
         crash(target);
         break;
@@ -366,6 +383,12 @@
      "dead.a.1:- dead.b.2:- dead.c.3:503 f.a.4:200", 4, 4},
     {"after_the_head", "dead:", ENDS_AFTER_HEAD,
      "f.a.1:200 f.dead.2:- f.dead.3:- f.dead.4:503 f.a.5:200", 4, 4},
+    {"behind_the_first_event", "dead:", ENDS_AFTER_EVENT,
+     "f.a.1:200 f.dead.2:- f.dead.3:- f.a.4:200 f.dead.5:503 f.a.6:200", 4, 4},
+    {"behind_two_events", "dead:", ENDS_AFTER_EVENTS,
+     "f.a.1:200 f.dead.2:- f.dead.3:- f.a.4:200 f.dead.5:503 f.a.6:200", 4, 4},
+    {"behind_an_unframed_event", "dead:", ENDS_UNFRAMED,
+     "f.a.1:200 f.dead.2:- f.dead.3:- f.a.4:200 f.dead.5:503 f.a.6:200", 4, 4},
     {"one_request_again", ",1:", ENDS_ALL,
      "f.a.2:200 f.a.1:- f.a.1:- f.a.1:503 f.a.1:503 f.a.3:200", 4, 4},
     {"connections_only", "dead:", ENDS_CONNECTION,
