test: entries_test's feed asks no other instance

The port of the feed got a callback in, and this table of callbacks was left without it, so the program did not build. No call of it fails in the test. Build of all test programs: without an error.

--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -406,10 +406,15 @@
 }
 
 static const struct feed_port_ops port_ops = {
-    on_config,         on_target_change,
-    on_targets_listed, on_members,
-    on_holder,         NULL,
-    drop_confirmation, NULL,
+    on_config,
+    on_target_change,
+    on_targets_listed,
+    on_members,
+    on_holder,
+    NULL,
+    drop_confirmation,
+    NULL,
+    NULL,
 };
 
 struct feed_step {
