Crash: the rest of a resumed answer acquits nothing by its end

Cause: the request is resumed behind the third event, and the next engine has only three events to send. That run is complete, which counted as survival and acquitted the part of both crashes.

Change: a complete response proves survival only if its run began at the beginning of the answer. A resumed run proves it by going on for 1 s, as any.

--- a/src/gate/crash/run.c
+++ b/src/gate/crash/run.c
@@ -26,8 +26,9 @@
 /**
  * run_has_survived() - whether a run is past what crashes targets
  * @began_ms: when its first event, or byte of a body, was read; 0 for not yet
- * @complete: its response is; not if that is known only by the end of the
- * connection, which is how a crash looks, too
+ * @complete: its response is, from the beginning of the answer on; not if that
+ * is known only by the end of the connection, which is how a crash looks, too.
+ * The rest of an answer that another target has begun may be short enough.
  * @now_ms: current time
  */
 bool
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -522,6 +522,7 @@
     exchange->runs++;
     exchange->run_events = 0;
     exchange->run_began_ms = 0;
+    exchange->run_resumed = exchange->events.last_id >= 0;
     exchange->run_survived = false;
     exchange->sent_ms = now_ms;
     exchange->last_progress_ms = now_ms;
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -268,6 +268,7 @@
  * @run_events: events of the present run
  * @run_began_ms: when the first of them, or byte of a body, was read; 0 for
  * not yet
+ * @run_resumed: it goes on where another run has ended
  * @run_survived: its target has survived the present run's beginning
  * @probe_key: trait of a verdict that the request may have, to see whether it
  * still crashes targets; 0 for none
@@ -326,6 +327,7 @@
     uint64_t fingerprint;
     int run_events;
     int64_t run_began_ms;
+    bool run_resumed;
     bool run_survived;
     uint64_t probe_key;
     const struct gate_team *team;
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -483,6 +483,14 @@
     result_aborted(relay, exchange, fault_name(fault), now_ms);
 }
 
+/* Whether a complete response shows that its target survives such requests. */
+static bool
+proves_survival(const struct exchange *exchange)
+{
+    return exchange->answer.framing != FRAMED_BY_CLOSE &&
+           !exchange->run_resumed;
+}
+
 /**
  * result_complete() - handle the end of a complete response
  * @relay: the relay
@@ -511,8 +519,7 @@
     }
     answer_end(relay, exchange, now_ms);
     if (answer->status < 300) {
-        crash_run_went_on(relay, exchange, answer->framing != FRAMED_BY_CLOSE,
-                          now_ms);
+        crash_run_went_on(relay, exchange, proves_survival(exchange), now_ms);
     }
     counter_add(CTR_ANSWERS, 1);
     if (exchange->first_byte_ms != 0) {
--- a/test/blame_play_test.c
+++ b/test/blame_play_test.c
@@ -26,6 +26,7 @@
     PREFILL_MS = 260,
     EVENT_MS = 100,
     STREAM_EVENTS = 20,
+    DEADLY_STREAM_EVENTS = 6,
     RESTART_MS = 3000,
     PLAY_MS = 60 * 1000,
     ENDS_MAX = 4,
@@ -39,7 +40,7 @@
  * requests in a row, as of a session. A target crashes under a prompt with
  * "d". Sound requests come from the start, deadly ones from @warm_ms on: two,
  * 520 ms apart, and then one each @deadly_ms. The target sends some events
- * before it crashes.
+ * before it crashes; the next one may then have less than that to send.
  */
 struct play_case {
     const char *name;
@@ -85,7 +86,7 @@
     {"second_event_young", "adc", "ac", 1500, 3000, 0, false, 2, {0}},
     {"third_event_busy", "adc", "ac", 50, 700, 10000, false, 3, {0}},
     {"third_event_busy_young", "adc", "ac", 50, 700, 0, false, 3, {0}},
-    {"eighth_event", "adc", "ac", 900, 3000, 20000, false, 8, {0}},
+    {"fifth_event", "adc", "ac", 900, 3000, 20000, false, 5, {0}},
     {"ends_young", NULL, "a", 900, 0, 0, false, 0, {1000, 1400}},
     {"ends_thrice_young", NULL, "a", 900, 0, 0, false, 0, {1000, 1400, 2000}},
     {"ends_busy_young", NULL, "a", 100, 0, 0, false, 0, {300, 600, 900, 1200}},
@@ -109,6 +110,7 @@
     bool probing;
     int64_t sent_ms;
     int attempts;
+    int events; /* that its caller has */
 };
 
 struct run {
@@ -118,6 +120,7 @@
     int target;
     int64_t sent_ms;
     int64_t began_ms;
+    bool resumed;
     bool survived;
     int events;
 };
@@ -241,7 +244,8 @@
                                      .request = index,
                                      .instance = instance,
                                      .target = target,
-                                     .sent_ms = play->now_ms};
+                                     .sent_ms = play->now_ms,
+                                     .resumed = request->events > 0};
     request->attempts++;
     if (request->deadly &&
         request->sent_ms > fifth_crash_ms(play) + CONTACT_MS) {
@@ -297,16 +301,19 @@
 static void
 go_on(struct play *play, struct run *run)
 {
-    bool complete = run->events == STREAM_EVENTS;
+    const struct request *request = request_of(play, run);
+    bool complete = request->events ==
+                    (request->deadly ? DEADLY_STREAM_EVENTS : STREAM_EVENTS);
 
     run->used = !complete;
     if (run->survived ||
-        !run_has_survived(run->began_ms, complete, play->now_ms)) {
+        !run_has_survived(run->began_ms, complete && !run->resumed,
+                          play->now_ms)) {
         return;
     }
     run->survived = true;
-    watch_survived(play->watches[run->instance],
-                   &request_of(play, run)->traits, play->now_ms);
+    watch_survived(play->watches[run->instance], &request->traits,
+                   play->now_ms);
     tell_others(play, run->instance);
 }
 
@@ -322,6 +329,7 @@
     }
     request->begun |= request->attempts == 1;
     run->began_ms = run->events++ == 0 ? play->now_ms : run->began_ms;
+    request->events++;
     go_on(play, run);
 }
 
--- a/test/crash_test.c
+++ b/test/crash_test.c
@@ -54,6 +54,7 @@
 #define EVENT1 "f\r\nid: 1\ndata: a\n\n\r\n"
 #define EVENT2 "f\r\nid: 2\ndata: b\n\n\r\n"
 #define STREAM STREAM_HEAD EVENT1 EVENT2 "0\r\n\r\n"
+#define STREAM_REST STREAM_HEAD EVENT2 "0\r\n\r\n"
 
 /* Parts whose requests targets leave without an answer, or without its end. */
 #define HELD "bad:"
@@ -65,6 +66,7 @@
     ENDS_AFTER_HEAD,
     ENDS_AFTER_EVENT,
     ENDS_AFTER_EVENTS,
+    ENDS_UNLESS_RESUMED, /* after an event; the rest is complete */
     ENDS_UNFRAMED, /* after an event, as a response without a length ends */
     ENDS_CONNECTION,
     ENDS_AND_REFUSES, /* new connections */
@@ -209,6 +211,10 @@
 {
     const char *field = strstr(request, "Prompt-Prefix: ");
 
+    if (world->ending == ENDS_UNLESS_RESUMED &&
+        strstr(request, "Last-Event-Id: ") != NULL) {
+        return false;
+    }
     return field != NULL && strstr(field, world->deadly) != NULL;
 }
 
@@ -232,6 +238,7 @@
         crash(target);
         break;
     case ENDS_AFTER_EVENT:
+    case ENDS_UNLESS_RESUMED:
         send_text(target->connections[index], STREAM_HEAD EVENT1);
         crash(target);
         break;
@@ -279,7 +286,9 @@
             }
             continue;
         }
-        send_text(target->connections[i], STREAM);
+        send_text(target->connections[i],
+                  strstr(bytes, "Last-Event-Id: ") != NULL ? STREAM_REST
+                                                           : STREAM);
     }
 }
 
@@ -387,6 +396,9 @@
      "f.a.1:200 f.dead.2:- f.dead.3:- f.a.4:200 f.dead.5:503 f.a.6:200", 4, 4},
     {"behind_two_events", "dead:", ENDS_AFTER_EVENTS,
      "f.a.1:200 f.dead.2:- f.dead.3:- f.a.4:200 f.dead.5:503 f.a.6:200", 4, 4},
+    {"rest_is_answered", "dead:", ENDS_UNLESS_RESUMED,
+     "f.a.1:200 f.dead.2:200 f.dead.3:200 f.a.4:200 f.dead.5:503 f.a.6:200", 2,
+     2},
     {"behind_an_unframed_event", "dead:", ENDS_UNFRAMED,
      "f.a.1:200 f.dead.2:- f.dead.3:- f.a.4:200 f.dead.5:503 f.a.6:200", 4, 4},
     {"one_request_again", ",1:", ENDS_ALL,
