Crash: the count of the evidence is a file of its own

blame.c had grown to 521 lines: what the ledger shows of each trait, and which trait explains the crashes. The first is inquiry.c now, without a change of what is counted. blame_test, blame_play_test and crash_test: all ok, as before.

--- a/src/gate/crash/blame.c
+++ b/src/gate/crash/blame.c
@@ -5,7 +5,7 @@
  * that begins to answer. Parts that other requests share with it are at the
  * same crashes; they differ in that targets also answer without it. The
  * explanation is computed anew from all that is known, so that one that was
- * made with less is replaced.
+ * made with less is replaced. docs/design/crashing-parts.md has the rule.
  */
 #include <glib.h>
 
@@ -14,9 +14,6 @@
 #include "gate/crash/fns.h"
 
 enum {
-    /* Targets that crash within this time may have one cause outside the
-     * requests, such as a loss of power. */
-    MOMENT_MS = 150,
     MOMENTS_MIN = 2,
     /* For a trait that targets have survived before. */
     SOUND_MOMENTS_MIN = 4,
@@ -28,157 +25,6 @@
     REFUTING_CRASHES_MIN = 2,
 };
 
-G_STATIC_ASSERT(CRASHES_MAX <= 64);
-
-struct sighting {
-    uint64_t request;
-    int crash;
-};
-
-/* Where a trait was seen that has not been acquitted since; a bit for each
- * crash of the ledger. */
-struct tally {
-    struct trait trait;
-    bool known_sound;
-    uint64_t mask;
-    GArray *sightings;
-};
-
-/* The evidence of a ledger by trait. Crashes later than @until_ms don't
- * count. */
-struct inquiry {
-    const struct crash_ledger *ledger;
-    const struct sound_memory *sound;
-    int64_t until_ms;
-    int moments[CRASHES_MAX];
-    GHashTable *tallies;
-};
-
-static void
-free_tally(void *data)
-{
-    struct tally *tally = data;
-
-    g_array_free(tally->sightings, TRUE);
-    g_free(tally);
-}
-
-static struct tally *
-find_or_add_tally(struct inquiry *inquiry, const struct trait *trait)
-{
-    struct tally *tally = g_hash_table_lookup(inquiry->tallies, &trait->key);
-
-    if (tally == NULL) {
-        tally = g_new0(struct tally, 1);
-        tally->trait = *trait;
-        tally->known_sound = sound_at_ms(inquiry->sound, trait->key) != 0;
-        tally->sightings = g_array_new(FALSE, FALSE, sizeof(struct sighting));
-        g_hash_table_insert(inquiry->tallies, &tally->trait.key, tally);
-    }
-    return tally;
-}
-
-static bool
-is_open(const struct inquiry *inquiry, uint64_t key, int crash)
-{
-    return sound_at_ms(inquiry->sound, key) <
-           inquiry->ledger->crashes[crash].at_ms;
-}
-
-static void
-count_suspect(struct inquiry *inquiry, const struct suspect *suspect,
-              int crash)
-{
-    struct sighting sighting = {suspect->request, crash};
-
-    for (int i = 0; i < suspect->trait_count; i++) {
-        const struct trait *trait = &suspect->traits[i];
-
-        if (is_open(inquiry, trait->key, crash)) {
-            struct tally *tally = find_or_add_tally(inquiry, trait);
-
-            tally->mask |= UINT64_C(1) << crash;
-            g_array_append_val(tally->sightings, sighting);
-        }
-    }
-}
-
-static void
-begin_inquiry(struct inquiry *inquiry, const struct crash_ledger *ledger,
-              const struct sound_memory *sound, int64_t until_ms)
-{
-    int64_t moment_start_ms = 0;
-    int moment = 0;
-
-    inquiry->ledger = ledger;
-    inquiry->sound = sound;
-    inquiry->until_ms = until_ms;
-    inquiry->tallies =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_tally);
-    for (int i = 0; i < ledger->count; i++) {
-        const struct crash *crash = &ledger->crashes[i];
-
-        if (i == 0 || crash->at_ms - moment_start_ms > MOMENT_MS) {
-            moment_start_ms = crash->at_ms;
-            moment++;
-        }
-        inquiry->moments[i] = moment;
-        for (int j = 0; j < crash->suspect_count && crash->at_ms <= until_ms;
-             j++) {
-            count_suspect(inquiry, &crash->suspects[j], i);
-        }
-    }
-}
-
-static int
-count_moments(const struct inquiry *inquiry, uint64_t mask)
-{
-    int last = 0;
-    int count = 0;
-
-    for (int i = 0; i < inquiry->ledger->count; i++) {
-        if ((mask >> i & 1) != 0 && inquiry->moments[i] != last) {
-            last = inquiry->moments[i];
-            count++;
-        }
-    }
-    return count;
-}
-
-static void
-count_sightings(const struct tally *tally, struct evidence *evidence)
-{
-    GHashTable *requests = g_hash_table_new(g_int64_hash, g_int64_equal);
-
-    evidence->sightings = 0;
-    for (guint i = 0; i < tally->sightings->len; i++) {
-        struct sighting *sighting =
-            &g_array_index(tally->sightings, struct sighting, i);
-
-        if ((evidence->mask >> sighting->crash & 1) != 0) {
-            g_hash_table_add(requests, &sighting->request);
-            evidence->sightings++;
-        }
-    }
-    evidence->requests = (int)g_hash_table_size(requests);
-    g_hash_table_destroy(requests);
-}
-
-static struct evidence
-weigh(const struct inquiry *inquiry, const struct tally *tally, uint64_t mask)
-{
-    struct evidence evidence = {
-        .known_sound = tally->known_sound,
-        .mask = tally->mask & mask,
-    };
-
-    trait_set_add(&evidence.traits, &tally->trait);
-    evidence.crashes = __builtin_popcountll(evidence.mask);
-    evidence.moments = count_moments(inquiry, evidence.mask);
-    count_sightings(tally, &evidence);
-    return evidence;
-}
-
 static bool
 is_enough(const struct evidence *evidence)
 {
@@ -189,75 +35,6 @@
             evidence->crashes >= ONE_REQUEST_CRASHES_MIN);
 }
 
-static bool
-suspect_has(const struct suspect *suspect, const struct trait_set *traits)
-{
-    return traits_include(suspect->traits, suspect->trait_count, traits);
-}
-
-/**
- * crash_may_be_by() - whether a request with some traits was at a crash
- * @crash: the crash
- * @traits: the traits
- */
-bool
-crash_may_be_by(const struct crash *crash, const struct trait_set *traits)
-{
-    for (int i = 0; i < crash->suspect_count; i++) {
-        if (suspect_has(&crash->suspects[i], traits)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static uint64_t
-crashes_by(const struct inquiry *inquiry, const struct trait_set *traits)
-{
-    uint64_t mask = 0;
-
-    for (int i = 0; i < inquiry->ledger->count; i++) {
-        const struct crash *crash = &inquiry->ledger->crashes[i];
-
-        if (crash->at_ms <= inquiry->until_ms &&
-            crash_may_be_by(crash, traits)) {
-            mask |= UINT64_C(1) << i;
-        }
-    }
-    return mask;
-}
-
-static bool
-all_open(const struct inquiry *inquiry, const struct trait_set *traits,
-         int crash)
-{
-    for (int i = 0; i < traits->count; i++) {
-        if (!is_open(inquiry, traits->traits[i].key, crash)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/* Whether a request with a trait and all of a set was at each crash, and none
- * of these has been acquitted since. */
-static bool
-go_together(const struct inquiry *inquiry, const struct trait *trait,
-            const struct trait_set *set, uint64_t mask)
-{
-    struct trait_set traits = *set;
-
-    trait_set_add(&traits, trait);
-    for (int i = 0; i < inquiry->ledger->count; i++) {
-        if ((mask >> i & 1) != 0 &&
-            !(all_open(inquiry, &traits, i) &&
-              crash_may_be_by(&inquiry->ledger->crashes[i], &traits))) {
-            return false;
-        }
-    }
-    return true;
-}
-
 /* Whether other requests at the same crashes are fewer, and so less likely to
  * be there by chance. A request that a target's crash sends to the next one is
  * at several crashes; against it, two others count for nothing yet. */
@@ -279,11 +56,11 @@
 
     if (other == tally || other->known_sound != tally->known_sound ||
         (evidence->mask & ~other->mask) != 0 ||
-        go_together(inquiry, &other->trait, &evidence->traits,
-                    evidence->mask)) {
+        inquiry_go_together(inquiry, &other->trait, &evidence->traits,
+                            evidence->mask)) {
         return false;
     }
-    rival = weigh(inquiry, other, evidence->mask);
+    rival = inquiry_weigh(inquiry, other, evidence->mask);
     return is_rarer(&rival, evidence);
 }
 
@@ -358,7 +135,8 @@
 
         if (other != tally && other->known_sound == tally->known_sound &&
             (evidence->mask & ~other->mask) == 0) {
-            struct evidence companion = weigh(inquiry, other, evidence->mask);
+            struct evidence companion =
+                inquiry_weigh(inquiry, other, evidence->mask);
 
             g_array_append_val(companions, companion);
         }
@@ -368,7 +146,8 @@
         const struct trait *trait =
             &g_array_index(companions, struct evidence, i).traits.traits[0];
 
-        if (go_together(inquiry, trait, &evidence->traits, evidence->mask)) {
+        if (inquiry_go_together(inquiry, trait, &evidence->traits,
+                                evidence->mask)) {
             trait_set_add(&evidence->traits, trait);
         }
     }
@@ -384,7 +163,7 @@
 
     g_hash_table_iter_init(&iter, inquiry->tallies);
     while (g_hash_table_iter_next(&iter, NULL, &tally)) {
-        struct evidence evidence = weigh(inquiry, tally, UINT64_MAX);
+        struct evidence evidence = inquiry_weigh(inquiry, tally, UINT64_MAX);
 
         if (is_enough(&evidence)) {
             g_array_append_val(candidates, evidence);
@@ -394,49 +173,18 @@
     return candidates;
 }
 
-static bool
-has_acquitted_part(const struct inquiry *inquiry,
-                   const struct suspect *suspect, int crash)
-{
-    for (int i = 0; i < suspect->trait_count; i++) {
-        const struct trait *trait = &suspect->traits[i];
-
-        if (trait->depth >= 0 && !is_open(inquiry, trait->key, crash)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool
-is_contrasted(const struct inquiry *inquiry, const struct evidence *evidence)
-{
-    for (int i = 0; i < inquiry->ledger->count; i++) {
-        const struct crash *crash = &inquiry->ledger->crashes[i];
-
-        for (int j = 0;
-             j < crash->suspect_count && (evidence->mask >> i & 1) != 0; j++) {
-            if (suspect_has(&crash->suspects[j], &evidence->traits) &&
-                has_acquitted_part(inquiry, &crash->suspects[j], i)) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 static void
 add_explanation(const struct inquiry *inquiry, const struct trait *trait,
                 uint64_t *explained, struct explanations *explanations)
 {
     const struct tally *tally =
         g_hash_table_lookup(inquiry->tallies, &trait->key);
-    struct evidence evidence = weigh(inquiry, tally, ~*explained);
+    struct evidence evidence = inquiry_weigh(inquiry, tally, ~*explained);
 
     if (is_enough(&evidence) && !has_better(inquiry, tally, &evidence)) {
         add_companions(inquiry, tally, &evidence);
-        evidence.contrasted = is_contrasted(inquiry, &evidence);
-        *explained |= crashes_by(inquiry, &evidence.traits);
+        evidence.contrasted = inquiry_is_contrasted(inquiry, &evidence);
+        *explained |= inquiry_crashes_by(inquiry, &evidence.traits);
         explanations->found[explanations->count++] = evidence;
     }
 }
@@ -449,7 +197,8 @@
     uint64_t explained = 0;
 
     for (int i = 0; i < quarantine->count; i++) {
-        uint64_t mask = crashes_by(inquiry, &quarantine->verdicts[i].traits);
+        uint64_t mask =
+            inquiry_crashes_by(inquiry, &quarantine->verdicts[i].traits);
 
         if (__builtin_popcountll(mask) < REFUTING_CRASHES_MIN) {
             explained |= mask;
@@ -475,7 +224,7 @@
     GArray *candidates;
     uint64_t explained;
 
-    begin_inquiry(&inquiry, ledger, sound, until_ms);
+    inquiry_begin(&inquiry, ledger, sound, until_ms);
     candidates = list_candidates(&inquiry);
     explained = explained_elsewhere(&inquiry, quarantine);
     explanations->count = 0;
@@ -488,7 +237,7 @@
                         explanations);
     }
     g_array_free(candidates, TRUE);
-    g_hash_table_destroy(inquiry.tallies);
+    inquiry_end(&inquiry);
 }
 
 /**
@@ -504,7 +253,7 @@
 {
     struct inquiry inquiry = {.ledger = ledger, .until_ms = INT64_MAX};
     const struct trait_set *blamed = &verdict->traits;
-    uint64_t mask = crashes_by(&inquiry, blamed);
+    uint64_t mask = inquiry_crashes_by(&inquiry, blamed);
 
     for (int i = 0; i < explanations->count; i++) {
         const struct trait_set *found = &explanations->found[i].traits;
@@ -513,7 +262,7 @@
 
         if (__builtin_popcountll(mask) >= REFUTING_CRASHES_MIN && !is_same &&
             !(verdict->learnt && includes) &&
-            (mask & ~crashes_by(&inquiry, found)) == 0) {
+            (mask & ~inquiry_crashes_by(&inquiry, found)) == 0) {
             return true;
         }
     }
--- a/src/gate/crash/dat.h
+++ b/src/gate/crash/dat.h
@@ -153,6 +153,46 @@
     int sightings;
 };
 
+/**
+ * struct sighting - a request with a trait at a crash
+ * @request: identifies the request
+ * @crash: index in the ledger
+ */
+struct sighting {
+    uint64_t request;
+    int crash;
+};
+
+/**
+ * struct tally - where a trait was seen that has not been acquitted since
+ * @trait: the trait
+ * @known_sound: it was sound before
+ * @mask: the crashes; a bit for each one of the ledger
+ * @sightings: struct sighting
+ */
+struct tally {
+    struct trait trait;
+    bool known_sound;
+    uint64_t mask;
+    struct _GArray *sightings;
+};
+
+/**
+ * struct inquiry - the evidence of a ledger by trait
+ * @ledger: the crashes; borrowed
+ * @sound: what targets have survived; borrowed
+ * @until_ms: later crashes don't count yet
+ * @moments: number of the moment of each crash
+ * @tallies: trait key -> struct tally
+ */
+struct inquiry {
+    const struct crash_ledger *ledger;
+    const struct sound_memory *sound;
+    int64_t until_ms;
+    int moments[CRASHES_MAX];
+    struct _GHashTable *tallies;
+};
+
 /**
  * struct explanations - what explains the crashes of a ledger
  * @found: the best one first
--- a/src/gate/crash/fns.h
+++ b/src/gate/crash/fns.h
@@ -41,9 +41,23 @@
 bool ledger_suspects(const struct crash_ledger *ledger,
                      const struct sound_memory *sound, uint64_t key);
 
-/* blame.c */
+/* inquiry.c */
 bool crash_may_be_by(const struct crash *crash,
                      const struct trait_set *traits);
+void inquiry_begin(struct inquiry *inquiry, const struct crash_ledger *ledger,
+                   const struct sound_memory *sound, int64_t until_ms);
+void inquiry_end(struct inquiry *inquiry);
+struct evidence inquiry_weigh(const struct inquiry *inquiry,
+                              const struct tally *tally, uint64_t mask);
+uint64_t inquiry_crashes_by(const struct inquiry *inquiry,
+                            const struct trait_set *traits);
+bool inquiry_go_together(const struct inquiry *inquiry,
+                         const struct trait *trait,
+                         const struct trait_set *set, uint64_t mask);
+bool inquiry_is_contrasted(const struct inquiry *inquiry,
+                           const struct evidence *evidence);
+
+/* blame.c */
 void blame_find(const struct crash_ledger *ledger,
                 const struct sound_memory *sound,
                 const struct quarantine *quarantine, int64_t until_ms,
