Crash: a request with another suspected part is no probe

What callers saw (trial: blame_play_test's ends_beside with one attempt for each request): two targets end by themselves beside two that a part crashes, before any answer. All sound requests are refused after that, and 25 of 52 begin: the probe of the doubtful verdict on their parts was a request with the deadly part. It crashed its target, and the next probe is 30 s later.

Cause: any request with the blamed traits may be the probe, also one whose crash says nothing about them.

Change: a probe has no part beside the blamed ones that is suspected.

In the probe cases others with the part f are answered after a crash now, as they are wherever the part is shared.

--- a/src/gate/crash/watch.c
+++ b/src/gate/crash/watch.c
@@ -402,6 +402,23 @@
     }
 }
 
+/* Whether another part of a request may crash targets, too. */
+static bool
+has_other_suspect(const struct crash_watch *watch,
+                  const struct trait_list *traits,
+                  const struct trait_set *blamed)
+{
+    for (int i = 0; i < traits->count; i++) {
+        const struct trait *trait = &traits->traits[i];
+
+        if (trait->depth >= 0 && !trait_set_contains(blamed, trait->key) &&
+            ledger_suspects(&watch->crashes, &watch->sound, trait->key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * watch_decide() - whether a request may be sent to a target
  * @watch: the watch
@@ -410,8 +427,8 @@
  * @now_ms: current time
  * @retry_ms: when refused, set to the time after which to try again
  *
- * A request with several verdicts is no probe: its crash would not tell which
- * of them is right.
+ * A request with several verdicts, or with another suspected part, is no
+ * probe: its crash would not tell which of them did it.
  */
 enum quarantine_action
 watch_decide(struct crash_watch *watch, const struct trait_list *traits,
@@ -424,8 +441,10 @@
     if (verdict == NULL) {
         return QUARANTINE_PASS;
     }
-    return quarantine_decide(verdict, may_probe && count == 1, now_ms,
-                             retry_ms);
+    ledger_expire(&watch->crashes, now_ms);
+    may_probe = may_probe && count == 1 &&
+                !has_other_suspect(watch, traits, &verdict->traits);
+    return quarantine_decide(verdict, may_probe, now_ms, retry_ms);
 }
 
 static bool
