--- a/src/gate/crash/blame.c
+++ b/src/gate/crash/blame.c
@@ -35,9 +35,9 @@
             evidence->crashes >= ONE_REQUEST_CRASHES_MIN);
 }
 
-/* Whether other requests at the same crashes are fewer, and so less likely to
- * be there by chance. A request that a target's crash sends to the next one is
- * at several crashes; against it, two others count for nothing yet. */
+/* Whether a trait is in fewer requests at the same crashes, and so less likely
+ * to be there by chance. A request that is sent on when its target crashes is
+ * at two crashes by itself, so two requests don't outweigh it yet. */
 static bool
 is_rarer(const struct evidence *other, const struct evidence *evidence)
 {
