blame_test: a case of expected what the rule doesn't say

The case had two requests that were at both crashes in full, and a whole request that was there less often than d is a rival of its own: the rule waits for the next crash, as it is meant to in many_requests_beside_one.

beside_two_requests takes its place and is as strict: the two requests are at all crashes only together. No code changed.

--- a/test/blame_test.c
+++ b/test/blame_test.c
@@ -217,8 +217,10 @@
      "(#1df)d/d"},
     {"bystander_at_fewer_crashes",
      "0 A 1:fd,2:fb|10 B 3:fd|70 C 5:fd,2:fb|280 D 5:fd,4:fb", "(df)"},
-    {"beside_repeated_requests",
-     "0 A 1:fd,6:fd,2:fy,4:fy|200 B 3:fd,2:fy,4:fy|250 + 9:f", "d/d"},
+    {"beside_two_requests",
+     "0 A 1:fd,2:fy|10 B 1:fd,4:fy|20 C 3:fd,2:fy|200 D 3:fd,4:fy|"
+     "210 E 5:fd,2:fy,4:fy|250 + 9:f",
+     "d/d"},
     {"other_requests_of_a_session", "0 A 7:fb,7:fd|300 + 9:f|500 B 3:fd",
      "d/d"},
     {"crashes_at_start", "0 A 1:f|200 B 2:f|600 + 3:f", "f/"},
