feed: log who read a configuration, and when an instance calls for itself

The log had when a version was in use, not by which way it came, nor why an instance that others read for calls the store. One line each time this changes.

--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -186,6 +186,7 @@
  * @members: store key -> struct gate_member
  * @rejected: set of keys whose entries can't be read
  * @share: how the calls to the store are shared
+ * @calling: this instance calls the store although others pass changes on
  * @key_revocation_ms: of the deployment; 0 when nothing need be proven
  * @fresh: what proves that the configuration is the newest
  * @boot_offset_ms: by how much clock_boot_ms() is ahead of clock_now_ms()
@@ -214,6 +215,7 @@
     GHashTable *members;
     GHashTable *rejected;
     struct share share;
+    bool calling;
     int64_t key_revocation_ms;
     struct fresh fresh;
     int64_t boot_offset_ms;
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -532,6 +532,53 @@
                        : CLAMP(due_ms - now_ms, WATCH_NO_WAIT_MS, longest_ms);
 }
 
+/* Messages of others stop being enough: nothing was heard, or what was heard
+ * doesn't connect. */
+static void
+note_calling(struct feed *feed, int64_t now_ms)
+{
+    if (feed->calling || !feed->share.sharing || feed->share.rank == 0) {
+        return;
+    }
+    feed->calling = true;
+    log_line(LOG_PRI_INFO, "feed",
+             "event=calls_store rank=%d silent_ms=%" G_GINT64_FORMAT
+             " revision=%" G_GINT64_FORMAT,
+             feed->share.rank,
+             feed->share.heard_ms != 0
+                 ? (gint64)(now_ms - feed->share.heard_ms)
+                 : -1,
+             (gint64)feed->known_revision);
+}
+
+static void
+note_heard(struct feed *feed, const struct store_changes *changes)
+{
+    if (feed->calling) {
+        feed->calling = false;
+        log_line(
+            LOG_PRI_INFO, "feed",
+            "event=hears_changes member=%016" G_GINT64_MODIFIER
+            "x rank=%d known=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT,
+            (guint64)changes->from, feed->share.rank,
+            (gint64)feed->known_revision, (gint64)changes->items.revision);
+    }
+}
+
+/* @from is the instance that has read the changes; 0 for this one. */
+static void
+log_config_read(const struct feed *feed, int64_t before, uint64_t from)
+{
+    if (feed->config_version != before) {
+        log_line(LOG_PRI_INFO, "feed",
+                 "event=config_read version=%" G_GINT64_FORMAT
+                 " before=%" G_GINT64_FORMAT " member=%016" G_GINT64_MODIFIER
+                 "x rank=%d revision=%" G_GINT64_FORMAT,
+                 (gint64)feed->config_version, (gint64)before, (guint64)from,
+                 feed->share.rank, (gint64)feed->known_revision);
+    }
+}
+
 /* Sets @now_ms to the time of the response. A watch ends at @due_ms, 0 for
  * none. Returns milliseconds until the next call. */
 static int64_t
@@ -540,13 +587,17 @@
     struct err err = {0};
     int64_t wait_ms = watch_wait_ms(feed, *now_ms, due_ms);
     int64_t sent_ms = *now_ms + feed->boot_offset_ms;
-    bool succeeded = feed->known_revision == 0
-                         ? list_all(feed, now_ms, &err)
-                         : watch_changes(feed, now_ms, wait_ms, &err);
+    int64_t version = feed->config_version;
+    bool succeeded;
 
+    note_calling(feed, *now_ms);
+    succeeded = feed->known_revision == 0
+                    ? list_all(feed, now_ms, &err)
+                    : watch_changes(feed, now_ms, wait_ms, &err);
     if (!succeeded) {
         return handle_failure(feed, &err, *now_ms);
     }
+    log_config_read(feed, version, 0);
     feed->backoff_ms = 0;
     feed->confirmed_ms = MAX(feed->confirmed_ms, sent_ms);
     return share_delay_ms(&feed->share, (int)g_hash_table_size(feed->members));
@@ -598,9 +649,12 @@
 feed_take_changes(struct feed *feed, struct store_changes *changes,
                   int64_t now_ms)
 {
+    int64_t version = feed->config_version;
+
     feed->fresh.version_max =
         MAX(feed->fresh.version_max, changes->config_version);
     if (share_connects(changes, feed->known_revision, feed->era)) {
+        note_heard(feed, changes);
         feed->share.heard_ms = now_ms;
         feed->backoff_ms = 0;
         note_store_up(feed, now_ms);
@@ -610,6 +664,7 @@
             MAX(feed->confirmed_ms,
                 fresh_answer_ms(changes, feed->self_id,
                                 now_ms + feed->boot_offset_ms));
+        log_config_read(feed, version, changes->from);
     }
     else {
         feed->share.heard_ms = 0;
