feed: an instance calls the store when it has no proof that it knows all recent changes

Cause: from nine instances on, one of each data centre reads the store for the others. These took the arrival of a message for the time at which the store was read, and its reaching others for its reaching them: an old message began their wait anew, and each waited 1.2 s and 150 ms for each listed instance before it, gone or not: 4 s at the end of a list of 20.

Change: instances prove the age of what they know by the asks that the right to accept keys uses already (fresh.c), in all deployments that share reads. Without proof for half of the time in which a change has to be in force (change_apply_ms, from the deployment's bounds) an instance calls the store; the turns of all together take 0.6 s at most. Messages that end before what is known count for nothing, and an answer shows the store's return only when it was asked for since the failure. A reader that is asked waits 200 ms for changes, not 500.

--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -95,15 +95,23 @@
  * @sharing: there are enough instances for it
  * @rank: position of this instance in its data centre, by id; the first one
  *        calls the store
+ * @zone_members: number of instances in this data centre
  * @data_centres: number of data centres with instances
  * @heard_ms: when another instance last passed on changes that connect to what
  *            this one knows; 0 for never
+ * @proven_ms: for which time all changes are known, by clock_boot_ms(); 0 for
+ *             none
+ * @proof_max_ms: age of that time from which on this instance calls the store
+ *                itself; 0 for no limit
  */
 struct share {
     bool sharing;
     int rank;
+    int zone_members;
     int data_centres;
     int64_t heard_ms;
+    int64_t proven_ms;
+    int64_t proof_max_ms;
 };
 
 struct feed_port;
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -21,9 +21,9 @@
     WATCH_TIMEOUT_MS =
         2000, /* bounds how long a lost connection goes unnoticed */
     WATCH_NO_WAIT_MS = 1,
-    /* Other instances wait for the end of the call to prove that their
-     * configuration is the newest, some times within their key lease. */
-    WATCH_ASKED_MS = 500,
+    /* Other instances wait for the end of the call to prove that what they
+     * know is recent, several times within their limit. */
+    WATCH_ASKED_MS = 200,
     BACKOFF_MIN_MS = 100,
     BACKOFF_MAX_MS = 800, /* recovery of the store is noticed within 1 s */
     LIST_PAGES_MAX = 64,
@@ -471,7 +471,7 @@
     *now_ms = MAX(*now_ms, changes.items.received_ms);
     note_store_up(feed, *now_ms);
     apply_changes(feed, &changes.items, *now_ms);
-    if (feed->share.sharing) {
+    if (share_passes_on(&feed->share, feed->fresh.asks->len > 0, *now_ms)) {
         changes.fresh = fresh_take_asks(&feed->fresh);
         changes.era = feed->era;
         changes.config_version = feed->config_version;
@@ -579,6 +579,14 @@
     }
 }
 
+/* All changes up to a time are known. */
+static void
+note_proof(struct feed *feed, int64_t boot_ms)
+{
+    feed->confirmed_ms = MAX(feed->confirmed_ms, boot_ms);
+    feed->share.proven_ms = MAX(feed->share.proven_ms, boot_ms);
+}
+
 /* Sets @now_ms to the time of the response. A watch ends at @due_ms, 0 for
  * none. Returns milliseconds until the next call. */
 static int64_t
@@ -599,7 +607,7 @@
     }
     log_config_read(feed, version, 0);
     feed->backoff_ms = 0;
-    feed->confirmed_ms = MAX(feed->confirmed_ms, sent_ms);
+    note_proof(feed, sent_ms);
     return share_delay_ms(&feed->share, (int)g_hash_table_size(feed->members));
 }
 
@@ -625,7 +633,8 @@
 int64_t
 feed_poll(struct feed *feed, int64_t now_ms)
 {
-    int64_t wait_ms = share_call_at_ms(&feed->share) - now_ms;
+    int64_t wait_ms =
+        share_call_at_ms(&feed->share, feed->boot_offset_ms) - now_ms;
     int64_t due_ms = registry_drop_missing(&feed->registry, now_ms);
 
     if (wait_ms <= 0) {
@@ -634,6 +643,37 @@
     return deliver_and_wait(feed, now_ms, wait_ms);
 }
 
+/* Whether changes show that the store has answered since this instance failed
+ * to reach it: something new is in them, or they answer an ask that was sent
+ * since. A message may be older than the failure. */
+static bool
+shows_return(const struct feed *feed, const struct store_changes *changes,
+             int64_t answer_ms)
+{
+    return changes->items.revision > feed->known_revision ||
+           answer_ms - feed->boot_offset_ms >= feed->registry.failed_ms;
+}
+
+static void
+take_connected(struct feed *feed, const struct store_changes *changes,
+               int64_t now_ms)
+{
+    int64_t version = feed->config_version;
+    int64_t answer_ms =
+        fresh_answer_ms(changes, feed->self_id, now_ms + feed->boot_offset_ms);
+
+    note_heard(feed, changes);
+    feed->share.heard_ms = now_ms;
+    feed->backoff_ms = 0;
+    if (shows_return(feed, changes, answer_ms)) {
+        note_store_up(feed, now_ms);
+    }
+    apply_changes(feed, &changes->items, now_ms);
+    fresh_note_source(&feed->fresh, changes->from, now_ms);
+    note_proof(feed, answer_ms);
+    log_config_read(feed, version, changes->from);
+}
+
 /**
  * feed_take_changes() - apply changes that another instance has passed on
  * @feed: the feed
@@ -641,7 +681,8 @@
  * @now_ms: current time by clock_now_ms()
  *
  * Changes that don't connect to what is known are ignored; the next poll then
- * calls the store.
+ * calls the store. Those that end before what is known are old, and count for
+ * nothing.
  *
  * Return: milliseconds until the next poll.
  */
@@ -649,29 +690,19 @@
 feed_take_changes(struct feed *feed, struct store_changes *changes,
                   int64_t now_ms)
 {
-    int64_t version = feed->config_version;
+    int64_t call_at_ms;
 
     feed->fresh.version_max =
         MAX(feed->fresh.version_max, changes->config_version);
-    if (share_connects(changes, feed->known_revision, feed->era)) {
-        note_heard(feed, changes);
-        feed->share.heard_ms = now_ms;
-        feed->backoff_ms = 0;
-        note_store_up(feed, now_ms);
-        apply_changes(feed, &changes->items, now_ms);
-        fresh_note_source(&feed->fresh, changes->from, now_ms);
-        feed->confirmed_ms =
-            MAX(feed->confirmed_ms,
-                fresh_answer_ms(changes, feed->self_id,
-                                now_ms + feed->boot_offset_ms));
-        log_config_read(feed, version, changes->from);
-    }
-    else {
+    if (!share_connects(changes, feed->known_revision, feed->era)) {
         feed->share.heard_ms = 0;
     }
+    else if (changes->items.revision >= feed->known_revision) {
+        take_connected(feed, changes, now_ms);
+    }
     store_changes_free(changes);
-    return deliver_and_wait(feed, now_ms,
-                            MAX(share_call_at_ms(&feed->share) - now_ms, 0));
+    call_at_ms = share_call_at_ms(&feed->share, feed->boot_offset_ms);
+    return deliver_and_wait(feed, now_ms, MAX(call_at_ms - now_ms, 0));
 }
 
 /**
@@ -749,6 +780,15 @@
     return contact;
 }
 
+/* An instance that calls the store in any case proves it by its calls. */
+static bool
+needs_proof(const struct feed *feed)
+{
+    return feed->key_revocation_ms != 0 ||
+           (feed->share.sharing && feed->share.rank > 0 &&
+            feed->share.proof_max_ms > 0);
+}
+
 /**
  * feed_ask() - ask whether the configuration is the newest, if that is due
  * @feed: the feed
@@ -761,7 +801,7 @@
 {
     struct fresh *fresh = &feed->fresh;
 
-    if (feed->key_revocation_ms == 0) {
+    if (!needs_proof(feed)) {
         return INT64_MAX;
     }
     if (fresh_ask_due_ms(fresh, now_ms) <= now_ms) {
@@ -860,6 +900,7 @@
     feed->self_id = hash_text(settings->name);
     feed->zone = settings->zone;
     feed->key_revocation_ms = settings->limits.key_revocation_ms;
+    feed->share.proof_max_ms = settings->limits.change_apply_ms / 2;
     feed->confirmed_ms = -1;
     fresh_init(&feed->fresh);
     feed->store = store;
--- a/src/gate/follow/fresh.c
+++ b/src/gate/follow/fresh.c
@@ -1,5 +1,5 @@
 /**
- * DOC: Proof that the configuration known here is the newest.
+ * DOC: Proof of the time for which the changes known here are complete.
  *
  * A call to the store that was sent at some time and succeeded proves it for
  * that time. Instances that don't call the store ask the one that passes its
@@ -88,13 +88,16 @@
 /**
  * fresh_note_source() - note that changes arrived which connect to what is
  * known
- * @fresh: the state
+ * @fresh: the state; another instance than before is asked at once
  * @source: instance that passed them on
  * @now_ms: current time
  */
 void
 fresh_note_source(struct fresh *fresh, uint64_t source, int64_t now_ms)
 {
+    if (fresh->source != source) {
+        fresh->asked_ms = 0;
+    }
     fresh->source = source;
     fresh->source_heard_ms = now_ms;
 }
--- a/src/gate/follow/share.c
+++ b/src/gate/follow/share.c
@@ -4,9 +4,13 @@
  * Every change is a call for every instance that watches, and calls are
  * charged and limited. Where there are many instances, one of each data centre
  * watches, and passes on what it reads. The others apply it only if it
- * connects to what they know, and call the store themselves when nothing was
- * passed on for a while, one after the other: what they know is then as old
- * and as complete as if they had read it.
+ * connects to what they know, and call the store themselves, one after the
+ * other, when nothing was passed on for a while. A message that arrives says
+ * nothing about the time at which the store was read, nor one that reaches
+ * others about this instance. So each of them also calls the store when it has
+ * no proof (fresh.c) that its knowledge is recent. Within
+ * change_apply_ms / 2 + RANK_SPREAD_MS an instance that reaches the store has
+ * called it.
  */
 #include <glib.h>
 #include <string.h>
@@ -26,8 +30,10 @@
     /* Some messages may be lost. */
     HEARD_MAX_AGE_MS = 1200,
     /* Instances that hear nothing call the store one after the other, so that
-     * most hear from the first of them. */
+     * most hear from the first of them. The first ones may be gone, so the
+     * last one's turn is bounded as well. */
     RANK_STEP_MS = 150,
+    RANK_SPREAD_MS = 600,
     /* Delay between two watches: 25 ms per instance that calls limit all of
      * them together to 40 calls/s, because each call is charged. The bounds,
      * which take precedence, are a fifth and a half of the time in which
@@ -53,13 +59,15 @@
     void *value;
 
     share->rank = 0;
+    share->zone_members = 0;
     g_hash_table_iter_init(&iter, members);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct gate_member *member = value;
 
         g_hash_table_add(zones, member->zone);
-        if (strcmp(member->zone, zone) == 0 && member->id < self_id) {
-            share->rank++;
+        if (strcmp(member->zone, zone) == 0) {
+            share->zone_members++;
+            share->rank += member->id < self_id ? 1 : 0;
         }
     }
     share->data_centres = (int)g_hash_table_size(zones);
@@ -84,19 +92,55 @@
            revision <= STORE_REVISION_MAX;
 }
 
+/**
+ * share_turn_ms() - how long after the first one an instance calls the store
+ * @share: the share
+ */
+int64_t
+share_turn_ms(const struct share *share)
+{
+    int64_t step_ms =
+        MIN(RANK_STEP_MS, RANK_SPREAD_MS / MAX(share->zone_members, 1));
+
+    return share->rank * step_ms;
+}
+
 /**
  * share_call_at_ms() - when this instance should call the store itself
  * @share: the share
+ * @boot_offset_ms: by how much clock_boot_ms() is ahead of clock_now_ms()
  *
- * Return: a time; 0 when it should call in any case.
+ * Return: a time by clock_now_ms(); 0 when it should call in any case.
  */
 int64_t
-share_call_at_ms(const struct share *share)
+share_call_at_ms(const struct share *share, int64_t boot_offset_ms)
 {
+    int64_t due_ms = share->heard_ms + HEARD_MAX_AGE_MS;
+
     if (!share->sharing || share->rank == 0 || share->heard_ms == 0) {
         return 0;
     }
-    return share->heard_ms + HEARD_MAX_AGE_MS + share->rank * RANK_STEP_MS;
+    if (share->proof_max_ms > 0) {
+        due_ms = MIN(due_ms,
+                     share->proven_ms - boot_offset_ms + share->proof_max_ms);
+    }
+    return due_ms + share_turn_ms(share);
+}
+
+/**
+ * share_passes_on() - whether what this instance reads is for others, too
+ * @share: the share
+ * @asked: others wait for an answer of this instance
+ * @now_ms: current time
+ *
+ * While another instance is heard, it passes on what all need.
+ */
+bool
+share_passes_on(const struct share *share, bool asked, int64_t now_ms)
+{
+    return share->sharing &&
+           (share->rank == 0 || asked || share->heard_ms == 0 ||
+            now_ms - share->heard_ms >= HEARD_MAX_AGE_MS);
 }
 
 /**
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -790,7 +790,7 @@
 
         share_update(&share, members, member->id, member->zone);
         share.heard_ms = 1000;
-        callers += share_call_at_ms(&share) == 0 ? 1 : 0;
+        callers += share_call_at_ms(&share, 0) == 0 ? 1 : 0;
     }
     g_assert_cmpint(callers, ==, c->callers);
     g_assert_cmpint(share_delay_ms(&share, c->members), ==, c->wait_ms);
--- a/test/share_play_test.c
+++ b/test/share_play_test.c
@@ -390,6 +390,7 @@
         instance->play = play;
         instance->index = i;
         instance->settings.heartbeat_ms = 1200;
+        instance->settings.limits.change_apply_ms = APPLY_MS;
         g_strlcpy(instance->settings.name, members[i].name, NAME_MAX_BYTES);
         g_strlcpy(instance->settings.zone, "z", NAME_MAX_BYTES);
         g_assert_true(feed_init(&instance->feed, &instance->settings,
