feed: pass on the last change of each key, and not what only this instance missed

Cause: an instance back from a cut passed all that it had missed on to the 19 others of its data centre, each version of a configuration of some 30 KB in it: seconds on a link of 10 Mbit/s, which its own calls share.

Class: what one has missed is taken for news to all.

Change: of each key the last change stays, before it is decoded and passed on. What an instance reads goes to others only if it had proof within the time in which a change has to be in force; the others call the store at a gap, as they did.

--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -468,10 +468,12 @@
         store_items_clear(&changes.items);
         return false;
     }
+    store_items_keep_last(&changes.items);
     *now_ms = MAX(*now_ms, changes.items.received_ms);
     note_store_up(feed, *now_ms);
     apply_changes(feed, &changes.items, *now_ms);
-    if (share_passes_on(&feed->share, feed->fresh.asks->len > 0, *now_ms)) {
+    if (share_passes_on(&feed->share, feed->fresh.asks->len > 0, *now_ms,
+                        *now_ms + feed->boot_offset_ms)) {
         changes.fresh = fresh_take_asks(&feed->fresh);
         changes.era = feed->era;
         changes.config_version = feed->config_version;
--- a/src/gate/follow/fns.h
+++ b/src/gate/follow/fns.h
@@ -3,6 +3,7 @@
 
 /* store.c */
 void store_items_clear(struct store_items *items);
+void store_items_keep_last(struct store_items *items);
 void store_changes_free(struct store_changes *changes);
 
 /* era.c */
@@ -16,7 +17,8 @@
                     int64_t era);
 int64_t share_turn_ms(const struct share *share);
 int64_t share_call_at_ms(const struct share *share, int64_t boot_offset_ms);
-bool share_passes_on(const struct share *share, bool asked, int64_t now_ms);
+bool share_passes_on(const struct share *share, bool asked, int64_t now_ms,
+                     int64_t boot_ms);
 int64_t share_delay_ms(const struct share *share, int members);
 
 /* fresh.c */
--- a/src/gate/follow/share.c
+++ b/src/gate/follow/share.c
@@ -127,20 +127,31 @@
     return due_ms + share_turn_ms(share);
 }
 
+static bool
+is_recent(const struct share *share, int64_t boot_ms)
+{
+    return share->proof_max_ms == 0 ||
+           boot_ms - share->proven_ms < 2 * share->proof_max_ms;
+}
+
 /**
  * share_passes_on() - whether what this instance reads is for others, too
- * @share: the share
+ * @share: the share, as before the call
  * @asked: others wait for an answer of this instance
- * @now_ms: current time
+ * @now_ms: when the call ended
+ * @boot_ms: the same by clock_boot_ms()
  *
- * While another instance is heard, it passes on what all need.
+ * While another instance is heard, it passes on what all need. What an
+ * instance has missed that was out of touch, the others know; it may be long.
  */
 bool
-share_passes_on(const struct share *share, bool asked, int64_t now_ms)
+share_passes_on(const struct share *share, bool asked, int64_t now_ms,
+                int64_t boot_ms)
 {
-    return share->sharing &&
-           (share->rank == 0 || asked || share->heard_ms == 0 ||
-            now_ms - share->heard_ms >= HEARD_MAX_AGE_MS);
+    bool is_reader = share->rank == 0 || asked || share->heard_ms == 0 ||
+                     now_ms - share->heard_ms >= HEARD_MAX_AGE_MS;
+
+    return share->sharing && is_reader && is_recent(share, boot_ms);
 }
 
 /**
--- a/src/gate/follow/store.c
+++ b/src/gate/follow/store.c
@@ -2,6 +2,7 @@
  * DOC: Ownership of responses from the platform's store.
  */
 #include <glib.h>
+#include <string.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
@@ -27,6 +28,35 @@
     items->count = 0;
 }
 
+/**
+ * store_items_keep_last() - drop the changes of keys that have later ones
+ * @items: in the order of their revisions
+ */
+void
+store_items_keep_last(struct store_items *items)
+{
+    GHashTable *later = g_hash_table_new(g_str_hash, g_str_equal);
+    int first = items->count;
+
+    for (int i = items->count - 1; i >= 0; i--) {
+        struct store_item item = items->items[i];
+
+        if (g_hash_table_contains(later, item.key)) {
+            g_free(item.key);
+            g_free(item.value);
+            continue;
+        }
+        g_hash_table_add(later, item.key);
+        items->items[--first] = item;
+    }
+    items->count -= first;
+    if (first > 0) {
+        memmove(items->items, items->items + first,
+                (size_t)items->count * sizeof(items->items[0]));
+    }
+    g_hash_table_destroy(later);
+}
+
 /**
  * store_changes_free() - release changes
  * @changes: may be NULL
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -799,6 +799,81 @@
     g_hash_table_destroy(members);
 }
 
+/* Guards against a message that holds each of many versions of a long
+ * configuration, which takes seconds on a narrow link. A letter is a key, in
+ * upper case where it was deleted. */
+struct keep_case {
+    const char *name;
+    const char *changes;
+    const char *kept;
+};
+
+static const struct keep_case keep_cases[] = {
+    {"none", "", ""},
+    {"one_each", "abc", "abc"},
+    {"last_of_each", "abacb", "acb"},
+    {"all_of_one", "aaaa", "a"},
+    {"deleted", "abA", "bA"},
+    {"written_again", "aAab", "ab"},
+};
+
+static void
+test_keep(gconstpointer data)
+{
+    const struct keep_case *c = data;
+    struct store_items items = {.count = (int)strlen(c->changes)};
+    GString *kept = g_string_new(NULL);
+
+    items.items = g_new0(struct store_item, items.count + 1);
+    for (int i = 0; i < items.count; i++) {
+        items.items[i].key =
+            g_strdup_printf("%c", g_ascii_tolower(c->changes[i]));
+        items.items[i].value =
+            g_ascii_islower(c->changes[i]) ? g_strdup("v") : NULL;
+    }
+    store_items_keep_last(&items);
+    for (int i = 0; i < items.count; i++) {
+        g_string_append_c(kept, items.items[i].value != NULL
+                                    ? items.items[i].key[0]
+                                    : g_ascii_toupper(items.items[i].key[0]));
+    }
+    g_assert_cmpstr(kept->str, ==, c->kept);
+    g_string_free(kept, TRUE);
+    store_items_clear(&items);
+}
+
+/* Guards against what an instance has missed that is sent to all others, and
+ * against nobody who passes on. The call ends at 9 s; an instance has to call
+ * the store after 1.5 s without proof. */
+struct passes_on_case {
+    const char *name;
+    struct share share;
+    bool asked;
+    bool passes_on;
+};
+
+static const struct passes_on_case passes_on_cases[] = {
+    {"first", {true, 0, 9, 1, 0, 8600, 1500}, false, true},
+    {"few_instances", {false, 0, 3, 1, 0, 8600, 1500}, false, false},
+    {"first_after_a_cut", {true, 0, 9, 1, 0, 5000, 1500}, false, false},
+    {"others_are_heard", {true, 3, 9, 1, 8500, 7500, 1500}, false, false},
+    {"asked", {true, 3, 9, 1, 8500, 7500, 1500}, true, true},
+    {"silence", {true, 3, 9, 1, 7800, 7500, 1500}, false, true},
+    {"after_a_gap", {true, 3, 9, 1, 0, 7500, 1500}, false, true},
+    {"after_a_cut", {true, 3, 9, 1, 0, 6000, 1500}, false, false},
+    {"asked_after_a_cut", {true, 3, 9, 1, 0, 6000, 1500}, true, false},
+    {"no_limit", {true, 0, 9, 1, 0, 0, 0}, false, true},
+};
+
+static void
+test_passes_on(gconstpointer data)
+{
+    const struct passes_on_case *c = data;
+
+    g_assert_cmpint(share_passes_on(&c->share, c->asked, 9000, 9000), ==,
+                    c->passes_on);
+}
+
 /*
  * Guards against changes that are missed, applied twice or taken back when
  * another instance passes them on, and against calls to the store that this
@@ -1869,6 +1944,8 @@
         CASES("/follow/key", key_cases, test_key),
         CASES("/follow/ask_due", ask_due_cases, test_ask_due),
         CASES("/follow/coalesce", coalesce_cases, test_coalesce),
+        CASES("/follow/keep", keep_cases, test_keep),
+        CASES("/follow/passes_on", passes_on_cases, test_passes_on),
         CASES("/follow/shared", shared_cases, test_shared),
         CASES("/follow/connects", connects_cases, test_connects),
         CASES("/follow/member", member_cases, test_member),
