feed: the instance with the widest link reads the store for its data centre

A message of the reader goes over its link once for each of the others. The first by id may have 10 Mbit/s where others have 200: 30 KB of configuration for 19 others is half a second, beside the callers' requests.

Change: instances are ordered by the link that they give in their entry ("link", Mbit/s, from the settings), then by id. An entry without it counts as the narrowest, so instances of both kinds can run side by side: each calls when nothing was heard, whatever the order.

follow_test rank is red without the change (last_widest, two_wide, one_unknown: the order was by id only). follow_test, share_play_test, platform_test, gate_peers_test pass.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -18,9 +18,9 @@
  * @key_revocation_ms: time after which a removed key is refused by every
  *                     instance, in contact with the store or not; 0 when only
  *                     instances in contact have to
- * @change_apply_ms: time after which a change of the configuration is in force,
- *                   and a target that leaves isn't used, at each instance that
- *                   reaches the store; 0 when unlimited
+ * @change_apply_ms: time after which a change of the configuration is in
+ * force, and a target that leaves isn't used, at each instance that reaches
+ * the store; 0 when unlimited
  * @quota_window_ms: sliding window in which the teams' quotas hold
  * @quota_over: share of a quota by which it may be exceeded in the window
  * @quota_slack: units by which it may be exceeded besides
@@ -52,6 +52,7 @@
  * @heartbeat_ms: interval at which targets renew their entries in the store
  * @descriptors_max: limit of open file descriptors of the process
  * @memory_mb: memory limit of the process in MB; 0 for a default
+ * @link_mbps: bandwidth of the machine's link in Mbit/s; 0 for unknown
  * @cpu_cores: processor time that the machine gives, in cores; 0 for unknown
  * @limits: limits of the deployment
  */
@@ -68,6 +69,7 @@
     int64_t heartbeat_ms;
     int descriptors_max;
     int memory_mb;
+    int link_mbps;
     double cpu_cores;
     struct gate_limits limits;
 };
@@ -309,6 +311,7 @@
  * struct gate_member - an instance in the member list; also this one
  * @id: hash of the name
  * @started_ms: wall time of its start
+ * @link_mbps: bandwidth of its link in Mbit/s; 0 for unknown
  * @name: name of the instance
  * @zone: its data centre
  * @front_address: where it takes callers' requests
@@ -317,6 +320,7 @@
 struct gate_member {
     uint64_t id;
     int64_t started_ms;
+    int link_mbps;
     char name[NAME_MAX_BYTES];
     char zone[NAME_MAX_BYTES];
     char front_address[ADDRESS_MAX_BYTES];
--- a/src/gate/follow/dat.h
+++ b/src/gate/follow/dat.h
@@ -93,8 +93,8 @@
 /**
  * struct share - how the feeds of a data centre share the calls to the store
  * @sharing: there are enough instances for it
- * @rank: position of this instance in its data centre, by id; the first one
- *        calls the store
+ * @rank: position of this instance in its data centre, by link and id; the
+ *        first one calls the store
  * @zone_members: number of instances in this data centre
  * @data_centres: number of data centres with instances
  * @heard_ms: when another instance last passed on changes that connect to what
@@ -188,8 +188,7 @@
  * @store: used by this duty only
  * @decode: decodes keys, configuration and targets
  * @port: receives the changes
- * @self_id: id of this instance
- * @zone: data centre of this instance
+ * @self: this instance: its id, data centre and link
  * @inbox: struct feed_message from other instances; closing it ends the duty
  * @members: store key -> struct gate_member
  * @rejected: set of keys whose entries can't be read
@@ -217,8 +216,7 @@
     struct feed_port *port;
     struct registry_port registry_port;
     struct registry registry;
-    uint64_t self_id;
-    const char *zone;
+    struct gate_member self;
     struct ring inbox;
     GHashTable *members;
     GHashTable *rejected;
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -247,7 +247,7 @@
 {
     if (feed->members_changed) {
         feed->members_changed = false;
-        share_update(&feed->share, feed->members, feed->self_id, feed->zone);
+        share_update(&feed->share, feed->members, &feed->self);
         queue_members(feed);
     }
     if (!outbox_deliver(&feed->outbox, feed->port)) {
@@ -662,7 +662,7 @@
 {
     int64_t version = feed->config_version;
     int64_t answer_ms =
-        fresh_answer_ms(changes, feed->self_id, now_ms + feed->boot_offset_ms);
+        fresh_answer_ms(changes, feed->self.id, now_ms + feed->boot_offset_ms);
 
     note_heard(feed, changes);
     feed->share.heard_ms = now_ms;
@@ -899,8 +899,9 @@
     memset(feed, 0, sizeof(*feed));
     feed->duty.ops = &duty_ops;
     feed->duty.name = "feed";
-    feed->self_id = hash_text(settings->name);
-    feed->zone = settings->zone;
+    feed->self.id = hash_text(settings->name);
+    feed->self.link_mbps = settings->link_mbps;
+    g_strlcpy(feed->self.zone, settings->zone, sizeof(feed->self.zone));
     feed->key_revocation_ms = settings->limits.key_revocation_ms;
     feed->share.proof_max_ms = settings->limits.change_apply_ms / 2;
     feed->confirmed_ms = -1;
--- a/src/gate/follow/fns.h
+++ b/src/gate/follow/fns.h
@@ -11,8 +11,8 @@
 int64_t era_fence(int64_t era, int64_t revision);
 
 /* share.c */
-void share_update(struct share *share, GHashTable *members, uint64_t self_id,
-                  const char *zone);
+void share_update(struct share *share, GHashTable *members,
+                  const struct gate_member *self);
 bool share_connects(const struct store_changes *changes, int64_t known,
                     int64_t era);
 int64_t share_turn_ms(const struct share *share);
--- a/src/gate/follow/lease_keeper.c
+++ b/src/gate/follow/lease_keeper.c
@@ -691,6 +691,7 @@
     keeper->term = term;
     self->id = hash_text(settings->name);
     self->started_ms = clock_wall_ms();
+    self->link_mbps = settings->link_mbps;
     g_strlcpy(self->name, settings->name, sizeof(self->name));
     g_strlcpy(self->zone, settings->zone, sizeof(self->zone));
     g_strlcpy(self->front_address, settings->front_address,
--- a/src/gate/follow/member.c
+++ b/src/gate/follow/member.c
@@ -41,6 +41,8 @@
                            json_object_new_string(member->peer_address));
     json_object_object_add(object, "start",
                            json_object_new_int64(member->started_ms));
+    json_object_object_add(object, "link",
+                           json_object_new_int(member->link_mbps));
     entry = g_strdup(
         json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
     json_object_put(object);
@@ -98,6 +100,8 @@
         copy_address(object, "front", member->front_address, err) &&
         copy_address(object, "peer", member->peer_address, err);
     member->started_ms = json_get_int64(object, "start", 0);
+    member->link_mbps =
+        (int)CLAMP(json_get_int64(object, "link", 0), 0, G_MAXINT32);
     member->id = hash_text(member->name);
     json_object_put(object);
     return complete;
--- a/src/gate/follow/share.c
+++ b/src/gate/follow/share.c
@@ -43,16 +43,24 @@
     DELAY_MAX_MS = 1000,
 };
 
+/* Whether an instance calls the store before another one of its data centre:
+ * what it passes on goes over its link as often as there are others. */
+static bool
+calls_before(const struct gate_member *a, const struct gate_member *b)
+{
+    return a->link_mbps != b->link_mbps ? a->link_mbps > b->link_mbps
+                                        : a->id < b->id;
+}
+
 /**
  * share_update() - update from the member list
  * @share: updated, but for @heard_ms
  * @members: store key -> struct gate_member
- * @self_id: id of this instance
- * @zone: its data centre
+ * @self: this instance, listed or not; its id, data centre and link
  */
 void
-share_update(struct share *share, GHashTable *members, uint64_t self_id,
-             const char *zone)
+share_update(struct share *share, GHashTable *members,
+             const struct gate_member *self)
 {
     GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
     GHashTableIter iter;
@@ -65,9 +73,9 @@
         struct gate_member *member = value;
 
         g_hash_table_add(zones, member->zone);
-        if (strcmp(member->zone, zone) == 0) {
+        if (strcmp(member->zone, self->zone) == 0) {
             share->zone_members++;
-            share->rank += member->id < self_id ? 1 : 0;
+            share->rank += calls_before(member, self) ? 1 : 0;
         }
     }
     share->data_centres = (int)g_hash_table_size(zones);
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -555,7 +555,7 @@
 {
     struct store_changes *changes = g_new0(struct store_changes, 1);
     struct fresh_ask answer = {
-        .member = c->other_member ? 1 : feed->self_id,
+        .member = c->other_member ? 1 : feed->self.id,
         .sent_ms = c->answered_ms,
     };
 
@@ -788,7 +788,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct gate_member *member = value;
 
-        share_update(&share, members, member->id, member->zone);
+        share_update(&share, members, member);
         share.heard_ms = 1000;
         callers += share_call_at_ms(&share, 0) == 0 ? 1 : 0;
     }
@@ -874,6 +874,44 @@
                     c->passes_on);
 }
 
+/* Guards against a reader whose link takes seconds for what it passes on.
+ * Three instances of a data centre, in the order of their ids. */
+struct rank_case {
+    const char *name;
+    int links[3]; /* Mbit/s */
+    int ranks[3];
+};
+
+static const struct rank_case rank_cases[] = {
+    {"same_links", {10, 10, 10}, {0, 1, 2}},
+    {"unknown_links", {0, 0, 0}, {0, 1, 2}},
+    {"last_widest", {10, 25, 200}, {2, 1, 0}},
+    {"two_wide", {10, 200, 200}, {2, 0, 1}},
+    {"one_unknown", {0, 10, 10}, {2, 0, 1}},
+};
+
+static void
+test_rank(gconstpointer data)
+{
+    const struct rank_case *c = data;
+    struct gate_member listed[3] = {0};
+    GHashTable *members = g_hash_table_new(g_str_hash, g_str_equal);
+    static const char *const keys[] = {"a", "b", "c"};
+
+    for (int i = 0; i < 3; i++) {
+        listed[i].id = (uint64_t)i + 1;
+        listed[i].link_mbps = c->links[i];
+        g_hash_table_insert(members, (char *)keys[i], &listed[i]);
+    }
+    for (int i = 0; i < 3; i++) {
+        struct share share = {0};
+
+        share_update(&share, members, &listed[i]);
+        g_assert_cmpint(share.rank, ==, c->ranks[i]);
+    }
+    g_hash_table_destroy(members);
+}
+
 /*
  * Guards against changes that are missed, applied twice or taken back when
  * another instance passes them on, and against calls to the store that this
@@ -1946,6 +1984,7 @@
         CASES("/follow/coalesce", coalesce_cases, test_coalesce),
         CASES("/follow/keep", keep_cases, test_keep),
         CASES("/follow/passes_on", passes_on_cases, test_passes_on),
+        CASES("/follow/rank", rank_cases, test_rank),
         CASES("/follow/shared", shared_cases, test_shared),
         CASES("/follow/connects", connects_cases, test_connects),
         CASES("/follow/member", member_cases, test_member),
--- a/test/share_play_test.c
+++ b/test/share_play_test.c
@@ -114,7 +114,7 @@
 find_instance(const struct play *play, uint64_t id)
 {
     for (int i = 0; i < INSTANCES; i++) {
-        if (play->instances[i].feed.self_id == id) {
+        if (play->instances[i].feed.self.id == id) {
             return i;
         }
     }
@@ -222,7 +222,7 @@
         struct letter letter = {.from = sender->index, .to = i};
 
         if (i != sender->index) {
-            letter.changes = copy_changes(changes, sender->feed.self_id);
+            letter.changes = copy_changes(changes, sender->feed.self.id);
             send_letter(sender->play, &letter);
         }
     }
@@ -242,7 +242,7 @@
     struct instance *sender = (struct instance *)port;
     struct letter letter = {.from = sender->index,
                             .to = find_instance(sender->play, member),
-                            .ask = {sender->feed.self_id, sent_ms}};
+                            .ask = {sender->feed.self.id, sent_ms}};
 
     send_letter(sender->play, &letter);
 }
