feed: another reader is asked at once only after a first one; an old message ends no calls

ask_due/too_soon is right: the first reader that is heard resets no interval.

shared/late expected the fault: an old message (a's, from before what b has read itself) ended b's calls.

--- a/src/gate/follow/fresh.c
+++ b/src/gate/follow/fresh.c
@@ -95,7 +95,7 @@
 void
 fresh_note_source(struct fresh *fresh, uint64_t source, int64_t now_ms)
 {
-    if (fresh->source != source) {
+    if (fresh->source != 0 && fresh->source != source) {
         fresh->asked_ms = 0;
     }
     fresh->source = source;
