registry: a late write does not take back that a target leaves

What callers would see: DRAIN, a request at a target that had said that it leaves, if the store carries out an earlier write of its entry after that.

Change: an entry of the same start that says ready behind one that said that it stops is passed over, also after the entry is gone (30 s); behind an entry that was removed, one that was written no later. Starts are not ordered by their times, as a clock may be set back. event=late_write says so.

view_test late_write: behind_draining, behind_draining_listed, behind_draining_and_gone, behind_draining_and_gone_listed, behind_gone and last_one_again are red with is_late_write() false. view_test, follow_test pass.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -281,6 +281,8 @@
  * @address: where it takes requests
  * @zone: its data centre
  * @started_ms: wall time of its start; 0 when not reported
+ * @entry_writes: times that its entry was written since its start, this one
+ *                included; 0 when not reported
  * @draining: it is about to stop and takes no new requests
  * @slots: requests that it runs concurrently
  * @sequence: number of orders accepted since its start; -1 when not reported
@@ -297,6 +299,7 @@
     char address[ADDRESS_MAX_BYTES];
     char zone[NAME_MAX_BYTES];
     int64_t started_ms;
+    int64_t entry_writes;
     bool draining;
     int slots;
     int64_t sequence;
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -102,7 +102,7 @@
         registry_put(&feed->registry, &info, item->create_revision, now_ms);
         return;
     }
-    registry_reject(&feed->registry, id);
+    registry_reject(&feed->registry, id, now_ms);
     if (add_rejected(feed, item)) {
         log_line(LOG_PRI_WARNING, "feed",
                  "event=target_unreadable target=%s revision=%" G_GINT64_FORMAT
--- a/src/gate/view/dat.h
+++ b/src/gate/view/dat.h
@@ -52,6 +52,20 @@
     bool written;
 };
 
+/**
+ * struct left_target - a target whose entry was removed
+ * @started_ms: its start
+ * @entry_writes: of its last entry
+ * @draining: its last entry said that it stops
+ * @left_ms: when it was removed
+ */
+struct left_target {
+    int64_t started_ms;
+    int64_t entry_writes;
+    bool draining;
+    int64_t left_ms;
+};
+
 /**
  * struct store_contact - a time in which the store has answered, without a
  * silence in which entries expire
@@ -66,6 +80,7 @@
 /**
  * struct registry - the targets that are registered in the store
  * @entries: id to struct registry_entry; owned
+ * @left: id to struct left_target, of targets that are not in @entries
  * @port: receiver of changes; borrowed
  * @silence_min_ms: shortest outage of the store in which entries expire
  * @contact: when the store has answered this instance
@@ -82,6 +97,7 @@
  */
 struct registry {
     struct _GHashTable *entries;
+    struct _GHashTable *left;
     struct registry_port *port;
     int64_t silence_min_ms;
     struct store_contact contact;
--- a/src/gate/view/fns.h
+++ b/src/gate/view/fns.h
@@ -43,7 +43,8 @@
 void registry_list_end(struct registry *registry, int64_t now_ms);
 void registry_put(struct registry *registry, const struct target_info *info,
                   int64_t create_revision, int64_t now_ms);
-void registry_reject(struct registry *registry, const char *id);
+void registry_reject(struct registry *registry, const char *id,
+                     int64_t now_ms);
 void registry_delete(struct registry *registry, const char *id,
                      int64_t now_ms);
 void registry_settle(struct registry *registry, int64_t now_ms);
--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -12,6 +12,11 @@
  * or were created anew. Otherwise an entry that vanishes has been removed, and
  * its target takes no more requests.
  *
+ * The store may carry out a target's write seconds after it was sent, behind
+ * later ones. So an entry that takes back that its target leaves is believed
+ * only from another start of the target. Starts aren't ordered by their times:
+ * a target's clock may be set back.
+ *
  * When the store, or the path to it, was back is known only between the begin
  * of the last call that failed and the first answer.
  */
@@ -31,6 +36,9 @@
     /* An entry expires after three heartbeat intervals of silence, of which
      * one may lie before the outage. */
     SILENT_HEARTBEATS_MIN = 2,
+    /* Writes are carried out some seconds late at most. */
+    LEFT_KEEP_MS = 30000,
+    LEFT_MAX = 4096,
 };
 
 static void
@@ -57,6 +65,8 @@
     registry->silence_min_ms = SILENT_HEARTBEATS_MIN * heartbeat_ms;
     registry->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    registry->left =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /**
@@ -67,6 +77,7 @@
 registry_clear(struct registry *registry)
 {
     g_hash_table_destroy(registry->entries);
+    g_hash_table_destroy(registry->left);
 }
 
 /**
@@ -230,7 +241,31 @@
 static bool
 same_info(const struct target_info *a, const struct target_info *b)
 {
-    return memcmp(a, b, sizeof(*a)) == 0;
+    struct target_info copy = *b;
+
+    copy.entry_writes = a->entry_writes;
+    return memcmp(a, &copy, sizeof(*a)) == 0;
+}
+
+/* Whether an entry was written before its target said that it leaves, or
+ * before its entry was removed. */
+static bool
+is_late_write(const struct registry *registry,
+              const struct registry_entry *entry,
+              const struct target_info *info)
+{
+    const struct left_target *left;
+
+    if (info->started_ms == 0 || info->draining) {
+        return false;
+    }
+    if (entry != NULL) {
+        return info->started_ms == entry->info.started_ms &&
+               entry->info.draining;
+    }
+    left = g_hash_table_lookup(registry->left, info->id);
+    return left != NULL && info->started_ms == left->started_ms &&
+           (left->draining || info->entry_writes <= left->entry_writes);
 }
 
 /* Whether an entry is one of an earlier start of its target, or older than the
@@ -264,7 +299,16 @@
     bool known = entry != NULL;
     bool created_anew;
 
+    if (!registry->lists_copy && is_late_write(registry, entry, info)) {
+        log_line(LOG_PRI_INFO, "registry",
+                 "event=late_write target=%s known=%d writes=%" G_GINT64_FORMAT
+                 " born_ms=%" G_GINT64_FORMAT,
+                 info->id, known, (gint64)info->entry_writes,
+                 (gint64)info->started_ms);
+        return;
+    }
     if (!known) {
+        g_hash_table_remove(registry->left, info->id);
         entry = g_new0(struct registry_entry, 1);
         entry->info = *info;
         entry->create_revision = create_revision;
@@ -289,10 +333,39 @@
     notify(registry, TARGET_CHANGED, info);
 }
 
+static gboolean
+is_long_gone(gpointer id, gpointer left, gpointer now_ms)
+{
+    (void)id;
+    return ((struct left_target *)left)->left_ms + LEFT_KEEP_MS <=
+           *(int64_t *)now_ms;
+}
+
+static void
+remember_left(struct registry *registry, const struct target_info *info,
+              int64_t now_ms)
+{
+    struct left_target *left;
+
+    g_hash_table_foreach_remove(registry->left, is_long_gone, &now_ms);
+    if (info->started_ms == 0 ||
+        g_hash_table_size(registry->left) >= LEFT_MAX) {
+        return;
+    }
+    left = g_new0(struct left_target, 1);
+    left->started_ms = info->started_ms;
+    left->entry_writes = info->entry_writes;
+    left->draining = info->draining;
+    left->left_ms = now_ms;
+    g_hash_table_replace(registry->left, g_strdup(info->id), left);
+}
+
 static void
-remove_entry(struct registry *registry, struct registry_entry *entry)
+remove_entry(struct registry *registry, struct registry_entry *entry,
+             int64_t now_ms)
 {
     notify(registry, TARGET_GONE, &entry->info);
+    remember_left(registry, &entry->info, now_ms);
     g_hash_table_remove(registry->entries, entry->info.id);
 }
 
@@ -300,17 +373,18 @@
  * registry_reject() - record that a target's entry names no usable target
  * @registry: the registry
  * @id: id of the target
+ * @now_ms: when the entry was read
  *
  * The entry exists, so it has not expired by an outage of the store: a known
  * target of this id is gone at once.
  */
 void
-registry_reject(struct registry *registry, const char *id)
+registry_reject(struct registry *registry, const char *id, int64_t now_ms)
 {
     struct registry_entry *entry = g_hash_table_lookup(registry->entries, id);
 
     if (entry != NULL) {
-        remove_entry(registry, entry);
+        remove_entry(registry, entry, now_ms);
     }
 }
 
@@ -387,7 +461,7 @@
         return true;
     }
     if (!may_be_back(registry, entry, now_ms)) {
-        remove_entry(registry, entry);
+        remove_entry(registry, entry, now_ms);
         return false;
     }
     entry->missing_until_ms = registry->grace_end_ms;
@@ -479,7 +553,7 @@
     }
     overdue = find_entries(registry, is_overdue, now_ms);
     for (guint i = 0; i < overdue->len; i++) {
-        remove_entry(registry, overdue->pdata[i]);
+        remove_entry(registry, overdue->pdata[i], now_ms);
     }
     g_ptr_array_free(overdue, TRUE);
     g_hash_table_iter_init(&iter, registry->entries);
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -280,6 +280,79 @@
     g_string_free(port.changes, TRUE);
 }
 
+/*
+ * Guards against requests to a target that has left, because a write of its
+ * entry that was sent before is carried out behind the others; and against one
+ * that isn't used again after its entry had expired, or it was started again.
+ *
+ * Steps: rSW an entry that says ready, of start S and the Wth write, lSW one
+ * that says it stops; d deleted; [ and ] as above. Changes as above.
+ */
+struct late_write_case {
+    const char *name;
+    const char *steps;
+    const char *expected;
+};
+
+static const struct late_write_case late_write_cases[] = {
+    {"behind_draining", "r15 l17 r16", "CC"},
+    {"behind_draining_listed", "r15 l17 [r16]", "CCG"},
+    {"behind_draining_and_gone", "r15 l17 d r16", "CCG"},
+    {"behind_draining_and_gone_listed", "r15 l17 d [r16]", "CCG"},
+    {"behind_gone", "r15 d r14", "CG"},
+    {"last_one_again", "r15 d r15", "CG"},
+    {"draining_behind_draining", "r15 l17 l16", "CC"},
+    {"draining_behind_gone", "r15 l17 d l16", "CCGC"},
+    {"written_on", "r15 r16", "C"},
+    {"expired_and_back", "r15 d r16", "CGC"},
+    {"started_again", "r15 l17 d r21", "CCGC"},
+    {"started_again_under_its_entry", "r15 l17 r21", "CCC"},
+    {"started_again_by_an_earlier_clock", "r25 l27 d r11", "CCGC"},
+    {"start_not_named", "r05 l07 r06", "CCC"},
+};
+
+static void
+late_write_step(struct registry *registry, const char *step)
+{
+    struct target_info info;
+
+    if (*step == 'd') {
+        registry_delete(registry, "i-1", 0);
+        registry_settle(registry, 0);
+        return;
+    }
+    memset(&info, 0, sizeof(info));
+    g_strlcpy(info.id, "i-1", sizeof(info.id));
+    info.draining = *step == 'l';
+    info.started_ms = step[1] - '0';
+    info.entry_writes = step[2] - '0';
+    registry_put(registry, &info, FIRST_CREATED, 0);
+}
+
+static void
+test_late_write(gconstpointer data)
+{
+    const struct late_write_case *c = data;
+    struct recorder_port port = {{&recorder_ops}, g_string_new(NULL)};
+    struct registry registry;
+
+    registry_init(&registry, &port.port, HEARTBEAT_MS);
+    for (const char *step = c->steps; *step != '\0'; step++) {
+        if (*step == '[') {
+            registry_list_begin(&registry);
+        }
+        else if (*step == ']') {
+            registry_list_end(&registry, 0);
+        }
+        else if (g_ascii_isalpha(*step)) {
+            late_write_step(&registry, step);
+        }
+    }
+    g_assert_cmpstr(port.changes->str, ==, c->expected);
+    registry_clear(&registry);
+    g_string_free(port.changes, TRUE);
+}
+
 /*
  * Guards against requests to a target that has left, later than the
  * deployments' bounds, by an instance whose path to the store was cut: a
@@ -442,6 +515,7 @@
         CASES("/view/match", match_cases, test_match),
         CASES("/view/share", share_cases, test_share),
         CASES("/view/registry", registry_cases, test_registry),
+        CASES("/view/late_write", late_write_cases, test_late_write),
         CASES("/view/heal", heal_cases, test_heal),
         CASES("/view/item_set", items_cases, test_items),
     };
