--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -18,9 +18,9 @@
  * @key_revocation_ms: time after which a removed key is refused by every
  *                     instance, in contact with the store or not; 0 when only
  *                     instances in contact have to
- * @change_apply_ms: time after which a change of the configuration is in
- * force, and a target that leaves isn't used, at each instance that reaches
- * the store; 0 when unlimited
+ * @change_apply_ms: time after which each instance that reaches the store goes
+ *                   by a change of the configuration or of a target; 0 when
+ *                   unlimited
  * @quota_window_ms: sliding window in which the teams' quotas hold
  * @quota_over: share of a quota by which it may be exceeded in the window
  * @quota_slack: units by which it may be exceeded besides
--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -282,6 +282,15 @@
                                      known->draining && !info->draining));
 }
 
+static void
+note_writes(struct registry_entry *entry, const struct target_info *info)
+{
+    if (entry->info.started_ms == info->started_ms) {
+        entry->info.entry_writes =
+            MAX(entry->info.entry_writes, info->entry_writes);
+    }
+}
+
 /**
  * registry_put() - add or update a target from its entry
  * @registry: the registry
@@ -326,6 +335,7 @@
     if (known && entry->missing_until_ms == 0 &&
         (same_info(&entry->info, info) ||
          is_older_copy(registry, entry, info))) {
+        note_writes(entry, info);
         return;
     }
     entry->missing_until_ms = 0;
