follow_test: what shows the return of the store

Guards against a message from before a failed call that is taken for the store's return: nothing_new and answer_to_an_ask_before are red when any message counts.

--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -583,6 +583,42 @@
     clear_feed(&fixture);
 }
 
+/* Guards against a message from before a failed call that is taken for the
+ * return of the store, so that targets count as expired that have left. The
+ * follower has listed at 1 s, its call of 2 s fails, and the message arrives
+ * at 3 s. */
+struct return_case {
+    const char *name;
+    int64_t answered_ms; /* its ask that the changes answer; 0 for none */
+    int news;            /* revisions behind what the follower knows */
+    bool returned;
+};
+
+static const struct return_case return_cases[] = {
+    {"nothing_new", 0, 0, false},
+    {"answer_to_an_ask_before", 1900, 0, false},
+    {"answer_to_an_ask_since", 2100, 0, true},
+    {"news", 0, 1, true},
+    {"older", 0, -1, false},
+};
+
+static void
+test_return(gconstpointer data)
+{
+    const struct return_case *c = data;
+    const struct fresh_answer_case answer = {.answered_ms = c->answered_ms};
+    struct store_changes *changes;
+    struct feed_fixture fixture;
+
+    play_feed(&fixture, "1C1Tr2Ar");
+    changes = changes_with_answer(&fixture.feed, &answer);
+    changes->after += MIN(c->news, 0);
+    changes->items.revision += c->news;
+    feed_take_changes(&fixture.feed, changes, 3000);
+    g_assert_cmpint(fixture.feed.registry.store_down, ==, !c->returned);
+    clear_feed(&fixture);
+}
+
 /* Guards against an ask that waits for the end of a watch in which nothing
  * changes, against one that is lost with a failed call, and against two
  * answers to one. An ask arrives at 1.5 s. */
@@ -1982,6 +2018,7 @@
         CASES("/follow/asked", ask_cases, test_asked),
         CASES("/follow/key", key_cases, test_key),
         CASES("/follow/ask_due", ask_due_cases, test_ask_due),
+        CASES("/follow/return", return_cases, test_return),
         CASES("/follow/coalesce", coalesce_cases, test_coalesce),
         CASES("/follow/keep", keep_cases, test_keep),
         CASES("/follow/passes_on", passes_on_cases, test_passes_on),
