--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -534,8 +534,8 @@
                        : CLAMP(due_ms - now_ms, WATCH_NO_WAIT_MS, longest_ms);
 }
 
-/* Messages of others stop being enough: nothing was heard, or what was heard
- * doesn't connect. */
+/* Logs that messages of others are no longer enough: none came, they prove
+ * nothing recent, or they don't connect. */
 static void
 note_calling(struct feed *feed, int64_t now_ms)
 {
@@ -553,6 +553,7 @@
              (gint64)feed->known_revision);
 }
 
+/* Logs that messages of others are enough again. */
 static void
 note_heard(struct feed *feed, const struct store_changes *changes)
 {
@@ -567,7 +568,8 @@
     }
 }
 
-/* @from is the instance that has read the changes; 0 for this one. */
+/* Logs by which way a newer configuration came: read by @from, 0 for this
+ * instance. */
 static void
 log_config_read(const struct feed *feed, int64_t before, uint64_t from)
 {
@@ -792,7 +794,7 @@
 }
 
 /**
- * feed_ask() - ask whether the configuration is the newest, if that is due
+ * feed_ask() - ask for proof that what is known is recent, if that is due
  * @feed: the feed
  * @now_ms: current time by clock_now_ms()
  *
--- a/src/gate/follow/fns.h
+++ b/src/gate/follow/fns.h
@@ -15,7 +15,6 @@
                   const struct gate_member *self);
 bool share_connects(const struct store_changes *changes, int64_t known,
                     int64_t era);
-int64_t share_turn_ms(const struct share *share);
 int64_t share_call_at_ms(const struct share *share, int64_t boot_offset_ms);
 bool share_passes_on(const struct share *share, bool asked, int64_t now_ms,
                      int64_t boot_ms);
--- a/src/gate/follow/share.c
+++ b/src/gate/follow/share.c
@@ -100,12 +100,9 @@
            revision <= STORE_REVISION_MAX;
 }
 
-/**
- * share_turn_ms() - how long after the first one an instance calls the store
- * @share: the share
- */
-int64_t
-share_turn_ms(const struct share *share)
+/* How long after the first one this instance calls the store. */
+static int64_t
+turn_ms(const struct share *share)
 {
     int64_t step_ms =
         MIN(RANK_STEP_MS, RANK_SPREAD_MS / MAX(share->zone_members, 1));
@@ -132,7 +129,7 @@
         due_ms = MIN(due_ms,
                      share->proven_ms - boot_offset_ms + share->proof_max_ms);
     }
-    return due_ms + share_turn_ms(share);
+    return due_ms + turn_ms(share);
 }
 
 static bool
