registry: behind a removed entry, one of the same count is no late write

A write that was seen can't be carried out a second time, and a target that doesn't count its writes writes the same number again after its entry has expired: it was passed over for 30 s.

--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -14,7 +14,8 @@
  *
  * The store may carry out a target's write seconds after it was sent, behind
  * later ones. So an entry that takes back that its target leaves is believed
- * only from another start of the target. Starts aren't ordered by their times:
+ * only from another start of the target, and behind an entry that was removed
+ * only what was written no earlier. Starts aren't ordered by their times:
  * a target's clock may be set back.
  *
  * When the store, or the path to it, was back is known only between the begin
@@ -265,7 +266,7 @@
     }
     left = g_hash_table_lookup(registry->left, info->id);
     return left != NULL && info->started_ms == left->started_ms &&
-           (left->draining || info->entry_writes <= left->entry_writes);
+           (left->draining || info->entry_writes < left->entry_writes);
 }
 
 /* Whether an entry is one of an earlier start of its target, or older than the
