--- a/review/stand3/stand3.c
+++ b/review/stand3/stand3.c
@@ -433,6 +433,13 @@
     GPtrArray *history; /* struct item */
     GArray *leases;
     bool turn_away;
+    bool names_era;
+    int64_t era;
+    int64_t copy_revision;
+    int64_t copy_last_lease;
+    int64_t copied_ms;
+    GHashTable *copy_items;
+    GArray *copy_leases;
 } store = {.lock = PTHREAD_MUTEX_INITIALIZER, .revision = 10};
 
 static void
@@ -526,6 +533,7 @@
     int64_t revision;
 
     pthread_mutex_lock(&store.lock);
+    expire_locked();
     put_locked(key, encoded, 0);
     revision = store.revision;
     pthread_mutex_unlock(&store.lock);
@@ -541,6 +549,73 @@
     pthread_mutex_unlock(&store.lock);
 }
 
+void
+store_remove(const char *key)
+{
+    pthread_mutex_lock(&store.lock);
+    remove_locked(key);
+    pthread_mutex_unlock(&store.lock);
+}
+
+void
+store_name_era(void)
+{
+    store.names_era = true;
+}
+
+static GHashTable *
+copy_of(GHashTable *items)
+{
+    GHashTable *copy = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    void *key;
+    void *value;
+
+    g_hash_table_iter_init(&iter, items);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        g_hash_table_insert(copy, key, value);
+    }
+    return copy;
+}
+
+void
+store_copy(void)
+{
+    pthread_mutex_lock(&store.lock);
+    expire_locked();
+    store.copied_ms = now_ms();
+    store.copy_revision = store.revision;
+    store.copy_last_lease = store.last_lease;
+    store.copy_items = copy_of(store.items);
+    store.copy_leases = g_array_new(FALSE, FALSE, sizeof(struct lease));
+    g_array_append_vals(store.copy_leases, store.leases->data,
+                        store.leases->len);
+    pthread_mutex_unlock(&store.lock);
+}
+
+void
+store_restore(int64_t away_ms)
+{
+    store_turn_away(true);
+    sleep_ms(away_ms);
+    pthread_mutex_lock(&store.lock);
+    store.revision = store.copy_revision;
+    store.last_lease = store.copy_last_lease;
+    store.items = copy_of(store.copy_items);
+    store.history = g_ptr_array_new();
+    store.leases = g_array_new(FALSE, FALSE, sizeof(struct lease));
+    for (guint i = 0; i < store.copy_leases->len; i++) {
+        struct lease lease =
+            g_array_index(store.copy_leases, struct lease, i);
+
+        lease.end_ms += now_ms() - store.copied_ms;
+        g_array_append_val(store.leases, lease);
+    }
+    store.era++;
+    store.turn_away = false;
+    pthread_mutex_unlock(&store.lock);
+}
+
 static struct json_object *
 item_json(const struct item *item)
 {
@@ -765,6 +840,16 @@
     return 200;
 }
 
+static int64_t
+watched_revision(const char *query)
+{
+    char *text = query_value(query, "after");
+    int64_t revision = g_ascii_strtoll(text, NULL, 10);
+
+    g_free(text);
+    return revision;
+}
+
 static int
 store_call_locked(const char *path, const char *query,
                   struct json_object *body, struct json_object **answer)
@@ -780,8 +865,15 @@
         *answer = range_locked(query);
     }
     else if (strcmp(path, "/v1/kv-watch") == 0) {
-        *answer = watch_locked(query);
-        status = store.turn_away ? 503 : 200;
+        int64_t era = store.era;
+
+        if (watched_revision(query) > store.revision) {
+            status = 410;
+        }
+        else {
+            *answer = watch_locked(query);
+            status = store.turn_away || era != store.era ? 503 : 200;
+        }
     }
     else if (strcmp(path, "/v1/kv-txn") == 0) {
         *answer = json_object_new_object();
@@ -815,6 +907,7 @@
         struct json_object *body = NULL;
         struct json_object *answer;
         const char *text;
+        char *era;
         char *head;
         int status;
         bool written;
@@ -827,12 +920,18 @@
         pthread_mutex_lock(&store.lock);
         status = store_call_locked(target[0], target[1] != NULL ? target[1] : "",
                                    body, &answer);
+        era = store.names_era
+                  ? g_strdup_printf("Store-Era: %" G_GINT64_FORMAT "\r\n",
+                                    (gint64)store.era)
+                  : g_strdup("");
         pthread_mutex_unlock(&store.lock);
         text = json_object_to_json_string_ext(answer, JSON_C_TO_STRING_PLAIN);
         head = g_strdup_printf("HTTP/1.1 %d Status\r\n"
                                "Content-Type: application/json\r\n"
+                               "%s"
                                "Content-Length: %zu\r\n\r\n",
-                               status, strlen(text));
+                               status, era, strlen(text));
+        g_free(era);
         written = wire_write(wire, head, strlen(head)) &&
                   wire_write(wire, text, strlen(text));
         g_free(head);
@@ -940,7 +1039,9 @@
             engine->service, engine->ip, engine->port,
             (gint64)++engine->entry_writes, (gint64)engine->born);
 
-        store_put(key, entry);
+        if (!engine->silent) {
+            store_put(key, entry);
+        }
         g_free(entry);
         sleep_ms(HEARTBEAT_MS);
     }
--- a/review/stand3/stand3.h
+++ b/review/stand3/stand3.h
@@ -45,6 +45,7 @@
     int64_t entry_writes;
     answer_fn answer; /* NULL: a short whole answer */
     int run_count;
+    bool silent; /* it writes nothing to the store any more */
     pthread_mutex_t lock;
 };
 
@@ -82,6 +83,15 @@
 /* While set, calls from machines get 503; the operator and the engines are
  * served. */
 void store_turn_away(bool turn_away);
+/* Removes a key, as the platform does when an engine has left. */
+void store_remove(const char *key);
+/* The store names its era in all answers from then on. */
+void store_name_era(void);
+/* Keeps a copy of the store. */
+void store_copy(void);
+/* The store is away for a moment and comes back from the copy: what was
+ * written since is gone, leases too, and the era rises by one. */
+void store_restore(int64_t away_ms);
 
 /* Engines */
 void engine_start(struct engine *engine, const char *id, const char *service,
