--- a/review/stand3/case_split.c
+++ b/review/stand3/case_split.c
@@ -136,5 +136,13 @@
            REQUESTS, slots_old, dropped_old, added_404,
            broken ? "broken" : "kept");
     gate_stop(&gate);
+    if (broken) {
+        gate_start(&gate, argv[2], "127.31.11.1", store_port, "");
+        record("besides  the machine is started anew: %s",
+               gate_is_ready(&gate, 12000) ? "it becomes ready"
+                                           : "not ready after 12 s");
+        ask(&gate, "GET", "/added/1", "", "00000000000000ff", NULL);
+        gate_stop(&gate);
+    }
     return broken ? 1 : 0;
 }
