--- a/review/stand3/stand3.c
+++ b/review/stand3/stand3.c
@@ -408,6 +408,13 @@
     start_thread(server_main, server);
 }
 
+void
+server_start(const char *ip, int port,
+             void (*serve)(struct wire *wire, void *data), void *data)
+{
+    start_server(ip, port, serve, data);
+}
+
 /* Store */
 
 struct item {
@@ -1077,7 +1084,7 @@
     }
     fprintf(
         file,
-        "{\"node_name\":\"front-pos-a-1\",\"role\":\"entry\","
+        "{\"node_name\":\"front-%s\",\"role\":\"entry\","
         "\"machine_class\":\"front\",\"serves\":[\"front\",\"directory\"],"
         "\"ip\":\"%s\",\"zone\":\"pos-a\",\"region\":\"pos\","
         "\"internal_ports\":[%d,%d],\"seeds\":[],\"bootstrap\":true,"
@@ -1100,7 +1107,7 @@
         "\"platform\":{\"address\":\"127.0.0.1:%d\",\"form\":\"kv\","
         "\"writes_per_s\":400,\"reads_per_s\":2000,\"history_s\":20,"
         "\"value_bytes\":1048576,\"ttl_min_ms\":1000}}\n",
-        gate->ip, internal, internal + 1, gate->ip, gate->front_port, gate->ip,
+        gate->ip, gate->ip, internal, internal + 1, gate->ip, gate->front_port, gate->ip,
         gate->ready_port, gate->ip, directory, more, store_port);
     fclose(file);
 }
--- a/review/stand3/stand3.h
+++ b/review/stand3/stand3.h
@@ -76,6 +76,9 @@
 void wire_close(struct wire *wire);
 int listen_on(const char *ip, int port);
 int free_port(const char *ip);
+/* Serves each connection in a thread of its own, in place of an engine. */
+void server_start(const char *ip, int port,
+                  void (*serve)(struct wire *wire, void *data), void *data);
 
 /* Store. store_put() returns when the store has acknowledged the write. */
 void store_start(const char *ip, int port);
