--- a/review/stand3/stand3.c
+++ b/review/stand3/stand3.c
@@ -704,7 +704,7 @@
 }
 
 static struct json_object *
-watch_locked(const char *query)
+watch_locked(const char *query, const bool *away)
 {
     char *prefix = query_value(query, "path_prefix");
     char *after_text = query_value(query, "after");
@@ -728,7 +728,7 @@
             }
         }
         if (json_object_array_length(list) > 0 || now_ms() >= end_ms ||
-            store.turn_away) {
+            store.turn_away || *away) {
             break;
         }
         until.tv_sec = until_ms / 1000;
@@ -859,13 +859,14 @@
 
 static int
 store_call_locked(const char *path, const char *query,
-                  struct json_object *body, struct json_object **answer)
+                  struct json_object *body, const bool *away,
+                  struct json_object **answer)
 {
     int status = 200;
 
     expire_locked();
     *answer = NULL;
-    if (store.turn_away) {
+    if (store.turn_away || *away) {
         status = 503;
     }
     else if (strcmp(path, "/v1/kv-range") == 0) {
@@ -878,8 +879,8 @@
             status = 410;
         }
         else {
-            *answer = watch_locked(query);
-            status = store.turn_away || era != store.era ? 503 : 200;
+            *answer = watch_locked(query, away);
+            status = store.turn_away || *away || era != store.era ? 503 : 200;
         }
     }
     else if (strcmp(path, "/v1/kv-txn") == 0) {
@@ -905,9 +906,9 @@
 static void
 store_serve(struct wire *wire, void *data)
 {
+    const bool *away = data;
     struct message *request;
 
-    (void)data;
     while ((request = message_read(wire, false)) != NULL) {
         char **words = g_strsplit(request->start, " ", 3);
         char **target = g_strsplit(words[1] != NULL ? words[1] : "", "?", 2);
@@ -926,7 +927,7 @@
         sleep_ms(4);
         pthread_mutex_lock(&store.lock);
         status = store_call_locked(target[0], target[1] != NULL ? target[1] : "",
-                                   body, &answer);
+                                   body, away, &answer);
         era = store.names_era
                   ? g_strdup_printf("Store-Era: %" G_GINT64_FORMAT "\r\n",
                                     (gint64)store.era)
@@ -953,14 +954,22 @@
     }
 }
 
+void
+store_serve_at(const char *ip, int port, bool *away)
+{
+    start_server(ip, port, store_serve, away);
+}
+
 void
 store_start(const char *ip, int port)
 {
+    static bool nobody;
+
     pthread_cond_init(&store.changed, NULL);
     store.items = g_hash_table_new(g_str_hash, g_str_equal);
     store.history = g_ptr_array_new();
     store.leases = g_array_new(FALSE, FALSE, sizeof(struct lease));
-    start_server(ip, port, store_serve, NULL);
+    store_serve_at(ip, port, &nobody);
 }
 
 /* Engines */
@@ -1116,6 +1125,8 @@
 gate_start(struct gate *gate, const char *folder, const char *ip,
            int store_port, const char *more_bounds)
 {
+    pid_t parent;
+
     g_strlcpy(gate->ip, ip, sizeof(gate->ip));
     g_snprintf(gate->settings, sizeof(gate->settings), "%s/%s.json", folder,
                ip);
@@ -1123,12 +1134,16 @@
     gate->front_port = free_port(ip);
     gate->ready_port = free_port(ip);
     write_settings(gate, store_port, more_bounds);
+    parent = getpid();
     gate->pid = fork();
     if (gate->pid == 0) {
         FILE *log = freopen(gate->log, "a", stdout);
 
         dup2(fileno(log), STDERR_FILENO);
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() != parent) {
+            _exit(127);
+        }
         setenv("TURMERICSTALL_CONFIG", gate->settings, 1);
         execl("target/turmericgate", "target/turmericgate", (char *)NULL);
         _exit(127);
--- a/review/stand3/stand3.h
+++ b/review/stand3/stand3.h
@@ -82,6 +82,9 @@
 
 /* Store. store_put() returns when the store has acknowledged the write. */
 void store_start(const char *ip, int port);
+/* Serves at another port, for machines that are turned away (503) while @away
+ * is set. */
+void store_serve_at(const char *ip, int port, bool *away);
 int64_t store_put(const char *key, const char *value);
 /* While set, calls from machines get 503; the operator and the engines are
  * served. */
