--- a/review/stand3/case_late.c
+++ b/review/stand3/case_late.c
@@ -154,7 +154,11 @@
             list[strlen(list)] = adapter[1];
             return 202;
         }
-        list[0] = '\0';
+        char *place = strchr(list, adapter[1]);
+
+        if (place != NULL) {
+            memmove(place, place + 1, strlen(place));
+        }
         return 200;
     }
     if (loads == worker->held[model]) {
