config: a route may be split over any number of services

What callers saw: the operator split a route over nine services. The store acknowledged the version; every instance rejected it whole, kept the old one in force and stayed ready: requests were run by the old service and with a dropped route, a new route got 404. An instance started meanwhile had no configuration and answered 503.

Cause: struct gate_route had room for 8 shares (SHARES_MAX), and one route that did not fit failed the document.

Change: the shares are allocated with the route.

Evidence: /platform/split/nine and three_hundred failed before ("route -: too many services"), eight passed.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -4,7 +4,6 @@
 enum {
     TARGET_ITEMS_MAX = 96,
     MEMBERS_MAX = 512,
-    SHARES_MAX = 8,
 };
 
 /**
@@ -153,7 +152,7 @@
  * @priority: 0 is the highest
  * @attempts_max: maximum number of targets that a request is sent to
  * @public: requests need no key
- * @shares: services that requests are split over
+ * @shares: services that requests are split over; owned
  * @share_count: number of @shares
  */
 struct gate_route {
@@ -169,7 +168,7 @@
     int priority;
     int attempts_max;
     bool public;
-    struct gate_share shares[SHARES_MAX];
+    struct gate_share *shares;
     int share_count;
 };
 
--- a/src/gate/view/config.c
+++ b/src/gate/view/config.c
@@ -68,6 +68,7 @@
     for (int i = 0; i < config->route_count; i++) {
         g_free(config->routes[i].host);
         g_free(config->routes[i].prefix);
+        g_free(config->routes[i].shares);
     }
     for (int i = 0; i < config->service_count; i++) {
         service_clear(&config->services[i]);
