settings: a figure is read as the number it is, or refused by its name

Cause: json_get_int64() returns its fallback for any form but an integer or a string, and the fallback of revoke_ms was 0, which means no limit. config_apply_ms and drain_ms became 3,000, budget_extra 0, heartbeat_ms 1,000, memory_mb a default; strings became 0; a string or true in place of a number read by json_get_double() became the default. Nothing was logged.

Change: http/rule.c reads an object by a table of rules, one row a member, with its type, range, rounding and what it costs if it is missing or can not be used. JSON has one type of numbers, so 5000, 5000.0 and 5e3 are the same figure; upper bounds with a fraction are rounded down. Any other form, and a figure out of range, ends the start with the name of the setting. So does revoke_strict without revoke_ms, a quota without its window, and "directory" in serves without its address. Settings that are missing and have a default are named in one log line.

--- a/src/http/dat.h
+++ b/src/http/dat.h
@@ -63,4 +63,97 @@
     size_t bytes;
 };
 
+struct json_object;
+struct json_rule;
+
+/**
+ * struct json_rule_ops - how members of one type are read
+ * @read: reads @member, which isn't null, into @variable; false with
+ *        ERR_BAD_JSON and the reason if it can't be used
+ */
+struct json_rule_ops {
+    bool (*read)(const struct json_rule *rule, struct json_object *member,
+                 void *variable, struct err *err);
+};
+
+/* How an integer variable takes a fraction. */
+enum json_rounding { JSON_ROUND_NONE, JSON_ROUND_DOWN, JSON_ROUND_UP };
+
+/**
+ * enum json_need - what a member that is missing or can't be used costs
+ * @JSON_OPTIONAL: one that can't be used is left out, like a missing one
+ * @JSON_NOTED: as JSON_OPTIONAL, but a missing one is reported
+ * @JSON_DECISIVE: may be missing; without one that can't be used the object
+ *                 can't be used either
+ * @JSON_REQUIRED: as JSON_DECISIVE, and must not be missing
+ */
+enum json_need { JSON_OPTIONAL, JSON_NOTED, JSON_DECISIVE, JSON_REQUIRED };
+
+/**
+ * struct json_rule - how one member of an object is read
+ * @ops: type of the member and of its variable
+ * @key: its name
+ * @offset: of the variable in the struct that is filled in
+ * @need: what it costs if it is missing or can't be used
+ * @minimum: smallest number, in the member's unit
+ * @maximum: largest number, in the member's unit
+ * @factor: the variable has the number times this; 0 for 1
+ * @rounding: of a fraction in an integer variable
+ * @bytes: size of the variable of a text
+ */
+struct json_rule {
+    const struct json_rule_ops *ops;
+    const char *key;
+    size_t offset;
+    enum json_need need;
+    double minimum;
+    double maximum;
+    double factor;
+    enum json_rounding rounding;
+    size_t bytes;
+};
+
+/* Rows of a table of rules; @type is the name of the ops behind json_rule_. */
+#define JSON_NUMBER(type, key, offset, need, minimum, maximum, factor,        \
+                    rounding)                                                 \
+    {                                                                         \
+        &json_rule_##type, key, offset, need, minimum, maximum, factor,       \
+            rounding, 0                                                       \
+    }
+#define JSON_TEXT(type, key, offset, bytes, need)                             \
+    {                                                                         \
+        &json_rule_##type, key, offset, need, 0.0, 0.0, 0.0, JSON_ROUND_NONE, \
+            bytes                                                             \
+    }
+#define JSON_BOOLEAN(key, offset, need)                                       \
+    JSON_TEXT(boolean, key, offset, 0, need)
+
+/**
+ * struct json_place - where in a document an object stands
+ * @parent: place of the object or list that holds it; NULL for the document
+ * @key: its name in an object; NULL for an item of a list
+ * @index: its index in a list
+ */
+struct json_place {
+    const struct json_place *parent;
+    const char *key;
+    size_t index;
+};
+
+/* Texts that are kept of one document. */
+enum { JSON_FAULTS_KEPT = 32 };
+
+/**
+ * struct json_faults - what can't be used of a document
+ * @texts: "PLACE: REASON" of the first JSON_FAULTS_KEPT, each owned
+ * @count: number of all
+ * @missing: places of missing members that are to be reported, separated by
+ *           spaces; NULL for none
+ */
+struct json_faults {
+    char *texts[JSON_FAULTS_KEPT];
+    int count;
+    char *missing;
+};
+
 #endif
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -31,6 +31,23 @@
                        double fallback);
 bool json_get_bool(struct json_object *object, const char *key, bool fallback);
 
+/* rule.c */
+extern const struct json_rule_ops json_rule_integer;
+extern const struct json_rule_ops json_rule_count;
+extern const struct json_rule_ops json_rule_number;
+extern const struct json_rule_ops json_rule_boolean;
+extern const struct json_rule_ops json_rule_text;
+extern const struct json_rule_ops json_rule_address;
+bool json_rules_read(struct json_object *object,
+                     const struct json_place *place,
+                     const struct json_rule *rules, size_t count, void *out,
+                     struct json_faults *faults);
+bool json_read_number(struct json_object *member, double *number,
+                      struct err *err);
+void json_fault(struct json_faults *faults, const struct json_place *place,
+                const char *key, const char *reason);
+void json_faults_clear(struct json_faults *faults);
+
 /* head.c */
 const char *http_field_value(const char *line, size_t bytes, const char *name,
                              size_t *value_bytes);
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -472,23 +472,212 @@
     {"invalid_json", "node_name = \"n\"", false, 0},
 };
 
+static bool
+read_settings_text(const char *text, struct gate_settings *settings,
+                   struct err *err)
+{
+    char *directory = g_dir_make_tmp("turmeric-XXXXXX", NULL);
+    char *file = test_write_file(directory, "settings.json", text, 0600);
+    bool succeeded = platform_settings_read(file, settings, err);
+
+    g_assert_cmpint(g_remove(file), ==, 0);
+    g_assert_cmpint(g_rmdir(directory), ==, 0);
+    g_free(file);
+    g_free(directory);
+    return succeeded;
+}
+
 static void
 test_settings(gconstpointer data)
 {
     const struct settings_case *c = data;
-    char *directory = g_dir_make_tmp("turmeric-XXXXXX", NULL);
-    char *file = test_write_file(directory, "settings.json", c->text, 0600);
     struct gate_settings settings;
     struct err err = {0};
 
-    g_assert_cmpint(platform_settings_read(file, &settings, &err), ==,
+    g_assert_cmpint(read_settings_text(c->text, &settings, &err), ==,
                     c->usable);
     g_assert_cmpint(err.kind, ==, c->usable ? ERR_NONE : ERR_SETTINGS);
     g_assert_cmpint(settings.memory_mb, ==, c->memory_mb);
-    g_assert_cmpint(g_remove(file), ==, 0);
-    g_assert_cmpint(g_rmdir(directory), ==, 0);
-    g_free(file);
-    g_free(directory);
+}
+
+/* Guards against a figure of the settings that is replaced by a default
+ * without a word: a fraction, which the deployment may use for any of them,
+ * removed the limit that it stands for. */
+struct figure_case {
+    const char *name;
+    const char *table;
+    const char *members;
+    const char *expected; /* NULL when the settings are refused */
+    const char *fault;    /* NULL when they are used */
+};
+
+#define STRICT(revoke_ms) "\"revoke_strict\":true,\"revoke_ms\":" revoke_ms
+#define QUOTA(window) "\"quota_slack\":9.5,\"quota_window_s\":" window
+
+static const struct figure_case figure_cases[] = {
+    {"revoke_whole", "bounds", STRICT("5000"), "revocation=5000 ", NULL},
+    {"revoke_fraction", "bounds", STRICT("4999.5"), "revocation=4999 ", NULL},
+    {"revoke_whole_fraction", "bounds", STRICT("5000.0"), "revocation=5000 ",
+     NULL},
+    {"revoke_exponent", "bounds", STRICT("5e3"), "revocation=5000 ", NULL},
+    {"revoke_below_1", "bounds", STRICT("0.5"), NULL, "bounds.revoke_ms: "},
+    {"revoke_0", "bounds", STRICT("0"), NULL, "bounds.revoke_ms: "},
+    {"revoke_text", "bounds", STRICT("\"5000\""), NULL, "bounds.revoke_ms: "},
+    {"revoke_true", "bounds", STRICT("true"), NULL, "bounds.revoke_ms: "},
+    {"revoke_negative", "bounds", STRICT("-1"), NULL, "bounds.revoke_ms: "},
+    {"revoke_1e400", "bounds", STRICT("1e400"), NULL, "bounds.revoke_ms: "},
+    {"revoke_null", "bounds", STRICT("null"), NULL, "bounds.revoke_ms: "},
+    {"revoke_missing", "bounds", "\"revoke_strict\":true", NULL,
+     "bounds.revoke_ms: "},
+    {"revoke_not_strict", "bounds",
+     "\"revoke_strict\":false,\"revoke_ms\":5000", "revocation=0 ", NULL},
+    {"strict_text", "bounds", "\"revoke_strict\":\"true\"", NULL,
+     "bounds.revoke_strict: "},
+    {"strict_1", "bounds", "\"revoke_strict\":1", NULL,
+     "bounds.revoke_strict: "},
+    {"config_apply_fraction", "bounds", "\"config_apply_ms\":1999.5",
+     "change=1999 ", NULL},
+    {"config_apply_0", "bounds", "\"config_apply_ms\":0", NULL,
+     "bounds.config_apply_ms: "},
+    {"drain_fraction", "bounds", "\"drain_ms\":1500.25", "change=1500 ", NULL},
+    {"drain_text", "bounds", "\"drain_ms\":\"2000\"", NULL,
+     "bounds.drain_ms: "},
+    {"extra_fraction", "bounds", "\"budget_extra\":54.9", "allowance=54 ",
+     NULL},
+    {"extra_whole_fraction", "bounds", "\"budget_extra\":184.0",
+     "allowance=184 ", NULL},
+    {"extra_2_31", "bounds", "\"budget_extra\":2147483648", NULL,
+     "bounds.budget_extra: "},
+    {"ratio_whole", "bounds", "\"budget_ratio\":1", "ratio=1 ", NULL},
+    {"ratio_text", "bounds", "\"budget_ratio\":\"0.2\"", NULL,
+     "bounds.budget_ratio: "},
+    {"ratio_true", "bounds", "\"budget_ratio\":true", NULL,
+     "bounds.budget_ratio: "},
+    {"ratio_negative", "bounds", "\"budget_ratio\":-0.2", NULL,
+     "bounds.budget_ratio: "},
+    {"window_fraction", "bounds", "\"budget_window_s\":2.5",
+     "retry_window=2500 ", NULL},
+    {"window_0", "bounds", "\"budget_window_s\":0", NULL,
+     "bounds.budget_window_s: "},
+    {"grace_fraction", "bounds", "\"grace_s\":7.75", "grace=7750 ", NULL},
+    {"grace_1e300", "bounds", "\"grace_s\":1e300", NULL, "bounds.grace_s: "},
+    {"ttl_fraction", "bounds", "\"ttl_max_s\":4.5", "ttl=5 ", NULL},
+    {"ttl_below_1", "bounds", "\"ttl_max_s\":0.5", "ttl=1 ", NULL},
+    {"quota_window_fraction", "bounds", QUOTA("7.5"),
+     "quota_window=7500 slack=9.5 ", NULL},
+    {"quota_window_missing", "bounds", QUOTA("null"), NULL,
+     "bounds.quota_window_s: "},
+    {"quota_over_text", "bounds", "\"quota_over\":\"0.1\"", NULL,
+     "bounds.quota_over: "},
+    {"memory", "limits", "\"memory_mb\":260", "memory=260 ", NULL},
+    {"memory_fraction", "limits", "\"memory_mb\":259.9", "memory=259 ", NULL},
+    {"memory_0", "limits", "\"memory_mb\":0", NULL, "limits.memory_mb: "},
+    {"memory_text", "limits", "\"memory_mb\":\"260\"", NULL,
+     "limits.memory_mb: "},
+    {"descriptors_fraction", "limits", "\"max_fds\":4100.5",
+     "descriptors=4100 ", NULL},
+    {"descriptors_list", "limits", "\"max_fds\":[4100]", NULL,
+     "limits.max_fds: "},
+    {"link_fraction", "limits", "\"link_mbps\":0.5", "link=1 ", NULL},
+    {"cores", "limits", "\"cpu_share\":0.25,\"cores\":2", "cores=0.5 ", NULL},
+    {"cores_text", "limits", "\"cores\":\"2\"", NULL, "limits.cores: "},
+    {"lease_fraction", "platform", "\"ttl_min_ms\":999.5", "lease=1000 ",
+     NULL},
+    {"heartbeat_fraction", NULL, "\"heartbeat_ms\":1199.5", "heartbeat=1200 ",
+     NULL},
+    {"heartbeat_0", NULL, "\"heartbeat_ms\":0", NULL, "heartbeat_ms: "},
+    {"bounds_text", NULL, "\"bounds\":\"none\"", NULL, "bounds: "},
+    {"bounds_null", NULL, "\"bounds\":null", "revocation=0 ", NULL},
+    {"limits_list", NULL, "\"limits\":[]", NULL, "limits: "},
+    {"directory_missing", NULL, "\"serves\":[\"front\",\"directory\"]", NULL,
+     "listen.directory: "},
+    {"name_64", NULL,
+     "\"node_name\":\"123456789012345678901234567890123456789012345678901234"
+     "5678901234\"",
+     NULL, "node_name: "},
+    {"name_number", NULL, "\"node_name\":7", NULL, "node_name: "},
+    {"port_whole_fraction", NULL, "\"internal_ports\":[7000.0,7001]",
+     "peer=1.2.3.4:7000 ", NULL},
+    {"port_text", NULL, "\"internal_ports\":[\"7000\"]", NULL,
+     "internal_ports: "},
+    {"port_65536", NULL, "\"internal_ports\":[65536]", NULL,
+     "internal_ports: "},
+    {"ip_name", NULL, "\"ip\":\"front-1\"", NULL, "ip: "},
+    {"front_without_port", "listen", "\"front\":\"1.2.3.4\"", NULL,
+     "listen.front: "},
+    {"directory_number", "listen", "\"directory\":3", NULL,
+     "listen.directory: "},
+    {"unknown_field", "bounds", "\"tide_ms\":\"high\"", "grace=8000 ", NULL},
+};
+
+/* The settings of a case: of two members with one name the last one counts. */
+static char *
+format_settings_file(const struct figure_case *c)
+{
+    static const char *const parts[][2] = {
+        {"listen", "\"front\":\"1.2.3.4:1\",\"ready\":\"1.2.3.4:2\""},
+        {"platform", "\"address\":\"1.2.3.4:3\""},
+        {"limits", "\"max_fds\":900"},
+        {"bounds", "\"grace_s\":8"},
+    };
+    GString *text =
+        g_string_new("{\"node_name\":\"n\",\"zone\":\"z\",\"ip\":\"1.2.3.4\","
+                     "\"internal_ports\":[7000,7001]");
+
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        bool here = g_strcmp0(c->table, parts[i][0]) == 0;
+
+        g_string_append_printf(text, ",\"%s\":{%s%s%s}", parts[i][0],
+                               parts[i][1], here ? "," : "",
+                               here ? c->members : "");
+    }
+    if (c->table == NULL) {
+        g_string_append_printf(text, ",%s", c->members);
+    }
+    g_string_append_c(text, '}');
+    return g_string_free(text, FALSE);
+}
+
+static char *
+format_settings(const struct gate_settings *settings)
+{
+    const struct gate_limits *limits = &settings->limits;
+
+    return g_strdup_printf(
+        "revocation=%d change=%d allowance=%d ratio=%g retry_window=%d "
+        "grace=%d ttl=%d quota_window=%d slack=%g memory=%d descriptors=%d "
+        "link=%d cores=%g lease=%d heartbeat=%d peer=%s ",
+        (int)limits->key_revocation_ms, (int)limits->change_apply_ms,
+        limits->retry_allowance, limits->retry_ratio,
+        (int)limits->retry_window_ms, (int)limits->stop_grace_ms,
+        limits->address_ttl_max_s, (int)limits->quota_window_ms,
+        limits->quota_slack, settings->memory_mb, settings->descriptors_max,
+        settings->link_mbps, settings->cpu_cores,
+        (int)settings->lease_ttl_min_ms, (int)settings->heartbeat_ms,
+        settings->peer_address);
+}
+
+static void
+test_figure(gconstpointer data)
+{
+    const struct figure_case *c = data;
+    char *text = format_settings_file(c);
+    struct gate_settings settings;
+    struct err err = {0};
+    bool succeeded = read_settings_text(text, &settings, &err);
+    char *read = format_settings(&settings);
+
+    if (c->expected != NULL) {
+        g_assert_cmpstr(err.text, ==, "");
+        g_assert_nonnull(strstr(read, c->expected));
+    }
+    else {
+        g_assert_cmpint(err.kind, ==, ERR_SETTINGS);
+        g_assert_true(g_str_has_prefix(err.text, c->fault));
+    }
+    g_assert_cmpint(succeeded, ==, c->expected != NULL);
+    g_free(read);
+    g_free(text);
 }
 
 /* Guards against a write or a lease that counts as done although the response
@@ -1070,6 +1259,7 @@
         CASES("/platform/tokens", tokens_cases, test_tokens),
         CASES("/platform/parts", parts_cases, test_parts),
         CASES("/platform/settings", settings_cases, test_settings),
+        CASES("/platform/figure", figure_cases, test_figure),
     };
 
     g_test_init(&argc, &argv, NULL);
