lease, feed: a limit of 1 ms is a limit

A revoke_ms of 1 let each removed key work on without contact, a config_apply_ms of 1 ended the proofs of what is known.

Change: both are rounded up. /team/lease/limit_of_1_ms and /follow/proof/limit_of_1_ms failed before.

--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -905,7 +905,8 @@
     feed->self.link_mbps = settings->link_mbps;
     g_strlcpy(feed->self.zone, settings->zone, sizeof(feed->self.zone));
     feed->key_revocation_ms = settings->limits.key_revocation_ms;
-    feed->share.proof_max_ms = settings->limits.change_apply_ms / 2;
+    /* 0 means no limit, in both. */
+    feed->share.proof_max_ms = (settings->limits.change_apply_ms + 1) / 2;
     feed->confirmed_ms = -1;
     fresh_init(&feed->fresh);
     feed->store = store;
--- a/src/gate/team/lease.c
+++ b/src/gate/team/lease.c
@@ -7,6 +7,7 @@
  * are those of this instance's own clock, which goes on during suspend, and
  * from before the question was sent.
  */
+#include <math.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -28,7 +29,8 @@
 void
 key_lease_init(struct key_lease *lease, int64_t revocation_ms)
 {
-    lease->length_ms = (int64_t)((double)revocation_ms * LEASE_SHARE);
+    lease->length_ms =
+        (int64_t)ceil((double)revocation_ms * LEASE_SHARE); /* 0: no limit */
     lease->confirmed_ms = -1;
 }
 
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -1170,6 +1170,36 @@
                             &platform_decode, &feed->port, &err));
 }
 
+/* Guards against a limit so short that it is taken for none. */
+struct proof_case {
+    const char *name;
+    int64_t change_apply_ms;
+    int64_t proof_max_ms;
+};
+
+static const struct proof_case proof_cases[] = {
+    {"no_limit", 0, 0},
+    {"limit_of_1_ms", 1, 1},
+    {"limit_of_3_s", 3000, 1500},
+};
+
+static void
+test_proof(gconstpointer data)
+{
+    const struct proof_case *c = data;
+    static struct shared_fixture fixture;
+
+    memset(&fixture, 0, sizeof(fixture));
+    memstore_init(&fixture.store);
+    fixture.settings[0].limits.change_apply_ms = c->change_apply_ms;
+    start_feed(&fixture, 0, "m0");
+    g_assert_cmpint(fixture.feeds[0].feed.share.proof_max_ms, ==,
+                    c->proof_max_ms);
+    feed_clear(&fixture.feeds[0].feed);
+    memstore_clear(&fixture.store);
+    g_string_free(fixture.feeds[0].delivered, TRUE);
+}
+
 /* Lists nine instances and starts the first two by id. */
 static void
 start_shared(struct shared_fixture *fixture)
@@ -2023,6 +2053,7 @@
         CASES("/follow/keep", keep_cases, test_keep),
         CASES("/follow/passes_on", passes_on_cases, test_passes_on),
         CASES("/follow/rank", rank_cases, test_rank),
+        CASES("/follow/proof", proof_cases, test_proof),
         CASES("/follow/shared", shared_cases, test_shared),
         CASES("/follow/connects", connects_cases, test_connects),
         CASES("/follow/member", member_cases, test_member),
--- a/test/team_test.c
+++ b/test/team_test.c
@@ -93,6 +93,8 @@
 
 static const struct lease_case lease_cases[] = {
     {"no_limit", 0, {-1, -1, -1}, 0, true},
+    {"limit_of_1_ms", 1, {-1, -1, -1}, 0, false},
+    {"limit_of_1_ms_ended", 1, {1000, -1, -1}, 1001, false},
     {"never_confirmed", REVOCATION_MS, {-1, -1, -1}, 0, false},
     {"fresh", REVOCATION_MS, {1000, -1, -1}, 1000, true},
     {"last_ms", REVOCATION_MS, {1000, -1, -1}, 1000 + LEASE_MS - 1, true},
