config: only the part that can not be used is left out, and it is named

Where the document was taken, a timeout or weight with a fraction became 0 and each request of the route was refused; a quota in another form became none; the size of a model in another form became 0, so that it fitted everywhere.

Change: the members of routes, shares, services, engines, models, limits and teams are tables of rules (http/rule.c). A route or a team that lacks what it can not do without stays known and refuses its requests at once (route_unusable, team_unusable, 503), as its requests would otherwise go by a shorter prefix, and its callers would get 401. A share or a model is left out, a model of unknown size is served where it is held and not loaded, any other member keeps its default. Each is logged with its place in the document (config_part_unusable, config_partly_used) and counted (config_parts_unusable_total). Weights with a fraction are counted in millionths. Names of routes and teams have any length; a team may have any name that a header field takes.

The document is still rejected without a version or its lists.

--- a/bench/quota_bench.c
+++ b/bench/quota_bench.c
@@ -73,11 +73,13 @@
 static void
 set_teams(struct gate_team *teams, double *per_s, double factor)
 {
+    static char names[TEAMS][NAME_MAX_BYTES];
     double share = 1.0 / 3.0;
 
     for (int i = 0; i < TEAMS; i++) {
         memset(&teams[i], 0, sizeof(teams[i]));
-        g_snprintf(teams[i].name, sizeof(teams[i].name), "team-%d", i);
+        g_snprintf(names[i], sizeof(names[i]), "team-%d", i);
+        teams[i].name = names[i];
         per_s[i] = MAX(REQUESTS_PER_S * factor * share, 1.3);
         teams[i].rate_per_s = per_s[i] * UNITS_MEAN * QUOTA_SHARE;
         teams[i].burst = teams[i].rate_per_s * 2;
--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -49,6 +49,10 @@
       "send a key that the configuration holds")                              \
     X(ERR_KEYS_UNPROVEN, "keys_unproven", 503, OUTCOME_NOT_RUN,               \
       "retry at another instance; this one can't reach the store")            \
+    X(ERR_ROUTE_UNUSABLE, "route_unusable", 503, OUTCOME_NOT_RUN,             \
+      "an operator corrects the route; config_part_unusable names the part")  \
+    X(ERR_TEAM_UNUSABLE, "team_unusable", 503, OUTCOME_NOT_RUN,               \
+      "an operator corrects the team; config_part_unusable names the part")   \
     X(ERR_QUOTA, "quota", 429, OUTCOME_NOT_RUN,                               \
       "retry after Retry-After; an operator can raise the team's quota")      \
     X(ERR_QUOTA_UNKNOWN, "quota_unknown", 503, OUTCOME_NOT_RUN,               \
@@ -211,6 +215,7 @@
     X(CTR_STORE_ERA_REJECTED, "store_era_rejected_total")                     \
     X(CTR_ITEMS_CUT, "items_cut_total")                                       \
     X(CTR_CONFIG_APPLIED, "config_applied_total")                             \
+    X(CTR_CONFIG_PARTS_UNUSABLE, "config_parts_unusable_total")               \
     X(CTR_CONFIG_OLDER_IGNORED, "config_older_ignored_total")                 \
     X(CTR_EDITS_ACCEPTED, "edits_accepted_total")                             \
     X(CTR_CLAIMS, "claims_total")                                             \
--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -79,14 +79,17 @@
  * configuration are interned, so callers can't grow the quark table.
  */
 
+/* Size of an item whose size is unknown: no engine has room for it. */
+#define ITEM_MB_UNKNOWN 1e12
+
 /**
  * struct gate_model - a model of a service
  * @model: quark of the name
- * @weights_mb: size of the weights in MB
+ * @weights_mb: size of the weights in MB; ITEM_MB_UNKNOWN for unknown
  * @adapter_count: number of adapters; they are named by a letter and a number
  *                 from 1 to this one
  * @adapters: quarks of the adapters' full names; owned
- * @adapter_mb: size of one adapter in MB
+ * @adapter_mb: size of one adapter in MB; ITEM_MB_UNKNOWN for unknown
  * @store_load_ms: time of a load from the weight store
  * @memory_load_ms: time of a load from the engine's memory
  * @disk_load_ms: time of a load from the engine's disk
@@ -134,12 +137,12 @@
  */
 struct gate_share {
     int service;
-    int weight;
+    int64_t weight;
 };
 
 /**
  * struct gate_route - policy for the requests to a path prefix of a host
- * @name: name of the route
+ * @name: name of the route; owned
  * @host: host name, compared without case; owned
  * @prefix: path prefix; owned
  * @prefix_bytes: length of @prefix
@@ -152,11 +155,13 @@
  * @priority: 0 is the highest
  * @attempts_max: maximum number of targets that a request is sent to
  * @public: requests need no key
+ * @unusable: a part of it that can't be done without can't be used, so its
+ *            requests are refused
  * @shares: services that requests are split over; owned
  * @share_count: number of @shares
  */
 struct gate_route {
-    char name[NAME_MAX_BYTES];
+    char *name;
     char *host;
     char *prefix;
     size_t prefix_bytes;
@@ -168,6 +173,7 @@
     int priority;
     int attempts_max;
     bool public;
+    bool unusable;
     struct gate_share *shares;
     int share_count;
 };
@@ -197,20 +203,22 @@
 
 /**
  * struct gate_team - callers with common keys, priority and quota
- * @name: its name
+ * @name: its name; owned
  * @priority: 0 is the highest; replaces that of the route; -1 for none
  * @unit: what the quota counts
  * @plain_tokens: tokens that a request without a token count counts as
  * @rate_per_s: units per second, over all instances; 0 for no limit
  * @burst: units beyond the rate
+ * @unusable: its name or its quota can't be used, so its requests are refused
  */
 struct gate_team {
-    char name[NAME_MAX_BYTES];
+    char *name;
     int priority;
     enum quota_unit unit;
     int64_t plain_tokens;
     double rate_per_s;
     double burst;
+    bool unusable;
 };
 
 /**
@@ -233,6 +241,9 @@
  * @body_max_bytes: longest request body
  * @head_timeout_ms: time for a caller to send a request head
  * @idle_timeout_ms: time after which an idle connection is closed
+ * @faults: "PLACE: REASON" of the first parts of the document that can't be
+ *          used and were left out; ends with NULL; owned; NULL for none
+ * @fault_count: number of all of them
  */
 struct gate_config {
     int reference_count;
@@ -250,6 +261,8 @@
     size_t body_max_bytes;
     int64_t head_timeout_ms;
     int64_t idle_timeout_ms;
+    char **faults;
+    int fault_count;
 };
 
 /**
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -63,6 +63,26 @@
              (gint64)item->revision, (gint64)feed->config_version, err->text);
 }
 
+/* A configuration of which parts can't be used is in force all the same. */
+static void
+log_config_faults(const struct gate_config *config)
+{
+    if (config->fault_count == 0) {
+        return;
+    }
+    counter_add(CTR_CONFIG_PARTS_UNUSABLE, (uint64_t)config->fault_count);
+    log_line(LOG_PRI_ERR, "feed",
+             "event=config_partly_used version=%" G_GINT64_FORMAT
+             " unusable=%d",
+             (gint64)config->version, config->fault_count);
+    for (char **fault = config->faults; *fault != NULL; fault++) {
+        log_line(LOG_PRI_ERR, "feed",
+                 "event=config_part_unusable version=%" G_GINT64_FORMAT
+                 " part=\"%s\"",
+                 (gint64)config->version, *fault);
+    }
+}
+
 static void
 apply_config(struct feed *feed, const struct store_item *item)
 {
@@ -83,6 +103,7 @@
         gate_config_unref(config);
         return;
     }
+    log_config_faults(config);
     feed->config_version = config->version;
     feed->fresh.version_max = MAX(feed->fresh.version_max, config->version);
     outbox_set_config(&feed->outbox, config);
--- a/src/gate/place/late.c
+++ b/src/gate/place/late.c
@@ -250,10 +250,13 @@
     for (int i = 0; i < service->model_count; i++) {
         const struct gate_model *model = &service->models[i];
 
-        if (!item_set_contains(held, model->model)) {
+        if (!item_set_contains(held, model->model) &&
+            model->weights_mb < ITEM_MB_UNKNOWN) {
             largest.mb = MAX(largest.mb, model->weights_mb);
         }
-        largest.mb = MAX(largest.mb, model->adapter_mb);
+        if (model->adapter_mb < ITEM_MB_UNKNOWN) {
+            largest.mb = MAX(largest.mb, model->adapter_mb);
+        }
     }
     largest.adapters = service->adapter_slots > 0 ? 1 : 0;
     return largest;
--- a/src/gate/relay/exchange.c
+++ b/src/gate/relay/exchange.c
@@ -147,6 +147,9 @@
     if (exchange->route == NULL) {
         return ERR_NOT_FOUND;
     }
+    if (exchange->route->unusable) {
+        return ERR_ROUTE_UNUSABLE;
+    }
     exchange->service_index =
         gate_route_pick_service(exchange->route, relay_random(relay));
     if (exchange->service_index < 0) {
--- a/src/gate/relay/team.c
+++ b/src/gate/relay/team.c
@@ -50,7 +50,7 @@
 set_team(struct exchange *exchange, int team)
 {
     exchange->priority = exchange->route->priority;
-    if (team >= 0) {
+    if (team >= 0 && !exchange->config->teams[team].unusable) {
         exchange->team = &exchange->config->teams[team];
         if (exchange->team->priority >= 0) {
             exchange->priority = exchange->team->priority;
@@ -108,6 +108,7 @@
         .public = exchange->route->public,
         .has_key = exchange->meta.has_key,
         .team = team,
+        .unusable = team >= 0 && exchange->config->teams[team].unusable,
         .lease_valid = team_accepts_keys(relay, now_ms),
     };
 
@@ -118,6 +119,8 @@
         return ERR_NONE;
     case TEAM_UNPROVEN:
         return ERR_KEYS_UNPROVEN;
+    case TEAM_UNUSABLE:
+        return ERR_TEAM_UNUSABLE;
     case TEAM_KEY_UNKNOWN:
         break;
     }
--- a/src/gate/team/dat.h
+++ b/src/gate/team/dat.h
@@ -8,12 +8,14 @@
  * @TEAM_KEY_UNKNOWN: it needs a key that the configuration holds
  * @TEAM_UNPROVEN: the configuration may have changed since it was confirmed,
  * so that neither a known nor an unknown key proves anything
+ * @TEAM_UNUSABLE: its key belongs to a team of which a part can't be used
  */
 enum team_verdict {
     TEAM_NOT_NEEDED,
     TEAM_KNOWN,
     TEAM_KEY_UNKNOWN,
     TEAM_UNPROVEN,
+    TEAM_UNUSABLE,
 };
 
 /**
@@ -22,6 +24,7 @@
  * @public: the route needs no key
  * @has_key: the request carries a key
  * @team: team of the key; -1 when no team has it
+ * @unusable: a part of that team can't be used
  * @lease_valid: the configuration was confirmed lately
  */
 struct team_facts {
@@ -29,6 +32,7 @@
     bool public;
     bool has_key;
     int team;
+    bool unusable;
     bool lease_valid;
 };
 
--- a/src/gate/team/decide.c
+++ b/src/gate/team/decide.c
@@ -25,5 +25,8 @@
     if (!facts->lease_valid) {
         return TEAM_UNPROVEN;
     }
-    return facts->has_key && facts->team >= 0 ? TEAM_KNOWN : TEAM_KEY_UNKNOWN;
+    if (!facts->has_key || facts->team < 0) {
+        return TEAM_KEY_UNKNOWN;
+    }
+    return facts->unusable ? TEAM_UNUSABLE : TEAM_KNOWN;
 }
--- a/src/gate/view/config.c
+++ b/src/gate/view/config.c
@@ -66,6 +66,7 @@
         return;
     }
     for (int i = 0; i < config->route_count; i++) {
+        g_free(config->routes[i].name);
         g_free(config->routes[i].host);
         g_free(config->routes[i].prefix);
         g_free(config->routes[i].shares);
@@ -73,10 +74,14 @@
     for (int i = 0; i < config->service_count; i++) {
         service_clear(&config->services[i]);
     }
+    for (int i = 0; i < config->team_count; i++) {
+        g_free(config->teams[i].name);
+    }
     g_free(config->routes);
     g_free(config->services);
     g_free(config->teams);
     g_free(config->keys);
+    g_strfreev(config->faults);
     g_free(config);
 }
 
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -37,6 +37,7 @@
 extern const struct json_rule_ops json_rule_number;
 extern const struct json_rule_ops json_rule_boolean;
 extern const struct json_rule_ops json_rule_text;
+extern const struct json_rule_ops json_rule_string;
 extern const struct json_rule_ops json_rule_address;
 bool json_rules_read(struct json_object *object,
                      const struct json_place *place,
--- a/src/http/rule.c
+++ b/src/http/rule.c
@@ -127,19 +127,27 @@
 }
 
 /* C would end a text with a NUL byte there. */
+static bool
+check_text(struct json_object *member, struct err *err)
+{
+    if (!json_object_is_type(member, json_type_string)) {
+        return err_set(err, ERR_BAD_JSON, "not a text");
+    }
+    return (json_object_get_string_len(member) > 0 &&
+            strlen(json_object_get_string(member)) ==
+                (size_t)json_object_get_string_len(member)) ||
+           err_set(err, ERR_BAD_JSON, "empty, or with a NUL byte");
+}
+
 static bool
 read_text(const struct json_rule *rule, struct json_object *member,
           void *variable, struct err *err)
 {
     const char *text = json_object_get_string(member);
-    size_t bytes;
+    size_t bytes = (size_t)json_object_get_string_len(member);
 
-    if (!json_object_is_type(member, json_type_string)) {
-        return err_set(err, ERR_BAD_JSON, "not a text");
-    }
-    bytes = strlen(text);
-    if (bytes == 0 || bytes != (size_t)json_object_get_string_len(member)) {
-        return err_set(err, ERR_BAD_JSON, "empty, or with a NUL byte");
+    if (!check_text(member, err)) {
+        return false;
     }
     if (bytes >= rule->bytes) {
         return err_set(err, ERR_BAD_JSON, "longer than %zu bytes",
@@ -149,6 +157,21 @@
     return true;
 }
 
+static bool
+read_string(const struct json_rule *rule, struct json_object *member,
+            void *variable, struct err *err)
+{
+    char **string = variable;
+
+    (void)rule;
+    if (!check_text(member, err)) {
+        return false;
+    }
+    g_free(*string);
+    *string = g_strdup(json_object_get_string(member));
+    return true;
+}
+
 static bool
 read_address(const struct json_rule *rule, struct json_object *member,
              void *variable, struct err *err)
@@ -163,13 +186,14 @@
     return true;
 }
 
-/* For variables of type int64_t, int, double, bool and char[], and for IP
- * addresses with ports. */
+/* For variables of type int64_t, int, double, bool, char[] and char *, whose
+ * text is owned, and for IP addresses with ports in a char[]. */
 const struct json_rule_ops json_rule_integer = {read_integer};
 const struct json_rule_ops json_rule_count = {read_count};
 const struct json_rule_ops json_rule_number = {read_number};
 const struct json_rule_ops json_rule_boolean = {read_boolean};
 const struct json_rule_ops json_rule_text = {read_text};
+const struct json_rule_ops json_rule_string = {read_string};
 const struct json_rule_ops json_rule_address = {read_address};
 
 static void
--- /dev/null
+++ b/test/document_test.c
@@ -0,0 +1,352 @@
+/*
+ * Each field of the documents that other programs write, in the forms that
+ * they may use, and what becomes of a part that can't be used.
+ */
+#include <curl/curl.h>
+#include <glib.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#include "base/dat.h"
+#include "base/fns.h"
+#include "gate/dat.h"
+#include "gate/view/dat.h"
+#include "gate/view/fns.h"
+#include "platform/dat.h"
+#include "platform/fns.h"
+#include "cases.h"
+
+/*
+ * Guards against a figure of the configuration that is taken as 0 or replaced
+ * by a default without a word, and against a document that is rejected for one
+ * part. Each case adds members to one object of a sound document; of two
+ * members with one name the last one counts. The other route stays in use.
+ */
+struct part_case {
+    const char *name;
+    const char *object;
+    const char *members;
+    const char *read;  /* what the document is read as has this */
+    const char *fault; /* place of the one part that is left out */
+};
+
+static const struct part_case part_cases[] = {
+    {"sound", "route", "\"sticky\":true", "route usable timeout=1000 ", NULL},
+
+    {"name_of_70", "route",
+     "\"name\":\"1234567890123456789012345678901234567890123456789012345678901"
+     "234567890\"",
+     "name=1234567890123456789012345678901234567890123456789012345678901234567"
+     "890 ",
+     NULL},
+    {"name_number", "route", "\"name\":7", "name=- ", "routes[0].name"},
+    {"host_missing", "route", "\"host\":null", "no route", "routes[0].host"},
+    {"host_empty", "route", "\"host\":\"\"", "no route", "routes[0].host"},
+    {"prefix_number", "route", "\"path_prefix\":1", "no route",
+     "routes[0].path_prefix"},
+    {"timeout_fraction", "route", "\"timeout_ms\":1000.5", "timeout=1001 ",
+     NULL},
+    {"timeout_whole_fraction", "route", "\"timeout_ms\":1000.0",
+     "timeout=1000 ", NULL},
+    {"timeout_exponent", "route", "\"timeout_ms\":2e3", "timeout=2000 ", NULL},
+    {"timeout_below_1", "route", "\"timeout_ms\":0.25", "timeout=1 ", NULL},
+    {"timeout_0", "route", "\"timeout_ms\":0", "timeout=0 ", NULL},
+    {"timeout_missing", "route", "\"timeout_ms\":null",
+     "usable timeout=86400000 ", NULL},
+    {"timeout_text", "route", "\"timeout_ms\":\"1000\"",
+     "usable timeout=86400000 ", "routes[0].timeout_ms"},
+    {"timeout_negative", "route", "\"timeout_ms\":-1",
+     "usable timeout=86400000 ", "routes[0].timeout_ms"},
+    {"timeout_1e400", "route", "\"timeout_ms\":1e400",
+     "usable timeout=86400000 ", "routes[0].timeout_ms"},
+    {"timeout_2_63", "route", "\"timeout_ms\":9223372036854775808",
+     "usable timeout=86400000 ", "routes[0].timeout_ms"},
+    {"goal_fraction", "route", "\"latency_goal_ms\":99.5", "goal=100 ", NULL},
+    {"goal_text", "route", "\"latency_goal_ms\":\"soon\"", "goal=0 ",
+     "routes[0].latency_goal_ms"},
+    {"gap_fraction", "route", "\"gap_aim_ms\":300.0", "gap=300 ", NULL},
+    {"gap_list", "route", "\"gap_aim_ms\":[300]", "gap=0 ",
+     "routes[0].gap_aim_ms"},
+    {"priority_whole_fraction", "route", "\"priority\":2.0", "priority=2 ",
+     NULL},
+    {"priority_text", "route", "\"priority\":\"2\"", "priority=0 ",
+     "routes[0].priority"},
+    {"attempts_fraction", "route", "\"max_attempts\":2.9", "attempts=2 ",
+     NULL},
+    {"attempts_text", "route", "\"max_attempts\":\"3\"", "attempts=1 ",
+     "routes[0].max_attempts"},
+    {"public_text", "route", "\"public\":\"true\"", "route unusable",
+     "routes[0].public"},
+    {"public_1", "route", "\"public\":1", "route unusable",
+     "routes[0].public"},
+    {"resumable_text", "route", "\"kind\":\"stream\",\"resumable\":\"yes\"",
+     "usable timeout=1000 stream=1 retryable=0 ", "routes[0].resumable"},
+    {"kind_missing", "route", "\"kind\":null", "route unusable",
+     "routes[0].kind"},
+    {"split_text", "route", "\"split\":\"s\"", "route unusable",
+     "routes[0].split"},
+    {"split_empty", "route", "\"split\":[]", "usable ", NULL},
+    {"service_number", "route", "\"service\":1", "route unusable",
+     "routes[0].service"},
+
+    {"weights", "split",
+     "{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}",
+     "shares=90,10 ", NULL},
+    {"weights_fractions", "split",
+     "{\"service\":\"s\",\"weight\":0.75},{\"service\":\"t\",\"weight\":0.25}",
+     "shares=750000,250000 ", NULL},
+    {"weights_whole_fractions", "split",
+     "{\"service\":\"s\",\"weight\":3.0},{\"service\":\"t\",\"weight\":1e0}",
+     "shares=3,1 ", NULL},
+    {"weight_tiny", "split",
+     "{\"service\":\"s\",\"weight\":1},{\"service\":\"t\",\"weight\":1e-9}",
+     "shares=1000000,1 ", NULL},
+    {"weight_text", "split",
+     "{\"service\":\"s\",\"weight\":\"9\"},{\"service\":\"t\",\"weight\":1}",
+     "usable timeout=1000 stream=0 retryable=1 shares=1 ",
+     "routes[0].split[0].weight"},
+    {"weight_missing", "split",
+     "{\"service\":\"s\",\"weight\":9},{\"service\":\"t\"}", "shares=9 ",
+     "routes[0].split[1].weight"},
+    {"weight_negative", "split",
+     "{\"service\":\"s\",\"weight\":-1},{\"service\":\"t\",\"weight\":1}",
+     "shares=1 ", "routes[0].split[0].weight"},
+    {"share_of_unknown_service", "split",
+     "{\"service\":\"u\",\"weight\":1},{\"service\":\"t\",\"weight\":1}",
+     "shares=1 ", "routes[0].split[0].service"},
+    {"share_null", "split", "null,{\"service\":\"t\",\"weight\":1}",
+     "shares=1 ", "routes[0].split[0].service"},
+    {"weights_0", "split", "{\"service\":\"s\",\"weight\":0}",
+     "usable timeout=1000 stream=0 retryable=1 shares=0 ", NULL},
+    {"no_share_left", "split", "{\"service\":\"s\",\"weight\":\"1\"}",
+     "route unusable", "routes[0].split[0].weight"},
+
+    {"service_name_64", "service",
+     "\"name\":\"1234567890123456789012345678901234567890123456789012345678901"
+     "234\"",
+     "route unusable", "services[1].name"},
+    {"connections_text", "service", "\"max_conns\":\"many\"", "usable ",
+     "services[1].max_conns"},
+    {"engine_text", "service", "\"engine\":\"x\"", "route unusable",
+     "services[1].engine"},
+    {"engine_null", "service", "\"engine\":null", "usable ", NULL},
+
+    {"memory_fraction", "engine", "\"weights_mb\":200000.5",
+     "memory=200000.5 ", NULL},
+    {"memory_text", "engine", "\"weights_mb\":\"200000\"", "memory=0 ",
+     "services[1].engine.weights_mb"},
+    {"places_whole_fraction", "engine", "\"adapter_slots\":8.0", "places=8 ",
+     NULL},
+    {"places_text", "engine", "\"adapter_slots\":\"8\"", "places=0 ",
+     "services[1].engine.adapter_slots"},
+    {"loads_whole", "engine", "\"loads_per_s\":39", "loads=39 ", NULL},
+    {"loads_true", "engine", "\"loads_per_s\":true", "loads=0 ",
+     "services[1].engine.loads_per_s"},
+    {"slots_whole_fraction", "engine", "\"slots\":16.0", "slots=16 ", NULL},
+    {"slots_text", "engine", "\"slots\":\"16\"", "slots=1 ",
+     "services[1].engine.slots"},
+    {"tokens_whole_fraction", "engine", "\"kv_capacity\":86121.0",
+     "tokens=86121 ", NULL},
+    {"tokens_beyond_1e6", "engine", "\"kv_capacity\":118137000",
+     "tokens=118137000 ", NULL},
+    {"tokens_text", "engine", "\"kv_capacity\":\"86121\"", "tokens=0 ",
+     "services[1].engine.kv_capacity"},
+    {"models_object", "engine", "\"models\":{\"name\":\"m\"}",
+     "route unusable", "services[1].engine.models"},
+    {"model_null", "engine",
+     "\"models\":[null,{\"name\":\"m\",\"weights_mb\":5}]", "models=1 mb=5 ",
+     "services[1].engine.models[0].name"},
+
+    {"model_name_missing", "model", "\"name\":null", "models=0",
+     "services[1].engine.models[0].name"},
+    {"weights_text", "model", "\"weights_mb\":\"60000\"", "mb=1e+12 ",
+     "services[1].engine.models[0].weights_mb"},
+    {"weights_missing", "model", "\"weights_mb\":null", "mb=1e+12 ",
+     "services[1].engine.models[0].weights_mb"},
+    {"weights_negative", "model", "\"weights_mb\":-1", "mb=1e+12 ",
+     "services[1].engine.models[0].weights_mb"},
+    {"adapters_whole_fraction", "model", "\"adapters\":3.0", "adapters=3 ",
+     NULL},
+    {"adapters_fraction", "model", "\"adapters\":2.5", "adapters=0 ",
+     "services[1].engine.models[0].adapters"},
+    {"adapters_list", "model", "\"adapters\":[\"a1\"]", "adapters=0 ",
+     "services[1].engine.models[0].adapters"},
+    {"adapters_10001", "model", "\"adapters\":10001", "adapters=10000 ",
+     "services[1].engine.models[0].adapters"},
+    {"adapter_size_missing", "model", "\"adapter_mb\":null",
+     "adapter_mb=1e+12 ", "services[1].engine.models[0].adapter_mb"},
+    {"adapter_size_text", "model", "\"adapter_mb\":\"40\"",
+     "adapter_mb=1e+12 ", "services[1].engine.models[0].adapter_mb"},
+    {"load_fraction", "model", "\"load_s\":7.8004", "load=7801 ", NULL},
+    {"load_text", "model", "\"load_s\":\"7.8\"", "load=0 ",
+     "services[1].engine.models[0].load_s"},
+    {"warm_below_1_ms", "model", "\"warm_s\":0.0001", "warm=1 ", NULL},
+    {"disk_list", "model", "\"disk_s\":[]", "disk=0 ",
+     "services[1].engine.models[0].disk_s"},
+
+    {"head_whole_fraction", "limits", "\"max_header_bytes\":8192.0",
+     "head=8192 ", NULL},
+    {"head_0", "limits", "\"max_header_bytes\":0", "head=16384 ",
+     "limits.max_header_bytes"},
+    {"head_text", "limits", "\"max_header_bytes\":\"8192\"", "head=16384 ",
+     "limits.max_header_bytes"},
+    {"body_whole_fraction", "limits", "\"max_body_bytes\":4194304.0",
+     "body=4194304 ", NULL},
+    {"body_2_31", "limits", "\"max_body_bytes\":2147483648", "body=1048576 ",
+     "limits.max_body_bytes"},
+    {"head_time_fraction", "limits", "\"header_timeout_ms\":2999.5",
+     "head_ms=3000 ", NULL},
+    {"idle_exponent", "limits", "\"idle_timeout_ms\":1.5e4", "idle_ms=15000 ",
+     NULL},
+    {"idle_false", "limits", "\"idle_timeout_ms\":false", "idle_ms=15000 ",
+     "limits.idle_timeout_ms"},
+};
+
+/* Adds the case's members to the object that it names. */
+static void
+append_members(GString *text, const struct part_case *c, const char *object)
+{
+    if (strcmp(c->object, object) == 0) {
+        g_string_append_printf(text, ",%s", c->members);
+    }
+}
+
+static char *
+format_document(const struct part_case *c)
+{
+    GString *text = g_string_new("{\"version\":1,\"routes\":[");
+
+    g_string_append(text, "{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":"
+                          "\"/x/\",\"kind\":\"idempotent\",\"service\":\"s\","
+                          "\"timeout_ms\":1000");
+    append_members(text, c, "route");
+    if (strcmp(c->object, "split") == 0) {
+        g_string_append_printf(text, ",\"split\":[%s]", c->members);
+    }
+    g_string_append(text,
+                    "},{\"host\":\"h\",\"path_prefix\":\"/y/\","
+                    "\"kind\":\"idempotent\",\"service\":\"t\"}],"
+                    "\"services\":[{\"name\":\"t\"},{\"name\":\"s\","
+                    "\"engine\":{\"slots\":4,\"models\":[{\"name\":\"m\","
+                    "\"weights_mb\":60000,\"adapters\":2,"
+                    "\"adapter_mb\":40");
+    append_members(text, c, "model");
+    g_string_append(text, "}]");
+    append_members(text, c, "engine");
+    g_string_append(text, "}");
+    append_members(text, c, "service");
+    g_string_append(text, "}],\"limits\":{\"x\":1");
+    append_members(text, c, "limits");
+    g_string_append(text, "}}");
+    return g_string_free(text, FALSE);
+}
+
+static void
+describe_route(const struct gate_config *config, GString *text)
+{
+    const struct gate_route *route =
+        gate_config_match_route(config, "h", "/x/1");
+
+    if (route == NULL) {
+        g_string_append(text, "no route ");
+        return;
+    }
+    g_string_append_printf(
+        text, "route %s timeout=%d stream=%d retryable=%d shares=",
+        route->unusable ? "unusable" : "usable", (int)route->timeout_ms,
+        route->stream, route->retryable);
+    for (int i = 0; i < route->share_count; i++) {
+        g_string_append_printf(text, "%s%d", i > 0 ? "," : "",
+                               (int)route->shares[i].weight);
+    }
+    g_string_append_printf(
+        text, " goal=%d gap=%d priority=%d attempts=%d name=%s ",
+        (int)route->latency_goal_ms, (int)route->interval_goal_ms,
+        route->priority, route->attempts_max, route->name);
+}
+
+static void
+describe_service(const struct gate_config *config, GString *text)
+{
+    const struct gate_service *service = gate_config_find_service(config, "s");
+
+    if (service == NULL) {
+        return;
+    }
+    g_string_append_printf(
+        text, "memory=%.10g places=%d loads=%g slots=%d tokens=%d models=%d ",
+        service->memory_mb, service->adapter_slots, service->loads_per_s,
+        service->slots, service->token_capacity, service->model_count);
+    for (int i = 0; i < service->model_count; i++) {
+        const struct gate_model *model = &service->models[i];
+
+        g_string_append_printf(
+            text, "mb=%g adapters=%d adapter_mb=%g load=%d warm=%d disk=%d ",
+            model->weights_mb, model->adapter_count, model->adapter_mb,
+            (int)model->store_load_ms, (int)model->memory_load_ms,
+            (int)model->disk_load_ms);
+    }
+}
+
+static char *
+describe_config(const struct gate_config *config)
+{
+    GString *text = g_string_new(NULL);
+
+    describe_route(config, text);
+    describe_service(config, text);
+    g_string_append_printf(
+        text, "head=%d body=%d head_ms=%d idle_ms=%d ",
+        (int)config->head_max_bytes, (int)config->body_max_bytes,
+        (int)config->head_timeout_ms, (int)config->idle_timeout_ms);
+    return g_string_free(text, FALSE);
+}
+
+/* Leaving out one part may leave others without what they need: the first
+ * report is that of the cause. */
+static void
+check_fault(const struct gate_config *config, const char *place)
+{
+    g_assert_cmpint(config->fault_count > 0, ==, place != NULL);
+    if (place != NULL) {
+        g_assert_true(g_str_has_prefix(config->faults[0], place));
+        g_assert_cmpint(config->faults[0][strlen(place)], ==, ':');
+    }
+}
+
+static void
+test_part(gconstpointer data)
+{
+    const struct part_case *c = data;
+    char *document = format_document(c);
+    struct err err = {0};
+    struct gate_config *config =
+        platform_decode_config(document, strlen(document), &err);
+    const struct gate_route *other;
+    char *read;
+
+    g_assert_cmpstr(err.text, ==, "");
+    read = describe_config(config);
+    if (strstr(read, c->read) == NULL) {
+        g_assert_cmpstr(read, ==, c->read);
+    }
+    check_fault(config, c->fault);
+    other = gate_config_match_route(config, "h", "/y/1");
+    g_assert_nonnull(other);
+    g_assert_false(other->unusable);
+    gate_config_unref(config);
+    g_free(read);
+    g_free(document);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct cases groups[] = {
+        CASES("/document/part", part_cases, test_part),
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    cases_add(groups, G_N_ELEMENTS(groups));
+    return g_test_run();
+}
