store: a list that can not say whether it goes on is no list

What an operator would see: nothing. A list whose "truncated" had another form than true or false ended there, so that the engines and the configuration on its next pages were missing; "deleted": "false" removed a key; a creation in another form became 0, from which the fencing token of the holder is made; a lease of 2999.5 ms failed.

A list fails with the name of the member, an item that can not be read is counted as before (entries_rejected_total), numbers are read by their value, and integers of 63 bits stay exact.

--- a/src/http/rule.c
+++ b/src/http/rule.c
@@ -84,7 +84,11 @@
     if (!read_whole(rule, member, &number, err)) {
         return false;
     }
-    *(int64_t *)variable = (int64_t)number;
+    /* A double has only 53 bits of an integer. */
+    *(int64_t *)variable =
+        json_object_is_type(member, json_type_int) && rule->factor == 1.0
+            ? json_object_get_int64(member)
+            : (int64_t)number;
     return true;
 }
 
--- a/test/document_test.c
+++ b/test/document_test.c
@@ -12,9 +12,12 @@
 #include "gate/dat.h"
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
+#include "gate/follow/dat.h"
+#include "gate/follow/fns.h"
 #include "platform/dat.h"
 #include "platform/fns.h"
 #include "cases.h"
+#include "script.h"
 
 /*
  * Guards against a figure of the configuration that is taken as 0 or replaced
@@ -415,12 +418,167 @@
     g_free(text);
 }
 
+/*
+ * Guards against keys of the store that are missing because a list doesn't say
+ * in a known form that it goes on, and against a key that counts as deleted.
+ */
+struct answer_case {
+    const char *name;
+    const char *body;
+    const char *read; /* NULL for a failure */
+};
+
+#define LIST(rest) "{\"items\":[],\"store_revision\":530" rest "}"
+#define ITEM(rest)                                                            \
+    "{\"items\":[{\"key\":\"k\",\"value\":\"dg==\"" rest                      \
+    "}],\"store_revision\":530}"
+
+static const struct answer_case answer_cases[] = {
+    {"sound", LIST(",\"truncated\":false"), "at=530 more=0 "},
+    {"more", LIST(",\"truncated\":true"), "at=530 more=1 "},
+    {"more_missing", LIST(""), "at=530 more=0 "},
+    {"more_null", LIST(",\"truncated\":null"), "at=530 more=0 "},
+    {"more_number", LIST(",\"truncated\":1"), NULL},
+    {"more_text", LIST(",\"truncated\":\"true\""), NULL},
+    {"revision_whole_fraction", "{\"items\":[],\"store_revision\":530.0}",
+     "at=530 "},
+    {"revision_fraction", "{\"items\":[],\"store_revision\":530.5}", NULL},
+    {"revision_text", "{\"items\":[],\"store_revision\":\"530\"}", NULL},
+    {"revision_0", "{\"items\":[],\"store_revision\":0}", NULL},
+    {"revision_missing", "{\"items\":[]}", NULL},
+    {"items_object", "{\"items\":{},\"store_revision\":530}", NULL},
+    {"item", ITEM(",\"revision\":412,\"create_rev\":400"),
+     "k@412/400=v items_rejected=0 "},
+    {"item_whole_fractions", ITEM(",\"revision\":412.0,\"create_rev\":4e2"),
+     "k@412/400=v items_rejected=0 "},
+    {"item_without_creation", ITEM(",\"revision\":412"),
+     "k@412/0=v items_rejected=0 "},
+    {"item_created_at_text", ITEM(",\"revision\":412,\"create_rev\":\"400\""),
+     "more=0 items_rejected=1 "},
+    {"item_revision_text", ITEM(",\"revision\":\"412\""),
+     "more=0 items_rejected=1 "},
+    {"item_deleted", ITEM(",\"revision\":412,\"deleted\":true"),
+     "k@412/0 gone items_rejected=0 "},
+    {"item_not_deleted", ITEM(",\"revision\":412,\"deleted\":false"),
+     "k@412/0=v items_rejected=0 "},
+    {"item_deleted_text", ITEM(",\"revision\":412,\"deleted\":\"false\""),
+     "more=0 items_rejected=1 "},
+};
+
+static char *
+describe_items(const struct store_items *items, int rejected)
+{
+    GString *text = g_string_new(NULL);
+
+    g_string_append_printf(text, "at=%d more=%d ", (int)items->revision,
+                           items->more);
+    for (int i = 0; i < items->count; i++) {
+        const struct store_item *item = &items->items[i];
+
+        g_string_append_printf(text, "%s@%d/%d%s%s ", item->key,
+                               (int)item->revision, (int)item->create_revision,
+                               item->value != NULL ? "=" : " gone",
+                               item->value != NULL ? item->value : "");
+    }
+    g_string_append_printf(text, "items_rejected=%d ", rejected);
+    return g_string_free(text, FALSE);
+}
+
+static void
+test_answer(gconstpointer data)
+{
+    const struct answer_case *c = data;
+    char *response =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        strlen(c->body), c->body);
+    const char *answers[] = {response, NULL};
+    uint64_t rejected = counter_read(CTR_ENTRIES_REJECTED);
+    struct scripted_target script;
+    struct platform_store store = {0};
+    struct store_items items = {0};
+    struct err err = {0};
+    char address[ADDRESS_MAX_BYTES];
+    char *read;
+
+    script_start(&script, answers, 1);
+    g_snprintf(address, sizeof(address), "127.0.0.1:%d", script.ports[0]);
+    g_assert_true(platform_store_init(&store, address, &err));
+    g_assert_cmpint(store.base.ops->list(&store.base, "", "", &items, &err),
+                    ==, c->read != NULL);
+    read = describe_items(
+        &items, (int)(counter_read(CTR_ENTRIES_REJECTED) - rejected));
+    if (c->read != NULL) {
+        g_assert_nonnull(strstr(read, c->read));
+    }
+    else {
+        g_assert_cmpint(err.kind, ==, ERR_BAD_JSON);
+    }
+    g_free(read);
+    store_items_clear(&items);
+    platform_client_clear(&store.client);
+    script_stop(&script);
+    g_free(response);
+}
+
+/* Guards against a lease that is taken for a shorter or a longer one. */
+struct granted_case {
+    const char *name;
+    const char *body;
+    int64_t lease; /* 0 for a failure */
+    int64_t ttl_ms;
+};
+
+static const struct granted_case granted_cases[] = {
+    {"sound", "{\"lease\":77120,\"ttl_ms\":3000}", 77120, 3000},
+    {"fraction", "{\"lease\":77120,\"ttl_ms\":2999.5}", 77120, 2999},
+    {"whole_fractions", "{\"lease\":77120.0,\"ttl_ms\":3e3}", 77120, 3000},
+    {"lease_of_63_bits", "{\"lease\":9007199254740993,\"ttl_ms\":3000}",
+     9007199254740993, 3000},
+    {"lease_fraction", "{\"lease\":77120.5,\"ttl_ms\":3000}", 0, 0},
+    {"lease_text", "{\"lease\":\"77120\",\"ttl_ms\":3000}", 0, 0},
+    {"ttl_text", "{\"lease\":77120,\"ttl_ms\":\"3000\"}", 0, 0},
+    {"ttl_below_1", "{\"lease\":77120,\"ttl_ms\":0.5}", 0, 0},
+    {"ttl_missing", "{\"lease\":77120}", 0, 0},
+};
+
+static void
+test_granted(gconstpointer data)
+{
+    const struct granted_case *c = data;
+    char *response =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        strlen(c->body), c->body);
+    const char *answers[] = {response, NULL};
+    struct scripted_target script;
+    struct platform_store store = {0};
+    struct err err = {0};
+    char address[ADDRESS_MAX_BYTES];
+    int64_t ttl_ms = 3000;
+    int64_t lease = 0;
+
+    script_start(&script, answers, 1);
+    g_snprintf(address, sizeof(address), "127.0.0.1:%d", script.ports[0]);
+    g_assert_true(platform_store_init(&store, address, &err));
+    g_assert_cmpint(
+        store.base.ops->lease_grant(&store.base, &ttl_ms, &lease, &err), ==,
+        c->lease != 0);
+    if (c->lease != 0) {
+        g_assert_cmpint(lease, ==, c->lease);
+        g_assert_cmpint(ttl_ms, ==, c->ttl_ms);
+    }
+    platform_client_clear(&store.client);
+    script_stop(&script);
+    g_free(response);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
         CASES("/document/part", part_cases, test_part),
         CASES("/document/entry", entry_cases, test_entry),
+        CASES("/document/answer", answer_cases, test_answer),
+        CASES("/document/granted", granted_cases, test_granted),
     };
 
     g_test_init(&argc, &argv, NULL);
