relay: a head is bounded by its bytes, not by the number of its fields

What callers saw: 400 for a request with more than 128 header fields, which ends it for good, although its head is far below max_header_bytes (16,384). Where the configuration allows more than 80 KB, the parser refused such a head with 400 as well. An answer of an engine with more than 128 fields became 502.

Change: the number of fields is bounded by the bytes of the head alone; the limit of the parser follows the configuration. A longer head gets 431 as before.

--- a/src/gate/relay/head.c
+++ b/src/gate/relay/head.c
@@ -93,9 +93,6 @@
     if (head->value_started || head->fields->len == 0) {
         struct head_field field;
 
-        if (head->fields->len == HEADER_FIELDS_MAX) {
-            return false;
-        }
         g_string_append_c(head->text, '\0');
         field.name = (uint32_t)head->text->len;
         field.value = 0;
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -12,7 +12,6 @@
 
 enum {
     READ_BUFFER_BYTES = 16 * 1024,
-    HEADER_FIELDS_MAX = 128,
     /* Reading from the target stops while its caller has this much output
      * to read, which bounds the instance's memory. */
     OUTPUT_PAUSE_BYTES = 256 * 1024,
--- a/src/gate/relay/relay.c
+++ b/src/gate/relay/relay.c
@@ -111,6 +111,18 @@
     g_free(holdings);
 }
 
+/* The parser's own limit of a head must not be below that of the
+ * configuration, which is checked behind each read. It is one for the process,
+ * in which only this duty parses heads. */
+static void
+set_parser_limit(const struct gate_config *config)
+{
+    size_t bytes = MAX(config->head_max_bytes + READ_BUFFER_BYTES,
+                       (size_t)HTTP_MAX_HEADER_SIZE);
+
+    http_parser_set_max_header_size((uint32_t)MIN(bytes, UINT32_MAX));
+}
+
 static void
 apply_config(struct relay *relay, struct gate_config *config, int64_t now_ms)
 {
@@ -128,6 +140,7 @@
     counter_add(CTR_CONFIG_APPLIED, 1);
     gate_config_unref(relay->config);
     relay->config = config;
+    set_parser_limit(config);
     team_apply_config(relay, now_ms);
     quota_apply_config(relay, now_ms);
 }
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -913,6 +913,66 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a request that is refused for good although its head is
+ * within the limit of the configuration. */
+struct head_case {
+    const char *name;
+    size_t head_max_bytes;
+    int fields;
+    int value_bytes;
+    const char *status_line;
+};
+
+static const struct head_case head_cases[] = {
+    {"fields_128", 16384, 128, 1, "HTTP/1.1 200"},
+    {"fields_129", 16384, 129, 1, "HTTP/1.1 200"},
+    {"fields_1000", 16384, 1000, 1, "HTTP/1.1 200"},
+    {"bytes_within_limit", 200000, 150, 1000, "HTTP/1.1 200"},
+    {"bytes_beyond_limit", 16384, 20, 1000, "HTTP/1.1 431"},
+    {"bytes_beyond_high_limit", 200000, 300, 1000, "HTTP/1.1 431"},
+};
+
+static char *
+format_head(const struct head_case *c)
+{
+    GString *text = g_string_new("GET /once/1 HTTP/1.1\r\nHost: h\r\n"
+                                 "Attempt-Id: a-1\r\nConnection: close\r\n");
+    char *value = g_strnfill((gsize)c->value_bytes, 'v');
+
+    for (int i = 1; i <= c->fields; i++) {
+        g_string_append_printf(text, "X-%d: %s\r\n", i, value);
+    }
+    g_free(value);
+    return g_string_free(g_string_append(text, "\r\n"), FALSE);
+}
+
+static void
+test_head(gconstpointer data)
+{
+    const struct head_case *c = data;
+    static const char *const answers[] = {OK, NULL};
+    struct gate_config *config = parse_config();
+    struct fixture fixture;
+    char *head = format_head(c);
+    char *answer;
+    int fd;
+
+    fixture_init(&fixture, answers, 1);
+    config->version++;
+    config->head_max_bytes = c->head_max_bytes;
+    g_assert_true(relay_post_config(fixture.relay, config));
+    gate_config_unref(config);
+    fixture_run(&fixture);
+    fd = connect_to(relay_front_port(fixture.relay));
+    send_text(fd, head);
+    answer = read_all(fd);
+    g_assert_true(g_str_has_prefix(answer, c->status_line));
+    close(fd);
+    g_free(answer);
+    g_free(head);
+    fixture_stop(&fixture);
+}
+
 /* Guards against header fields of a response that don't reach the caller, and
  * against those of the target's connection that do. */
 struct returned_case {
@@ -1483,6 +1543,7 @@
         CASES("/relay/answer", relay_cases, test_relay),
         CASES("/relay/long_body", long_body_cases, test_long_body),
         CASES("/relay/forwarded", forwarded_cases, test_forwarded),
+        CASES("/relay/head", head_cases, test_head),
         CASES("/relay/returned", returned_cases, test_returned),
         CASES("/relay/upgrade", upgrade_cases, test_upgrade),
         CASES("/relay/reuse", reuse_cases, test_reuse),
