--- a/src/base/dat.h
+++ b/src/base/dat.h
@@ -192,6 +192,7 @@
     X(CTR_TARGET_LEAVES, "target_leaves_total")                               \
     X(CTR_TARGET_LEAVES_ENDED, "target_leaves_ended_total")                   \
     X(CTR_HOLDINGS_UNCHANGED, "holdings_unchanged_total")                     \
+    X(CTR_PARTS_CUT, "prompt_parts_cut_total")                                \
     X(CTR_TOKENS_TOO_MANY, "tokens_too_many_total")                           \
     X(CTR_TOKENS_HELD_UP, "tokens_held_up_total")                             \
     X(CTR_RETRY_CONNECT, "retry_connect_total")                               \
