gate: ids of targets and names of services as long as the keys of the store

An adapter of a model whose name has 64 bytes or more was taken for a model: it would be loaded and unloaded by itself.

Change: ids and names of services may have 200 bytes; the name of a model has no bound in item_model().

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -96,7 +96,7 @@
  *              not been read
  */
 struct target_identity {
-    char id[NAME_MAX_BYTES];
+    char id[TARGET_ID_BYTES];
     char address[ADDRESS_MAX_BYTES];
     int64_t started_ms;
 };
--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -3,6 +3,10 @@
 
 enum {
     TARGET_ITEMS_MAX = 96,
+    /* A key of the store has at most 200 bytes; each of these is, or may be, a
+     * part of one. */
+    TARGET_ID_BYTES = 201,
+    SERVICE_NAME_BYTES = 201,
     MEMBERS_MAX = 512,
 };
 
@@ -119,7 +123,7 @@
  * @slots: requests that an engine runs concurrently
  */
 struct gate_service {
-    char name[NAME_MAX_BYTES];
+    char name[SERVICE_NAME_BYTES];
     int connections_max;
     int token_capacity;
     struct gate_model *models;
@@ -308,8 +312,8 @@
  * @on_disk: weights that can be loaded from its disk
  */
 struct target_info {
-    char id[NAME_MAX_BYTES];
-    char service[NAME_MAX_BYTES];
+    char id[TARGET_ID_BYTES];
+    char service[SERVICE_NAME_BYTES];
     char address[ADDRESS_MAX_BYTES];
     char zone[NAME_MAX_BYTES];
     int64_t started_ms;
@@ -466,7 +470,7 @@
  */
 struct engine_order {
     enum order_action action;
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     char address[ADDRESS_MAX_BYTES];
     uint32_t item;
     int64_t expected_sequence;
--- a/src/gate/place/dat.h
+++ b/src/gate/place/dat.h
@@ -142,7 +142,7 @@
  *            the call lasts
  */
 struct late_order {
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     enum order_action action;
     uint32_t item;
     int64_t expected_sequence;
@@ -159,7 +159,7 @@
  * @left_ms: longest time that it lasts
  */
 struct late_hold {
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     bool begins;
     uint32_t item;
     int64_t expected_sequence;
@@ -211,7 +211,7 @@
     bool is_report;
     bool silent;
     enum order_action action;
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     char address[ADDRESS_MAX_BYTES];
     int64_t started_ms;
     uint32_t item;
@@ -303,7 +303,7 @@
  * @leaves: whether it leaves
  */
 struct place_leaving {
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     bool leaves;
 };
 
@@ -313,7 +313,7 @@
  * @until_ms: it wants none until then
  */
 struct place_pause {
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     int64_t until_ms;
 };
 
--- a/src/gate/relay/dat.h
+++ b/src/gate/relay/dat.h
@@ -74,7 +74,7 @@
     bool has_pause;
     int64_t pause_ms;
     bool pause_invalid;
-    char target_id[NAME_MAX_BYTES];
+    char target_id[TARGET_ID_BYTES];
 };
 
 /**
@@ -204,7 +204,7 @@
  * as the lease holder knows; 0 for unknown
  */
 struct holdings {
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     int64_t started_ms;
     int64_t sequence;
     struct item_set held;
--- a/src/gate/relay/explain.h
+++ b/src/gate/relay/explain.h
@@ -39,7 +39,7 @@
  * @pause_ms: time until it wants requests again
  */
 struct explained_target {
-    char id[NAME_MAX_BYTES];
+    char id[TARGET_ID_BYTES];
     char address[ADDRESS_MAX_BYTES];
     char zone[NAME_MAX_BYTES];
     unsigned failed;
@@ -95,9 +95,9 @@
     int status;
     int64_t retry_ms;
     bool too_many_tokens;
-    char target[NAME_MAX_BYTES];
+    char target[TARGET_ID_BYTES];
     char route[NAME_MAX_BYTES];
-    char service[NAME_MAX_BYTES];
+    char service[SERVICE_NAME_BYTES];
     char team[NAME_MAX_BYTES];
     int priority;
     int64_t config_version;
--- a/src/gate/view/item_set.c
+++ b/src/gate/view/item_set.c
@@ -10,6 +10,8 @@
 #include "gate/view/dat.h"
 #include "gate/view/fns.h"
 
+enum { MODEL_NAME_USUAL_BYTES = 64 }; /* a longer name is copied to the heap */
+
 /**
  * item_set_contains() - whether an item is in a set
  * @items: the set
@@ -108,12 +110,23 @@
 {
     const char *name = item != 0 ? g_quark_to_string(item) : NULL;
     const char *slash = name != NULL ? strchr(name, '/') : NULL;
-    char model[NAME_MAX_BYTES];
+    char buffer[MODEL_NAME_USUAL_BYTES];
+    char *model = buffer;
+    uint32_t found;
 
-    if (slash == NULL || slash - name >= (long)sizeof(model)) {
+    if (slash == NULL) {
         return item;
     }
-    memcpy(model, name, (size_t)(slash - name));
-    model[slash - name] = '\0';
-    return g_quark_try_string(model);
+    if (slash - name >= (long)sizeof(buffer)) {
+        model = g_strndup(name, (gsize)(slash - name));
+    }
+    else {
+        memcpy(buffer, name, (size_t)(slash - name));
+        buffer[slash - name] = '\0';
+    }
+    found = g_quark_try_string(model);
+    if (model != buffer) {
+        g_free(model);
+    }
+    return found;
 }
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -510,6 +510,32 @@
     g_assert_cmpint(items.count, ==, c->count_after);
 }
 
+/* Guards against an adapter that is taken for a model, which is loaded and
+ * unloaded by itself. */
+struct model_case {
+    const char *name;
+    const char *item;
+    const char *model;
+};
+
+#define TEXT_64                                                               \
+    "1234567890123456789012345678901234567890123456789012345678901234"
+
+static const struct model_case model_cases[] = {
+    {"model", "m", "m"},
+    {"adapter", "m/a1", "m"},
+    {"adapter_of_long_name", TEXT_64 TEXT_64 "/a1", TEXT_64 TEXT_64},
+};
+
+static void
+test_model(gconstpointer data)
+{
+    const struct model_case *c = data;
+    uint32_t model = g_quark_from_string(c->model);
+
+    g_assert_cmpint(item_model(g_quark_from_string(c->item)), ==, model);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -520,6 +546,7 @@
         CASES("/view/late_write", late_write_cases, test_late_write),
         CASES("/view/heal", heal_cases, test_heal),
         CASES("/view/item_set", items_cases, test_items),
+        CASES("/view/model", model_cases, test_model),
     };
 
     g_test_init(&argc, &argv, NULL);
