follow, crash: no bound of 512 instances without a word

Beyond 512 instances an ask for proof was dropped in silence, and each instance looked for the one that probes a quarantined part among the first 512 in the order of its own list, which may differ. 340 are planned; both were read, not seen.

Change: asks are bounded by 4,096, and one more is counted (refused_total table_full); the prober is looked for among all members.

Evidence: /follow/many_asks/more_than_512 and beyond_the_bound failed before. The prober among more than 512 members is not tested.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -7,7 +7,6 @@
      * part of one. */
     TARGET_ID_BYTES = 201,
     SERVICE_NAME_BYTES = 201,
-    MEMBERS_MAX = 512,
 };
 
 /**
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -403,6 +403,7 @@
     registry_list_begin(&feed->registry);
     g_hash_table_remove_all(feed->members);
     g_hash_table_remove_all(feed->rejected);
+    g_hash_table_remove_all(feed->partial);
     outbox_set_holder(&feed->outbox, &nobody);
     feed->members_changed = true;
     feed->stored_version = 0;
--- a/src/gate/follow/fresh.c
+++ b/src/gate/follow/fresh.c
@@ -21,6 +21,7 @@
     ASK_INTERVAL_MS = 500,
     /* After this time without changes from an instance, it is not asked. */
     SOURCE_MAX_AGE_MS = 3000,
+    ASKS_MAX = 4096, /* one for each instance that listens */
 };
 
 /**
@@ -65,9 +66,11 @@
             return;
         }
     }
-    if (fresh->asks->len < MEMBERS_MAX) {
-        g_array_append_val(fresh->asks, *ask);
+    if (fresh->asks->len == ASKS_MAX) {
+        refusal_add(ERR_TABLE_FULL);
+        return;
     }
+    g_array_append_val(fresh->asks, *ask);
 }
 
 /**
--- a/src/gate/relay/crash.c
+++ b/src/gate/relay/crash.c
@@ -315,14 +315,17 @@
           int64_t now_ms)
 {
     uint64_t key = verdict->traits.traits[0].key;
-    uint64_t ids[MEMBERS_MAX];
-    int count = 0;
+    guint count = relay->members->len;
+    uint64_t *ids = g_new(uint64_t, count);
+    int rank;
 
-    for (guint i = 0; i < relay->members->len && count < MEMBERS_MAX; i++) {
-        ids[count++] = g_array_index(relay->members, struct gate_member, i).id;
+    for (guint i = 0; i < count; i++) {
+        ids[i] = g_array_index(relay->members, struct gate_member, i).id;
     }
-    return count == 0 || rendezvous_rank(key, ids, count, relay->self_id) <
-                             quarantine_probers(verdict, now_ms);
+    rank =
+        count > 0 ? rendezvous_rank(key, ids, (int)count, relay->self_id) : 0;
+    g_free(ids);
+    return rank < quarantine_probers(verdict, now_ms);
 }
 
 static bool
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -1200,6 +1200,40 @@
     g_string_free(fixture.feeds[0].delivered, TRUE);
 }
 
+/* Guards against an instance whose ask is dropped because many others ask, so
+ * that it can't prove what it knows. */
+struct many_asks_case {
+    const char *name;
+    int instances;
+    int kept;
+};
+
+static const struct many_asks_case many_asks_cases[] = {
+    {"few", 5, 5},
+    {"more_than_512", 600, 600},
+    {"beyond_the_bound", 5000, 4096},
+};
+
+static void
+test_many_asks(gconstpointer data)
+{
+    const struct many_asks_case *c = data;
+    uint64_t refused = refusal_read(ERR_TABLE_FULL);
+    struct fresh fresh;
+    GArray *asks;
+
+    fresh_init(&fresh);
+    for (int i = 0; i < c->instances; i++) {
+        fresh_add_ask(&fresh, &(struct fresh_ask){(uint64_t)i + 1, 7});
+    }
+    asks = fresh_take_asks(&fresh);
+    g_assert_cmpint(asks->len, ==, c->kept);
+    g_assert_cmpint(refusal_read(ERR_TABLE_FULL) - refused, ==,
+                    c->instances - c->kept);
+    g_array_free(asks, TRUE);
+    fresh_clear(&fresh);
+}
+
 /* Lists nine instances and starts the first two by id. */
 static void
 start_shared(struct shared_fixture *fixture)
@@ -2064,6 +2098,7 @@
         CASES("/follow/keep", keep_cases, test_keep),
         CASES("/follow/passes_on", passes_on_cases, test_passes_on),
         CASES("/follow/rank", rank_cases, test_rank),
+        CASES("/follow/many_asks", many_asks_cases, test_many_asks),
         CASES("/follow/proof", proof_cases, test_proof),
         CASES("/follow/shared", shared_cases, test_shared),
         CASES("/follow/connects", connects_cases, test_connects),
