--- a/src/gate/relay/upstream_parser.c
+++ b/src/gate/relay/upstream_parser.c
@@ -18,7 +18,7 @@
 #include "gate/relay/internal.h"
 
 /* Keeps a request from crossing the target's close of the connection. */
-enum { KEEP_ALIVE_MARGIN_MS = 700 };
+enum { KEEP_ALIVE_MARGIN_MS = 700, KEEP_ALIVE_MAX_S = 24 * 3600 };
 
 static int
 on_status(http_parser *parser, const char *bytes, size_t count)
@@ -148,7 +148,8 @@
     const char *timeout = text != NULL ? strstr(text, "timeout=") : NULL;
 
     if (timeout != NULL) {
-        int64_t seconds = g_ascii_strtoll(timeout + 8, NULL, 10);
+        int64_t seconds =
+            CLAMP(g_ascii_strtoll(timeout + 8, NULL, 10), 0, KEEP_ALIVE_MAX_S);
 
         upstream->keep_alive_ms =
             MAX(seconds * 1000 - KEEP_ALIVE_MARGIN_MS, 0);
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -1056,6 +1056,11 @@
 
 static const struct reuse_case reuse_cases[] = {
     {"kept", {OK, OK}, 1},
+    {"kept_for_ever",
+     {OK_HEAD "Keep-Alive: timeout=9223372036854775807\r\n"
+              "Content-Length: 4\r\n\r\ndone",
+      OK},
+     1},
     {"extra_bytes",
      {OK "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", OK},
      2},
