store, config: lengths follow what the settings and the callers allow

An answer of the store of more than 8 MiB is given up. The longest value is the deployment's to set (value_bytes); with one of 16 MB a configuration of 7 MB would keep an instance from ever being ready.

Evidence: /platform/spoilt/watch_of_long_value tells a cut answer from one that is too long for that store; the argument that it sets is new. /document/part/model_name_of_121 needs the new check.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -50,6 +50,7 @@
  * @peer_address: listens for other instances
  * @metrics_address: serves the counters; empty to disable
  * @store_address: address of the platform's store
+ * @value_max_bytes: longest value that the store keeps; 0 for unknown
  * @lease_ttl_min_ms: shortest time to live of a lease that the store grants
  * @heartbeat_ms: interval at which targets renew their entries in the store
  * @descriptors_max: limit of open file descriptors of the process
@@ -67,6 +68,7 @@
     char peer_address[ADDRESS_MAX_BYTES];
     char metrics_address[ADDRESS_MAX_BYTES];
     char store_address[ADDRESS_MAX_BYTES];
+    int64_t value_max_bytes;
     int64_t lease_ttl_min_ms;
     int64_t heartbeat_ms;
     int descriptors_max;
--- a/test/document_test.c
+++ b/test/document_test.c
@@ -164,6 +164,14 @@
 
     {"model_name_missing", "model", "\"name\":null", "models=0",
      "services[1].engine.models[0].name"},
+    {"model_name_of_119", "model",
+     "\"name\":\"" TEXT_64
+     "1234567890123456789012345678901234567890123456789012345\"",
+     "models=1 ", NULL},
+    {"model_name_of_121", "model",
+     "\"name\":\"" TEXT_64
+     "123456789012345678901234567890123456789012345678901234567\"",
+     "models=0 ", "services[1].engine.models[0].name"},
     {"weights_text", "model", "\"weights_mb\":\"60000\"", "mb=1e+12 ",
      "services[1].engine.models[0].weights_mb"},
     {"weights_missing", "model", "\"weights_mb\":null", "mb=1e+12 ",
@@ -504,7 +512,7 @@
 
     script_start(&script, answers, 1);
     g_snprintf(address, sizeof(address), "127.0.0.1:%d", script.ports[0]);
-    g_assert_true(platform_store_init(&store, address, &err));
+    g_assert_true(platform_store_init(&store, address, 0, &err));
     g_assert_cmpint(store.base.ops->list(&store.base, "", "", &items, &err),
                     ==, c->read != NULL);
     read = describe_items(
@@ -560,7 +568,7 @@
 
     script_start(&script, answers, 1);
     g_snprintf(address, sizeof(address), "127.0.0.1:%d", script.ports[0]);
-    g_assert_true(platform_store_init(&store, address, &err));
+    g_assert_true(platform_store_init(&store, address, 0, &err));
     g_assert_cmpint(
         store.base.ops->lease_grant(&store.base, &ttl_ms, &lease, &err), ==,
         c->lease != 0);
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -130,7 +130,7 @@
     script_start(script, answers, 1);
     g_snprintf(address, sizeof(address), "127.0.0.1:%d", script->ports[0]);
     memset(store, 0, sizeof(*store));
-    g_assert_true(platform_store_init(store, address, &err));
+    g_assert_true(platform_store_init(store, address, 0, &err));
 }
 
 static void
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -628,6 +628,8 @@
     {"cores_text", "limits", "\"cores\":\"2\"", NULL, "limits.cores: "},
     {"lease_fraction", "platform", "\"ttl_min_ms\":999.5", "lease=1000 ",
      NULL},
+    {"value_bytes_text", "platform", "\"value_bytes\":\"1048576\"", NULL,
+     "platform.value_bytes: "},
     {"heartbeat_fraction", NULL, "\"heartbeat_ms\":1199.5", "heartbeat=1200 ",
      NULL},
     {"heartbeat_0", NULL, "\"heartbeat_ms\":0", NULL, "heartbeat_ms: "},
@@ -765,7 +767,7 @@
 
     script_start(&script, answers, 1);
     g_snprintf(address, sizeof(address), "127.0.0.1:%d", script.ports[0]);
-    g_assert_true(platform_store_init(&store, address, &err));
+    g_assert_true(platform_store_init(&store, address, 0, &err));
     succeeded =
         c->lease
             ? store.base.ops->lease_grant(&store.base, &number, &lease, &err)
@@ -798,7 +800,7 @@
     g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
                fixture->script.ports[0]);
     g_assert_true(
-        platform_store_init(&fixture->store, fixture->address, &err));
+        platform_store_init(&fixture->store, fixture->address, 0, &err));
     g_assert_true(platform_engine_init(&fixture->engine, &err));
 }
 
@@ -858,6 +860,18 @@
     return (int)err.kind;
 }
 
+/* A store that keeps values of 3,000,000 bytes. */
+static int
+call_watch_long(struct client_fixture *fixture)
+{
+    struct err err = {0};
+
+    platform_client_clear(&fixture->store.client);
+    g_assert_true(
+        platform_store_init(&fixture->store, fixture->address, 3000000, &err));
+    return call_watch(fixture);
+}
+
 static int
 call_order(struct client_fixture *fixture)
 {
@@ -1015,6 +1029,11 @@
      "HTTP/1.1 200 X\r\nContent-Length: 8400000\r\n\r\n{", ERR_NOT_FOUND},
     {"watch_cut", call_watch,
      "HTTP/1.1 200 X\r\nContent-Length: 8000000\r\n\r\n{<close>", ERR_KV_DOWN},
+    {"watch_of_long_value", call_watch_long,
+     "HTTP/1.1 200 X\r\nContent-Length: 8400000\r\n\r\n{<close>", ERR_KV_DOWN},
+    {"watch_of_longer_value", call_watch_long,
+     "HTTP/1.1 200 X\r\nContent-Length: 12400000\r\n\r\n{<close>",
+     ERR_NOT_FOUND},
     {"watch_unreadable", call_watch, RESPONSE("2", "[]"), ERR_BAD_JSON},
     {"cut_list", call_list, "HTTP/1.1 200 X\r\n\r\n{\"items\":[<close>", 0},
 };
--- a/test/root_test.c
+++ b/test/root_test.c
@@ -65,7 +65,7 @@
     platform.dialect = &platform_dialect;
     for (int i = 0; i < GATE_STORE_CLIENTS; i++) {
         g_assert_true(
-            platform_store_init(&stores[i], settings.store_address, &err));
+            platform_store_init(&stores[i], settings.store_address, 0, &err));
         platform.stores[i] = &stores[i].base;
     }
     for (int i = 0; i < GATE_ENGINE_CLIENTS; i++) {
