document, entries, follow tests: what is told of a part, full sets, long lists, bounds of heads

Rows for fields of design/documents.md that no test played: the log lines and counts of parts that are left out, once for each version and each target; sets of 96 items and of one more, lists of 64 pages and of one more, ids and models of 127 and 128 bytes, and six settings.

--- a/test/document_test.c
+++ b/test/document_test.c
@@ -428,6 +428,63 @@
     g_free(text);
 }
 
+/* Guards against an engine that is taken to have room because the set of what
+ * it holds is full. */
+struct full_case {
+    const char *name;
+    const char *list; /* behind which the names follow */
+    int items;
+    int cut;
+    bool unknown;
+};
+
+static const struct full_case full_cases[] = {
+    {"models_96", "\"models\":[{\"name\":\"m\",\"adapters\":[%s]}]", 95, 0,
+     false},
+    {"models_97", "\"models\":[{\"name\":\"m\",\"adapters\":[%s]}]", 96, 1,
+     true},
+    {"coming_97", "\"coming\":[%s]", 97, 1, true},
+    {"on_disk_96", "\"at_hand\":{\"on_disk\":[%s]}", 96, 0, false},
+    {"on_disk_97", "\"at_hand\":{\"on_disk\":[%s]}", 97, 1, false},
+};
+
+static void
+test_full(gconstpointer data)
+{
+    const struct full_case *c = data;
+    bool by_itself = strstr(c->list, "adapters") == NULL;
+    GString *names = g_string_new(NULL);
+    struct target_info info = {0};
+    struct err err = {0};
+    char **parts;
+    char *text;
+    char *list;
+
+    for (int i = 0; i < c->items; i++) {
+        char *item = g_strdup_printf("m/a%d", i);
+
+        g_quark_from_string(item);
+        g_string_append_printf(names, "%s\"%s\"", i > 0 ? "," : "",
+                               by_itself ? item : item + 2);
+        g_free(item);
+    }
+    g_quark_from_string("m");
+    parts = g_strsplit(c->list, "%s", 2);
+    list = g_strjoinv(names->str, parts);
+    g_strfreev(parts);
+    text = g_strdup_printf(
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"slots\":4,%s}",
+        list);
+    g_assert_true(
+        platform_decode.target("i-1", text, strlen(text), &info, &err));
+    g_assert_cmpint(info.cut_items, ==, c->cut);
+    g_assert_cmpint(info.has_unknown_items, ==, c->unknown);
+    g_free(text);
+    g_free(list);
+    g_string_free(names, TRUE);
+}
+
 /*
  * Guards against keys of the store that are missing because a list doesn't say
  * in a known form that it goes on, and against a key that counts as deleted.
@@ -587,6 +644,7 @@
     static const struct cases groups[] = {
         CASES("/document/part", part_cases, test_part),
         CASES("/document/entry", entry_cases, test_entry),
+        CASES("/document/full", full_cases, test_full),
         CASES("/document/answer", answer_cases, test_answer),
         CASES("/document/granted", granted_cases, test_granted),
     };
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -439,6 +439,11 @@
     {'N', "turmeric/members/n", MEMBER("65536")},
     {'C', "op/config", "{\"version\":1}"},
     {'X', "op/config", "{\"version\":1,\"routes\":1}"},
+    {'P', "op/config", "{\"version\":2,\"services\":[7,{\"name\":\"s\"},8]}"},
+    {'Q', "op/config", "{\"version\":3,\"services\":[7]}"},
+    {'H', "servers/a",
+     "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+     "\"slots\":4,\"state\":\"ready\",\"models\":[7]}"},
 };
 
 /* All names are known, as those of a configuration are. */
@@ -485,9 +490,11 @@
     }
 }
 
-/* Returns the number of log lines that the steps write. */
+/* Returns the number of log lines with one of two texts that the steps
+ * write. */
 static int
-run_steps(struct feed_fixture *fixture, const char *steps)
+run_steps(struct feed_fixture *fixture, const char *steps, const char *text,
+          const char *other_text)
 {
     FILE *log = tmpfile();
     int standard_output = dup(STDOUT_FILENO);
@@ -503,8 +510,8 @@
     close(standard_output);
     rewind(log);
     while (fgets(line, sizeof(line), log) != NULL) {
-        lines += strstr(line, "_unreadable ") != NULL ||
-                 strstr(line, "_cut ") != NULL;
+        lines +=
+            strstr(line, text) != NULL || strstr(line, other_text) != NULL;
     }
     fclose(log);
     return lines;
@@ -521,7 +528,8 @@
     memstore_init(&fixture.store);
     g_assert_true(feed_init(&fixture.feed, &settings, &fixture.store.store,
                             &platform_decode, &fixture.port, &err));
-    g_assert_cmpint(run_steps(&fixture, c->steps), ==, c->lines);
+    g_assert_cmpint(run_steps(&fixture, c->steps, "_unreadable ", "_cut "), ==,
+                    c->lines);
     g_assert_cmpint(g_hash_table_size(fixture.feed.registry.entries), ==,
                     c->targets);
     g_assert_cmpint(fixture.members, ==, c->members);
@@ -530,6 +538,57 @@
     memstore_clear(&fixture.store);
 }
 
+/* Guards against a part that is left out without a word, and against a line
+ * for each time that it is read. */
+struct told_case {
+    const char *name;
+    const char *steps;
+    const char *event;
+    int lines;
+    int version;
+    int parts; /* that are counted */
+};
+
+static const struct told_case told_cases[] = {
+    {"config_whole", "Cr", "event=config_part", 0, 1, 0},
+    {"config_in_part", "Pr", "part=\"services[0]: not an object\"", 1, 2, 2},
+    {"config_two_parts", "Pr", "event=config_part_unusable version=2 ", 2, 2,
+     2},
+    {"config_sum", "Pr", "event=config_partly_used version=2 unusable=2", 1, 2,
+     2},
+    {"config_listed_again", "PrFrr", "event=config_partly_used", 1, 2, 2},
+    {"config_written_again", "PrPr", "event=config_partly_used", 1, 2, 2},
+    {"config_newer", "PrQr", "event=config_partly_used", 2, 3, 3},
+    {"config_after_sound", "CrPr", "event=config_partly_used", 1, 2, 2},
+    {"items_cut", "Gr", "event=target_items_unknown target=a cut=96 ", 1, 0,
+     0},
+    {"items_cut_again", "GrGrGr", "event=target_items_unknown", 1, 0, 0},
+    {"items_unreadable", "Hr", "cut=0 unreadable=1 limit=96", 1, 0, 0},
+    {"items_sound_between", "HrTrHr", "event=target_items_unknown", 2, 0, 0},
+    {"items_of_another", "HrDrHr", "event=target_items_unknown", 2, 0, 0},
+};
+
+static void
+test_told(gconstpointer data)
+{
+    const struct told_case *c = data;
+    static const struct gate_settings settings = {.name = "m0", .zone = "z"};
+    struct feed_fixture fixture = {.port = {&port_ops}};
+    uint64_t parts = counter_read(CTR_CONFIG_PARTS_UNUSABLE);
+    struct err err = {0};
+
+    memstore_init(&fixture.store);
+    g_assert_true(feed_init(&fixture.feed, &settings, &fixture.store.store,
+                            &platform_decode, &fixture.port, &err));
+    g_assert_cmpint(run_steps(&fixture, c->steps, c->event, c->event), ==,
+                    c->lines);
+    g_assert_cmpint(fixture.version, ==, c->version);
+    g_assert_cmpint(counter_read(CTR_CONFIG_PARTS_UNUSABLE) - parts, ==,
+                    c->parts);
+    feed_clear(&fixture.feed);
+    memstore_clear(&fixture.store);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -538,6 +597,7 @@
         CASES("/entries/deep", deep_cases, test_deep),
         CASES("/entries/revision", revision_cases, test_revision),
         CASES("/entries/feed", feed_cases, test_feed),
+        CASES("/entries/told", told_cases, test_told),
     };
 
     g_test_init(&argc, &argv, NULL);
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -1200,6 +1200,42 @@
     g_string_free(fixture.feeds[0].delivered, TRUE);
 }
 
+/* Guards against a list that is taken as whole although pages are missing. */
+struct pages_case {
+    const char *name;
+    int pages;
+    bool listed;
+};
+
+static const struct pages_case pages_cases[] = {
+    {"one", 1, true},
+    {"sixty_four", 64, true},
+    {"sixty_five", 65, false},
+};
+
+static void
+test_pages(gconstpointer data)
+{
+    const struct pages_case *c = data;
+    static struct shared_fixture fixture;
+
+    memset(&fixture, 0, sizeof(fixture));
+    memstore_init(&fixture.store);
+    fixture.store.page_items = 1;
+    for (int i = 0; i < c->pages; i++) {
+        char *key = g_strdup_printf("x-%02d", i);
+
+        memstore_put(&fixture.store, key, "v", 0);
+        g_free(key);
+    }
+    start_feed(&fixture, 0, "m0");
+    feed_poll(&fixture.feeds[0].feed, 1);
+    g_assert_cmpint(fixture.feeds[0].feed.targets_listed, ==, c->listed);
+    feed_clear(&fixture.feeds[0].feed);
+    memstore_clear(&fixture.store);
+    g_string_free(fixture.feeds[0].delivered, TRUE);
+}
+
 /* Guards against an instance whose ask is dropped because many others ask, so
  * that it can't prove what it knows. */
 struct many_asks_case {
@@ -2098,6 +2134,7 @@
         CASES("/follow/keep", keep_cases, test_keep),
         CASES("/follow/passes_on", passes_on_cases, test_passes_on),
         CASES("/follow/rank", rank_cases, test_rank),
+        CASES("/follow/pages", pages_cases, test_pages),
         CASES("/follow/many_asks", many_asks_cases, test_many_asks),
         CASES("/follow/proof", proof_cases, test_proof),
         CASES("/follow/shared", shared_cases, test_shared),
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -369,8 +369,15 @@
     enum field_action use;
 };
 
+#define TEXT_63                                                               \
+    "123456789012345678901234567890123456789012345678901234567890123"
+
 static const struct field_case field_cases[] = {
     {"attempt", "attempt-id", "a", FIELD_PASS},
+    {"attempt_of_127", "Attempt-Id", TEXT_64 TEXT_63, FIELD_PASS},
+    {"attempt_of_128", "Attempt-Id", TEXT_64 TEXT_64, FIELD_INVALID},
+    {"model_of_127", "Model", TEXT_64 TEXT_63, FIELD_PASS},
+    {"model_of_128", "Model", TEXT_64 TEXT_64, FIELD_INVALID},
     {"attempt_empty", "Attempt-Id", "", FIELD_INVALID},
     {"deadline", "Deadline-Ms", "100", FIELD_DROP},
     {"deadline_fraction", "Deadline-Ms", "99.9", FIELD_DROP},
@@ -633,6 +640,17 @@
     {"heartbeat_fraction", NULL, "\"heartbeat_ms\":1199.5", "heartbeat=1200 ",
      NULL},
     {"heartbeat_0", NULL, "\"heartbeat_ms\":0", NULL, "heartbeat_ms: "},
+    {"zone_empty", NULL, "\"zone\":\"\"", NULL, "zone: "},
+    {"store_name", "platform", "\"address\":\"store:80\"", NULL,
+     "platform.address: "},
+    {"cores_negative", "limits", "\"cpu_share\":-1", NULL,
+     "limits.cpu_share: "},
+    {"quota_slack_1e16", "bounds", "\"quota_slack\":1e16", NULL,
+     "bounds.quota_slack: "},
+    {"lease_text", "platform", "\"ttl_min_ms\":\"1000\"", NULL,
+     "platform.ttl_min_ms: "},
+    {"link_text", "limits", "\"link_mbps\":\"200\"", NULL,
+     "limits.link_mbps: "},
     {"bounds_text", NULL, "\"bounds\":\"none\"", NULL, "bounds: "},
     {"bounds_null", NULL, "\"bounds\":null", "revocation=0 ", NULL},
     {"limits_list", NULL, "\"limits\":[]", NULL, "limits: "},
