json: an integer that can not be read is the fallback, and never 0 or the largest one

json_get_int64(), which the stand-ins and tests use, gave 0 for a text that is no number, the nearest number of 64 bits for one beyond them, and the fallback for 2.0. Nothing of the product reads documents with it any more.

--- a/src/http/json.c
+++ b/src/http/json.c
@@ -1,8 +1,10 @@
 /**
  * DOC: Parsing of JSON from other processes and from files.
  */
+#include <errno.h>
 #include <glib.h>
 #include <json-c/json.h>
+#include <math.h>
 #include <string.h>
 #include <ulfius.h>
 
@@ -190,30 +192,55 @@
     return fallback;
 }
 
+/* Reads a text of a whole number, and nothing else. */
+static bool
+parse_integer(const char *text, int64_t *number)
+{
+    char *end;
+
+    errno = 0;
+    *number = g_ascii_strtoll(text, &end, 10);
+    return end != text && *end == '\0' && errno == 0;
+}
+
 /**
  * json_get_int64() - get an integer member of an object
  * @object: the object; any other value has no members
  * @key: name of the member
- * @fallback: returned when the member is missing or isn't an integer or a
- *            string
+ * @fallback: returned when the member is missing or is no whole number within
+ *            63 bits
  *
- * Strings are converted, as protobuf's JSON encoding has 64-bit integers as
- * strings.
+ * Texts are converted, as protobuf's JSON encoding has 64-bit integers as
+ * texts. Documents of other programs are read by json_rules_read(), which says
+ * what can't be used.
  */
 int64_t
 json_get_int64(struct json_object *object, const char *key, int64_t fallback)
 {
-    struct json_object *member;
+    struct json_object *member = NULL;
+    int64_t number;
+    double value;
 
     if (!json_object_is_type(object, json_type_object) ||
         !json_object_object_get_ex(object, key, &member)) {
         return fallback;
     }
-    if (json_object_is_type(member, json_type_int) ||
-        json_object_is_type(member, json_type_string)) {
-        return json_object_get_int64(member);
+    switch (json_object_get_type(member)) {
+    case json_type_int:
+        /* The library returns these for numbers beyond them, too. */
+        number = json_object_get_int64(member);
+        return number != INT64_MAX && number != INT64_MIN ? number : fallback;
+    case json_type_double:
+        value = json_object_get_double(member);
+        return value == floor(value) && fabs(value) < 9e18 ? (int64_t)value
+                                                           : fallback;
+    case json_type_string:
+        return parse_integer(json_object_get_string(member), &number)
+                   ? number
+                   : fallback;
+    default:
+        return fallback;
     }
-    return fallback;
 }
 
 /**
--- a/test/document_test.c
+++ b/test/document_test.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <json-c/json.h>
 #include <string.h>
+#include <ulfius.h>
 
 #include "base/dat.h"
 #include "base/fns.h"
@@ -14,6 +15,8 @@
 #include "gate/view/fns.h"
 #include "gate/follow/dat.h"
 #include "gate/follow/fns.h"
+#include "http/dat.h"
+#include "http/fns.h"
 #include "platform/dat.h"
 #include "platform/fns.h"
 #include "cases.h"
@@ -638,10 +641,54 @@
     g_free(response);
 }
 
+/* Guards against a member that is taken as 0 or as the largest number though
+ * it is another one, or none. */
+struct integer_case {
+    const char *name;
+    const char *member;
+    int64_t number; /* the fallback is -7 */
+};
+
+static const struct integer_case integer_cases[] = {
+    {"integer", "2", 2},
+    {"negative", "-2", -2},
+    {"whole_fraction", "2.0", 2},
+    {"exponent", "2e3", 2000},
+    {"fraction", "2.5", -7},
+    {"text", "\"2\"", 2},
+    {"text_of_63_bits", "\"9223372036854775807\"", INT64_MAX},
+    {"text_beyond_63_bits", "\"9223372036854775808\"", -7},
+    {"text_fraction", "\"2.5\"", -7},
+    {"text_empty", "\"\"", -7},
+    {"text_no_number", "\"x\"", -7},
+    {"text_number_and_more", "\"2x\"", -7},
+    {"beyond_63_bits", "9223372036854775808", -7},
+    {"below_63_bits", "-9223372036854775809", -7},
+    {"beyond_64_bits", "18446744073709551616", -7},
+    {"1e400", "1e400", -7},
+    {"boolean", "true", -7},
+    {"null", "null", -7},
+    {"list", "[2]", -7},
+};
+
+static void
+test_integer(gconstpointer data)
+{
+    const struct integer_case *c = data;
+    char *text = g_strdup_printf("{\"n\":%s}", c->member);
+    struct json_object *object = json_parse(text, strlen(text), NULL);
+
+    g_assert_cmpint(json_get_int64(object, "n", -7), ==, c->number);
+    g_assert_cmpint(json_get_int64(object, "m", -7), ==, -7);
+    json_object_put(object);
+    g_free(text);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cases groups[] = {
+        CASES("/document/integer", integer_cases, test_integer),
         CASES("/document/part", part_cases, test_part),
         CASES("/document/entry", entry_cases, test_entry),
         CASES("/document/full", full_cases, test_full),
