relay: a second response is looked for while a body passes

Cause: the search ran at the end of the response over a buffer that had been sent and emptied. Bodies with a length and in chunks had the same fault.

Change: body_scan_add() looks at each part before it is sent, with bounded memory and across any two reads. Found behind a head that has gone, the connection is closed without the last chunk or before the announced length.

body_holds_response() is gone; /choose/body plays its rows through the scan at each split point, and in parts of 1 and 7 bytes.

--- a/src/gate/choose/dat.h
+++ b/src/gate/choose/dat.h
@@ -349,6 +349,20 @@
     EVENT_TOO_LONG,
 };
 
+/**
+ * struct body_scan - search for another response in a body that passes
+ * @text: what may be a head that has begun, or a part of its first line; owned
+ * @bytes: length of @text
+ * @room: bytes that are allocated
+ * @searched: of @text, bytes in which neither the id nor the end of a head is
+ */
+struct body_scan {
+    char *text;
+    size_t bytes;
+    size_t room;
+    size_t searched;
+};
+
 /**
  * enum answer_fault - why a response that has ended is not whole
  * @FAULT_NONE: it is whole
--- a/src/gate/choose/fns.h
+++ b/src/gate/choose/fns.h
@@ -54,8 +54,9 @@
 
 /* whole.c */
 const char *find_status_line(const char *text, size_t bytes);
-bool body_holds_response(const void *body, size_t bytes,
-                         const char *attempt_id);
+bool body_scan_add(struct body_scan *scan, const void *bytes, size_t count,
+                   const char *attempt_id);
+void body_scan_clear(struct body_scan *scan);
 
 /* retry_budget.c */
 void retry_budget_count_request(struct retry_budget *budget, int64_t window_ms,
--- a/src/gate/relay/account.c
+++ b/src/gate/relay/account.c
@@ -51,7 +51,8 @@
     const struct upstream *upstream =
         table_get(&relay->upstreams, exchange->upstream);
     size_t bytes = g_bytes_get_size(exchange->body) +
-                   exchange->header_fields->len + exchange->answer.body->len;
+                   exchange->header_fields->len + exchange->answer.body->len +
+                   exchange->answer.scan.room;
 
     if (exchange->events.partial != NULL) {
         bytes += exchange->events.partial->len;
@@ -176,7 +177,7 @@
     if (exchange == NULL) {
         return bytes;
     }
-    bytes += exchange->answer.body->len;
+    bytes += exchange->answer.body->len + exchange->answer.scan.room;
     return exchange->events.partial != NULL
                ? bytes + exchange->events.partial->len
                : bytes;
--- a/src/gate/relay/answer.c
+++ b/src/gate/relay/answer.c
@@ -30,6 +30,7 @@
 {
     g_string_free(answer->head, TRUE);
     g_byte_array_free(answer->body, TRUE);
+    body_scan_clear(&answer->scan);
 }
 
 /**
--- a/src/gate/relay/internal.h
+++ b/src/gate/relay/internal.h
@@ -222,6 +222,7 @@
  * struct answer - response that is forwarded or buffered
  * @head: status line and header fields for the caller, without framing
  * @body: buffered until the response is complete, except for event streams
+ * @scan: search for another response in the body, which is no stream
  * @content_length: length that the target announced; -1 for none
  * @framing: of the last response to it
  * @body_type: type of the last response to it
@@ -232,6 +233,7 @@
     int status;
     GString *head;
     GByteArray *body;
+    struct body_scan scan;
     int64_t content_length;
     enum body_framing framing;
     enum body_type body_type;
--- a/src/gate/relay/result.c
+++ b/src/gate/relay/result.c
@@ -403,6 +403,11 @@
         }
         return true;
     }
+    if (body_scan_add(&answer->scan, bytes, count,
+                      exchange->meta.attempt_id)) {
+        result_not_whole(relay, exchange, FAULT_SECOND_RESPONSE, now_ms);
+        return false;
+    }
     set_first_byte_time(exchange, now_ms);
     set_run_began(exchange, now_ms);
     exchange->last_progress_ms = now_ms;
@@ -439,19 +444,13 @@
 /**
  * result_fault() - why a response that has ended is not whole
  * @exchange: the request
+ *
+ * What stands in a body that is no stream was looked at as it passed.
  */
 enum answer_fault
 result_fault(const struct exchange *exchange)
 {
-    const GByteArray *body = exchange->answer.body;
-
-    if (result_is_stream(exchange)) {
-        return stream_fault(exchange);
-    }
-    return body_holds_response(body->data, body->len,
-                               exchange->meta.attempt_id)
-               ? FAULT_SECOND_RESPONSE
-               : FAULT_NONE;
+    return result_is_stream(exchange) ? stream_fault(exchange) : FAULT_NONE;
 }
 
 static const char *
@@ -569,6 +568,7 @@
         exchange->answer.head_sent ? CTR_RETRY_RESUME : CTR_RETRY_BROKEN, 1);
     if (!exchange->answer.head_sent) {
         g_byte_array_set_size(exchange->answer.body, 0);
+        body_scan_clear(&exchange->answer.scan);
         g_string_truncate(exchange->answer.head, 0);
     }
     detach_upstream(relay, exchange, true, now_ms);
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -153,13 +153,76 @@
      true},
 };
 
+/* Whether the body is found to hold a response, read in parts of which the
+ * first has @first bytes and the others @next. */
+static bool
+scan_body(const char *body, size_t first, size_t next)
+{
+    struct body_scan scan = {0};
+    size_t bytes = strlen(body);
+    bool found = false;
+
+    for (size_t at = 0; at < bytes && !found;) {
+        size_t count = MIN(at == 0 ? first : next, bytes - at);
+
+        found = body_scan_add(&scan, body + at, count, "a-1");
+        at += count;
+    }
+    body_scan_clear(&scan);
+    return found;
+}
+
 static void
 test_body(gconstpointer data)
 {
     const struct body_case *c = data;
 
-    g_assert_cmpint(body_holds_response(c->body, strlen(c->body), "a-1"), ==,
-                    c->holds_response);
+    for (size_t first = 1; first <= MAX(strlen(c->body), 1); first++) {
+        g_assert_cmpint(scan_body(c->body, first, SIZE_MAX), ==,
+                        c->holds_response);
+        g_assert_cmpint(scan_body(c->body, first, 1), ==, c->holds_response);
+        g_assert_cmpint(scan_body(c->body, first, 7), ==, c->holds_response);
+    }
+}
+
+/* Guards against memory for a body that passes, and against a response that is
+ * missed behind many bytes. */
+struct long_scan_case {
+    const char *name;
+    const char *unit; /* repeated */
+    int repeats;
+    const char *end;
+    bool holds_response;
+    size_t room_max;
+};
+
+static const struct long_scan_case long_scan_cases[] = {
+    {"text", "0123456789abcdef", 1000000, "", false, 32},
+    {"second_response", "0123456789abcdef", 1000000,
+     "HTTP/1.1 200 OK\r\nId: a-1\r\n\r\n", true, 64},
+    {"status_lines", "HTTP/1.1 200 OK\r\n\r\n", 100000, "", false, 64},
+    {"head_without_end", "HTTP/1.1 200 OK\r\n", 20000, "", false, 82 * 1024},
+    {"response_behind_heads", "HTTP/1.1 200 OK\r\n", 20000,
+     "HTTP/1.1 200 OK\r\nId: a-1\r\n\r\n", true, 82 * 1024},
+};
+
+static void
+test_long_scan(gconstpointer data)
+{
+    const struct long_scan_case *c = data;
+    struct body_scan scan = {0};
+    bool found = false;
+
+    for (int i = 0; i < c->repeats && !found; i++) {
+        found = body_scan_add(&scan, c->unit, strlen(c->unit), "a-1");
+    }
+    g_assert_false(found);
+    if (c->end[0] != '\0') {
+        found = body_scan_add(&scan, c->end, strlen(c->end), "a-1");
+    }
+    g_assert_cmpint(found, ==, c->holds_response);
+    g_assert_cmpuint(scan.room, <=, c->room_max);
+    body_scan_clear(&scan);
 }
 
 /* Guards against instances whose retries together exceed the deployment's
@@ -584,6 +647,7 @@
         CASES("/choose/verdict", verdict_cases, test_verdict),
         CASES("/choose/silence", silence_cases, test_silence),
         CASES("/choose/body", body_cases, test_body),
+        CASES("/choose/long_scan", long_scan_cases, test_long_scan),
         CASES("/choose/budget", budget_cases, test_budget),
         CASES("/choose/instance_counts", instance_counts_cases,
               test_instance_counts),
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -839,6 +839,91 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a second response that a caller gets as a part of a complete
+ * one, because the first is too long to be kept until its end. */
+struct second_case {
+    const char *name;
+    int body_bytes;
+    int behind_bytes; /* of the body, behind the second response */
+    const char *framing;
+};
+
+static const struct second_case second_cases[] = {
+    {"closed_short", 1000, 0, ""},
+    {"closed_150_kb", 150000, 0, ""},
+    {"closed_long", BUFFERED_BODY_MAX_BYTES + 1000, 0, ""},
+    {"closed_longer", 3000000, 0, ""},
+    {"closed_more_behind", BUFFERED_BODY_MAX_BYTES + 1000, 300000, ""},
+    {"length_long", BUFFERED_BODY_MAX_BYTES + 1000, 0, "Content-Length: %d"},
+    {"length_more_behind", BUFFERED_BODY_MAX_BYTES + 1000, 300000,
+     "Content-Length: %d"},
+    {"chunk_long", BUFFERED_BODY_MAX_BYTES + 1000, 0,
+     "Transfer-Encoding: chunked"},
+};
+
+#define SECOND "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: a-1\r\n\r\nab"
+
+static char *
+format_second(const struct second_case *c)
+{
+    char *body = g_strnfill((gsize)c->body_bytes, 'x');
+    char *behind = g_strnfill((gsize)c->behind_bytes, 'y');
+    int bytes = c->body_bytes + c->behind_bytes + (int)strlen(SECOND);
+    bool chunked = strstr(c->framing, "chunked") != NULL;
+    GString *text = g_string_new(OTHER_TYPE);
+
+    if (strstr(c->framing, "Length") != NULL) {
+        g_string_append_printf(text, "Content-Length: %d\r\n", bytes);
+    }
+    g_string_append(text,
+                    chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+    if (chunked) {
+        g_string_append_printf(text, "%x\r\n", (unsigned)bytes);
+    }
+    g_string_append_printf(text, "%s" SECOND "%s", body, behind);
+    g_string_append(text, chunked ? "\r\n0\r\n\r\n<close>" : "<close>");
+    g_free(body);
+    g_free(behind);
+    return g_string_free(text, FALSE);
+}
+
+/* Whether a client takes an answer as complete. */
+static bool
+is_complete(const char *answer)
+{
+    const char *body = strstr(answer, "\r\n\r\n") + 4;
+    const char *length = strstr(answer, "Content-Length: ");
+
+    if (length != NULL && length < body) {
+        return (gint64)strlen(body) ==
+               g_ascii_strtoll(length + strlen("Content-Length: "), NULL, 10);
+    }
+    return g_str_has_suffix(answer, "\r\n0\r\n\r\n");
+}
+
+static void
+test_second(gconstpointer data)
+{
+    const struct second_case *c = data;
+    char *first = format_second(c);
+    const char *const answers[] = {first, NULL};
+    struct fixture fixture;
+    char *answer;
+    int fd;
+
+    fixture_start(&fixture, answers, 1);
+    fd = connect_to(relay_front_port(fixture.relay));
+    send_text(fd, "GET /once/1 HTTP/1.1\r\nHost: h\r\n"
+                  "Attempt-Id: a-1\r\nConnection: close\r\n\r\n");
+    answer = read_all(fd);
+    g_assert_true(!g_str_has_prefix(answer, "HTTP/1.1 200") ||
+                  !is_complete(answer));
+    close(fd);
+    g_free(answer);
+    g_free(first);
+    fixture_stop(&fixture);
+}
+
 /* Guards against requests that reach a target altered, or with fields that
  * only the relay may set. */
 struct forwarded_case {
@@ -1547,6 +1632,7 @@
     static const struct cases groups[] = {
         CASES("/relay/answer", relay_cases, test_relay),
         CASES("/relay/long_body", long_body_cases, test_long_body),
+        CASES("/relay/second", second_cases, test_second),
         CASES("/relay/forwarded", forwarded_cases, test_forwarded),
         CASES("/relay/head", head_cases, test_head),
         CASES("/relay/returned", returned_cases, test_returned),
