--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -1217,112 +1217,6 @@
     g_free(response);
 }
 
-/* Guards against documents of other writers that crash the decoders, or leave
- * values that the rest of the program does not expect. Bytes are replaced,
- * removed or repeated at random. */
-struct mutation_case {
-    const char *name;
-    const char *document;
-    bool is_config;
-};
-
-static const struct mutation_case mutation_cases[] = {
-    {"entry",
-     ENTRY(
-         "\"slots\":4,\"state\":\"ready\",\"born\":12,\"models\":[{\"name\":"
-         "\"m\",\"adapters\":[\"a1\",{\"name\":\"a2\"}]}],\"coming\":[\"m/a3@1\"],"
-         "\"at_hand\":{\"in_memory\":[\"m\"],\"on_disk\":[{\"name\":\"m\"}]}"),
-     false},
-    {"config",
-     "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":"
-     "\"/a/\",\"kind\":\"stream\",\"resumable\":true,\"timeout_ms\":100,"
-     "\"split\":[{\"service\":\"s\",\"weight\":2}]}],\"services\":[{\"name\":\"s\","
-     "\"max_conns\":9,\"engine\":{\"slots\":2,\"weights_mb\":1.5e3,"
-     "\"adapter_slots\":2,\"models\":[{\"name\":\"m\",\"weights_mb\":60,"
-     "\"load_s\":6,\"adapters\":3}]}}],\"limits\":{\"max_body_bytes\":1000}}",
-     true},
-};
-
-enum { MUTATIONS = 20000, CHANGES_MAX = 4 };
-
-static void
-change_byte(GString *text)
-{
-    static const char bytes[] = "{}[]\":,0123456789eE+-.ntfu\\ \xff";
-    gsize at = (gsize)g_test_rand_int_range(0, (gint32)text->len);
-
-    switch (g_test_rand_int_range(0, 3)) {
-    case 0:
-        text->str[at] = bytes[g_test_rand_int_range(0, sizeof(bytes) - 1)];
-        break;
-    case 1:
-        g_string_erase(text, (gssize)at, 1);
-        break;
-    default:
-        g_string_insert_len(text, (gssize)at, text->str + at / 2,
-                            (gssize)MIN(text->len - at / 2, 8));
-        break;
-    }
-}
-
-static void
-check_config(const char *text, size_t bytes)
-{
-    struct err err = {0};
-    struct gate_config *config = platform_decode_config(text, bytes, &err);
-
-    for (int i = 0; config != NULL && i < config->service_count; i++) {
-        g_assert_cmpint(config->services[i].slots, >=, 0);
-        g_assert_cmpint(config->services[i].connections_max, >=, 0);
-    }
-    for (int i = 0; config != NULL && i < config->route_count; i++) {
-        const struct gate_route *route = &config->routes[i];
-
-        g_assert_cmpint(route->timeout_ms, >=, 0);
-        for (int n = 0; n < route->share_count; n++) {
-            g_assert_cmpint(route->shares[n].service, >=, 0);
-            g_assert_cmpint(route->shares[n].service, <,
-                            config->service_count);
-            g_assert_cmpint(route->shares[n].weight, >=, 0);
-        }
-    }
-    gate_config_unref(config);
-}
-
-static void
-check_entry(const char *text, size_t bytes)
-{
-    struct target_info info;
-    struct err err = {0};
-
-    memset(&info, 0, sizeof(info));
-    if (platform_decode.target("i-1", text, bytes, &info, &err)) {
-        g_assert_cmpint(info.slots, >=, 1);
-        g_assert_cmpint(strlen(info.address), >, 0);
-    }
-}
-
-static void
-test_mutation(gconstpointer data)
-{
-    const struct mutation_case *c = data;
-
-    for (int i = 0; i < MUTATIONS; i++) {
-        GString *text = g_string_new(c->document);
-
-        for (int n = g_test_rand_int_range(1, CHANGES_MAX + 1); n > 0; n--) {
-            change_byte(text);
-        }
-        if (c->is_config) {
-            check_config(text->str, text->len);
-        }
-        else {
-            check_entry(text->str, text->len);
-        }
-        g_string_free(text, TRUE);
-    }
-}
-
 int
 main(int argc, char **argv)
 {
@@ -1336,7 +1230,6 @@
         CASES("/platform/kept", kept_cases, test_kept),
         CASES("/platform/spoilt", spoilt_cases, test_spoilt),
         CASES("/platform/report", report_cases, test_report),
-        CASES("/platform/mutation", mutation_cases, test_mutation),
         CASES("/platform/field", field_cases, test_field),
         CASES("/platform/tokens", tokens_cases, test_tokens),
         CASES("/platform/parts", parts_cases, test_parts),
