registry: the copy of a restored store does not bring back a removed target

A machine had seen an engine removed; 1.2 s later the store came back from a copy in which the engine is ready, and the machine sent three requests to it, 4.7 s after the store had acknowledged that it is gone (drain_ms 2 s).

Cause: what is remembered of removed targets against late writes was left out while the list of a copy is read, although a copy is older than any late write.

Change: an entry of the copy counts for a removed target only if it is of a later start, or of a later write; a sound target writes within a heartbeat interval.

--- a/src/gate/view/registry.c
+++ b/src/gate/view/registry.c
@@ -248,8 +248,23 @@
     return memcmp(a, &copy, sizeof(*a)) == 0;
 }
 
+/* Whether a removed target isn't back by an entry. A store that was restored
+ * has what was written before: there, an entry of the same count was removed
+ * as well, and one of an earlier start is older still. */
+static bool
+was_removed(const struct registry *registry, const struct left_target *left,
+            const struct target_info *info)
+{
+    if (info->started_ms != left->started_ms) {
+        return registry->lists_copy && info->started_ms < left->started_ms;
+    }
+    return left->draining || info->entry_writes < left->entry_writes ||
+           (registry->lists_copy && info->entry_writes == left->entry_writes);
+}
+
 /* Whether an entry was written before its target said that it leaves, or
- * before its entry was removed. */
+ * before its entry was removed. The target writes it again if that is not
+ * so. */
 static bool
 is_late_write(const struct registry *registry,
               const struct registry_entry *entry,
@@ -261,12 +276,12 @@
         return false;
     }
     if (entry != NULL) {
-        return info->started_ms == entry->info.started_ms &&
+        return !registry->lists_copy &&
+               info->started_ms == entry->info.started_ms &&
                entry->info.draining;
     }
     left = g_hash_table_lookup(registry->left, info->id);
-    return left != NULL && info->started_ms == left->started_ms &&
-           (left->draining || info->entry_writes < left->entry_writes);
+    return left != NULL && was_removed(registry, left, info);
 }
 
 /* Whether an entry is one of an earlier start of its target, or older than the
@@ -309,7 +324,7 @@
     bool known = entry != NULL;
     bool created_anew;
 
-    if (!registry->lists_copy && is_late_write(registry, entry, info)) {
+    if (is_late_write(registry, entry, info)) {
         log_line(LOG_PRI_INFO, "registry",
                  "event=late_write target=%s known=%d writes=%" G_GINT64_FORMAT
                  " born_ms=%" G_GINT64_FORMAT,
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -285,9 +285,11 @@
  * Guards against requests to a target that has left, because a write of its
  * entry that was sent before is carried out behind the others; and against one
  * that isn't used again after its entry had expired, or it was started again.
+ * The copy from which a store was restored proves no more than such a write.
  *
  * Steps: rSW an entry that says ready, of start S and the Wth write, lSW one
- * that says it stops; d deleted; [ and ] as above. Changes as above.
+ * that says it stops; d deleted; R the store was restored, [ and ] as above.
+ * Changes as above.
  */
 struct late_write_case {
     const char *name;
@@ -311,6 +313,20 @@
     {"started_again_under_its_entry", "r15 l17 r21", "CCC"},
     {"started_again_by_an_earlier_clock", "r25 l27 d r11", "CCGC"},
     {"start_not_named", "r05 l07 r06", "CCC"},
+    {"copy_of_gone", "r15 d R[r15]", "CG"},
+    {"older_copy_of_gone", "r17 d R[r15]", "CG"},
+    {"copy_of_gone_uncounted", "r10 d R[r10]", "CG"},
+    {"copy_of_gone_then_written", "r15 d R[r15] r16", "CGC"},
+    {"copy_of_gone_then_written_uncounted", "r10 d R[r10] r10", "CGC"},
+    {"copy_of_gone_then_deleted", "r15 d R[r15] d", "CG"},
+    {"copy_written_since", "r15 d R[r16]", "CGC"},
+    {"copy_of_the_next_start", "r15 d R[r21]", "CGC"},
+    {"copy_of_the_start_before", "r25 d R[r18]", "CG"},
+    {"copy_of_one_that_stopped", "r15 l17 d R[r16]", "CCG"},
+    {"copy_of_one_that_stops", "r15 l17 d R[l17]", "CCGC"},
+    {"copy_of_one_in_use", "r17 R[r15]", "C"},
+    {"copy_of_start_not_named", "r05 d R[r05]", "CGC"},
+    {"late_write_behind_copy", "r15 d R[r15] r14", "CG"},
 };
 
 static void
@@ -346,6 +362,9 @@
         else if (*step == ']') {
             registry_list_end(&registry, 0);
         }
+        else if (*step == 'R') {
+            registry_restored(&registry, 0);
+        }
         else if (g_ascii_isalpha(*step)) {
             late_write_step(&registry, step);
         }
