config: members that are missing are named; one json_get_member()

A route without timeout_ms, an engine without weights_mb or a model without load_s had a default of which no log told.

--- a/src/gate/dat.h
+++ b/src/gate/dat.h
@@ -249,6 +249,9 @@
  * @faults: "PLACE: REASON" of the first parts of the document that can't be
  *          used and were left out; ends with NULL; owned; NULL for none
  * @fault_count: number of all of them
+ * @missing: places of the first members that have a default for want of a
+ *           figure, separated by spaces; owned; NULL for none
+ * @missing_count: number of all of them
  */
 struct gate_config {
     int reference_count;
@@ -268,6 +271,8 @@
     int64_t idle_timeout_ms;
     char **faults;
     int fault_count;
+    char *missing;
+    int missing_count;
 };
 
 /**
--- a/src/gate/follow/feed.c
+++ b/src/gate/follow/feed.c
@@ -67,6 +67,13 @@
 static void
 log_config_faults(const struct gate_config *config)
 {
+    if (config->missing_count > 0) {
+        log_line(LOG_PRI_INFO, "feed",
+                 "event=config_missing version=%" G_GINT64_FORMAT
+                 " members=%d defaults_of=\"%s\"",
+                 (gint64)config->version, config->missing_count,
+                 config->missing);
+    }
     if (config->fault_count == 0) {
         return;
     }
--- a/src/gate/view/config.c
+++ b/src/gate/view/config.c
@@ -82,6 +82,7 @@
     g_free(config->teams);
     g_free(config->keys);
     g_strfreev(config->faults);
+    g_free(config->missing);
     g_free(config);
 }
 
--- a/src/http/dat.h
+++ b/src/http/dat.h
@@ -140,20 +140,22 @@
     size_t index;
 };
 
-/* Texts that are kept of one document. */
-enum { JSON_FAULTS_KEPT = 32 };
+/* Texts and places that are kept of one document. */
+enum { JSON_FAULTS_KEPT = 32, JSON_MISSING_KEPT = 16 };
 
 /**
  * struct json_faults - what can't be used of a document
  * @texts: "PLACE: REASON" of the first JSON_FAULTS_KEPT, each owned
  * @count: number of all
- * @missing: places of missing members that are to be reported, separated by
- *           spaces; NULL for none
+ * @missing: places of the first JSON_MISSING_KEPT missing members that are to
+ * be reported, separated by spaces; NULL for none
+ * @missing_count: number of all of them
  */
 struct json_faults {
     char *texts[JSON_FAULTS_KEPT];
     int count;
     char *missing;
+    int missing_count;
 };
 
 #endif
--- a/src/http/fns.h
+++ b/src/http/fns.h
@@ -23,6 +23,8 @@
                  size_t *pruned_bytes);
 struct json_object *json_parse_pruned(const char *text, size_t bytes,
                                       struct err *err);
+struct json_object *json_get_member(struct json_object *object,
+                                    const char *key);
 const char *json_get_string(struct json_object *object, const char *key,
                             const char *fallback);
 int64_t json_get_int64(struct json_object *object, const char *key,
--- a/src/http/json.c
+++ b/src/http/json.c
@@ -167,6 +167,24 @@
     return object;
 }
 
+/**
+ * json_get_member() - get a member of an object
+ * @object: the object; any other value has no members
+ * @key: name of the member
+ *
+ * Return: the member, owned by the object; NULL if it is missing or null.
+ */
+struct json_object *
+json_get_member(struct json_object *object, const char *key)
+{
+    struct json_object *member = NULL;
+
+    if (json_object_is_type(object, json_type_object)) {
+        json_object_object_get_ex(object, key, &member);
+    }
+    return member;
+}
+
 /**
  * json_get_string() - get a string member of an object
  * @object: the object; any other value has no members
--- a/src/http/rule.c
+++ b/src/http/rule.c
@@ -266,16 +266,18 @@
 note_missing(struct json_faults *faults, const struct json_place *place,
              const char *key)
 {
-    char *text = format_place(place, key);
+    char *text;
     char *longer;
 
-    if (faults != NULL) {
-        longer = faults->missing != NULL
-                     ? g_strdup_printf("%s %s", faults->missing, text)
-                     : g_strdup(text);
-        g_free(faults->missing);
-        faults->missing = longer;
+    if (faults == NULL || ++faults->missing_count > JSON_MISSING_KEPT) {
+        return;
     }
+    text = format_place(place, key);
+    longer = faults->missing != NULL
+                 ? g_strdup_printf("%s %s", faults->missing, text)
+                 : g_strdup(text);
+    g_free(faults->missing);
+    faults->missing = longer;
     g_free(text);
 }
 
@@ -299,10 +301,9 @@
             const struct json_rule *rule, void *out,
             struct json_faults *faults)
 {
-    struct json_object *member = NULL;
+    struct json_object *member = json_get_member(object, rule->key);
     struct err err = {0};
 
-    json_object_object_get_ex(object, rule->key, &member);
     if (member == NULL) {
         return read_missing(rule, place, faults);
     }
--- a/test/entries_test.c
+++ b/test/entries_test.c
@@ -560,6 +560,11 @@
     {"config_written_again", "PrPr", "event=config_partly_used", 1, 2, 2},
     {"config_newer", "PrQr", "event=config_partly_used", 2, 3, 3},
     {"config_after_sound", "CrPr", "event=config_partly_used", 1, 2, 2},
+    {"config_missing", "Pr",
+     "event=config_missing version=2 members=4 "
+     "defaults_of=\"limits.max_header_bytes ",
+     1, 2, 2},
+    {"config_missing_listed_again", "PrFrr", "event=config_missing", 1, 2, 2},
     {"items_cut", "Gr", "event=target_items_unknown target=a cut=96 ", 1, 0,
      0},
     {"items_cut_again", "GrGrGr", "event=target_items_unknown", 1, 0, 0},
