relay_time_test: a second response ends its request as it passes

The row held the time of the question, not what a caller gets. In its place /relay_time/second has four: with a length and without one the caller gets 502 at once and no stream counts as cut off; a body that goes on, and a response to another request, leave the request as it is. The rows length and close fail when the scan is taken out (the request goes on).

--- a/test/relay_time_test.c
+++ b/test/relay_time_test.c
@@ -2393,9 +2393,6 @@
      FAULT_ENDED_EARLY},
     {"body", REQUEST("/once/1"), ANSWER_HEAD "Content-Length: 99\r\n\r\npart",
      FAULT_NONE},
-    {"second_response", REQUEST("/once/1"),
-     ANSWER_HEAD "Content-Length: 99\r\n\r\npart" ANSWER_HEAD,
-     FAULT_SECOND_RESPONSE},
 };
 
 static void
@@ -2422,6 +2419,53 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a body that goes on behind a second response, of which the
+ * caller might get the announced length, and against one that counts as a
+ * broken stream. */
+struct second_case {
+    const char *name;
+    const char *text; /* what the target has written */
+    bool ended;       /* the request, with 502 */
+};
+
+static const struct second_case second_cases[] = {
+    {"none", ANSWER_HEAD "Content-Length: 99\r\n\r\npart", false},
+    {"length", ANSWER_HEAD "Content-Length: 99\r\n\r\npart" ANSWER_HEAD, true},
+    {"close", ANSWER_HEAD "\r\npart" ANSWER_HEAD, true},
+    {"of_another_request",
+     ANSWER_HEAD "\r\npartHTTP/1.1 200 OK\r\nAttempt-Id: other\r\n\r\n",
+     false},
+};
+
+static void
+test_second(gconstpointer data)
+{
+    const struct second_case *c = data;
+    uint64_t count = counter_read(CTR_STREAM_CUT_OFF);
+    struct fixture fixture;
+    uint32_t cursor = 0;
+    char *text;
+    int caller;
+
+    fixture_start(&fixture);
+    caller = connect_caller(&fixture);
+    send_request(&fixture, caller, REQUEST("/once/1"));
+    g_free(read_some(fixture.target));
+    answer(&fixture, c->text);
+    g_assert_cmpint(table_next(&fixture.relay->exchanges, &cursor, NULL) ==
+                        NULL,
+                    ==, c->ended);
+    g_assert_cmpint(is_readable(caller), ==, c->ended);
+    g_assert_cmpuint(counter_read(CTR_STREAM_CUT_OFF), ==, count);
+    if (c->ended) {
+        text = read_some(caller);
+        g_assert_true(g_str_has_prefix(text, "HTTP/1.1 502"));
+        g_free(text);
+    }
+    close(caller);
+    fixture_stop(&fixture);
+}
+
 /* Sends events to a caller that doesn't read, and the end of the stream with
  * the one that fills its output. */
 static void
@@ -2714,6 +2758,7 @@
     CASES("/relay_time/lookup", lookup_cases, test_lookup),
     CASES("/relay_time/discard", discard_cases, test_discard),
     CASES("/relay_time/fault", fault_cases, test_fault),
+    CASES("/relay_time/second", second_cases, test_second),
     CASES("/relay_time/discard_time", discard_time_cases, test_discard_time),
 };
 
